--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: timings as ratios, and figures of the decisions."""
--- /dev/null
+++ b/dragonflystack/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: slots, owners, health, ramp-up and drain."""
--- /dev/null
+++ b/dragonflystack/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: a thin shell of I/O round the decisions."""
--- /dev/null
+++ b/dragonflystack/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request: identity, admission, deadlines, retries."""
--- /dev/null
+++ b/dragonflystack/ids.py
@@ -0,0 +1,42 @@
+"""Identifiers, one distinct type each."""
+
+from typing import NewType
+
+VmId = NewType("VmId", str)
+"""An entry VM, as named in its settings; unique in the fleet."""
+
+Incarnation = NewType("Incarnation", str)
+"""One run of a daemon on a VM; unique over all runs of all VMs."""
+
+FailureDomainId = NewType("FailureDomainId", str)
+"""A failure domain; unique in the fleet."""
+
+RegionId = NewType("RegionId", str)
+"""A region, which holds one or more failure domains."""
+
+ServiceId = NewType("ServiceId", str)
+"""A service that callers ask for by name."""
+
+BackendServerId = NewType("BackendServerId", str)
+"""A backend server; unique in the fleet."""
+
+SiteId = NewType("SiteId", int)
+"""A site of clients: the index into the document's list of sites."""
+
+RequestKey = NewType("RequestKey", str)
+"""The identity of a non-idempotent request over all its attempts."""
+
+TeamId = NewType("TeamId", str)
+"""A team of operators that owns sections of the document."""
+
+SectionId = NewType("SectionId", str)
+"""A section of the configuration document, such as `services/order`."""
+
+DocumentVersion = NewType("DocumentVersion", int)
+"""The version of the configuration document; it only grows."""
+
+ChangeId = NewType("ChangeId", str)
+"""One attempt of an operator to change the document, chosen by the client."""
+
+Digest = NewType("Digest", str)
+"""The lower-case hexadecimal SHA-256 of an object's bytes."""
--- /dev/null
+++ b/dragonflystack/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Entry VMs: incarnations, heartbeats, relays."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""The specification of the core protocol and its checker."""
