Serve the whole path, thin, as separate processes

Cause: nothing ran from end to end. Found on the way: msgspec refuses a union of Raw and None, so that a transaction failed with 500 at the stand-in; a delete is now JSON null. Left: look-up, forwarding, membership and configuration are thin; the decision packages replace them.

--- /dev/null
+++ b/dragonflystack/_server.py
@@ -0,0 +1,57 @@
+"""A uvicorn server that runs inside a task group and leaves signals alone."""
+
+import contextlib
+import ssl
+
+import anyio
+import uvicorn
+
+from dragonflystack import _asgi
+
+_BACKLOG = 512
+_START_POLL_S = 0.01
+
+
+class Server(uvicorn.Server):
+    """One listening port."""
+
+    @classmethod
+    def from_address(
+        cls,
+        app: _asgi.App,
+        host: str,
+        port: int,
+        tls: ssl.SSLContext | None = None,
+    ) -> "Server":
+        """Returns a server for the app; `port` 0 takes any free port."""
+        cfg = uvicorn.Config(
+            app,
+            host=host,
+            port=port,
+            access_log=False,
+            log_config=None,
+            lifespan="off",
+            backlog=_BACKLOG,
+            ws="none",
+            server_header=False,
+            date_header=False,
+            timeout_graceful_shutdown=None,
+        )
+        if tls is not None:
+            cfg.load()
+            cfg.ssl = tls
+        return cls(cfg)
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Leaves signals to the daemon."""
+        yield
+
+    async def wait_started(self) -> None:
+        """Returns when the port accepts connections."""
+        while not self.started:
+            await anyio.sleep(_START_POLL_S)
+
+    def stop(self) -> None:
+        """Asks for a graceful shutdown: what is in flight is finished."""
+        self.should_exit = True
--- /dev/null
+++ b/dragonflystack/daemon/_members.py
@@ -0,0 +1,50 @@
+"""Registers this VM in the table service and learns of the others."""
+
+import anyio
+import msgspec
+
+from dragonflystack import platform
+from dragonflystack.daemon import _node
+
+TABLE = "members"
+_POLL_S = 0.5
+
+
+async def run(node: _node.Node) -> None:
+    """Registers this VM and reads the others, for ever."""
+    while True:
+        await register(node)
+        await _read_members(node)
+        await anyio.sleep(_POLL_S)
+
+
+async def register(node: _node.Node) -> None:
+    """Writes the row of this VM."""
+    value = msgspec.json.encode(node.member())
+    await node.platform.write(platform.Write(TABLE, node.vm, None, value))
+
+
+async def deregister(node: _node.Node) -> None:
+    """Deletes the row of this VM."""
+    await node.platform.write(platform.Write(TABLE, node.vm, None, None))
+
+
+async def _read_members(node: _node.Node) -> None:
+    listed = await node.platform.list_vms()
+    rows = await node.platform.scan(TABLE)
+    if isinstance(listed, platform.Unavailable):
+        return
+    if isinstance(rows, platform.Unavailable):
+        return
+    leaving = {vm.id for vm in listed if vm.state is platform.VmState.LEAVING}
+    known = {vm.id for vm in listed}
+    members = [
+        msgspec.json.decode(row.value, type=_node.Member) for row in rows
+    ]
+    node.members = {
+        member.vm: msgspec.structs.replace(
+            member, leaving=member.leaving or member.vm in leaving
+        )
+        for member in members
+        if member.vm in known
+    }
--- /dev/null
+++ b/dragonflystack/daemon/_node.py
@@ -0,0 +1,71 @@
+"""What one daemon knows: its settings, its document, the VMs it sees."""
+
+import dataclasses
+import random
+
+import msgspec
+
+from dragonflystack import clock
+from dragonflystack import config
+from dragonflystack import ids
+from dragonflystack import platform
+from dragonflystack import promises
+from dragonflystack.daemon import _settings
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True):
+    """A VM as it registered itself in the table service."""
+
+    vm: ids.VmId
+    incarnation: ids.Incarnation
+    failure_domain: ids.FailureDomainId
+    callers: _settings.Address
+    daemons: _settings.Address
+    version: ids.DocumentVersion
+    """The document version that it has in force."""
+
+    leaving: bool = False
+
+
+@dataclasses.dataclass
+class Node:
+    """The state of one daemon."""
+
+    settings: _settings.Settings
+    incarnation: ids.Incarnation
+    clock: clock.Clock
+    rng: random.Random
+    platform: platform.HttpPlatform
+    ledger: promises.Ledger
+    document: config.Document | None = None
+    version: ids.DocumentVersion = ids.DocumentVersion(0)
+    members: dict[ids.VmId, Member] = dataclasses.field(default_factory=dict)
+    leaving: bool = False
+    """Whether this VM is stopping."""
+
+    in_flight: int = 0
+    """Requests of callers that have no answer yet."""
+
+    @property
+    def vm(self) -> ids.VmId:
+        """This VM."""
+        return self.settings.vm
+
+    @property
+    def region(self) -> ids.RegionId | None:
+        """This VM's region, None until a document names its failure domain."""
+        if self.document is None:
+            return None
+        return self.document.region_of.get(self.settings.failure_domain)
+
+    def member(self) -> Member:
+        """Returns this VM as the others see it."""
+        return Member(
+            vm=self.vm,
+            incarnation=self.incarnation,
+            failure_domain=self.settings.failure_domain,
+            callers=self.settings.callers,
+            daemons=self.settings.daemons,
+            version=self.version,
+            leaving=self.leaving,
+        )
--- /dev/null
+++ b/dragonflystack/daemon/_operators.py
@@ -0,0 +1,152 @@
+"""The operators' port: health, state, promises, the document."""
+
+from typing import Any
+
+import msgspec
+
+from dragonflystack import _asgi
+from dragonflystack import config
+from dragonflystack import ids
+from dragonflystack import platform
+from dragonflystack.daemon import _configuration
+from dragonflystack.daemon import _node
+
+_MAX_DOCUMENT_BYTES = 64 * 1_048_576
+
+
+def make_app(node: _node.Node) -> _asgi.App:
+    """Returns the ASGI app of the operators' port."""
+    routes = {
+        ("GET", "/health/live"): _on_live,
+        ("GET", "/health/ready"): _on_ready,
+        ("GET", "/v1/dump"): _on_dump,
+        ("GET", "/v1/promises"): _on_promises,
+        ("GET", "/v1/document"): _on_get_document,
+        ("PUT", "/v1/document"): _on_put_document,
+    }
+
+    async def app(
+        scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
+    ) -> None:
+        handler = routes.get((scope["method"], scope["path"]))
+        if handler is None:
+            await _asgi.send_problem(send, 404, "no such path", scope["path"])
+            return
+        await handler(node, scope, receive, send)
+
+    return app
+
+
+def _team(node: _node.Node, scope: _asgi.Scope) -> ids.TeamId | None:
+    given = _asgi.header(scope, b"authorization") or ""
+    for team, token in node.settings.team_tokens.items():
+        if given == f"Bearer {token}":
+            return team
+    return None
+
+
+async def _on_live(node, scope, receive, send) -> None:
+    await _asgi.send_json(send, {"vm": node.vm, "live": True})
+
+
+async def _on_ready(node, scope, receive, send) -> None:
+    ready = node.document is not None and not node.leaving
+    status = 200 if ready else 503
+    await _asgi.send_json(send, {"vm": node.vm, "ready": ready}, status)
+
+
+def dump(node: _node.Node) -> dict[str, Any]:
+    """Returns the whole state of the daemon, secrets left out."""
+    return {
+        "vm": node.vm,
+        "incarnation": node.incarnation,
+        "failure_domain": node.settings.failure_domain,
+        "region": node.region,
+        "version": node.version,
+        "leaving": node.leaving,
+        "in_flight": node.in_flight,
+        "members": list(node.members.values()),
+        "monotonic_s": node.clock.monotonic().total_seconds(),
+    }
+
+
+async def _on_dump(node, scope, receive, send) -> None:
+    await _asgi.send_json(send, dump(node))
+
+
+async def _on_promises(node, scope, receive, send) -> None:
+    records = [
+        {
+            "promise": record.promise.value,
+            "checks": record.checks,
+            "worst_margin": record.worst_margin,
+            "breaches": record.breaches,
+            "last_breaches": [
+                {
+                    "at_s": breach.at.total_seconds(),
+                    "place": breach.place,
+                    "margin": breach.margin,
+                }
+                for breach in record.last_breaches
+            ],
+        }
+        for record in node.ledger.records()
+    ]
+    await _asgi.send_json(send, {"vm": node.vm, "promises": records})
+
+
+async def _on_get_document(node, scope, receive, send) -> None:
+    if node.document is None:
+        await _asgi.send_problem(send, 404, "no document yet")
+        return
+    body = config.encode_document(node.document)
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"etag", b'"%d"' % node.version),
+    ]
+    await _asgi.send_bytes(send, 200, headers, body)
+
+
+async def _on_put_document(node, scope, receive, send) -> None:
+    if _team(node, scope) is None:
+        await _asgi.send_problem(send, 401, "no such team token")
+        return
+    data = await _asgi.read_body(receive, _MAX_DOCUMENT_BYTES)
+    try:
+        document = config.decode_document(data)
+    except config.InvalidDocumentError as exc:
+        await _asgi.send_problem(send, 422, "invalid document", str(exc))
+        return
+    base = int((_asgi.header(scope, b"if-match") or '"0"').strip('"'))
+    change = ids.ChangeId(_asgi.header(scope, b"dragonfly-change") or "")
+    result = await _write_document(node, document, base, change)
+    if isinstance(result, platform.Committed):
+        await _asgi.send_json(send, {"version": base + 1}, 201)
+    elif isinstance(result, platform.Conflict):
+        await _asgi.send_problem(send, 409, "the document has changed")
+    else:
+        reason = str(result.failure)
+        await _asgi.send_problem(send, 503, "table service out", reason)
+
+
+async def _write_document(
+    node: _node.Node,
+    document: config.Document,
+    base: int,
+    change: ids.ChangeId,
+) -> platform.WriteResult:
+    data = config.encode_document(document)
+    digest = _configuration.digest_of(data)
+    failed = await node.platform.put(digest, data)
+    if failed is not None:
+        return failed
+    version = ids.DocumentVersion(base + 1)
+    head = _configuration.Head(version, digest, change)
+    return await node.platform.write(
+        platform.Write(
+            _configuration.HEAD_TABLE,
+            _configuration.HEAD_KEY,
+            base,
+            msgspec.json.encode(head),
+        )
+    )
--- /dev/null
+++ b/dragonflystack/daemon/_run.py
@@ -0,0 +1,76 @@
+"""The life of a daemon: start, serve, graceful shutdown."""
+
+import random
+import signal
+import uuid
+
+import anyio
+import eliot
+
+from dragonflystack import _server
+from dragonflystack import clock
+from dragonflystack import ids
+from dragonflystack import platform
+from dragonflystack import promises
+from dragonflystack.daemon import _callers
+from dragonflystack.daemon import _configuration
+from dragonflystack.daemon import _logs
+from dragonflystack.daemon import _members
+from dragonflystack.daemon import _node
+from dragonflystack.daemon import _operators
+from dragonflystack.daemon import _settings
+
+_DRAIN_POLL_S = 0.05
+
+
+def make_node(cfg: _settings.Settings) -> _node.Node:
+    """Returns the state of a daemon that starts."""
+    return _node.Node(
+        settings=cfg,
+        incarnation=ids.Incarnation(uuid.uuid4().hex[:12]),
+        clock=clock.SystemClock(),
+        rng=random.Random(uuid.uuid4().int),
+        platform=platform.HttpPlatform.from_url(
+            cfg.platform_url, cfg.platform_timeout
+        ),
+        ledger=promises.Ledger(),
+    )
+
+
+async def run(cfg: _settings.Settings) -> None:
+    """Serves until SIGTERM or SIGINT, then shuts down gracefully."""
+    node = make_node(cfg)
+    _logs.start(node.vm, node.incarnation, cfg.log_file)
+    callers = _server.Server.from_address(
+        _callers.make_app(node), cfg.callers.host, cfg.callers.port
+    )
+    operators = _server.Server.from_address(
+        _operators.make_app(node), cfg.operators.host, cfg.operators.port
+    )
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with anyio.create_task_group() as servers:
+            servers.start_soon(callers.serve)
+            servers.start_soon(operators.serve)
+            async with anyio.create_task_group() as loops:
+                loops.start_soon(_configuration.run, node)
+                loops.start_soon(_members.run, node)
+                eliot.log_message("daemon_started", callers=str(cfg.callers))
+                async for _ in signals:
+                    break
+                await _leave(node)
+                loops.cancel_scope.cancel()
+            callers.stop()
+            operators.stop()
+    await node.platform.aclose()
+    eliot.log_message("daemon_stopped")
+
+
+async def _leave(node: _node.Node) -> None:
+    """Leaves the answers, serves out the cached ones and what is in flight."""
+    node.leaving = True
+    eliot.log_message("daemon_leaving")
+    if node.document is not None:
+        await anyio.sleep(node.document.fleet.answer_ttl_s)
+    while node.in_flight:
+        await anyio.sleep(_DRAIN_POLL_S)
+    await _members.deregister(node)
--- /dev/null
+++ b/dragonflystack/platform/_http.py
@@ -0,0 +1,195 @@
+"""The platform over HTTP.
+
+Rows are resources under `/tables/TABLE/KEY` whose `ETag` is their version; a
+transaction is one POST to `/transactions`; objects are resources under
+`/objects/NAME`; the list of VMs is `/vms`.
+"""
+
+import datetime
+from typing import Any
+
+import httpcore
+import msgspec
+
+from dragonflystack import outcomes
+from dragonflystack.platform import _ports
+
+_OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_CONFLICT = 409
+
+_CONNECT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+_LOST_ANSWER_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+class _RowBody(msgspec.Struct, frozen=True):
+    key: str
+    version: int
+    value: msgspec.Raw
+
+
+class _ConflictBody(msgspec.Struct, frozen=True):
+    table: str
+    key: str
+
+
+class HttpPlatform:
+    """The table service, the object store and the VM list over HTTP."""
+
+    def __init__(
+        self,
+        base_url: str,
+        timeout: datetime.timedelta,
+        pool: httpcore.AsyncConnectionPool,
+    ):
+        """Takes the pool as its own.
+
+        Args:
+            base_url: scheme, host and port, without a slash at the end.
+            timeout: bound on connecting and on each read.
+            pool: the connections to use.
+        """
+        self._base_url = base_url
+        seconds = timeout.total_seconds()
+        self._extensions = {
+            "timeout": dict.fromkeys(
+                ("connect", "read", "write", "pool"), seconds
+            )
+        }
+        self._pool = pool
+
+    @classmethod
+    def from_url(
+        cls, base_url: str, timeout: datetime.timedelta
+    ) -> "HttpPlatform":
+        """Returns a platform with connections of its own."""
+        pool = httpcore.AsyncConnectionPool(
+            max_connections=8, keepalive_expiry=timeout.total_seconds()
+        )
+        return cls(base_url, timeout, pool)
+
+    async def read(
+        self, table: str, key: str
+    ) -> _ports.Row | None | _ports.Unavailable:
+        """See `TableService.read`."""
+        res = await self._get(f"/tables/{table}/{key}")
+        if not isinstance(res, httpcore.Response):
+            return res
+        return _row(msgspec.json.decode(res.content, type=_RowBody))
+
+    async def scan(
+        self, table: str
+    ) -> tuple[_ports.Row, ...] | _ports.Unavailable:
+        """See `TableService.scan`."""
+        res = await self._get(f"/tables/{table}")
+        if res is None:
+            return ()
+        if not isinstance(res, httpcore.Response):
+            return res
+        bodies = msgspec.json.decode(res.content, type=list[_RowBody])
+        return tuple(_row(body) for body in bodies)
+
+    async def write(self, *writes: _ports.Write) -> _ports.WriteResult:
+        """See `TableService.write`."""
+        content = msgspec.json.encode([_write_body(w) for w in writes])
+        try:
+            res = await self._request("POST", "/transactions", content)
+        except _CONNECT_ERRORS as exc:
+            return _ports.Unavailable(_failure(exc))
+        except _LOST_ANSWER_ERRORS as exc:
+            return _ports.Unsure(_failure(exc))
+        if res.status == _OK:
+            return _ports.Committed()
+        if res.status == _CONFLICT:
+            body = msgspec.json.decode(res.content, type=_ConflictBody)
+            return _ports.Conflict(body.table, body.key)
+        return _ports.Unavailable(_status_failure(res))
+
+    async def get(self, name: str) -> bytes | None | _ports.Unavailable:
+        """See `ObjectStore.get`."""
+        res = await self._get(f"/objects/{name}")
+        return res.content if isinstance(res, httpcore.Response) else res
+
+    async def put(self, name: str, data: bytes) -> _ports.Unavailable | None:
+        """See `ObjectStore.put`."""
+        try:
+            res = await self._request("PUT", f"/objects/{name}", data)
+        except (*_CONNECT_ERRORS, *_LOST_ANSWER_ERRORS) as exc:
+            return _ports.Unavailable(_failure(exc))
+        if res.status in (_OK, _CREATED):
+            return None
+        return _ports.Unavailable(_status_failure(res))
+
+    async def list_vms(
+        self,
+    ) -> tuple[_ports.ListedVm, ...] | _ports.Unavailable:
+        """See `VmList.list_vms`."""
+        res = await self._get("/vms")
+        if res is None:
+            return ()
+        if not isinstance(res, httpcore.Response):
+            return res
+        return msgspec.json.decode(
+            res.content, type=tuple[_ports.ListedVm, ...]
+        )
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
+        await self._pool.aclose()
+
+    async def _get(
+        self, path: str
+    ) -> httpcore.Response | None | _ports.Unavailable:
+        try:
+            res = await self._request("GET", path, None)
+        except (*_CONNECT_ERRORS, *_LOST_ANSWER_ERRORS) as exc:
+            return _ports.Unavailable(_failure(exc))
+        if res.status == _NOT_FOUND:
+            return None
+        if res.status != _OK:
+            return _ports.Unavailable(_status_failure(res))
+        return res
+
+    async def _request(
+        self, method: str, path: str, content: bytes | None
+    ) -> httpcore.Response:
+        return await self._pool.request(
+            method,
+            self._base_url + path,
+            content=content,
+            extensions=self._extensions,
+        )
+
+
+def _row(body: _RowBody) -> _ports.Row:
+    return _ports.Row(body.key, body.version, bytes(body.value))
+
+
+def _write_body(write: _ports.Write) -> dict[str, Any]:
+    value = None if write.value is None else msgspec.Raw(write.value)
+    return {
+        "table": write.table,
+        "key": write.key,
+        "expected_version": write.expected_version,
+        "value": value,
+    }
+
+
+def _failure(exc: Exception) -> outcomes.Failure:
+    reason = f"{type(exc).__name__}: {exc}".rstrip(": ")
+    return outcomes.Failure(outcomes.Step.STORE, "platform", reason)
+
+
+def _status_failure(res: httpcore.Response) -> outcomes.Failure:
+    return outcomes.Failure(
+        outcomes.Step.STORE, "platform", f"answered {res.status}"
+    )
