--- a/dragonflystack/backends/_shards.py
+++ b/dragonflystack/backends/_shards.py
@@ -11,10 +11,10 @@
 Loads", SODA 2018.
 """
 
-import dataclasses
-import math
 from collections.abc import Iterable
 from collections.abc import Sequence
+import dataclasses
+import math
 
 import xxhash
 
