--- a/dragonflystack/backends/_shards.py
+++ b/dragonflystack/backends/_shards.py
@@ -45,7 +45,7 @@
 
 
 def _weight(place: str, candidate: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{place}\x00{candidate}")
+    return xxhash.xxh3_64_intdigest(f"{place}\x00{candidate}".encode())
 
 
 def shards_of(
