Bound what one connection may send

Cause: the HTTP server bounds neither the size of a request's head nor how long a request takes to arrive, so one caller could hold memory and connections of an entry VM. Ruled out: the concurrency limit alone, which counts connections but not what each of them holds. Seen to fail first: with the plain protocol class the 431 cases fail.

--- a/dragonflystack/_server.py
+++ b/dragonflystack/_server.py
@@ -7,8 +7,10 @@
 import uvicorn
 
 from dragonflystack import _asgi
+from dragonflystack import _limits
 
 _BACKLOG = 512
+_MAX_CONNECTIONS = 2_000
 _START_POLL_S = 0.01
 
 
@@ -36,6 +38,8 @@
             server_header=False,
             date_header=False,
             timeout_graceful_shutdown=None,
+            http=_limits.LimitedProtocol,
+            limit_concurrency=_MAX_CONNECTIONS,
         )
         if tls is not None:
             cfg.load()
--- /dev/null
+++ b/dragonflystack/tests/test_limits.py
@@ -0,0 +1,87 @@
+import contextlib
+import datetime
+
+import anyio
+import pytest
+
+from dragonflystack import _asgi
+from dragonflystack import _limits
+from dragonflystack import _server
+
+_BODY_LIMIT_BYTES = 100_000
+
+
+async def _app(scope, receive, send):
+    body = await _asgi.read_body(receive, _BODY_LIMIT_BYTES)
+    await _asgi.send_json(send, {"length": len(body)})
+
+
+@contextlib.asynccontextmanager
+async def _connected():
+    server = _server.Server.from_address(_app, "127.0.0.1", 0)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve)
+        await server.wait_started()
+        port = server.servers[0].sockets[0].getsockname()[1]
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            yield stream
+        server.stop()
+
+
+async def _read_to_end(stream) -> bytes:
+    parts = []
+    with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+        while True:
+            parts.append(await stream.receive())
+    return b"".join(parts)
+
+
+def _answer_to(*parts: bytes) -> bytes:
+    async def run():
+        async with _connected() as stream:
+            with contextlib.suppress(anyio.BrokenResourceError):
+                for part in parts:
+                    await stream.send(part)
+            return await _read_to_end(stream)
+
+    return anyio.run(run)
+
+
+_HEAD = b"POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
+_LARGE_BODY = b"x" * 90_000
+
+
+@pytest.mark.parametrize(
+    ("parts", "status"),
+    [
+        ([_HEAD + b"\r\n"], b"200"),
+        ([_HEAD + b"a: " + b"b" * 40_000 + b"\r\n\r\n"], b"431"),
+        (
+            [_HEAD, *[b"h%d: %s\r\n" % (i, b"b" * 999) for i in range(99)]],
+            b"431",
+        ),
+        ([b"GET /" + b"a" * 40_000], b"431"),
+        ([b"nonsense\r\n\r\n"], b"400"),
+        ([_HEAD + b"content-length: 9x\r\n\r\n"], b"400"),
+        (
+            [_HEAD + b"content-length: 90000\r\n\r\n" + _LARGE_BODY],
+            b"200",
+        ),
+        (
+            [_HEAD + b"content-length: 90000\r\n\r", b"\n" + _LARGE_BODY],
+            b"200",
+        ),
+    ],
+)
+def test_a_request_is_answered_by_its_head(parts, status):
+    assert _answer_to(*parts).startswith(b"HTTP/1.1 " + status)
+
+
+@pytest.mark.parametrize(
+    "part",
+    [b"", b"GET / HT", _HEAD, _HEAD + b"content-length: 9\r\n\r\nab"],
+)
+def test_a_slow_request_is_given_up(monkeypatch, part):
+    short = datetime.timedelta(milliseconds=50)
+    monkeypatch.setattr(_limits, "MAX_ARRIVAL", short)
+    assert _answer_to(part).startswith(b"HTTP/1.1 408")
