Decide the life of a request: identity, tries, retries, outcomes

Cause: the thin path forwards to any backend server once, binds no key and can't tell not-run from unknown in the cases that matter. A key is bound to an incarnation by its prefix VM.INCARNATION.SLICE. or by a claim in the table service; slices close, so a bounded ledger may forget without allowing a second run. Only the incarnation that holds a key says not-run, after ruling the attempt out; anybody else says unknown, also while the table service is out: an earlier attempt at another VM may have run. Ruled out: not-run from a VM that could not reach the issuer or the table service (the caller may have been served there before its answer was lost); forgetting keys by age alone (a late repeat would run).

--- /dev/null
+++ b/dragonflystack/forwarding/_retry_budget.py
@@ -0,0 +1,44 @@
+"""A bound on retries, as a share of first attempts.
+
+A token bucket, as in Google's "Site Reliability Engineering" (Beyer et al.,
+2016), chapter 21: each first attempt adds a fraction of a token, each retry
+takes a whole one, so retries can't multiply load when everything fails.
+"""
+
+
+class RetryBudget:
+    """The tokens of one VM."""
+
+    def __init__(self, ratio: float, burst: float):
+        """Starts with a full bucket.
+
+        Args:
+            ratio: tokens that a first attempt adds, 0 to 1.
+            burst: the most tokens it holds.
+
+        Raises:
+            ValueError: if a bound is outside its range.
+        """
+        if not 0 <= ratio <= 1:
+            raise ValueError(f"ratio: expected 0 to 1, found {ratio}")
+        if burst < 0:
+            raise ValueError(f"burst: expected 0 or more, found {burst}")
+        self._ratio = ratio
+        self._burst = burst
+        self._tokens = burst
+
+    @property
+    def tokens(self) -> float:
+        """The tokens left."""
+        return self._tokens
+
+    def on_first_attempt(self) -> None:
+        """Adds the share of a first attempt."""
+        self._tokens = min(self._burst, self._tokens + self._ratio)
+
+    def take(self) -> bool:
+        """Takes a token for a retry, and tells whether there was one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- /dev/null
+++ b/dragonflystack/forwarding/tests/test_key_ledger.py
@@ -0,0 +1,182 @@
+import datetime
+import random
+
+import pytest
+
+from dragonflystack import ids
+from dragonflystack import promises
+from dragonflystack.forwarding import _identity
+from dragonflystack.forwarding import _key_ledger
+from dragonflystack.forwarding import _messages
+
+_ISSUER = _messages.Issuer(ids.VmId("vm1"), ids.Incarnation("a1"))
+_ZERO = datetime.timedelta()
+_SLICE = datetime.timedelta(seconds=60)
+_Verdict = _key_ledger.Verdict
+
+
+def _ledger(**bounds) -> _key_ledger.KeyLedger:
+    return _key_ledger.KeyLedger(
+        _ISSUER,
+        _key_ledger.Bounds(**bounds),
+        promises.Ledger(strict=True),
+        _ZERO,
+    )
+
+
+def _admit(keys, key, attempt=1, fingerprint=b"f"):
+    return keys.admit(ids.RequestKey(key), attempt, fingerprint)
+
+
+def _serve(keys, key, body=b"", now=_ZERO):
+    assert _admit(keys, key) is _Verdict.RUN
+    keys.on_started(key, now)
+    keys.settle_served(key, _messages.Answer(200, body=body), now)
+
+
+def test_a_key_goes_from_fresh_to_running_to_served():
+    keys = _ledger()
+    key = keys.mint()
+    assert _admit(keys, key) is _Verdict.RUN
+    assert _admit(keys, key) is _Verdict.JOIN
+    keys.on_started(key, _ZERO)
+    assert _admit(keys, key, attempt=2) is _Verdict.JOIN
+    keys.settle_served(key, _messages.Answer(200, body=b"ring"), _ZERO)
+    assert _admit(keys, key, attempt=2) is _Verdict.REPEAT
+    entry = keys.find(key)
+    assert entry is not None and entry.answer is not None
+    assert entry.answer.body == b"ring"
+
+
+def test_a_refused_attempt_stays_refused_and_a_higher_one_runs():
+    keys = _ledger()
+    key = keys.mint()
+    assert _admit(keys, key, attempt=2) is _Verdict.RUN
+    keys.settle_not_run(key, _ZERO)
+    assert _admit(keys, key, attempt=1) is _Verdict.NOT_RUN
+    assert _admit(keys, key, attempt=2) is _Verdict.NOT_RUN
+    assert _admit(keys, key, attempt=3) is _Verdict.RUN
+
+
+def test_an_unknown_key_never_runs_again():
+    keys = _ledger()
+    key = keys.mint()
+    _admit(keys, key)
+    keys.on_started(key, _ZERO)
+    keys.settle_unknown(key)
+    assert _admit(keys, key, attempt=9) is _Verdict.UNKNOWN
+
+
+def test_a_key_is_not_good_for_another_request():
+    keys = _ledger()
+    key = keys.mint()
+    _serve(keys, key)
+    assert _admit(keys, key, fingerprint=b"g") is _Verdict.REUSED
+
+
+@pytest.mark.parametrize(
+    ("start", "settle", "promise"),
+    [
+        (True, "settle_not_run", "not-run-is-true"),
+        (True, "on_started", "at-most-once"),
+    ],
+)
+def test_a_breach_is_found_where_the_state_changes(start, settle, promise):
+    keys = _ledger()
+    key = keys.mint()
+    _admit(keys, key)
+    keys.on_started(key, _ZERO)
+    with pytest.raises(AssertionError, match=promise):
+        getattr(keys, settle)(key, _ZERO)
+
+
+def test_a_closed_slice_refuses_served_and_unseen_keys():
+    keys = _ledger(open_slices=2)
+    prefix = keys.prefix
+    _serve(keys, prefix + "1")
+    keys.advance(_SLICE)
+    assert _admit(keys, prefix + "1") is _Verdict.REPEAT
+    assert _admit(keys, prefix + "2") is _Verdict.RUN
+    keys.advance(2 * _SLICE)
+    assert _admit(keys, prefix + "1") is _Verdict.CLOSED
+    assert _admit(keys, prefix + "3") is _Verdict.CLOSED
+
+
+def test_a_slice_not_yet_open_is_refused():
+    keys = _ledger()
+    assert _admit(keys, "vm1.a1.1.x") is _Verdict.CLOSED
+
+
+def test_work_under_way_outlives_its_slice_and_then_is_forgotten():
+    keys = _ledger(open_slices=1)
+    key = keys.mint()
+    _admit(keys, key)
+    keys.on_started(key, _ZERO)
+    keys.advance(_SLICE)
+    assert _admit(keys, key) is _Verdict.JOIN
+    keys.settle_served(key, _messages.Answer(200), _SLICE)
+    assert _admit(keys, key) is _Verdict.CLOSED
+    assert (keys.size, keys.kept_bytes) == (0, 0)
+
+
+def test_too_many_keys_close_the_oldest_slice_early():
+    keys = _ledger(max_entries=3)
+    first = keys.prefix
+    for i in range(4):
+        _admit(keys, keys.prefix + str(i))
+    assert keys.size <= 3
+    assert keys.prefix != first
+    assert _admit(keys, first + "0", attempt=2) is not _Verdict.RUN
+
+
+def test_answers_are_dropped_by_bytes_and_by_age_but_their_keys_stay():
+    keys = _ledger(max_answer_bytes=10)
+    for i in range(3):
+        _serve(keys, f"{keys.prefix}{i}", body=b"12345")
+    assert keys.kept_bytes == 10
+    entry = keys.find(ids.RequestKey(keys.prefix + "0"))
+    assert entry is not None and entry.answer is None
+    assert _admit(keys, keys.prefix + "0") is _Verdict.REPEAT
+    keys.advance(datetime.timedelta(seconds=121))
+    assert keys.kept_bytes == 0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_key_starts_twice_whatever_is_forgotten(seed):
+    rng = random.Random(seed)
+    keys = _ledger(max_entries=8, open_slices=3, max_answer_bytes=40)
+    now = _ZERO
+    names = [f"claimed{i}" for i in range(4)]
+    may_have_run: set[str] = set()
+    under_way: set[str] = set()
+    for _ in range(600):
+        now += _SLICE * rng.random() * 0.2
+        keys.advance(now)
+        names.append(keys.prefix + str(rng.randrange(6)))
+        key = ids.RequestKey(rng.choice(names[-40:]))
+        if _identity.parse_issued_key(key) is None and key in may_have_run:
+            continue
+        if keys.admit(key, rng.randrange(4), b"f") is _Verdict.RUN:
+            assert key not in may_have_run
+            under_way.add(key)
+            keys.on_started(key, now)
+        if under_way and rng.random() < 0.6:
+            done = ids.RequestKey(rng.choice(sorted(under_way)))
+            under_way.discard(done)
+            _settle_at_random(keys, done, may_have_run, rng, now)
+        assert keys.size <= 8
+        assert keys.kept_bytes <= 40
+
+
+def _settle_at_random(keys, key, may_have_run, rng, now):
+    way = rng.randrange(3)
+    if way == 0:
+        keys.on_not_started(key)
+        keys.settle_not_run(key, now)
+        return
+    may_have_run.add(key)
+    if way == 1:
+        keys.settle_unknown(key)
+    else:
+        body = b"x" * rng.randrange(30)
+        keys.settle_served(key, _messages.Answer(200, body=body), now)
