Let slices of keys follow the number of keys, not the time

Cause: look-up answers carry prefixes that other VMs last heard of; while the table service is out these get old, and slices closed by the clock would have turned every order into unknown. Asking for closed keys also pushed open slices out. Change: a slice closes only when there are too many keys; a closed or never opened key makes no room. A start after the attempt was ruled out is a breach of its own (not-run-is-true). A slice needs two or more open.

--- a/dragonflystack/forwarding/__init__.py
+++ b/dragonflystack/forwarding/__init__.py
@@ -3,7 +3,7 @@
 `Engine` is the entry point. A shell, a bench or a test tells it what happened
 and carries out the actions that it returns:
 
-    engine = forwarding.Engine(issuer, limits, checks, rng, now)
+    engine = forwarding.Engine(issuer, limits, checks, rng)
     engine.on_request(request, owners, now)
     # -> (Dispatch(owner, work),)
     engine.on_work_result(work.id, forwarding.Answered(answer), now)
--- a/dragonflystack/forwarding/_claims.py
+++ b/dragonflystack/forwarding/_claims.py
@@ -31,6 +31,10 @@
         self._serial = 0
         self._jobs: dict[_messages.ClaimId, _runner.Job] = {}
 
+    def __len__(self) -> int:
+        """Returns the number of jobs that wait for a claim."""
+        return len(self._jobs)
+
     def next_claim(self) -> _messages.ClaimId:
         """Returns the id of a new claim."""
         self._serial += 1
--- a/dragonflystack/forwarding/_engine.py
+++ b/dragonflystack/forwarding/_engine.py
@@ -66,7 +66,6 @@
         limits: _limits.Limits,
         checks: promises.Ledger,
         rng: random.Random,
-        now: datetime.timedelta,
     ):
         self._issuer = issuer
         self._limits = limits
@@ -74,7 +73,7 @@
         self._accept_until: datetime.timedelta | None = None
         self._out: list[_messages.Action] = []
         self._timers = _timers.Timers()
-        self._keys = _key_ledger.KeyLedger(issuer, limits.keys, checks, now)
+        self._keys = _key_ledger.KeyLedger(issuer, limits.keys, checks)
         self._jobs = _jobs.Jobs(
             issuer, limits, self._keys, checks, rng, self._timers, self._out
         )
@@ -83,9 +82,9 @@
 
     # What the shell asks.
 
-    def key_prefix(self, now: datetime.timedelta) -> str:
-        """Returns what keys for this VM begin with; it changes with time."""
-        self._keys.advance(now)
+    @property
+    def key_prefix(self) -> str:
+        """What keys for this VM begin with; it changes as keys come."""
         return self._keys.prefix
 
     def next_wake_up(self) -> datetime.timedelta | None:
@@ -96,6 +95,11 @@
         """Whether a planned stop has come to its end."""
         return self._is_stopping(now) and not self._calls and not self._jobs
 
+    @property
+    def idle_jobs(self) -> int:
+        """Jobs that wait for neither a try nor a claim; always none."""
+        return self._jobs.idle
+
     def state(self) -> EngineState:
         """Returns what an operator may want to see."""
         return EngineState(
--- a/dragonflystack/forwarding/_identity.py
+++ b/dragonflystack/forwarding/_identity.py
@@ -1,7 +1,7 @@
 """Keys that name the incarnation which alone may run them.
 
-An issued key reads `VM.INCARNATION.SLICE.REST`. The slice numbers a stretch of
-the issuer's time. It lets the issuer forget: closing a slice refuses every
+An issued key reads `VM.INCARNATION.SLICE.REST`. The slice numbers a share of
+the issuer's keys. It lets the issuer forget: closing a slice refuses every
 key of it for good, so their entries need not be kept.
 """
 
--- a/dragonflystack/forwarding/_jobs.py
+++ b/dragonflystack/forwarding/_jobs.py
@@ -45,6 +45,12 @@
         """Returns the number of jobs under way."""
         return len(self._jobs)
 
+    @property
+    def idle(self) -> int:
+        """The number of jobs that wait for neither a try nor a claim."""
+        waiting = self.runner.jobs_under_way + len(self.claims)
+        return len(self._jobs) - waiting
+
     def of_key(self, key: ids.RequestKey) -> _runner.Job:
         """Returns the job that runs a key."""
         return self._by_key[key]
--- a/dragonflystack/forwarding/_key_ledger.py
+++ b/dragonflystack/forwarding/_key_ledger.py
@@ -1,7 +1,6 @@
 """What became of every key that is bound to this incarnation.
 
-Two rules make a second run impossible, and they need no clock but the
-issuer's own:
+Two rules make a second run impossible, and they need no clock:
 
 1. A key runs only if its slice is open and its entry, if any, says that no try
    at it can have run.
@@ -10,8 +9,10 @@
 
 So once a key has been started, rule 2 leaves either its entry or a closed
 slice, and rule 1 refuses it by either. Memory is bounded because a slice may
-be closed at any time: the oldest one is, when it is old enough or when there
-are too many entries. Its keys are answered as unknown from then on.
+be closed at any time: the oldest one is, when there are too many entries. Its
+keys are answered as unknown from then on. Slices follow the number of keys and
+not the time, so a prefix stays good however long ago it was given out, as long
+as few keys came since.
 
 A claimed key is filed under the slice that is current when it is first seen.
 Once forgotten it is refused as well: its row in the table service names a claim
@@ -66,12 +67,11 @@
 class Bounds:
     """How much is remembered."""
 
-    max_entries: int = 200_000
+    max_entries: int = 40_000
     """Keys in all open slices."""
 
-    slice_length: datetime.timedelta = datetime.timedelta(seconds=60)
-    open_slices: int = 11
-    """A key can be asked for again during one slice less than these."""
+    open_slices: int = 16
+    """Slices open at once; the keys are spread over them."""
 
     max_answer_bytes: int = 8_388_608
     """Bytes of kept answers."""
@@ -81,15 +81,14 @@
 
     def __post_init__(self) -> None:
         """Checks the bounds."""
-        for name, value in (
-            ("max_entries", self.max_entries),
-            ("open_slices", self.open_slices),
-        ):
-            if value < 1:
-                raise ValueError(f"{name}: expected 1 or more, found {value}")
-        if self.slice_length <= datetime.timedelta():
+        if self.open_slices < 2:
             raise ValueError(
-                f"slice_length: expected above 0, found {self.slice_length}"
+                f"open_slices: expected 2 or more, found {self.open_slices}"
+            )
+        if self.max_entries < self.open_slices:
+            raise ValueError(
+                f"max_entries: expected {self.open_slices} or more, "
+                f"found {self.max_entries}"
             )
 
 
@@ -109,6 +108,9 @@
     held: bool = True
     """Whether the engine is at work on it."""
 
+    refused: int | None = None
+    """The highest attempt ruled out as not run, None if there is none."""
+
     possible_runs: int = 0
     """Tries that were started and are not known to have been refused."""
 
@@ -130,14 +132,12 @@
         issuer: _messages.Issuer,
         bounds: Bounds,
         checks: promises.Ledger,
-        now: datetime.timedelta,
     ):
         _identity.check_issuer(issuer)
         self._issuer = issuer
         self._bounds = bounds
         self._checks = checks
-        self._origin = now
-        self._skipped = 0
+        self._slice_entries = bounds.max_entries // bounds.open_slices
         self._current = 0
         self._slices: dict[int, dict[ids.RequestKey, Entry]] = {0: {}}
         self._size = 0
@@ -169,10 +169,7 @@
         return ids.RequestKey(f"{self.prefix}+{self._serial}")
 
     def advance(self, now: datetime.timedelta) -> None:
-        """Opens and closes slices and drops answers that are too old."""
-        elapsed = (now - self._origin) // self._bounds.slice_length
-        while self._current < elapsed + self._skipped:
-            self._open_next()
+        """Drops kept answers that are too old."""
         while self._kept and next(iter(self._kept.values())).until <= now:
             self._drop_oldest_answer()
 
@@ -221,6 +218,7 @@
             promises.PromiseId.AT_MOST_ONCE, -float(earlier), key, now
         )
         if entry is not None:
+            self._check_not_ruled_out(key, entry, now)
             entry.state = KeyState.RUNNING
             entry.possible_runs += 1
 
@@ -255,6 +253,7 @@
         )
         if entry is not None:
             entry.state = KeyState.NOT_RUN
+            entry.refused = entry.attempt
             self._release(key, entry)
 
     def settle_unknown(self, key: ids.RequestKey) -> None:
@@ -286,6 +285,17 @@
             if entries.pop(key, None) is not None:
                 self._size -= 1
 
+    def _check_not_ruled_out(
+        self, key: ids.RequestKey, entry: Entry, now: datetime.timedelta
+    ) -> None:
+        allowed = entry.refused is None or entry.attempt > entry.refused
+        self._checks.check(
+            promises.PromiseId.NOT_RUN_IS_TRUE,
+            0.0 if allowed else -1.0,
+            key,
+            now,
+        )
+
     def _judge_known(self, entry: Entry, attempt: int) -> Verdict:
         if entry.held:
             return Verdict.JOIN
@@ -310,9 +320,13 @@
         self._detached.pop(key, None)
 
     def _make_entry(self, key: ids.RequestKey, entry: Entry) -> bool:
+        issued = _identity.parse_issued_key(key)
+        if issued is not None and issued.slice_index not in self._slices:
+            return False
+        if len(self._slices[self._current]) >= self._slice_entries:
+            self._open_next()
         while self._size >= self._bounds.max_entries:
             self._make_room()
-        issued = _identity.parse_issued_key(key)
         index = self._current if issued is None else issued.slice_index
         entries = self._slices.get(index)
         if entries is None:
@@ -323,7 +337,6 @@
 
     def _make_room(self) -> None:
         if len(self._slices) == 1:
-            self._skipped += 1
             self._open_next()
         self._close_oldest()
 
--- a/dragonflystack/forwarding/_runner.py
+++ b/dragonflystack/forwarding/_runner.py
@@ -96,6 +96,11 @@
         """The number of tries that have no result yet."""
         return len(self._jobs)
 
+    @property
+    def jobs_under_way(self) -> int:
+        """The number of jobs that have a try under way."""
+        return len(set(self._jobs.values()))
+
     def begin(self, job: Job, now: datetime.timedelta) -> None:
         """Starts the first try, or ends the job at once."""
         job.begun = True
