Fill the ledger to its bound in the test of closed keys

Change: 7 keys, 4 entries. The test fails without the early return, as does test_work_under_way_outlives_its_slice_and_then_is_forgotten.

--- a/dragonflystack/forwarding/tests/test_key_ledger.py
+++ b/dragonflystack/forwarding/tests/test_key_ledger.py
@@ -117,7 +117,7 @@
 def test_asking_for_closed_keys_pushes_nothing_out():
     keys = _ledger(max_entries=4, open_slices=2)
     prefix = keys.prefix
-    _fill(keys, 8)
+    _fill(keys, 7)
     kept = keys.size
     assert kept == 4
     for i in range(20):
