--- a/dragonflystack/cli/_look.py
+++ b/dragonflystack/cli/_look.py
@@ -1,7 +1,9 @@
 """Commands that only look: `dump`, `promises`, `lookup`."""
 
 import argparse
+import datetime
 import json
+from typing import Any
 import urllib.parse
 
 from dragonflystack.cli import _command
@@ -22,29 +24,59 @@
 
 
 class Promises(_command.Command):
-    """Shows how each promise was kept on a VM."""
+    """Shows how each promise was kept by the fleet on one day."""
 
     NAME = "promises"
     DESCRIPTION = (
-        "Show for each promise how often it was checked, its worst margin and"
-        " its breaches. Exit code 1 if any was breached."
+        "Show for each promise how often the fleet checked it on a day, its"
+        " worst margin and its breaches. Exit code 1 if any was breached."
     )
 
+    @staticmethod
+    def add_arguments(parser: argparse.ArgumentParser) -> None:
+        """See `Command.add_arguments`."""
+        scope = parser.add_mutually_exclusive_group()
+        scope.add_argument(
+            "--day",
+            type=datetime.date.fromisoformat,
+            default=datetime.datetime.now(datetime.UTC).date(),
+            help="day in UTC, as 2026-12-31 (default: today)",
+        )
+        scope.add_argument(
+            "--only-vm",
+            action="store_true",
+            help="the counters of this VM's daemon since it started",
+        )
+
     @staticmethod
     def run(args: argparse.Namespace) -> _command.ExitCode:
         """See `Command.run`."""
-        res = _command.call(args, "GET", "/v1/promises")
+        query = "" if args.only_vm else f"?day={args.day.isoformat()}"
+        res = _command.call(args, "GET", "/v1/promises" + query)
+        if res.status != 200:
+            return _command.show_problem(res)
         found = json.loads(res.content)
-        lines = [
-            f"{p['promise']:24} checks {p['checks']:>9}"
-            f"  worst margin {p['worst_margin']}  breaches {p['breaches']}"
-            for p in found["promises"]
-        ]
-        _command.show(args, found, "\n".join(lines))
+        _command.show(args, found, _promise_table(found["promises"]))
         kept = all(p["breaches"] == 0 for p in found["promises"])
         return _command.ExitCode.DONE if kept else _command.ExitCode.REFUSED
 
 
+def _promise_table(entries: list[dict[str, Any]]) -> str:
+    lines = [f"{'promise':24} {'checks':>10} {'worst margin':>13} breaches"]
+    for entry in entries:
+        margin = entry["worst_margin"]
+        shown = "-" if margin is None else f"{margin:.4g}"
+        lines.append(
+            f"{entry['promise']:24} {entry['checks']:>10} {shown:>13}"
+            f" {entry['breaches']:>8}"
+        )
+        lines += [
+            f"  {b['at']} {b['vm']} {b['place']} margin {b['margin']:.4g}"
+            for b in entry["last_breaches"]
+        ]
+    return "\n".join(lines)
+
+
 class LookUp(_command.Command):
     """Asks a VM as a caller would."""
 
--- a/dragonflystack/daemon/_callers.py
+++ b/dragonflystack/daemon/_callers.py
@@ -51,6 +51,7 @@
     if service is None or node.document is None:
         await _send_no_service(node, send, name)
         return
+    node.metrics.count("look-up")
     await _asgi.send_json(send, _look_up.answer(node, node.document, service))
 
 
@@ -95,11 +96,14 @@
     req = _forwarding.CallerRequest(
         scope["method"], path, tuple(scope["headers"]), body
     )
+    start = node.clock.monotonic()
     node.in_flight += 1
     try:
         res = await _forwarding.forward(node, service, req)
     finally:
         node.in_flight -= 1
+    node.metrics.count(f"{service.id}.{res.outcome.value}")
+    node.metrics.time(f"{service.id}.request", node.clock.monotonic() - start)
     await _send_answer(send, res)
 
 
--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -10,6 +10,7 @@
 from dragonflystack import ids
 from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack.daemon import _metrics
 from dragonflystack.daemon import _settings
 
 
@@ -37,6 +38,7 @@
     rng: random.Random
     platform: platform.HttpPlatform
     ledger: promises.Ledger
+    metrics: _metrics.Metrics
     document: config.Document | None = None
     version: ids.DocumentVersion = ids.DocumentVersion(0)
     members: dict[ids.VmId, Member] = dataclasses.field(default_factory=dict)
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -1,6 +1,8 @@
 """The operators' port: health, state, promises, the document."""
 
+import datetime
 from typing import Any
+import urllib.parse
 
 import msgspec
 
@@ -8,8 +10,10 @@
 from dragonflystack import config
 from dragonflystack import ids
 from dragonflystack import platform
+from dragonflystack import promises
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _node
+from dragonflystack.daemon import _promise_reports
 
 _MAX_DOCUMENT_BYTES = 64 * 1_048_576
 
@@ -75,24 +79,24 @@
 
 
 async def _on_promises(node, scope, receive, send) -> None:
-    records = [
-        {
-            "promise": record.promise.value,
-            "checks": record.checks,
-            "worst_margin": record.worst_margin,
-            "breaches": record.breaches,
-            "last_breaches": [
-                {
-                    "at_s": breach.at.total_seconds(),
-                    "place": breach.place,
-                    "margin": breach.margin,
-                }
-                for breach in record.last_breaches
-            ],
-        }
-        for record in node.ledger.records()
-    ]
-    await _asgi.send_json(send, {"vm": node.vm, "promises": records})
+    """Answers with this VM's report, or with `?day=` the fleet's sum."""
+    query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
+    if "day" not in query:
+        await _asgi.send_json(send, _promise_reports.own_report(node))
+        return
+    try:
+        day = datetime.date.fromisoformat(query["day"][0])
+    except ValueError as exc:
+        await _asgi.send_problem(send, 400, "no such day", str(exc))
+        return
+    reports = await _promise_reports.fleet_reports(node, day)
+    if isinstance(reports, platform.Unavailable):
+        reason = str(reports.failure)
+        await _asgi.send_problem(send, 503, "object store out", reason)
+        return
+    merged = promises.merge(reports)
+    vms = sorted({report.vm for report in reports})
+    await _asgi.send_json(send, {"vms": vms, "promises": merged})
 
 
 async def _on_get_document(node, scope, receive, send) -> None:
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -16,8 +16,10 @@
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _logs
 from dragonflystack.daemon import _members
+from dragonflystack.daemon import _metrics
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _operators
+from dragonflystack.daemon import _promise_reports
 from dragonflystack.daemon import _settings
 
 _DRAIN_POLL_S = 0.05
@@ -34,6 +36,7 @@
             cfg.platform_url, cfg.platform_timeout
         ),
         ledger=promises.Ledger(),
+        metrics=_metrics.Metrics.from_settings(cfg.statsd),
     )
 
 
@@ -54,6 +57,8 @@
             async with anyio.create_task_group() as loops:
                 loops.start_soon(_configuration.run, node)
                 loops.start_soon(_members.run, node)
+                loops.start_soon(_promise_reports.run, node)
+                loops.start_soon(node.metrics.run)
                 eliot.log_message("daemon_started", callers=str(cfg.callers))
                 async for _ in signals:
                     break
@@ -73,4 +78,5 @@
         await anyio.sleep(node.document.fleet.answer_ttl_s)
     while node.in_flight:
         await anyio.sleep(_DRAIN_POLL_S)
+    await _promise_reports.write(node)
     await _members.deregister(node)
--- a/dragonflystack/platform/_http.py
+++ b/dragonflystack/platform/_http.py
@@ -2,11 +2,12 @@
 
 Rows are resources under `/tables/TABLE/KEY` whose `ETag` is their version; a
 transaction is one POST to `/transactions`; objects are resources under
-`/objects/NAME`; the list of VMs is `/vms`.
+`/objects/NAME`, listed by `/objects?prefix=P`; the list of VMs is `/vms`.
 """
 
 import datetime
 from typing import Any
+import urllib.parse
 
 import httpcore
 import msgspec
@@ -129,6 +130,18 @@
             return None
         return _ports.Unavailable(_status_failure(res))
 
+    async def list_names(
+        self, prefix: str
+    ) -> tuple[str, ...] | _ports.Unavailable:
+        """See `ObjectStore.list_names`."""
+        query = urllib.parse.urlencode({"prefix": prefix})
+        res = await self._get(f"/objects?{query}")
+        if res is None:
+            return ()
+        if not isinstance(res, httpcore.Response):
+            return res
+        return msgspec.json.decode(res.content, type=tuple[str, ...])
+
     async def list_vms(
         self,
     ) -> tuple[_ports.ListedVm, ...] | _ports.Unavailable:
--- a/dragonflystack/platform/_ports.py
+++ b/dragonflystack/platform/_ports.py
@@ -102,13 +102,16 @@
 
 
 class ObjectStore(Protocol):
-    """The object store; an object never changes under its name."""
+    """The object store."""
 
     async def get(self, name: str) -> bytes | None | Unavailable:
         """Returns the object's bytes, or None if there is none."""
 
     async def put(self, name: str, data: bytes) -> Unavailable | None:
-        """Stores the object; repeating it is harmless."""
+        """Stores the object, in place of one of that name."""
+
+    async def list_names(self, prefix: str) -> tuple[str, ...] | Unavailable:
+        """Returns the names that begin with a prefix, in order."""
 
 
 class VmList(Protocol):
--- a/dragonflystack/promises/tests/test_ledger.py
+++ b/dragonflystack/promises/tests/test_ledger.py
@@ -3,7 +3,6 @@
 import pytest
 
 from dragonflystack import promises
-from dragonflystack.promises import _ledger
 
 _NOW = datetime.timedelta(seconds=7)
 _CAP = promises.PromiseId.SHIFT_CAP
@@ -30,5 +29,5 @@
 
 
 def test_a_strict_ledger_raises_at_a_breach():
-    with pytest.raises(_ledger.BrokenPromiseError, match="shift-cap at order"):
+    with pytest.raises(promises.BrokenPromiseError, match="shift-cap at order"):
         promises.Ledger(strict=True).check(_CAP, -0.2, "order", _NOW)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -12,6 +12,7 @@
 import dataclasses
 import sys
 import time
+import urllib.parse
 
 import anyio
 import msgspec
@@ -130,7 +131,10 @@
     elif kind == "tables":
         await _on_table(state, rest, send)
     elif kind == "objects":
-        await _on_object(state, method, rest, body, send)
+        if rest:
+            await _on_object(state, method, rest, body, send)
+        else:
+            await _on_list_objects(state, scope, send)
     elif kind == "vms":
         await _on_vms(state, method, body, send)
     else:
@@ -197,6 +201,15 @@
         await _asgi.send_problem(send, 404, "no such object")
 
 
+async def _on_list_objects(
+    state: Platform, scope: _asgi.Scope, send: _asgi.Send
+) -> None:
+    query = urllib.parse.parse_qs(scope["query_string"].decode())
+    prefix = query.get("prefix", [""])[0]
+    names = sorted(name for name in state.objects if name.startswith(prefix))
+    await _asgi.send_json(send, names)
+
+
 async def _on_vms(
     state: Platform, method: str, body: bytes, send: _asgi.Send
 ) -> None:
--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -94,3 +94,12 @@
         assert await client.get("absent") is None
 
     _with_platform(check)
+
+
+def test_objects_are_listed_by_prefix():
+    async def check(client, state):
+        for name in ("b/2", "a/1", "b/1"):
+            await client.put(name, b"x")
+        assert await client.list_names("b/") == ("b/1", "b/2")
+
+    _with_platform(check)
