Tell a backend server's refusal as not run; drain a VM by command

With 120 callers every foreign answer was the backend server's own 503 for want of a slot, passed on as served. Ruled out: crossed answers on a reused connection (each request has its own connection here; every foreign body was the refusal). Change: the thin forwarder tells such a refusal as not run.

--- a/dragonflystack/cli/__main__.py
+++ b/dragonflystack/cli/__main__.py
@@ -8,14 +8,15 @@
 
 from dragonflystack.cli import _command
 from dragonflystack.cli import _config
-from dragonflystack.cli import _look
+from dragonflystack.cli import _vm
 
 _COMMANDS: tuple[type[_command.Command], ...] = (
     _config.ConfigGet,
     _config.ConfigApply,
-    _look.Dump,
-    _look.LookUp,
-    _look.Promises,
+    _vm.Drain,
+    _vm.Dump,
+    _vm.LookUp,
+    _vm.Promises,
 )
 
 
--- a/dragonflystack/cli/_look.py
+++ b/dragonflystack/cli/_vm.py
@@ -1,4 +1,4 @@
-"""Commands that only look: `dump`, `promises`, `lookup`."""
+"""Commands on one VM: `dump`, `promises`, `lookup`, `drain`."""
 
 import argparse
 import datetime
@@ -104,3 +104,23 @@
             return _command.show_problem(res)
         print(json.dumps(json.loads(res.content), indent=2))
         return _command.ExitCode.DONE
+
+
+class Drain(_command.Command):
+    """Asks a VM's daemon for a graceful shutdown."""
+
+    NAME = "drain"
+    DESCRIPTION = (
+        "Let the VM leave: it is no longer named, serves until the answers"
+        " given out have expired, finishes what is in flight and exits 0."
+    )
+
+    @staticmethod
+    def run(args: argparse.Namespace) -> _command.ExitCode:
+        """See `Command.run`."""
+        res = _command.call(args, "POST", "/v1/drain")
+        if res.status != 202:
+            return _command.show_problem(res)
+        found = json.loads(res.content)
+        _command.show(args, found, f"{found['vm']} is leaving")
+        return _command.ExitCode.DONE
--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -10,6 +10,9 @@
 from dragonflystack.daemon import _node
 
 _RETRY_AFTER = datetime.timedelta(seconds=1)
+_REFUSED_HEADER = b"dragonfly-refused"
+"""Set by a backend server that refused a request before running it."""
+
 _DROPPED_HEADERS = frozenset(
     (b"connection", b"content-length", b"host", b"transfer-encoding")
 )
@@ -96,6 +99,11 @@
                 server,
                 exc,
             )
+    if any(name.lower() == _REFUSED_HEADER for name, _ in res.headers):
+        failure = outcomes.Failure(
+            outcomes.Step.ADMISSION, server.id, "no slot", _RETRY_AFTER
+        )
+        return Answer(outcomes.RequestOutcome.NOT_RUN, failure=failure)
     kept = tuple(h for h in res.headers if h[0].lower() not in _DROPPED_HEADERS)
     return Answer(outcomes.RequestOutcome.SERVED, res.status, kept, res.content)
 
--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import anyio
 import msgspec
 
 from dragonflystack import clock
@@ -42,6 +43,9 @@
     document: config.Document | None = None
     version: ids.DocumentVersion = ids.DocumentVersion(0)
     members: dict[ids.VmId, Member] = dataclasses.field(default_factory=dict)
+    stop_asked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    """Set by a signal or an operator: the VM is to leave and stop."""
+
     leaving: bool = False
     """Whether this VM is stopping."""
 
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -1,9 +1,11 @@
 """The operators' port: health, state, promises, the document."""
 
 import datetime
+import hmac
 from typing import Any
 import urllib.parse
 
+import eliot
 import msgspec
 
 from dragonflystack import _asgi
@@ -25,6 +27,7 @@
         ("GET", "/health/ready"): _on_ready,
         ("GET", "/v1/dump"): _on_dump,
         ("GET", "/v1/promises"): _on_promises,
+        ("POST", "/v1/drain"): _on_drain,
         ("GET", "/v1/document"): _on_get_document,
         ("PUT", "/v1/document"): _on_put_document,
     }
@@ -42,9 +45,9 @@
 
 
 def _team(node: _node.Node, scope: _asgi.Scope) -> ids.TeamId | None:
-    given = _asgi.header(scope, b"authorization") or ""
+    given = (_asgi.header(scope, b"authorization") or "").encode()
     for team, token in node.settings.team_tokens.items():
-        if given == f"Bearer {token}":
+        if hmac.compare_digest(given, f"Bearer {token}".encode()):
             return team
     return None
 
@@ -78,6 +81,17 @@
     await _asgi.send_json(send, dump(node))
 
 
+async def _on_drain(node, scope, receive, send) -> None:
+    """Starts the graceful shutdown, as SIGTERM does."""
+    team = _team(node, scope)
+    if team is None:
+        await _asgi.send_problem(send, 401, "no such team token")
+        return
+    eliot.log_message("drain_asked", team=team)
+    node.stop_asked.set()
+    await _asgi.send_json(send, {"vm": node.vm, "leaving": True}, 202)
+
+
 async def _on_promises(node, scope, receive, send) -> None:
     """Answers with this VM's report, or with `?day=` the fleet's sum."""
     query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -50,7 +50,8 @@
     operators = _server.Server.from_address(
         _operators.make_app(node), cfg.operators.host, cfg.operators.port
     )
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    async with anyio.create_task_group() as signals:
+        signals.start_soon(_stop_on_signal, node)
         async with anyio.create_task_group() as servers:
             servers.start_soon(callers.serve)
             servers.start_soon(operators.serve)
@@ -60,16 +61,22 @@
                 loops.start_soon(_promise_reports.run, node)
                 loops.start_soon(node.metrics.run)
                 eliot.log_message("daemon_started", callers=str(cfg.callers))
-                async for _ in signals:
-                    break
+                await node.stop_asked.wait()
                 await _leave(node)
                 loops.cancel_scope.cancel()
             callers.stop()
             operators.stop()
+        signals.cancel_scope.cancel()
     await node.platform.aclose()
     eliot.log_message("daemon_stopped")
 
 
+async def _stop_on_signal(node: _node.Node) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            node.stop_asked.set()
+
+
 async def _leave(node: _node.Node) -> None:
     """Leaves the answers, serves out the cached ones and what is in flight."""
     node.leaving = True
