Walk each VM's shares to the target under the shift cap

Cause: nothing decided where a region's callers go, nor bounded how fast that changes for a fleet of VMs without a coordinator. Change: target shares as a pure function of policy and measurements; a walker per VM whose step is bounded by pace, load and the distance to what the other VMs use; summaries of shares that merge in any order. Ruled out: bounding each VM alone. Where VMs drift apart, callers who move between them shift as far as they drifted (test_fleet, counter-example). Conclusion: kept for VMs that hear each other; bounded by the callers who change hands times the distance for VMs that do not.

--- /dev/null
+++ b/dragonflystack/steering/_summary.py
@@ -0,0 +1,146 @@
+"""What VMs tell each other of their shares, summed on the way.
+
+Summaries merge in any order and grouping, so a relay forwards one for a whole
+failure domain and their size does not grow with the number of VMs.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import datetime
+
+from dragonflystack import ids
+from dragonflystack.steering import _shares
+
+Sums = Mapping[ids.RegionId, float]
+"""Shares by region, added up over VMs."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CellSummary:
+    """The shares of one cell at some VMs.
+
+    A VM is near if its shares are close to those of the VMs it hears, and
+    far after it was out of touch.
+    """
+
+    near: int
+    """VMs that are near."""
+
+    near_sums: Sums
+    """Sums of their shares."""
+
+    low: Sums
+    """The smallest share of each region at a near VM."""
+
+    high: Sums
+    """The largest share of each region at a near VM."""
+
+    far: int
+    """VMs that are far."""
+
+    far_sums: Sums
+    """Sums of their shares."""
+
+    target_sums: Sums
+    """Sums of the target shares of all."""
+
+    @classmethod
+    def of_one(
+        cls, shares: _shares.Shares, target: _shares.Shares, is_near: bool
+    ) -> "CellSummary":
+        """Returns the summary of a single VM."""
+        here = shares.by_region
+        nowhere: Sums = {}
+        if is_near:
+            return cls(1, here, here, here, 0, nowhere, target.by_region)
+        return cls(0, nowhere, nowhere, nowhere, 1, here, target.by_region)
+
+    @property
+    def count(self) -> int:
+        """All VMs in the summary."""
+        return self.near + self.far
+
+    @property
+    def reference(self) -> _shares.Shares:
+        """The mean shares that a newcomer starts from.
+
+        Near VMs alone count, if they are at least as many as the far ones.
+        """
+        if self.near >= self.far:
+            return _mean(self.near_sums, self.near)
+        return _mean(_add(self.near_sums, self.far_sums), self.count)
+
+    def mean_target(self, own: _shares.Shares) -> _shares.Shares:
+        """Returns the mean target of these VMs and one's own."""
+        return _mean(_add(self.target_sums, own.by_region), self.count + 1)
+
+    def merge(self, other: "CellSummary") -> "CellSummary":
+        """Returns the summary of the VMs of both, which must be different."""
+        low, high = self.low, self.high
+        if self.near and other.near:
+            low = _each(self.low, other.low, min)
+            high = _each(self.high, other.high, max)
+        elif other.near:
+            low, high = other.low, other.high
+        return CellSummary(
+            self.near + other.near,
+            _add(self.near_sums, other.near_sums),
+            low,
+            high,
+            self.far + other.far,
+            _add(self.far_sums, other.far_sums),
+            _add(self.target_sums, other.target_sums),
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerView:
+    """What a VM has heard from the others."""
+
+    cells: Mapping[_shares.Cell, CellSummary]
+    """The summary of all others heard, without itself."""
+
+    heard: int
+    """How many others it covers; none heard longer ago than the maximum age
+    of measurements."""
+
+    listed: int
+    """How many others the VM list names as live."""
+
+    newest_at: datetime.timedelta
+    """When the latest part was heard, on this VM's monotonic clock."""
+
+
+ALONE = PeerView({}, 0, 0, datetime.timedelta())
+"""The view of a VM that is the whole fleet."""
+
+
+def merge_cells(
+    one: Mapping[_shares.Cell, CellSummary],
+    other: Mapping[_shares.Cell, CellSummary],
+) -> dict[_shares.Cell, CellSummary]:
+    """Returns the summaries of two disjoint sets of VMs as one."""
+    merged = dict(one)
+    for cell, summary in other.items():
+        known = merged.get(cell)
+        merged[cell] = summary if known is None else known.merge(summary)
+    return merged
+
+
+def _each(one: Sums, other: Sums, pick) -> Sums:
+    regions = sorted(one.keys() | other.keys())
+    return {r: pick(one.get(r, 0.0), other.get(r, 0.0)) for r in regions}
+
+
+def _add(one: Sums, other: Sums) -> Sums:
+    if not one:
+        return other
+    if not other:
+        return one
+    return _each(one, other, lambda a, b: a + b)
+
+
+def _mean(sums: Sums, count: int) -> _shares.Shares:
+    if count == 0:
+        return _shares.REFUSE_ALL
+    return _shares.Shares({r: sums[r] / count for r in sorted(sums)})
--- /dev/null
+++ b/dragonflystack/steering/tests/fleet.py
@@ -0,0 +1,211 @@
+"""A fleet of walkers, and an oracle that sees only what callers hold.
+
+The walkers hear each other late and with losses. Callers are groups that keep
+an answer for its time-to-live and then ask a VM again. The oracle's effective
+shares are the mean of the answers held, with nothing served by a region that
+is down; it knows nothing of the walkers' own accounts.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+from dragonflystack import ids
+from dragonflystack import promises
+from dragonflystack import steering
+from dragonflystack.steering.tests import documents
+
+TICK_S = 0.5
+TTL_S = 5.0
+MAX_AGE_S = 2.0
+CAP = 0.2
+WINDOW_S = 20.0
+_GROUPS = 60
+_LOSS = 0.1
+
+
+@dataclasses.dataclass
+class Node:
+    """One VM: its walker, and what it has heard."""
+
+    walker: steering.Walker
+    side: int = 0
+    """VMs on different sides do not hear each other."""
+
+    resumes_at_s: float = 0.0
+    """It does nothing before this time."""
+
+    heard: dict[int, tuple[float, dict]] = dataclasses.field(
+        default_factory=dict
+    )
+    down: dict[ids.RegionId, float] = dataclasses.field(default_factory=dict)
+    """When it learns of each region that is down."""
+
+    demand_age_s: float = 0.5
+
+
+@dataclasses.dataclass
+class Group:
+    """Callers that hold the same answer."""
+
+    node: int = -1
+    shares: steering.Shares = steering.Shares({})
+    expires_at_s: float = -1.0
+
+
+class Fleet:
+    """Walkers, callers and the oracle."""
+
+    def __init__(self, size: int, rng: random.Random, document=None):
+        self.rng = rng
+        self.document = document or documents.document(
+            documents.service(cap=CAP, window_s=WINDOW_S)
+        )
+        self.ledger = promises.Ledger(strict=True)
+        self.now_s = 0.0
+        self.nodes: dict[int, Node] = {}
+        self.demand = {r: 50.0 for r in documents.REGIONS}
+        self.slots = {r: 10 for r in documents.REGIONS}
+        self.down: dict[ids.RegionId, float] = {}
+        self.cell = documents.cell(documents.A)
+        self.groups = [Group() for _ in range(_GROUPS)]
+        self.effective: list[steering.Shares] = []
+        self.handovers: list[float] = []
+        """Fraction of callers that changed side, by tick."""
+        self._next = 0
+        self._in_flight: list[tuple[float, int, int, float, dict]] = []
+        self.pick: Callable[[], int] | None = None
+        for _ in range(size):
+            self.join()
+
+    def join(self, document=None) -> int:
+        """Starts a VM."""
+        walker = steering.Walker.from_config(
+            document or self.document, self.ledger
+        )
+        self.nodes[self._next] = Node(walker)
+        self._next += 1
+        return self._next - 1
+
+    def pause(self, node: int, for_s: float) -> None:
+        """Stops a VM for a while."""
+        self.nodes[node].resumes_at_s = self.now_s + for_s
+
+    def fail_region(self, region: ids.RegionId) -> None:
+        """Takes a region down; VMs learn of it one after the other."""
+        self.down[region] = self.now_s
+        for node in self.nodes.values():
+            node.down[region] = self.now_s + self.rng.uniform(0, 1.5)
+
+    def restore_region(self, region: ids.RegionId) -> None:
+        """Brings a region back."""
+        del self.down[region]
+        for node in self.nodes.values():
+            node.down.pop(region, None)
+
+    def tick(self) -> None:
+        """Lets half a second pass."""
+        self.now_s += TICK_S
+        self._deliver()
+        for name, node in list(self.nodes.items()):
+            if node.resumes_at_s <= self.now_s:
+                self._step(name, node)
+        self._ask()
+        self._observe()
+
+    def _deliver(self) -> None:
+        later = []
+        for message in self._in_flight:
+            at_s, source, target, sent_s, cells = message
+            if at_s > self.now_s:
+                later.append(message)
+                continue
+            node = self.nodes.get(target)
+            if node is None or node.resumes_at_s > self.now_s:
+                continue
+            known = node.heard.get(source)
+            if known is None or known[0] < sent_s:
+                node.heard[source] = sent_s, cells
+        self._in_flight = later
+
+    def _step(self, name: int, node: Node) -> None:
+        now = documents.seconds(self.now_s)
+        node.walker.on_tick(now, self._measure(node), self._view(name, node))
+        cells = node.walker.summaries()
+        if not cells:
+            return
+        for other, peer in self.nodes.items():
+            if other == name or peer.side != node.side:
+                continue
+            if self.rng.random() < _LOSS:
+                continue
+            at_s = self.now_s + self.rng.uniform(0.05, 0.4)
+            message = at_s, name, other, self.now_s, cells
+            self._in_flight.append(message)
+
+    def _view(self, name: int, node: Node) -> steering.PeerView:
+        cells: dict = {}
+        newest_s = 0.0
+        count = 0
+        for source, (sent_s, summary) in node.heard.items():
+            if source == name or self.now_s - sent_s > MAX_AGE_S:
+                continue
+            cells = steering.merge_cells(cells, summary)
+            newest_s = max(newest_s, sent_s)
+            count += 1
+        return steering.PeerView(
+            cells, count, len(self.nodes) - 1, documents.seconds(newest_s)
+        )
+
+    def _measure(self, node: Node) -> steering.Measurements:
+        late = node.demand_age_s > MAX_AGE_S
+        down = [
+            r for r in self.down if node.down.get(r, self.now_s) <= self.now_s
+        ]
+        return documents.measurements(
+            self.demand,
+            self.slots,
+            old=documents.REGIONS if late else (),
+            down=tuple(down),
+        )
+
+    def _ask(self) -> None:
+        awake = {
+            name
+            for name, node in self.nodes.items()
+            if node.resumes_at_s <= self.now_s
+            and node.walker.is_awake(documents.seconds(self.now_s))
+        }
+        changed = 0
+        for group in self.groups:
+            if group.expires_at_s > self.now_s or not awake:
+                continue
+            before = self.nodes.get(group.node)
+            if group.node not in awake:
+                group.node = self.rng.choice(sorted(awake))
+            if self.pick is not None:
+                group.node = self.pick()
+            node = self.nodes[group.node]
+            changed += before is None or before.side != node.side
+            group.shares = node.walker.shares(self.cell)
+            group.expires_at_s = self.now_s + TTL_S * self.rng.uniform(0.8, 1)
+        self.handovers.append(changed / len(self.groups))
+
+    def _observe(self) -> None:
+        total = {
+            region: 0.0
+            if region in self.down
+            else sum(g.shares.of(region) for g in self.groups) / _GROUPS
+            for region in documents.REGIONS
+        }
+        self.effective.append(steering.Shares(total))
+
+    def largest_gain(self, from_s: float = 0.0) -> float:
+        """Returns the largest gain between two instants in one window."""
+        path = self.effective[round(from_s / TICK_S) :]
+        span = round(WINDOW_S / TICK_S)
+        return max(
+            steering.gain(start, end)
+            for i, start in enumerate(path)
+            for end in path[i : i + span + 1]
+        )
