Run experiments: load and faults on a fleet of processes

Cause: the demo had one fixed scenario and closed-loop callers, which send less when the system stalls and so hide the stall.

--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -2,11 +2,13 @@
 
 Each has a number of slots and answers 503 with `Dragonfly-Refused: slots`
 when all are taken. `GET /health` tells load and draining, `PUT /faults` makes
-it fail, `GET /runs` tells how often each request key was run.
+it fail, `GET /runs` tells how often each request key was run, `GET /all` tells
+the counts of all the backend servers of the process.
 """
 
 import argparse
 import collections
+from collections.abc import Sequence
 import sys
 
 import anyio
@@ -51,6 +53,7 @@
         self.faults = Faults()
         self.runs: collections.Counter[str] = collections.Counter()
         self.served = 0
+        self.refused = 0
         self.cancelled = 0
 
     def load(self) -> float:
@@ -59,9 +62,22 @@
             return self.faults.reported_load
         return self.busy / self.slots
 
+    def counts(self) -> dict[str, object]:
+        """Returns what an experiment wants to know."""
+        return {
+            "name": self.name,
+            "busy": self.busy,
+            "slots": self.slots,
+            "served": self.served,
+            "refused": self.refused,
+            "cancelled": self.cancelled,
+        }
 
-def make_app(state: BackendServer) -> _asgi.App:
-    """Returns the ASGI app of one backend server."""
+
+def make_app(
+    state: BackendServer, all_states: Sequence[BackendServer]
+) -> _asgi.App:
+    """Returns the ASGI app of one of several backend servers."""
 
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
@@ -74,6 +90,8 @@
             await _on_faults(state, scope["method"], body, send)
         elif path == "/runs":
             await _asgi.send_json(send, state.runs)
+        elif path == "/all":
+            await _asgi.send_json(send, [s.counts() for s in all_states])
         else:
             await _on_work(state, scope, receive, send)
 
@@ -105,6 +123,7 @@
     send: _asgi.Send,
 ) -> None:
     if state.busy >= state.slots:
+        state.refused += 1
         headers = [(b"dragonfly-refused", b"slots")]
         await _asgi.send_problem(send, 503, "no slot", headers=headers)
         return
@@ -171,9 +190,11 @@
 
 
 async def _serve_all(host: str, first_port: int, count: int, slots: int):
+    ports = range(first_port, first_port + count)
+    states = [BackendServer(f"{host}:{port}", slots) for port in ports]
     async with anyio.create_task_group() as tasks:
-        for port in range(first_port, first_port + count):
-            app = make_app(BackendServer(f"{host}:{port}", slots))
+        for port, state in zip(ports, states, strict=True):
+            app = make_app(state, states)
             server = _server.Server.from_address(app, host, port)
             tasks.start_soon(server.serve)
 
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -1,32 +1,42 @@
 """A stand-in for callers: looks up, caches for the TTL, sends requests.
 
-It tries the ranked VMs in order while nothing of the request was sent; once
-it was sent, a non-idempotent request keeps its key.
+It follows the callers' page: while nothing of a request was sent it goes on to
+the next VM with a new key; once it was sent, it asks again with the same key.
 """
 
+from collections.abc import Callable
 import dataclasses
+import json
 import random
 import uuid
 
 import httpcore
 import msgspec
 
+from dragonflystack import ids
+
 _TIMEOUT_S = 4.0
 _TIMEOUTS = {
     "timeout": dict.fromkeys(("connect", "read", "write", "pool"), _TIMEOUT_S)
 }
+_MAX_CONNECTIONS = 256
 _UNREACHED = (httpcore.ConnectError, httpcore.ConnectTimeout)
 _BROKEN = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
+BROKEN = "broken"
+"""Outcome of a request without an answer."""
+
+UNREACHED = "unreached"
+"""Outcome of a request that was sent to nobody."""
 
 
 class RankedVm(msgspec.Struct, frozen=True):
     """A VM of a look-up answer."""
 
-    vm: str
+    vm: ids.VmId
     host: str
     port: int
     key_prefix: str
@@ -35,95 +45,143 @@
 class LookUpAnswer(msgspec.Struct, frozen=True):
     """A look-up answer."""
 
-    service: str
+    service: ids.ServiceId
     version: int
     ttl_s: float
     vms: tuple[RankedVm, ...]
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Result:
-    """What a caller saw."""
+    """What a caller saw of one request."""
 
     outcome: str
-    """The outcome header, or `unreached` or `broken` without an answer."""
+    """The outcome header of the last answer, or `BROKEN` or `UNREACHED`."""
+
+    vms: tuple[ids.VmId, ...] = ()
+    """The VMs it was sent to, in order."""
+
+    broken: tuple[ids.VmId, ...] = ()
+    """Those of them that ended the connection without an answer."""
 
-    status: int = 0
     key: str | None = None
-    body: bytes = b""
+    is_own: bool = True
+    """Whether a served answer is the answer to this request."""
+
     retry_after_s: float | None = None
 
 
 class Caller:
     """One caller with its cache of answers and its connections."""
 
-    def __init__(self, entries: list[str], rng: random.Random):
+    def __init__(
+        self,
+        entries: list[str],
+        rng: random.Random,
+        monotonic_s: Callable[[], float],
+    ):
         """Takes the base URLs of the entry VMs it may ask."""
         self._entries = entries
         self._rng = rng
-        self._pool = httpcore.AsyncConnectionPool(max_connections=64)
+        self._monotonic_s = monotonic_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS
+        )
         self._cache: dict[str, tuple[float, LookUpAnswer]] = {}
 
-    async def look_up(self, service: str, now_s: float) -> LookUpAnswer | None:
+    async def look_up(self, service: ids.ServiceId) -> LookUpAnswer | None:
         """Returns the cached answer, or a new one, or None if none came."""
         cached = self._cache.get(service)
-        if cached is not None and now_s < cached[0]:
+        if cached is not None and self._monotonic_s() < cached[0]:
             return cached[1]
         for entry in self._rng.sample(self._entries, k=len(self._entries)):
-            try:
-                res = await self._pool.request(
-                    "GET",
-                    f"{entry}/v1/steer?service={service}",
-                    extensions=_TIMEOUTS,
-                )
-            except _BROKEN:
-                continue
-            if res.status == 200:
-                ans = msgspec.json.decode(res.content, type=LookUpAnswer)
-                self._cache[service] = (now_s + ans.ttl_s, ans)
-                return ans
+            answer = await self._ask(entry, service)
+            if answer is not None:
+                expires_s = self._monotonic_s() + answer.ttl_s
+                self._cache[service] = (expires_s, answer)
+                return answer
         return None
 
+    async def _ask(
+        self, entry: str, service: ids.ServiceId
+    ) -> LookUpAnswer | None:
+        url = f"{entry}/v1/steer?service={service}"
+        try:
+            res = await self._pool.request("GET", url, extensions=_TIMEOUTS)
+        except _BROKEN:
+            return None
+        if res.status != 200:
+            return None
+        return msgspec.json.decode(res.content, type=LookUpAnswer)
+
     async def request(
-        self, service: str, path: str, idempotent: bool, now_s: float
+        self, service: ids.ServiceId, path: str, idempotent: bool
     ) -> Result:
         """Sends one request and returns what came of it."""
-        ans = await self.look_up(service, now_s)
-        if ans is None:
-            return Result("unreached")
+        answer = await self.look_up(service)
+        if answer is None:
+            return Result(UNREACHED)
         unique = uuid.UUID(int=self._rng.getrandbits(128), version=4).hex
-        for vm in ans.vms:
-            key = None if idempotent else vm.key_prefix + unique
+        key: str | None = None
+        broken: list[ids.VmId] = []
+        asked: list[ids.VmId] = []
+        for vm in answer.vms:
+            if not idempotent and not broken:
+                key = vm.key_prefix + unique
             try:
-                return await self._send(service, path, vm, key)
+                res = await self._send(service, path, vm, key)
             except _UNREACHED:
                 continue
             except _BROKEN:
-                if not idempotent:
-                    return Result("broken", key=key)
-        return Result("unreached")
+                asked.append(vm.vm)
+                broken.append(vm.vm)
+                continue
+            asked.append(vm.vm)
+            return _result(res, path, key, asked, broken)
+        outcome = BROKEN if broken else UNREACHED
+        return Result(outcome, tuple(asked), tuple(broken), key)
 
     async def _send(
-        self, service: str, path: str, vm: RankedVm, key: str | None
-    ) -> Result:
+        self, service: ids.ServiceId, path: str, vm: RankedVm, key: str | None
+    ) -> httpcore.Response:
         headers = [] if key is None else [("Idempotency-Key", key)]
-        res = await self._pool.request(
+        return await self._pool.request(
             "GET" if key is None else "POST",
             f"http://{vm.host}:{vm.port}/s/{service}{path}",
             headers=headers,
             content=None if key is None else b"{}",
             extensions=_TIMEOUTS,
         )
-        found = {name.lower(): value.decode() for name, value in res.headers}
-        retry_after = found.get(b"retry-after")
-        return Result(
-            found.get(b"dragonfly-outcome", "none"),
-            res.status,
-            key,
-            res.content,
-            None if retry_after is None else float(retry_after),
-        )
 
     async def aclose(self) -> None:
         """Closes the connections."""
         await self._pool.aclose()
+
+
+def _result(
+    res: httpcore.Response,
+    path: str,
+    key: str | None,
+    asked: list[ids.VmId],
+    broken: list[ids.VmId],
+) -> Result:
+    found = {name.lower(): value.decode() for name, value in res.headers}
+    outcome = found.get(b"dragonfly-outcome", "none")
+    retry_after = found.get(b"retry-after")
+    return Result(
+        outcome,
+        tuple(asked),
+        tuple(broken),
+        key,
+        outcome != "served" or _is_own(res.content, path, key),
+        None if retry_after is None else float(retry_after),
+    )
+
+
+def _is_own(body: bytes, path: str, key: str | None) -> bool:
+    """Returns whether a backend server's stand-in answered this request."""
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        return False
+    return answer.get("path") == path and answer.get("key") == key
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 the loopback interface.
 """
 
+import collections
 import dataclasses
 import os
 import pathlib
@@ -110,6 +111,11 @@
         self.vms: dict[ids.VmId, Vm] = {}
         self._leaving: set[ids.VmId] = set()
         self.document = self._place_backend_servers(document)
+        self._backend_servers = {
+            server.id: server
+            for service in self.document.services.values()
+            for server in service.backend_servers
+        }
 
     def _place_backend_servers(
         self, document: config.Document
@@ -215,7 +221,7 @@
             content=msgspec.json.encode(listed),
         )
 
-    def set_platform_faults(self, **faults) -> None:
+    def set_platform_faults(self, faults: dict) -> None:
         """Makes the platform fail as `standins.platform.Faults` says."""
         httpcore.request(
             "PUT",
@@ -223,6 +229,45 @@
             content=msgspec.json.encode(faults),
         )
 
+    def set_backend_faults(
+        self, server_id: ids.BackendServerId, faults: dict
+    ) -> None:
+        """Makes a backend server behave as its stand-in's `Faults` says."""
+        server = self._backend_servers[server_id]
+        httpcore.request(
+            "PUT",
+            f"http://{server.host}:{server.port}/faults",
+            content=msgspec.json.encode(faults),
+        )
+
+    def backend_counts(self) -> list[dict]:
+        """Returns the counts of all backend servers."""
+        return get_json(self.backend_urls()[0] + "/all") or []
+
+    def region_by_backend_name(self) -> dict[str, str]:
+        """Returns the service and region of each backend server."""
+        document = self.document
+        return {
+            f"{server.host}:{server.port}": f"{service.id}/"
+            f"{document.region_of[server.failure_domain]}"
+            for service in document.services.values()
+            for server in service.backend_servers
+        }
+
+    def runs(self) -> collections.Counter[str]:
+        """Returns how often each request key was run."""
+        runs: collections.Counter[str] = collections.Counter()
+        for url in self.backend_urls():
+            runs.update(get_json(url + "/runs") or {})
+        return runs
+
+    def all_see_all(self) -> bool:
+        """Returns whether every VM knows all the others."""
+        dumps = [
+            get_json(vm.operators_url + "/v1/dump") for vm in self.vms.values()
+        ]
+        return all(d and len(d["members"]) == len(dumps) for d in dumps)
+
     def kill(self, name: str) -> None:
         """Ends a process at once; a VM also leaves the platform's list."""
         process = self._processes.pop(name)
