End a connection after its answer while the VM leaves

Cause: a connection kept open over the end of a planned stop can carry a caller's next request just as the process closes it. Ruled out: a longer wait before exit, which does not end a busy connection. Change: answers of a leaving VM carry 'connection: close'.

--- a/dragonflystack/_asgi.py
+++ b/dragonflystack/_asgi.py
@@ -104,3 +104,22 @@
         if key == name:
             return value.decode("latin-1")
     return None
+
+
+def close_connections_when(is_leaving: Callable[[], bool], app: App) -> App:
+    """Returns the app, ending each connection after its answer while leaving.
+
+    A connection that stays open could carry its next request just as the
+    process ends; a caller that is told of the end opens another elsewhere.
+    """
+
+    async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
+        async def send_closing(message: dict[str, Any]) -> None:
+            if message["type"] == "http.response.start" and is_leaving():
+                headers = [*message["headers"], (b"connection", b"close")]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        await app(scope, receive, send_closing)
+
+    return wrapped
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -7,6 +7,7 @@
 import anyio
 import eliot
 
+from dragonflystack import _asgi
 from dragonflystack import _server
 from dragonflystack import clock
 from dragonflystack import ids
@@ -44,8 +45,11 @@
     """Serves until SIGTERM or SIGINT, then shuts down gracefully."""
     node = make_node(cfg)
     _logs.start(node.vm, node.incarnation, cfg.log_file)
+    callers_app = _asgi.close_connections_when(
+        lambda: node.leaving, _callers.make_app(node)
+    )
     callers = _server.Server.from_address(
-        _callers.make_app(node), cfg.callers.host, cfg.callers.port
+        callers_app, cfg.callers.host, cfg.callers.port
     )
     operators = _server.Server.from_address(
         _operators.make_app(node), cfg.operators.host, cfg.operators.port
