--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import time
+from typing import Any
 
 import httpcore
 import msgspec
@@ -87,13 +88,19 @@
     return time.monotonic() - start
 
 
-def get_json(url: str):
-    """Returns the JSON at a URL, or None if there is no answer."""
+def get(url: str) -> bytes | None:
+    """Returns what is at a URL, or None if there is no such answer."""
     try:
         res = httpcore.request("GET", url)
     except (httpcore.NetworkError, httpcore.ProtocolError):
         return None
-    return msgspec.json.decode(res.content) if res.status == 200 else None
+    return res.content if res.status == 200 else None
+
+
+def get_json(url: str) -> Any:
+    """Returns the JSON at a URL, or None if there is no such answer."""
+    content = get(url)
+    return None if content is None else msgspec.json.decode(content)
 
 
 class LocalFleet:
