Answer look-ups from packed client blocks and shares

Cause: a look-up ranked random VMs of the asked VM's own region. Change: client blocks as ranges in content-addressed chunks, found by bisection of chunk and range; answers worked out beforehand per cell, so that a caller's place is one hash per serving region.

--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -1,6 +1,23 @@
 """Steering: client blocks, target shares, the walk, look-up answers."""
 
+from dragonflystack.steering._addresses import Block
+from dragonflystack.steering._addresses import Family
+from dragonflystack.steering._addresses import InvalidAddressError
+from dragonflystack.steering._addresses import InvalidBlockError
+from dragonflystack.steering._addresses import parse_address
+from dragonflystack.steering._answers import Answer
+from dragonflystack.steering._answers import AnswerTable
+from dragonflystack.steering._answers import EntryVm
+from dragonflystack.steering._answers import RankedVm
+from dragonflystack.steering._answers import Ranking
+from dragonflystack.steering._answers import Refusal
+from dragonflystack.steering._answers import SlotsOwned
+from dragonflystack.steering._block_table import BlockTable
+from dragonflystack.steering._block_table import TableLoader
 from dragonflystack.steering._budget import Budget
+from dragonflystack.steering._chunks import InvalidChunkError
+from dragonflystack.steering._chunks import digest_of
+from dragonflystack.steering._chunks import pack_blocks
 from dragonflystack.steering._inputs import Capacity
 from dragonflystack.steering._inputs import Demand
 from dragonflystack.steering._inputs import Measurements
@@ -19,19 +36,36 @@
 
 __all__ = [
     "ALONE",
+    "Answer",
+    "AnswerTable",
+    "Block",
+    "BlockTable",
     "Budget",
     "Capacity",
     "Cell",
     "CellStatus",
     "CellSummary",
     "Demand",
+    "EntryVm",
+    "Family",
+    "InvalidAddressError",
+    "InvalidBlockError",
+    "InvalidChunkError",
     "Measurements",
     "PeerView",
     "Policy",
+    "RankedVm",
+    "Ranking",
+    "Refusal",
     "Shares",
+    "SlotsOwned",
+    "TableLoader",
     "Walker",
     "compute_targets",
+    "digest_of",
     "distance",
     "gain",
     "merge_cells",
+    "pack_blocks",
+    "parse_address",
 ]
