--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+import anyio
 import msgspec
 
 from dragonflystack import clock
@@ -10,6 +11,7 @@
 from dragonflystack import ids
 from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack.daemon import _metrics
 from dragonflystack.daemon import _settings
 
 
@@ -37,9 +39,13 @@
     rng: random.Random
     platform: platform.HttpPlatform
     ledger: promises.Ledger
+    metrics: _metrics.Metrics
     document: config.Document | None = None
     version: ids.DocumentVersion = ids.DocumentVersion(0)
     members: dict[ids.VmId, Member] = dataclasses.field(default_factory=dict)
+    stop_asked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    """Set by a signal or an operator: the VM is to leave and stop."""
+
     leaving: bool = False
     """Whether this VM is stopping."""
 
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -1,15 +1,21 @@
 """The operators' port: health, state, promises, the document."""
 
+import datetime
+import hmac
 from typing import Any
+import urllib.parse
 
+import eliot
 import msgspec
 
 from dragonflystack import _asgi
 from dragonflystack import config
 from dragonflystack import ids
 from dragonflystack import platform
+from dragonflystack import promises
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _node
+from dragonflystack.daemon import _promise_reports
 
 _MAX_DOCUMENT_BYTES = 64 * 1_048_576
 
@@ -21,6 +27,7 @@
         ("GET", "/health/ready"): _on_ready,
         ("GET", "/v1/dump"): _on_dump,
         ("GET", "/v1/promises"): _on_promises,
+        ("POST", "/v1/drain"): _on_drain,
         ("GET", "/v1/document"): _on_get_document,
         ("PUT", "/v1/document"): _on_put_document,
     }
@@ -38,9 +45,9 @@
 
 
 def _team(node: _node.Node, scope: _asgi.Scope) -> ids.TeamId | None:
-    given = _asgi.header(scope, b"authorization") or ""
+    given = (_asgi.header(scope, b"authorization") or "").encode()
     for team, token in node.settings.team_tokens.items():
-        if given == f"Bearer {token}":
+        if hmac.compare_digest(given, f"Bearer {token}".encode()):
             return team
     return None
 
@@ -74,25 +81,36 @@
     await _asgi.send_json(send, dump(node))
 
 
+async def _on_drain(node, scope, receive, send) -> None:
+    """Starts the graceful shutdown, as SIGTERM does."""
+    team = _team(node, scope)
+    if team is None:
+        await _asgi.send_problem(send, 401, "no such team token")
+        return
+    eliot.log_message("drain_asked", team=team)
+    node.stop_asked.set()
+    await _asgi.send_json(send, {"vm": node.vm, "leaving": True}, 202)
+
+
 async def _on_promises(node, scope, receive, send) -> None:
-    records = [
-        {
-            "promise": record.promise.value,
-            "checks": record.checks,
-            "worst_margin": record.worst_margin,
-            "breaches": record.breaches,
-            "last_breaches": [
-                {
-                    "at_s": breach.at.total_seconds(),
-                    "place": breach.place,
-                    "margin": breach.margin,
-                }
-                for breach in record.last_breaches
-            ],
-        }
-        for record in node.ledger.records()
-    ]
-    await _asgi.send_json(send, {"vm": node.vm, "promises": records})
+    """Answers with this VM's report, or with `?day=` the fleet's sum."""
+    query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
+    if "day" not in query:
+        await _asgi.send_json(send, _promise_reports.own_report(node))
+        return
+    try:
+        day = datetime.date.fromisoformat(query["day"][0])
+    except ValueError as exc:
+        await _asgi.send_problem(send, 400, "no such day", str(exc))
+        return
+    reports = await _promise_reports.fleet_reports(node, day)
+    if isinstance(reports, platform.Unavailable):
+        reason = str(reports.failure)
+        await _asgi.send_problem(send, 503, "object store out", reason)
+        return
+    merged = promises.merge(reports)
+    vms = sorted({report.vm for report in reports})
+    await _asgi.send_json(send, {"vms": vms, "promises": merged})
 
 
 async def _on_get_document(node, scope, receive, send) -> None:
--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -1,1 +1,71 @@
-"""Which region and entry VM serve a caller: shares, shift cap, headroom."""
+"""Steering: client blocks, target shares, the walk, look-up answers."""
+
+from dragonflystack.steering._addresses import Block
+from dragonflystack.steering._addresses import Family
+from dragonflystack.steering._addresses import InvalidAddressError
+from dragonflystack.steering._addresses import InvalidBlockError
+from dragonflystack.steering._addresses import parse_address
+from dragonflystack.steering._answers import Answer
+from dragonflystack.steering._answers import AnswerTable
+from dragonflystack.steering._answers import EntryVm
+from dragonflystack.steering._answers import RankedVm
+from dragonflystack.steering._answers import Ranking
+from dragonflystack.steering._answers import Refusal
+from dragonflystack.steering._answers import SlotsOwned
+from dragonflystack.steering._block_table import BlockTable
+from dragonflystack.steering._block_table import TableLoader
+from dragonflystack.steering._budget import Budget
+from dragonflystack.steering._chunks import InvalidChunkError
+from dragonflystack.steering._chunks import digest_of
+from dragonflystack.steering._chunks import pack_blocks
+from dragonflystack.steering._inputs import Capacity
+from dragonflystack.steering._inputs import Demand
+from dragonflystack.steering._inputs import Measurements
+from dragonflystack.steering._inputs import Policy
+from dragonflystack.steering._shares import Cell
+from dragonflystack.steering._shares import Shares
+from dragonflystack.steering._shares import distance
+from dragonflystack.steering._shares import gain
+from dragonflystack.steering._summary import ALONE
+from dragonflystack.steering._summary import CellSummary
+from dragonflystack.steering._summary import PeerView
+from dragonflystack.steering._summary import merge_cells
+from dragonflystack.steering._targets import compute_targets
+from dragonflystack.steering._walk import CellStatus
+from dragonflystack.steering._walk import Walker
+
+__all__ = [
+    "ALONE",
+    "Answer",
+    "AnswerTable",
+    "Block",
+    "BlockTable",
+    "Budget",
+    "Capacity",
+    "Cell",
+    "CellStatus",
+    "CellSummary",
+    "Demand",
+    "EntryVm",
+    "Family",
+    "InvalidAddressError",
+    "InvalidBlockError",
+    "InvalidChunkError",
+    "Measurements",
+    "PeerView",
+    "Policy",
+    "RankedVm",
+    "Ranking",
+    "Refusal",
+    "Shares",
+    "SlotsOwned",
+    "TableLoader",
+    "Walker",
+    "compute_targets",
+    "digest_of",
+    "distance",
+    "gain",
+    "merge_cells",
+    "pack_blocks",
+    "parse_address",
+]
