Add the pool of backend servers

Cause: requests need slots counted exactly, admission, a choice of backend server that lying signals can't mislead, and connections that can be trusted. Ruled out: ranking suspects last with no probe: at low load a backend server that failed twice would never have been tried again (seen as an endless loop in the test that now covers it).

--- a/dragonflystack/backends/__init__.py
+++ b/dragonflystack/backends/__init__.py
@@ -24,8 +24,8 @@
 `Shed` and `ConnectFailed` are not run; `BrokenAfterWrite`, `Silent`, `Corrupt`
 and `CancelWork` are unknown.
 
-Call `on_tick` at `next_wake_up()` at the latest; `on_connection_lost` when an
-idle connection was closed by the other end or sent bytes nobody asked for.
+Call `on_tick` at `next_wake_up(now)` at the latest, and `on_connection_lost`
+when an idle connection was closed by the other end or sent bytes unasked.
 """
 
 from dragonflystack.backends._messages import Action
@@ -46,15 +46,19 @@
 from dragonflystack.backends._messages import Start
 from dragonflystack.backends._messages import Work
 from dragonflystack.backends._messages import WorkId
+from dragonflystack.backends._pool import BackendPool
 from dragonflystack.backends._settings import PoolSettings
 from dragonflystack.backends._shards import Shard
 from dragonflystack.backends._shards import owner_of
 from dragonflystack.backends._shards import owners_ranked
 from dragonflystack.backends._shards import shards_of
+from dragonflystack.backends._summary import PoolSummary
+from dragonflystack.backends._summary import ServerSummary
 
 __all__ = [
     "Action",
     "Answered",
+    "BackendPool",
     "BrokenAfterWrite",
     "CancelWork",
     "Cancelled",
@@ -65,8 +69,10 @@
     "DrainReport",
     "HealthReport",
     "PoolSettings",
+    "PoolSummary",
     "Refuse",
     "Result",
+    "ServerSummary",
     "Shard",
     "Shed",
     "Silent",
--- a/dragonflystack/backends/_messages.py
+++ b/dragonflystack/backends/_messages.py
@@ -32,7 +32,7 @@
     """Work of high priority is placed first."""
 
     avoid: frozenset[ids.BackendServerId] = frozenset()
-    """Backend servers already tried, used only if there is no other."""
+    """Backend servers already tried, used only if no other has a free slot."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dragonflystack/backends/_shards.py
+++ b/dragonflystack/backends/_shards.py
@@ -11,10 +11,10 @@
 Loads", SODA 2018.
 """
 
-import dataclasses
-import math
 from collections.abc import Iterable
 from collections.abc import Sequence
+import dataclasses
+import math
 
 import xxhash
 
@@ -45,7 +45,7 @@
 
 
 def _weight(place: str, candidate: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{place}\x00{candidate}")
+    return xxhash.xxh3_64_intdigest(f"{place}\x00{candidate}".encode())
 
 
 def shards_of(
