--- a/dragonflystack/forwarding/_key_ledger.py
+++ b/dragonflystack/forwarding/_key_ledger.py
@@ -98,6 +98,8 @@
 
     fingerprint: bytes
     attempt: int
+    """The highest attempt that was asked for."""
+
     claim: _messages.ClaimId | None = None
     """The claim by which it is bound here, None for an issued key."""
 
@@ -297,6 +299,8 @@
         )
 
     def _judge_known(self, entry: Entry, attempt: int) -> Verdict:
+        ruled_out = attempt <= entry.attempt
+        entry.attempt = max(entry.attempt, attempt)
         if entry.held:
             return Verdict.JOIN
         match entry.state:
@@ -305,8 +309,7 @@
             case KeyState.FRESH:
                 entry.held = True
                 return Verdict.RUN
-            case KeyState.NOT_RUN if attempt > entry.attempt:
-                entry.attempt = attempt
+            case KeyState.NOT_RUN if not ruled_out:
                 entry.state = KeyState.FRESH
                 entry.held = True
                 return Verdict.RUN
--- a/dragonflystack/forwarding/tests/test_key_ledger.py
+++ b/dragonflystack/forwarding/tests/test_key_ledger.py
@@ -57,6 +57,19 @@
     assert _admit(keys, key, attempt=3) is _Verdict.RUN
 
 
+@pytest.mark.parametrize("started", [True, False])
+def test_a_joined_higher_attempt_is_refused_with_the_lower_one(started):
+    keys = _ledger()
+    key = keys.mint()
+    _admit(keys, key, attempt=1)
+    if not started:
+        keys.release_unstarted(key)
+    _admit(keys, key, attempt=2)
+    keys.settle_not_run(key, _ZERO)
+    assert _admit(keys, key, attempt=2) is _Verdict.NOT_RUN
+    assert _admit(keys, key, attempt=3) is _Verdict.RUN
+
+
 def test_an_unknown_key_never_runs_again():
     keys = _ledger()
     key = keys.mint()
