--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -189,9 +189,13 @@
     return finished
 
 
-async def _serve_all(host: str, first_port: int, count: int, slots: int):
+async def _serve_all(
+    host: str, first_port: int, count: int, slots: int, service_ms: float
+) -> None:
     ports = range(first_port, first_port + count)
     states = [BackendServer(f"{host}:{port}", slots) for port in ports]
+    for state in states:
+        state.faults.service_ms = service_ms
     async with anyio.create_task_group() as tasks:
         for port, state in zip(ports, states, strict=True):
             app = make_app(state, states)
@@ -206,6 +210,7 @@
     parser.add_argument("--first-port", type=int, required=True)
     parser.add_argument("--count", type=int, default=1)
     parser.add_argument("--slots", type=int, default=3)
+    parser.add_argument("--service-ms", type=float, default=5.0)
     args = parser.parse_args(argv)
     anyio.run(
         _serve_all,
@@ -213,6 +218,7 @@
         args.first_port,
         args.count,
         args.slots,
+        args.service_ms,
         backend_options={"use_uvloop": True},
     )
     return 0
--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -93,6 +93,9 @@
     requests_s: float
     """Requests a second at all services together."""
 
+    service_ms: float = 5.0
+    """How long a backend server takes for a request."""
+
     vms_per_failure_domain: int = 1
     callers: int = 24
     seed: int = 1
@@ -129,7 +132,7 @@
     local: fleet.LocalFleet, experiment: Experiment, folder: pathlib.Path
 ) -> float:
     """Starts everything and returns the seconds from apply to in force."""
-    local.start_platform()
+    local.start_platform(experiment.service_ms)
     domains = local.document.topology.failure_domains
     for i in range(experiment.vms_per_failure_domain):
         for j, domain in enumerate(domains):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -155,8 +155,8 @@
             for server in service.backend_servers
         ]
 
-    def start_platform(self) -> None:
-        """Starts the platform and the backend servers."""
+    def start_platform(self, service_ms: float) -> None:
+        """Starts the platform, and backend servers that take that long."""
         self._start(
             "platform", "standins.platform", "--port", str(self._platform_port)
         )
@@ -168,6 +168,8 @@
             str(self.first_backend_port),
             "--count",
             str(count),
+            "--service-ms",
+            str(service_ms),
         )
         wait_until(
             lambda: get_json(self.platform_url + "/vms") is not None, "platform"
