Upload client blocks in chunks

Cause: the document names chunks of client blocks, and nothing put them into the object store. Ruled out: blocks in the document itself: 1.1 million lines with every change. Change: 'dragonfly blocks-upload BLOCKS DOCUMENT' cuts a CSV file into chunks, sends those that the document does not name yet, and names them; PUT /v1/chunks checks and stores one.

--- a/dragonflystack/cli/__main__.py
+++ b/dragonflystack/cli/__main__.py
@@ -6,11 +6,13 @@
 
 import httpcore
 
+from dragonflystack.cli import _blocks
 from dragonflystack.cli import _command
 from dragonflystack.cli import _config
 from dragonflystack.cli import _vm
 
 _COMMANDS: tuple[type[_command.Command], ...] = (
+    _blocks.BlocksUpload,
     _config.ConfigGet,
     _config.ConfigApply,
     _vm.Drain,
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -13,6 +13,7 @@
 from dragonflystack import ids
 from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack.daemon import _chunk_uploads
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _promise_reports
@@ -30,6 +31,7 @@
         ("POST", "/v1/drain"): _on_drain,
         ("GET", "/v1/document"): _on_get_document,
         ("PUT", "/v1/document"): _on_put_document,
+        ("PUT", "/v1/chunks"): _on_put_chunk,
     }
 
     async def app(
@@ -125,6 +127,13 @@
     await _asgi.send_bytes(send, 200, headers, body)
 
 
+async def _on_put_chunk(node, scope, receive, send) -> None:
+    if _team(node, scope) is None:
+        await _asgi.send_problem(send, 401, "no such team token")
+        return
+    await _chunk_uploads.on_put_chunk(node, receive, send)
+
+
 async def _on_put_document(node, scope, receive, send) -> None:
     if _team(node, scope) is None:
         await _asgi.send_problem(send, 401, "no such team token")
--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -16,6 +16,7 @@
 from dragonflystack.steering._block_table import TableLoader
 from dragonflystack.steering._budget import Budget
 from dragonflystack.steering._chunks import InvalidChunkError
+from dragonflystack.steering._chunks import decode_chunk
 from dragonflystack.steering._chunks import digest_of
 from dragonflystack.steering._chunks import pack_blocks
 from dragonflystack.steering._inputs import Capacity
@@ -62,6 +63,7 @@
     "TableLoader",
     "Walker",
     "compute_targets",
+    "decode_chunk",
     "digest_of",
     "distance",
     "gain",
