--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -14,6 +14,7 @@
 from dragonflystack.steering._answers import SlotsOwned
 from dragonflystack.steering._block_table import BlockTable
 from dragonflystack.steering._block_table import TableLoader
+from dragonflystack.steering._budget import PEER_AGE
 from dragonflystack.steering._budget import Budget
 from dragonflystack.steering._chunks import InvalidChunkError
 from dragonflystack.steering._chunks import digest_of
@@ -48,6 +49,7 @@
     "Demand",
     "EntryVm",
     "Family",
+    "PEER_AGE",
     "InvalidAddressError",
     "InvalidBlockError",
     "InvalidChunkError",
--- a/dragonflystack/steering/_budget.py
+++ b/dragonflystack/steering/_budget.py
@@ -15,8 +15,11 @@
 
 from dragonflystack import config
 
-_WALK_PART = 0.6
-_SPREAD_PART = 0.2
+_WALK_PART = 0.7
+_SPREAD_PART = 0.15
+PEER_AGE = datetime.timedelta(seconds=2)
+"""What was heard of another VM's shares longer ago does not count."""
+
 MAX_TICK = datetime.timedelta(seconds=1)
 """The longest time that one step of the walk may make up for."""
 
@@ -34,8 +37,7 @@
     @classmethod
     def from_config(cls, cap: config.ShiftCap, fleet: config.Fleet) -> "Budget":
         """Returns the parts of a service's cap."""
-        lag = datetime.timedelta(seconds=fleet.measurement_max_age_s)
-        window = cap.window + fleet.answer_ttl + 2 * lag + MAX_TICK
+        window = cap.window + fleet.answer_ttl + 2 * PEER_AGE + MAX_TICK
         return cls(cap.fraction, window)
 
     @property
--- a/dragonflystack/steering/_shares.py
+++ b/dragonflystack/steering/_shares.py
@@ -112,3 +112,23 @@
         if share > 0:
             shares[region] = share
     return Shares(shares)
+
+
+def smoothed(before: Shares, latest: Shares, fraction: float) -> Shares:
+    """Returns exponentially smoothed shares.
+
+    What the latest leaves empty, a region or the refusal, is empty at once;
+    the others take its part in proportion.
+
+    Args:
+        before: the smoothed shares so far.
+        latest: the newest value.
+        fraction: the weight of the newest, 0 to 1.
+    """
+    mixed = towards(before, latest, fraction)
+    kept = {r: s for r, s in mixed.by_region.items() if latest.of(r) > 0}
+    total = sum(kept.values())
+    if total <= 0:
+        return latest
+    served = 1.0 if latest.refused <= _ROUNDING else 1.0 - mixed.refused
+    return Shares({r: share * served / total for r, share in kept.items()})
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -101,8 +101,7 @@
     """The summary of all others heard, without itself."""
 
     heard: int
-    """How many others it covers; none heard longer ago than the maximum age
-    of measurements."""
+    """How many others it covers; none heard longer ago than `PEER_AGE`."""
 
     listed: int
     """How many others the VM list names as live."""
--- a/dragonflystack/steering/_walk.py
+++ b/dragonflystack/steering/_walk.py
@@ -15,6 +15,7 @@
 
 import dataclasses
 import datetime
+import math
 
 from dragonflystack import config
 from dragonflystack import ids
@@ -27,7 +28,8 @@
 from dragonflystack.steering import _summary
 from dragonflystack.steering import _targets
 
-_START_DISTANCE = 0.02
+_LEAST_CHANGE = 0.04
+_SMOOTHING = datetime.timedelta(seconds=15)
 _ROUNDING = 1e-9
 _LEAST_RETRY = datetime.timedelta(seconds=1)
 _MOST_RETRY = datetime.timedelta(seconds=60)
@@ -39,14 +41,22 @@
 
     shares: _shares.Shares
     target: _shares.Shares
-    """Where this VM alone would move."""
+    """Where this VM alone would move, smoothed over time."""
 
     goal: _shares.Shares
-    """Where it walks to."""
+    """Where it walks to; it holds still while measurements vary little."""
 
     window: _budget.ShiftWindow
     is_near: bool = True
-    is_moving: bool = False
+
+    def aim(self, goal: _shares.Shares) -> None:
+        """Sets the goal, unless it differs little from the one it has.
+
+        Without this, noise in the measurements would never let it rest.
+        """
+        apart = _shares.distance(self.goal, goal)
+        if apart > _LEAST_CHANGE or _empties(self.goal, goal):
+            self.goal = goal
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,8 +73,8 @@
     is_near: bool
     """Whether they are close to what other VMs use."""
 
-    is_moving: bool
-    """Whether they are on their way to the target."""
+    goal: _shares.Shares
+    """Where they are moving to."""
 
 
 class Walker:
@@ -113,7 +123,7 @@
         """
         if not self.is_ready or self._ticked_at is None:
             return False
-        return now - self._ticked_at <= self._policy.max_age
+        return now - self._ticked_at <= _budget.PEER_AGE
 
     def shares(self, cell: _shares.Cell) -> _shares.Shares:
         """Returns the shares in use; a cell unknown to it is refused."""
@@ -155,7 +165,7 @@
         """Returns the state of all cells, for the dump."""
         return tuple(
             CellStatus(
-                cell, track.shares, track.target, track.is_near, track.is_moving
+                cell, track.shares, track.target, track.is_near, track.goal
             )
             for cell, track in self._tracks.items()
         )
@@ -175,6 +185,9 @@
         for track in self._tracks.values():
             gone = track.shares.by_region.keys() - regions
             track.shares = track.shares.without(gone)
+            track.goal = track.goal.without(
+                track.goal.by_region.keys() - regions
+            )
             track.target = track.target.without(
                 track.target.by_region.keys() - regions
             )
@@ -204,8 +217,10 @@
         targets = _targets.compute_targets(
             self._policy, measurements, self.in_use()
         )
+        fraction = 1 - math.exp(-elapsed / _SMOOTHING)
         for cell, target in targets.items():
-            self._tracks[cell].target = target
+            track = self._tracks[cell]
+            track.target = _shares.smoothed(track.target, target, fraction)
         if view.heard > 0 or view.listed == 0:
             self._walk(now, elapsed, measurements, view)
         return self.in_use() != before
@@ -226,7 +241,7 @@
             The time that this tick's step may make up for.
         """
         last = self._ticked_at
-        if last is None or now - last > self._policy.max_age:
+        if last is None or now - last > _budget.PEER_AGE:
             self._waiting_since = now
         self._ticked_at = now
         since = self._waiting_since
@@ -235,7 +250,7 @@
             return min(now - last, _budget.MAX_TICK)
         if view.heard > 0 and view.newest_at >= since:
             self._take_shares(view)
-        elif view.listed > 0 and now - since <= self._policy.max_age:
+        elif view.listed > 0 and now - since <= _budget.PEER_AGE:
             return datetime.timedelta()
         self._waiting_since = None
         return datetime.timedelta()
@@ -246,7 +261,7 @@
             if summary is not None and summary.count > 0:
                 track.shares = self._known(summary.reference)
                 track.is_near = True
-                track.is_moving = False
+                track.goal = track.shares
 
     def _add_cells(self, view: _summary.PeerView) -> None:
         for cell in self._policy.cells:
@@ -269,6 +284,7 @@
     def _drop(self, down: frozenset[ids.RegionId]) -> None:
         for track in self._tracks.values():
             track.shares = track.shares.without(down)
+            track.goal = track.goal.without(down)
 
     def _walk(
         self,
@@ -301,15 +317,15 @@
         down: frozenset[ids.RegionId],
     ) -> None:
         """Sets a cell's goal, from its target and what others use and want."""
-        track.goal = track.target
         summary = view.cells.get(cell)
         if summary is None or summary.count == 0:
+            track.aim(track.target)
             return
         reference = self._known(summary.reference).without(down)
         track.is_near = self._is_near(cell, track, reference, summary)
         if track.is_near:
             mean = summary.mean_target(track.target)
-            track.goal = self._known(mean).without(down)
+            track.aim(self._known(mean).without(down))
         else:
             track.goal = reference
 
@@ -328,7 +344,7 @@
         budget = self._budgets[cell.service]
         if not track.is_near and summary.near > 0:
             return _spread.apart(track.shares, summary) <= budget.spread
-        unheard = budget.pace_per_s * self._policy.max_age.total_seconds()
+        unheard = budget.pace_per_s * _budget.PEER_AGE.total_seconds()
         apart = max(
             _shares.gain(track.shares, reference),
             _shares.gain(reference, track.shares),
@@ -345,8 +361,7 @@
         """Returns where a cell may get to in this tick by pace alone."""
         budget = self._budgets[cell.service]
         whole = _shares.distance(track.shares, track.goal)
-        track.is_moving = _is_worth_moving(track, whole)
-        if not track.is_moving:
+        if whole <= _ROUNDING:
             return track.shares
         left = budget.walk - track.window.moved(now, budget.window)
         most = min(left, budget.pace_per_s * elapsed.total_seconds())
@@ -411,14 +426,11 @@
             )
 
 
-def _is_worth_moving(track: _Track, whole: float) -> bool:
-    goal = track.goal
-    if whole <= _ROUNDING:
-        return False
-    if track.is_moving or whole > _START_DISTANCE:
+def _empties(before: _shares.Shares, after: _shares.Shares) -> bool:
+    """Returns whether a region or the refusal is left with nothing."""
+    if before.refused > _ROUNDING >= after.refused:
         return True
-    emptied = any(
-        share > 0 and goal.of(region) <= 0
-        for region, share in track.shares.by_region.items()
+    return any(
+        share > 0 and after.of(region) <= 0
+        for region, share in before.by_region.items()
     )
-    return emptied or track.shares.refused > goal.refused + _ROUNDING
--- a/dragonflystack/steering/tests/test_block_table.py
+++ b/dragonflystack/steering/tests/test_block_table.py
@@ -169,6 +169,14 @@
         loader.build(ids.SiteId(0))
 
 
+def test_checks_a_known_chunk_against_fewer_sites():
+    chunks = _chunks([("10.0.0.0/8", 5)])
+    table = _load(chunks)
+    digest = steering.digest_of(chunks[0])
+    assert not steering.TableLoader([digest], SITES, table).missing
+    assert steering.TableLoader([digest], 5, table).missing == (digest,)
+
+
 def test_refuses_chunks_in_the_wrong_order():
     many = [
         (f"{ipaddress.IPv4Address(i << 8)}/24", i % 7) for i in range(20_000)
