--- a/dragonflystack/steering/tests/test_walk.py
+++ b/dragonflystack/steering/tests/test_walk.py
@@ -76,13 +76,7 @@
     for _ in range(10):
         driver.run(8, HALF)
         driver.run(8, NORMAL)
-    walked = sum(
-        steering.distance(one, other)
-        for one, other in zip(
-            driver.path[-50:], driver.path[-49:], strict=False
-        )
-    )
-    assert walked <= WALK
+    assert _walked(driver.path[-50:]) <= WALK
 
 
 def test_a_failed_region_is_refused_at_once_and_taken_in_by_pace():
