--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -14,8 +14,10 @@
 from dragonflystack.steering._answers import SlotsOwned
 from dragonflystack.steering._block_table import BlockTable
 from dragonflystack.steering._block_table import TableLoader
+from dragonflystack.steering._budget import PEER_AGE
 from dragonflystack.steering._budget import Budget
 from dragonflystack.steering._chunks import InvalidChunkError
+from dragonflystack.steering._chunks import decode_chunk
 from dragonflystack.steering._chunks import digest_of
 from dragonflystack.steering._chunks import pack_blocks
 from dragonflystack.steering._inputs import Capacity
@@ -48,6 +50,7 @@
     "Demand",
     "EntryVm",
     "Family",
+    "PEER_AGE",
     "InvalidAddressError",
     "InvalidBlockError",
     "InvalidChunkError",
@@ -62,6 +65,7 @@
     "TableLoader",
     "Walker",
     "compute_targets",
+    "decode_chunk",
     "digest_of",
     "distance",
     "gain",
