Run requests in the daemon by the engine and the pools

Cause: the thin path sent each request once to a random backend server of the region on a new connection, and knew no keys. Change: _forwarding.Forwarder carries out what forwarding.Engine decides; _pools.Pools does so for backends.BackendPool, one httpcore connection per connection id; _peers and _daemons speak thrift (binary) over HTTP on the daemons' port; _ownership says who owns which backend servers. Claims of keys without a prefix are rows of the table `claims`. A caller that leaves is noticed after 20 ms and its work cancelled. In other modules of the daemon: a member's row and the look-up answer carry the VM's key prefix, which now has a slice; Node.dump_sources lets parts add to the dump; _run starts the daemons' port, the health polls and the forwarder, and a stop waits for works of other VMs too.

--- a/dragonflystack/daemon/_callers.py
+++ b/dragonflystack/daemon/_callers.py
@@ -1,12 +1,15 @@
 """The callers' port: look-ups and requests."""
 
+import datetime
 import math
 import urllib.parse
 
 from dragonflystack import _asgi
 from dragonflystack import config
+from dragonflystack import forwarding
 from dragonflystack import ids
 from dragonflystack import outcomes
+from dragonflystack.daemon import _exchange
 from dragonflystack.daemon import _forwarding
 from dragonflystack.daemon import _look_up
 from dragonflystack.daemon import _node
@@ -17,9 +20,18 @@
     outcomes.RequestOutcome.NOT_RUN: 503,
     outcomes.RequestOutcome.UNKNOWN: 504,
 }
+_STATUS_OF_CAUSE = {
+    forwarding.Cause.KEY_INVALID: 400,
+    forwarding.Cause.KEY_REUSED: 422,
+}
+_DEADLINE_HEADER = b"dragonfly-deadline-ms"
+_ATTEMPT_HEADER = b"dragonfly-attempt"
+_MAX_DEADLINE_MS = 60_000
+_OWN_HEADERS = frozenset((b"host", b"idempotency-key"))
+_OWN_HEADERS_PREFIX = b"dragonfly-"
 
 
-def make_app(node: _node.Node) -> _asgi.App:
+def make_app(node: _node.Node, forwarder: _forwarding.Forwarder) -> _asgi.App:
     """Returns the ASGI app of the callers' port."""
 
     async def app(
@@ -29,7 +41,7 @@
         if path == _STEER_PATH:
             await _on_look_up(node, scope, send)
         elif path.startswith(_SERVICE_PREFIX):
-            await _on_request(node, scope, receive, send)
+            await _on_request(node, forwarder, scope, receive, send)
         else:
             await _asgi.send_problem(send, 404, "no such path", path)
 
@@ -72,6 +84,7 @@
 
 async def _on_request(
     node: _node.Node,
+    forwarder: _forwarding.Forwarder,
     scope: _asgi.Scope,
     receive: _asgi.Receive,
     send: _asgi.Send,
@@ -91,43 +104,94 @@
         headers = [_outcome_header("not-run")]
         await _asgi.send_problem(send, 413, "body too large", headers=headers)
         return
-    query = scope["query_string"].decode("latin-1")
-    path = f"/{rest}?{query}" if query else f"/{rest}"
-    req = _forwarding.CallerRequest(
-        scope["method"], path, tuple(scope["headers"]), body
-    )
+    try:
+        asked = _read_request(node.document, scope, rest, body)
+    except ValueError as exc:
+        headers = [_outcome_header("not-run")]
+        await _asgi.send_problem(
+            send, 400, "malformed request", str(exc), headers
+        )
+        return
     start = node.clock.monotonic()
     node.in_flight += 1
     try:
-        res = await _forwarding.forward(node, service, req)
+        reply = await forwarder.forward(service, *asked, gone=receive)
     finally:
         node.in_flight -= 1
-    node.metrics.count(f"{service.id}.{res.outcome.value}")
+    if reply is None:
+        return
+    node.metrics.count(f"{service.id}.{reply.outcome.value}")
     node.metrics.time(f"{service.id}.request", node.clock.monotonic() - start)
-    await _send_answer(send, res)
+    await _send_reply(send, reply)
+
+
+def _read_request(
+    document: config.Document, scope: _asgi.Scope, rest: str, body: bytes
+) -> tuple[forwarding.Payload, datetime.timedelta, ids.RequestKey | None, int]:
+    """Returns the payload, the time left, the key and the attempt.
+
+    Raises:
+        ValueError: names the header that is wrong and what was expected.
+    """
+    headers = tuple(scope["headers"])
+    query = scope["query_string"].decode("latin-1")
+    target = f"/{rest}?{query}" if query else f"/{rest}"
+    kept = tuple(
+        header
+        for header in _exchange.end_to_end(headers)
+        if header[0] not in _OWN_HEADERS
+        and not header[0].startswith(_OWN_HEADERS_PREFIX)
+    )
+    payload = forwarding.Payload(scope["method"], target, kept, body)
+    deadline_ms = _read_number(
+        scope, _DEADLINE_HEADER, document.fleet.default_deadline_ms
+    )
+    key = _asgi.header(scope, b"idempotency-key")
+    return (
+        payload,
+        datetime.timedelta(milliseconds=min(deadline_ms, _MAX_DEADLINE_MS)),
+        None if key is None else ids.RequestKey(key),
+        _read_number(scope, _ATTEMPT_HEADER, 1),
+    )
+
+
+def _read_number(scope: _asgi.Scope, name: bytes, default: int) -> int:
+    text = _asgi.header(scope, name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdecimal() and 0 < len(text) < 10):
+        raise ValueError(f"{name.decode()}: expected 1 or more, found {text!r}")
+    return max(1, int(text))
 
 
 def _outcome_header(outcome: str) -> tuple[bytes, bytes]:
     return b"dragonfly-outcome", outcome.encode()
 
 
-async def _send_answer(send: _asgi.Send, res: _forwarding.Answer) -> None:
-    headers = [_outcome_header(res.outcome.value)]
-    failure = res.failure
-    if failure is None:
+async def _send_reply(send: _asgi.Send, reply: forwarding.Reply) -> None:
+    headers = [_outcome_header(reply.outcome.value)]
+    if reply.key is not None:
+        headers.append((b"idempotency-key", reply.key.encode()))
+    answer = reply.answer
+    if answer is not None:
         await _asgi.send_bytes(
-            send, res.status, [*res.headers, *headers], res.body
+            send, answer.status, [*answer.headers, *headers], answer.body
         )
         return
+    failure = reply.failure
+    cause = reply.cause
+    if failure is None or cause is None:
+        raise ValueError(f"a reply without an answer or a failure: {reply}")
     if failure.retry_after is not None:
         seconds = math.ceil(failure.retry_after.total_seconds())
-        headers.append((b"retry-after", b"%d" % seconds))
+        headers.append((b"retry-after", b"%d" % max(1, seconds)))
     await _asgi.send_problem(
         send,
-        _STATUS_OF[res.outcome],
-        "request " + res.outcome.value,
+        _STATUS_OF_CAUSE.get(cause, _STATUS_OF[reply.outcome]),
+        "request " + reply.outcome.value,
         failure.reason,
         headers,
         step=failure.step.value,
         peer=failure.peer,
+        cause=cause.value,
     )
--- /dev/null
+++ b/dragonflystack/daemon/_daemons.py
@@ -0,0 +1,60 @@
+"""The daemons' port: works and relayed requests of other entry VMs."""
+
+from dragonflystack import _asgi
+from dragonflystack.daemon import _forwarding
+from dragonflystack.daemon import _forwarding_codec
+from dragonflystack.daemon import _node
+from dragonflystack.daemon import _peers
+
+_MAX_MESSAGE_BYTES = 64 * 1_048_576
+_CONTENT_TYPE = ((b"content-type", b"application/vnd.apache.thrift.binary"),)
+
+
+def make_app(node: _node.Node, forwarder: _forwarding.Forwarder) -> _asgi.App:
+    """Returns the ASGI app of the daemons' port."""
+
+    async def on_work(
+        body: bytes, receive: _asgi.Receive, send: _asgi.Send
+    ) -> None:
+        work = _forwarding_codec.decode_work(body)
+        result = await forwarder.run_work(work, receive)
+        if result is not None:
+            data = _forwarding_codec.encode_result(result)
+            await _asgi.send_bytes(send, 200, _CONTENT_TYPE, data)
+
+    async def on_relay(
+        body: bytes, receive: _asgi.Receive, send: _asgi.Send
+    ) -> None:
+        now = node.clock.monotonic()
+        request = _forwarding_codec.decode_relayed(
+            body, forwarder.next_call(), now
+        )
+        reply = await forwarder.serve(request, receive)
+        if reply is not None:
+            data = _forwarding_codec.encode_reply(reply)
+            await _asgi.send_bytes(send, 200, _CONTENT_TYPE, data)
+
+    routes = {_peers.WORK_PATH: on_work, _peers.RELAY_PATH: on_relay}
+
+    async def app(
+        scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
+    ) -> None:
+        handler = routes.get(scope["path"])
+        if handler is None or scope["method"] != "POST":
+            await _asgi.send_problem(send, 404, "no such path", scope["path"])
+            return
+        try:
+            body = await _asgi.read_body(receive, _MAX_MESSAGE_BYTES)
+            node.in_flight += 1
+            try:
+                await handler(body, receive, send)
+            finally:
+                node.in_flight -= 1
+        except _asgi.CallerGoneError:
+            return
+        except _asgi.BodyTooLargeError:
+            await _asgi.send_problem(send, 413, "body too large")
+        except _forwarding_codec.MalformedMessageError as exc:
+            await _asgi.send_problem(send, 400, "malformed message", str(exc))
+
+    return app
--- /dev/null
+++ b/dragonflystack/daemon/_exchange.py
@@ -0,0 +1,118 @@
+"""One exchange over one HTTP connection, read whole within a bound."""
+
+import dataclasses
+
+import httpcore
+
+from dragonflystack import forwarding
+
+_CONNECT_TIMEOUT_S = 0.25
+_TIMEOUTS = {"timeout": {"connect": _CONNECT_TIMEOUT_S}}
+_NO_BODY_STATUSES = frozenset((204, 304))
+_ECHO_HEADER = b"dragonfly-request"
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+UNSENT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.ConnectionNotAvailable,
+)
+"""Nothing of the request was written."""
+
+BROKEN_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+"""Some of the request may have been written."""
+
+
+class AnswerTooLargeError(Exception):
+    """The answer is larger than allowed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """What to send."""
+
+    method: str
+    url: str
+    headers: forwarding.Headers
+    body: bytes
+
+
+def end_to_end(headers: forwarding.Headers) -> forwarding.Headers:
+    """Returns the headers that are not for one connection only.
+
+    Source: RFC 9110, "HTTP Semantics", section 7.6.1.
+    """
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    dropped = _HOP_BY_HOP | named
+    return tuple(h for h in headers if h[0].lower() not in dropped)
+
+
+async def exchange(
+    conn: httpcore.AsyncHTTPConnection, call: Call, limit_bytes: int
+) -> forwarding.Answer:
+    """Sends a call and returns the whole answer.
+
+    Args:
+        conn: a connection that carries nothing else.
+        call: what to send.
+        limit_bytes: largest body of the answer.
+
+    Raises:
+        UNSENT_ERRORS: nothing was written.
+        BROKEN_ERRORS: it broke off, or the framing is wrong.
+        AnswerTooLargeError: the body is longer than the limit.
+    """
+    headers = [*call.headers, (b"content-length", b"%d" % len(call.body))]
+    parts: list[bytes] = []
+    size = 0
+    async with conn.stream(
+        call.method,
+        call.url,
+        headers=headers,
+        content=call.body,
+        extensions=_TIMEOUTS,
+    ) as res:
+        async for part in res.aiter_stream():
+            size += len(part)
+            if size > limit_bytes:
+                raise AnswerTooLargeError
+            parts.append(part)
+    body = parts[0] if len(parts) == 1 else b"".join(parts)
+    return _answer(call.method, res, body)
+
+
+def _answer(
+    method: str, res: httpcore.Response, body: bytes
+) -> forwarding.Answer:
+    declared: int | None = None
+    echoed: str | None = None
+    for name, value in res.headers:
+        lower = name.lower()
+        if lower == b"content-length":
+            declared = int(value)
+        elif lower == _ECHO_HEADER and value:
+            echoed = value.decode("latin-1")
+    if method == "HEAD" or res.status in _NO_BODY_STATUSES:
+        declared = None
+    headers = end_to_end(tuple(res.headers))
+    return forwarding.Answer(res.status, headers, body, declared, echoed)
--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -1,120 +1,377 @@
-"""Forwards a caller's request to a backend server and returns the answer."""
+"""The shell round the engine: carries out what it decides."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import datetime
+import functools
+import hashlib
+import itertools
 
-import httpcore
+import anyio
+import anyio.abc
+import msgspec
 
 from dragonflystack import config
-from dragonflystack import outcomes
+from dragonflystack import forwarding
+from dragonflystack import ids
+from dragonflystack import platform
 from dragonflystack.daemon import _node
+from dragonflystack.daemon import _ownership
+from dragonflystack.daemon import _peers
+from dragonflystack.daemon import _pools
+from dragonflystack.daemon import _settings
 
-_RETRY_AFTER = datetime.timedelta(seconds=1)
-_REFUSED_HEADER = b"dragonfly-refused"
-"""Set by a backend server that refused a request before running it."""
-
-_DROPPED_HEADERS = frozenset(
-    (b"connection", b"content-length", b"host", b"transfer-encoding")
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A request as it came from a caller."""
-
-    method: str
-    path: str
-    """The path below the service, with its query."""
-
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """What a caller gets."""
-
-    outcome: outcomes.RequestOutcome
-    status: int = 0
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-    body: bytes = b""
-    failure: outcomes.Failure | None = None
-    """Why it was not served, None if it was."""
-
-
-async def forward(
-    node: _node.Node, service: config.Service, req: CallerRequest
-) -> Answer:
-    """Returns what became of the request."""
-    assert node.document is not None
-    servers = [
-        server
-        for server in service.backend_servers
-        if not server.leaving
-        and node.document.region_of[server.failure_domain] == node.region
-    ]
-    if not servers:
-        failure = outcomes.Failure(
-            outcomes.Step.ADMISSION,
-            service.id,
-            "no backend server in this region",
-            _RETRY_AFTER,
+CLAIM_TABLE = "claims"
+_LONGEST_SLEEP = datetime.timedelta(milliseconds=100)
+_WATCH_AFTER_S = 0.02
+_NO_MAX_BODY_BYTES = 1_048_576
+
+
+class _ClaimRow(msgspec.Struct, frozen=True):
+    claim: str
+    vm: str
+    incarnation: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    """A call that has no final word yet."""
+
+    done: anyio.Event
+    reply: forwarding.Reply | None = None
+
+
+class Forwarder:
+    """Runs requests of callers, and works and requests of other VMs."""
+
+    def __init__(self, node: _node.Node, tasks: anyio.abc.TaskGroup):
+        """Takes the daemon's state and where its tasks run."""
+        issuer = forwarding.Issuer(node.vm, node.incarnation)
+        limits = forwarding.Limits()
+        self._node = node
+        self._tasks = tasks
+        self._engine = forwarding.Engine(issuer, limits, node.ledger, node.rng)
+        self._pools = _pools.Pools(
+            tasks, node.clock, node.ledger, self._max_body_bytes
+        )
+        self._peers = _peers.Peers(
+            node.clock, self._locate, self._max_body_bytes
+        )
+        self._calls = itertools.count(1)
+        self._waiting: dict[forwarding.CallId, _Waiting] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._ownership = _ownership.Ownership({}, {})
+        self._ownership_inputs: object = None
+        self._poke = anyio.Event()
+        self._wakes_at = datetime.timedelta()
+        node.key_prefix = self._engine.key_prefix
+        node.dump_sources["requests"] = self._engine.state
+        node.dump_sources["pools"] = self._pools.summaries
+
+    @property
+    def pools(self) -> _pools.Pools:
+        """The pools of backend servers that this VM owns."""
+        return self._pools
+
+    def owners(
+        self, service: ids.ServiceId
+    ) -> tuple[forwarding.OwnerHint, ...]:
+        """Returns the VMs that may run a request for a service."""
+        return self._ownership.owners.get(service, ())
+
+    async def run(self) -> None:
+        """Wakes the engine and the pools when they want it, for ever."""
+        while True:
+            self._follow_ownership()
+            self._pools.tick()
+            self._do(self._engine.on_tick(self._now()))
+            self._poke = anyio.Event()
+            self._wakes_at = self._next_wake_up()
+            delay = max(0.0, (self._wakes_at - self._now()).total_seconds())
+            with anyio.move_on_after(delay):
+                await self._poke.wait()
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self._pools.aclose()
+        await self._peers.aclose()
+
+    def begin_stop(self, last_named: datetime.timedelta) -> None:
+        """Takes new work only until an instant from now on."""
+        self._engine.on_drain(last_named)
+
+    def may_exit(self) -> bool:
+        """Whether all that was in flight has ended."""
+        return self._engine.may_exit(self._now()) and not self._pools.works
+
+    def check_exit(self) -> None:
+        """Checks that the exit cuts nothing off."""
+        self._engine.on_exit(self._now())
+
+    async def forward(
+        self,
+        service: config.Service,
+        payload: forwarding.Payload,
+        time_left: datetime.timedelta,
+        key: ids.RequestKey | None,
+        attempt: int,
+        gone: Callable[[], object],
+    ) -> forwarding.Reply | None:
+        """Runs a request of a caller.
+
+        Args:
+            service: the service it asks for.
+            payload: what the backend server is to get.
+            time_left: how long the caller waits.
+            key: the key it states, if any.
+            attempt: the attempt it states.
+            gone: returns an awaitable that ends when the caller leaves.
+
+        Returns:
+            The final word, None if the caller left.
+        """
+        request = forwarding.Request(
+            call=self.next_call(),
+            service=service.id,
+            idempotent=service.idempotent,
+            deadline=self._now() + time_left,
+            payload=payload,
+            key=key,
+            attempt=attempt,
+            priority=service.priority,
         )
-        return Answer(outcomes.RequestOutcome.NOT_RUN, failure=failure)
-    return await _send(node, node.rng.choice(servers), req)
-
-
-async def _send(
-    node: _node.Node, server: config.BackendServer, req: CallerRequest
-) -> Answer:
-    assert node.document is not None
-    seconds = node.document.fleet.default_deadline_ms / 1_000
-    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), seconds)
-    headers = [h for h in req.headers if h[0] not in _DROPPED_HEADERS]
-    origin = httpcore.Origin(b"http", server.host.encode(), server.port)
-    async with httpcore.AsyncHTTPConnection(origin) as conn:
+        return await self.serve(request, gone)
+
+    def next_call(self) -> forwarding.CallId:
+        """Returns the id of a new call."""
+        return forwarding.CallId(next(self._calls))
+
+    async def serve(
+        self, request: forwarding.Request, gone: Callable[[], object]
+    ) -> forwarding.Reply | None:
+        """Runs a request; see `forward`."""
+        waiting = _Waiting(anyio.Event())
+        self._waiting[request.call] = waiting
+        owners = self.owners(request.service)
+        self._do(self._engine.on_request(request, owners, self._now()))
+        self._node.key_prefix = self._engine.key_prefix
         try:
-            res = await conn.request(
-                req.method,
-                f"http://{server.host}:{server.port}{req.path}",
-                headers=[(b"host", server.host.encode()), *headers],
-                content=req.body,
-                extensions={"timeout": timeouts},
-            )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
-            return _failed(
-                outcomes.RequestOutcome.NOT_RUN,
-                outcomes.Step.CONNECT,
-                server,
-                exc,
-            )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as exc:
-            return _failed(
-                outcomes.RequestOutcome.UNKNOWN,
-                outcomes.Step.RECEIVE,
-                server,
-                exc,
-            )
-    if any(name.lower() == _REFUSED_HEADER for name, _ in res.headers):
-        failure = outcomes.Failure(
-            outcomes.Step.ADMISSION, server.id, "no slot", _RETRY_AFTER
+            await _wait_unless_gone(waiting.done, gone)
+        finally:
+            self._waiting.pop(request.call, None)
+            if waiting.reply is None:
+                actions = self._engine.on_caller_gone(request.call, self._now())
+                self._do(actions)
+        return waiting.reply
+
+    async def run_work(
+        self, work: forwarding.Work, gone: Callable[[], object]
+    ) -> forwarding.WorkResult | None:
+        """Runs a work for another VM; returns None if that VM left."""
+        done = anyio.Event()
+        results: list[forwarding.WorkResult] = []
+
+        def report(result: forwarding.WorkResult) -> None:
+            results.append(result)
+            done.set()
+
+        self._pools.submit(work, report)
+        self._poke_if_due()
+        try:
+            await _wait_unless_gone(done, gone)
+        finally:
+            if not results:
+                self._pools.cancel(work.id)
+        return results[0] if results else None
+
+    # What the engine and the pools need to know.
+
+    def _now(self) -> datetime.timedelta:
+        return self._node.clock.monotonic()
+
+    def _max_body_bytes(self) -> int:
+        document = self._node.document
+        if document is None:
+            return _NO_MAX_BODY_BYTES
+        return document.fleet.max_body_bytes
+
+    def _locate(self, vm: ids.VmId) -> _settings.Address | None:
+        member = self._node.members.get(vm)
+        return None if member is None else member.daemons
+
+    def _follow_ownership(self) -> None:
+        node = self._node
+        if node.document is None:
+            return
+        vms = {
+            member.vm: member.failure_domain
+            for member in node.members.values()
+            if not member.leaving
+        }
+        if not node.leaving:
+            vms[node.vm] = node.settings.failure_domain
+        inputs = (node.version, tuple(sorted(vms.items())))
+        if inputs == self._ownership_inputs:
+            return
+        self._ownership_inputs = inputs
+        self._ownership = _ownership.work_out(
+            node.document, node.vm, node.region, vms.items()
+        )
+        self._pools.on_document(node.document, self._ownership.owned)
+
+    def _next_wake_up(self) -> datetime.timedelta:
+        latest = self._now() + _LONGEST_SLEEP
+        wake_ups = (self._engine.next_wake_up(), self._pools.next_wake_up())
+        return min((w for w in wake_ups if w is not None), default=latest)
+
+    def _poke_if_due(self) -> None:
+        due = self._engine.next_wake_up()
+        for_pools = self._pools.next_wake_up()
+        if for_pools is not None and (due is None or for_pools < due):
+            due = for_pools
+        if due is not None and due < self._wakes_at:
+            self._poke.set()
+
+    # What the engine wants done.
+
+    def _do(self, actions: Iterable[forwarding.Action]) -> None:
+        for action in actions:
+            match action:
+                case forwarding.Finish(call, reply):
+                    waiting = self._waiting.get(call)
+                    if waiting is not None:
+                        waiting.reply = reply
+                        waiting.done.set()
+                case forwarding.Dispatch(owner, work):
+                    self._dispatch(owner, work)
+                case forwarding.CancelWork(owner, work_id):
+                    self._cancel(owner, work_id)
+                case forwarding.Relay(call, _, _, _):
+                    self._start(_relay_name(call), self._relay, action)
+                case forwarding.CancelRelay(call):
+                    self._stop(_relay_name(call))
+                case forwarding.WriteClaim():
+                    self._tasks.start_soon(self._write_claim, action)
+                case forwarding.ReadClaim():
+                    self._tasks.start_soon(self._read_claim, action)
+        self._poke_if_due()
+
+    def _dispatch(self, owner: ids.VmId, work: forwarding.Work) -> None:
+        if owner == self._node.vm:
+            report = functools.partial(self._on_result, work.id)
+            self._pools.submit(work, report)
+        else:
+            self._start(work.id, self._work_at_peer, owner, work)
+
+    def _cancel(self, owner: ids.VmId, work: forwarding.WorkId) -> None:
+        if owner == self._node.vm:
+            self._pools.cancel(work)
+        else:
+            self._stop(work)
+
+    def _on_result(
+        self, work: forwarding.WorkId, result: forwarding.WorkResult
+    ) -> None:
+        self._do(self._engine.on_work_result(work, result, self._now()))
+
+    def _start(self, name: str, run: Callable, *args: object) -> None:
+        """Runs something that may be stopped by its name."""
+        scope = anyio.CancelScope()
+        self._scopes[name] = scope
+        self._tasks.start_soon(self._run_stoppable, name, scope, run, *args)
+
+    def _stop(self, name: str) -> None:
+        scope = self._scopes.get(name)
+        if scope is not None:
+            scope.cancel()
+
+    async def _run_stoppable(
+        self, name: str, scope: anyio.CancelScope, run: Callable, *args: object
+    ) -> None:
+        with scope:
+            await run(*args)
+        del self._scopes[name]
+
+    async def _work_at_peer(
+        self, owner: ids.VmId, work: forwarding.Work
+    ) -> None:
+        self._on_result(work.id, await self._peers.work(owner, work))
+
+    async def _relay(self, action: forwarding.Relay) -> None:
+        result = await self._peers.relay(action)
+        actions = self._engine.on_relay_result(action.call, result, self._now())
+        self._do(actions)
+
+    async def _write_claim(self, action: forwarding.WriteClaim) -> None:
+        record = action.record
+        row = _ClaimRow(
+            record.claim, record.holder.vm, record.holder.incarnation
         )
-        return Answer(outcomes.RequestOutcome.NOT_RUN, failure=failure)
-    kept = tuple(h for h in res.headers if h[0].lower() not in _DROPPED_HEADERS)
-    return Answer(outcomes.RequestOutcome.SERVED, res.status, kept, res.content)
-
-
-def _failed(
-    outcome: outcomes.RequestOutcome,
-    step: outcomes.Step,
-    server: config.BackendServer,
-    exc: Exception,
-) -> Answer:
-    failure = outcomes.Failure(
-        step, server.id, type(exc).__name__, _RETRY_AFTER
-    )
-    return Answer(outcome, failure=failure)
+        write = platform.Write(
+            CLAIM_TABLE, _row_key(action.key), 0, msgspec.json.encode(row)
+        )
+        written = await self._node.platform.write(write)
+        match written:
+            case platform.Committed():
+                result: forwarding.ClaimResult = forwarding.ClaimHeld(record)
+            case platform.Unavailable():
+                result = forwarding.ClaimTrouble.UNAVAILABLE
+            case platform.Unsure():
+                result = forwarding.ClaimTrouble.LOST
+            case _:
+                result = await self._read_row(action.key)
+        self._on_claim(record.claim, result)
+
+    async def _read_claim(self, action: forwarding.ReadClaim) -> None:
+        result = await self._read_row(action.key)
+        self._on_claim(action.record.claim, result)
+
+    async def _read_row(self, key: ids.RequestKey) -> forwarding.ClaimResult:
+        row = await self._node.platform.read(CLAIM_TABLE, _row_key(key))
+        if isinstance(row, platform.Unavailable):
+            return forwarding.ClaimTrouble.UNAVAILABLE
+        if row is None:
+            return forwarding.ClaimTrouble.ABSENT
+        found = msgspec.json.decode(row.value, type=_ClaimRow)
+        holder = forwarding.Issuer(
+            ids.VmId(found.vm), ids.Incarnation(found.incarnation)
+        )
+        claim = forwarding.ClaimId(found.claim)
+        return forwarding.ClaimHeld(forwarding.ClaimRecord(claim, holder))
+
+    def _on_claim(
+        self, claim: forwarding.ClaimId, result: forwarding.ClaimResult
+    ) -> None:
+        self._do(self._engine.on_claim_result(claim, result, self._now()))
+
+
+def _relay_name(call: forwarding.CallId) -> str:
+    return f"relay {call}"
+
+
+def _row_key(key: ids.RequestKey) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+async def _wait_unless_gone(
+    done: anyio.Event, gone: Callable[[], object]
+) -> None:
+    """Waits for an event; ends early if the other side leaves.
+
+    The other side is watched only once the wait is long: most are short, and
+    watching costs a task.
+    """
+    with anyio.move_on_after(_WATCH_AFTER_S):
+        await done.wait()
+    if done.is_set():
+        return
+    async with anyio.create_task_group() as tasks:
+
+        async def watch() -> None:
+            await gone()  # type: ignore[misc]
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(watch)
+        await done.wait()
+        tasks.cancel_scope.cancel()
--- a/dragonflystack/daemon/_look_up.py
+++ b/dragonflystack/daemon/_look_up.py
@@ -39,5 +39,5 @@
         "host": member.callers.host,
         "port": member.callers.port,
         "weight": 1.0,
-        "key_prefix": f"{member.vm}.{member.incarnation}.",
+        "key_prefix": member.key_prefix,
     }
--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -1,7 +1,9 @@
 """What one daemon knows: its settings, its document, the VMs it sees."""
 
+from collections.abc import Callable
 import dataclasses
 import random
+from typing import Any
 
 import anyio
 import msgspec
@@ -26,6 +28,9 @@
     version: ids.DocumentVersion
     """The document version that it has in force."""
 
+    key_prefix: str = ""
+    """What keys for requests to it begin with."""
+
     leaving: bool = False
 
 
@@ -49,8 +54,16 @@
     leaving: bool = False
     """Whether this VM is stopping."""
 
+    dump_sources: dict[str, Callable[[], Any]] = dataclasses.field(
+        default_factory=dict
+    )
+    """Parts of the dump that other modules add, by name."""
+
     in_flight: int = 0
-    """Requests of callers that have no answer yet."""
+    """Requests of callers and other VMs that have no answer yet."""
+
+    key_prefix: str = ""
+    """What keys for requests to this VM begin with."""
 
     @property
     def vm(self) -> ids.VmId:
@@ -73,5 +86,6 @@
             callers=self.settings.callers,
             daemons=self.settings.daemons,
             version=self.version,
+            key_prefix=self.key_prefix,
             leaving=self.leaving,
         )
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -76,6 +76,7 @@
         "in_flight": node.in_flight,
         "members": list(node.members.values()),
         "monotonic_s": node.clock.monotonic().total_seconds(),
+        **{name: source() for name, source in node.dump_sources.items()},
     }
 
 
--- /dev/null
+++ b/dragonflystack/daemon/_peers.py
@@ -0,0 +1,138 @@
+"""Calls to other entry VMs to run a request."""
+
+from collections.abc import Callable
+import datetime
+
+import httpcore
+
+from dragonflystack import clock
+from dragonflystack import forwarding
+from dragonflystack import ids
+from dragonflystack import outcomes
+from dragonflystack.daemon import _exchange
+from dragonflystack.daemon import _forwarding_codec
+from dragonflystack.daemon import _settings
+
+WORK_PATH = "/v1/work"
+RELAY_PATH = "/v1/relay"
+_OK = 200
+_MAX_IDLE = datetime.timedelta(seconds=5)
+_MAX_IDLE_NOT_IDEMPOTENT = datetime.timedelta(milliseconds=500)
+_MAX_IDLE_CONNECTIONS = 64
+_OVERHEAD_BYTES = 65_536
+
+Locate = Callable[[ids.VmId], _settings.Address | None]
+
+
+class Peers:
+    """Connections to other entry VMs, one request on each at a time.
+
+    A connection that was idle for long may have gone silent, so it is not
+    trusted: less so for work that must not run twice.
+    """
+
+    def __init__(
+        self,
+        now: clock.Clock,
+        locate: Locate,
+        max_body_bytes: Callable[[], int],
+    ):
+        """Takes where VMs are found and the bound on an answer's body."""
+        self._clock = now
+        self._locate = locate
+        self._max_body_bytes = max_body_bytes
+        self._idle: dict[
+            _settings.Address,
+            list[tuple[datetime.timedelta, httpcore.AsyncHTTPConnection]],
+        ] = {}
+
+    async def work(
+        self, owner: ids.VmId, work: forwarding.Work
+    ) -> forwarding.WorkResult:
+        """Has the owner run a work."""
+        result = await self._call(
+            owner,
+            WORK_PATH,
+            _forwarding_codec.encode_work(work),
+            work.idempotent,
+        )
+        if isinstance(result, forwarding.Failed):
+            return result
+        try:
+            return _forwarding_codec.decode_result(result)
+        except _forwarding_codec.MalformedMessageError as exc:
+            return _failed(outcomes.Step.RECEIVE, owner, exc, written=True)
+
+    async def relay(
+        self, action: forwarding.Relay
+    ) -> forwarding.Reply | outcomes.Failure:
+        """Asks the holder of a key."""
+        holder = action.issuer.vm
+        message = _forwarding_codec.encode_relayed(
+            action.request, action.time_left
+        )
+        result = await self._call(holder, RELAY_PATH, message, False)
+        if isinstance(result, forwarding.Failed):
+            return result.failure
+        try:
+            return _forwarding_codec.decode_reply(result)
+        except _forwarding_codec.MalformedMessageError as exc:
+            return _failed(outcomes.Step.RECEIVE, holder, exc, True).failure
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        for idle in self._idle.values():
+            for _, conn in idle:
+                await conn.aclose()
+
+    async def _call(
+        self, vm: ids.VmId, path: str, message: bytes, idempotent: bool
+    ) -> bytes | forwarding.Failed:
+        address = self._locate(vm)
+        if address is None:
+            failure = outcomes.Failure(outcomes.Step.PEER, vm, "no such VM")
+            return forwarding.Failed(failure, written=False)
+        call = _exchange.Call("POST", f"http://{address}{path}", (), message)
+        conn = await self._take(address, idempotent)
+        limit_bytes = self._max_body_bytes() + _OVERHEAD_BYTES
+        try:
+            answer = await _exchange.exchange(conn, call, limit_bytes)
+        except _exchange.UNSENT_ERRORS as exc:
+            return _failed(outcomes.Step.CONNECT, vm, exc, written=False)
+        except (*_exchange.BROKEN_ERRORS, _exchange.AnswerTooLargeError) as exc:
+            return _failed(outcomes.Step.RECEIVE, vm, exc, written=True)
+        await self._give_back(address, conn)
+        if answer.status != _OK:
+            reason = ValueError(f"status {answer.status}")
+            return _failed(outcomes.Step.PEER, vm, reason, written=True)
+        return answer.body
+
+    async def _take(
+        self, address: _settings.Address, idempotent: bool
+    ) -> httpcore.AsyncHTTPConnection:
+        max_idle = _MAX_IDLE if idempotent else _MAX_IDLE_NOT_IDEMPOTENT
+        oldest = self._clock.monotonic() - max_idle
+        idle = self._idle.get(address, [])
+        while idle:
+            heard, conn = idle.pop()
+            if heard >= oldest and not conn.has_expired():
+                return conn
+            await conn.aclose()
+        origin = httpcore.Origin(b"http", address.host.encode(), address.port)
+        return httpcore.AsyncHTTPConnection(origin)
+
+    async def _give_back(
+        self, address: _settings.Address, conn: httpcore.AsyncHTTPConnection
+    ) -> None:
+        idle = self._idle.setdefault(address, [])
+        if conn.is_idle() and len(idle) < _MAX_IDLE_CONNECTIONS:
+            idle.append((self._clock.monotonic(), conn))
+        else:
+            await conn.aclose()
+
+
+def _failed(
+    step: outcomes.Step, vm: ids.VmId, exc: Exception, written: bool
+) -> forwarding.Failed:
+    reason = f"{type(exc).__name__} {exc}".strip()
+    return forwarding.Failed(outcomes.Failure(step, vm, reason), written)
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -1,10 +1,12 @@
 """The life of a daemon: start, serve, graceful shutdown."""
 
+import datetime
 import random
 import signal
 import uuid
 
 import anyio
+import anyio.abc
 import eliot
 
 from dragonflystack import _asgi
@@ -15,6 +17,9 @@
 from dragonflystack import promises
 from dragonflystack.daemon import _callers
 from dragonflystack.daemon import _configuration
+from dragonflystack.daemon import _daemons
+from dragonflystack.daemon import _forwarding
+from dragonflystack.daemon import _health
 from dragonflystack.daemon import _logs
 from dragonflystack.daemon import _members
 from dragonflystack.daemon import _metrics
@@ -45,49 +50,80 @@
     """Serves until SIGTERM or SIGINT, then shuts down gracefully."""
     node = make_node(cfg)
     _logs.start(node.vm, node.incarnation, cfg.log_file)
-    callers_app = _asgi.close_connections_when(
-        lambda: node.leaving, _callers.make_app(node)
-    )
-    callers = _server.Server.from_address(
-        callers_app, cfg.callers.host, cfg.callers.port
-    )
-    operators = _server.Server.from_address(
-        _operators.make_app(node), cfg.operators.host, cfg.operators.port
-    )
     async with anyio.create_task_group() as signals:
         signals.start_soon(_stop_on_signal, node)
-        async with anyio.create_task_group() as servers:
-            servers.start_soon(callers.serve)
-            servers.start_soon(operators.serve)
-            async with anyio.create_task_group() as loops:
-                loops.start_soon(_configuration.run, node)
-                loops.start_soon(_members.run, node)
-                loops.start_soon(_promise_reports.run, node)
-                loops.start_soon(node.metrics.run)
+        async with anyio.create_task_group() as loops:
+            forwarder = _forwarding.Forwarder(node, loops)
+            ports = _make_ports(node, forwarder)
+            async with anyio.create_task_group() as servers:
+                for port in ports:
+                    servers.start_soon(port.serve)
+                _start_loops(loops, node, forwarder)
                 eliot.log_message("daemon_started", callers=str(cfg.callers))
                 await node.stop_asked.wait()
-                await _leave(node)
-                loops.cancel_scope.cancel()
-            callers.stop()
-            operators.stop()
+                await _leave(node, forwarder)
+                for port in ports:
+                    port.stop()
+            await forwarder.aclose()
+            loops.cancel_scope.cancel()
         signals.cancel_scope.cancel()
     await node.platform.aclose()
     eliot.log_message("daemon_stopped")
 
 
+def _make_ports(
+    node: _node.Node, forwarder: _forwarding.Forwarder
+) -> tuple[_server.Server, ...]:
+    cfg = node.settings
+    callers_app = _asgi.close_connections_when(
+        lambda: node.leaving, _callers.make_app(node, forwarder)
+    )
+    ports = (
+        (callers_app, cfg.callers),
+        (_daemons.make_app(node, forwarder), cfg.daemons),
+        (_operators.make_app(node), cfg.operators),
+    )
+    return tuple(
+        _server.Server.from_address(app, address.host, address.port)
+        for app, address in ports
+    )
+
+
+def _start_loops(
+    loops: anyio.abc.TaskGroup,
+    node: _node.Node,
+    forwarder: _forwarding.Forwarder,
+) -> None:
+    loops.start_soon(_configuration.run, node)
+    loops.start_soon(_members.run, node)
+    loops.start_soon(_promise_reports.run, node)
+    loops.start_soon(node.metrics.run)
+    loops.start_soon(forwarder.run)
+    loops.start_soon(
+        _health.run,
+        forwarder.pools.owned,
+        forwarder.pools.on_health,
+        node.clock,
+    )
+
+
 async def _stop_on_signal(node: _node.Node) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             node.stop_asked.set()
 
 
-async def _leave(node: _node.Node) -> None:
+async def _leave(node: _node.Node, forwarder: _forwarding.Forwarder) -> None:
     """Leaves the answers, serves out the cached ones and what is in flight."""
     node.leaving = True
     eliot.log_message("daemon_leaving")
+    ttl = datetime.timedelta()
     if node.document is not None:
-        await anyio.sleep(node.document.fleet.answer_ttl_s)
-    while node.in_flight:
+        ttl = node.document.fleet.answer_ttl
+    forwarder.begin_stop(node.clock.monotonic() + ttl)
+    await anyio.sleep(ttl.total_seconds())
+    while node.in_flight or not forwarder.may_exit():
         await anyio.sleep(_DRAIN_POLL_S)
+    forwarder.check_exit()
     await _promise_reports.write(node)
     await _members.deregister(node)
--- a/dragonflystack/forwarding/_messages.py
+++ b/dragonflystack/forwarding/_messages.py
@@ -224,6 +224,9 @@
     avoid: tuple[ids.BackendServerId, ...] = ()
     """Backend servers at which earlier tries failed."""
 
+    key: ids.RequestKey | None = None
+    """The key it is run under, None for an idempotent request."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatch:
--- a/dragonflystack/forwarding/_runner.py
+++ b/dragonflystack/forwarding/_runner.py
@@ -280,6 +280,7 @@
                     _time_left(job, hint, now),
                     req.payload,
                     job.avoid,
+                    job.key,
                 ),
             )
         )
