Join the parts of steering in one aggregate, and report between VMs

Cause: the walk, the tables and the answers had no common entry, and VMs nothing to tell each other. Guard of links in a step: test added, seen to fail without the guard.

--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -23,10 +23,21 @@
 from dragonflystack.steering._inputs import Demand
 from dragonflystack.steering._inputs import Measurements
 from dragonflystack.steering._inputs import Policy
+from dragonflystack.steering._meters import NO_LOAD
+from dragonflystack.steering._meters import DemandMeter
+from dragonflystack.steering._meters import Load
+from dragonflystack.steering._report import EMPTY_REPORT
+from dragonflystack.steering._report import InvalidReportError
+from dragonflystack.steering._report import OwnedCapacity
+from dragonflystack.steering._report import Report
+from dragonflystack.steering._report import decode_report
+from dragonflystack.steering._report import encode_report
+from dragonflystack.steering._report import to_measurements
 from dragonflystack.steering._shares import Cell
 from dragonflystack.steering._shares import Shares
 from dragonflystack.steering._shares import distance
 from dragonflystack.steering._shares import gain
+from dragonflystack.steering._steering import Steering
 from dragonflystack.steering._summary import ALONE
 from dragonflystack.steering._summary import CellSummary
 from dragonflystack.steering._summary import PeerView
@@ -47,27 +58,38 @@
     "CellStatus",
     "CellSummary",
     "Demand",
+    "DemandMeter",
+    "EMPTY_REPORT",
     "EntryVm",
     "Family",
-    "PEER_AGE",
     "InvalidAddressError",
     "InvalidBlockError",
     "InvalidChunkError",
+    "InvalidReportError",
+    "Load",
     "Measurements",
+    "NO_LOAD",
+    "OwnedCapacity",
+    "PEER_AGE",
     "PeerView",
     "Policy",
     "RankedVm",
     "Ranking",
     "Refusal",
+    "Report",
     "Shares",
     "SlotsOwned",
+    "Steering",
     "TableLoader",
     "Walker",
     "compute_targets",
+    "decode_report",
     "digest_of",
     "distance",
+    "encode_report",
     "gain",
     "merge_cells",
     "pack_blocks",
     "parse_address",
+    "to_measurements",
 ]
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -140,6 +140,8 @@
 
 
 def _mean(sums: Sums, count: int) -> _shares.Shares:
+    """Returns the mean; sums that were rounded may exceed the count."""
     if count == 0:
         return _shares.REFUSE_ALL
-    return _shares.Shares({r: sums[r] / count for r in sorted(sums)})
+    scale = max(float(count), sum(sums.values()))
+    return _shares.Shares({r: sums[r] / scale for r in sorted(sums)})
--- a/dragonflystack/steering/tests/test_walk.py
+++ b/dragonflystack/steering/tests/test_walk.py
@@ -253,6 +253,15 @@
     assert (driver.run(5, measured, others).of(B) > 0) == moves
 
 
+def test_no_step_fills_a_link():
+    driver = Driver(documents.document(mbit_s=0.2))
+    driver.run(5, NORMAL)
+    start = steering.Shares({A: 1.0})
+    others = _view(start, target=steering.Shares({B: 1.0}))
+    most = 0.9 * 0.2 * 125_000 / 20_000 / DEMAND[A]
+    assert driver.run(30, NORMAL, others).of(B) == pytest.approx(most)
+
+
 def test_noise_in_the_measurements_moves_little_once_settled():
     driver = Driver()
     rng = random.Random(6)
