--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -17,6 +17,7 @@
 from dragonflystack.steering._budget import PEER_AGE
 from dragonflystack.steering._budget import Budget
 from dragonflystack.steering._chunks import InvalidChunkError
+from dragonflystack.steering._chunks import decode_chunk
 from dragonflystack.steering._chunks import digest_of
 from dragonflystack.steering._chunks import pack_blocks
 from dragonflystack.steering._inputs import Capacity
@@ -83,6 +84,7 @@
     "TableLoader",
     "Walker",
     "compute_targets",
+    "decode_chunk",
     "decode_report",
     "digest_of",
     "distance",
