--- /dev/null
+++ b/dragonflystack/membership/_listings.py
@@ -0,0 +1,102 @@
+"""How the VM list travels down the tree.
+
+Relays read it from the platform. The others compare digests with their parent
+and ask for the rosters that differ, so that one restarted VM costs the roster
+of its failure domain and not the whole list.
+"""
+
+from collections.abc import Iterable
+import datetime
+
+from dragonflystack import ids
+from dragonflystack.membership import _messages
+from dragonflystack.membership import _vms
+
+_EMPTY = _vms.Roster.from_vms(())
+
+
+class ListingSync:
+    """The state of that exchange on one VM."""
+
+    def __init__(self, view: _vms.View):
+        self._view = view
+        self._read_at: datetime.timedelta | None = None
+        self.wanted: tuple[ids.FailureDomainId, ...] = ()
+        """Failure domains whose roster is to be asked for."""
+
+    @property
+    def known(self) -> bool:
+        """Whether there is a VM list at all."""
+        return self._read_at is not None
+
+    @property
+    def digest(self) -> int:
+        """The digest of the VM list, 0 if there is none."""
+        return self._view.listing.digest if self.known else 0
+
+    def age(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns the time since the platform gave the list, at least."""
+        if self._read_at is None:
+            return datetime.timedelta()
+        return now - self._read_at
+
+    def take(
+        self,
+        listing: _vms.Listing,
+        read_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes a list read from the platform, or put together from it."""
+        self._view.on_listing(listing, now)
+        self._read_at = read_at
+
+    def on_response(
+        self,
+        response: _messages.Response,
+        transit: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes the parent's list if it was read later than this one."""
+        asked, self.wanted = self.wanted, ()
+        read_at = now - response.listing_age - transit
+        if not response.listing_digest:
+            return
+        if self._read_at is not None and read_at < self._read_at:
+            return
+        mine = self._view.listing
+        if asked:
+            mine = mine.with_rosters(dict(response.rosters))
+        if response.listing_digest == mine.digest:
+            self.take(mine, read_at, now)
+            return
+        self.wanted = _differing(self._view.listing, response.roster_digests)
+
+    def differs_from(self, digest: int) -> bool:
+        """Returns whether another VM's list is another one than this."""
+        return self.known and digest != self.digest
+
+    def digests(self) -> tuple[_messages.RosterDigest, ...]:
+        """Returns the digest of every roster."""
+        return tuple(
+            _messages.RosterDigest(domain, roster.digest)
+            for domain, roster in self._view.listing.rosters.items()
+        )
+
+    def rosters(
+        self, wanted: Iterable[ids.FailureDomainId]
+    ) -> tuple[tuple[ids.FailureDomainId, _vms.Roster], ...]:
+        """Returns the rosters of some failure domains."""
+        rosters = self._view.listing.rosters
+        return tuple((d, rosters.get(d, _EMPTY)) for d in wanted)
+
+
+def _differing(
+    listing: _vms.Listing, digests: Iterable[_messages.RosterDigest]
+) -> tuple[ids.FailureDomainId, ...]:
+    theirs = {d.failure_domain: d.digest for d in digests}
+    ours = {d: r.digest for d, r in listing.rosters.items()}
+    return tuple(
+        domain
+        for domain in sorted({*theirs, *ours})
+        if theirs.get(domain) != ours.get(domain)
+    )
--- /dev/null
+++ b/dragonflystack/membership/_regions.py
@@ -0,0 +1,126 @@
+"""The loads of all regions as one VM knows them."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import datetime
+import random
+from typing import TypeAlias
+
+from dragonflystack import ids
+from dragonflystack.membership import _load
+from dragonflystack.membership import _messages
+from dragonflystack.membership import _vms
+
+Key: TypeAlias = tuple[ids.RegionId, ids.VmId]
+"""The region, and the VM that made the sum."""
+
+Rows: TypeAlias = dict[Key, _load.RegionLoad]
+
+TimedRows: TypeAlias = dict[Key, tuple[_load.RegionLoad, datetime.timedelta]]
+"""Rows and the time at which their age held."""
+
+_SERIAL_BITS = 31
+
+
+def split(
+    rows: Rows, told: Mapping[Key, int]
+) -> tuple[tuple[_load.RegionLoad, ...], _messages.Ages]:
+    """Returns the rows that differ from what was told, and ages of the rest."""
+    changed = tuple(
+        row for key, row in rows.items() if told.get(key) != row.serial
+    )
+    ages = tuple(
+        rows[key].sum.age
+        if key in rows and rows[key].serial == told[key]
+        else None
+        for key in sorted(told)
+    )
+    return changed, ages
+
+
+def join(
+    known: TimedRows,
+    changed: Iterable[_load.RegionLoad],
+    ages: _messages.Ages,
+    transit: datetime.timedelta,
+    now: datetime.timedelta,
+) -> TimedRows:
+    """Returns the rows that were split, with the time of their ages.
+
+    Args:
+        known: the rows as told before.
+        changed: the rows told anew.
+        ages: the ages of those known, in the order of their keys.
+        transit: how long the message was under way, at most.
+        now: the time on the monotonic clock.
+    """
+    rows: TimedRows = {}
+    for key, age in zip(sorted(known), ages, strict=False):
+        if age is not None:
+            row = known[key][0]
+            rows[key] = (row.aged(age + transit - row.sum.age), now)
+    for row in changed:
+        rows[row.key] = (row.aged(transit), now)
+    return rows
+
+
+class RegionTable:
+    """What came from the parent, and the sum that this VM publishes."""
+
+    def __init__(self, me: _vms.Vm, max_age: datetime.timedelta):
+        self._me = me
+        self._max_age = max_age
+        self._above: TimedRows = {}
+        self._published: _load.RegionLoad | None = None
+
+    def on_response(
+        self,
+        response: _messages.Response,
+        transit: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes what the parent knows.
+
+        Args:
+            response: its answer.
+            transit: an upper bound on how long the answer was under way.
+            now: the time on the monotonic clock.
+        """
+        self._above = join(
+            self._above,
+            response.region_loads,
+            response.region_ages,
+            transit,
+            now,
+        )
+
+    def publish(
+        self,
+        total: _load.LoadSum,
+        tolerance: float,
+        floor: float,
+        rng: random.Random,
+    ) -> _load.RegionLoad:
+        """Returns the row of this VM's region, the last one if close to it."""
+        last = self._published
+        if last is None:
+            serial = rng.getrandbits(_SERIAL_BITS)
+        elif _load.differ(last.sum, total, tolerance, floor):
+            serial = (last.serial + 1) % (1 << _SERIAL_BITS)
+        else:
+            return last.aged(total.age - last.sum.age)
+        row = _load.RegionLoad(self._me.region, self._me.id, serial, total)
+        self._published = row
+        return row
+
+    def rows(self, below: Rows, now: datetime.timedelta) -> Rows:
+        """Returns all rows that are not too old; those from below go first."""
+        rows = {
+            key: row.aged(now - at) for key, (row, at) in self._above.items()
+        }
+        rows.update(below)
+        return {
+            key: row
+            for key, row in rows.items()
+            if row.sum.age <= self._max_age
+        }
--- /dev/null
+++ b/dragonflystack/membership/tests/test_load.py
@@ -0,0 +1,105 @@
+import datetime
+import random
+
+import pytest
+
+from dragonflystack import ids
+from dragonflystack.membership import _load
+from dragonflystack.membership import _regions
+from dragonflystack.membership import _vms
+
+_S = datetime.timedelta(seconds=1)
+_HOME = ids.RegionId("home")
+_AWAY = ids.RegionId("away")
+_ORDER = ids.ServiceId("order")
+_ME = _vms.Vm(
+    ids.VmId("vm-1"),
+    ids.Incarnation("a"),
+    1,
+    ids.FailureDomainId("fd-1"),
+    _HOME,
+    "10.0.0.1",
+    7102,
+)
+
+
+def _sum(busy: float, reporters: int = 1) -> _load.LoadSum:
+    return _load.LoadSum(
+        reporters, 1 * _S, {_ORDER: _load.ServiceLoad(busy=busy, usable=36)}
+    )
+
+
+@pytest.mark.parametrize("value", [0.0, 0.5, 3.0, 860.0, 1.2e6, 3e8])
+def test_code_keeps_a_value_within_its_step(value):
+    code = _load.to_code(value)
+    assert 0 <= code < 2**15
+    assert _load.from_code(code) == pytest.approx(value, rel=0.01, abs=1e-3)
+
+
+def test_sums_add_fields_and_regions():
+    one = _load.ServiceLoad(2, 6, 10, {_HOME: _load.Flow(5, 1, 2)})
+    two = _load.ServiceLoad(
+        1, 3, 20, {_HOME: _load.Flow(1, 1, 1), _AWAY: _load.Flow(7)}
+    )
+    total = one + two
+    assert (total.busy, total.usable, total.completions) == (3, 9, 30)
+    assert total.flows == {_HOME: _load.Flow(6, 2, 3), _AWAY: _load.Flow(7)}
+    assert total.mean_service_time == datetime.timedelta(milliseconds=100)
+    assert _load.ServiceLoad().mean_service_time is None
+
+
+def test_sum_of_sums_counts_reporters_and_takes_the_oldest_age():
+    older = _load.LoadSum(3, 4 * _S, {})
+    total = _load.add_sums([_sum(1), older])
+    assert (total.reporters, total.age) == (4, 4 * _S)
+
+
+@pytest.mark.parametrize(
+    ("after", "again"),
+    [
+        (_sum(104), False),
+        (_sum(110), True),
+        (_sum(100, reporters=2), True),
+        (_load.LoadSum(1, 9 * _S, _sum(100).services), False),
+        (_load.LoadSum(1, 1 * _S, {}), True),
+    ],
+)
+def test_relay_publishes_only_what_differs_enough(after, again):
+    table = _regions.RegionTable(_ME, 30 * _S)
+    rng = random.Random(1)
+    first = table.publish(_sum(100), 0.05, 10.0, rng)
+    second = table.publish(after, 0.05, 10.0, rng)
+    assert (second.serial != first.serial) is again
+    assert second.sum.age == after.age
+
+
+def test_split_and_join_are_inverse_and_ages_grow_by_transit():
+    keys = [(_HOME, _ME.id), (_AWAY, ids.VmId("vm-2"))]
+    rows = {
+        key: _load.RegionLoad(*key, serial=i, sum=_sum(i))
+        for i, key in enumerate(keys)
+    }
+    changed, ages = _regions.split(rows, {})
+    known = _regions.join({}, changed, ages, 0 * _S, 0 * _S)
+    told = {key: row.serial for key, row in rows.items()}
+    rows[keys[0]] = _load.RegionLoad(*keys[0], serial=9, sum=_sum(9))
+    changed, ages = _regions.split(rows, told)
+    assert [row.serial for row in changed] == [9]
+    assert sorted(ages, key=str) == [1 * _S, None]
+    known = _regions.join(known, changed, ages, 2 * _S, 5 * _S)
+    assert {k: row.serial for k, (row, _) in known.items()} == {
+        keys[0]: 9,
+        keys[1]: 1,
+    }
+    assert {row.sum.age for row, _ in known.values()} == {3 * _S}
+
+
+def test_row_goes_when_it_is_not_named_or_too_old():
+    row = _load.RegionLoad(_HOME, _ME.id, 1, _sum(1))
+    known = _regions.join({}, (row,), (), 0 * _S, 0 * _S)
+    told = {row.key: row.serial}
+    _, ages = _regions.split({}, told)
+    assert _regions.join(known, (), ages, 0 * _S, 1 * _S) == {}
+    table = _regions.RegionTable(_ME, 3 * _S)
+    assert table.rows({row.key: row.aged(1 * _S)}, 0 * _S)
+    assert not table.rows({row.key: row.aged(3 * _S)}, 0 * _S)
