--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -13,6 +13,7 @@
 from dragonflystack import ids
 from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack.daemon import _chunk_uploads
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _promise_reports
@@ -30,6 +31,7 @@
         ("POST", "/v1/drain"): _on_drain,
         ("GET", "/v1/document"): _on_get_document,
         ("PUT", "/v1/document"): _on_put_document,
+        ("PUT", "/v1/chunks"): _on_put_chunk,
     }
 
     async def app(
@@ -74,6 +76,7 @@
         "in_flight": node.in_flight,
         "members": list(node.members.values()),
         "monotonic_s": node.clock.monotonic().total_seconds(),
+        **{name: source() for name, source in node.dump_sources.items()},
     }
 
 
@@ -125,6 +128,13 @@
     await _asgi.send_bytes(send, 200, headers, body)
 
 
+async def _on_put_chunk(node, scope, receive, send) -> None:
+    if _team(node, scope) is None:
+        await _asgi.send_problem(send, 401, "no such team token")
+        return
+    await _chunk_uploads.on_put_chunk(node, receive, send)
+
+
 async def _on_put_document(node, scope, receive, send) -> None:
     if _team(node, scope) is None:
         await _asgi.send_problem(send, 401, "no such team token")
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -101,8 +101,7 @@
     """The summary of all others heard, without itself."""
 
     heard: int
-    """How many others it covers; none heard longer ago than the maximum age
-    of measurements."""
+    """How many others it covers; none heard longer ago than `PEER_AGE`."""
 
     listed: int
     """How many others the VM list names as live."""
@@ -141,6 +140,8 @@
 
 
 def _mean(sums: Sums, count: int) -> _shares.Shares:
+    """Returns the mean; sums that were rounded may exceed the count."""
     if count == 0:
         return _shares.REFUSE_ALL
-    return _shares.Shares({r: sums[r] / count for r in sorted(sums)})
+    scale = max(float(count), sum(sums.values()))
+    return _shares.Shares({r: sums[r] / scale for r in sorted(sums)})
