Run the configuration protocol in the daemon and the client

Cause: the thin loop adopted whatever the head row said; nothing told written from accepted, and any team could write anything. Change: one loop round the decisions (adopt, register, acknowledge, hold the role, write receipts); sections, changes, history, state and fencing on the operators' port; 'dragonfly config get|init|check|diff|apply|wait|history| fence' and 'status'. A VM serves callers and is named to others only while registered. Not built: asking another VM to vouch (between daemons).

--- a/dragonflystack/cli/__main__.py
+++ b/dragonflystack/cli/__main__.py
@@ -14,7 +14,14 @@
 _COMMANDS: tuple[type[_command.Command], ...] = (
     _blocks.BlocksUpload,
     _config.ConfigGet,
+    _config.ConfigInit,
+    _config.ConfigCheck,
+    _config.ConfigDiff,
     _config.ConfigApply,
+    _config.ConfigWait,
+    _config.ConfigHistory,
+    _config.ConfigFence,
+    _config.Status,
     _vm.Drain,
     _vm.Dump,
     _vm.LookUp,
@@ -45,9 +52,16 @@
         " 3 no answer, 4 written but not yet accepted.",
     )
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    groups: dict[str, argparse._SubParsersAction] = {"": commands}
     for command in _COMMANDS:
-        sub = commands.add_parser(
-            command.NAME,
+        group, _, name = command.NAME.rpartition(" ")
+        if group not in groups:
+            parent = commands.add_parser(group, help=f"{group} commands")
+            groups[group] = parent.add_subparsers(
+                required=True, metavar="COMMAND"
+            )
+        sub = groups[group].add_parser(
+            name,
             parents=[common],
             help=command.DESCRIPTION,
             description=command.DESCRIPTION,
--- a/dragonflystack/config/__init__.py
+++ b/dragonflystack/config/__init__.py
@@ -55,6 +55,7 @@
 from dragonflystack.config._rows import Section
 from dragonflystack.config._rows import Serving
 from dragonflystack.config._rows import StoredRow
+from dragonflystack.config._sections import asked_owner
 from dragonflystack.config._sections import digest_of
 from dragonflystack.config._sections import join
 from dragonflystack.config._sections import owner
@@ -121,6 +122,7 @@
     "Vouches",
     "Waiting",
     "accepted_version",
+    "asked_owner",
     "decode_document",
     "decode_head",
     "decode_role",
--- a/dragonflystack/config/_lease.py
+++ b/dragonflystack/config/_lease.py
@@ -27,7 +27,7 @@
     vouch_lease: datetime.timedelta = datetime.timedelta(seconds=5)
     """How long a vouch of another VM lasts."""
 
-    role_lease: datetime.timedelta = datetime.timedelta(seconds=3)
+    role_lease: datetime.timedelta = datetime.timedelta(seconds=6)
     """How long the role of writing receipts lasts."""
 
     renew_every: datetime.timedelta = datetime.timedelta(seconds=30)
--- a/dragonflystack/config/_registration.py
+++ b/dragonflystack/config/_registration.py
@@ -21,6 +21,9 @@
     """A transaction that this VM wants done."""
 
     writes: tuple[_rows.RowWrite, ...]
+    acknowledged: ids.DocumentVersion
+    """What the row says once they took effect."""
+
     sent_at: datetime.timedelta
     """When it was planned, on the monotonic clock; the lease starts here."""
 
@@ -42,6 +45,21 @@
         self._permission = permission
         self._vouches = vouches
         self._renewed_at: datetime.timedelta | None = None
+        self._acknowledged = ids.DocumentVersion(0)
+
+    def is_due(
+        self, version: ids.DocumentVersion, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether the rows are to be read for `on_rows`."""
+        if not self._permission.is_registered(now):
+            return True
+        return version > self._acknowledged or self._renewal_due(now)
+
+    def _renewal_due(self, now: datetime.timedelta) -> bool:
+        renewed_at = self._renewed_at
+        if renewed_at is None:
+            return True
+        return now - renewed_at >= self._bounds.renew_every
 
     def on_rows(
         self,
@@ -64,17 +82,14 @@
             return self._register(head, own, row, version, now)
         if row.acknowledged < version and self._vouches.cover(version, now):
             return self._renew(own, row, version, now)
-        due = (
-            self._renewed_at is None
-            or now - self._renewed_at >= self._bounds.renew_every
-        )
-        if due:
+        if self._renewal_due(now):
             return self._renew(own, row, row.acknowledged, now)
         return None
 
     def on_committed(self, plan: Plan) -> None:
         """Takes note that a plan took effect."""
         self._renewed_at = plan.sent_at
+        self._acknowledged = plan.acknowledged
         self._permission.on_registered(plan.sent_at)
 
     def leave(
@@ -120,6 +135,7 @@
                 _rows.keep(_rows.CONFIGURATION, _rows.HEAD, head),
                 _rows.make_write(_rows.SERVING, self._vm, own, value),
             ),
+            version,
             now,
         )
 
@@ -134,7 +150,7 @@
             row, acknowledged=acknowledged, renewal=row.renewal + 1
         )
         write = _rows.make_write(_rows.SERVING, self._vm, own, value)
-        return Plan((write,), now)
+        return Plan((write,), acknowledged, now)
 
 
 def _decode(stored: _rows.StoredRow | None) -> _rows.Serving | None:
--- a/dragonflystack/config/_sections.py
+++ b/dragonflystack/config/_sections.py
@@ -91,3 +91,15 @@
     if section == CLIENTS:
         return msgspec.json.decode(body, type=_document.Clients).owner
     return msgspec.json.decode(body, type=_document.Service).owner
+
+
+class _Owned(msgspec.Struct):
+    owner: ids.TeamId
+
+
+def asked_owner(body: bytes) -> ids.TeamId | None:
+    """Returns the owner that a body names, checked or not, None if none."""
+    try:
+        return msgspec.json.decode(body, type=_Owned).owner
+    except msgspec.MsgspecError:
+        return None
--- a/dragonflystack/daemon/_callers.py
+++ b/dragonflystack/daemon/_callers.py
@@ -49,7 +49,7 @@
 
 
 def _service(node: _node.Node, name: str) -> config.Service | None:
-    if node.document is None:
+    if node.document is None or not node.may_serve():
         return None
     return node.document.services.get(ids.ServiceId(name))
 
@@ -70,10 +70,10 @@
 async def _send_no_service(
     node: _node.Node, send: _asgi.Send, name: str
 ) -> None:
-    if node.document is None:
+    if not node.may_serve():
         headers = [(b"retry-after", b"1"), _outcome_header("not-run")]
         await _asgi.send_problem(
-            send, 503, "no configuration yet", headers=headers
+            send, 503, "configuration not in force here", headers=headers
         )
         return
     headers = [_outcome_header("not-run")]
--- a/dragonflystack/daemon/_members.py
+++ b/dragonflystack/daemon/_members.py
@@ -13,7 +13,8 @@
 async def run(node: _node.Node) -> None:
     """Registers this VM and reads the others, for ever."""
     while True:
-        await register(node)
+        if node.may_serve():
+            await register(node)
         await _read_members(node)
         await anyio.sleep(_POLL_S)
 
--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -59,6 +59,9 @@
     )
     """Parts of the dump that other modules add, by name."""
 
+    may_serve: Callable[[], bool] = lambda: False
+    """Whether a request of a caller may be decided now."""
+
     in_flight: int = 0
     """Requests of callers and other VMs that have no answer yet."""
 
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -6,7 +6,6 @@
 import urllib.parse
 
 import eliot
-import msgspec
 
 from dragonflystack import _asgi
 from dragonflystack import config
@@ -15,14 +14,19 @@
 from dragonflystack import promises
 from dragonflystack.daemon import _chunk_uploads
 from dragonflystack.daemon import _configuration
+from dragonflystack.daemon import _configuration_changes
+from dragonflystack.daemon import _configuration_routes
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _promise_reports
 
 _MAX_DOCUMENT_BYTES = 64 * 1_048_576
 
 
-def make_app(node: _node.Node) -> _asgi.App:
+def make_app(
+    node: _node.Node, configuration: _configuration.Configuration
+) -> _asgi.App:
     """Returns the ASGI app of the operators' port."""
+    config_routes = _configuration_routes.Routes(node, configuration)
     routes = {
         ("GET", "/health/live"): _on_live,
         ("GET", "/health/ready"): _on_ready,
@@ -37,6 +41,10 @@
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
+        if config_routes.serves(scope["path"]):
+            teams = _teams(node, scope)
+            await config_routes.on_request(teams, scope, receive, send)
+            return
         handler = routes.get((scope["method"], scope["path"]))
         if handler is None:
             await _asgi.send_problem(send, 404, "no such path", scope["path"])
@@ -46,12 +54,18 @@
     return app
 
 
-def _team(node: _node.Node, scope: _asgi.Scope) -> ids.TeamId | None:
+def _teams(node: _node.Node, scope: _asgi.Scope) -> frozenset[ids.TeamId]:
+    """Returns the teams whose credential the request carries."""
     given = (_asgi.header(scope, b"authorization") or "").encode()
-    for team, token in node.settings.team_tokens.items():
-        if hmac.compare_digest(given, f"Bearer {token}".encode()):
-            return team
-    return None
+    return frozenset(
+        team
+        for team, token in node.settings.team_tokens.items()
+        if hmac.compare_digest(given, f"Bearer {token}".encode())
+    )
+
+
+def _team(node: _node.Node, scope: _asgi.Scope) -> ids.TeamId | None:
+    return min(_teams(node, scope), default=None)
 
 
 async def _on_live(node, scope, receive, send) -> None:
@@ -59,7 +73,7 @@
 
 
 async def _on_ready(node, scope, receive, send) -> None:
-    ready = node.document is not None and not node.leaving
+    ready = node.may_serve() and not node.leaving
     status = 200 if ready else 503
     await _asgi.send_json(send, {"vm": node.vm, "ready": ready}, status)
 
@@ -136,7 +150,9 @@
 
 
 async def _on_put_document(node, scope, receive, send) -> None:
-    if _team(node, scope) is None:
+    """Writes the first version, which brings all sections at once."""
+    team = _team(node, scope)
+    if team is None:
         await _asgi.send_problem(send, 401, "no such team token")
         return
     data = await _asgi.read_body(receive, _MAX_DOCUMENT_BYTES)
@@ -145,36 +161,10 @@
     except config.InvalidDocumentError as exc:
         await _asgi.send_problem(send, 422, "invalid document", str(exc))
         return
-    base = int((_asgi.header(scope, b"if-match") or '"0"').strip('"'))
     change = ids.ChangeId(_asgi.header(scope, b"dragonfly-change") or "")
-    result = await _write_document(node, document, base, change)
-    if isinstance(result, platform.Committed):
-        await _asgi.send_json(send, {"version": base + 1}, 201)
-    elif isinstance(result, platform.Conflict):
-        await _asgi.send_problem(send, 409, "the document has changed")
-    else:
-        reason = str(result.failure)
-        await _asgi.send_problem(send, 503, "table service out", reason)
-
-
-async def _write_document(
-    node: _node.Node,
-    document: config.Document,
-    base: int,
-    change: ids.ChangeId,
-) -> platform.WriteResult:
-    data = config.encode_document(document)
-    digest = _configuration.digest_of(data)
-    failed = await node.platform.put(digest, data)
-    if failed is not None:
-        return failed
-    version = ids.DocumentVersion(base + 1)
-    head = _configuration.Head(version, digest, change)
-    return await node.platform.write(
-        platform.Write(
-            _configuration.HEAD_TABLE,
-            _configuration.HEAD_KEY,
-            base,
-            msgspec.json.encode(head),
-        )
+    utcnow = node.clock.utcnow()
+    prepared = config.make_first(document, change, team, utcnow)
+    outcome = await _configuration_changes.write_first(
+        node.platform, prepared, change
     )
+    await _configuration_routes.send_outcome(send, outcome)
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -12,6 +12,7 @@
 from dragonflystack import _asgi
 from dragonflystack import _server
 from dragonflystack import clock
+from dragonflystack import config
 from dragonflystack import ids
 from dragonflystack import platform
 from dragonflystack import promises
@@ -49,21 +50,26 @@
 async def run(cfg: _settings.Settings) -> None:
     """Serves until SIGTERM or SIGINT, then shuts down gracefully."""
     node = make_node(cfg)
+    configuration = _configuration.Configuration(node, config.Bounds())
+    node.may_serve = configuration.may_serve
+    node.dump_sources["configuration"] = configuration.dump
     _logs.start(node.vm, node.incarnation, cfg.log_file)
     async with anyio.create_task_group() as signals:
         signals.start_soon(_stop_on_signal, node)
         async with anyio.create_task_group() as loops:
             forwarder = _forwarding.Forwarder(node, loops)
-            ports = _make_ports(node, forwarder)
+            ports = _make_ports(node, forwarder, configuration)
             async with anyio.create_task_group() as servers:
                 for port in ports:
                     servers.start_soon(port.serve)
+                loops.start_soon(configuration.run)
                 _start_loops(loops, node, forwarder)
                 eliot.log_message("daemon_started", callers=str(cfg.callers))
                 await node.stop_asked.wait()
                 await _leave(node, forwarder)
                 for port in ports:
                     port.stop()
+                await configuration.leave()
             await forwarder.aclose()
             loops.cancel_scope.cancel()
         signals.cancel_scope.cancel()
@@ -72,7 +78,9 @@
 
 
 def _make_ports(
-    node: _node.Node, forwarder: _forwarding.Forwarder
+    node: _node.Node,
+    forwarder: _forwarding.Forwarder,
+    configuration: _configuration.Configuration,
 ) -> tuple[_server.Server, ...]:
     cfg = node.settings
     callers_app = _asgi.close_connections_when(
@@ -81,7 +89,7 @@
     ports = (
         (callers_app, cfg.callers),
         (_daemons.make_app(node, forwarder), cfg.daemons),
-        (_operators.make_app(node), cfg.operators),
+        (_operators.make_app(node, configuration), cfg.operators),
     )
     return tuple(
         _server.Server.from_address(app, address.host, address.port)
@@ -94,7 +102,6 @@
     node: _node.Node,
     forwarder: _forwarding.Forwarder,
 ) -> None:
-    loops.start_soon(_configuration.run, node)
     loops.start_soon(_members.run, node)
     loops.start_soon(_promise_reports.run, node)
     loops.start_soon(node.metrics.run)
--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -151,8 +151,8 @@
 
 def _apply(local: fleet.LocalFleet, path: pathlib.Path) -> None:
     vm = next(iter(local.vms.values()))
-    command = [sys.executable, "-m", "dragonflystack.cli", "config-apply"]
-    options = ["--base", "0", "--vm-url", vm.operators_url]
+    command = [sys.executable, "-m", "dragonflystack.cli", "config", "init"]
+    options = ["--vm-url", vm.operators_url]
     options += ["--token", fleet.TEAM_TOKEN]
     subprocess.run(
         [*command, str(path), *options], check=True, stdout=subprocess.DEVNULL
