--- a/dragonflystack/daemon/_configuration.py
+++ b/dragonflystack/daemon/_configuration.py
@@ -61,10 +61,11 @@
         while True:
             async with self._lock:
                 if not self._leaving:
-                    await self._step()
+                    await self.step()
             await anyio.sleep(_POLL_S)
 
-    async def _step(self) -> None:
+    async def step(self) -> None:
+        """Does one round."""
         stored = await self._node.platform.read(
             config.CONFIGURATION, config.HEAD
         )
