--- a/spec/_mutations.py
+++ b/spec/_mutations.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from spec import _configuration
+from spec import _model
 from spec import _system
 
 _CHANGES_ONLY = ("VM", "writer ", "another team")
@@ -29,7 +30,7 @@
     absent: tuple[str, ...]
     """Actors and actions that take no part: parts of action names."""
 
-    start: _configuration.Start = _configuration.Start.JOINED_IN_OUTAGE
+    start: _model.Start = _model.Start.JOINED_IN_OUTAGE
 
     def check(self) -> _system.Result:
         """Looks for the counter-example."""
@@ -55,7 +56,7 @@
         "serve only when registered or vouched for",
         6,
         _NO_CHANGES,
-        _configuration.Start.ALONE,
+        _model.Start.ALONE,
     ),
     Mutation("check the lease before serving", 10, _NO_PUBLICATION),
     Mutation("check the vouch before serving", 8, _NO_PUBLICATION),
@@ -69,7 +70,7 @@
         "stop serving before leaving",
         6,
         _NO_JOIN,
-        _configuration.Start.ALONE,
+        _model.Start.ALONE,
     ),
     Mutation(
         "leave only when the predecessor's vouches lapsed", 10, _NO_CHANGES
@@ -84,7 +85,7 @@
         "accept only in the own epoch",
         6,
         _TWO_WRITERS,
-        _configuration.Start.ALONE,
+        _model.Start.ALONE,
     ),
 )
 """One mutation for each guard of the configuration protocol."""
--- a/spec/_prove.py
+++ b/spec/_prove.py
@@ -9,6 +9,7 @@
 
 from spec import _clocks
 from spec import _configuration
+from spec import _model
 from spec import _mutations
 from spec import _requests
 from spec import _system
@@ -76,7 +77,7 @@
         result = _system.check_inductive(_configuration.system(vms))
         subject = f"configuration, {vms} VMs"
         yield Finding(subject, Method.INDUCTION, False, result)
-    for start in _configuration.Start:
+    for start in _model.Start:
         system = _configuration.system(2, bounded=True, start=start)
         result = _system.check_bounded(system, effort.steps)
         subject = f"configuration, 2 VMs, {start.value}"
