--- a/dragonflystack/config/_sections.py
+++ b/dragonflystack/config/_sections.py
@@ -18,6 +18,10 @@
 CLIENTS = ids.SectionId("clients")
 SERVICE_PREFIX = "services/"
 
+_Part = (
+    _document.Fleet | _document.Topology | _document.Clients | _document.Service
+)
+
 _FIXED = (FLEET, TOPOLOGY, CLIENTS)
 
 
@@ -67,15 +71,30 @@
                 f"{SERVICE_PREFIX}NAME"
             )
     for section, body in bodies.items():
-        _check_json(section, body)
+        _decode(section, body)
     whole: dict[str, Any] = {s: msgspec.Raw(bodies[s]) for s in _FIXED}
     whole |= {"format": 1, "services": services}
     return _document.decode_document(msgspec.json.encode(whole))
 
 
-def _check_json(section: ids.SectionId, body: bytes) -> None:
+def _type_of(section: ids.SectionId) -> type[_Part]:
+    if section == FLEET:
+        return _document.Fleet
+    if section == TOPOLOGY:
+        return _document.Topology
+    if section == CLIENTS:
+        return _document.Clients
+    return _document.Service
+
+
+def _decode(section: ids.SectionId, body: bytes) -> _Part:
+    """Returns the part of the document that a body holds.
+
+    Raises:
+        InvalidDocumentError: names the section and the path in it.
+    """
     try:
-        msgspec.json.decode(body)
+        return msgspec.json.decode(body, type=_type_of(section))
     except msgspec.MsgspecError as exc:
         raise _document.InvalidDocumentError(
             f"section {section}: {exc}"
@@ -83,14 +102,12 @@
 
 
 def owner(section: ids.SectionId, body: bytes) -> ids.TeamId:
-    """Returns the team that owns a section with this body."""
-    if section == FLEET:
-        return msgspec.json.decode(body, type=_document.Fleet).owner
-    if section == TOPOLOGY:
-        return msgspec.json.decode(body, type=_document.Topology).owner
-    if section == CLIENTS:
-        return msgspec.json.decode(body, type=_document.Clients).owner
-    return msgspec.json.decode(body, type=_document.Service).owner
+    """Returns the team that owns a section with this body.
+
+    Raises:
+        InvalidDocumentError: names the section and the path in it.
+    """
+    return _decode(section, body).owner
 
 
 class _Owned(msgspec.Struct):
--- a/dragonflystack/config/tests/test_change.py
+++ b/dragonflystack/config/tests/test_change.py
@@ -122,7 +122,13 @@
     ("section", "body", "reason"),
     [
         (documents.ORDER, b"{", "services/order"),
-        (documents.ORDER, b"{}", "$.services"),
+        (documents.ORDER, b"{}", "section services/order: Object missing"),
+        (
+            documents.ORDER,
+            _body(30.0).replace(b"30.0", b'"x"'),
+            "section services/order: Expected `float`, got `str` - at "
+            "`$.shift_cap.window_s`",
+        ),
         (documents.ORDER, _body(-1.0), "window_s"),
         (ids.SectionId("elsewhere"), _body(1.0), "elsewhere"),
     ],
