--- a/standins/caller.py
+++ b/standins/caller.py
@@ -19,7 +19,7 @@
 _TIMEOUTS = {
     "timeout": dict.fromkeys(("connect", "read", "write", "pool"), _TIMEOUT_S)
 }
-_MAX_CONNECTIONS = 256
+_MAX_TO_ONE_VM = 16
 _UNREACHED = (httpcore.ConnectError, httpcore.ConnectTimeout)
 _BROKEN = (
     httpcore.NetworkError,
@@ -84,9 +84,7 @@
         self._entries = entries
         self._rng = rng
         self._monotonic_s = monotonic_s
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_MAX_CONNECTIONS
-        )
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
         self._cache: dict[str, tuple[float, LookUpAnswer]] = {}
 
     async def look_up(self, service: ids.ServiceId) -> LookUpAnswer | None:
@@ -106,8 +104,9 @@
         self, entry: str, service: ids.ServiceId
     ) -> LookUpAnswer | None:
         url = f"{entry}/v1/steer?service={service}"
+        pool = self._pool_to(entry)
         try:
-            res = await self._pool.request("GET", url, extensions=_TIMEOUTS)
+            res = await pool.request("GET", url, extensions=_TIMEOUTS)
         except _BROKEN:
             return None
         if res.status != 200:
@@ -145,17 +144,31 @@
         self, service: ids.ServiceId, path: str, vm: RankedVm, key: str | None
     ) -> httpcore.Response:
         headers = [] if key is None else [("Idempotency-Key", key)]
-        return await self._pool.request(
+        entry = f"http://{vm.host}:{vm.port}"
+        return await self._pool_to(entry).request(
             "GET" if key is None else "POST",
-            f"http://{vm.host}:{vm.port}/s/{service}{path}",
+            f"{entry}/s/{service}{path}",
             headers=headers,
             content=None if key is None else b"{}",
             extensions=_TIMEOUTS,
         )
 
+    def _pool_to(self, entry: str) -> httpcore.AsyncConnectionPool:
+        """Returns the connections to one VM.
+
+        One pool for all VMs would look at every connection of every VM at
+        each request.
+        """
+        pool = self._pools.get(entry)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(max_connections=_MAX_TO_ONE_VM)
+            self._pools[entry] = pool
+        return pool
+
     async def aclose(self) -> None:
         """Closes the connections."""
-        await self._pool.aclose()
+        for pool in self._pools.values():
+            await pool.aclose()
 
 
 def _result(
--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -121,7 +121,12 @@
         local = fleet.LocalFleet(folder, first_port, document)
         try:
             in_force_s = start(local, experiment, folder)
-            seen = anyio.run(_run_load, local, experiment)
+            seen = anyio.run(
+                _run_load,
+                local,
+                experiment,
+                backend_options={"use_uvloop": True},
+            )
             seen.runs = local.runs()
         finally:
             local.stop()
