--- a/dragonflystack/backends/_settings.py
+++ b/dragonflystack/backends/_settings.py
@@ -61,7 +61,7 @@
     """At most this part of the backend servers is ejected at once."""
 
     ramp_answers: int = 2
-    """Good answers in a row after which a ramping limit grows by a slot."""
+    """Good answers since a failure after which the limit grows by a slot."""
 
     ramp_slowness: float = 3.0
     """An answer is good if it took at most this many mean service times."""
