Tell a pause of this VM from silence of its backend servers

Cause: a VM that was stopped for seconds found all its work overdue when it woke, counted each as a failure of its backend server and ejected half of them, though the answers lay unread. Ruled out: only closing the connections, which would have thrown the answers away too. Change: silence noticed more than 100 ms late is not counted, and work that still has time is watched afresh.

--- a/dragonflystack/backends/_settings.py
+++ b/dragonflystack/backends/_settings.py
@@ -30,6 +30,9 @@
     min_silence: datetime.timedelta = _ms(250)
     """Started work is never given up sooner, but for its deadline."""
 
+    max_tick_lateness: datetime.timedelta = _ms(100)
+    """Silence noticed later than this shows a pause of this VM."""
+
     cancel_grace: datetime.timedelta = _ms(100)
     """How long after its deadline abandoned work may still hold a slot."""
 
--- a/dragonflystack/backends/_started.py
+++ b/dragonflystack/backends/_started.py
@@ -113,9 +113,28 @@
                 continue
             if running.given_up:
                 self._release(running, now)
-                continue
+            else:
+                self._on_silence(running, now, actions)
+
+    def _on_silence(
+        self,
+        running: _running.Running,
+        now: datetime.timedelta,
+        actions: list[_messages.Action],
+    ) -> None:
+        """Gives up a work that is due.
+
+        After a pause of this VM its answer may be there unread, and silence
+        says nothing of the backend server.
+        """
+        paused = now - running.due > self._settings.max_tick_lateness
+        if paused and now < running.work.deadline:
+            running.due = min(running.work.deadline, now + self._silence)
+            self._due.arm(running.due, running.work.id)
+            return
+        if not paused:
             self._note_silence(running, now, actions)
-            self._give_up(running, "no answer came in time", now, actions)
+        self._give_up(running, "no answer came in time", now, actions)
 
     @property
     def _silence(self) -> datetime.timedelta:
--- a/dragonflystack/backends/tests/test_pool.py
+++ b/dragonflystack/backends/tests/test_pool.py
@@ -452,6 +452,31 @@
         bench.pool.on_cancel(start.work_id, bench.now)
         assert (bench.state(0).failure_rate > 0) == failed
 
+    @pytest.mark.parametrize(
+        ("deadline_ms", "expected"),
+        [(60_000, []), (2_000, ["CancelWork", "CloseConnection"] * 6)],
+    )
+    def test_a_pause_of_this_vm_is_no_failure_of_backend_servers(
+        self, deadline_ms, expected
+    ):
+        bench = _bench(2)
+        started = _fill(bench, 6, deadline_ms=deadline_ms)
+        actions = bench.tick(after_ms=3_000)
+        assert builders.kinds(actions) == expected
+        servers = bench.pool.summary(bench.now).servers
+        assert [s.failure_rate for s in servers] == [0, 0]
+        for start in started:
+            bench.result(start, backends.Answered())
+        assert sum(s.in_use for s in bench.pool.summary(bench.now).servers) == 0
+
+    def test_silence_after_a_pause_is_noticed_in_the_end(self):
+        bench = _bench(1)
+        bench.start(deadline_ms=60_000)
+        assert bench.tick(after_ms=3_000) == ()
+        due = bench.pool.next_wake_up(bench.now)
+        assert due is not None
+        assert "CancelWork" in builders.kinds(bench.pool.on_tick(due))
+
     def test_work_goes_where_it_was_not_tried(self):
         bench = _bench(2)
         avoid = frozenset({ids.BackendServerId("b0")})
