--- a/dragonflystack/backends/__init__.py
+++ b/dragonflystack/backends/__init__.py
@@ -48,6 +48,7 @@
 from dragonflystack.backends._messages import WorkId
 from dragonflystack.backends._pool import BackendPool
 from dragonflystack.backends._settings import PoolSettings
+from dragonflystack.backends._shards import DEFAULT_SHARD_SIZE
 from dragonflystack.backends._shards import Shard
 from dragonflystack.backends._shards import owner_of
 from dragonflystack.backends._shards import owners_ranked
@@ -56,6 +57,7 @@
 from dragonflystack.backends._summary import ServerSummary
 
 __all__ = [
+    "DEFAULT_SHARD_SIZE",
     "Action",
     "Answered",
     "BackendPool",
--- a/dragonflystack/backends/_shards.py
+++ b/dragonflystack/backends/_shards.py
@@ -21,6 +21,9 @@
 from dragonflystack import config
 from dragonflystack import ids
 
+DEFAULT_SHARD_SIZE = 4
+"""Most backend servers of a shard; docs/design/routing.md has the figures."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shard:
@@ -52,7 +55,7 @@
     document: config.Document,
     service: ids.ServiceId,
     region: ids.RegionId,
-    size: int,
+    size: int = DEFAULT_SHARD_SIZE,
 ) -> tuple[Shard, ...]:
     """Returns the shards of a service in a region, by index.
 
