Answer look-ups in the daemon by steering

Cause: the daemon ranked random VMs of its own region. A caller's region is the asked VM's while the document names no blocks.

--- a/benchmarks/_steer_policies.py
+++ b/benchmarks/_steer_policies.py
@@ -96,7 +96,7 @@
             count += 1
         others = len(self._walkers) - 1 + world.vms_listed_dead
         return steering.PeerView(
-            cells, count, others, datetime.timedelta(seconds=newest_s)
+            cells, count, others, 0, datetime.timedelta(seconds=newest_s)
         )
 
 
--- a/dragonflystack/daemon/_callers.py
+++ b/dragonflystack/daemon/_callers.py
@@ -7,12 +7,15 @@
 from dragonflystack import config
 from dragonflystack import ids
 from dragonflystack import outcomes
+from dragonflystack import steering
 from dragonflystack.daemon import _forwarding
 from dragonflystack.daemon import _look_up
 from dragonflystack.daemon import _node
+from dragonflystack.daemon import _steering
 
 _STEER_PATH = "/v1/steer"
 _SERVICE_PREFIX = "/s/"
+_JSON_HEADERS = [(b"content-type", b"application/json")]
 _STATUS_OF = {
     outcomes.RequestOutcome.NOT_RUN: 503,
     outcomes.RequestOutcome.UNKNOWN: 504,
@@ -21,13 +24,14 @@
 
 def make_app(node: _node.Node) -> _asgi.App:
     """Returns the ASGI app of the callers' port."""
+    encoder = _look_up.Encoder()
 
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         path = scope["path"]
         if path == _STEER_PATH:
-            await _on_look_up(node, scope, send)
+            await _on_look_up(node, encoder, scope, send)
         elif path.startswith(_SERVICE_PREFIX):
             await _on_request(node, scope, receive, send)
         else:
@@ -43,7 +47,10 @@
 
 
 async def _on_look_up(
-    node: _node.Node, scope: _asgi.Scope, send: _asgi.Send
+    node: _node.Node,
+    encoder: _look_up.Encoder,
+    scope: _asgi.Scope,
+    send: _asgi.Send,
 ) -> None:
     query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
     name = query.get("service", [""])[0]
@@ -52,7 +59,34 @@
         await _send_no_service(node, send, name)
         return
     node.metrics.count("look-up")
-    await _asgi.send_json(send, _look_up.answer(node, node.document, service))
+    client = query.get("client", [scope["client"][0]])[0]
+    try:
+        answer = _look_up.find(node, service.id, client)
+    except steering.InvalidAddressError as exc:
+        headers = [_outcome_header("not-run")]
+        await _asgi.send_problem(
+            send, 400, "no IP address", str(exc), headers=headers
+        )
+        return
+    if isinstance(answer, steering.Answer):
+        body = encoder.encode(service.id, answer)
+        await _asgi.send_bytes(send, 200, _JSON_HEADERS, body)
+        return
+    await _send_refusal(node, send, answer)
+
+
+async def _send_refusal(
+    node: _node.Node, send: _asgi.Send, refusal: steering.Refusal
+) -> None:
+    node.metrics.count("look-up-refused")
+    seconds = math.ceil(refusal.retry_after.total_seconds())
+    headers = [
+        (b"retry-after", b"%d" % seconds),
+        _outcome_header("not-run"),
+    ]
+    await _asgi.send_problem(
+        send, 503, "no region may take this caller now", headers=headers
+    )
 
 
 async def _send_no_service(
@@ -97,13 +131,18 @@
         scope["method"], path, tuple(scope["headers"]), body
     )
     start = node.clock.monotonic()
+    if node.steering_state is not None:
+        node.steering_state.on_request(service.id, start)
     node.in_flight += 1
     try:
         res = await _forwarding.forward(node, service, req)
     finally:
         node.in_flight -= 1
     node.metrics.count(f"{service.id}.{res.outcome.value}")
-    node.metrics.time(f"{service.id}.request", node.clock.monotonic() - start)
+    took = node.clock.monotonic() - start
+    node.metrics.time(f"{service.id}.request", took)
+    if res.outcome is outcomes.RequestOutcome.SERVED:
+        _steering.on_served(node, service.id, took)
     await _send_answer(send, res)
 
 
--- a/dragonflystack/daemon/_look_up.py
+++ b/dragonflystack/daemon/_look_up.py
@@ -1,43 +1,65 @@
 """Answers look-ups of callers: which entry VMs serve a service."""
 
+import datetime
 from typing import Any
 
-from dragonflystack import config
+import msgspec
+
 from dragonflystack import ids
+from dragonflystack import steering
 from dragonflystack.daemon import _node
 
+_MOST_KEPT = 4_096
+_NOT_STARTED = steering.Refusal(datetime.timedelta(seconds=1))
 
-def answer(
-    node: _node.Node, document: config.Document, service: config.Service
-) -> dict[str, Any]:
-    """Returns the look-up answer for a caller of this VM's region."""
-    region = _serving_region(node, service)
-    members = [m for m in node.members.values() if not m.leaving]
-    local = [
-        m for m in members if document.region_of.get(m.failure_domain) == region
-    ]
-    ranked = node.rng.sample(local or members, k=len(local or members))
-    return {
-        "service": service.id,
-        "version": node.version,
-        "ttl_s": document.fleet.answer_ttl_s,
-        "vms": [_ranked_vm(member) for member in ranked[:3]],
-    }
+
+class Encoder:
+    """Keeps the JSON text of answers, which many callers share."""
+
+    def __init__(self):
+        self._kept: dict[steering.Answer, bytes] = {}
+
+    def encode(self, service: ids.ServiceId, answer: steering.Answer) -> bytes:
+        """Returns the answer to a look-up as JSON text."""
+        body = self._kept.get(answer)
+        if body is None:
+            if len(self._kept) >= _MOST_KEPT:
+                self._kept.clear()
+            body = msgspec.json.encode(_as_json(service, answer))
+            self._kept[answer] = body
+        return body
 
 
-def _serving_region(
-    node: _node.Node, service: config.Service
-) -> ids.RegionId | None:
-    if node.region in service.allowed_regions:
-        return node.region
-    return service.allowed_regions[0]
+def find(
+    node: _node.Node, service: ids.ServiceId, client: str
+) -> steering.Answer | steering.Refusal:
+    """Returns the answer for a client address.
+
+    Raises:
+        steering.InvalidAddressError: if `client` is no IP address.
+    """
+    if node.steering_state is None:
+        return _NOT_STARTED
+    now = node.clock.monotonic()
+    return node.steering_state.look_up(service, client, now)
+
+
+def _as_json(service: ids.ServiceId, answer: steering.Answer) -> dict[str, Any]:
+    return {
+        "service": service,
+        "version": answer.version,
+        "ttl_s": answer.ttl.total_seconds(),
+        "region": answer.ranking.region,
+        "vms": [_ranked_vm(ranked) for ranked in answer.ranking.vms],
+    }
 
 
-def _ranked_vm(member: _node.Member) -> dict[str, Any]:
+def _ranked_vm(ranked: steering.RankedVm) -> dict[str, Any]:
+    entry = ranked.entry
     return {
-        "vm": member.vm,
-        "host": member.callers.host,
-        "port": member.callers.port,
-        "weight": 1.0,
-        "key_prefix": f"{member.vm}.{member.incarnation}.",
+        "vm": entry.vm,
+        "host": entry.host,
+        "port": entry.port,
+        "weight": ranked.weight,
+        "key_prefix": entry.key_prefix,
     }
--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -1,6 +1,7 @@
 """What one daemon knows: its settings, its document, the VMs it sees."""
 
 import dataclasses
+import datetime
 import random
 
 import anyio
@@ -11,6 +12,7 @@
 from dragonflystack import ids
 from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack import steering
 from dragonflystack.daemon import _metrics
 from dragonflystack.daemon import _settings
 
@@ -49,6 +51,17 @@
     leaving: bool = False
     """Whether this VM is stopping."""
 
+    steering_state: steering.Steering | None = None
+    """Decides the answers to look-ups; None before the first document."""
+
+    steering_report: steering.Report | None = None
+    """What to tell the other VMs."""
+
+    service_times: dict[ids.ServiceId, datetime.timedelta] = dataclasses.field(
+        default_factory=dict
+    )
+    """The mean time of a served request, by service."""
+
     in_flight: int = 0
     """Requests of callers that have no answer yet."""
 
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -17,6 +17,7 @@
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _promise_reports
+from dragonflystack.daemon import _steering
 
 _MAX_DOCUMENT_BYTES = 64 * 1_048_576
 
@@ -59,7 +60,8 @@
 
 
 async def _on_ready(node, scope, receive, send) -> None:
-    ready = node.document is not None and not node.leaving
+    state = node.steering_state
+    ready = state is not None and state.is_ready and not node.leaving
     status = 200 if ready else 503
     await _asgi.send_json(send, {"vm": node.vm, "ready": ready}, status)
 
@@ -75,6 +77,7 @@
         "leaving": node.leaving,
         "in_flight": node.in_flight,
         "members": list(node.members.values()),
+        "steering": _steering.dump(node),
         "monotonic_s": node.clock.monotonic().total_seconds(),
     }
 
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -22,6 +22,7 @@
 from dragonflystack.daemon import _operators
 from dragonflystack.daemon import _promise_reports
 from dragonflystack.daemon import _settings
+from dragonflystack.daemon import _steering
 
 _DRAIN_POLL_S = 0.05
 
@@ -62,6 +63,9 @@
             async with anyio.create_task_group() as loops:
                 loops.start_soon(_configuration.run, node)
                 loops.start_soon(_members.run, node)
+                loops.start_soon(_steering.run_ticks, node)
+                loops.start_soon(_steering.run_exchange, node)
+                loops.start_soon(_steering.run_blocks, node)
                 loops.start_soon(_promise_reports.run, node)
                 loops.start_soon(node.metrics.run)
                 eliot.log_message("daemon_started", callers=str(cfg.callers))
--- a/dragonflystack/steering/_steering.py
+++ b/dragonflystack/steering/_steering.py
@@ -42,6 +42,7 @@
 
     def __init__(
         self,
+        vm: ids.VmId,
         region: ids.RegionId,
         document: config.Document,
         version: ids.DocumentVersion,
@@ -50,11 +51,13 @@
         """Starts without shares and without other VMs.
 
         Args:
-            region: this VM's region.
+            vm: this VM.
+            region: its region.
             document: the document in force.
             version: its version.
             ledger: where the checks of promises are counted.
         """
+        self._vm = vm
         self._region = region
         self._document = document
         self._version = version
@@ -64,17 +67,29 @@
         self._region_heard_at: dict[ids.RegionId, datetime.timedelta] = {}
         self._vms: tuple[_answers.EntryVm, ...] = ()
         self._slots_owned: _answers.SlotsOwned = {}
-        self._blocks = _block_table.BlockTable((), ids.SiteId(0))
+        self._blocks: _block_table.BlockTable | None = None
         self._answers: _answers.AnswerTable | None = None
         self._answered: dict[_shares.Cell, _shares.Shares] = {}
         self._cells: dict[ids.ServiceId, dict] = {}
         self._index_cells()
 
     @property
-    def blocks(self) -> _block_table.BlockTable:
-        """The client blocks in force."""
+    def version(self) -> ids.DocumentVersion:
+        """The version of the document in force here."""
+        return self._version
+
+    @property
+    def blocks(self) -> _block_table.BlockTable | None:
+        """The client blocks in force, None before the first."""
         return self._blocks
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether look-ups can be answered."""
+        has_blocks = self._blocks is not None
+        needs_blocks = bool(self._document.clients.chunks)
+        return self._answers is not None and (has_blocks or not needs_blocks)
+
     def status(self) -> tuple[_walk.CellStatus, ...]:
         """Returns the state of all cells, for the dump."""
         return self._walker.status()
@@ -174,20 +189,26 @@
             InvalidAddressError: if `client` is no IP address.
         """
         family, address = _addresses.parse_address(client)
-        if self._answers is None or not self._walker.is_awake(now):
+        answers = self._answers
+        if answers is None or not self.is_ready:
+            return _NOT_READY
+        if not self._walker.is_awake(now):
             return _NOT_READY
         region = self._home_of(family, address)
         cell = self._cells[service][region]
-        answer = self._answers.look_up(cell, family, address)
+        answer = answers.look_up(cell, family, address)
         refused = isinstance(answer, _answers.Refusal)
         self._meter.on_look_up(cell, refused, now)
         return answer
 
     def _home_of(self, family: _addresses.Family, address: int) -> ids.RegionId:
         sites = self._document.topology.sites
-        if not self._document.clients.chunks or not sites:
+        if self._blocks is None or not sites:
             return self._region
-        return sites[self._blocks.site_of(family, address)].region
+        site = self._blocks.site_of(family, address)
+        if site >= len(sites):
+            site = self._document.clients.default_site
+        return sites[site].region
 
     def _index_cells(self) -> None:
         self._cells = {service: {} for service in self._document.services}
@@ -205,16 +226,19 @@
     def _view(self, now: datetime.timedelta) -> _summary.PeerView:
         cells: dict[_shares.Cell, _summary.CellSummary] = {}
         newest_at = datetime.timedelta()
-        count = 0
+        count = waiting = 0
         for heard in self._heard.values():
-            if now - heard.at > _budget.PEER_AGE or not heard.report.cells:
+            if now - heard.at > _budget.PEER_AGE:
+                continue
+            vms = sum(heard.report.vms.values())
+            if not heard.report.cells:
+                waiting += vms
                 continue
             cells = _summary.merge_cells(cells, heard.report.cells)
             newest_at = max(newest_at, heard.at)
-            count += sum(heard.report.vms.values())
-        return _summary.PeerView(
-            cells, count, max(0, len(self._vms) - 1), newest_at
-        )
+            count += vms
+        others = sum(1 for entry in self._vms if entry.vm != self._vm)
+        return _summary.PeerView(cells, count, others, waiting, newest_at)
 
     def _measure(
         self,
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -106,11 +106,14 @@
     listed: int
     """How many others the VM list names as live."""
 
+    waiting: int
+    """How many more were heard that use no shares yet."""
+
     newest_at: datetime.timedelta
     """When the latest part was heard, on this VM's monotonic clock."""
 
 
-ALONE = PeerView({}, 0, 0, datetime.timedelta())
+ALONE = PeerView({}, 0, 0, 0, datetime.timedelta())
 """The view of a VM that is the whole fleet."""
 
 
--- a/dragonflystack/steering/_walk.py
+++ b/dragonflystack/steering/_walk.py
@@ -250,7 +250,7 @@
             return min(now - last, _budget.MAX_TICK)
         if view.heard > 0 and view.newest_at >= since:
             self._take_shares(view)
-        elif view.listed > 0 and now - since <= _budget.PEER_AGE:
+        elif view.waiting < view.listed and now - since <= _budget.PEER_AGE:
             return datetime.timedelta()
         self._waiting_since = None
         return datetime.timedelta()
--- a/dragonflystack/steering/tests/fleet.py
+++ b/dragonflystack/steering/tests/fleet.py
@@ -154,7 +154,7 @@
             newest_s = max(newest_s, sent_s)
             count += 1
         return steering.PeerView(
-            cells, count, len(self.nodes) - 1, documents.seconds(newest_s)
+            cells, count, len(self.nodes) - 1, 0, documents.seconds(newest_s)
         )
 
     def _measure(self, node: Node) -> steering.Measurements:
--- a/dragonflystack/steering/tests/test_answers.py
+++ b/dragonflystack/steering/tests/test_answers.py
@@ -40,8 +40,8 @@
 }
 
 
-def _table(shares, vms=VMS):
-    table = steering.AnswerTable(vms, OWNED, 5 * SECOND, ids.DocumentVersion(4))
+def _table(shares, vms=VMS, owned=OWNED):
+    table = steering.AnswerTable(vms, owned, 5 * SECOND, ids.DocumentVersion(4))
     table.set_shares(CELL, steering.Shares(shares), RETRY)
     return table
 
@@ -106,8 +106,9 @@
     assert first["a1"] / len(CALLERS) == pytest.approx(2 / 3, abs=0.03)
 
 
-def test_the_second_is_in_another_failure_domain():
-    table = _table({A: 0.5, B: 0.5})
+@pytest.mark.parametrize("owned", [OWNED, {}])
+def test_the_second_is_in_another_failure_domain(owned):
+    table = _table({A: 0.5, B: 0.5}, owned=owned)
     for caller in CALLERS[:500]:
         vms = _answer(table, caller).ranking.vms
         assert vms[0].entry.failure_domain != vms[1].entry.failure_domain
--- a/dragonflystack/steering/tests/test_steering.py
+++ b/dragonflystack/steering/tests/test_steering.py
@@ -33,6 +33,7 @@
         self.document = document or documents.document()
         self.nodes = {
             region: steering.Steering(
+                _vm(region).vm,
                 region,
                 self.document,
                 VERSION,
@@ -153,6 +154,8 @@
     loader = steering.TableLoader(digests, len(sites))
     loader.on_chunk(digests[0], chunks[0])
     trio = Trio(msgspec.convert(whole, type(document)))
+    trio.run(5)
+    assert isinstance(trio.look_up(A, "198.51.100.7"), steering.Refusal)
     trio.nodes[A].on_blocks(loader.build(ids.SiteId(1)))
     trio.run(5)
     assert trio.look_up(A, "198.51.100.7").ranking.region == C
--- a/dragonflystack/steering/tests/test_walk.py
+++ b/dragonflystack/steering/tests/test_walk.py
@@ -58,7 +58,7 @@
 def _view(shares, *, heard=1, newest_s=0.0, target=None):
     one = steering.CellSummary.of_one(shares, target or shares, True)
     return steering.PeerView(
-        {CELL: one}, heard, heard, documents.seconds(newest_s)
+        {CELL: one}, heard, heard, 0, documents.seconds(newest_s)
     )
 
 
@@ -111,9 +111,16 @@
     assert driver.path[-1] == used
 
 
+def test_a_fleet_of_starters_does_not_wait():
+    driver = Driver()
+    view = steering.PeerView({}, 0, 3, 3, documents.seconds(0.5))
+    driver.run(TICK_S, NORMAL, view)
+    assert driver.walker.is_ready
+
+
 def test_a_joiner_waits_for_those_listed():
     driver = Driver()
-    silent = steering.PeerView({}, 0, 3, documents.seconds(0))
+    silent = steering.PeerView({}, 0, 3, 0, documents.seconds(0))
     driver.run(1.5, NORMAL, silent)
     assert not driver.walker.is_ready
     driver.run(2, NORMAL, silent)
@@ -135,7 +142,7 @@
 def test_one_that_hears_nobody_stays():
     driver = Driver()
     driver.run(5, NORMAL)
-    silent = steering.PeerView({}, 0, 3, documents.seconds(0))
+    silent = steering.PeerView({}, 0, 3, 0, documents.seconds(0))
     assert driver.run(60, HALF, silent).of(A) == 1.0
 
 
@@ -253,6 +260,23 @@
     assert (driver.run(5, measured, others).of(B) > 0) == moves
 
 
+def test_a_leaving_region_is_left_to_the_last_caller():
+    driver = Driver()
+    used = steering.Shares({A: 0.97, B: 0.03})
+    driver.run(TICK_S, NORMAL, _view(used, newest_s=TICK_S))
+    driver.walker.on_document(documents.document(leaving=(B,)))
+    assert driver.run(20, NORMAL).of(B) == 0
+
+
+def test_others_who_have_not_heard_of_a_failure_are_not_far():
+    driver = Driver()
+    driver.run(5, NORMAL)
+    down = documents.measurements(DEMAND, SLOTS, down=(A,))
+    late = _view(steering.Shares({A: 1.0}), target=steering.Shares({B: 1.0}))
+    assert driver.run(2, down, late).of(B) > 0
+    assert driver.walker.status()[0].is_near
+
+
 def test_no_step_fills_a_link():
     driver = Driver(documents.document(mbit_s=0.2))
     driver.run(5, NORMAL)
--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -146,6 +146,7 @@
         lambda: set(local.versions().values()) == {1}, "document in force"
     )
     fleet.wait_until(local.all_see_all, "members")
+    fleet.wait_until(local.all_ready, "ready")
     return in_force_s
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -314,6 +314,12 @@
             found[vm.id] = -1 if dump is None else dump["version"]
         return found
 
+    def all_ready(self) -> bool:
+        """Returns whether every daemon is ready to answer look-ups."""
+        urls = [f"{vm.operators_url}/health/ready" for vm in self.vms.values()]
+        answers = [get_json(url) for url in urls]
+        return all(a is not None and a.get("ready") for a in answers)
+
     def stop(self) -> None:
         """Ends every process that was started."""
         for process in self._processes.values():
