--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -1,8 +1,9 @@
 """What one daemon knows: its settings, its document, the VMs it sees."""
 
+from collections.abc import Callable
 import dataclasses
-import datetime
 import random
+from typing import Any
 
 import anyio
 import msgspec
@@ -28,6 +29,9 @@
     version: ids.DocumentVersion
     """The document version that it has in force."""
 
+    key_prefix: str = ""
+    """What keys for requests to it begin with."""
+
     leaving: bool = False
 
 
@@ -51,19 +55,22 @@
     leaving: bool = False
     """Whether this VM is stopping."""
 
+    dump_sources: dict[str, Callable[[], Any]] = dataclasses.field(
+        default_factory=dict
+    )
+    """Parts of the dump that other modules add, by name."""
+
     steering_state: steering.Steering | None = None
     """Decides the answers to look-ups; None before the first document."""
 
     steering_report: steering.Report | None = None
-    """What to tell the other VMs."""
-
-    service_times: dict[ids.ServiceId, datetime.timedelta] = dataclasses.field(
-        default_factory=dict
-    )
-    """The mean time of a served request, by service."""
+    """What to tell the other VMs for steering."""
 
     in_flight: int = 0
-    """Requests of callers that have no answer yet."""
+    """Requests of callers and other VMs that have no answer yet."""
+
+    key_prefix: str = ""
+    """What keys for requests to this VM begin with."""
 
     @property
     def vm(self) -> ids.VmId:
@@ -86,5 +93,6 @@
             callers=self.settings.callers,
             daemons=self.settings.daemons,
             version=self.version,
+            key_prefix=self.key_prefix,
             leaving=self.leaving,
         )
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -17,7 +17,6 @@
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _promise_reports
-from dragonflystack.daemon import _steering
 
 _MAX_DOCUMENT_BYTES = 64 * 1_048_576
 
@@ -77,8 +76,8 @@
         "leaving": node.leaving,
         "in_flight": node.in_flight,
         "members": list(node.members.values()),
-        "steering": _steering.dump(node),
         "monotonic_s": node.clock.monotonic().total_seconds(),
+        **{name: source() for name, source in node.dump_sources.items()},
     }
 
 
--- a/dragonflystack/daemon/_owners.py
+++ b/dragonflystack/daemon/_owners.py
@@ -1,26 +1,19 @@
-"""Which VM owns which backend servers."""
+"""How many slots of each service each VM owns, for look-up answers."""
 
 from collections.abc import Iterable
-from collections.abc import Mapping
 
 from dragonflystack import backends
 from dragonflystack import config
 from dragonflystack import ids
+from dragonflystack import steering
 from dragonflystack.daemon import _node
+from dragonflystack.daemon import _ownership
 
-_SHARD_SIZE = 2
 
-Owned = Mapping[
-    tuple[ids.ServiceId, ids.RegionId, ids.VmId],
-    tuple[config.BackendServer, ...],
-]
-"""The backend servers of a service in a region that a VM owns."""
-
-
-def owned_servers(
+def slots_owned(
     document: config.Document, members: Iterable[_node.Member]
-) -> Owned:
-    """Returns the backend servers that each VM owns.
+) -> steering.SlotsOwned:
+    """Returns how many slots of each service each VM owns.
 
     Args:
         document: the document in force.
@@ -31,13 +24,20 @@
         region = document.region_of.get(member.failure_domain)
         if region is not None:
             by_region.setdefault(region, []).append(member.vm)
-    owned: dict = {}
+    owned: dict[tuple[ids.ServiceId, ids.RegionId, ids.VmId], int] = {}
     for service in document.services:
         for region, vms in by_region.items():
             for shard in backends.shards_of(
-                document, service, region, _SHARD_SIZE
+                document, service, region, _ownership.SHARD_SIZE
             ):
                 owner = backends.owner_of(shard, vms)
-                key = service, region, owner
-                owned[key] = owned.get(key, ()) + shard.backend_servers
+                if owner is not None:
+                    key = service, region, owner
+                    owned[key] = owned.get(key, 0) + _slots(shard)
     return owned
+
+
+def _slots(shard: backends.Shard) -> int:
+    return sum(
+        server.slots for server in shard.backend_servers if not server.leaving
+    )
--- a/dragonflystack/daemon/_steering.py
+++ b/dragonflystack/daemon/_steering.py
@@ -1,85 +1,77 @@
 """Drives the steering of this VM: its ticks, reports and client blocks."""
 
-import base64
-import datetime
 from typing import Any
 
 import anyio
+import anyio.abc
 import eliot
-import msgspec
 
+from dragonflystack import backends
 from dragonflystack import config
 from dragonflystack import ids
-from dragonflystack import platform
 from dragonflystack import steering
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _owners
+from dragonflystack.daemon import _peers
+from dragonflystack.daemon import _pools
+from dragonflystack.daemon import _steering_codec
 
-TABLE = "steering"
 _TICK_S = 0.5
+_REPORT_S = 0.7
+_REPORT_TIMEOUT_S = 0.6
 _BLOCKS_POLL_S = 0.5
-_INITIAL_SERVICE_TIME = datetime.timedelta(milliseconds=50)
-_LATEST_WEIGHT = 0.1
 
 
-class _Row(msgspec.Struct, frozen=True, kw_only=True):
-    """The report of a VM, as it stands in the table service."""
-
-    incarnation: ids.Incarnation
-    report: str
-    """The report's bytes in base 64."""
-
-
-def on_served(
-    node: _node.Node, service: ids.ServiceId, took: datetime.timedelta
-) -> None:
-    """Takes up how long a served request took."""
-    known = node.service_times.get(service, _INITIAL_SERVICE_TIME)
-    node.service_times[service] = known + _LATEST_WEIGHT * (took - known)
-
-
-async def run_ticks(node: _node.Node) -> None:
+async def run_ticks(node: _node.Node, pools: _pools.Pools) -> None:
     """Moves the shares in use twice a second, for ever."""
+    node.dump_sources["steering"] = lambda: dump(node)
+    members: list[_node.Member] = []
+    version = ids.DocumentVersion(0)
     while True:
-        on_tick(node)
+        document, region = node.document, node.region
+        if document is not None and region is not None:
+            state = _follow_document(node, document, region)
+            latest = [m for m in node.members.values() if not m.leaving]
+            if (latest, node.version) != (members, version):
+                members, version = latest, node.version
+                _set_vms(state, document, members)
+            node.steering_report = state.on_tick(
+                node.clock.monotonic(),
+                {
+                    (summary.service, region): _capacity(summary)
+                    for summary in pools.summaries()
+                },
+            )
         await anyio.sleep(_TICK_S)
 
 
-def on_tick(node: _node.Node) -> None:
-    """Takes up what changed, and moves the shares in use by a step."""
-    document, region = node.document, node.region
-    if document is None or region is None:
-        return
-    if node.steering_state is None:
-        node.steering_state = steering.Steering(
+def _follow_document(
+    node: _node.Node, document: config.Document, region: ids.RegionId
+) -> steering.Steering:
+    state = node.steering_state
+    if state is None:
+        state = steering.Steering(
             node.vm, region, document, node.version, node.ledger
         )
-    elif node.steering_state.version != node.version:
-        node.steering_state.on_document(document, node.version)
-    members = [m for m in node.members.values() if not m.leaving]
-    owned = _owners.owned_servers(document, members)
-    slots = {key: _slots(servers) for key, servers in owned.items()}
-    vms = [vm for m in members if (vm := _entry_vm(document, m)) is not None]
-    node.steering_state.on_vms(vms, slots)
-    capacity = {
-        (service, where): _capacity(node, service, count)
-        for (service, where, vm), count in slots.items()
-        if vm == node.vm
-    }
-    node.steering_report = node.steering_state.on_tick(
-        node.clock.monotonic(), capacity
-    )
+        node.steering_state = state
+    elif state.version != node.version:
+        state.on_document(document, node.version)
+    return state
 
 
-def _slots(servers: tuple[config.BackendServer, ...]) -> int:
-    return sum(server.slots for server in servers if not server.leaving)
+def _set_vms(
+    state: steering.Steering,
+    document: config.Document,
+    members: list[_node.Member],
+) -> None:
+    vms = [vm for m in members if (vm := _entry_vm(document, m)) is not None]
+    state.on_vms(vms, _owners.slots_owned(document, members))
 
 
-def _capacity(
-    node: _node.Node, service: ids.ServiceId, slots: int
-) -> steering.OwnedCapacity:
-    mean = node.service_times.get(service, _INITIAL_SERVICE_TIME)
-    return steering.OwnedCapacity(slots, 0.0, slots / mean.total_seconds())
+def _capacity(summary: backends.PoolSummary) -> steering.OwnedCapacity:
+    mean_s = summary.mean_service_time.total_seconds()
+    rate = summary.slots / mean_s if mean_s > 0 else 0.0
+    return steering.OwnedCapacity(summary.slots, summary.in_use, rate)
 
 
 def _entry_vm(
@@ -90,63 +82,54 @@
         return None
     return steering.EntryVm(
         member.vm,
-        member.incarnation,
         member.callers.host,
         member.callers.port,
         member.failure_domain,
         region,
+        member.key_prefix,
     )
 
 
-async def run_exchange(node: _node.Node) -> None:
-    """Writes this VM's report and reads those of the others, for ever."""
-    versions: dict[str, int] = {}
-    while True:
-        if node.steering_state is not None and node.steering_report is not None:
-            await _write_report(node, node.steering_report)
-            await _read_reports(node, node.steering_state, versions)
-        await anyio.sleep(_TICK_S)
+def on_report(node: _node.Node, data: bytes) -> None:
+    """Takes up the report of another VM.
+
+    Raises:
+        MalformedMessageError: if the bytes are something else.
+    """
+    vm, report = _steering_codec.decode_report(data)
+    if node.steering_state is not None and vm != node.vm:
+        now = node.clock.monotonic()
+        node.steering_state.on_report(vm, report, now)
 
 
-async def _write_report(node: _node.Node, report: steering.Report) -> None:
-    data = base64.b64encode(steering.encode_report(report)).decode()
-    row = _Row(incarnation=node.incarnation, report=data)
-    value = msgspec.json.encode(row)
-    await node.platform.write(platform.Write(TABLE, node.vm, None, value))
+async def run_reports(node: _node.Node, peers: _peers.Peers) -> None:
+    """Sends this VM's report to all others, for ever."""
+    while True:
+        report = node.steering_report
+        if report is not None and not node.leaving:
+            data = _steering_codec.encode_report(node.vm, report)
+            async with anyio.create_task_group() as tasks:
+                for vm in node.members:
+                    if vm != node.vm:
+                        tasks.start_soon(_tell, peers, vm, data)
+                await anyio.sleep(_REPORT_S)
+        else:
+            await anyio.sleep(_REPORT_S)
 
 
-async def _read_reports(
-    node: _node.Node, into: steering.Steering, versions: dict[str, int]
-) -> None:
-    """Takes up the rows that were written since the last time."""
-    rows = await node.platform.scan(TABLE)
-    if isinstance(rows, platform.Unavailable):
-        return
-    now = node.clock.monotonic()
-    for row in rows:
-        known = versions.get(row.key)
-        versions[row.key] = row.version
-        if row.key == node.vm or known is None or known == row.version:
-            continue
-        try:
-            data = msgspec.json.decode(row.value, type=_Row).report
-            report = steering.decode_report(base64.b64decode(data))
-        except (ValueError, steering.InvalidReportError) as exc:
-            eliot.log_message("bad_report", vm=row.key, reason=str(exc))
-            continue
-        into.on_report(row.key, report, now)
+async def _tell(peers: _peers.Peers, vm: ids.VmId, data: bytes) -> None:
+    with anyio.move_on_after(_REPORT_TIMEOUT_S):
+        await peers.tell_steering(vm, data)
 
 
 async def run_blocks(node: _node.Node) -> None:
     """Loads the chunks of client blocks that the document names, for ever."""
     loaded: tuple[ids.Digest, ...] = ()
     while True:
-        document = node.document
-        if document is not None and node.steering_state is not None:
+        document, state = node.document, node.steering_state
+        if document is not None and state is not None:
             wanted = document.clients.chunks
-            if wanted != loaded and await _load_blocks(
-                node, document, node.steering_state
-            ):
+            if wanted != loaded and await _load_blocks(node, document, state):
                 loaded = wanted
         await anyio.sleep(_BLOCKS_POLL_S)
 
--- a/dragonflystack/steering/tests/test_answers.py
+++ b/dragonflystack/steering/tests/test_answers.py
@@ -17,11 +17,11 @@
 def _vm(name, domain, region):
     return steering.EntryVm(
         ids.VmId(name),
-        ids.Incarnation("i" + name),
         "127.0.0.1",
         8000,
         ids.FailureDomainId(domain),
         region,
+        f"{name}.key.",
     )
 
 
@@ -94,7 +94,7 @@
     assert answer.ttl == 5 * SECOND
     assert answer.version == 4
     first = answer.ranking.vms[0].entry
-    assert first.key_prefix == f"{first.vm}.i{first.vm}."
+    assert first.key_prefix == f"{first.vm}.key."
 
 
 def test_owners_come_first_by_their_slots():
--- a/dragonflystack/steering/tests/test_steering.py
+++ b/dragonflystack/steering/tests/test_steering.py
@@ -17,11 +17,11 @@
 def _vm(region):
     return steering.EntryVm(
         ids.VmId(f"vm-{region}"),
-        ids.Incarnation("i"),
         "127.0.0.1",
         8000,
         ids.FailureDomainId(f"fd-{region}"),
         region,
+        f"vm-{region}.",
     )
 
 
