Make a tick of steering cheaper at the target size

Cause: a tick with 40 cells and 10 relays took about 25 ms of processor time (73 ms under the profiler): merging sorted each sum, the cells were merged twice, link sizes were worked out for each use, cells hashed slowly. Change: sums merge without sorting, measurements merge load and capacity only, link use is worked out once per document, Cell is a named tuple.

--- a/dragonflystack/steering/_inputs.py
+++ b/dragonflystack/steering/_inputs.py
@@ -48,6 +48,9 @@
         return self.usable_slots / self.mean_service_time.total_seconds()
 
 
+Direction = tuple[ids.RegionId, ids.RegionId]
+"""A link between two regions, in one direction."""
+
 ServiceRegion = tuple[ids.ServiceId, ids.RegionId]
 """A service in a region that serves it."""
 
@@ -106,7 +109,7 @@
         regions = self.document.topology.regions
         return frozenset(region.id for region in regions if region.leaving)
 
-    @property
+    @functools.cached_property
     def max_age(self) -> datetime.timedelta:
         """Older measurements do not justify moving load towards a region."""
         return datetime.timedelta(
@@ -116,7 +119,7 @@
     @functools.cached_property
     def _links(
         self,
-    ) -> dict[tuple[ids.RegionId, ids.RegionId], config.LinkBudget]:
+    ) -> dict[Direction, config.LinkBudget]:
         links = {}
         for link in self.document.topology.links:
             one, other = link.between
@@ -141,10 +144,42 @@
         Returns:
             Bytes a second, or None if the document sets no budget.
         """
-        link = self._links.get((one, other))
-        if one == other or link is None:
-            return None
-        return link.mbit_s * _BYTES_S_PER_MBIT_S * _LINK_FRACTION
+        return self._link_bytes_s.get((one, other))
+
+    @functools.cached_property
+    def _link_bytes_s(self) -> dict[Direction, float]:
+        return {
+            direction: link.mbit_s * _BYTES_S_PER_MBIT_S * _LINK_FRACTION
+            for direction, link in self._links.items()
+            if direction[0] != direction[1]
+        }
+
+    @functools.cached_property
+    def link_use(
+        self,
+    ) -> dict[
+        tuple[_shares.Cell, ids.RegionId], tuple[tuple[Direction, float], ...]
+    ]:
+        """What a request of a cell takes of links when a region serves it.
+
+        Bytes of the request on the way there and of the answer on the way
+        back; absent where no budget stands between the two.
+        """
+        use: dict[
+            tuple[_shares.Cell, ids.RegionId],
+            tuple[tuple[Direction, float], ...],
+        ] = {}
+        for cell in self.cells:
+            service = self.document.services[cell.service]
+            for region in self.regions:
+                there = cell.caller_region, region
+                if there in self._link_bytes_s:
+                    back = region, cell.caller_region
+                    use[cell, region] = (
+                        (there, max(1.0, service.mean_request_bytes)),
+                        (back, max(1.0, service.mean_answer_bytes)),
+                    )
+        return use
 
     @functools.cached_property
     def by_distance(
--- a/dragonflystack/steering/_report.py
+++ b/dragonflystack/steering/_report.py
@@ -73,15 +73,11 @@
 
     def merge(self, other: "Report") -> "Report":
         """Returns the report of the VMs of both, which must be different."""
-        capacity = dict(self.capacity)
-        for key, owned in other.capacity.items():
-            known = capacity.get(key)
-            capacity[key] = owned if known is None else known.merge(owned)
         return Report(
             _count(self.vms, other.vms),
             _summary.merge_cells(self.cells, other.cells),
             self.load.merge(other.load),
-            capacity,
+            merge_capacity(self.capacity, other.capacity),
         )
 
 
@@ -96,32 +92,46 @@
 """The report of no VM."""
 
 
+def merge_capacity(
+    one: Mapping[_inputs.ServiceRegion, OwnedCapacity],
+    other: Mapping[_inputs.ServiceRegion, OwnedCapacity],
+) -> dict[_inputs.ServiceRegion, OwnedCapacity]:
+    """Returns what two disjoint sets of VMs own."""
+    merged = dict(one)
+    for key, owned in other.items():
+        known = merged.get(key)
+        merged[key] = owned if known is None else known.merge(owned)
+    return merged
+
+
 def to_measurements(
-    report: Report,
+    load: _meters.Load,
+    capacity: Mapping[_inputs.ServiceRegion, OwnedCapacity],
     cells: Iterable[_shares.Cell],
     age: datetime.timedelta,
     down: frozenset[ids.RegionId],
 ) -> _inputs.Measurements:
-    """Returns the measurements that the report of the whole fleet amounts to.
+    """Returns the measurements that the reports of the fleet amount to.
 
     Args:
-        report: the merged report of all VMs, one's own included.
+        load: what the callers of all VMs ask for.
+        capacity: what all VMs own.
         cells: all cells; nobody asks for those that no VM reports.
         age: how old its oldest part is.
         down: regions that are agreed to have failed.
     """
-    asked = report.load.demand()
+    asked = load.demand()
     demand = {cell: _inputs.Demand(asked.get(cell, 0.0), age) for cell in cells}
-    capacity = {
+    measured = {
         key: _inputs.Capacity(
             owned.usable_slots,
             owned.busy_slots,
             _mean_service_time(owned),
             age,
         )
-        for key, owned in report.capacity.items()
+        for key, owned in capacity.items()
     }
-    return _inputs.Measurements(demand, capacity, down)
+    return _inputs.Measurements(demand, measured, down)
 
 
 def _mean_service_time(owned: OwnedCapacity) -> datetime.timedelta:
--- a/dragonflystack/steering/_room.py
+++ b/dragonflystack/steering/_room.py
@@ -1,12 +1,9 @@
 """What regions and links can still take, as load is planned onto them."""
 
-from dragonflystack import config
 from dragonflystack import ids
 from dragonflystack.steering import _inputs
 from dragonflystack.steering import _shares
 
-_Direction = tuple[ids.RegionId, ids.RegionId]
-
 
 class Room:
     """Capacity and link bytes that are left while load is being planned.
@@ -30,7 +27,7 @@
             keep_reserve: whether the regions' reserves are left free.
         """
         self._policy = policy
-        self._services = policy.document.services
+        self._link_use = policy.link_use
         self._requests_s = dict[_inputs.ServiceRegion, float]()
         for (service, region), capacity in measurements.capacity.items():
             known = policy.document.regions.get(region)
@@ -38,7 +35,7 @@
                 continue
             kept = known.reserve if keep_reserve else 0.0
             self._requests_s[service, region] = capacity.requests_s * (1 - kept)
-        self._bytes_s = dict[_Direction, float]()
+        self._bytes_s = dict[_inputs.Direction, float]()
 
     def requests_s(self, cell: _shares.Cell, region: ids.RegionId) -> float:
         """Returns how many more requests a second of a cell fit a region.
@@ -69,7 +66,7 @@
             wanted: requests a second to be added, all at once.
         """
         requests_s = dict[_inputs.ServiceRegion, float]()
-        bytes_s = dict[_Direction, float]()
+        bytes_s = dict[_inputs.Direction, float]()
         for (cell, region), more in wanted.items():
             key = cell.service, region
             requests_s[key] = requests_s.get(key, 0.0) + more
@@ -91,7 +88,7 @@
         """Returns the capacity left, negative if too much is planned."""
         return self._requests_s.get((service, region), 0.0)
 
-    def _left_bytes_s(self, direction: _Direction) -> float:
+    def _left_bytes_s(self, direction: _inputs.Direction) -> float:
         left = self._bytes_s.get(direction)
         if left is None:
             left = self._policy.link_bytes_s(*direction) or 0.0
@@ -99,15 +96,8 @@
 
     def _sizes(
         self, cell: _shares.Cell, region: ids.RegionId
-    ) -> tuple[tuple[_Direction, float], ...]:
-        home = cell.caller_region
-        if self._policy.link_bytes_s(home, region) is None:
-            return ()
-        service: config.Service = self._services[cell.service]
-        return (
-            ((home, region), max(1.0, service.mean_request_bytes)),
-            ((region, home), max(1.0, service.mean_answer_bytes)),
-        )
+    ) -> tuple[tuple[_inputs.Direction, float], ...]:
+        return self._link_use.get((cell, region), ())
 
 
 def _part(left: float, wanted: float) -> float:
--- a/dragonflystack/steering/_shares.py
+++ b/dragonflystack/steering/_shares.py
@@ -10,14 +10,14 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+from typing import NamedTuple
 
 from dragonflystack import ids
 
 _ROUNDING = 1e-9
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Cell:
+class Cell(NamedTuple):
     """The callers of one region that ask for one service."""
 
     service: ids.ServiceId
--- a/dragonflystack/steering/_steering.py
+++ b/dragonflystack/steering/_steering.py
@@ -246,13 +246,15 @@
         own: _report.Report,
         view: _summary.PeerView,
     ) -> _inputs.Measurements:
-        merged = own
+        load, capacity = own.load, own.capacity
         oldest_at = now
         for heard in self._heard.values():
-            merged = merged.merge(heard.report)
+            load = load.merge(heard.report.load)
+            capacity = _report.merge_capacity(capacity, heard.report.capacity)
             oldest_at = min(oldest_at, heard.at)
         return _report.to_measurements(
-            merged,
+            load,
+            capacity,
             self._walker.policy.cells,
             now - oldest_at,
             self._down(now, view),
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -78,8 +78,8 @@
         """Returns the summary of the VMs of both, which must be different."""
         low, high = self.low, self.high
         if self.near and other.near:
-            low = _each(self.low, other.low, min)
-            high = _each(self.high, other.high, max)
+            low = _least(self.low, other.low)
+            high = _most(self.high, other.high)
         elif other.near:
             low, high = other.low, other.high
         return CellSummary(
@@ -129,17 +129,23 @@
     return merged
 
 
-def _each(one: Sums, other: Sums, pick) -> Sums:
-    regions = sorted(one.keys() | other.keys())
-    return {r: pick(one.get(r, 0.0), other.get(r, 0.0)) for r in regions}
+def _add(one: Sums, other: Sums) -> Sums:
+    added = dict(one)
+    for region, share in other.items():
+        added[region] = added.get(region, 0.0) + share
+    return added
 
 
-def _add(one: Sums, other: Sums) -> Sums:
-    if not one:
-        return other
-    if not other:
-        return one
-    return _each(one, other, lambda a, b: a + b)
+def _least(one: Sums, other: Sums) -> Sums:
+    return {r: min(one[r], other[r]) for r in one if r in other}
+
+
+def _most(one: Sums, other: Sums) -> Sums:
+    most = dict(one)
+    for region, share in other.items():
+        if share > most.get(region, 0.0):
+            most[region] = share
+    return most
 
 
 def _mean(sums: Sums, count: int) -> _shares.Shares:
--- a/dragonflystack/steering/tests/test_report.py
+++ b/dragonflystack/steering/tests/test_report.py
@@ -83,7 +83,9 @@
 def test_measurements_of_the_fleet():
     merged = _all_merged([_report(0.5), _report(0.5, slots=6, requests_s=15)])
     age = documents.seconds(2)
-    found = steering.to_measurements(merged, CELLS, age, frozenset((C,)))
+    found = steering.to_measurements(
+        merged.load, merged.capacity, CELLS, age, frozenset((C,))
+    )
     capacity = found.capacity[documents.GALLERY, A]
     assert capacity.usable_slots == 9
     assert capacity.requests_s == pytest.approx(45, rel=1e-4)
@@ -97,7 +99,11 @@
 def test_no_slots_are_no_capacity():
     report = _report(0.5, slots=0, requests_s=0.0)
     found = steering.to_measurements(
-        report, CELLS, documents.seconds(0), frozenset()
+        report.load,
+        report.capacity,
+        CELLS,
+        documents.seconds(0),
+        frozenset(),
     )
     assert found.capacity[documents.GALLERY, A].requests_s == 0
 
