--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -74,6 +74,11 @@
         """The pools of backend servers that this VM owns."""
         return self._pools
 
+    @property
+    def peers(self) -> _peers.Peers:
+        """The connections to other entry VMs."""
+        return self._peers
+
     def owners(
         self, service: ids.ServiceId
     ) -> tuple[forwarding.OwnerHint, ...]:
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -59,7 +59,8 @@
 
 
 async def _on_ready(node, scope, receive, send) -> None:
-    ready = node.document is not None and not node.leaving
+    state = node.steering_state
+    ready = state is not None and state.is_ready and not node.leaving
     status = 200 if ready else 503
     await _asgi.send_json(send, {"vm": node.vm, "ready": ready}, status)
 
--- a/dragonflystack/daemon/_ownership.py
+++ b/dragonflystack/daemon/_ownership.py
@@ -9,7 +9,9 @@
 from dragonflystack import forwarding
 from dragonflystack import ids
 
-_SHARD_SIZE = 2
+SHARD_SIZE = 2
+"""Most backend servers in a shard."""
+
 _SAME_REGION = datetime.timedelta(milliseconds=0.5)
 
 
@@ -52,7 +54,7 @@
             live = by_region.get(region, [])
             owner_vms: set[ids.VmId] = set()
             for shard in backends.shards_of(
-                document, service_id, region, _SHARD_SIZE
+                document, service_id, region, SHARD_SIZE
             ):
                 owner = backends.owner_of(shard, live)
                 if owner is None:
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -27,6 +27,7 @@
 from dragonflystack.daemon import _operators
 from dragonflystack.daemon import _promise_reports
 from dragonflystack.daemon import _settings
+from dragonflystack.daemon import _steering
 
 _DRAIN_POLL_S = 0.05
 
@@ -97,6 +98,9 @@
     loops.start_soon(_configuration.run, node)
     loops.start_soon(_members.run, node)
     loops.start_soon(_promise_reports.run, node)
+    loops.start_soon(_steering.run_ticks, node, forwarder.pools)
+    loops.start_soon(_steering.run_reports, node, forwarder.peers)
+    loops.start_soon(_steering.run_blocks, node)
     loops.start_soon(node.metrics.run)
     loops.start_soon(forwarder.run)
     loops.start_soon(
--- a/dragonflystack/steering/_answers.py
+++ b/dragonflystack/steering/_answers.py
@@ -36,7 +36,6 @@
     """A VM that callers may be sent to."""
 
     vm: ids.VmId
-    incarnation: ids.Incarnation
     host: str
     port: int
     """Where it listens for callers."""
@@ -44,10 +43,8 @@
     failure_domain: ids.FailureDomainId
     region: ids.RegionId
 
-    @property
-    def key_prefix(self) -> str:
-        """What the keys of requests first sent to it begin with."""
-        return f"{self.vm}.{self.incarnation}."
+    key_prefix: str
+    """What the keys of requests first sent to it begin with."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
