--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -23,7 +23,8 @@
 from dragonflystack.daemon import _settings
 
 CLAIM_TABLE = "claims"
-_LONGEST_SLEEP = datetime.timedelta(milliseconds=100)
+_IDLE_SLEEP = datetime.timedelta(milliseconds=100)
+_BUSY_SLEEP = datetime.timedelta(milliseconds=10)
 _WATCH_AFTER_S = 0.02
 _NO_MAX_BODY_BYTES = 1_048_576
 
@@ -78,7 +79,15 @@
         self, service: ids.ServiceId
     ) -> tuple[forwarding.OwnerHint, ...]:
         """Returns the VMs that may run a request for a service."""
-        return self._ownership.owners.get(service, ())
+        hints = self._ownership.owners.get(service, ())
+        own = self._node.vm
+        busy = self._pools.busy(service)
+        return tuple(
+            dataclasses.replace(hint, free_slots=hint.free_slots - busy)
+            if hint.vm == own
+            else hint
+            for hint in hints
+        )
 
     async def run(self) -> None:
         """Wakes the engine and the pools when they want it, for ever."""
@@ -176,8 +185,7 @@
             results.append(result)
             done.set()
 
-        self._pools.submit(work, report)
-        self._poke_if_due()
+        self._submit(work, report)
         try:
             await _wait_unless_gone(done, gone)
         finally:
@@ -219,17 +227,22 @@
             node.document, node.vm, node.region, vms.items()
         )
         self._pools.on_document(node.document, self._ownership.owned)
+        self._engine.on_retry_ratio(node.document.fleet.retry_budget)
 
     def _next_wake_up(self) -> datetime.timedelta:
-        latest = self._now() + _LONGEST_SLEEP
+        sleep = _BUSY_SLEEP if self._pools.works else _IDLE_SLEEP
+        latest = self._now() + sleep
         wake_ups = (self._engine.next_wake_up(), self._pools.next_wake_up())
-        return min((w for w in wake_ups if w is not None), default=latest)
+        return min(w for w in (*wake_ups, latest) if w is not None)
+
+    def _submit(self, work: forwarding.Work, report: _pools.Report) -> None:
+        """Has an own pool run a work; the pools are then looked at often."""
+        self._pools.submit(work, report)
+        if self._pools.works == 1:
+            self._poke.set()
 
     def _poke_if_due(self) -> None:
         due = self._engine.next_wake_up()
-        for_pools = self._pools.next_wake_up()
-        if for_pools is not None and (due is None or for_pools < due):
-            due = for_pools
         if due is not None and due < self._wakes_at:
             self._poke.set()
 
@@ -260,7 +273,7 @@
     def _dispatch(self, owner: ids.VmId, work: forwarding.Work) -> None:
         if owner == self._node.vm:
             report = functools.partial(self._on_result, work.id)
-            self._pools.submit(work, report)
+            self._submit(work, report)
         else:
             self._start(work.id, self._work_at_peer, owner, work)
 
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -74,6 +74,7 @@
         "version": node.version,
         "leaving": node.leaving,
         "in_flight": node.in_flight,
+        "key_prefix": node.key_prefix,
         "members": list(node.members.values()),
         "monotonic_s": node.clock.monotonic().total_seconds(),
         **{name: source() for name, source in node.dump_sources.items()},
--- a/dragonflystack/daemon/_ownership.py
+++ b/dragonflystack/daemon/_ownership.py
@@ -46,22 +46,23 @@
     owners: dict[ids.ServiceId, tuple[forwarding.OwnerHint, ...]] = {}
     owned: dict[ids.ServiceId, tuple[config.BackendServer, ...]] = {}
     for service_id, service in document.services.items():
-        found: dict[ids.RegionId, tuple[ids.VmId, ...]] = {}
+        found: dict[ids.RegionId, dict[ids.VmId, int]] = {}
         mine: list[config.BackendServer] = []
         for region in service.allowed_regions:
             live = by_region.get(region, [])
-            owner_vms: set[ids.VmId] = set()
+            slots: dict[ids.VmId, int] = {}
             for shard in backends.shards_of(
                 document, service_id, region, _SHARD_SIZE
             ):
                 owner = backends.owner_of(shard, live)
                 if owner is None:
                     continue
-                owner_vms.add(owner)
+                added = sum(server.slots for server in shard.backend_servers)
+                slots[owner] = slots.get(owner, 0) + added
                 if owner == own_vm:
                     mine.extend(shard.backend_servers)
-            if owner_vms:
-                found[region] = tuple(sorted(owner_vms))
+            if slots:
+                found[region] = slots
         owned[service_id] = tuple(mine)
         owners[service_id] = _hints(document, own_region, found)
     return Ownership(owners, owned)
@@ -70,7 +71,7 @@
 def _hints(
     document: config.Document,
     own_region: ids.RegionId | None,
-    found: dict[ids.RegionId, tuple[ids.VmId, ...]],
+    found: dict[ids.RegionId, dict[ids.VmId, int]],
 ) -> tuple[forwarding.OwnerHint, ...]:
     """Returns the owners in this VM's region, or else in the nearest one."""
     if not found:
@@ -78,8 +79,8 @@
     delays = {region: _delay(document, own_region, region) for region in found}
     nearest = min(found, key=lambda region: (delays[region], region))
     return tuple(
-        forwarding.OwnerHint(vm, one_way=delays[nearest])
-        for vm in found[nearest]
+        forwarding.OwnerHint(vm, free_slots=slots, one_way=delays[nearest])
+        for vm, slots in sorted(found[nearest].items())
     )
 
 
--- a/dragonflystack/daemon/_pools.py
+++ b/dragonflystack/daemon/_pools.py
@@ -1,5 +1,6 @@
 """The shell round the pools of backend servers that this VM owns."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
@@ -61,6 +62,7 @@
         self._servers: dict[ids.BackendServerId, config.BackendServer] = {}
         self._service_of: dict[ids.BackendServerId, ids.ServiceId] = {}
         self._running: dict[str, _Running] = {}
+        self._busy: collections.Counter[ids.ServiceId] = collections.Counter()
         self._connections: dict[_ConnKey, _Connection] = {}
         self._swept_at = datetime.timedelta()
 
@@ -69,6 +71,10 @@
         """Works that have no result yet."""
         return len(self._running)
 
+    def busy(self, service: ids.ServiceId) -> int:
+        """Returns the number of works of a service that have no result yet."""
+        return self._busy[service]
+
     def owned(self) -> Iterable[config.BackendServer]:
         """Returns the backend servers that this VM owns."""
         return tuple(self._servers.values())
@@ -121,6 +127,7 @@
             return
         now = self._clock.monotonic()
         self._running[work.id] = _Running(work, report)
+        self._busy[work.service] += 1
         asked = backends.Work(
             backends.WorkId(work.id),
             now + work.time_left,
@@ -141,7 +148,7 @@
         pool = self._pools[service]
         self._do(service, pool.on_cancel(backends.WorkId(work_id), now))
         if running.scope is None:
-            self._running.pop(work_id, None)
+            self._forget(work_id)
 
     def tick(self) -> None:
         """Does what is due in the pools and drops closed connections."""
@@ -180,7 +187,7 @@
                     self._start(service, action)
                 case backends.Refuse(work_id, failure):
                     self._report(work_id, forwarding.Refused(failure))
-                    self._running.pop(work_id, None)
+                    self._forget(work_id)
                 case backends.CancelWork():
                     self._stop(action)
                 case backends.CloseConnection(conn_id, _):
@@ -188,6 +195,11 @@
                     if conn is not None:
                         self._tasks.start_soon(conn.http.aclose)
 
+    def _forget(self, work_id: str) -> None:
+        running = self._running.pop(work_id, None)
+        if running is not None:
+            self._busy[running.work.service] -= 1
+
     def _report(self, work_id: str, result: forwarding.WorkResult) -> None:
         running = self._running.get(work_id)
         if running is not None and running.report is not None:
@@ -231,7 +243,7 @@
                 work, server, conn.http, call, self._max_body_bytes()
             )
         conn.is_busy = False
-        del self._running[work.id]
+        self._forget(work.id)
         if end is None:
             return
         for_pool, for_taker = end
--- a/dragonflystack/forwarding/_engine.py
+++ b/dragonflystack/forwarding/_engine.py
@@ -205,6 +205,10 @@
         self._timers.run_due(now)
         return self._flush()
 
+    def on_retry_ratio(self, ratio: float) -> None:
+        """Takes in how many retries the document allows per first attempt."""
+        self._runner.budget.set_ratio(ratio)
+
     def on_drain(self, until: datetime.timedelta) -> None:
         """Begins a planned stop.
 
--- a/dragonflystack/forwarding/_retry_budget.py
+++ b/dragonflystack/forwarding/_retry_budget.py
@@ -19,11 +19,9 @@
         Raises:
             ValueError: if a bound is outside its range.
         """
-        if not 0 <= ratio <= 1:
-            raise ValueError(f"ratio: expected 0 to 1, found {ratio}")
         if burst < 0:
             raise ValueError(f"burst: expected 0 or more, found {burst}")
-        self._ratio = ratio
+        self.set_ratio(ratio)
         self._burst = burst
         self._tokens = burst
 
@@ -32,6 +30,16 @@
         """The tokens left."""
         return self._tokens
 
+    def set_ratio(self, ratio: float) -> None:
+        """Sets the tokens that a first attempt adds, 0 to 1.
+
+        Raises:
+            ValueError: if it is outside its range.
+        """
+        if not 0 <= ratio <= 1:
+            raise ValueError(f"ratio: expected 0 to 1, found {ratio}")
+        self._ratio = ratio
+
     def on_first_attempt(self) -> None:
         """Adds the share of a first attempt."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
