--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -13,6 +13,7 @@
 from dragonflystack import ids
 from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack import steering
 from dragonflystack.daemon import _metrics
 from dragonflystack.daemon import _settings
 
@@ -62,6 +63,12 @@
     may_serve: Callable[[], bool] = lambda: False
     """Whether a request of a caller may be decided now."""
 
+    steering_state: steering.Steering | None = None
+    """Decides the answers to look-ups; None before the first document."""
+
+    steering_report: steering.Report | None = None
+    """What to tell the other VMs for steering."""
+
     in_flight: int = 0
     """Requests of callers and other VMs that have no answer yet."""
 
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -73,7 +73,9 @@
 
 
 async def _on_ready(node, scope, receive, send) -> None:
-    ready = node.may_serve() and not node.leaving
+    state = node.steering_state
+    steers = state is not None and state.is_ready
+    ready = steers and node.may_serve() and not node.leaving
     status = 200 if ready else 503
     await _asgi.send_json(send, {"vm": node.vm, "ready": ready}, status)
 
@@ -88,6 +90,7 @@
         "version": node.version,
         "leaving": node.leaving,
         "in_flight": node.in_flight,
+        "key_prefix": node.key_prefix,
         "members": list(node.members.values()),
         "monotonic_s": node.clock.monotonic().total_seconds(),
         **{name: source() for name, source in node.dump_sources.items()},
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -78,8 +78,8 @@
         """Returns the summary of the VMs of both, which must be different."""
         low, high = self.low, self.high
         if self.near and other.near:
-            low = _each(self.low, other.low, min)
-            high = _each(self.high, other.high, max)
+            low = _least(self.low, other.low)
+            high = _most(self.high, other.high)
         elif other.near:
             low, high = other.low, other.high
         return CellSummary(
@@ -106,11 +106,14 @@
     listed: int
     """How many others the VM list names as live."""
 
+    waiting: int
+    """How many more were heard that use no shares yet."""
+
     newest_at: datetime.timedelta
     """When the latest part was heard, on this VM's monotonic clock."""
 
 
-ALONE = PeerView({}, 0, 0, datetime.timedelta())
+ALONE = PeerView({}, 0, 0, 0, datetime.timedelta())
 """The view of a VM that is the whole fleet."""
 
 
@@ -126,17 +129,23 @@
     return merged
 
 
-def _each(one: Sums, other: Sums, pick) -> Sums:
-    regions = sorted(one.keys() | other.keys())
-    return {r: pick(one.get(r, 0.0), other.get(r, 0.0)) for r in regions}
+def _add(one: Sums, other: Sums) -> Sums:
+    added = dict(one)
+    for region, share in other.items():
+        added[region] = added.get(region, 0.0) + share
+    return added
 
 
-def _add(one: Sums, other: Sums) -> Sums:
-    if not one:
-        return other
-    if not other:
-        return one
-    return _each(one, other, lambda a, b: a + b)
+def _least(one: Sums, other: Sums) -> Sums:
+    return {r: min(one[r], other[r]) for r in one if r in other}
+
+
+def _most(one: Sums, other: Sums) -> Sums:
+    most = dict(one)
+    for region, share in other.items():
+        if share > most.get(region, 0.0):
+            most[region] = share
+    return most
 
 
 def _mean(sums: Sums, count: int) -> _shares.Shares:
