Keep withdrawn rows, so that a late withdrawal spares the successor

Cause: a deleted row that is written anew has version 1 again. A withdrawal sent twice, the first copy late, deleted the row of the VM's next incarnation, which went on serving unseen by receipts. Ruled out: rows by incarnation, which need a scan before each registration.

--- a/dragonflystack/config/_acceptance.py
+++ b/dragonflystack/config/_acceptance.py
@@ -58,7 +58,7 @@
     return tuple(
         Waiting(row.vm, row.incarnation, row.acknowledged, row.hold)
         for row in sorted(rows, key=lambda row: row.vm)
-        if row.hold or row.acknowledged < version
+        if not row.withdrawn and (row.hold or row.acknowledged < version)
     )
 
 
@@ -128,21 +128,24 @@
         if row.ended or row.hold:
             if now - seen.held_at < bounds.wait_out(bounds.vouch_lease):
                 return row
-            if row.ended:
-                return None
-            return msgspec.structs.replace(row, hold=False)
+            return msgspec.structs.replace(
+                row, withdrawn=row.ended, ended=False, hold=False
+            )
         if now - seen.at < bounds.wait_out(bounds.serving_lease):
             return row
+        if row.withdrawn:
+            return None
         return msgspec.structs.replace(row, ended=True, hold=True)
 
     def _receipt(
         self, view: View, utcnow: datetime.datetime
     ) -> _rows.RowWrite | None:
         head = msgspec.json.decode(view.head.value, type=_rows.Head)
-        rows = [
+        decoded = (
             msgspec.json.decode(stored.value, type=_rows.Serving)
             for stored in view.serving.values()
-        ]
+        )
+        rows = [row for row in decoded if not row.withdrawn]
         if not rows or any(row.hold for row in rows):
             return None
         version = min(row.acknowledged for row in rows)
@@ -174,8 +177,9 @@
     row = msgspec.json.decode(stored.value, type=_rows.Serving)
     if before is None or before.row.incarnation != row.incarnation:
         return _Sighting(stored.version, row, now, now)
-    was = (before.row.ended, before.row.hold)
-    held_at = before.held_at if was == (row.ended, row.hold) else now
+    was = (before.row.ended, before.row.hold, before.row.withdrawn)
+    same = was == (row.ended, row.hold, row.withdrawn)
+    held_at = before.held_at if same else now
     at = before.at if before.row_version == stored.version else now
     return _Sighting(stored.version, row, at, held_at)
 
@@ -189,11 +193,14 @@
     return msgspec.json.decode(stored.value, type=_rows.Receipt).version
 
 
-def fence(stored: _rows.StoredRow) -> _rows.RowWrite:
+def fence(stored: _rows.StoredRow) -> _rows.RowWrite | None:
     """Returns the write by which an operator counts out a stopped VM.
 
-    The operator vouches that the VM has stopped: it is switched off.
+    The operator vouches that the VM has stopped: it is switched off. Returns
+    None if the row is withdrawn already.
     """
     row = msgspec.json.decode(stored.value, type=_rows.Serving)
+    if row.withdrawn:
+        return None
     ended = msgspec.structs.replace(row, ended=True, hold=True)
     return _rows.make_write(_rows.SERVING, row.vm, stored, ended)
--- a/dragonflystack/config/_registration.py
+++ b/dragonflystack/config/_registration.py
@@ -106,10 +106,17 @@
         if row.hold or not self._vouches.empty(now):
             return None
         self._permission.stop()
-        return _rows.make_write(_rows.SERVING, self._vm, own, None)
+        withdrawn = msgspec.structs.replace(row, withdrawn=True)
+        return _rows.make_write(_rows.SERVING, self._vm, own, withdrawn)
+
+    def stands(self, own: _rows.StoredRow | None) -> bool:
+        """Returns whether the row says that this process may serve."""
+        row = _decode(own)
+        return row is not None and self._stands(row)
 
     def _stands(self, row: _rows.Serving) -> bool:
-        return row.incarnation == self._incarnation and not row.ended
+        ours = row.incarnation == self._incarnation
+        return ours and not row.ended and not row.withdrawn
 
     def _register(
         self,
@@ -122,7 +129,11 @@
         latest = msgspec.json.decode(head.value, type=_rows.Head)
         if latest.version != version or not self._vouches.cover(version, now):
             return None
-        replaces = row is not None and row.incarnation != self._incarnation
+        replaces = (
+            row is not None
+            and row.incarnation != self._incarnation
+            and not row.withdrawn
+        )
         held = row is not None and row.hold
         value = _rows.Serving(
             vm=self._vm,
--- a/dragonflystack/config/_rows.py
+++ b/dragonflystack/config/_rows.py
@@ -85,6 +85,11 @@
     ended: bool = False
     """Counted out: the incarnation may not renew, only register anew."""
 
+    withdrawn: bool = False
+    """Serves no more and is waited for no more. The row stays for a while:
+    a row that is written anew begins with the same versions again, and a late
+    write would take it for the one it was meant for."""
+
     hold: bool = False
     """Nothing is accepted until vouches of an ended incarnation lapsed."""
 
--- a/dragonflystack/daemon/_configuration.py
+++ b/dragonflystack/daemon/_configuration.py
@@ -196,9 +196,9 @@
     async def _withdraw(self) -> None:
         for _ in range(_LEAVE_TRIES):
             own = await self._node.platform.read(config.SERVING, self._node.vm)
-            if own is None:
-                return
-            if isinstance(own, platform.Row):
+            if not isinstance(own, platform.Unavailable):
+                if own is None or not self._registration.stands(to_stored(own)):
+                    return
                 write = self._registration.leave(
                     to_stored(own), self._node.clock.monotonic()
                 )
--- a/dragonflystack/daemon/_configuration_routes.py
+++ b/dragonflystack/daemon/_configuration_routes.py
@@ -196,13 +196,15 @@
         self, teams: Iterable[ids.TeamId], vm: ids.VmId, send: _asgi.Send
     ) -> None:
         row = await self._node.platform.read(config.SERVING, vm)
-        if row is None:
-            await _asgi.send_problem(send, 404, "no such serving VM", vm)
-            return
         if isinstance(row, platform.Unavailable):
             await _send_out(send, str(row.failure))
             return
-        write = config.fence(_configuration.to_stored(row))
+        write = None
+        if row is not None:
+            write = config.fence(_configuration.to_stored(row))
+        if write is None:
+            await _asgi.send_problem(send, 404, "no such serving VM", vm)
+            return
         result = await self._node.platform.write(
             *_configuration.to_writes((write,))
         )
--- a/spec/_configuration.py
+++ b/spec/_configuration.py
@@ -39,6 +39,7 @@
     "forget a vouch only after it has lapsed",
     "leave only when nobody is vouched for",
     "stop serving before leaving",
+    "withdraw only the row that was read",
     "leave only when the predecessor's vouches lapsed",
     "count a VM out only after its lease",
     "count a VM out only over the renewal observed",
