--- a/dragonflystack/backends/tests/test_random_runs.py
+++ b/dragonflystack/backends/tests/test_random_runs.py
@@ -207,7 +207,7 @@
     assert _run(1).outcomes == _run(1).outcomes
 
 
-def test_every_started_work_ends_in_silence():
+def test_silence_ends_every_started_work():
     run = _run(2)
     for _ in range(100):
         due = run.bench.pool.next_wake_up(run.bench.now)
