--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -66,6 +66,9 @@
     steering_report: steering.Report | None = None
     """What to tell the other VMs for steering."""
 
+    may_serve: Callable[[], bool] = lambda: False
+    """Whether a request of a caller may be decided now."""
+
     in_flight: int = 0
     """Requests of callers and other VMs that have no answer yet."""
 
