--- a/benchmarks/tests/test_fleet_sim.py
+++ b/benchmarks/tests/test_fleet_sim.py
@@ -168,3 +168,25 @@
     fleet.network.is_cut = lambda a, b: False
     fleet.run_for(30 * _S)
     assert _reporters(fleet) == {_COUNT}
+
+
+def test_new_runs_are_known_to_all_before_the_vm_list_shows_them(monkeypatch):
+    monkeypatch.setattr(_fleet_sim, "LISTING_LAG", 3600 * _S)
+    fleet = _fleet(listing_interval=3600 * _S)
+    restarted = [ids.VmId("vm-0007"), ids.VmId("vm-0012")]
+    for vm_id in restarted:
+        fleet.stop(vm_id)
+        fleet.run_for(3 * _S)
+        fleet.restart(vm_id)
+        fleet.run_for(6 * _S)
+    for vm_id in restarted:
+        new = fleet.nodes[vm_id].vm
+        assert {n.node.view.get(vm_id) for n in fleet.living()} == {new}
+    assert len({n.node.view.listing.digest for n in fleet.living()}) == 1
+
+
+def test_only_the_first_vm_reads_the_vm_list():
+    fleet = _fleet()
+    fleet.store.listing_reads.clear()
+    fleet.run_for(20 * _S)
+    assert 1 <= len(fleet.store.listing_reads) <= 4
--- a/dragonflystack/membership/_listings.py
+++ b/dragonflystack/membership/_listings.py
@@ -1,8 +1,9 @@
 """How the VM list travels down the tree.
 
-Relays read it from the platform. The others compare digests with their parent
-and ask for the rosters that differ, so that one restarted VM costs the roster
-of its failure domain and not the whole list.
+The first VM of the tree reads it from the platform and adds what traffic has
+shown. The others read it once, when they start; then they compare digests with
+their parent and ask for the rosters that differ, so that one restarted VM costs
+the roster of its failure domain and not the whole list.
 """
 
 from collections.abc import Iterable
@@ -12,6 +13,9 @@
 from dragonflystack.membership import _messages
 from dragonflystack.membership import _vms
 
+_STALE = datetime.timedelta(days=1)
+"""Counts as the age of a list that a VM read only to find its parent."""
+
 _EMPTY = _vms.Roster.from_vms(())
 
 
@@ -40,13 +44,32 @@
             return datetime.timedelta()
         return now - self._read_at
 
-    def take(
+    def on_read(
+        self, listing: _vms.Listing, first: bool, now: datetime.timedelta
+    ) -> None:
+        """Takes a list read from the platform.
+
+        Args:
+            listing: the list.
+            first: whether this VM is the first of the tree; the list of any
+                other gives way to its parent's.
+            now: the time on the monotonic clock.
+        """
+        self._take(listing, now if first else now - _STALE, now)
+        if first:
+            self.add_unlisted(now)
+
+    def add_unlisted(self, now: datetime.timedelta) -> None:
+        """Adds the VMs that traffic has shown to the list."""
+        if self.known and self._view.unlisted():
+            self._take(_vms.Listing.from_vms(self._view.vms()), now, now)
+
+    def _take(
         self,
         listing: _vms.Listing,
         read_at: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Takes a list read from the platform, or put together from it."""
         self._view.on_listing(listing, now)
         self._read_at = read_at
 
@@ -67,7 +90,7 @@
         if asked:
             mine = mine.with_rosters(dict(response.rosters))
         if response.listing_digest == mine.digest:
-            self.take(mine, read_at, now)
+            self._take(mine, read_at, now)
             return
         self.wanted = _differing(self._view.listing, response.roster_digests)
 
--- a/dragonflystack/membership/_node.py
+++ b/dragonflystack/membership/_node.py
@@ -65,7 +65,7 @@
         self._gather_until = self._ask_not_before
         self._wave_due = now + self._jitter(settings.wave_interval)
         self._watch_due = now + self._jitter(settings.watch_interval)
-        self._listing_due = now + self._jitter(settings.listing_interval)
+        self._listing_due = now + self._jitter(settings.wave_interval)
 
     @property
     def head(self) -> ids.DocumentVersion:
@@ -133,7 +133,8 @@
         self, listing: _vms.Listing, now: datetime.timedelta
     ) -> list[_actions.Action]:
         """Takes the VM list as read from the platform."""
-        self._listings.take(listing, now, now)
+        first = self._listings.known and self.parent is None
+        self._listings.on_read(listing, first, now)
         if self._uplink.pending is None:
             self._choose_parent(now)
         return self._advance(now)
@@ -215,7 +216,7 @@
             dues.append(max(self._gather_until, self._record_not_before))
         if self._watches():
             dues.append(self._watch_due)
-        if self._watches() or not self._listings.known:
+        if self._reads_listing():
             dues.append(self._listing_due)
         return min(dues)
 
@@ -262,6 +263,9 @@
             return False
         return self._position.watches_store or self._is_relay()
 
+    def _reads_listing(self) -> bool:
+        return self.parent is None or not self._listings.known
+
     def _sum_below(self, now: datetime.timedelta) -> _load.LoadSum:
         services, loaded_at = self._load
         parts = [_load.LoadSum(1, now - loaded_at, services)]
@@ -351,6 +355,8 @@
         first = self.parent is None
         interval = self._cfg.wave_interval
         self._wave_due = now + (interval if first else self._cfg.hold_limit)
+        if first:
+            self._listings.add_unlisted(now)
         return self._answer_all(now)
 
     def _answer_all(self, now: datetime.timedelta) -> list[_actions.Action]:
@@ -422,8 +428,10 @@
         if watches and now >= self._watch_due:
             self._watch_due = now + self._cfg.watch_interval
             actions.append(_actions.ReadHead())
-        lists = watches or not self._listings.known
-        if lists and now >= self._listing_due:
-            self._listing_due = now + self._cfg.listing_interval
+        if self._reads_listing() and now >= self._listing_due:
+            self._listing_due = now + max(
+                self._cfg.listing_interval,
+                len(self._view.vms()) * self._cfg.listing_interval_per_vm,
+            )
             actions.append(_actions.ReadListing())
         return actions
--- a/dragonflystack/membership/_settings.py
+++ b/dragonflystack/membership/_settings.py
@@ -8,7 +8,7 @@
 class NodeSettings:
     """Bounds and periods of the exchange."""
 
-    fan_out: int = 4
+    fan_out: int = 3
     """Children of a VM in its failure domain."""
 
     wave_interval: datetime.timedelta = datetime.timedelta(seconds=1)
@@ -27,7 +27,12 @@
     """Time between reads of the document's version by a relay."""
 
     listing_interval: datetime.timedelta = datetime.timedelta(seconds=5)
-    """Time between reads of the VM list by a relay."""
+    """Least time between reads of the VM list by the first VM."""
+
+    listing_interval_per_vm: datetime.timedelta = datetime.timedelta(
+        milliseconds=80
+    )
+    """Time between those reads for each VM listed: it bounds their bytes."""
 
     region_max_age: datetime.timedelta = datetime.timedelta(seconds=30)
     """Age at which the load of a region is dropped."""
--- a/dragonflystack/membership/_vms.py
+++ b/dragonflystack/membership/_vms.py
@@ -6,6 +6,7 @@
 has to acknowledge a configuration.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -234,7 +235,7 @@
         """Returns the latest run known of a VM."""
         return self._known.get(vm_id)
 
-    def vms(self) -> Iterable[Vm]:
+    def vms(self) -> Collection[Vm]:
         """Returns the latest run known of every VM that is not gone."""
         return self._known.values()
 
