Rank the VMs that own slots first in look-up answers

Cause: a VM that owns no backend server of the service forwards to one that does, which doubles the work. Ownership is looked at every 200 ms while nothing runs, in place of 100 ms.

--- a/dragonflystack/daemon/_callers.py
+++ b/dragonflystack/daemon/_callers.py
@@ -39,7 +39,7 @@
     ) -> None:
         path = scope["path"]
         if path == _STEER_PATH:
-            await _on_look_up(node, scope, send)
+            await _on_look_up(node, forwarder, scope, send)
         elif path.startswith(_SERVICE_PREFIX):
             await _on_request(node, forwarder, scope, receive, send)
         else:
@@ -55,7 +55,10 @@
 
 
 async def _on_look_up(
-    node: _node.Node, scope: _asgi.Scope, send: _asgi.Send
+    node: _node.Node,
+    forwarder: _forwarding.Forwarder,
+    scope: _asgi.Scope,
+    send: _asgi.Send,
 ) -> None:
     query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
     name = query.get("service", [""])[0]
@@ -64,7 +67,9 @@
         await _send_no_service(node, send, name)
         return
     node.metrics.count("look-up")
-    await _asgi.send_json(send, _look_up.answer(node, node.document, service))
+    slots = forwarder.owned_slots(service.id)
+    found = _look_up.answer(node, node.document, service, slots)
+    await _asgi.send_json(send, found)
 
 
 async def _send_no_service(
--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import datetime
 import functools
@@ -23,7 +24,7 @@
 from dragonflystack.daemon import _settings
 
 CLAIM_TABLE = "claims"
-_IDLE_SLEEP = datetime.timedelta(milliseconds=100)
+_IDLE_SLEEP = datetime.timedelta(milliseconds=200)
 _BUSY_SLEEP = datetime.timedelta(milliseconds=10)
 _WATCH_AFTER_S = 0.02
 _NO_MAX_BODY_BYTES = 1_048_576
@@ -62,7 +63,7 @@
         self._calls = itertools.count(1)
         self._waiting: dict[forwarding.CallId, _Waiting] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
-        self._ownership = _ownership.Ownership({}, {})
+        self._ownership = _ownership.Ownership({}, {}, {})
         self._ownership_inputs: object = None
         self._poke = anyio.Event()
         self._wakes_at = datetime.timedelta()
@@ -89,6 +90,10 @@
             for hint in hints
         )
 
+    def owned_slots(self, service: ids.ServiceId) -> Mapping[ids.VmId, int]:
+        """Returns how many slots of a service each VM owns."""
+        return self._ownership.slots.get(service, {})
+
     async def run(self) -> None:
         """Wakes the engine and the pools when they want it, for ever."""
         while True:
--- a/dragonflystack/daemon/_ownership.py
+++ b/dragonflystack/daemon/_ownership.py
@@ -23,6 +23,9 @@
     owned: dict[ids.ServiceId, tuple[config.BackendServer, ...]]
     """The backend servers that this VM owns."""
 
+    slots: dict[ids.ServiceId, dict[ids.VmId, int]]
+    """The slots that each VM owns, in all regions."""
+
 
 def work_out(
     document: config.Document,
@@ -45,6 +48,7 @@
             by_region.setdefault(region, []).append(vm)
     owners: dict[ids.ServiceId, tuple[forwarding.OwnerHint, ...]] = {}
     owned: dict[ids.ServiceId, tuple[config.BackendServer, ...]] = {}
+    slots_of: dict[ids.ServiceId, dict[ids.VmId, int]] = {}
     for service_id, service in document.services.items():
         found: dict[ids.RegionId, dict[ids.VmId, int]] = {}
         mine: list[config.BackendServer] = []
@@ -65,7 +69,10 @@
                 found[region] = slots
         owned[service_id] = tuple(mine)
         owners[service_id] = _hints(document, own_region, found)
-    return Ownership(owners, owned)
+        slots_of[service_id] = {
+            vm: count for slots in found.values() for vm, count in slots.items()
+        }
+    return Ownership(owners, owned, slots_of)
 
 
 def _hints(
