Keep a reserve for a changing mix only while a VM is out of touch

Why it is safe: a VM that falls silent is at most the spread away then, so callers who leave it within the same window add nothing to walk and spread; by the next window the others walk at the slower pace. Change: walk 0.85 of the cap while all listed VMs are heard, else 0.70.

--- a/dragonflystack/steering/_budget.py
+++ b/dragonflystack/steering/_budget.py
@@ -6,7 +6,8 @@
 * walk: what one VM moves within the cap's window, the time-to-live of its
   answers, and the time that it takes others to hear of it;
 * spread: how far apart the shares of two VMs that hear each other may be;
-* mix: what remains for callers who move between VMs that do not.
+* mix: what is kept for callers who move between VMs that do not; nothing
+  while all VMs that are listed are heard.
 """
 
 import collections
@@ -15,8 +16,8 @@
 
 from dragonflystack import config
 
-_WALK_PART = 0.7
 _SPREAD_PART = 0.15
+_MIX_PART = 0.15
 PEER_AGE = datetime.timedelta(seconds=2)
 """What was heard of another VM's shares longer ago does not count."""
 
@@ -40,25 +41,26 @@
         window = cap.window + fleet.answer_ttl + 2 * PEER_AGE + MAX_TICK
         return cls(cap.fraction, window)
 
-    @property
-    def walk(self) -> float:
-        """The most that one VM moves a cell within `window`."""
-        return _WALK_PART * self.cap
-
     @property
     def spread(self) -> float:
         """The most that shares of two VMs may differ when either moves."""
         return _SPREAD_PART * self.cap
 
-    @property
-    def mix(self) -> float:
-        """What is left for callers who move between VMs out of touch."""
-        return self.cap - self.walk - self.spread
+    def mix(self, all_heard: bool) -> float:
+        """Returns what is left for callers who change between VMs.
 
-    @property
-    def pace_per_s(self) -> float:
-        """The most that one VM moves a cell in a second."""
-        return self.walk / self.window.total_seconds()
+        Args:
+            all_heard: whether all VMs that are listed were heard lately.
+        """
+        return 0.0 if all_heard else _MIX_PART * self.cap
+
+    def walk(self, all_heard: bool) -> float:
+        """Returns the most that one VM moves a cell within `window`."""
+        return self.cap - self.spread - self.mix(all_heard)
+
+    def pace_per_s(self, all_heard: bool) -> float:
+        """Returns the most that one VM moves a cell in a second."""
+        return self.walk(all_heard) / self.window.total_seconds()
 
 
 class ShiftWindow:
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -112,6 +112,11 @@
     newest_at: datetime.timedelta
     """When the latest part was heard, on this VM's monotonic clock."""
 
+    @property
+    def all_heard(self) -> bool:
+        """Whether no VM that is listed may be out of touch."""
+        return self.heard + self.waiting >= self.listed
+
 
 ALONE = PeerView({}, 0, 0, 0, datetime.timedelta())
 """The view of a VM that is the whole fleet."""
--- a/dragonflystack/steering/_walk.py
+++ b/dragonflystack/steering/_walk.py
@@ -146,7 +146,7 @@
         excess = track.shares.refused - track.target.refused
         if excess <= _ROUNDING:
             return _MOST_RETRY
-        pace_per_s = self._budgets[cell.service].pace_per_s
+        pace_per_s = self._budgets[cell.service].pace_per_s(True)
         half = datetime.timedelta(seconds=excess / pace_per_s / 2)
         return min(_MOST_RETRY, max(_LEAST_RETRY, half))
 
@@ -296,7 +296,7 @@
         steps = {}
         for cell, track in self._tracks.items():
             self._aim(cell, track, view, measurements.down)
-            end = self._paced_end(now, elapsed, cell, track)
+            end = self._paced_end(now, elapsed, cell, track, view.all_heard)
             if end is not track.shares:
                 steps[cell] = track.shares, end
         if not steps:
@@ -344,7 +344,7 @@
         budget = self._budgets[cell.service]
         if not track.is_near and summary.near > 0:
             return _spread.apart(track.shares, summary) <= budget.spread
-        unheard = budget.pace_per_s * _budget.PEER_AGE.total_seconds()
+        unheard = budget.pace_per_s(True) * _budget.PEER_AGE.total_seconds()
         apart = max(
             _shares.gain(track.shares, reference),
             _shares.gain(reference, track.shares),
@@ -357,14 +357,18 @@
         elapsed: datetime.timedelta,
         cell: _shares.Cell,
         track: _Track,
+        all_heard: bool,
     ) -> _shares.Shares:
         """Returns where a cell may get to in this tick by pace alone."""
         budget = self._budgets[cell.service]
         whole = _shares.distance(track.shares, track.goal)
         if whole <= _ROUNDING:
             return track.shares
-        left = budget.walk - track.window.moved(now, budget.window)
-        most = min(left, budget.pace_per_s * elapsed.total_seconds())
+        moved = track.window.moved(now, budget.window)
+        most = min(
+            budget.walk(all_heard) - moved,
+            budget.pace_per_s(all_heard) * elapsed.total_seconds(),
+        )
         return _shares.towards(track.shares, track.goal, most / whole)
 
     def _move(
@@ -397,7 +401,7 @@
         total = track.window.moved(now, budget.window)
         self._ledger.check(
             promises.PromiseId.SHIFT_CAP,
-            budget.cap - budget.mix - total - apart + _ROUNDING,
+            budget.cap - budget.mix(view.all_heard) - total - apart + _ROUNDING,
             str(cell),
             now,
         )
--- a/dragonflystack/steering/tests/test_fleet.py
+++ b/dragonflystack/steering/tests/test_fleet.py
@@ -14,7 +14,7 @@
     _OTHER_DOCUMENT.services[documents.GALLERY].shift_cap,
     _OTHER_DOCUMENT.fleet,
 )
-IN_TOUCH = _BUDGET.walk + _BUDGET.spread
+IN_TOUCH = _BUDGET.walk(all_heard=True) + _BUDGET.spread
 SETTLED_S = 10.0
 
 
--- a/dragonflystack/steering/tests/test_walk.py
+++ b/dragonflystack/steering/tests/test_walk.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 import pytest
@@ -13,12 +14,13 @@
     documents.document().services[documents.GALLERY].shift_cap,
     documents.document().fleet,
 )
-WALK = BUDGET.walk + 1e-9
+WALK = BUDGET.walk(all_heard=True) + 1e-9
 REST = 0.04
 """How far from its target a walk may come to rest."""
 DEMAND = {A: 50.0, B: 10.0, C: 10.0}
 SLOTS = {A: 10, B: 10, C: 10}
 NORMAL = documents.measurements(DEMAND, SLOTS)
+HALF_TARGET = steering.Shares({A: 0.36, B: 0.32, C: 0.32})
 HALF = documents.measurements(DEMAND, {**SLOTS, A: 2})
 
 
@@ -216,7 +218,7 @@
     driver.now_s += 1.4
     after = driver.run(TICK_S, HALF)
     moved = steering.distance(before, after)
-    assert 0 < moved <= BUDGET.pace_per_s * 1.0 + 1e-9
+    assert 0 < moved <= BUDGET.pace_per_s(True) * 1.0 + 1e-9
 
 
 def test_what_was_moved_before_counts_under_a_lower_cap():
@@ -260,6 +262,21 @@
     assert (driver.run(5, measured, others).of(B) > 0) == moves
 
 
+def test_walks_more_slowly_while_some_are_out_of_touch():
+    driver = Driver()
+    driver.run(5, NORMAL)
+    all_heard = _view(steering.Shares({A: 1.0}), target=HALF_TARGET)
+    some = dataclasses.replace(all_heard, listed=2)
+    before = len(driver.path)
+    driver.run(2, HALF, all_heard)
+    middle = len(driver.path)
+    driver.run(2, HALF, some)
+    fast = _walked(driver.path[before - 1 : middle])
+    slow = _walked(driver.path[middle - 1 :])
+    assert fast == pytest.approx(2 * BUDGET.pace_per_s(True))
+    assert slow == pytest.approx(2 * BUDGET.pace_per_s(False))
+
+
 def test_a_leaving_region_is_left_to_the_last_caller():
     driver = Driver()
     used = steering.Shares({A: 0.97, B: 0.03})
