--- a/dragonflystack/steering/tests/fleet.py
+++ b/dragonflystack/steering/tests/fleet.py
@@ -169,13 +169,17 @@
             down=tuple(down),
         )
 
-    def _ask(self) -> None:
-        awake = {
+    def awake(self) -> set[int]:
+        """Returns the VMs that answer look-ups now."""
+        now = documents.seconds(self.now_s)
+        return {
             name
             for name, node in self.nodes.items()
-            if node.resumes_at_s <= self.now_s
-            and node.walker.is_awake(documents.seconds(self.now_s))
+            if node.resumes_at_s <= self.now_s and node.walker.is_awake(now)
         }
+
+    def _ask(self) -> None:
+        awake = self.awake()
         changed = 0
         for group in self.groups:
             if group.expires_at_s > self.now_s or not awake:
--- a/dragonflystack/steering/tests/test_fleet.py
+++ b/dragonflystack/steering/tests/test_fleet.py
@@ -121,3 +121,21 @@
     assert found > fleets.CAP
     apart = steering.distance(moved, stayed)
     assert found <= IN_TOUCH + handed_over * apart
+
+
+def test_half_the_vms_wake_from_a_long_pause_at_once():
+    fleet = fleets.Fleet(4, random.Random(2))
+
+    def pick() -> int:
+        return fleet.rng.choice(sorted(fleet.awake()))
+
+    fleet.pick = pick
+    for _ in range(20):
+        fleet.tick()
+    fleet.slots = {**fleet.slots, A: 0}
+    for name in (0, 2):
+        fleet.pause(name, 150)
+    for _ in range(360):
+        fleet.tick()
+    assert fleet.awake() == {0, 1, 2, 3}
+    assert 0.05 < fleet.largest_gain(SETTLED_S) <= fleets.CAP
