--- a/dragonflystack/backends/_settings.py
+++ b/dragonflystack/backends/_settings.py
@@ -30,6 +30,9 @@
     min_silence: datetime.timedelta = _ms(250)
     """Started work is never given up sooner, but for its deadline."""
 
+    max_tick_lateness: datetime.timedelta = _ms(100)
+    """Silence noticed later than this shows a pause of this VM."""
+
     cancel_grace: datetime.timedelta = _ms(100)
     """How long after its deadline abandoned work may still hold a slot."""
 
@@ -61,7 +64,7 @@
     """At most this part of the backend servers is ejected at once."""
 
     ramp_answers: int = 2
-    """Good answers in a row after which a ramping limit grows by a slot."""
+    """Good answers since a failure after which the limit grows by a slot."""
 
     ramp_slowness: float = 3.0
     """An answer is good if it took at most this many mean service times."""
--- a/dragonflystack/daemon/_callers.py
+++ b/dragonflystack/daemon/_callers.py
@@ -9,6 +9,7 @@
 from dragonflystack import forwarding
 from dragonflystack import ids
 from dragonflystack import outcomes
+from dragonflystack import steering
 from dragonflystack.daemon import _exchange
 from dragonflystack.daemon import _forwarding
 from dragonflystack.daemon import _look_up
@@ -16,6 +17,7 @@
 
 _STEER_PATH = "/v1/steer"
 _SERVICE_PREFIX = "/s/"
+_JSON_HEADERS = [(b"content-type", b"application/json")]
 _STATUS_OF = {
     outcomes.RequestOutcome.NOT_RUN: 503,
     outcomes.RequestOutcome.UNKNOWN: 504,
@@ -33,13 +35,14 @@
 
 def make_app(node: _node.Node, forwarder: _forwarding.Forwarder) -> _asgi.App:
     """Returns the ASGI app of the callers' port."""
+    encoder = _look_up.Encoder()
 
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         path = scope["path"]
         if path == _STEER_PATH:
-            await _on_look_up(node, scope, send)
+            await _on_look_up(node, encoder, scope, send)
         elif path.startswith(_SERVICE_PREFIX):
             await _on_request(node, forwarder, scope, receive, send)
         else:
@@ -49,13 +52,16 @@
 
 
 def _service(node: _node.Node, name: str) -> config.Service | None:
-    if node.document is None:
+    if node.document is None or not node.may_serve():
         return None
     return node.document.services.get(ids.ServiceId(name))
 
 
 async def _on_look_up(
-    node: _node.Node, scope: _asgi.Scope, send: _asgi.Send
+    node: _node.Node,
+    encoder: _look_up.Encoder,
+    scope: _asgi.Scope,
+    send: _asgi.Send,
 ) -> None:
     query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
     name = query.get("service", [""])[0]
@@ -64,16 +70,43 @@
         await _send_no_service(node, send, name)
         return
     node.metrics.count("look-up")
-    await _asgi.send_json(send, _look_up.answer(node, node.document, service))
+    client = query.get("client", [scope["client"][0]])[0]
+    try:
+        answer = _look_up.find(node, service.id, client)
+    except steering.InvalidAddressError as exc:
+        headers = [_outcome_header("not-run")]
+        await _asgi.send_problem(
+            send, 400, "no IP address", str(exc), headers=headers
+        )
+        return
+    if isinstance(answer, steering.Answer):
+        body = encoder.encode(service.id, answer)
+        await _asgi.send_bytes(send, 200, _JSON_HEADERS, body)
+        return
+    await _send_refusal(node, send, answer)
+
+
+async def _send_refusal(
+    node: _node.Node, send: _asgi.Send, refusal: steering.Refusal
+) -> None:
+    node.metrics.count("look-up-refused")
+    seconds = math.ceil(refusal.retry_after.total_seconds())
+    headers = [
+        (b"retry-after", b"%d" % seconds),
+        _outcome_header("not-run"),
+    ]
+    await _asgi.send_problem(
+        send, 503, "no region may take this caller now", headers=headers
+    )
 
 
 async def _send_no_service(
     node: _node.Node, send: _asgi.Send, name: str
 ) -> None:
-    if node.document is None:
+    if not node.may_serve():
         headers = [(b"retry-after", b"1"), _outcome_header("not-run")]
         await _asgi.send_problem(
-            send, 503, "no configuration yet", headers=headers
+            send, 503, "configuration not in force here", headers=headers
         )
         return
     headers = [_outcome_header("not-run")]
@@ -113,6 +146,8 @@
         )
         return
     start = node.clock.monotonic()
+    if node.steering_state is not None:
+        node.steering_state.on_request(service.id, start)
     node.in_flight += 1
     try:
         reply = await forwarder.forward(service, *asked, gone=receive)
--- a/dragonflystack/daemon/_daemons.py
+++ b/dragonflystack/daemon/_daemons.py
@@ -1,15 +1,23 @@
 """The daemons' port: works and relayed requests of other entry VMs."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
+
 from dragonflystack import _asgi
 from dragonflystack.daemon import _forwarding
 from dragonflystack.daemon import _forwarding_codec
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _peers
+from dragonflystack.daemon import _steering
 
 _MAX_MESSAGE_BYTES = 64 * 1_048_576
 _CONTENT_TYPE = ((b"content-type", b"application/vnd.apache.thrift.binary"),)
 
 
+_Handler = Callable[[bytes, _asgi.Receive, _asgi.Send], Awaitable[None]]
+
+
 def make_app(node: _node.Node, forwarder: _forwarding.Forwarder) -> _asgi.App:
     """Returns the ASGI app of the daemons' port."""
 
@@ -34,7 +42,11 @@
             data = _forwarding_codec.encode_reply(reply)
             await _asgi.send_bytes(send, 200, _CONTENT_TYPE, data)
 
-    routes = {_peers.WORK_PATH: on_work, _peers.RELAY_PATH: on_relay}
+    routes: dict[str, _Handler] = {
+        _peers.WORK_PATH: on_work,
+        _peers.RELAY_PATH: on_relay,
+        _peers.STEERING_PATH: functools.partial(_on_steering, node),
+    }
 
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
@@ -58,3 +70,11 @@
             await _asgi.send_problem(send, 400, "malformed message", str(exc))
 
     return app
+
+
+async def _on_steering(
+    node: _node.Node, body: bytes, receive: _asgi.Receive, send: _asgi.Send
+) -> None:
+    del receive
+    _steering.on_report(node, body)
+    await _asgi.send_bytes(send, 200, _CONTENT_TYPE, b"")
