--- a/dragonflystack/daemon/_peers.py
+++ b/dragonflystack/daemon/_peers.py
@@ -15,6 +15,7 @@
 
 WORK_PATH = "/v1/work"
 RELAY_PATH = "/v1/relay"
+STEERING_PATH = "/v1/steering"
 _OK = 200
 _MAX_IDLE = datetime.timedelta(seconds=5)
 _MAX_IDLE_NOT_IDEMPOTENT = datetime.timedelta(milliseconds=500)
@@ -79,6 +80,11 @@
         except _forwarding_codec.MalformedMessageError as exc:
             return _failed(outcomes.Step.RECEIVE, holder, exc, True).failure
 
+    async def tell_steering(self, vm: ids.VmId, report: bytes) -> bool:
+        """Sends a steering report and returns whether it arrived."""
+        result = await self._call(vm, STEERING_PATH, report, True)
+        return not isinstance(result, forwarding.Failed)
+
     async def aclose(self) -> None:
         """Closes all connections."""
         for idle in self._idle.values():
--- a/dragonflystack/steering/tests/test_walk.py
+++ b/dragonflystack/steering/tests/test_walk.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 import pytest
@@ -13,12 +14,13 @@
     documents.document().services[documents.GALLERY].shift_cap,
     documents.document().fleet,
 )
-WALK = BUDGET.walk + 1e-9
+WALK = BUDGET.walk(all_heard=True) + 1e-9
 REST = 0.04
 """How far from its target a walk may come to rest."""
 DEMAND = {A: 50.0, B: 10.0, C: 10.0}
 SLOTS = {A: 10, B: 10, C: 10}
 NORMAL = documents.measurements(DEMAND, SLOTS)
+HALF_TARGET = steering.Shares({A: 0.36, B: 0.32, C: 0.32})
 HALF = documents.measurements(DEMAND, {**SLOTS, A: 2})
 
 
@@ -58,7 +60,7 @@
 def _view(shares, *, heard=1, newest_s=0.0, target=None):
     one = steering.CellSummary.of_one(shares, target or shares, True)
     return steering.PeerView(
-        {CELL: one}, heard, heard, documents.seconds(newest_s)
+        {CELL: one}, heard, heard, 0, documents.seconds(newest_s)
     )
 
 
@@ -111,9 +113,16 @@
     assert driver.path[-1] == used
 
 
+def test_a_fleet_of_starters_does_not_wait():
+    driver = Driver()
+    view = steering.PeerView({}, 0, 3, 3, documents.seconds(0.5))
+    driver.run(TICK_S, NORMAL, view)
+    assert driver.walker.is_ready
+
+
 def test_a_joiner_waits_for_those_listed():
     driver = Driver()
-    silent = steering.PeerView({}, 0, 3, documents.seconds(0))
+    silent = steering.PeerView({}, 0, 3, 0, documents.seconds(0))
     driver.run(1.5, NORMAL, silent)
     assert not driver.walker.is_ready
     driver.run(2, NORMAL, silent)
@@ -135,7 +144,7 @@
 def test_one_that_hears_nobody_stays():
     driver = Driver()
     driver.run(5, NORMAL)
-    silent = steering.PeerView({}, 0, 3, documents.seconds(0))
+    silent = steering.PeerView({}, 0, 3, 0, documents.seconds(0))
     assert driver.run(60, HALF, silent).of(A) == 1.0
 
 
@@ -209,7 +218,7 @@
     driver.now_s += 1.4
     after = driver.run(TICK_S, HALF)
     moved = steering.distance(before, after)
-    assert 0 < moved <= BUDGET.pace_per_s * 1.0 + 1e-9
+    assert 0 < moved <= BUDGET.pace_per_s(True) * 1.0 + 1e-9
 
 
 def test_what_was_moved_before_counts_under_a_lower_cap():
@@ -253,6 +262,38 @@
     assert (driver.run(5, measured, others).of(B) > 0) == moves
 
 
+def test_walks_more_slowly_while_some_are_out_of_touch():
+    driver = Driver()
+    driver.run(5, NORMAL)
+    all_heard = _view(steering.Shares({A: 1.0}), target=HALF_TARGET)
+    some = dataclasses.replace(all_heard, listed=2)
+    before = len(driver.path)
+    driver.run(2, HALF, all_heard)
+    middle = len(driver.path)
+    driver.run(2, HALF, some)
+    fast = _walked(driver.path[before - 1 : middle])
+    slow = _walked(driver.path[middle - 1 :])
+    assert fast == pytest.approx(2 * BUDGET.pace_per_s(True))
+    assert slow == pytest.approx(2 * BUDGET.pace_per_s(False))
+
+
+def test_a_leaving_region_is_left_to_the_last_caller():
+    driver = Driver()
+    used = steering.Shares({A: 0.97, B: 0.03})
+    driver.run(TICK_S, NORMAL, _view(used, newest_s=TICK_S))
+    driver.walker.on_document(documents.document(leaving=(B,)))
+    assert driver.run(20, NORMAL).of(B) == 0
+
+
+def test_others_who_have_not_heard_of_a_failure_are_not_far():
+    driver = Driver()
+    driver.run(5, NORMAL)
+    down = documents.measurements(DEMAND, SLOTS, down=(A,))
+    late = _view(steering.Shares({A: 1.0}), target=steering.Shares({B: 1.0}))
+    assert driver.run(2, down, late).of(B) > 0
+    assert driver.walker.status()[0].is_near
+
+
 def test_no_step_fills_a_link():
     driver = Driver(documents.document(mbit_s=0.2))
     driver.run(5, NORMAL)
--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -121,7 +121,12 @@
         local = fleet.LocalFleet(folder, first_port, document)
         try:
             in_force_s = start(local, experiment, folder)
-            seen = anyio.run(_run_load, local, experiment)
+            seen = anyio.run(
+                _run_load,
+                local,
+                experiment,
+                backend_options={"use_uvloop": True},
+            )
             seen.runs = local.runs()
         finally:
             local.stop()
@@ -146,13 +151,14 @@
         lambda: set(local.versions().values()) == {1}, "document in force"
     )
     fleet.wait_until(local.all_see_all, "members")
+    fleet.wait_until(local.all_ready, "ready")
     return in_force_s
 
 
 def _apply(local: fleet.LocalFleet, path: pathlib.Path) -> None:
     vm = next(iter(local.vms.values()))
-    command = [sys.executable, "-m", "dragonflystack.cli", "config-apply"]
-    options = ["--base", "0", "--vm-url", vm.operators_url]
+    command = [sys.executable, "-m", "dragonflystack.cli", "config", "init"]
+    options = ["--vm-url", vm.operators_url]
     options += ["--token", fleet.TEAM_TOKEN]
     subprocess.run(
         [*command, str(path), *options], check=True, stdout=subprocess.DEVNULL
