--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -23,7 +23,7 @@
 from dragonflystack.daemon import _settings
 
 CLAIM_TABLE = "claims"
-_IDLE_SLEEP = datetime.timedelta(milliseconds=100)
+_IDLE_SLEEP = datetime.timedelta(milliseconds=200)
 _BUSY_SLEEP = datetime.timedelta(milliseconds=10)
 _WATCH_AFTER_S = 0.02
 _NO_MAX_BODY_BYTES = 1_048_576
