--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -60,15 +60,15 @@
     )
     """Parts of the dump that other modules add, by name."""
 
-    may_serve: Callable[[], bool] = lambda: False
-    """Whether a request of a caller may be decided now."""
-
     steering_state: steering.Steering | None = None
     """Decides the answers to look-ups; None before the first document."""
 
     steering_report: steering.Report | None = None
     """What to tell the other VMs for steering."""
 
+    may_serve: Callable[[], bool] = lambda: False
+    """Whether a request of a caller may be decided now."""
+
     in_flight: int = 0
     """Requests of callers and other VMs that have no answer yet."""
 
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -74,8 +74,8 @@
 
 async def _on_ready(node, scope, receive, send) -> None:
     state = node.steering_state
-    steers = state is not None and state.is_ready
-    ready = steers and node.may_serve() and not node.leaving
+    answers = state is not None and state.is_ready
+    ready = answers and node.may_serve() and not node.leaving
     status = 200 if ready else 503
     await _asgi.send_json(send, {"vm": node.vm, "ready": ready}, status)
 
