--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -25,6 +25,7 @@
 DESCRIPTION = "slopes of control work, and the target worked out from them"
 
 _FLEET = pathlib.Path("docs/figures/fleet.json")
+_EXCHANGE = pathlib.Path("docs/figures/capacity_exchange.json")
 _VMS = 1_400
 _DOMAINS = 34
 _REGIONS = 10
@@ -42,7 +43,12 @@
 def run(seed: int) -> Sequence[figures.Figure]:
     """Returns the slopes, then the target."""
     del seed
-    return (*_view_figures(), *_document_figures(), *_row_figures())
+    return (
+        *_view_figures(),
+        *_document_figures(),
+        *_row_figures(),
+        *_target_figures(),
+    )
 
 
 def _allocated(make: Callable[[], Any]) -> tuple[Any, float]:
@@ -195,7 +201,36 @@
         yield figures.Figure(f"{name}/encode", used * 1e3, "ms")
 
 
-def fleet_figure(name: str) -> float:
-    """Returns the median of a figure of the last kept run of `fleet`."""
-    kept = json.loads(_FLEET.read_text())
-    return kept["figures"][name]["median"]
+def _target_figures() -> Iterator[figures.Figure]:
+    """The tree at the target, with HTTP and TLS, from the kept figures."""
+    if not _FLEET.exists():
+        return
+    idle = f"tree/{_VMS}/loss 0%/idle"
+    around = _kept(_EXCHANGE, "TLS/bytes around")
+    client = _kept(_EXCHANGE, "TLS/client")
+    server = _kept(_EXCHANGE, "TLS/server")
+    for who, exchanges_as_client in (("mean", 1), ("busiest", 0)):
+        exchanges = _kept(_FLEET, f"{idle}/messages {who}") / 2
+        encoded = _kept(_FLEET, f"{idle}/bytes {who}")
+        decided = _kept(_FLEET, f"{idle}/processor {who}")
+        http = client * exchanges_as_client
+        http += server * (exchanges - exchanges_as_client)
+        name = f"target/VM, {who}"
+        yield figures.Figure(f"{name}/exchanges", exchanges, "1/s")
+        yield figures.Figure(
+            f"{name}/bytes", encoded + around * exchanges, "bytes/s"
+        )
+        yield figures.Figure(f"{name}/processor", decided + http, "ms/s")
+    writes = _kept(_FLEET, f"tree/{_VMS}/loss 0%/change/store writes")
+    yield figures.Figure(
+        "target/store/acknowledgement writes",
+        writes * _CHANGES_A_DAY / _DAY_S,
+        "1/s",
+    )
+    reads = _kept(_FLEET, f"{idle}/store reads")
+    yield figures.Figure("target/store/version reads", reads, "1/s")
+
+
+def _kept(path: pathlib.Path, name: str) -> float:
+    """Returns the median of a figure in a kept run."""
+    return json.loads(path.read_text())["figures"][name]["median"]
--- a/benchmarks/capacity_daemon.py
+++ b/benchmarks/capacity_daemon.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 
+from benchmarks import _counting_proxy
 from benchmarks import figures
 from dragonflystack import config
 from standins import experiment
@@ -58,18 +59,24 @@
     )
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        local = fleet.LocalFleet(
-            folder, fleet.free_port_range(_PORTS), document
-        )
-        try:
-            experiment.start(local, chosen, folder)
-            pids = _pids(folder)
-            before = [_processor_seconds(pid) for pid in pids]
-            time.sleep(_SECONDS)
-            after = [_processor_seconds(pid) for pid in pids]
-            memory = [_resident_bytes(pid) for pid in pids]
-        finally:
-            local.stop()
+        first_port = fleet.free_port_range(_PORTS)
+        local = fleet.LocalFleet(folder, first_port, document)
+        proxy = _counting_proxy.CountingProxy(first_port)
+        with proxy.running():
+            local.platform_url = f"http://127.0.0.1:{proxy.port}"
+            try:
+                experiment.start(local, chosen, folder)
+                pids = _pids(folder)
+                proxy.reset()
+                before = [_processor_seconds(pid) for pid in pids]
+                time.sleep(_SECONDS)
+                after = [_processor_seconds(pid) for pid in pids]
+                asked = dict(proxy.requests)
+                passed = proxy.bytes
+                memory = [_resident_bytes(pid) for pid in pids]
+            finally:
+                local.stop()
+    per_vm = _SECONDS * len(pids)
     used = [
         1e3 * (end - start) / _SECONDS
         for start, end in zip(before, after, strict=True)
@@ -78,4 +85,9 @@
         figures.Figure("daemons", len(pids), "count"),
         figures.Figure("processor", statistics.median(used), "ms/s"),
         figures.Figure("resident", statistics.median(memory) / 1e6, "MB"),
+        figures.Figure("platform/bytes a VM", passed / per_vm, "bytes/s"),
+        *(
+            figures.Figure(f"platform/{name} a VM", count / per_vm, "1/s")
+            for name, count in sorted(asked.items())
+        ),
     )
--- a/benchmarks/capacity_exchange.py
+++ b/benchmarks/capacity_exchange.py
@@ -6,8 +6,6 @@
 those of the TCP payload, in both directions, counted by a proxy.
 """
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
 import contextlib
@@ -18,9 +16,9 @@
 import time
 
 import anyio
-import anyio.abc
 import httpcore
 
+from benchmarks import _counting_proxy
 from benchmarks import _keys
 from benchmarks import figures
 from dragonflystack import _asgi
@@ -33,7 +31,6 @@
 _WARM_UP = 100
 _COUNT = 2_000
 _BODY_BYTES = 200
-_READ_BYTES = 65_536
 
 
 async def _app(scope, receive, send) -> None:
@@ -41,30 +38,6 @@
     await _asgi.send_bytes(send, 200, (), body)
 
 
-class _Counter:
-    """Passes bytes on between a client and the server, and counts them."""
-
-    def __init__(self, port: int):
-        self.bytes = 0
-        self._port = port
-
-    async def serve(self, stream: anyio.abc.SocketStream) -> None:
-        """Serves one connection."""
-        out = await anyio.connect_tcp(_HOST, self._port)
-        async with stream, out, anyio.create_task_group() as tasks:
-            tasks.start_soon(self._pump, stream, out, tasks)
-            tasks.start_soon(self._pump, out, stream, tasks)
-
-    async def _pump(self, source, sink, tasks) -> None:
-        try:
-            while True:
-                data = await source.receive(_READ_BYTES)
-                self.bytes += len(data)
-                await sink.send(data)
-        except (anyio.EndOfStream, anyio.BrokenResourceError):
-            tasks.cancel_scope.cancel()
-
-
 async def _exchanges(
     pool: httpcore.AsyncConnectionPool, url: str, count: int
 ) -> None:
@@ -124,27 +97,14 @@
 async def _count_bytes(
     scheme: str, port: int, tls: _peer_tls.PeerTls | None
 ) -> float:
-    counter = _Counter(port)
-    listener = await anyio.create_tcp_listener(local_host=_HOST)
-    proxy = listener.extra(anyio.abc.SocketAttribute.local_port)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_serve, listener, counter.serve)
+    proxy = _counting_proxy.CountingProxy(port)
+    with proxy.running():
         async with _pool(tls) as pool:
-            url = f"{scheme}://{_HOST}:{proxy}/"
+            url = f"{scheme}://{_HOST}:{proxy.port}/"
             await _exchanges(pool, url, _WARM_UP)
-            before = counter.bytes
+            proxy.reset()
             await _exchanges(pool, url, _WARM_UP)
-            sent = counter.bytes - before
-        tasks.cancel_scope.cancel()
-    return sent / _WARM_UP
-
-
-async def _serve(
-    listener: anyio.abc.Listener,
-    handler: Callable[[anyio.abc.SocketStream], Awaitable[None]],
-) -> None:
-    async with listener:
-        await listener.serve(handler)
+            return proxy.bytes / _WARM_UP
 
 
 def run(seed: int) -> Sequence[figures.Figure]:
