--- a/benchmarks/lookup.py
+++ b/benchmarks/lookup.py
@@ -53,11 +53,11 @@
     vms = [
         steering.EntryVm(
             ids.VmId(f"vm-{i}"),
-            ids.Incarnation(f"inc-{i}"),
             "192.0.2.1",
             8000,
             ids.FailureDomainId(f"fd-{i % _FAILURE_DOMAINS}"),
             regions[i % _FAILURE_DOMAINS % _REGIONS],
+            f"vm-{i}.",
         )
         for i in range(_VMS)
     ]
--- a/dragonflystack/daemon/_look_up.py
+++ b/dragonflystack/daemon/_look_up.py
@@ -1,85 +1,65 @@
 """Answers look-ups of callers: which entry VMs serve a service."""
 
-from collections.abc import Iterable
-from collections.abc import Mapping
-import random
+import datetime
 from typing import Any
 
-from dragonflystack import config
+import msgspec
+
 from dragonflystack import ids
+from dragonflystack import steering
 from dragonflystack.daemon import _node
 
-_RANKED = 3
+_MOST_KEPT = 4_096
+_NOT_STARTED = steering.Refusal(datetime.timedelta(seconds=1))
 
 
-def answer(
-    node: _node.Node,
-    document: config.Document,
-    service: config.Service,
-    slots: Mapping[ids.VmId, int],
-) -> dict[str, Any]:
-    """Returns the look-up answer for a caller of this VM's region.
+class Encoder:
+    """Keeps the JSON text of answers, which many callers share."""
 
-    Args:
-        node: the state of this daemon.
-        document: the document in force.
-        service: the service asked for.
-        slots: the slots of the service that each VM owns.
-    """
-    region = _serving_region(node, service)
-    members = [m for m in node.members.values() if not m.leaving]
-    local = [
-        m for m in members if document.region_of.get(m.failure_domain) == region
-    ]
-    ranked = rank(local or members, slots, node.rng)
-    return {
-        "service": service.id,
-        "version": node.version,
-        "ttl_s": document.fleet.answer_ttl_s,
-        "vms": [_ranked_vm(member) for member in ranked[:_RANKED]],
-    }
+    def __init__(self):
+        self._kept: dict[steering.Answer, bytes] = {}
 
+    def encode(self, service: ids.ServiceId, answer: steering.Answer) -> bytes:
+        """Returns the answer to a look-up as JSON text."""
+        body = self._kept.get(answer)
+        if body is None:
+            if len(self._kept) >= _MOST_KEPT:
+                self._kept.clear()
+            body = msgspec.json.encode(_as_json(service, answer))
+            self._kept[answer] = body
+        return body
 
-def rank(
-    members: Iterable[_node.Member],
-    slots: Mapping[ids.VmId, int],
-    rng: random.Random,
-) -> list[_node.Member]:
-    """Returns VMs in the order in which a caller is to try them.
 
-    Those that own slots come first, more often the more they own, because they
-    need no other VM. The second is in another failure domain than the first
-    where there is one.
+def find(
+    node: _node.Node, service: ids.ServiceId, client: str
+) -> steering.Answer | steering.Refusal:
+    """Returns the answer for a client address.
 
-    Source: Pavlos S. Efraimidis and Paul G. Spirakis, "Weighted random
-    sampling with a reservoir", Information Processing Letters 97(5), 2006.
+    Raises:
+        steering.InvalidAddressError: if `client` is no IP address.
     """
+    if node.steering_state is None:
+        return _NOT_STARTED
+    now = node.clock.monotonic()
+    return node.steering_state.look_up(service, client, now)
 
-    def place(member: _node.Member) -> tuple[bool, float]:
-        owned = slots.get(member.vm, 0)
-        return owned > 0, rng.random() ** (1 / max(1, owned))
 
-    ranked = sorted(members, key=place, reverse=True)
-    for i, member in enumerate(ranked):
-        if member.failure_domain != ranked[0].failure_domain:
-            ranked.insert(1, ranked.pop(i))
-            break
-    return ranked
-
-
-def _serving_region(
-    node: _node.Node, service: config.Service
-) -> ids.RegionId | None:
-    if node.region in service.allowed_regions:
-        return node.region
-    return service.allowed_regions[0]
+def _as_json(service: ids.ServiceId, answer: steering.Answer) -> dict[str, Any]:
+    return {
+        "service": service,
+        "version": answer.version,
+        "ttl_s": answer.ttl.total_seconds(),
+        "region": answer.ranking.region,
+        "vms": [_ranked_vm(ranked) for ranked in answer.ranking.vms],
+    }
 
 
-def _ranked_vm(member: _node.Member) -> dict[str, Any]:
+def _ranked_vm(ranked: steering.RankedVm) -> dict[str, Any]:
+    entry = ranked.entry
     return {
-        "vm": member.vm,
-        "host": member.callers.host,
-        "port": member.callers.port,
-        "weight": 1.0,
-        "key_prefix": member.key_prefix,
+        "vm": entry.vm,
+        "host": entry.host,
+        "port": entry.port,
+        "weight": ranked.weight,
+        "key_prefix": entry.key_prefix,
     }
--- a/dragonflystack/daemon/_ownership.py
+++ b/dragonflystack/daemon/_ownership.py
@@ -9,7 +9,9 @@
 from dragonflystack import forwarding
 from dragonflystack import ids
 
-_SHARD_SIZE = 2
+SHARD_SIZE = 2
+"""Most backend servers in a shard."""
+
 _SAME_REGION = datetime.timedelta(milliseconds=0.5)
 
 
@@ -23,9 +25,6 @@
     owned: dict[ids.ServiceId, tuple[config.BackendServer, ...]]
     """The backend servers that this VM owns."""
 
-    slots: dict[ids.ServiceId, dict[ids.VmId, int]]
-    """The slots that each VM owns, in all regions."""
-
 
 def work_out(
     document: config.Document,
@@ -48,7 +47,6 @@
             by_region.setdefault(region, []).append(vm)
     owners: dict[ids.ServiceId, tuple[forwarding.OwnerHint, ...]] = {}
     owned: dict[ids.ServiceId, tuple[config.BackendServer, ...]] = {}
-    slots_of: dict[ids.ServiceId, dict[ids.VmId, int]] = {}
     for service_id, service in document.services.items():
         found: dict[ids.RegionId, dict[ids.VmId, int]] = {}
         mine: list[config.BackendServer] = []
@@ -56,7 +54,7 @@
             live = by_region.get(region, [])
             slots: dict[ids.VmId, int] = {}
             for shard in backends.shards_of(
-                document, service_id, region, _SHARD_SIZE
+                document, service_id, region, SHARD_SIZE
             ):
                 owner = backends.owner_of(shard, live)
                 if owner is None:
@@ -69,10 +67,7 @@
                 found[region] = slots
         owned[service_id] = tuple(mine)
         owners[service_id] = _hints(document, own_region, found)
-        slots_of[service_id] = {
-            vm: count for slots in found.values() for vm, count in slots.items()
-        }
-    return Ownership(owners, owned, slots_of)
+    return Ownership(owners, owned)
 
 
 def _hints(
--- a/dragonflystack/steering/tests/test_answers.py
+++ b/dragonflystack/steering/tests/test_answers.py
@@ -17,11 +17,11 @@
 def _vm(name, domain, region):
     return steering.EntryVm(
         ids.VmId(name),
-        ids.Incarnation("i" + name),
         "127.0.0.1",
         8000,
         ids.FailureDomainId(domain),
         region,
+        f"{name}.key.",
     )
 
 
@@ -40,8 +40,8 @@
 }
 
 
-def _table(shares, vms=VMS):
-    table = steering.AnswerTable(vms, OWNED, 5 * SECOND, ids.DocumentVersion(4))
+def _table(shares, vms=VMS, owned=OWNED):
+    table = steering.AnswerTable(vms, owned, 5 * SECOND, ids.DocumentVersion(4))
     table.set_shares(CELL, steering.Shares(shares), RETRY)
     return table
 
@@ -94,7 +94,7 @@
     assert answer.ttl == 5 * SECOND
     assert answer.version == 4
     first = answer.ranking.vms[0].entry
-    assert first.key_prefix == f"{first.vm}.i{first.vm}."
+    assert first.key_prefix == f"{first.vm}.key."
 
 
 def test_owners_come_first_by_their_slots():
@@ -106,8 +106,9 @@
     assert first["a1"] / len(CALLERS) == pytest.approx(2 / 3, abs=0.03)
 
 
-def test_the_second_is_in_another_failure_domain():
-    table = _table({A: 0.5, B: 0.5})
+@pytest.mark.parametrize("owned", [OWNED, {}])
+def test_the_second_is_in_another_failure_domain(owned):
+    table = _table({A: 0.5, B: 0.5}, owned=owned)
     for caller in CALLERS[:500]:
         vms = _answer(table, caller).ranking.vms
         assert vms[0].entry.failure_domain != vms[1].entry.failure_domain
