--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -5,36 +5,28 @@
 import dataclasses
 import datetime
 import functools
-import hashlib
 import itertools
+import operator
 
 import anyio
 import anyio.abc
-import msgspec
 
 from dragonflystack import config
 from dragonflystack import forwarding
 from dragonflystack import ids
-from dragonflystack import platform
+from dragonflystack.daemon import _claim_rows
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _ownership
 from dragonflystack.daemon import _peers
 from dragonflystack.daemon import _pools
 from dragonflystack.daemon import _settings
 
-CLAIM_TABLE = "claims"
 _IDLE_SLEEP = datetime.timedelta(milliseconds=200)
 _BUSY_SLEEP = datetime.timedelta(milliseconds=10)
 _WATCH_AFTER_S = 0.02
 _NO_MAX_BODY_BYTES = 1_048_576
 
 
-class _ClaimRow(msgspec.Struct, frozen=True):
-    claim: str
-    vm: str
-    incarnation: str
-
-
 @dataclasses.dataclass(slots=True)
 class _Waiting:
     """A call that has no final word yet."""
@@ -63,7 +55,8 @@
         self._waiting: dict[forwarding.CallId, _Waiting] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._ownership = _ownership.Ownership({}, {})
-        self._ownership_inputs: object = None
+        self._ownership_inputs: tuple[object, ...] = ()
+        self._ownership_view: object = None
         self._poke = anyio.Event()
         self._wakes_at = datetime.timedelta()
         node.key_prefix = self._engine.key_prefix
@@ -84,6 +77,7 @@
         self, service: ids.ServiceId
     ) -> tuple[forwarding.OwnerHint, ...]:
         """Returns the VMs that may run a request for a service."""
+        self._follow_ownership()
         hints = self._ownership.owners.get(service, ())
         own = self._node.vm
         busy = self._pools.busy(service)
@@ -183,6 +177,7 @@
         self, work: forwarding.Work, gone: Callable[[], object]
     ) -> forwarding.WorkResult | None:
         """Runs a work for another VM; returns None if that VM left."""
+        self._follow_ownership()
         done = anyio.Event()
         results: list[forwarding.WorkResult] = []
 
@@ -214,9 +209,13 @@
         return None if member is None else member.daemons
 
     def _follow_ownership(self) -> None:
+        """Works out again who owns what if the document or the VMs changed."""
         node = self._node
-        if node.document is None:
+        document = node.document
+        inputs = (document, node.members, node.leaving)
+        if document is None or _are_same(inputs, self._ownership_inputs):
             return
+        self._ownership_inputs = inputs
         vms = {
             member.vm: member.failure_domain
             for member in node.members.values()
@@ -224,15 +223,15 @@
         }
         if not node.leaving:
             vms[node.vm] = node.settings.failure_domain
-        inputs = (node.version, tuple(sorted(vms.items())))
-        if inputs == self._ownership_inputs:
+        view = (node.version, tuple(sorted(vms.items())))
+        if view == self._ownership_view:
             return
-        self._ownership_inputs = inputs
+        self._ownership_view = view
         self._ownership = _ownership.work_out(
-            node.document, node.vm, node.region, vms.items()
+            document, node.vm, node.region, vms.items()
         )
-        self._pools.on_document(node.document, self._ownership.owned)
-        self._engine.on_retry_ratio(node.document.fleet.retry_budget)
+        self._pools.on_document(document, self._ownership.owned)
+        self._engine.on_retry_ratio(document.fleet.retry_budget)
 
     def _next_wake_up(self) -> datetime.timedelta:
         sleep = _BUSY_SLEEP if self._pools.works else _IDLE_SLEEP
@@ -322,54 +321,25 @@
         self._do(actions)
 
     async def _write_claim(self, action: forwarding.WriteClaim) -> None:
-        record = action.record
-        row = _ClaimRow(
-            record.claim, record.holder.vm, record.holder.incarnation
-        )
-        write = platform.Write(
-            CLAIM_TABLE, _row_key(action.key), 0, msgspec.json.encode(row)
-        )
-        written = await self._node.platform.write(write)
-        match written:
-            case platform.Committed():
-                result: forwarding.ClaimResult = forwarding.ClaimHeld(record)
-            case platform.Unavailable():
-                result = forwarding.ClaimTrouble.UNAVAILABLE
-            case platform.Unsure():
-                result = forwarding.ClaimTrouble.LOST
-            case _:
-                result = await self._read_row(action.key)
-        self._on_claim(record.claim, result)
+        result = await _claim_rows.write(self._node.platform, action)
+        self._on_claim(action.record.claim, result)
 
     async def _read_claim(self, action: forwarding.ReadClaim) -> None:
-        result = await self._read_row(action.key)
+        result = await _claim_rows.read(self._node.platform, action.key)
         self._on_claim(action.record.claim, result)
 
-    async def _read_row(self, key: ids.RequestKey) -> forwarding.ClaimResult:
-        row = await self._node.platform.read(CLAIM_TABLE, _row_key(key))
-        if isinstance(row, platform.Unavailable):
-            return forwarding.ClaimTrouble.UNAVAILABLE
-        if row is None:
-            return forwarding.ClaimTrouble.ABSENT
-        found = msgspec.json.decode(row.value, type=_ClaimRow)
-        holder = forwarding.Issuer(
-            ids.VmId(found.vm), ids.Incarnation(found.incarnation)
-        )
-        claim = forwarding.ClaimId(found.claim)
-        return forwarding.ClaimHeld(forwarding.ClaimRecord(claim, holder))
-
     def _on_claim(
         self, claim: forwarding.ClaimId, result: forwarding.ClaimResult
     ) -> None:
         self._do(self._engine.on_claim_result(claim, result, self._now()))
 
 
-def _relay_name(call: forwarding.CallId) -> str:
-    return f"relay {call}"
+def _are_same(left: tuple[object, ...], right: tuple[object, ...]) -> bool:
+    return len(left) == len(right) and all(map(operator.is_, left, right))
 
 
-def _row_key(key: ids.RequestKey) -> str:
-    return hashlib.sha256(key.encode()).hexdigest()
+def _relay_name(call: forwarding.CallId) -> str:
+    return f"relay {call}"
 
 
 async def _wait_unless_gone(
