Let a VM join through one that serves while the store is out

Cause: the decisions to vouch were there and checked by the specification, but no daemon asked; a VM that started in an outage served nobody until its end. Ruled out: taking the document alone from a peer, without a vouch: a version accepted meanwhile would leave the joiner below it. Change: POST /v1/vouch between daemons (thrift); a VM that is not registered for 2 s asks the VMs that it knows, or those named in its settings, every second; one that is behind is offered the document first. Seen to fail first: with no VM willing to vouch, the test with processes waits in vain for the joiner to serve. Left: chunks of client blocks come from the object store only, so that a VM that joins in an outage places every caller in the default site until then.

--- a/dragonflystack/daemon/_configuration.py
+++ b/dragonflystack/daemon/_configuration.py
@@ -4,6 +4,7 @@
 holds the role, writes receipts.
 """
 
+from collections.abc import Mapping
 import datetime
 from typing import Any
 
@@ -47,6 +48,31 @@
         """Returns whether a request may be decided now."""
         return self._permission.may_serve(self._node.clock.monotonic())
 
+    def is_registered(self) -> bool:
+        """Returns whether this VM's registration is in force."""
+        return self._permission.is_registered(self._node.clock.monotonic())
+
+    def on_vouched(self, asked_at: datetime.timedelta) -> None:
+        """Takes note that a registered VM vouches for this one."""
+        self._permission.on_vouched(asked_at)
+
+    def on_vouch_asked(self, asked: config.VouchAsked) -> config.VouchAnswer:
+        """Decides whether this VM vouches for another."""
+        now = self._node.clock.monotonic()
+        registered = self._permission.is_registered(now) and not self._leaving
+        return self._vouches.on_asked(
+            asked, self.adoption.version, registered, now
+        )
+
+    def on_offer(
+        self, head: config.Head, bodies: Mapping[ids.Digest, bytes]
+    ) -> None:
+        """Adopts what another VM has in force, if it is newer and whole."""
+        try:
+            self._adopt_whole(head, bodies)
+        except config.InvalidDocumentError as exc:
+            eliot.log_message("offer_refused", reason=str(exc))
+
     def dump(self) -> dict[str, Any]:
         """Returns the state, for the dump of the daemon."""
         return {
@@ -82,6 +108,11 @@
             body = await self._node.platform.get(digest)
             if isinstance(body, bytes):
                 fetched[digest] = body
+        self._adopt_whole(head, fetched)
+
+    def _adopt_whole(
+        self, head: config.Head, fetched: Mapping[ids.Digest, bytes]
+    ) -> None:
         now = self._node.clock.monotonic()
         if not self.adoption.on_head(head, fetched, now):
             return
--- a/dragonflystack/daemon/_peers.py
+++ b/dragonflystack/daemon/_peers.py
@@ -16,6 +16,7 @@
 WORK_PATH = "/v1/work"
 RELAY_PATH = "/v1/relay"
 STEERING_PATH = "/v1/steering"
+VOUCH_PATH = "/v1/vouch"
 _OK = 200
 _MAX_IDLE = datetime.timedelta(seconds=5)
 _MAX_IDLE_NOT_IDEMPOTENT = datetime.timedelta(milliseconds=500)
@@ -85,6 +86,13 @@
         result = await self._call(vm, STEERING_PATH, report, True)
         return not isinstance(result, forwarding.Failed)
 
+    async def ask_vouch(
+        self, address: _settings.Address, request: bytes
+    ) -> bytes | forwarding.Failed:
+        """Asks the VM at an address to vouch for this one."""
+        name = ids.VmId(str(address))
+        return await self._call_at(address, name, VOUCH_PATH, request, True)
+
     async def aclose(self) -> None:
         """Closes all connections."""
         for idle in self._idle.values():
@@ -98,6 +106,16 @@
         if address is None:
             failure = outcomes.Failure(outcomes.Step.PEER, vm, "no such VM")
             return forwarding.Failed(failure, written=False)
+        return await self._call_at(address, vm, path, message, idempotent)
+
+    async def _call_at(
+        self,
+        address: _settings.Address,
+        vm: ids.VmId,
+        path: str,
+        message: bytes,
+        idempotent: bool,
+    ) -> bytes | forwarding.Failed:
         call = _exchange.Call("POST", f"http://{address}{path}", (), message)
         conn = await self._take(address, idempotent)
         limit_bytes = self._max_body_bytes() + _OVERHEAD_BYTES
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -29,6 +29,7 @@
 from dragonflystack.daemon import _promise_reports
 from dragonflystack.daemon import _settings
 from dragonflystack.daemon import _steering
+from dragonflystack.daemon import _vouching
 
 _DRAIN_POLL_S = 0.05
 _LINGER = datetime.timedelta(seconds=0.5)
@@ -66,6 +67,9 @@
                 for port in ports:
                     servers.start_soon(port.serve)
                 loops.start_soon(configuration.run)
+                loops.start_soon(
+                    _vouching.run, node, configuration, forwarder.peers
+                )
                 _start_loops(loops, node, forwarder)
                 eliot.log_message("daemon_started", callers=str(cfg.callers))
                 await node.stop_asked.wait()
@@ -91,7 +95,7 @@
     )
     ports = (
         (callers_app, cfg.callers),
-        (_daemons.make_app(node, forwarder), cfg.daemons),
+        (_daemons.make_app(node, forwarder, configuration), cfg.daemons),
         (_operators.make_app(node, configuration), cfg.operators),
     )
     return tuple(
--- a/dragonflystack/daemon/_settings.py
+++ b/dragonflystack/daemon/_settings.py
@@ -65,6 +65,9 @@
     team_tokens: dict[ids.TeamId, str] = {}
     """The bearer token of each team of operators."""
 
+    peers: tuple[Address, ...] = ()
+    """Daemons' ports of some other VMs, to ask while the platform is out."""
+
     statsd: Statsd | None = None
     tls: Tls | None = None
     log_file: str | None = None
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -23,6 +23,7 @@
 
 _HOST = "127.0.0.1"
 _POLL_S = 0.02
+_PEERS_IN_SETTINGS = 3
 _FIRST_PORT = 10_000
 _LAST_PORT = 32_000
 TEAM_TOKEN = "stand-in-token"
@@ -200,6 +201,11 @@
             "daemons": {"host": _HOST, "port": vm.daemons_port},
             "operators": {"host": _HOST, "port": vm.operators_port},
             "platform_url": self.platform_url,
+            "peers": [
+                {"host": _HOST, "port": other.daemons_port}
+                for other in self.vms.values()
+                if other.id != vm.id
+            ][:_PEERS_IN_SETTINGS],
             "team_tokens": dict.fromkeys(self._teams(), TEAM_TOKEN),
             "log_file": str(self._folder / f"{vm.id}.log"),
         }
