Withdraw from the configuration before leaving the list of members

Cause: the loop of members wrote the row of a VM again after it was deleted, since the VM still had its permission while its ports were closing. Change: the permission ends and the row is withdrawn first; tries on leaving are bounded to 8, so that an outage delays the exit by seconds only.

--- a/dragonflystack/daemon/_configuration.py
+++ b/dragonflystack/daemon/_configuration.py
@@ -18,7 +18,7 @@
 
 _POLL_S = 0.5
 _ROLE_EVERY = datetime.timedelta(seconds=2)
-_LEAVE_TRIES = 20
+_LEAVE_TRIES = 8
 
 
 class Configuration:
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -67,10 +67,9 @@
                 _start_loops(loops, node, forwarder)
                 eliot.log_message("daemon_started", callers=str(cfg.callers))
                 await node.stop_asked.wait()
-                await _leave(node, forwarder)
+                await _leave(node, forwarder, configuration)
                 for port in ports:
                     port.stop()
-                await configuration.leave()
             await forwarder.aclose()
             loops.cancel_scope.cancel()
         signals.cancel_scope.cancel()
@@ -124,7 +123,11 @@
             node.stop_asked.set()
 
 
-async def _leave(node: _node.Node, forwarder: _forwarding.Forwarder) -> None:
+async def _leave(
+    node: _node.Node,
+    forwarder: _forwarding.Forwarder,
+    configuration: _configuration.Configuration,
+) -> None:
     """Leaves the answers, serves out the cached ones and what is in flight."""
     node.leaving = True
     eliot.log_message("daemon_leaving")
@@ -137,4 +140,5 @@
         await anyio.sleep(_DRAIN_POLL_S)
     forwarder.check_exit()
     await _promise_reports.write(node)
+    await configuration.leave()
     await _members.deregister(node)
