--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -31,6 +31,8 @@
 from dragonflystack.daemon import _steering
 
 _DRAIN_POLL_S = 0.05
+_LINGER = datetime.timedelta(seconds=0.5)
+"""How long late requests still get an answer that refuses them."""
 
 
 def make_node(cfg: _settings.Settings) -> _node.Node:
@@ -135,7 +137,7 @@
     if node.document is not None:
         ttl = node.document.fleet.answer_ttl
     forwarder.begin_stop(node.clock.monotonic() + ttl)
-    await anyio.sleep(ttl.total_seconds())
+    await anyio.sleep((ttl + _LINGER).total_seconds())
     while node.in_flight or not forwarder.may_exit():
         await anyio.sleep(_DRAIN_POLL_S)
     forwarder.check_exit()
