Take over from ended daemons at once, and hand over before a stop

After the kill, the list of VMs named the dead owner for about a second and there was no other owner to try. At the stop, other VMs went on naming the VM for longer than the time to live of an answer, and the VM gave up its backend servers before the others had taken them over. Change: a VM whose host refuses connections (nothing listens) is left out of the view of owners for 3 s; the owners of a request are asked for again before each try; a leaving VM keeps its backend servers for 1 s and takes new work for 1.5 s longer than the time to live. Ruled out: taking over on silence; during a cut two VMs would count the same slots for as long as it lasts.

--- a/benchmarks/_soak_callers.py
+++ b/benchmarks/_soak_callers.py
@@ -108,7 +108,7 @@
         def arrive() -> None:
             start = self._schedule.instant
             lasting = _soak_fakes.seconds(deadline_s)
-            owners = self._owners(order.service.id)
+            owners = functools.partial(self._owners, order.service.id)
             at_vm = dataclasses.replace(req, deadline=start + lasting)
             vm.on_request(at_vm, owners, report)
 
--- a/benchmarks/_soak_vm.py
+++ b/benchmarks/_soak_vm.py
@@ -136,7 +136,7 @@
     def on_request(
         self,
         request: forwarding.Request,
-        owners: list[forwarding.OwnerHint],
+        owners: forwarding.Owners,
         report: Callable[[forwarding.Reply], None],
     ) -> None:
         """Takes a request of a caller or of a relaying VM."""
@@ -376,7 +376,8 @@
                 relayed=True,
                 deadline=self._schedule.instant + action.time_left,
             )
-            target.on_request(req, self._owners(req.service), reply)
+            owners = functools.partial(self._owners, req.service)
+            target.on_request(req, owners, reply)
 
         self._call(source, target, PeerCall(result, lost), arrive)
 
--- a/benchmarks/tests/test_soak.py
+++ b/benchmarks/tests/test_soak.py
@@ -12,7 +12,7 @@
 from dragonflystack.forwarding import _key_ledger
 from dragonflystack.forwarding import _runner
 
-_STEPS = 5_000
+_STEPS = 8_000
 _SEEDS = (1, 2, 3)
 _CHECKED = (
     "region-capacity",
--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -23,6 +23,10 @@
 
 _IDLE_SLEEP = datetime.timedelta(milliseconds=200)
 _BUSY_SLEEP = datetime.timedelta(milliseconds=10)
+_HAND_OVER = datetime.timedelta(seconds=1)
+"""How long a VM that leaves still owns what the others take over from it."""
+
+_UNREACHABLE = datetime.timedelta(seconds=3)
 _WATCH_AFTER_S = 0.02
 _NO_MAX_BODY_BYTES = 1_048_576
 
@@ -49,12 +53,17 @@
             tasks, node.clock, node.ledger, self._max_body_bytes
         )
         self._peers = _peers.Peers(
-            node.clock, self._locate, self._max_body_bytes
+            node.clock,
+            self._locate,
+            self._max_body_bytes,
+            self._on_unreachable,
         )
+        self._unreachable: dict[ids.VmId, datetime.timedelta] = {}
         self._calls = itertools.count(1)
         self._waiting: dict[forwarding.CallId, _Waiting] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._ownership = _ownership.Ownership({}, {})
+        self._owns_until: datetime.timedelta | None = None
         self._ownership_inputs: tuple[object, ...] = ()
         self._ownership_view: object = None
         self._poke = anyio.Event()
@@ -91,6 +100,7 @@
     async def run(self) -> None:
         """Wakes the engine and the pools when they want it, for ever."""
         while True:
+            self._forget_unreachable()
             self._follow_ownership()
             self._pools.tick()
             self._do(self._engine.on_tick(self._now()))
@@ -108,6 +118,7 @@
     def begin_stop(self, last_named: datetime.timedelta) -> None:
         """Takes new work only until an instant from now on."""
         self._engine.on_drain(last_named)
+        self._owns_until = self._now() + _HAND_OVER
 
     def may_exit(self) -> bool:
         """Whether all that was in flight has ended."""
@@ -161,7 +172,7 @@
         """Runs a request; see `forward`."""
         waiting = _Waiting(anyio.Event())
         self._waiting[request.call] = waiting
-        owners = self.owners(request.service)
+        owners = functools.partial(self.owners, request.service)
         self._do(self._engine.on_request(request, owners, self._now()))
         self._node.key_prefix = self._engine.key_prefix
         try:
@@ -208,20 +219,36 @@
         member = self._node.members.get(vm)
         return None if member is None else member.daemons
 
+    def _on_unreachable(self, vm: ids.VmId) -> None:
+        """Leaves a VM out that refuses connections: its daemon has ended.
+
+        The list of VMs says so too, but later.
+        """
+        self._unreachable[vm] = self._now() + _UNREACHABLE
+        self._ownership_inputs = ()
+
+    def _forget_unreachable(self) -> None:
+        now = self._now()
+        over = [vm for vm, until in self._unreachable.items() if until <= now]
+        for vm in over:
+            del self._unreachable[vm]
+            self._ownership_inputs = ()
+
     def _follow_ownership(self) -> None:
         """Works out again who owns what if the document or the VMs changed."""
         node = self._node
         document = node.document
-        inputs = (document, node.members, node.leaving)
+        may_own = self._owns_until is None or self._now() < self._owns_until
+        inputs = (document, node.members, may_own)
         if document is None or _are_same(inputs, self._ownership_inputs):
             return
         self._ownership_inputs = inputs
         vms = {
             member.vm: member.failure_domain
             for member in node.members.values()
-            if not member.leaving
+            if not member.leaving and member.vm not in self._unreachable
         }
-        if not node.leaving:
+        if may_own:
             vms[node.vm] = node.settings.failure_domain
         view = (node.version, tuple(sorted(vms.items())))
         if view == self._ownership_view:
--- a/dragonflystack/daemon/_peers.py
+++ b/dragonflystack/daemon/_peers.py
@@ -37,8 +37,17 @@
         now: clock.Clock,
         locate: Locate,
         max_body_bytes: Callable[[], int],
+        on_refused: Callable[[ids.VmId], None],
     ):
-        """Takes where VMs are found and the bound on an answer's body."""
+        """Takes what it needs to know and whom to tell.
+
+        Args:
+            now: the clock.
+            locate: where a VM is found.
+            max_body_bytes: tells the bound on an answer's body.
+            on_refused: told when nothing listens on a VM's port.
+        """
+        self._on_refused = on_refused
         self._clock = now
         self._locate = locate
         self._max_body_bytes = max_body_bytes
@@ -104,6 +113,8 @@
         try:
             answer = await _exchange.exchange(conn, call, limit_bytes)
         except _exchange.UNSENT_ERRORS as exc:
+            if _is_refused(exc):
+                self._on_refused(vm)
             return _failed(outcomes.Step.CONNECT, vm, exc, written=False)
         except (*_exchange.BROKEN_ERRORS, _exchange.AnswerTooLargeError) as exc:
             return _failed(outcomes.Step.RECEIVE, vm, exc, written=True)
@@ -137,6 +148,15 @@
             await conn.aclose()
 
 
+def _is_refused(exc: BaseException | None) -> bool:
+    """Whether the other host said that nothing listens there."""
+    while exc is not None:
+        if isinstance(exc, ConnectionRefusedError):
+            return True
+        exc = exc.__cause__
+    return False
+
+
 def _failed(
     step: outcomes.Step, vm: ids.VmId, exc: Exception, written: bool
 ) -> forwarding.Failed:
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -31,6 +31,9 @@
 from dragonflystack.daemon import _steering
 
 _DRAIN_POLL_S = 0.05
+_NAMING_LAG = datetime.timedelta(seconds=1.5)
+"""How long the other VMs may still name a VM that has begun to leave."""
+
 _LINGER = datetime.timedelta(seconds=0.5)
 """How long late requests still get an answer that refuses them."""
 
@@ -133,8 +136,9 @@
     ttl = datetime.timedelta()
     if node.document is not None:
         ttl = node.document.fleet.answer_ttl
-    forwarder.begin_stop(node.clock.monotonic() + ttl)
-    await anyio.sleep((ttl + _LINGER).total_seconds())
+    named = _NAMING_LAG + ttl
+    forwarder.begin_stop(node.clock.monotonic() + named)
+    await anyio.sleep((named + _LINGER).total_seconds())
     while node.in_flight or not forwarder.may_exit():
         await anyio.sleep(_DRAIN_POLL_S)
     forwarder.check_exit()
--- a/dragonflystack/forwarding/__init__.py
+++ b/dragonflystack/forwarding/__init__.py
@@ -39,6 +39,7 @@
 from dragonflystack.forwarding._messages import Headers
 from dragonflystack.forwarding._messages import Issuer
 from dragonflystack.forwarding._messages import OwnerHint
+from dragonflystack.forwarding._messages import Owners
 from dragonflystack.forwarding._messages import Payload
 from dragonflystack.forwarding._messages import ReadClaim
 from dragonflystack.forwarding._messages import Refused
@@ -75,6 +76,7 @@
     "Issuer",
     "Limits",
     "OwnerHint",
+    "Owners",
     "Payload",
     "ReadClaim",
     "Refused",
--- a/dragonflystack/forwarding/_engine.py
+++ b/dragonflystack/forwarding/_engine.py
@@ -6,7 +6,6 @@
 again with the same key.
 """
 
-from collections.abc import Sequence
 import dataclasses
 import datetime
 import random
@@ -29,7 +28,7 @@
     """A request with what is needed to decide on it."""
 
     request: _messages.Request
-    owners: Sequence[_messages.OwnerHint]
+    owners: _messages.Owners
     busy: _messages.Cause | None
     """Why no new work is taken, None if it is."""
 
@@ -118,14 +117,14 @@
     def on_request(
         self,
         request: _messages.Request,
-        owners: Sequence[_messages.OwnerHint],
+        owners: _messages.Owners,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
         """Takes a request.
 
         Args:
             request: what is asked for.
-            owners: the VMs that may run it.
+            owners: tells the VMs that may run it, asked before each try.
             now: the time.
         """
         self._keys.advance(now)
--- a/dragonflystack/forwarding/_jobs.py
+++ b/dragonflystack/forwarding/_jobs.py
@@ -1,6 +1,5 @@
 """The jobs under way, the callers that wait for them, and relayed requests."""
 
-from collections.abc import Sequence
 import datetime
 import functools
 import random
@@ -79,7 +78,7 @@
     def make(
         self,
         request: _messages.Request,
-        owners: Sequence[_messages.OwnerHint],
+        owners: _messages.Owners,
         key: ids.RequestKey | None,
     ) -> _runner.Job:
         job = _runner.Job(request, owners, key, [])
--- a/dragonflystack/forwarding/_messages.py
+++ b/dragonflystack/forwarding/_messages.py
@@ -4,6 +4,8 @@
 the origin of the process's monotonic clock.
 """
 
+from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import datetime
 import enum
@@ -103,6 +105,10 @@
     """The work id that the backend server repeated, if it did."""
 
 
+Owners = Callable[[], Sequence[OwnerHint]]
+"""Tells the VMs that may run a request, as known when it is called."""
+
+
 # What became of one try.
 
 
--- a/dragonflystack/forwarding/_runner.py
+++ b/dragonflystack/forwarding/_runner.py
@@ -32,7 +32,7 @@
     """One request being run for one or more callers."""
 
     request: _messages.Request
-    owners: Sequence[_messages.OwnerHint]
+    owners: _messages.Owners
     key: ids.RequestKey | None
     callers: list[_messages.CallId]
     claim_writes: int = 0
@@ -108,16 +108,15 @@
             job.request.deadline, functools.partial(self._on_deadline, job)
         )
         self.budget.on_first_attempt()
-        hint = self._choose(job, now)
+        owners = job.owners()
+        hint = self._choose(job, owners, now)
         if hint is not None:
             self._dispatch(job, hint, now)
             return
-        cause = (
-            _messages.Cause.DEADLINE if job.owners else _messages.Cause.NO_OWNER
-        )
+        cause = _messages.Cause.DEADLINE if owners else _messages.Cause.NO_OWNER
         reason = (
             "too little time left to run it"
-            if job.owners
+            if owners
             else "no VM owns a backend server of the service"
         )
         job.refusals.append(
@@ -237,18 +236,21 @@
             return False
         if job.tries >= self._limits.max_tries:
             return False
-        hint = self._choose(job, now)
+        hint = self._choose(job, job.owners(), now)
         if hint is None or not self.budget.take():
             return False
         self._dispatch(job, hint, now)
         return True
 
     def _choose(
-        self, job: Job, now: datetime.timedelta
+        self,
+        job: Job,
+        owners: Sequence[_messages.OwnerHint],
+        now: datetime.timedelta,
     ) -> _messages.OwnerHint | None:
         least = self._limits.least_time
         in_time = [
-            hint for hint in job.owners if _time_left(job, hint, now) >= least
+            hint for hint in owners if _time_left(job, hint, now) >= least
         ]
         return self.owners.choose(in_time, job.tried, now)
 
--- a/dragonflystack/forwarding/tests/test_engine.py
+++ b/dragonflystack/forwarding/tests/test_engine.py
@@ -64,7 +64,7 @@
             key=key,
             **(values | fields),
         )
-        self.actions += self.engine.on_request(req, owners, _at(now))
+        self.actions += self.engine.on_request(req, lambda: owners, _at(now))
         return call
 
     def of(self, kind):
