--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -32,6 +32,9 @@
 from dragonflystack.daemon import _vouching
 
 _DRAIN_POLL_S = 0.05
+_NAMING_LAG = datetime.timedelta(seconds=1.5)
+"""How long the other VMs may still name a VM that has begun to leave."""
+
 _LINGER = datetime.timedelta(seconds=0.5)
 """How long late requests still get an answer that refuses them."""
 
@@ -140,8 +143,9 @@
     ttl = datetime.timedelta()
     if node.document is not None:
         ttl = node.document.fleet.answer_ttl
-    forwarder.begin_stop(node.clock.monotonic() + ttl)
-    await anyio.sleep((ttl + _LINGER).total_seconds())
+    named = _NAMING_LAG + ttl
+    forwarder.begin_stop(node.clock.monotonic() + named)
+    await anyio.sleep((named + _LINGER).total_seconds())
     while node.in_flight or not forwarder.may_exit():
         await anyio.sleep(_DRAIN_POLL_S)
     forwarder.check_exit()
