Show keys between daemons where the settings name them; write rows once

Change: the daemons' port and all calls to it use mutual TLS if keys are set, reloaded every 10 s; a VM writes its row only where the row read is another. Seen: a certificate of another authority, and a call without TLS, get no answer; a member's does.

--- a/dragonflystack/daemon/__main__.py
+++ b/dragonflystack/daemon/__main__.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from dragonflystack.daemon import _peer_tls
 from dragonflystack.daemon import _run
 from dragonflystack.daemon import _settings
 
@@ -26,10 +27,11 @@
     args = parser.parse_args(argv)
     try:
         cfg = _settings.load_settings(args.settings)
+        tls = _peer_tls.PeerTls.from_config(cfg.tls)
     except _settings.InvalidSettingsError as exc:
         print(f"dragonflyd: {exc}", file=sys.stderr)
         return _EXIT_INVALID_SETTINGS
-    anyio.run(_run.run, cfg, backend_options={"use_uvloop": True})
+    anyio.run(_run.run, cfg, tls, backend_options={"use_uvloop": True})
     return 0
 
 
--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -57,6 +57,7 @@
             self._locate,
             self._max_body_bytes,
             self._on_unreachable,
+            node.tls,
         )
         self._unreachable: dict[ids.VmId, datetime.timedelta] = {}
         self._calls = itertools.count(1)
--- a/dragonflystack/daemon/_members.py
+++ b/dragonflystack/daemon/_members.py
@@ -13,15 +13,17 @@
 async def run(node: _node.Node) -> None:
     """Registers this VM and reads the others, for ever."""
     while True:
-        if node.may_serve():
-            await register(node)
-        await _read_members(node)
+        rows = await _read_members(node)
+        if rows is not None and node.may_serve():
+            await _register(node, rows)
         await anyio.sleep(_POLL_S)
 
 
-async def register(node: _node.Node) -> None:
-    """Writes the row of this VM."""
+async def _register(node: _node.Node, rows: tuple[platform.Row, ...]) -> None:
+    """Writes the row of this VM unless it stands as it should."""
     value = msgspec.json.encode(node.member())
+    if any(row.key == node.vm and row.value == value for row in rows):
+        return
     await node.platform.write(platform.Write(TABLE, node.vm, None, value))
 
 
@@ -30,13 +32,14 @@
     await node.platform.write(platform.Write(TABLE, node.vm, None, None))
 
 
-async def _read_members(node: _node.Node) -> None:
+async def _read_members(node: _node.Node) -> tuple[platform.Row, ...] | None:
+    """Takes up the VMs that are listed; returns all rows, None in an outage."""
     listed = await node.platform.list_vms()
     rows = await node.platform.scan(TABLE)
     if isinstance(listed, platform.Unavailable):
-        return
+        return None
     if isinstance(rows, platform.Unavailable):
-        return
+        return None
     leaving = {vm.id for vm in listed if vm.state is platform.VmState.LEAVING}
     known = {vm.id for vm in listed}
     members = [
@@ -49,3 +52,4 @@
         for member in members
         if member.vm in known
     }
+    return rows
--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -15,6 +15,7 @@
 from dragonflystack import promises
 from dragonflystack import steering
 from dragonflystack.daemon import _metrics
+from dragonflystack.daemon import _peer_tls
 from dragonflystack.daemon import _settings
 
 
@@ -46,6 +47,9 @@
     platform: platform.HttpPlatform
     ledger: promises.Ledger
     metrics: _metrics.Metrics
+    tls: _peer_tls.PeerTls | None = None
+    """The keys shown to other daemons, None to speak without encryption."""
+
     document: config.Document | None = None
     version: ids.DocumentVersion = ids.DocumentVersion(0)
     members: dict[ids.VmId, Member] = dataclasses.field(default_factory=dict)
--- a/dragonflystack/daemon/_peers.py
+++ b/dragonflystack/daemon/_peers.py
@@ -11,6 +11,7 @@
 from dragonflystack import outcomes
 from dragonflystack.daemon import _exchange
 from dragonflystack.daemon import _forwarding_codec
+from dragonflystack.daemon import _peer_tls
 from dragonflystack.daemon import _settings
 
 WORK_PATH = "/v1/work"
@@ -39,6 +40,7 @@
         locate: Locate,
         max_body_bytes: Callable[[], int],
         on_refused: Callable[[ids.VmId], None],
+        tls: _peer_tls.PeerTls | None,
     ):
         """Takes what it needs to know and whom to tell.
 
@@ -47,7 +49,10 @@
             locate: where a VM is found.
             max_body_bytes: tells the bound on an answer's body.
             on_refused: told when nothing listens on a VM's port.
+            tls: the keys to show, None to speak without encryption.
         """
+        self._scheme = "http" if tls is None else "https"
+        self._ssl_context = None if tls is None else tls.client
         self._on_refused = on_refused
         self._clock = now
         self._locate = locate
@@ -125,7 +130,8 @@
         message: bytes,
         idempotent: bool,
     ) -> bytes | forwarding.Failed:
-        call = _exchange.Call("POST", f"http://{address}{path}", (), message)
+        url = f"{self._scheme}://{address}{path}"
+        call = _exchange.Call("POST", url, (), message)
         conn = await self._take(address, idempotent)
         limit_bytes = self._max_body_bytes() + _OVERHEAD_BYTES
         try:
@@ -153,8 +159,12 @@
             if heard >= oldest and not conn.has_expired():
                 return conn
             await conn.aclose()
-        origin = httpcore.Origin(b"http", address.host.encode(), address.port)
-        return httpcore.AsyncHTTPConnection(origin)
+        origin = httpcore.Origin(
+            self._scheme.encode(), address.host.encode(), address.port
+        )
+        return httpcore.AsyncHTTPConnection(
+            origin, ssl_context=self._ssl_context
+        )
 
     async def _give_back(
         self, address: _settings.Address, conn: httpcore.AsyncHTTPConnection
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -26,12 +26,14 @@
 from dragonflystack.daemon import _metrics
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _operators
+from dragonflystack.daemon import _peer_tls
 from dragonflystack.daemon import _promise_reports
 from dragonflystack.daemon import _settings
 from dragonflystack.daemon import _steering
 from dragonflystack.daemon import _vouching
 
 _DRAIN_POLL_S = 0.05
+_RELOAD_KEYS_S = 10.0
 _NAMING_LAG = datetime.timedelta(seconds=1.5)
 """How long the other VMs may still name a VM that has begun to leave."""
 
@@ -39,7 +41,9 @@
 """How long late requests still get an answer that refuses them."""
 
 
-def make_node(cfg: _settings.Settings) -> _node.Node:
+def make_node(
+    cfg: _settings.Settings, tls: _peer_tls.PeerTls | None
+) -> _node.Node:
     """Returns the state of a daemon that starts."""
     return _node.Node(
         settings=cfg,
@@ -51,12 +55,13 @@
         ),
         ledger=promises.Ledger(),
         metrics=_metrics.Metrics.from_settings(cfg.statsd),
+        tls=tls,
     )
 
 
-async def run(cfg: _settings.Settings) -> None:
+async def run(cfg: _settings.Settings, tls: _peer_tls.PeerTls | None) -> None:
     """Serves until SIGTERM or SIGINT, then shuts down gracefully."""
-    node = make_node(cfg)
+    node = make_node(cfg, tls)
     configuration = _configuration.Configuration(node, config.Bounds())
     node.may_serve = configuration.may_serve
     node.dump_sources["configuration"] = configuration.dump
@@ -95,14 +100,17 @@
     callers_app = _asgi.close_connections_when(
         lambda: node.leaving, _callers.make_app(node, forwarder)
     )
+    daemons_app = _daemons.make_app(node, forwarder, configuration)
+    operators_app = _operators.make_app(node, configuration)
+    tls = None if node.tls is None else node.tls.server
     ports = (
-        (callers_app, cfg.callers),
-        (_daemons.make_app(node, forwarder, configuration), cfg.daemons),
-        (_operators.make_app(node, configuration), cfg.operators),
+        (callers_app, cfg.callers, None),
+        (daemons_app, cfg.daemons, tls),
+        (operators_app, cfg.operators, None),
     )
     return tuple(
-        _server.Server.from_address(app, address.host, address.port)
-        for app, address in ports
+        _server.Server.from_address(app, address.host, address.port, context)
+        for app, address, context in ports
     )
 
 
@@ -111,6 +119,8 @@
     node: _node.Node,
     forwarder: _forwarding.Forwarder,
 ) -> None:
+    if node.tls is not None:
+        loops.start_soon(_reload_keys, node.tls)
     loops.start_soon(_members.run, node)
     loops.start_soon(_promise_reports.run, node)
     loops.start_soon(_steering.run_ticks, node, forwarder.pools)
@@ -126,6 +136,17 @@
     )
 
 
+async def _reload_keys(tls: _peer_tls.PeerTls) -> None:
+    """Takes up new keys from their files, for ever."""
+    while True:
+        await anyio.sleep(_RELOAD_KEYS_S)
+        try:
+            if tls.reload():
+                eliot.log_message("keys_reloaded")
+        except _settings.InvalidSettingsError as exc:
+            eliot.log_message("keys_refused", reason=str(exc))
+
+
 async def _stop_on_signal(node: _node.Node) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import os
 import pathlib
@@ -117,6 +118,9 @@
         self.platform_url = f"http://{_HOST}:{first_port}"
         self._platform_port = first_port
         self.vms: dict[ids.VmId, Vm] = {}
+        self.make_tls: Callable[[ids.VmId], object] | None = None
+        """Returns the `tls` settings of a VM; None for no encryption."""
+
         self._leaving: set[ids.VmId] = set()
         self.document = self._place_backend_servers(document)
         self._backend_servers = {
@@ -194,7 +198,8 @@
         return vm
 
     def _settings(self, vm: Vm) -> dict:
-        return {
+        tls = {} if self.make_tls is None else {"tls": self.make_tls(vm.id)}
+        return tls | {
             "vm": vm.id,
             "failure_domain": vm.failure_domain,
             "callers": {"host": _HOST, "port": vm.callers_port},
