--- a/dragonflystack/steering/_steering.py
+++ b/dragonflystack/steering/_steering.py
@@ -2,8 +2,8 @@
 
 It joins the parts of this package: reports of other VMs become a view and
 measurements, the walker moves the shares in use, and the answer table is kept
-in step with them. Call `on_tick` about twice a second and hand the report
-that it returns to the other VMs.
+in step with them. Call `on_tick` more often than once a second and hand the
+report that it returns to the other VMs.
 """
 
 from collections.abc import Mapping
@@ -150,7 +150,7 @@
         self,
         now: datetime.timedelta,
         owned: Mapping[_inputs.ServiceRegion, _report.OwnedCapacity],
-    ) -> _report.Report:
+    ) -> _report.Report | None:
         """Moves the shares by a step.
 
         Args:
@@ -158,7 +158,8 @@
             owned: the capacity of the backend servers that this VM owns.
 
         Returns:
-            What to tell the other VMs.
+            What to tell the other VMs; None while it has nothing to tell,
+            after a pause.
         """
         self._forget(now)
         own = _report.Report(
@@ -170,6 +171,8 @@
         view = self._view(now)
         self._walker.on_tick(now, self._measure(now, own, view), view)
         self._refresh_answers()
+        if not self._walker.is_ready and not self._walker.is_starting:
+            return None
         return dataclasses.replace(own, cells=self._walker.summaries())
 
     def look_up(
@@ -224,7 +227,7 @@
         }
 
     def _view(self, now: datetime.timedelta) -> _summary.PeerView:
-        cells: dict[_shares.Cell, _summary.CellSummary] = {}
+        parts = []
         newest_at = datetime.timedelta()
         count = waiting = 0
         for heard in self._heard.values():
@@ -234,10 +237,11 @@
             if not heard.report.cells:
                 waiting += vms
                 continue
-            cells = _summary.merge_cells(cells, heard.report.cells)
+            parts.append(heard.report.cells)
             newest_at = max(newest_at, heard.at)
             count += vms
         others = sum(1 for entry in self._vms if entry.vm != self._vm)
+        cells = _summary.merge_all_cells(parts)
         return _summary.PeerView(cells, count, others, waiting, newest_at)
 
     def _measure(
--- a/dragonflystack/steering/tests/test_walk.py
+++ b/dragonflystack/steering/tests/test_walk.py
@@ -120,8 +120,19 @@
     assert driver.walker.is_ready
 
 
-def test_a_joiner_waits_for_those_listed():
+def test_a_joiner_waits_long_for_those_listed():
     driver = Driver()
+    silent = steering.PeerView({}, 0, 3, 2, documents.seconds(0))
+    driver.run(59, NORMAL, silent)
+    assert not driver.walker.is_ready
+    driver.run(3, NORMAL, silent)
+    assert driver.walker.is_ready
+
+
+def test_one_that_has_shares_waits_a_little():
+    driver = Driver()
+    driver.run(5, NORMAL)
+    driver.now_s += 100
     silent = steering.PeerView({}, 0, 3, 0, documents.seconds(0))
     driver.run(1.5, NORMAL, silent)
     assert not driver.walker.is_ready
@@ -294,6 +305,16 @@
     assert driver.walker.status()[0].is_near
 
 
+def test_capacity_that_is_missed_for_a_moment_moves_little():
+    driver = Driver()
+    driver.run(5, NORMAL)
+    gone = documents.measurements(DEMAND, {**SLOTS, A: 0})
+    driver.run(2 * TICK_S, gone)
+    driver.run(30, NORMAL)
+    least = min(shares.of(A) for shares in driver.path)
+    assert least >= 1 - 2 * BUDGET.pace_per_s(True)
+
+
 def test_no_step_fills_a_link():
     driver = Driver(documents.document(mbit_s=0.2))
     driver.run(5, NORMAL)
