Ship the shard size that the figures favour for the daemon as it is

Cause: read as a newcomer: the pool's default said 4 backend servers a shard, the daemon said 2, and two modules worked out owners, each for itself. Ruled out: 4. Its figures assume that the next in rank takes over from an owner that does not answer; the daemon waits for the VM list there. Change: one constant, one module.

--- a/benchmarks/_routing_policies.py
+++ b/benchmarks/_routing_policies.py
@@ -269,6 +269,7 @@
     "owner-of-1": lambda region, lag: OwnerPerShard(region, 1),
     "owner-of-2": lambda region, lag: OwnerPerShard(region, 2),
     "owner-of-4": lambda region, lag: OwnerPerShard(region, 4),
+    "listed-owner-of-2": lambda region, lag: OwnerPerShard(region, 2, False),
     "listed-owner-of-4": lambda region, lag: OwnerPerShard(region, 4, False),
     "owner-of-12": lambda region, lag: OwnerPerShard(region, 12),
 }
--- a/dragonflystack/backends/_shards.py
+++ b/dragonflystack/backends/_shards.py
@@ -21,7 +21,7 @@
 from dragonflystack import config
 from dragonflystack import ids
 
-DEFAULT_SHARD_SIZE = 4
+DEFAULT_SHARD_SIZE = 2
 """Most backend servers of a shard; docs/design/routing.md has the figures."""
 
 
--- a/dragonflystack/daemon/_ownership.py
+++ b/dragonflystack/daemon/_ownership.py
@@ -1,6 +1,7 @@
 """Which VMs own the backend servers of each service, as this VM sees it."""
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import datetime
 
@@ -8,13 +9,14 @@
 from dragonflystack import config
 from dragonflystack import forwarding
 from dragonflystack import ids
-
-SHARD_SIZE = 2
-"""Most backend servers in a shard."""
+from dragonflystack import steering
 
 _SAME_REGION = datetime.timedelta(milliseconds=0.5)
 
 
+_SlotsByRegion = dict[ids.RegionId, dict[ids.VmId, int]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ownership:
     """Who owns what."""
@@ -40,40 +42,74 @@
         own_region: its region.
         vms: the VMs that serve, with their failure domains.
     """
+    owned: dict[ids.ServiceId, list[config.BackendServer]] = {
+        service: [] for service in document.services
+    }
+    slots: dict[ids.ServiceId, _SlotsByRegion] = {
+        service: {} for service in document.services
+    }
+    for shard, owner in shard_owners(document, vms):
+        by_vm = slots[shard.service].setdefault(shard.region, {})
+        by_vm[owner] = by_vm.get(owner, 0) + _slots(shard)
+        if owner == own_vm:
+            owned[shard.service].extend(shard.backend_servers)
+    return Ownership(
+        {s: _hints(document, own_region, found) for s, found in slots.items()},
+        {s: tuple(servers) for s, servers in owned.items()},
+    )
+
+
+def slots_owned(
+    document: config.Document,
+    vms: Iterable[tuple[ids.VmId, ids.FailureDomainId]],
+) -> steering.SlotsOwned:
+    """Returns how many slots each VM may fill, for look-up answers.
+
+    Args:
+        document: the document in force.
+        vms: the VMs that serve, with their failure domains.
+    """
+    owned: dict[tuple[ids.ServiceId, ids.RegionId, ids.VmId], int] = {}
+    for shard, owner in shard_owners(document, vms):
+        key = shard.service, shard.region, owner
+        owned[key] = owned.get(key, 0) + _slots(shard)
+    return owned
+
+
+def shard_owners(
+    document: config.Document,
+    vms: Iterable[tuple[ids.VmId, ids.FailureDomainId]],
+) -> Iterator[tuple[backends.Shard, ids.VmId]]:
+    """Yields every shard that has an owner, with its owner.
+
+    Args:
+        document: the document in force.
+        vms: the VMs that serve, with their failure domains.
+    """
     by_region: dict[ids.RegionId, list[ids.VmId]] = {}
     for vm, domain in vms:
         region = document.region_of.get(domain)
         if region is not None:
             by_region.setdefault(region, []).append(vm)
-    owners: dict[ids.ServiceId, tuple[forwarding.OwnerHint, ...]] = {}
-    owned: dict[ids.ServiceId, tuple[config.BackendServer, ...]] = {}
     for service_id, service in document.services.items():
-        found: dict[ids.RegionId, dict[ids.VmId, int]] = {}
-        mine: list[config.BackendServer] = []
         for region in service.allowed_regions:
             live = by_region.get(region, [])
-            slots: dict[ids.VmId, int] = {}
-            for shard in backends.shards_of(
-                document, service_id, region, SHARD_SIZE
-            ):
+            for shard in backends.shards_of(document, service_id, region):
                 owner = backends.owner_of(shard, live)
-                if owner is None:
-                    continue
-                added = sum(server.slots for server in shard.backend_servers)
-                slots[owner] = slots.get(owner, 0) + added
-                if owner == own_vm:
-                    mine.extend(shard.backend_servers)
-            if slots:
-                found[region] = slots
-        owned[service_id] = tuple(mine)
-        owners[service_id] = _hints(document, own_region, found)
-    return Ownership(owners, owned)
+                if owner is not None:
+                    yield shard, owner
+
+
+def _slots(shard: backends.Shard) -> int:
+    return sum(
+        server.slots for server in shard.backend_servers if not server.leaving
+    )
 
 
 def _hints(
     document: config.Document,
     own_region: ids.RegionId | None,
-    found: dict[ids.RegionId, dict[ids.VmId, int]],
+    found: _SlotsByRegion,
 ) -> tuple[forwarding.OwnerHint, ...]:
     """Returns the owners in this VM's region, or else in the nearest one."""
     if not found:
--- a/dragonflystack/daemon/_steering.py
+++ b/dragonflystack/daemon/_steering.py
@@ -11,7 +11,7 @@
 from dragonflystack import ids
 from dragonflystack import steering
 from dragonflystack.daemon import _node
-from dragonflystack.daemon import _owners
+from dragonflystack.daemon import _ownership
 from dragonflystack.daemon import _peers
 from dragonflystack.daemon import _pools
 from dragonflystack.daemon import _steering_codec
@@ -65,7 +65,12 @@
     members: list[_node.Member],
 ) -> None:
     vms = [vm for m in members if (vm := _entry_vm(document, m)) is not None]
-    state.on_vms(vms, _owners.slots_owned(document, members))
+    state.on_vms(
+        vms,
+        _ownership.slots_owned(
+            document, ((m.vm, m.failure_domain) for m in members)
+        ),
+    )
 
 
 def _capacity(summary: backends.PoolSummary) -> steering.OwnedCapacity:
