Upload client blocks into the section that names them

Cause: read as a newcomer: blocks-upload wrote a whole document, which cannot be applied since changes are made by section. The stand-in fleet runs the client in one place.

--- a/dragonflystack/cli/_blocks.py
+++ b/dragonflystack/cli/_blocks.py
@@ -1,4 +1,4 @@
-"""Uploads client blocks and names them in a document."""
+"""Uploads client blocks and names them in the section `clients`."""
 
 import argparse
 from collections.abc import Iterable
@@ -7,13 +7,15 @@
 import pathlib
 import sys
 
-import msgspec
+import httpcore
 
 from dragonflystack import config
 from dragonflystack import ids
 from dragonflystack import steering
 from dragonflystack.cli import _command
 
+_SECTION_PATH = "/v1/sections/clients"
+
 
 class InvalidBlocksError(ValueError):
     """The file of blocks is wrong; the message names the file and the line."""
@@ -24,9 +26,9 @@
 
     NAME = "blocks-upload"
     DESCRIPTION = (
-        "Upload client blocks to the object store, and name their chunks in a"
-        " document file. Only chunks that changed are sent; apply the document"
-        " to put the blocks in force."
+        "Upload client blocks to the object store, and write the section"
+        " 'clients' that names their chunks to a file. Only chunks that"
+        " changed are sent; apply the section to put the blocks in force."
     )
 
     @staticmethod
@@ -39,28 +41,26 @@
             " as in 192.0.2.0/24,munich",
         )
         parser.add_argument(
-            "document",
-            type=pathlib.Path,
-            help="document file, whose clients.chunks is replaced",
+            "section", type=pathlib.Path, help="file for the section's JSON"
         )
 
     @staticmethod
     def run(args: argparse.Namespace) -> _command.ExitCode:
         """See `Command.run`."""
+        whole = _command.call(args, "GET", "/v1/document")
+        section = _command.call(args, "GET", _SECTION_PATH)
+        for res in (whole, section):
+            if res.status != 200:
+                return _command.show_problem(res)
+        document = config.decode_document(whole.content)
         try:
-            document = config.decode_document(args.document.read_bytes())
             blocks = read_blocks(args.blocks, document.topology.sites)
             chunks = steering.pack_blocks(blocks)
-        except (
-            OSError,
-            InvalidBlocksError,
-            config.InvalidDocumentError,
-            steering.InvalidBlockError,
-        ) as exc:
+        except (OSError, InvalidBlocksError, steering.InvalidBlockError) as exc:
             print(f"dragonfly: {exc}", file=sys.stderr)
             return _command.ExitCode.REFUSED
-        known = frozenset(document.clients.chunks)
         digests = tuple(map(steering.digest_of, chunks))
+        known = frozenset(document.clients.chunks)
         new = [
             chunk
             for digest, chunk in zip(digests, chunks, strict=True)
@@ -70,17 +70,40 @@
             res = _command.call(args, "PUT", "/v1/chunks", chunk)
             if res.status != 201:
                 return _command.show_problem(res)
-        _write_document(args.document, document, digests)
-        found = {
-            "blocks": len(blocks),
-            "chunks": len(chunks),
-            "uploaded": len(new),
-            "bytes": sum(map(len, new)),
-        }
-        _command.show(args, found, json.dumps(found))
+        _write_section(args.section, section, digests)
+        _show(args, section, len(blocks), new)
         return _command.ExitCode.DONE
 
 
+def _write_section(
+    path: pathlib.Path,
+    section: httpcore.Response,
+    digests: tuple[ids.Digest, ...],
+) -> None:
+    body = json.loads(section.content) | {"chunks": digests}
+    path.write_text(json.dumps(body, indent=2) + "\n")
+
+
+def _show(
+    args: argparse.Namespace,
+    section: httpcore.Response,
+    blocks: int,
+    new: list[bytes],
+) -> None:
+    base = dict(section.headers)[b"etag"].decode().strip('"')
+    found = {
+        "blocks": blocks,
+        "chunks_sent": len(new),
+        "bytes_sent": sum(map(len, new)),
+        "base": int(base),
+    }
+    text = (
+        f"{blocks} blocks, {len(new)} new chunks sent; now run:\n"
+        f"dragonfly config apply clients {args.section} --base {base}"
+    )
+    _command.show(args, found, text)
+
+
 def read_blocks(
     path: pathlib.Path, sites: Iterable[config.Site]
 ) -> list[steering.Block]:
@@ -105,13 +128,3 @@
                 message = f"{path}:{number}: {exc}"
                 raise InvalidBlocksError(message) from exc
     return blocks
-
-
-def _write_document(
-    path: pathlib.Path,
-    document: config.Document,
-    digests: tuple[ids.Digest, ...],
-) -> None:
-    clients = msgspec.structs.replace(document.clients, chunks=digests)
-    changed = msgspec.structs.replace(document, clients=clients)
-    path.write_bytes(config.encode_document(changed) + b"\n")
--- a/dragonflystack/cli/tests/test_blocks.py
+++ b/dragonflystack/cli/tests/test_blocks.py
@@ -1,6 +1,5 @@
 import json
 import pathlib
-import shutil
 
 import httpcore
 import pytest
@@ -32,28 +31,37 @@
     assert message in str(info.value)
 
 
+def _response(status: int, value) -> httpcore.Response:
+    headers = [(b"etag", b'"7"')]
+    content = json.dumps(value).encode()
+    res = httpcore.Response(status, headers=headers, content=content)
+    res.read()
+    return res
+
+
 def test_only_changed_chunks_are_sent(tmp_path, monkeypatch, capsys):
+    stored = json.loads(_EXAMPLE.read_bytes())
     sent = []
 
-    def call(args, method, path, content):
-        sent.append(content)
-        digest = steering.digest_of(content)
-        res = httpcore.Response(201, content=json.dumps(digest).encode())
-        res.read()
-        return res
+    def call(args, method, path, content=None):
+        if method == "PUT":
+            sent.append(content)
+            return _response(201, {})
+        value = stored if path == "/v1/document" else stored["clients"]
+        return _response(200, value)
 
     monkeypatch.setattr(_command, "call", call)
-    document = tmp_path / "document.json"
-    shutil.copy(_EXAMPLE, document)
+    section = tmp_path / "clients.json"
     blocks = tmp_path / "blocks.csv"
-    argv = ["blocks-upload", str(blocks), str(document)]
+    argv = ["blocks-upload", str(blocks), str(section)]
     lines = [f"10.{i // 250}.{i % 250}.0/25,{_SITE}" for i in range(20_000)]
     blocks.write_text("\n".join(lines))
     assert cli.main(argv) == _command.ExitCode.DONE
-    named = config.decode_document(document.read_bytes()).clients.chunks
-    assert list(map(steering.digest_of, sent)) == list(named)
-    whole = len(sent)
+    assert "config apply clients" in capsys.readouterr().out
+    stored["clients"] = json.loads(section.read_text())
+    named = stored["clients"]["chunks"]
+    assert list(map(steering.digest_of, sent)) == named
     sent.clear()
     blocks.write_text("\n".join([*lines, f"10.0.0.128/25,{_SITE}"]))
     assert cli.main(argv) == _command.ExitCode.DONE
-    assert 0 < len(sent) < whole
+    assert 0 < len(sent) < len(named)
--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -9,8 +9,6 @@
 
 import pathlib
 import random
-import subprocess
-import sys
 import tempfile
 import time
 
@@ -146,7 +144,7 @@
     fleet.wait_until(lambda: -1 not in local.versions().values(), "daemons")
     path = folder / "document.json"
     path.write_bytes(config.encode_document(local.document))
-    _apply(local, path)
+    local.run_client("config", "init", str(path)).check_returncode()
     in_force_s = fleet.wait_until(
         lambda: set(local.versions().values()) == {1}, "document in force"
     )
@@ -155,16 +153,6 @@
     return in_force_s
 
 
-def _apply(local: fleet.LocalFleet, path: pathlib.Path) -> None:
-    vm = next(iter(local.vms.values()))
-    command = [sys.executable, "-m", "dragonflystack.cli", "config", "init"]
-    options = ["--vm-url", vm.operators_url]
-    options += ["--token", fleet.TEAM_TOKEN]
-    subprocess.run(
-        [*command, str(path), *options], check=True, stdout=subprocess.DEVNULL
-    )
-
-
 async def _run_load(
     local: fleet.LocalFleet, experiment: Experiment
 ) -> record.Seen:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -224,6 +224,15 @@
             document.clients.owner,
         }
 
+    def run_client(self, *args: str) -> subprocess.CompletedProcess[str]:
+        """Runs the operators' client through one of the VMs."""
+        vm = next(iter(self.vms.values()))
+        command = [sys.executable, "-m", "dragonflystack.cli", *args]
+        options = ["--vm-url", vm.operators_url, "--token", TEAM_TOKEN]
+        return subprocess.run(
+            [*command, *options], capture_output=True, text=True, check=False
+        )
+
     def publish_vms(self) -> None:
         """Writes the platform's list of VMs."""
         listed = [
