Move nobody to a full region, and check the product's own counters

A share of a region was raised while its load was 7 times its measured capacity. By elimination: an increase is cut to what is left, and nothing is left there, except that an increase which adds no requests now counted as fitting whole. Ruled out: the spread and the pace, which only shorten a step; rounding, since an increase cut to nothing leaves the share as it was. Change: where nothing is left, nothing is moved to, also for callers who ask for nothing at the moment. Experiments end with the product's own counters as a check, which would have shown it at once. Requests that failed at a step are logged with key, step and peer; refusals for want of room are only counted.

--- a/dragonflystack/daemon/_callers.py
+++ b/dragonflystack/daemon/_callers.py
@@ -4,6 +4,8 @@
 import math
 import urllib.parse
 
+import eliot
+
 from dragonflystack import _asgi
 from dragonflystack import config
 from dragonflystack import forwarding
@@ -155,11 +157,37 @@
         node.in_flight -= 1
     if reply is None:
         return
-    node.metrics.count(f"{service.id}.{reply.outcome.value}")
-    node.metrics.time(f"{service.id}.request", node.clock.monotonic() - start)
+    _note_reply(node, service.id, reply, node.clock.monotonic() - start)
     await _send_reply(send, reply)
 
 
+def _note_reply(
+    node: _node.Node,
+    service: ids.ServiceId,
+    reply: forwarding.Reply,
+    elapsed: datetime.timedelta,
+) -> None:
+    """Counts a reply, and logs it if something failed.
+
+    Refusals for want of room are counted only: under overload they are many.
+    """
+    node.metrics.count(f"{service}.{reply.outcome.value}")
+    node.metrics.time(f"{service}.request", elapsed)
+    failure = reply.failure
+    if failure is None or failure.step is outcomes.Step.ADMISSION:
+        return
+    eliot.log_message(
+        "request_not_served",
+        service=service,
+        outcome=reply.outcome.value,
+        key=reply.key,
+        step=failure.step.value,
+        peer=failure.peer,
+        reason=failure.reason,
+        elapsed_s=elapsed.total_seconds(),
+    )
+
+
 def _read_request(
     document: config.Document, scope: _asgi.Scope, rest: str, body: bytes
 ) -> tuple[forwarding.Payload, datetime.timedelta, ids.RequestKey | None, int]:
--- a/dragonflystack/steering/_room.py
+++ b/dragonflystack/steering/_room.py
@@ -101,6 +101,12 @@
 
 
 def _part(left: float, wanted: float) -> float:
+    """Returns which fraction of an increase fits; none where nothing is left.
+
+    That holds for callers who ask for nothing now as well: they may begin to.
+    """
+    if left <= 0:
+        return 0.0
     if wanted <= 0:
         return 1.0
-    return min(1.0, max(0.0, left / wanted))
+    return min(1.0, left / wanted)
--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -126,6 +126,7 @@
                 backend_options={"use_uvloop": True},
             )
             seen.runs = local.runs()
+            seen.breaches = _own_breaches(local)
         finally:
             local.stop()
     return record.make_report(seen, in_force_s)
@@ -153,6 +154,15 @@
     return in_force_s
 
 
+def _own_breaches(local: fleet.LocalFleet) -> dict[str, int] | None:
+    """Returns the breaches that the product counted, None if it can't tell."""
+    shown = local.run_client("promises", "--json")
+    if not shown.stdout:
+        return None
+    found = msgspec.json.decode(shown.stdout)
+    return {p["promise"]: p["breaches"] for p in found["promises"]}
+
+
 async def _run_load(
     local: fleet.LocalFleet, experiment: Experiment
 ) -> record.Seen:
--- a/standins/record.py
+++ b/standins/record.py
@@ -54,6 +54,8 @@
 
         self.backend_refusals = 0
         self.runs: collections.Counter[str] = collections.Counter()
+        self.breaches: dict[str, int] | None = None
+        """Breaches by promise, as the product counts them itself."""
 
     def on_result(self, res: caller.Result, due_s: float) -> None:
         """Notes a request that was due at `due_s`."""
@@ -193,6 +195,11 @@
             other == 0,
             f"{other} connections ended without an answer",
         ),
+        Check(
+            "the product's own checks of its promises held",
+            not any((seen.breaches or {}).values()),
+            f"breaches {seen.breaches}",
+        ),
         Check(
             "a document is in force everywhere within seconds",
             in_force_s <= _IN_FORCE_LIMIT_S,
--- a/standins/tests/test_experiment.py
+++ b/standins/tests/test_experiment.py
@@ -63,3 +63,11 @@
     ]
     assert len(failed) == (broken_promise is not None)
     assert all(broken_promise in promise for promise in failed)
+
+
+def test_a_breach_that_the_product_counted_is_named():
+    seen = _seen(_SERVED)
+    seen.breaches = {"shift-cap": 0, "region-capacity": 1}
+    checks = record.make_report(seen, 0.3).checks
+    failed = [c.promise for c in checks if not c.held]
+    assert failed == ["the product's own checks of its promises held"]
