Decode thrift messages in one place

Cause: on reading the whole change, three codecs between daemons each loaded an IDL, caught the library's many errors and made the same error of them; two borrowed that error from the forwarding codec. Ruled out: taking in the codec of membership's exchange too: it uses the compact protocol and names the faults of its own checks. Change: _thrift_codec holds loading, decoding and MalformedMessageError; the three codecs keep only what is theirs. Tests name the error where it now is; their assertions are the same.

--- a/dragonflystack/daemon/_daemons.py
+++ b/dragonflystack/daemon/_daemons.py
@@ -11,6 +11,7 @@
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _peers
 from dragonflystack.daemon import _steering
+from dragonflystack.daemon import _thrift_codec
 from dragonflystack.daemon import _vouching
 
 _MAX_MESSAGE_BYTES = 64 * 1_048_576
@@ -51,7 +52,7 @@
             return
         except _asgi.BodyTooLargeError:
             await _asgi.send_problem(send, 413, "body too large")
-        except _forwarding_codec.MalformedMessageError as exc:
+        except _thrift_codec.MalformedMessageError as exc:
             await _asgi.send_problem(send, 400, "malformed message", str(exc))
 
     return app
--- a/dragonflystack/daemon/_forwarding_codec.py
+++ b/dragonflystack/daemon/_forwarding_codec.py
@@ -1,21 +1,17 @@
 """Encodes what entry VMs ask of each other, as forwarding.thrift says."""
 
 import datetime
-import pathlib
 from typing import Any
 
-import thriftpy2
 from thriftpy2 import utils
 
 from dragonflystack import config
 from dragonflystack import forwarding
 from dragonflystack import ids
 from dragonflystack import outcomes
+from dragonflystack.daemon import _thrift_codec
 
-_IDL: Any = thriftpy2.load(
-    str(pathlib.Path(__file__).with_name("forwarding.thrift")),
-    module_name="dragonflystack_forwarding_thrift",
-)
+_IDL = _thrift_codec.load("forwarding")
 _MICROSECOND = datetime.timedelta(microseconds=1)
 _ANSWERED = "answered"
 _REFUSED = "refused"
@@ -23,10 +19,6 @@
 _BROKEN = "broken"
 
 
-class MalformedMessageError(ValueError):
-    """The bytes are not a message of this protocol."""
-
-
 def encode_work(work: forwarding.Work) -> bytes:
     """Returns the bytes of a work."""
     return utils.serialize(
@@ -49,7 +41,7 @@
     Raises:
         MalformedMessageError: if they hold none.
     """
-    return _decode(_IDL.Work(), data, _read_work)
+    return _thrift_codec.decode(_IDL.Work(), data, _read_work)
 
 
 def encode_result(result: forwarding.WorkResult) -> bytes:
@@ -63,7 +55,7 @@
     Raises:
         MalformedMessageError: if the bytes do not tell.
     """
-    return _decode(_IDL.WorkResult(), data, _read_result)
+    return _thrift_codec.decode(_IDL.WorkResult(), data, _read_result)
 
 
 def encode_relayed(
@@ -104,7 +96,7 @@
             relayed=True,
         )
 
-    return _decode(_IDL.RelayedRequest(), data, read)
+    return _thrift_codec.decode(_IDL.RelayedRequest(), data, read)
 
 
 def encode_reply(reply: forwarding.Reply) -> bytes:
@@ -126,15 +118,7 @@
     Raises:
         MalformedMessageError: if they hold none.
     """
-    return _decode(_IDL.Reply(), data, _read_reply)
-
-
-def _decode(struct: Any, data: bytes, read: Any) -> Any:
-    try:
-        return read(utils.deserialize(struct, data))
-    except Exception as exc:  # The library raises many kinds.
-        text = f"{type(struct).__name__}: {exc or type(exc).__name__}"
-        raise MalformedMessageError(text) from exc
+    return _thrift_codec.decode(_IDL.Reply(), data, _read_reply)
 
 
 def _flatten(headers: forwarding.Headers) -> list[bytes]:
--- a/dragonflystack/daemon/_peers.py
+++ b/dragonflystack/daemon/_peers.py
@@ -13,6 +13,7 @@
 from dragonflystack.daemon import _forwarding_codec
 from dragonflystack.daemon import _peer_tls
 from dragonflystack.daemon import _settings
+from dragonflystack.daemon import _thrift_codec
 
 WORK_PATH = "/v1/work"
 RELAY_PATH = "/v1/relay"
@@ -76,7 +77,7 @@
             return result
         try:
             return _forwarding_codec.decode_result(result)
-        except _forwarding_codec.MalformedMessageError as exc:
+        except _thrift_codec.MalformedMessageError as exc:
             return _failed(outcomes.Step.RECEIVE, owner, exc, written=True)
 
     async def relay(
@@ -92,7 +93,7 @@
             return result.failure
         try:
             return _forwarding_codec.decode_reply(result)
-        except _forwarding_codec.MalformedMessageError as exc:
+        except _thrift_codec.MalformedMessageError as exc:
             return _failed(outcomes.Step.RECEIVE, holder, exc, True).failure
 
     async def tell_steering(self, vm: ids.VmId, report: bytes) -> bool:
--- a/dragonflystack/daemon/_steering_codec.py
+++ b/dragonflystack/daemon/_steering_codec.py
@@ -1,19 +1,14 @@
 """Encodes what entry VMs tell each other for steering."""
 
-import pathlib
 from typing import Any
 
-import thriftpy2
 from thriftpy2 import utils
 
 from dragonflystack import ids
 from dragonflystack import steering
-from dragonflystack.daemon import _forwarding_codec
+from dragonflystack.daemon import _thrift_codec
 
-_IDL: Any = thriftpy2.load(
-    str(pathlib.Path(__file__).with_name("steering.thrift")),
-    module_name="dragonflystack_steering_thrift",
-)
+_IDL = _thrift_codec.load("steering")
 
 
 def encode_report(vm: ids.VmId, report: steering.Report) -> bytes:
@@ -28,18 +23,10 @@
     Raises:
         MalformedMessageError: if the bytes are something else.
     """
-    try:
-        message = utils.deserialize(_IDL.SteeringReport(), data)
-    except Exception as exc:  # The library raises many kinds.
-        raise _forwarding_codec.MalformedMessageError(
-            f"{type(exc).__name__} {exc}"
-        ) from exc
+    return _thrift_codec.decode(_IDL.SteeringReport(), data, _read_report)
+
+
+def _read_report(message: Any) -> tuple[ids.VmId, steering.Report]:
     if not message.vm or message.report is None:
-        raise _forwarding_codec.MalformedMessageError(
-            "expected a VM and its report"
-        )
-    try:
-        report = steering.decode_report(message.report)
-    except steering.InvalidReportError as exc:
-        raise _forwarding_codec.MalformedMessageError(str(exc)) from exc
-    return ids.VmId(message.vm), report
+        raise ValueError("expected a VM and its report")
+    return ids.VmId(message.vm), steering.decode_report(message.report)
--- a/dragonflystack/daemon/_vouch_codec.py
+++ b/dragonflystack/daemon/_vouch_codec.py
@@ -1,22 +1,17 @@
 """Encodes how VMs vouch for one another."""
 
 import dataclasses
-import pathlib
 from typing import Any
 
 import msgspec
-import thriftpy2
 from thriftpy2 import utils
 
 from dragonflystack import config
 from dragonflystack import ids
-from dragonflystack.daemon import _forwarding_codec
 from dragonflystack.daemon import _node
+from dragonflystack.daemon import _thrift_codec
 
-_IDL: Any = thriftpy2.load(
-    str(pathlib.Path(__file__).with_name("vouch.thrift")),
-    module_name="dragonflystack_vouch_thrift",
-)
+_IDL = _thrift_codec.load("vouch")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,20 +51,18 @@
     Raises:
         MalformedMessageError: if the bytes are something else.
     """
-    message = _decode(_IDL.VouchRequest(), data)
-    try:
-        member = msgspec.json.decode(message.member, type=_node.Member)
-    except (TypeError, msgspec.MsgspecError) as exc:
-        raise _forwarding_codec.MalformedMessageError(str(exc)) from exc
+    return _thrift_codec.decode(_IDL.VouchRequest(), data, _read_request)
+
+
+def _read_request(message: Any) -> tuple[config.VouchAsked, _node.Member]:
+    member = msgspec.json.decode(message.member, type=_node.Member)
     asked = config.VouchAsked(
         ids.VmId(message.vm),
         ids.Incarnation(message.incarnation),
         ids.DocumentVersion(message.version or 0),
     )
     if (member.vm, member.incarnation) != (asked.vm, asked.incarnation):
-        raise _forwarding_codec.MalformedMessageError(
-            f"expected {asked.vm} itself, found {member.vm}"
-        )
+        raise ValueError(f"expected {asked.vm} itself, found {member.vm}")
     return asked, member
 
 
@@ -94,25 +87,16 @@
     Raises:
         MalformedMessageError: if the bytes are something else.
     """
-    message = _decode(_IDL.VouchReply(), data)
-    try:
-        members = msgspec.json.decode(
-            message.members, type=tuple[_node.Member, ...]
-        )
-        offer = None
-        if message.kind == _IDL.VouchKind.BEHIND:
-            head = msgspec.json.decode(message.head, type=config.Head)
-            offer = Offer(head, dict(message.bodies))
-    except (TypeError, msgspec.MsgspecError) as exc:
-        raise _forwarding_codec.MalformedMessageError(str(exc)) from exc
-    vouched = message.kind == _IDL.VouchKind.VOUCHED
-    return Reply(vouched, offer, members)
+    return _thrift_codec.decode(_IDL.VouchReply(), data, _read_reply)
 
 
-def _decode(message: Any, data: bytes) -> Any:
-    try:
-        return utils.deserialize(message, data)
-    except Exception as exc:  # The library raises many kinds.
-        raise _forwarding_codec.MalformedMessageError(
-            f"{type(exc).__name__} {exc}"
-        ) from exc
+def _read_reply(message: Any) -> Reply:
+    members = msgspec.json.decode(
+        message.members, type=tuple[_node.Member, ...]
+    )
+    offer = None
+    if message.kind == _IDL.VouchKind.BEHIND:
+        head = msgspec.json.decode(message.head, type=config.Head)
+        offer = Offer(head, dict(message.bodies))
+    vouched = message.kind == _IDL.VouchKind.VOUCHED
+    return Reply(vouched, offer, members)
--- a/dragonflystack/daemon/_vouching.py
+++ b/dragonflystack/daemon/_vouching.py
@@ -16,10 +16,10 @@
 from dragonflystack import forwarding
 from dragonflystack import ids
 from dragonflystack.daemon import _configuration
-from dragonflystack.daemon import _forwarding_codec
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _peers
 from dragonflystack.daemon import _settings
+from dragonflystack.daemon import _thrift_codec
 from dragonflystack.daemon import _vouch_codec
 
 _ASK_EVERY_S = 1.0
@@ -81,7 +81,7 @@
         return None
     try:
         reply = _vouch_codec.decode_reply(result)
-    except _forwarding_codec.MalformedMessageError as exc:
+    except _thrift_codec.MalformedMessageError as exc:
         eliot.log_message("bad_vouch", peer=str(address), reason=str(exc))
         return None
     if reply.vouched:
--- a/dragonflystack/daemon/tests/test_forwarding_codec.py
+++ b/dragonflystack/daemon/tests/test_forwarding_codec.py
@@ -7,6 +7,7 @@
 from dragonflystack import ids
 from dragonflystack import outcomes
 from dragonflystack.daemon import _forwarding_codec as codec
+from dragonflystack.daemon import _thrift_codec
 
 _TIME = datetime.timedelta(milliseconds=1_234.567)
 _PAYLOAD = forwarding.Payload(
@@ -87,5 +88,5 @@
 
 @pytest.mark.parametrize("data", [b"", b"\x00", b"x" * 50])
 def test_other_bytes_are_refused(data):
-    with pytest.raises(codec.MalformedMessageError, match="Work"):
+    with pytest.raises(_thrift_codec.MalformedMessageError, match="Work"):
         codec.decode_work(data)
--- a/dragonflystack/daemon/tests/test_vouch_codec.py
+++ b/dragonflystack/daemon/tests/test_vouch_codec.py
@@ -3,9 +3,9 @@
 
 from dragonflystack import config
 from dragonflystack import ids
-from dragonflystack.daemon import _forwarding_codec
 from dragonflystack.daemon import _node
 from dragonflystack.daemon import _settings
+from dragonflystack.daemon import _thrift_codec
 from dragonflystack.daemon import _vouch_codec
 
 _ADDRESS = _settings.Address("127.0.0.1", 1)
@@ -49,12 +49,12 @@
 @pytest.mark.parametrize("data", [b"", b"\xff" * 40])
 def test_other_bytes_are_refused(data):
     for decode in (_vouch_codec.decode_request, _vouch_codec.decode_reply):
-        with pytest.raises(_forwarding_codec.MalformedMessageError):
+        with pytest.raises(_thrift_codec.MalformedMessageError):
             decode(data)
 
 
 def test_nobody_asks_for_another():
     other = msgspec.structs.replace(_MEMBER, vm=ids.VmId("vm-2"))
     data = _vouch_codec.encode_request(_ASKED, other)
-    with pytest.raises(_forwarding_codec.MalformedMessageError):
+    with pytest.raises(_thrift_codec.MalformedMessageError):
         _vouch_codec.decode_request(data)
