--- a/dragonflystack/_limits.py
+++ b/dragonflystack/_limits.py
@@ -78,9 +78,10 @@
         super().on_message_begin()
 
     def on_headers_complete(self):
-        """Ends the count of the head's bytes."""
+        """Ends the count of the head's bytes; keeps the target as it came."""
         self._in_head = False
         self._head_bytes = 0
+        self.scope["raw_target"] = self.url
         super().on_headers_complete()
 
     def on_message_complete(self):
--- a/dragonflystack/_server.py
+++ b/dragonflystack/_server.py
@@ -1,6 +1,8 @@
 """A uvicorn server that runs inside a task group and leaves signals alone."""
 
 import contextlib
+import datetime
+import math
 import ssl
 
 import anyio
@@ -12,6 +14,7 @@
 _BACKLOG = 512
 _MAX_CONNECTIONS = 2_000
 _START_POLL_S = 0.01
+_KEEP_ALIVE = datetime.timedelta(seconds=5)
 
 
 class Server(uvicorn.Server):
@@ -24,8 +27,17 @@
         host: str,
         port: int,
         tls: ssl.SSLContext | None = None,
+        keep_alive: datetime.timedelta = _KEEP_ALIVE,
     ) -> "Server":
-        """Returns a server for the app; `port` 0 takes any free port."""
+        """Returns a server for the app; `port` 0 takes any free port.
+
+        Args:
+            app: what to serve.
+            host: the address to listen on.
+            port: the port to listen on.
+            tls: keys, None for plain connections.
+            keep_alive: how long an idle connection is kept.
+        """
         cfg = uvicorn.Config(
             app,
             host=host,
@@ -40,6 +52,7 @@
             timeout_graceful_shutdown=None,
             http=_limits.LimitedProtocol,
             limit_concurrency=_MAX_CONNECTIONS,
+            timeout_keep_alive=math.ceil(keep_alive.total_seconds()),
         )
         if tls is not None:
             cfg.load()
@@ -56,6 +69,10 @@
         while not self.started:
             await anyio.sleep(_START_POLL_S)
 
+    def set_keep_alive(self, keep_alive: datetime.timedelta) -> None:
+        """Sets how long idle connections are kept, for those to come."""
+        self.config.timeout_keep_alive = math.ceil(keep_alive.total_seconds())
+
     def stop(self) -> None:
         """Asks for a graceful shutdown: what is in flight is finished."""
         self.should_exit = True
--- a/dragonflystack/daemon/_chunk_uploads.py
+++ b/dragonflystack/daemon/_chunk_uploads.py
@@ -1,8 +1,8 @@
 """Takes chunks of client blocks for the object store."""
 
 from dragonflystack import _asgi
-from dragonflystack import platform
 from dragonflystack import steering
+from dragonflystack import storage
 from dragonflystack.daemon import _node
 
 _MAX_CHUNK_BYTES = 1_048_576
@@ -25,7 +25,7 @@
         await _asgi.send_problem(send, 422, "invalid chunk", str(exc))
         return
     failed = await node.platform.put(digest, data)
-    if isinstance(failed, platform.Unavailable):
+    if isinstance(failed, storage.Unavailable):
         reason = str(failed.failure)
         await _asgi.send_problem(send, 503, "object store out", reason)
         return
--- a/dragonflystack/daemon/_claim_rows.py
+++ b/dragonflystack/daemon/_claim_rows.py
@@ -6,7 +6,7 @@
 
 from dragonflystack import forwarding
 from dragonflystack import ids
-from dragonflystack import platform
+from dragonflystack import storage
 
 TABLE = "claims"
 
@@ -18,31 +18,31 @@
 
 
 async def write(
-    table: platform.TableService, action: forwarding.WriteClaim
+    table: storage.TableService, action: forwarding.WriteClaim
 ) -> forwarding.ClaimResult:
     """Writes the row of a key if there is none, and returns who holds it."""
     record = action.record
     row = _Row(record.claim, record.holder.vm, record.holder.incarnation)
     written = await table.write(
-        platform.Write(TABLE, _row_key(action.key), 0, msgspec.json.encode(row))
+        storage.Write(TABLE, _row_key(action.key), 0, msgspec.json.encode(row))
     )
     match written:
-        case platform.Committed():
+        case storage.Committed():
             return forwarding.ClaimHeld(record)
-        case platform.Unavailable():
+        case storage.Unavailable():
             return forwarding.ClaimTrouble.UNAVAILABLE
-        case platform.Unsure():
+        case storage.Unsure():
             return forwarding.ClaimTrouble.LOST
-        case platform.Conflict():
+        case storage.Conflict():
             return await read(table, action.key)
 
 
 async def read(
-    table: platform.TableService, key: ids.RequestKey
+    table: storage.TableService, key: ids.RequestKey
 ) -> forwarding.ClaimResult:
     """Returns who holds a key."""
     row = await table.read(TABLE, _row_key(key))
-    if isinstance(row, platform.Unavailable):
+    if isinstance(row, storage.Unavailable):
         return forwarding.ClaimTrouble.UNAVAILABLE
     if row is None:
         return forwarding.ClaimTrouble.ABSENT
--- a/dragonflystack/daemon/_configuration.py
+++ b/dragonflystack/daemon/_configuration.py
@@ -14,7 +14,7 @@
 
 from dragonflystack import config
 from dragonflystack import ids
-from dragonflystack import platform
+from dragonflystack import storage
 from dragonflystack.daemon import _node
 
 _POLL_S = 0.5
@@ -95,13 +95,13 @@
         stored = await self._node.platform.read(
             config.CONFIGURATION, config.HEAD
         )
-        if not isinstance(stored, platform.Row):
+        if not isinstance(stored, storage.Row):
             return
         await self._adopt(stored)
         await self._keep_row(stored)
         await self._keep_role()
 
-    async def _adopt(self, stored: platform.Row) -> None:
+    async def _adopt(self, stored: storage.Row) -> None:
         head = msgspec.json.decode(stored.value, type=config.Head)
         fetched = {}
         for digest in self.adoption.missing(head):
@@ -120,13 +120,13 @@
         self._node.version = self.adoption.version
         eliot.log_message("document_adopted", version=head.version)
 
-    async def _keep_row(self, head: platform.Row) -> None:
+    async def _keep_row(self, head: storage.Row) -> None:
         version = self.adoption.version
         now = self._node.clock.monotonic()
         if not self._registration.is_due(version, now):
             return
         own = await self._node.platform.read(config.SERVING, self._node.vm)
-        if isinstance(own, platform.Unavailable):
+        if isinstance(own, storage.Unavailable):
             return
         plan = self._registration.on_rows(
             to_stored(head), _optional(own), version, now
@@ -134,7 +134,7 @@
         if plan is None:
             return
         result = await self._node.platform.write(*to_writes(plan.writes))
-        if isinstance(result, platform.Committed):
+        if isinstance(result, storage.Committed):
             self._registration.on_committed(plan)
 
     async def _keep_role(self) -> None:
@@ -142,7 +142,7 @@
         if not self._role_is_due(now):
             return
         role = await self._node.platform.read(config.CONFIGURATION, config.ROLE)
-        if isinstance(role, platform.Unavailable):
+        if isinstance(role, storage.Unavailable):
             return
         self._role_looked_at = now
         decoded = config.decode_role(_optional(role))
@@ -160,24 +160,24 @@
             return True
         return self._holds_role and self.accepted < self.adoption.version
 
-    async def _take_role(self, role: platform.Row | None) -> None:
+    async def _take_role(self, role: storage.Row | None) -> None:
         write = self._keeper.on_row(
             _optional(role), self._node.clock.monotonic()
         )
         if write is not None:
             await self._node.platform.write(*to_writes((write,)))
 
-    async def _write_receipt(self, role: platform.Row) -> None:
+    async def _write_receipt(self, role: storage.Row) -> None:
         """Decides on rows that are read after the role, the head first."""
         read = self._node.platform.read
         head = await read(config.CONFIGURATION, config.HEAD)
         receipt = await read(config.CONFIGURATION, config.RECEIPT)
         rows = await self._node.platform.scan(config.SERVING)
-        if not isinstance(head, platform.Row):
+        if not isinstance(head, storage.Row):
             return
-        if isinstance(receipt, platform.Unavailable):
+        if isinstance(receipt, storage.Unavailable):
             return
-        if isinstance(rows, platform.Unavailable):
+        if isinstance(rows, storage.Unavailable):
             return
         self._on_receipt(receipt)
         view = config.View(
@@ -193,7 +193,7 @@
         if not writes:
             writes = (self._keeper.renew(view.role),)
         result = await self._node.platform.write(*to_writes(writes))
-        if isinstance(result, platform.Committed):
+        if isinstance(result, storage.Committed):
             self._role_renewed_at = now
 
     def _role_is_fresh(self, now: datetime.timedelta) -> bool:
@@ -204,10 +204,10 @@
         receipt = await self._node.platform.read(
             config.CONFIGURATION, config.RECEIPT
         )
-        if not isinstance(receipt, platform.Unavailable):
+        if not isinstance(receipt, storage.Unavailable):
             self._on_receipt(receipt)
 
-    def _on_receipt(self, receipt: platform.Row | None) -> None:
+    def _on_receipt(self, receipt: storage.Row | None) -> None:
         self.accepted = config.accepted_version(_optional(receipt))
         if self.may_serve():
             now = self._node.clock.monotonic()
@@ -227,7 +227,7 @@
     async def _withdraw(self) -> None:
         for _ in range(_LEAVE_TRIES):
             own = await self._node.platform.read(config.SERVING, self._node.vm)
-            if not isinstance(own, platform.Unavailable):
+            if not isinstance(own, storage.Unavailable):
                 if own is None or not self._registration.stands(to_stored(own)):
                     return
                 write = self._registration.leave(
@@ -239,20 +239,20 @@
             await anyio.sleep(_POLL_S)
 
 
-def to_stored(row: platform.Row) -> config.StoredRow:
+def to_stored(row: storage.Row) -> config.StoredRow:
     """Returns a row as the decisions take it."""
     return config.StoredRow(row.version, row.value)
 
 
-def _optional(row: platform.Row | None) -> config.StoredRow | None:
+def _optional(row: storage.Row | None) -> config.StoredRow | None:
     return None if row is None else to_stored(row)
 
 
 def to_writes(
     writes: tuple[config.RowWrite, ...],
-) -> tuple[platform.Write, ...]:
+) -> tuple[storage.Write, ...]:
     """Returns a transaction as the platform takes it."""
     return tuple(
-        platform.Write(w.table, w.key, w.expected_version, w.value)
+        storage.Write(w.table, w.key, w.expected_version, w.value)
         for w in writes
     )
--- a/dragonflystack/daemon/_configuration_changes.py
+++ b/dragonflystack/daemon/_configuration_changes.py
@@ -8,7 +8,7 @@
 from dragonflystack import config
 from dragonflystack import ids
 from dragonflystack import outcomes
-from dragonflystack import platform
+from dragonflystack import storage
 
 _TRIES = 12
 
@@ -47,7 +47,7 @@
 class Changer:
     """Makes changes for operators; keeps no state between them."""
 
-    def __init__(self, store: platform.HttpPlatform, at: clock.Clock):
+    def __init__(self, store: storage.HttpPlatform, at: clock.Clock):
         self._store = store
         self._clock = at
 
@@ -64,9 +64,9 @@
         unsure: outcomes.Failure | None = None
         for _ in range(_TRIES):
             outcome = await self._try(change, bodies)
-            if isinstance(outcome, platform.Conflict):
+            if isinstance(outcome, storage.Conflict):
                 continue
-            if isinstance(outcome, platform.Unsure):
+            if isinstance(outcome, storage.Unsure):
                 unsure = outcome.failure
                 continue
             if isinstance(outcome, NotWritten) and unsure is not None:
@@ -82,15 +82,15 @@
         """Returns what would become of a change, and writes nothing."""
         bodies = {config.digest_of(body): body for body in known.values()}
         stored = await self._store.read(config.CONFIGURATION, config.HEAD)
-        if isinstance(stored, platform.Unavailable):
+        if isinstance(stored, storage.Unavailable):
             return NotWritten(stored.failure)
         return await self._prepare(change, stored, bodies)
 
     async def _try(
         self, change: config.Change, bodies: dict[ids.Digest, bytes]
-    ) -> Outcome | platform.Conflict | platform.Unsure:
+    ) -> Outcome | storage.Conflict | storage.Unsure:
         stored = await self._store.read(config.CONFIGURATION, config.HEAD)
-        if isinstance(stored, platform.Unavailable):
+        if isinstance(stored, storage.Unavailable):
             return NotWritten(stored.failure)
         settled = await self._settle(change, stored)
         if settled is not None:
@@ -103,7 +103,7 @@
         return await _write(self._store, decision)
 
     async def _settle(
-        self, change: config.Change, stored: platform.Row | None
+        self, change: config.Change, stored: storage.Row | None
     ) -> Written | NotWritten | None:
         """Returns what became of an earlier try, None if nothing did.
 
@@ -132,7 +132,7 @@
     async def _prepare(
         self,
         change: config.Change,
-        stored: platform.Row | None,
+        stored: storage.Row | None,
         bodies: dict[ids.Digest, bytes],
     ) -> config.Decision | NotWritten:
         head = config.decode_head(_stored(stored))
@@ -149,7 +149,7 @@
 
 
 async def write_first(
-    store: platform.HttpPlatform,
+    store: storage.HttpPlatform,
     prepared: config.Prepared,
     change: ids.ChangeId,
 ) -> Outcome:
@@ -163,10 +163,10 @@
     unsure: outcomes.Failure | None = None
     for _ in range(_TRIES):
         result = await _write(store, prepared)
-        if isinstance(result, platform.Unsure):
+        if isinstance(result, storage.Unsure):
             unsure = result.failure
             continue
-        if isinstance(result, platform.Conflict):
+        if isinstance(result, storage.Conflict):
             return await _settle_first(store, change)
         if isinstance(result, NotWritten) and unsure is not None:
             return MayBeWritten(result.failure)
@@ -176,11 +176,11 @@
 
 
 async def _settle_first(
-    store: platform.HttpPlatform, change: ids.ChangeId
+    store: storage.HttpPlatform, change: ids.ChangeId
 ) -> Outcome:
     """Returns whose change made the first version that is there."""
     stored = await store.read(config.CONFIGURATION, config.HEAD)
-    if isinstance(stored, platform.Unavailable):
+    if isinstance(stored, storage.Unavailable):
         return MayBeWritten(stored.failure)
     head = config.decode_head(_stored(stored))
     first = ids.DocumentVersion(1)
@@ -191,8 +191,8 @@
 
 
 async def _write(
-    store: platform.HttpPlatform, prepared: config.Prepared
-) -> Written | NotWritten | platform.Conflict | platform.Unsure:
+    store: storage.HttpPlatform, prepared: config.Prepared
+) -> Written | NotWritten | storage.Conflict | storage.Unsure:
     """Stores the objects and writes the head, once."""
     for digest, data in prepared.objects.items():
         failed = await store.put(digest, data)
@@ -200,18 +200,18 @@
             return NotWritten(failed.failure)
     write = prepared.write
     result = await store.write(
-        platform.Write(
+        storage.Write(
             write.table, write.key, write.expected_version, write.value
         )
     )
-    if isinstance(result, platform.Committed):
+    if isinstance(result, storage.Committed):
         return Written(prepared.version)
-    if isinstance(result, platform.Unavailable):
+    if isinstance(result, storage.Unavailable):
         return NotWritten(result.failure)
     return result
 
 
-def _stored(row: platform.Row | None) -> config.StoredRow | None:
+def _stored(row: storage.Row | None) -> config.StoredRow | None:
     return None if row is None else config.StoredRow(row.version, row.value)
 
 
--- a/dragonflystack/daemon/_configuration_routes.py
+++ b/dragonflystack/daemon/_configuration_routes.py
@@ -18,7 +18,7 @@
 from dragonflystack import _asgi
 from dragonflystack import config
 from dragonflystack import ids
-from dragonflystack import platform
+from dragonflystack import storage
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _configuration_changes
 from dragonflystack.daemon import _node
@@ -77,7 +77,7 @@
 
     async def _on_list(self, send: _asgi.Send) -> None:
         stored = await self._read(config.HEAD)
-        if isinstance(stored, platform.Unavailable):
+        if isinstance(stored, storage.Unavailable):
             await _send_out(send, str(stored.failure))
             return
         await _asgi.send_json(send, config.decode_head(stored))
@@ -101,7 +101,7 @@
         receipt = await self._read(config.RECEIPT)
         rows = await self._node.platform.scan(config.SERVING)
         for found in (head, receipt, rows):
-            if isinstance(found, platform.Unavailable):
+            if isinstance(found, storage.Unavailable):
                 await _send_out(send, str(found.failure))
                 return
         assert isinstance(rows, tuple)
@@ -122,7 +122,7 @@
 
     async def _on_history(self, send: _asgi.Send) -> None:
         stored = await self._read(config.HEAD)
-        if isinstance(stored, platform.Unavailable):
+        if isinstance(stored, storage.Unavailable):
             await _send_out(send, str(stored.failure))
             return
         digest: ids.Digest | None = config.decode_head(stored).record or None
@@ -184,7 +184,7 @@
         """
         head = self._configuration.adoption.head
         stored = await self._read(config.HEAD)
-        if not isinstance(stored, platform.Unavailable):
+        if not isinstance(stored, storage.Unavailable):
             head = config.decode_head(stored)
         found = None if head is None else head.sections.get(section)
         owner = None if found is None else found.owner
@@ -196,7 +196,7 @@
         self, teams: Iterable[ids.TeamId], vm: ids.VmId, send: _asgi.Send
     ) -> None:
         row = await self._node.platform.read(config.SERVING, vm)
-        if isinstance(row, platform.Unavailable):
+        if isinstance(row, storage.Unavailable):
             await _send_out(send, str(row.failure))
             return
         write = None
@@ -211,9 +211,9 @@
         eliot.log_message(
             "vm_fenced", fenced=vm, teams=sorted(teams), result=str(result)
         )
-        if isinstance(result, platform.Committed):
+        if isinstance(result, storage.Committed):
             await _asgi.send_json(send, {"vm": vm, "counted_out": True})
-        elif isinstance(result, platform.Conflict):
+        elif isinstance(result, storage.Conflict):
             detail = "the VM renewed its lease just now: it is running"
             await _asgi.send_problem(send, 409, "not counted out", detail)
         else:
@@ -221,15 +221,15 @@
 
     async def _read(
         self, key: str
-    ) -> config.StoredRow | None | platform.Unavailable:
+    ) -> config.StoredRow | None | storage.Unavailable:
         row = await self._node.platform.read(config.CONFIGURATION, key)
-        if isinstance(row, platform.Row):
+        if isinstance(row, storage.Row):
             return _configuration.to_stored(row)
         return row
 
 
 def _row(found: Any) -> config.StoredRow | None:
-    assert not isinstance(found, platform.Unavailable)
+    assert not isinstance(found, storage.Unavailable)
     return found
 
 
--- a/dragonflystack/daemon/_exchange.py
+++ b/dragonflystack/daemon/_exchange.py
@@ -4,25 +4,13 @@
 
 import httpcore
 
+from dragonflystack import _hop_headers
 from dragonflystack import forwarding
 
 _CONNECT_TIMEOUT_S = 0.25
 _TIMEOUTS = {"timeout": {"connect": _CONNECT_TIMEOUT_S}}
 _NO_BODY_STATUSES = frozenset((204, 304))
 _ECHO_HEADER = b"dragonfly-request"
-_HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-
 UNSENT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
@@ -52,21 +40,6 @@
     body: bytes
 
 
-def end_to_end(headers: forwarding.Headers) -> forwarding.Headers:
-    """Returns the headers that are not for one connection only.
-
-    Source: RFC 9110, "HTTP Semantics", section 7.6.1.
-    """
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == b"connection"
-        for token in value.split(b",")
-    }
-    dropped = _HOP_BY_HOP | named
-    return tuple(h for h in headers if h[0].lower() not in dropped)
-
-
 async def exchange(
     conn: httpcore.AsyncHTTPConnection, call: Call, limit_bytes: int
 ) -> forwarding.Answer:
@@ -114,5 +87,5 @@
             echoed = value.decode("latin-1")
     if method == "HEAD" or res.status in _NO_BODY_STATUSES:
         declared = None
-    headers = end_to_end(tuple(res.headers))
+    headers = _hop_headers.end_to_end(res.headers)
     return forwarding.Answer(res.status, headers, body, declared, echoed)
--- a/dragonflystack/daemon/_members.py
+++ b/dragonflystack/daemon/_members.py
@@ -3,7 +3,7 @@
 import anyio
 import msgspec
 
-from dragonflystack import platform
+from dragonflystack import storage
 from dragonflystack.daemon import _node
 
 TABLE = "members"
@@ -19,28 +19,28 @@
         await anyio.sleep(_POLL_S)
 
 
-async def _register(node: _node.Node, rows: tuple[platform.Row, ...]) -> None:
+async def _register(node: _node.Node, rows: tuple[storage.Row, ...]) -> None:
     """Writes the row of this VM unless it stands as it should."""
     value = msgspec.json.encode(node.member())
     if any(row.key == node.vm and row.value == value for row in rows):
         return
-    await node.platform.write(platform.Write(TABLE, node.vm, None, value))
+    await node.platform.write(storage.Write(TABLE, node.vm, None, value))
 
 
 async def deregister(node: _node.Node) -> None:
     """Deletes the row of this VM."""
-    await node.platform.write(platform.Write(TABLE, node.vm, None, None))
+    await node.platform.write(storage.Write(TABLE, node.vm, None, None))
 
 
-async def _read_members(node: _node.Node) -> tuple[platform.Row, ...] | None:
+async def _read_members(node: _node.Node) -> tuple[storage.Row, ...] | None:
     """Takes up the VMs that are listed; returns all rows, None in an outage."""
     listed = await node.platform.list_vms()
     rows = await node.platform.scan(TABLE)
-    if isinstance(listed, platform.Unavailable):
+    if isinstance(listed, storage.Unavailable):
         return None
-    if isinstance(rows, platform.Unavailable):
+    if isinstance(rows, storage.Unavailable):
         return None
-    leaving = {vm.id for vm in listed if vm.state is platform.VmState.LEAVING}
+    leaving = {vm.id for vm in listed if vm.state is storage.VmState.LEAVING}
     known = {vm.id for vm in listed}
     members = [
         msgspec.json.decode(row.value, type=_node.Member) for row in rows
--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -11,9 +11,9 @@
 from dragonflystack import clock
 from dragonflystack import config
 from dragonflystack import ids
-from dragonflystack import platform
 from dragonflystack import promises
 from dragonflystack import steering
+from dragonflystack import storage
 from dragonflystack.daemon import _metrics
 from dragonflystack.daemon import _peer_tls
 from dragonflystack.daemon import _settings
@@ -44,7 +44,7 @@
     incarnation: ids.Incarnation
     clock: clock.Clock
     rng: random.Random
-    platform: platform.HttpPlatform
+    platform: storage.HttpPlatform
     ledger: promises.Ledger
     metrics: _metrics.Metrics
     tls: _peer_tls.PeerTls | None = None
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -10,8 +10,8 @@
 from dragonflystack import _asgi
 from dragonflystack import config
 from dragonflystack import ids
-from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack import storage
 from dragonflystack.daemon import _chunk_uploads
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _configuration_changes
@@ -124,7 +124,7 @@
         await _asgi.send_problem(send, 400, "no such day", str(exc))
         return
     reports = await _promise_reports.fleet_reports(node, day)
-    if isinstance(reports, platform.Unavailable):
+    if isinstance(reports, storage.Unavailable):
         reason = str(reports.failure)
         await _asgi.send_problem(send, 503, "object store out", reason)
         return
--- a/dragonflystack/daemon/_promise_reports.py
+++ b/dragonflystack/daemon/_promise_reports.py
@@ -6,8 +6,8 @@
 import eliot
 import msgspec
 
-from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack import storage
 from dragonflystack.daemon import _node
 
 _PREFIX = "promises"
@@ -54,22 +54,22 @@
 
 async def fleet_reports(
     node: _node.Node, day: datetime.date
-) -> tuple[promises.Report, ...] | platform.Unavailable:
+) -> tuple[promises.Report, ...] | storage.Unavailable:
     """Returns the reports that were written on a day (UTC).
 
     This daemon's own report is its present one.
     """
     names = await node.platform.list_names(f"{_PREFIX}/{day.isoformat()}/")
-    if isinstance(names, platform.Unavailable):
+    if isinstance(names, storage.Unavailable):
         return names
     reports = {own_report(node).incarnation: own_report(node)}
-    failures: list[platform.Unavailable] = []
+    failures: list[storage.Unavailable] = []
     limiter = anyio.CapacityLimiter(_MAX_READS_AT_ONCE)
 
     async def read(name: str) -> None:
         async with limiter:
             data = await node.platform.get(name)
-        if isinstance(data, platform.Unavailable):
+        if isinstance(data, storage.Unavailable):
             failures.append(data)
         elif data is not None:
             report = msgspec.json.decode(data, type=promises.Report)
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -14,8 +14,8 @@
 from dragonflystack import clock
 from dragonflystack import config
 from dragonflystack import ids
-from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack import storage
 from dragonflystack.daemon import _callers
 from dragonflystack.daemon import _configuration
 from dragonflystack.daemon import _daemons
@@ -50,7 +50,7 @@
         incarnation=ids.Incarnation(uuid.uuid4().hex[:12]),
         clock=clock.SystemClock(),
         rng=random.Random(uuid.uuid4().int),
-        platform=platform.HttpPlatform.from_url(
+        platform=storage.HttpPlatform.from_url(
             cfg.platform_url, cfg.platform_timeout
         ),
         ledger=promises.Ledger(),
--- a/dragonflystack/daemon/tests/test_configuration.py
+++ b/dragonflystack/daemon/tests/test_configuration.py
@@ -12,8 +12,8 @@
 from dragonflystack import config
 from dragonflystack import ids
 from dragonflystack import outcomes
-from dragonflystack import platform
 from dragonflystack import promises
+from dragonflystack import storage
 from dragonflystack.config.tests import documents
 from dragonflystack.config.tests import store as store_lib
 from dragonflystack.daemon import _configuration
@@ -42,27 +42,27 @@
 
     async def read(self, table: str, key: str) -> Any:
         if self.outage:
-            return platform.Unavailable(_FAILURE)
+            return storage.Unavailable(_FAILURE)
         row = self.store.read(table, key)
-        return row and platform.Row(key, row.version, row.value)
+        return row and storage.Row(key, row.version, row.value)
 
     async def scan(self, table: str) -> Any:
         assert table == config.SERVING
         if self.outage:
-            return platform.Unavailable(_FAILURE)
+            return storage.Unavailable(_FAILURE)
         return tuple(
-            platform.Row(vm, row.version, row.value)
+            storage.Row(vm, row.version, row.value)
             for vm, row in self.store.serving().items()
         )
 
-    async def write(self, *writes: platform.Write) -> platform.WriteResult:
+    async def write(self, *writes: storage.Write) -> storage.WriteResult:
         if self.outage:
-            return platform.Unavailable(_FAILURE)
+            return storage.Unavailable(_FAILURE)
         if self.races:
             assert self.store.put(self.races.pop())
         if self.lost_writes:
             self.lost_writes -= 1
-            return platform.Unsure(_FAILURE)
+            return storage.Unsure(_FAILURE)
         done = self.store.write(
             tuple(
                 config.RowWrite(
@@ -73,19 +73,19 @@
         )
         if self.lost_answers:
             self.lost_answers -= 1
-            return platform.Unsure(_FAILURE)
+            return storage.Unsure(_FAILURE)
         if done:
-            return platform.Committed()
-        return platform.Conflict(writes[0].table, writes[0].key)
+            return storage.Committed()
+        return storage.Conflict(writes[0].table, writes[0].key)
 
     async def get(self, name: str) -> Any:
         if self.outage:
-            return platform.Unavailable(_FAILURE)
+            return storage.Unavailable(_FAILURE)
         return self.store.objects.get(ids.Digest(name))
 
     async def put(self, name: str, data: bytes) -> Any:
         if self.outage:
-            return platform.Unavailable(_FAILURE)
+            return storage.Unavailable(_FAILURE)
         self.store.objects[ids.Digest(name)] = data
         return None
 
@@ -221,9 +221,9 @@
     async def run() -> None:
         fleet = Fleet("a")
 
-        async def fail(*writes: platform.Write) -> platform.WriteResult:
+        async def fail(*writes: storage.Write) -> storage.WriteResult:
             fleet.platform.outage = True
-            return platform.Unsure(_FAILURE)
+            return storage.Unsure(_FAILURE)
 
         write, fleet.platform.write = fleet.platform.write, fail
         outcome = await fleet.apply(fleet.change())
--- /dev/null
+++ b/dragonflystack/entry/__init__.py
@@ -0,0 +1,102 @@
+"""The decisions of an entry VM that serves callers of a platform.
+
+`EntryVm` is the entry point. A shell, a bench or a test tells it what happened
+and does what it answers:
+
+    vm = entry.EntryVm(members, regions, bounds, settings, rng)
+    vm.on_catalogue(catalogue)
+    vm.on_listing(listing, now)
+    exchange, step = vm.open(request, now)
+    # -> Send(server, time_left, patience)
+    exchange.on_result(entry.Answered(200), now)
+    # -> Deliver()
+
+Nothing in this package does I/O or reads a clock: an instant is the time since
+the origin of the process's monotonic clock, passed in as `now`.
+"""
+
+from dragonflystack.entry._catalogue import CallerLimits
+from dragonflystack.entry._catalogue import Catalogue
+from dragonflystack.entry._catalogue import Destination
+from dragonflystack.entry._catalogue import InvalidCatalogueError
+from dragonflystack.entry._catalogue import Route
+from dragonflystack.entry._catalogue import RouteId
+from dragonflystack.entry._catalogue import ServicePolicy
+from dragonflystack.entry._choice import Candidate
+from dragonflystack.entry._choice import Wanted
+from dragonflystack.entry._discovery import Changes
+from dragonflystack.entry._discovery import Listing
+from dragonflystack.entry._exchange import Exchange
+from dragonflystack.entry._members import HEARTBEAT_EVERY
+from dragonflystack.entry._members import Heartbeat
+from dragonflystack.entry._members import Member
+from dragonflystack.entry._members import Members
+from dragonflystack.entry._members import Phase
+from dragonflystack.entry._members import VmAddress
+from dragonflystack.entry._messages import Answered
+from dragonflystack.entry._messages import Broken
+from dragonflystack.entry._messages import CallerGone
+from dragonflystack.entry._messages import ConnectFailed
+from dragonflystack.entry._messages import Deliver
+from dragonflystack.entry._messages import Drop
+from dragonflystack.entry._messages import Fail
+from dragonflystack.entry._messages import Reason
+from dragonflystack.entry._messages import Reject
+from dragonflystack.entry._messages import Request
+from dragonflystack.entry._messages import Result
+from dragonflystack.entry._messages import Send
+from dragonflystack.entry._messages import Sent
+from dragonflystack.entry._messages import Silent
+from dragonflystack.entry._messages import Step
+from dragonflystack.entry._messages import Unknown
+from dragonflystack.entry._messages import Wait
+from dragonflystack.entry._servers import Load
+from dragonflystack.entry._servers import Server
+from dragonflystack.entry._servers import ServerEntry
+from dragonflystack.entry._settings import ChoiceSettings
+from dragonflystack.entry._settings import FleetBounds
+from dragonflystack.entry._vm import EntryVm
+
+__all__ = [
+    "HEARTBEAT_EVERY",
+    "Answered",
+    "Broken",
+    "CallerGone",
+    "CallerLimits",
+    "Candidate",
+    "Catalogue",
+    "Changes",
+    "ChoiceSettings",
+    "ConnectFailed",
+    "Deliver",
+    "Destination",
+    "Drop",
+    "EntryVm",
+    "Exchange",
+    "Fail",
+    "FleetBounds",
+    "Heartbeat",
+    "InvalidCatalogueError",
+    "Listing",
+    "Load",
+    "Member",
+    "Members",
+    "Phase",
+    "Reason",
+    "Reject",
+    "Request",
+    "Result",
+    "Route",
+    "RouteId",
+    "Send",
+    "Sent",
+    "Server",
+    "ServerEntry",
+    "ServicePolicy",
+    "Silent",
+    "Step",
+    "Unknown",
+    "VmAddress",
+    "Wait",
+    "Wanted",
+]
--- /dev/null
+++ b/dragonflystack/entry/_choice.py
@@ -0,0 +1,180 @@
+"""Which backend server gets a request: the one with the least expected cost.
+
+The cost of a backend server is the expected time until its answer (way, wait
+for a slot, work) and penalties for another region and for recent failures.
+Work is much shorter where the object is known, so objects are ranked over the
+backend servers, the same on every VM, and the first in rank is taken to know
+the object. It is left only when waiting for it costs more than the work of
+one that has yet to learn the object.
+"""
+
+import dataclasses
+import datetime
+
+from dragonflystack import ids
+from dragonflystack.entry import _catalogue
+from dragonflystack.entry import _ranking
+from dragonflystack.entry import _servers
+from dragonflystack.entry import _settings
+from dragonflystack.entry import _work_times
+
+_ZERO = datetime.timedelta()
+_REMOTE_RANKS = 2
+"""Backend servers of each other region that are looked at for one object."""
+
+_MAX_CACHED_RANKINGS = 4_096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a request needs of its backend server."""
+
+    route: _catalogue.Route
+    service: ids.ServiceId
+    object_key: str | None
+    """Names the object it concerns, None if it names none."""
+
+    regions: frozenset[ids.RegionId]
+    """The only regions that may serve it; any if empty."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A backend server weighed for a request."""
+
+    server: _servers.Server
+    known: bool
+    """Whether it is thought to know the object."""
+
+    wait: datetime.timedelta
+    """Expected wait for a slot."""
+
+    expected: datetime.timedelta
+    """Expected time until its answer is here."""
+
+    cost: datetime.timedelta
+    """Expected time and penalties; the least is chosen."""
+
+
+class Chooser:
+    """Weighs backend servers for one VM."""
+
+    def __init__(
+        self,
+        region: ids.RegionId,
+        book: _servers.ServerBook,
+        times: _work_times.WorkTimes,
+        settings: _settings.ChoiceSettings,
+    ):
+        self._region = region
+        self._book = book
+        self._times = times
+        self._settings = settings
+        self._round_trips: dict[ids.RegionId, datetime.timedelta] = {}
+        self._rankings: dict[
+            tuple[ids.ServiceId, str], dict[ids.RegionId, list[_servers.Server]]
+        ] = {}
+        self._revision = -1
+
+    def on_round_trip(
+        self, region: ids.RegionId, round_trip: datetime.timedelta
+    ) -> None:
+        """Takes in how long a connection to a region took to open."""
+        before = self._round_trips.get(region)
+        if before is None or round_trip < before:
+            self._round_trips[region] = round_trip
+        else:
+            self._round_trips[region] = before + (round_trip - before) * 0.05
+
+    def round_trip(self, region: ids.RegionId) -> datetime.timedelta:
+        """Returns the way to a region and back."""
+        if region == self._region:
+            return _ZERO
+        default = self._settings.remote_round_trip
+        return self._round_trips.get(region, default)
+
+    def weigh(self, wanted: Wanted, now: datetime.timedelta) -> list[Candidate]:
+        """Returns the backend servers that may serve, cheapest first.
+
+        The caller checks what only it knows, such as bounds on cold ones.
+        """
+        ranked = self._ranked(wanted)
+        candidates: list[Candidate] = []
+        for region, servers in ranked.items():
+            if wanted.regions and region not in wanted.regions:
+                continue
+            near = region == self._region
+            first = True
+            looked_at = 0
+            for server in servers:
+                if not near and looked_at >= _REMOTE_RANKS:
+                    break
+                if not server.may_serve():
+                    continue
+                looked_at += 1
+                if server.suspect_since is None:
+                    candidate = self._candidate(wanted, server, first, now)
+                    if candidate is not None:
+                        candidates.append(candidate)
+                first = False
+        candidates.sort(key=_cost)
+        return candidates
+
+    def _candidate(
+        self,
+        wanted: Wanted,
+        server: _servers.Server,
+        first: bool,
+        now: datetime.timedelta,
+    ) -> Candidate | None:
+        route = wanted.route
+        key = wanted.object_key
+        slots = max(1, server.entry.slots)
+        load = server.load(now)
+        if load >= slots * self._settings.queue_slots:
+            return None
+        known = route.sticky and key is not None
+        known = known and (first or server.knows(key))
+        work = self._times.expect(route, known)
+        if server.is_cold(now):
+            work = self._times.expect(route, False) * 2
+        ahead = load + 1 - slots
+        wait = work * (ahead / slots) if ahead > 0 else _ZERO
+        way = self.round_trip(server.region)
+        expected = way + wait + work
+        cost = expected
+        if server.region != self._region:
+            cost += self._settings.remote_penalty
+        rate = server.failure_rate(now)
+        if rate > 0.0:
+            cost += route.target_latency * (
+                rate * self._settings.failure_penalty
+            )
+        return Candidate(server, known, wait, expected, cost)
+
+    def _ranked(
+        self, wanted: Wanted
+    ) -> dict[ids.RegionId, list[_servers.Server]]:
+        if self._revision != self._book.revision:
+            self._rankings.clear()
+            self._revision = self._book.revision
+        key = wanted.object_key or ""
+        cache_key = (wanted.service, key)
+        ranked = self._rankings.get(cache_key)
+        if ranked is None:
+            ranked = {}
+            servers = self._book.of_service(wanted.service)
+            for server in _ranking.rank(key, servers, _name):
+                ranked.setdefault(server.region, []).append(server)
+            if len(self._rankings) >= _MAX_CACHED_RANKINGS:
+                self._rankings.clear()
+            self._rankings[cache_key] = ranked
+        return ranked
+
+
+def _name(server: _servers.Server) -> str:
+    return server.entry.id
+
+
+def _cost(candidate: Candidate) -> datetime.timedelta:
+    return candidate.cost
--- /dev/null
+++ b/dragonflystack/entry/_exchange.py
@@ -0,0 +1,275 @@
+"""The life of one request: sends, one after the other, until it is settled.
+
+A request that is not idempotent is sent again only while it is known that no
+earlier send ran. Others may be sent again when a send broke off, stayed silent
+or failed. A send that follows one that reached a backend server comes out of
+the retry budget. What cannot be served is told at once.
+"""
+
+import datetime
+import random
+from typing import Protocol
+
+from dragonflystack import ids
+from dragonflystack.entry import _catalogue
+from dragonflystack.entry import _choice
+from dragonflystack.entry import _messages
+from dragonflystack.entry import _servers
+
+_ZERO = datetime.timedelta()
+_FIRST_SERVER_ERROR = 500
+_MAX_CONNECT_TRIES = 3
+"""Backend servers tried in vain before a request is refused; each costs the
+caller time."""
+
+_DEFAULT_TIME_LEFT = datetime.timedelta(seconds=30)
+"""For callers that do not say how long they wait."""
+
+_LEAST_RETRY_AFTER = datetime.timedelta(milliseconds=50)
+_RETRY_AFTER_SPREAD = 0.5
+"""Returns are spread over this part of the time named, so that callers do not
+come back as one."""
+
+_LEAST_PATIENCE = datetime.timedelta(milliseconds=150)
+
+
+class Context(Protocol):
+    """What an exchange asks of its VM."""
+
+    rng: random.Random
+
+    def weigh(
+        self, wanted: _choice.Wanted, now: datetime.timedelta
+    ) -> list[_choice.Candidate]:
+        """Returns the backend servers that may be used, cheapest first."""
+
+    def may_resend(self, service: ids.ServiceId) -> bool:
+        """Takes one repeat out of the retry budget, if there is one."""
+
+    def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
+        """Returns when an answer that has not come shows trouble."""
+
+    def on_sent(
+        self, candidate: _choice.Candidate, now: datetime.timedelta
+    ) -> None:
+        """Notes a send."""
+
+    def on_work(
+        self,
+        route: _catalogue.Route,
+        candidate: _choice.Candidate,
+        elapsed: datetime.timedelta,
+    ) -> None:
+        """Notes how long a send took until its answer."""
+
+
+class Exchange:
+    """One request of a caller, from its arrival to its outcome."""
+
+    def __init__(
+        self,
+        context: Context,
+        request: _messages.Request,
+        route: _catalogue.Route,
+        wanted: _choice.Wanted,
+        now: datetime.timedelta,
+    ):
+        self.request = request
+        self.route = route
+        self.wanted = wanted
+        self.began = now
+        left = request.time_left
+        self._caller_leaves = now + (
+            _DEFAULT_TIME_LEFT if left is None else left
+        )
+        self.deadline = self._caller_leaves
+        """When the final answer is due."""
+
+        if route.timeout is not None:
+            self.deadline = min(self.deadline, now + route.timeout)
+        self.sends: list[_messages.Sent] = []
+        self.may_have_run = False
+        """Whether a backend server may have run it."""
+
+        self._context = context
+        self._tried: set[ids.BackendServerId] = set()
+        self._reached = 0
+        self._connect_tries = 0
+        self._current: _choice.Candidate | None = None
+        self._sent_at = now
+        self._why = _messages.Reason.NO_SERVER
+
+    def begin(self, now: datetime.timedelta) -> _messages.Step:
+        """Returns the first step."""
+        return self._send(now)
+
+    def on_result(
+        self, result: _messages.Result, now: datetime.timedelta
+    ) -> _messages.Step:
+        """Takes in how the latest send went; returns what to do next."""
+        match result:
+            case _messages.Answered():
+                return self._on_answered(result, now)
+            case _messages.ConnectFailed():
+                return self._on_connect_failed(now)
+            case _messages.Broken(_, corrupt):
+                return self._on_broken(corrupt, now)
+            case _messages.Silent():
+                return self._on_silent(now)
+            case _messages.CallerGone():
+                self._release()
+                return _messages.Drop()
+
+    def _on_answered(
+        self, answer: _messages.Answered, now: datetime.timedelta
+    ) -> _messages.Step:
+        candidate = self._release()
+        server = candidate.server
+        server.on_heard(now)
+        if answer.load is not None:
+            server.on_load(answer.load, now)
+        if answer.wrong_server:
+            server.gone = True
+            return self._again(_messages.Reason.NO_SERVER, now)
+        if answer.not_run:
+            self._on_shed(server, answer, now)
+            return self._again(_messages.Reason.FULL, now)
+        self.may_have_run = True
+        failed = answer.status >= _FIRST_SERVER_ERROR
+        server.on_result(failed, now)
+        if failed and self.route.idempotent and self._may_send_more(now):
+            step = self._send(now)
+            if isinstance(step, _messages.Send):
+                return step
+        if not failed:
+            self._context.on_work(self.route, candidate, now - self._sent_at)
+        return _messages.Deliver()
+
+    def _on_shed(
+        self,
+        server: _servers.Server,
+        answer: _messages.Answered,
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes a refusal as a report of a full queue."""
+        if answer.load is None:
+            slots = max(1, server.entry.slots)
+            server.on_load(_servers.Load(slots, 3 * slots, slots), now)
+
+    def _on_connect_failed(self, now: datetime.timedelta) -> _messages.Step:
+        server = self._release().server
+        server.on_suspect(now)
+        server.on_result(True, now)
+        self._reached -= 1
+        self._connect_tries += 1
+        if self._connect_tries >= _MAX_CONNECT_TRIES:
+            return self._give_up(_messages.Reason.NO_SERVER, now)
+        return self._send(now)
+
+    def _on_broken(
+        self, corrupt: bool, now: datetime.timedelta
+    ) -> _messages.Step:
+        server = self._release().server
+        server.on_result(True, now)
+        self.may_have_run = True
+        why = _messages.Reason.CORRUPT if corrupt else _messages.Reason.BROKEN
+        return self._again(why, now)
+
+    def _on_silent(self, now: datetime.timedelta) -> _messages.Step:
+        current = self._current
+        assert current is not None
+        if now >= self.deadline:
+            self._release()
+            if current.server.last_heard < self._sent_at:
+                current.server.on_suspect(now)
+            self.may_have_run = True
+            return _messages.Fail(_messages.Reason.TIMEOUT, timed_out=True)
+        if current.server.last_heard >= self._sent_at:
+            return self._wait(current, now)
+        current.server.on_suspect(now)
+        current.server.on_result(True, now)
+        self.may_have_run = True
+        if self.route.idempotent and self._may_send_more(now):
+            best = self._best(now)
+            if best is not None and best.expected < self.deadline - now:
+                self._release()
+                return self._start(best, now)
+        return self._wait(current, now)
+
+    def _wait(
+        self, current: _choice.Candidate, now: datetime.timedelta
+    ) -> _messages.Step:
+        """Goes on waiting for the latest send."""
+        left = self.deadline - now
+        return _messages.Wait(max(_ZERO, left))
+
+    def _again(
+        self, why: _messages.Reason, now: datetime.timedelta
+    ) -> _messages.Step:
+        """Sends again if that is safe and allowed, else gives up."""
+        if self.may_have_run and not self.route.idempotent:
+            return self._give_up(why, now)
+        if not self._may_send_more(now):
+            return self._give_up(why, now)
+        self._why = why
+        return self._send(now)
+
+    def _may_send_more(self, now: datetime.timedelta) -> bool:
+        if self._reached >= self.route.max_attempts or now >= self.deadline:
+            return False
+        return self._context.may_resend(self.wanted.service)
+
+    def _send(self, now: datetime.timedelta) -> _messages.Step:
+        best = self._best(now)
+        if best is None:
+            return self._give_up(self._why, now)
+        if best.expected > self.deadline - now:
+            return self._give_up(_messages.Reason.TOO_LATE, now, best)
+        return self._start(best, now)
+
+    def _best(self, now: datetime.timedelta) -> _choice.Candidate | None:
+        for candidate in self._context.weigh(self.wanted, now):
+            if candidate.server.entry.id not in self._tried:
+                return candidate
+        return None
+
+    def _start(
+        self, candidate: _choice.Candidate, now: datetime.timedelta
+    ) -> _messages.Step:
+        server = candidate.server
+        self._current = candidate
+        self._tried.add(server.entry.id)
+        self._reached += 1
+        self._sent_at = now
+        server.on_start(self.wanted.object_key)
+        self._context.on_sent(candidate, now)
+        self.sends.append(
+            _messages.Sent(
+                server.entry.id, now, candidate.expected, candidate.known
+            )
+        )
+        left = self.deadline - now
+        patience = max(_LEAST_PATIENCE, self._context.overdue_after(candidate))
+        return _messages.Send(server, left, min(patience, left))
+
+    def _release(self) -> _choice.Candidate:
+        current = self._current
+        assert current is not None
+        self._current = None
+        current.server.on_end()
+        return current
+
+    def _give_up(
+        self,
+        why: _messages.Reason,
+        now: datetime.timedelta,
+        best: _choice.Candidate | None = None,
+    ) -> _messages.Step:
+        if self.may_have_run:
+            return _messages.Fail(why, timed_out=now >= self.deadline)
+        wait = _LEAST_RETRY_AFTER if best is None else best.wait
+        return _messages.Reject(why, self._retry_after(wait))
+
+    def _retry_after(self, wait: datetime.timedelta) -> datetime.timedelta:
+        least = max(_LEAST_RETRY_AFTER, wait)
+        return least * (1 + _RETRY_AFTER_SPREAD * self._context.rng.random())
--- /dev/null
+++ b/dragonflystack/entry/_settings.py
@@ -0,0 +1,85 @@
+"""The bounds and rates that one entry VM decides by."""
+
+import dataclasses
+import datetime
+
+
+def _ms(milliseconds: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=milliseconds)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetBounds:
+    """Bounds that hold for all entry VMs together; the operators' terms."""
+
+    retry_ratio: float = 0.2
+    """Repeated sends per request of a service, within `retry_window`."""
+
+    retry_extra: float = 100.0
+    """Repeated sends allowed beyond that ratio, within `retry_window`."""
+
+    retry_window: datetime.timedelta = _ms(10_000)
+
+    cold_factor: float = 1.5
+    """A cold backend server may get its cold rate times this a second."""
+
+    cold_margin: float = 5.0
+    """Requests a second that it may get beyond that."""
+
+    max_shift: float = 0.15
+    """Part of a region's requests that may change region in 2 s."""
+
+    drain: datetime.timedelta = _ms(2_500)
+    """How long a leaving backend server still takes requests."""
+
+    grace: datetime.timedelta = _ms(6_000)
+    """From SIGTERM until the process is killed."""
+
+    max_answer_ttl: datetime.timedelta = _ms(5_000)
+    """Callers keep no answer of the directory for longer than this."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChoiceSettings:
+    """How a backend server is chosen for a request."""
+
+    warm_part: float = 0.35
+    """Assumed time of work on a known object over that on a new one, until
+    both were measured."""
+
+    objects_kept: int = 24
+    """Objects that a backend server is assumed to remember."""
+
+    remote_penalty: datetime.timedelta = _ms(40)
+    """Delay that a nearer backend server may cost; bytes between regions are
+    paid for."""
+
+    others_half_life: datetime.timedelta = _ms(300)
+    """How fast a report of load goes back to its long-run mean."""
+
+    failure_weight: float = 0.3
+    """Weight of the latest result in a backend server's failure rate."""
+
+    failure_half_life: datetime.timedelta = _ms(2_000)
+    """How fast a failure rate fades while nothing is sent."""
+
+    failure_penalty: float = 3.0
+    """Cost of a sure failure, in target latencies."""
+
+    queue_slots: float = 3.0
+    """A backend server is full at this many requests per slot."""
+
+    silence_factor: float = 3.0
+    """A request is overdue after this many times its expected time."""
+
+    cold_owners: int = 2
+    """Entry VMs that may send to one cold backend server."""
+
+    cold_share: float = 0.3
+    """Part of a cold backend server's bound that each of them uses."""
+
+    retry_part: float = 0.6
+    """Part of the fleet's retry budget that is dealt out to the VMs."""
+
+    remote_round_trip: datetime.timedelta = _ms(70)
+    """Assumed round trip to another region until one was measured."""
--- /dev/null
+++ b/dragonflystack/entry/_vm.py
@@ -0,0 +1,218 @@
+"""The decisions of one entry VM, apart from all input and output."""
+
+import datetime
+import random
+
+from dragonflystack import ids
+from dragonflystack import retry_budget
+from dragonflystack.entry import _catalogue
+from dragonflystack.entry import _choice
+from dragonflystack.entry import _cold
+from dragonflystack.entry import _discovery
+from dragonflystack.entry import _exchange
+from dragonflystack.entry import _members
+from dragonflystack.entry import _messages
+from dragonflystack.entry import _routes
+from dragonflystack.entry import _servers
+from dragonflystack.entry import _settings
+from dragonflystack.entry import _work_times
+
+_ZERO = datetime.timedelta()
+_LEAST_FLEET = 8
+"""Until the other VMs are known the fleet is taken to be at least this big."""
+
+_LEAST_RETRIES = 1.0
+
+
+class EntryVm:
+    """What one VM believes and how it decides on requests."""
+
+    def __init__(
+        self,
+        members: _members.Members,
+        regions: dict[ids.FailureDomainId, ids.RegionId],
+        bounds: _settings.FleetBounds,
+        settings: _settings.ChoiceSettings,
+        rng: random.Random,
+    ):
+        self.members = members
+        self.bounds = bounds
+        self.rng = rng
+        self.book = _servers.ServerBook(regions, settings)
+        self.discovery = _discovery.Discovery(self.book)
+        self.catalogue: _catalogue.Catalogue | None = None
+        self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
+        self._settings = settings
+        self._routes: _routes.RouteTable | None = None
+        self._times = _work_times.WorkTimes(settings)
+        self._chooser = _choice.Chooser(
+            members.own.region, self.book, self._times, settings
+        )
+        self._cold = _cold.ColdPacer(members.own.vm, bounds, settings)
+        self._budgets: dict[ids.ServiceId, retry_budget.RetryBudget] = {}
+
+    # What it learns.
+
+    def on_catalogue(self, catalogue: _catalogue.Catalogue) -> bool:
+        """Puts a catalogue in force unless it is older than the present one.
+
+        Returns:
+            Whether it is in force now and was not before.
+        """
+        now_in_force = self.catalogue
+        if (
+            now_in_force is not None
+            and catalogue.version <= now_in_force.version
+        ):
+            return False
+        self.catalogue = catalogue
+        self._routes = _routes.RouteTable(catalogue)
+        return True
+
+    def on_bounds(self, bounds: _settings.FleetBounds) -> None:
+        """Takes in bounds that changed."""
+        if bounds == self.bounds:
+            return
+        self.bounds = bounds
+        self._cold = _cold.ColdPacer(
+            self.members.own.vm, bounds, self._settings
+        )
+        self._budgets.clear()
+
+    def on_evacuated(
+        self,
+        domains: frozenset[ids.FailureDomainId],
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes in the failure domains that are to get no requests.
+
+        Backend servers of a domain that is taken back may be cold.
+        """
+        back = self.evacuated - domains
+        self.evacuated = domains
+        for server in self.book.all():
+            if server.entry.domain in back:
+                policy = self._policy(server.entry.service)
+                if policy is not None:
+                    server.on_cold(policy.cold_period, now)
+
+    def on_listing(
+        self, listing: _discovery.Listing, now: datetime.timedelta
+    ) -> _discovery.Changes:
+        """Takes in what was read of the list of backend servers."""
+        changes = self.discovery.on_listing(listing, now)
+        self._forget(changes)
+        return changes
+
+    def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
+        """Does what is due."""
+        self.members.on_tick(now)
+        self._cold.on_vms(self.members.vms(now))
+        changes = self.discovery.on_tick(now)
+        self._forget(changes)
+        return changes
+
+    def on_round_trip(
+        self, server: _servers.Server, round_trip: datetime.timedelta
+    ) -> None:
+        """Takes in how long a connection took to open."""
+        self._chooser.on_round_trip(server.region, round_trip)
+
+    @property
+    def is_informed(self) -> bool:
+        """Whether it knows routes and backend servers."""
+        return self.catalogue is not None and (
+            self.discovery.read_at is not None
+        )
+
+    # Requests.
+
+    def open(
+        self, request: _messages.Request, now: datetime.timedelta
+    ) -> tuple[_exchange.Exchange | None, _messages.Step]:
+        """Takes a request; returns its exchange, if any, and the first step."""
+        if self._routes is None or not self.is_informed:
+            wait = datetime.timedelta(milliseconds=250)
+            return None, _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
+        route = self._routes.find(request.host, request.path)
+        if route is None:
+            return None, _messages.Unknown()
+        service = self._routes.pick_service(route)
+        wanted = _choice.Wanted(
+            route, service, request.object_key, route.regions
+        )
+        self._budget(service).on_first_attempt()
+        exchange = _exchange.Exchange(self, request, route, wanted, now)
+        return exchange, exchange.begin(now)
+
+    # What an exchange asks; see `_exchange.Context`.
+
+    def weigh(
+        self, wanted: _choice.Wanted, now: datetime.timedelta
+    ) -> list[_choice.Candidate]:
+        """See `_exchange.Context.weigh`."""
+        return [
+            candidate
+            for candidate in self._chooser.weigh(wanted, now)
+            if self._may_use(candidate.server, now)
+        ]
+
+    def may_resend(self, service: ids.ServiceId) -> bool:
+        """See `_exchange.Context.may_resend`."""
+        return self._budget(service).take()
+
+    def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
+        """See `_exchange.Context.overdue_after`."""
+        return candidate.expected * self._settings.silence_factor
+
+    def on_sent(
+        self, candidate: _choice.Candidate, now: datetime.timedelta
+    ) -> None:
+        """See `_exchange.Context.on_sent`."""
+        if candidate.server.is_cold(now):
+            self._cold.on_sent(candidate.server, now)
+
+    def on_work(
+        self,
+        route: _catalogue.Route,
+        candidate: _choice.Candidate,
+        elapsed: datetime.timedelta,
+    ) -> None:
+        """See `_exchange.Context.on_work`."""
+        way = self._chooser.round_trip(candidate.server.region)
+        work = elapsed - way - candidate.wait
+        if work > _ZERO:
+            self._times.on_measured(route, candidate.known, work)
+
+    def _may_use(
+        self, server: _servers.Server, now: datetime.timedelta
+    ) -> bool:
+        if server.entry.domain in self.evacuated:
+            return False
+        if not server.is_cold(now):
+            return True
+        policy = self._policy(server.entry.service)
+        return policy is not None and self._cold.may_send(server, policy, now)
+
+    def _policy(
+        self, service: ids.ServiceId
+    ) -> _catalogue.ServicePolicy | None:
+        if self.catalogue is None:
+            return None
+        return self.catalogue.services.get(service)
+
+    def _budget(self, service: ids.ServiceId) -> retry_budget.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            part = self._settings.retry_part
+            fleet = max(_LEAST_FLEET, self.members.fleet_size)
+            burst = max(_LEAST_RETRIES, self.bounds.retry_extra * part / fleet)
+            budget = retry_budget.RetryBudget(
+                self.bounds.retry_ratio * part, burst
+            )
+            self._budgets[service] = budget
+        return budget
+
+    def _forget(self, changes: _discovery.Changes) -> None:
+        for server in changes.gone:
+            self._cold.forget(server.entry.id)
--- /dev/null
+++ b/dragonflystack/entryd/_events.py
@@ -0,0 +1,44 @@
+"""What is logged: one word for each decision or change of belief."""
+
+import enum
+
+
+class Event(enum.Enum):
+    """The kinds of log line; docs/OPERATIONS.md explains each."""
+
+    STARTED = "started"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    SETTINGS_RELOADED = "settings-reloaded"
+    SETTINGS_REFUSED = "settings-refused"
+    DEPENDENCY_LOST = "dependency-lost"
+    DEPENDENCY_REGAINED = "dependency-regained"
+    CATALOGUE_ADOPTED = "catalogue-adopted"
+    CATALOGUE_REFUSED = "catalogue-refused"
+    EVACUATION_CHANGED = "evacuation-changed"
+    HISTORY_LOST = "history-lost"
+    ENTRY_SKIPPED = "entry-skipped"
+    SERVER_ADDED = "server-added"
+    SERVER_LEAVING = "server-leaving"
+    SERVER_GONE = "server-gone"
+    SERVER_SUSPECT = "server-suspect"
+    SERVER_BACK = "server-back"
+    VM_HEARD = "vm-heard"
+    VM_SILENT = "vm-silent"
+    VM_REGISTERED = "vm-registered"
+    STATE_FROM_PEER = "state-from-peer"
+    READY_CHANGED = "ready-changed"
+    REQUEST_SENT = "request-sent"
+    REQUEST_SENT_AGAIN = "request-sent-again"
+    REQUEST_OVERDUE = "request-overdue"
+    SEND_FAILED = "send-failed"
+    REQUEST_SERVED = "request-served"
+    REQUEST_REJECTED = "request-rejected"
+    REQUEST_FAILED = "request-failed"
+    REQUEST_UNKNOWN = "request-unknown"
+    REQUEST_DROPPED = "request-dropped"
+    LINES_DROPPED = "lines-dropped"
+
+
+ROUTINE = frozenset((Event.REQUEST_SENT, Event.REQUEST_SERVED))
+"""Kinds that go first when there are too many lines."""
--- /dev/null
+++ b/dragonflystack/entryd/_node.py
@@ -0,0 +1,110 @@
+"""What the parts of one entry daemon share."""
+
+import dataclasses
+import datetime
+
+import anyio
+
+from dragonflystack import clock
+from dragonflystack import entry
+from dragonflystack import ids
+from dragonflystack.entryd import _dialect
+from dragonflystack.entryd import _events
+from dragonflystack.entryd import _journal
+from dragonflystack.entryd import _metrics
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A host and a port to listen on."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Returns `host:port`."""
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Endpoint":
+        """Returns the endpoint that `host:port` names.
+
+        Raises:
+            ValueError: if the text is not of that form.
+        """
+        host, colon, port = text.rpartition(":")
+        if not colon or not port.isdigit():
+            raise ValueError(f'expected "host:port", found "{text}"')
+        return cls(host, int(port))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """The settings of one entry VM."""
+
+    vm: ids.VmId
+    region: ids.RegionId
+    domain: ids.FailureDomainId
+    regions: dict[ids.FailureDomainId, ids.RegionId]
+    """The region of each failure domain."""
+
+    callers: Endpoint
+    readiness: Endpoint
+    directory: Endpoint
+    peers: Endpoint
+    """Where other VMs send heartbeats (UDP) and ask for state (TCP)."""
+
+    metrics: Endpoint
+    seeds: tuple[Endpoint, ...]
+    """Where some other VMs answer peers; some may be gone."""
+
+    bounds: entry.FleetBounds
+    heartbeat: datetime.timedelta
+    """How often backend servers renew their entries."""
+
+    max_open_files: int
+    memory_bytes: int
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """The state of one process."""
+
+    settings: Settings
+    dialect: _dialect.Dialect
+    clock: clock.Clock
+    vm: entry.EntryVm
+    journal: _journal.Journal
+    metrics: _metrics.Metrics
+    stop_asked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    in_flight: int = 0
+    """Requests of callers without an answer."""
+
+    operators_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    """Set to have the operators' rows read again at once."""
+
+    def now(self) -> datetime.timedelta:
+        """Returns the time."""
+        return self.clock.monotonic()
+
+    def note(self, event: _events.Event, **fields: object) -> None:
+        """Logs one decision or change, and counts it."""
+        self.metrics.count("events", event=event.value)
+        self.journal.note(event, **fields)
+
+    def update_phase(self) -> None:
+        """Begins to serve once routes and backend servers are known."""
+        members = self.vm.members
+        if members.phase is entry.Phase.STARTING and self.vm.is_informed:
+            members.phase = entry.Phase.SERVING
+            self.note(_events.Event.READY_CHANGED, ready=True)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.vm.members.phase is entry.Phase.SERVING
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.vm.members.phase is entry.Phase.LEAVING
--- /dev/null
+++ b/dragonflystack/entryd/_platform_port.py
@@ -0,0 +1,86 @@
+"""What the daemon asks of the platform, in the product's own types."""
+
+import dataclasses
+import datetime
+from typing import Protocol
+
+from dragonflystack import entry
+from dragonflystack import ids
+from dragonflystack import storage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Skipped:
+    """A row that names nothing to use."""
+
+    key: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The changes asked for are no longer kept; read everything again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorNews:
+    """What operators wrote."""
+
+    version: int
+    """Of the store; ask for changes after it."""
+
+    whole: bool
+    """Whether this is all that is in force, not only changes."""
+
+    catalogue: entry.Catalogue | None
+    evacuated: frozenset[ids.FailureDomainId]
+    taken_back: frozenset[ids.FailureDomainId] = frozenset()
+    skipped: tuple[Skipped, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerNews:
+    """What backend servers wrote."""
+
+    version: int
+    """Of the store; ask for changes after it."""
+
+    listing: entry.Listing
+    skipped: tuple[Skipped, ...] = ()
+
+
+class Platform(Protocol):
+    """The platform's store as the daemon uses it."""
+
+    async def read_operators(self) -> OperatorNews | storage.Unavailable:
+        """Returns all that operators wrote."""
+
+    async def watch_operators(
+        self, after: int, wait: datetime.timedelta
+    ) -> OperatorNews | HistoryLost | storage.Unavailable:
+        """Returns what operators change, as soon as they do.
+
+        Args:
+            after: the version of the store up to which changes are known.
+            wait: how long to wait for a change.
+        """
+
+    async def read_servers(
+        self, after: int | None
+    ) -> ServerNews | HistoryLost | storage.Unavailable:
+        """Returns the backend servers, or what changed of them.
+
+        Args:
+            after: the version up to which changes are known, None for all.
+        """
+
+    async def register(self, address: entry.VmAddress) -> storage.WriteResult:
+        """Puts this VM on the list of entry VMs."""
+
+    async def list_vms(
+        self,
+    ) -> tuple[entry.VmAddress, ...] | storage.Unavailable:
+        """Returns the entry VMs that registered, some of which are gone."""
+
+    async def aclose(self) -> None:
+        """Closes the connections."""
--- /dev/null
+++ b/dragonflystack/entryd/_probes.py
@@ -0,0 +1,92 @@
+"""Asks backend servers that fell silent whether they live.
+
+Each probe costs and takes a slot, so only those are asked that get no
+requests because they refused a connection or left a request without answer.
+"""
+
+import datetime
+
+import anyio
+
+from dragonflystack import entry
+from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _events
+from dragonflystack.entryd import _journal
+from dragonflystack.entryd import _node
+
+_EVERY = datetime.timedelta(milliseconds=700)
+_TIMEOUT = datetime.timedelta(milliseconds=600)
+_OK = 200
+
+
+class Prober:
+    """Probes the backend servers that are suspect."""
+
+    def __init__(self, node: _node.Node, pool: _connections.Pool):
+        self._node = node
+        self._pool = pool
+
+    async def run(self) -> None:
+        """Probes, for ever."""
+        node = self._node
+        while True:
+            spread = 0.75 + 0.5 * node.vm.rng.random()
+            await anyio.sleep(_EVERY.total_seconds() * spread)
+            suspects = [
+                server
+                for server in node.vm.book.all()
+                if server.suspect_since is not None and server.may_serve()
+            ]
+            async with anyio.create_task_group() as tasks:
+                for server in suspects:
+                    tasks.start_soon(self._probe, server)
+
+    async def _probe(self, server: entry.Server) -> None:
+        node = self._node
+        node.metrics.count("probes")
+        try:
+            with anyio.fail_after(_TIMEOUT.total_seconds()):
+                answer = await self._ask(server)
+        except (
+            TimeoutError,
+            _connections.ConnectError,
+            _connections.BrokenError,
+            _connections.CorruptError,
+        ) as exc:
+            node.metrics.count("probes-failed", why=type(exc).__name__)
+            return
+        if answer.status != _OK or server.suspect_since is None:
+            return
+        now = node.now()
+        since = server.suspect_since
+        named = answer.header(node.dialect.server_id)
+        if named is not None and named.decode("latin-1") != server.entry.id:
+            server.gone = True
+            return
+        cold = answer.header(node.dialect.cold_left_ms)
+        left = None if cold is None else node.dialect.read_milliseconds(cold)
+        if left is not None and left > datetime.timedelta():
+            server.on_cold(left, now)
+        server.on_heard(now)
+        node.note(
+            _events.Event.SERVER_BACK,
+            server=server.entry.id,
+            suspect_ms=_journal.milliseconds(now - since),
+            cold_left_ms=_journal.milliseconds(left),
+        )
+
+    async def _ask(self, server: entry.Server) -> _connections.Answer:
+        catalogue = self._node.vm.catalogue
+        policy = None
+        if catalogue is not None:
+            policy = catalogue.services.get(server.entry.service)
+        path = "/health" if policy is None else policy.health_path
+        target = server.entry
+        address = _connections.Address("probe", target.host, target.port)
+        conn = await self._pool.connect(address, _TIMEOUT)
+        head = f"GET {path} HTTP/1.1\r\nhost: {target.host}\r\n\r\n"
+        try:
+            outgoing = _connections.Outgoing(head.encode("latin-1"), b"", b"")
+            return await conn.send(outgoing)
+        finally:
+            conn.close()
--- /dev/null
+++ b/dragonflystack/entryd/_run.py
@@ -0,0 +1,188 @@
+"""The life of an entry daemon: start, serve, graceful shutdown."""
+
+from collections.abc import Callable
+import dataclasses
+import datetime
+import signal
+
+import anyio
+
+from dragonflystack import _asgi
+from dragonflystack import _server
+from dragonflystack import entry
+from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _events
+from dragonflystack.entryd import _front
+from dragonflystack.entryd import _heartbeats
+from dragonflystack.entryd import _journal
+from dragonflystack.entryd import _metrics_port
+from dragonflystack.entryd import _node
+from dragonflystack.entryd import _platform_port
+from dragonflystack.entryd import _probes
+from dragonflystack.entryd import _snapshots
+from dragonflystack.entryd import _sync
+
+_TICK_S = 0.1
+"""Log lines wait this long at most, and so does what is due."""
+
+_SWEEP_EVERY = datetime.timedelta(seconds=1)
+_CLOSE_BEFORE_KILL = datetime.timedelta(milliseconds=1_300)
+"""Connections are closed this long before the end of the grace; by then
+callers have given up the answers that named this VM."""
+
+_EXIT_BEFORE_KILL = datetime.timedelta(milliseconds=250)
+_DRAIN_POLL_S = 0.05
+_MAX_BODY_BYTES = 33_554_432
+"""Largest answer of a backend server that is held in memory."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Apps:
+    """The apps of the ports that the platform's own callers ask."""
+
+    readiness: _asgi.App
+    directory: _asgi.App
+
+
+async def run(
+    node: _node.Node,
+    platform: _platform_port.Platform,
+    apps: Apps,
+    reload_bounds: Callable[[], entry.FleetBounds],
+) -> None:
+    """Serves until SIGTERM or SIGINT, then shuts down gracefully.
+
+    Args:
+        node: the state of the process.
+        platform: the platform's store.
+        apps: what the platform's own callers ask.
+        reload_bounds: reads the settings again; raises ValueError if they
+            are wrong.
+    """
+    cfg = node.settings
+    node.journal.start(vm=cfg.vm)
+    node.note(
+        _events.Event.STARTED,
+        callers=str(cfg.callers),
+        region=cfg.region,
+        domain=cfg.domain,
+    )
+    pool = _connections.Pool(
+        node.dialect.request_id, _MAX_BODY_BYTES, node.clock
+    )
+    heartbeats = _heartbeats.Heartbeats(node)
+    await heartbeats.open()
+    sync = _sync.Sync(node, platform)
+    ports = _make_ports(node, pool, apps)
+    async with anyio.create_task_group() as loops:
+        loops.start_soon(_follow_signals, node, reload_bounds)
+        loops.start_soon(_tick, node, sync, pool, ports[0])
+        loops.start_soon(sync.run_operators)
+        loops.start_soon(sync.run_servers)
+        loops.start_soon(sync.run_registration)
+        loops.start_soon(heartbeats.run)
+        loops.start_soon(_probes.Prober(node, pool).run)
+        async with anyio.create_task_group() as servers:
+            for port in ports:
+                servers.start_soon(port.serve)
+            await node.stop_asked.wait()
+            await _leave(node, heartbeats, ports)
+        loops.cancel_scope.cancel()
+    pool.close()
+    node.note(_events.Event.STOPPED, in_flight=node.in_flight)
+    node.journal.flush()
+
+
+def _make_ports(
+    node: _node.Node, pool: _connections.Pool, apps: Apps
+) -> tuple[_server.Server, ...]:
+    cfg = node.settings
+    front = _asgi.close_connections_when(
+        lambda: node.is_leaving, _front.Front(node, pool)
+    )
+    idle = entry.CallerLimits().idle_timeout
+    return (
+        _server.Server.from_address(
+            front, cfg.callers.host, cfg.callers.port, keep_alive=idle
+        ),
+        *(
+            _server.Server.from_address(app, port.host, port.port)
+            for app, port in (
+                (apps.readiness, cfg.readiness),
+                (apps.directory, cfg.directory),
+                (_snapshots.make_app(node), cfg.peers),
+                (_metrics_port.make_app(node), cfg.metrics),
+            )
+        ),
+    )
+
+
+async def _tick(
+    node: _node.Node,
+    sync: _sync.Sync,
+    pool: _connections.Pool,
+    front: _server.Server,
+) -> None:
+    """Does what is due, for ever."""
+    swept_at = node.now()
+    while True:
+        await anyio.sleep(_TICK_S)
+        now = node.now()
+        sync.note_changes(node.vm.on_tick(now))
+        if now - swept_at >= _SWEEP_EVERY:
+            swept_at = now
+            pool.sweep()
+            if node.vm.catalogue is not None:
+                front.set_keep_alive(node.vm.catalogue.limits.idle_timeout)
+        node.journal.flush()
+
+
+async def _follow_signals(
+    node: _node.Node, reload_bounds: Callable[[], entry.FleetBounds]
+) -> None:
+    kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*kinds) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                _reload(node, reload_bounds)
+            else:
+                node.stop_asked.set()
+
+
+def _reload(
+    node: _node.Node, reload_bounds: Callable[[], entry.FleetBounds]
+) -> None:
+    try:
+        bounds = reload_bounds()
+    except (OSError, ValueError) as exc:
+        node.note(_events.Event.SETTINGS_REFUSED, reason=str(exc))
+        return
+    changed = bounds != node.vm.bounds
+    node.vm.on_bounds(bounds)
+    node.note(_events.Event.SETTINGS_RELOADED, changed=changed)
+
+
+async def _leave(
+    node: _node.Node,
+    heartbeats: _heartbeats.Heartbeats,
+    ports: tuple[_server.Server, ...],
+) -> None:
+    """Is no longer named, serves those who come still, then closes."""
+    began = node.now()
+    grace = node.vm.bounds.grace
+    node.vm.members.phase = entry.Phase.LEAVING
+    node.note(
+        _events.Event.STOPPING,
+        in_flight=node.in_flight,
+        grace_ms=_journal.milliseconds(grace),
+    )
+    heartbeats.beat()
+    serve = max(datetime.timedelta(), grace - _CLOSE_BEFORE_KILL)
+    await anyio.sleep(serve.total_seconds())
+    for port in ports:
+        port.stop()
+    end = began + grace - _EXIT_BEFORE_KILL
+    while node.in_flight and node.now() < end:
+        await anyio.sleep(_DRAIN_POLL_S)
+    for port in ports:
+        port.force_exit = True
--- a/dragonflystack/forwarding/_runner.py
+++ b/dragonflystack/forwarding/_runner.py
@@ -16,12 +16,12 @@
 from dragonflystack import ids
 from dragonflystack import outcomes
 from dragonflystack import promises
+from dragonflystack import retry_budget
 from dragonflystack.forwarding import _answer_checks
 from dragonflystack.forwarding import _key_ledger
 from dragonflystack.forwarding import _limits
 from dragonflystack.forwarding import _messages
 from dragonflystack.forwarding import _owner_choice
-from dragonflystack.forwarding import _retry_budget
 from dragonflystack.forwarding import _timers
 
 _RETRY_AFTER_SPREAD = 0.25
@@ -87,7 +87,7 @@
         self._jobs: dict[_messages.WorkId, Job] = {}
         self._serial = 0
         self.owners = _owner_choice.OwnerChooser(issuer.vm, rng)
-        self.budget = _retry_budget.RetryBudget(
+        self.budget = retry_budget.RetryBudget(
             limits.retry_ratio, limits.retry_burst
         )
 
--- a/dragonflystack/forwarding/tests/test_owner_choice.py
+++ b/dragonflystack/forwarding/tests/test_owner_choice.py
@@ -4,9 +4,9 @@
 import pytest
 
 from dragonflystack import ids
+from dragonflystack import retry_budget
 from dragonflystack.forwarding import _messages
 from dragonflystack.forwarding import _owner_choice
-from dragonflystack.forwarding import _retry_budget
 
 _ZERO = datetime.timedelta()
 _SELF, _A, _B = (ids.VmId(name) for name in ("self", "a", "b"))
@@ -60,7 +60,7 @@
 
 
 def test_retries_are_a_fraction_of_first_attempts():
-    budget = _retry_budget.RetryBudget(0.25, burst=2)
+    budget = retry_budget.RetryBudget(0.25, burst=2)
     assert [budget.take() for _ in range(3)] == [True, True, False]
     for _ in range(4):
         budget.on_first_attempt()
@@ -70,4 +70,4 @@
 @pytest.mark.parametrize(("ratio", "burst"), [(-0.1, 1), (1.1, 1), (0.1, -1)])
 def test_a_budget_out_of_range_is_refused(ratio, burst):
     with pytest.raises(ValueError, match="expected"):
-        _retry_budget.RetryBudget(ratio, burst)
+        retry_budget.RetryBudget(ratio, burst)
--- a/dragonflystack/platform/_http.py
+++ b/dragonflystack/storage/_http.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from dragonflystack import outcomes
-from dragonflystack.platform import _ports
+from dragonflystack.storage import _ports
 
 _OK = 200
 _CREATED = 201
--- a/standins/tests/test_platform.py
+++ b/standins/tests/test_platform.py
@@ -4,7 +4,7 @@
 import pytest
 
 from dragonflystack import _server
-from dragonflystack import platform
+from dragonflystack import storage
 from standins import platform as platform_standin
 
 _TIMEOUT = datetime.timedelta(seconds=2)
@@ -23,7 +23,7 @@
             await server.wait_started()
             port = server.servers[0].sockets[0].getsockname()[1]
             url = f"http://127.0.0.1:{port}"
-            client = platform.HttpPlatform.from_url(url, _TIMEOUT)
+            client = storage.HttpPlatform.from_url(url, _TIMEOUT)
             await check(client, state)
             await client.aclose()
             server.stop()
@@ -33,22 +33,22 @@
 
 def test_a_conditional_write_takes_effect_once():
     async def check(client, state):
-        first = platform.Write("t", "k", 0, b'{"a":1}')
-        assert await client.write(first) == platform.Committed()
-        assert await client.write(first) == platform.Conflict("t", "k")
-        assert await client.read("t", "k") == platform.Row("k", 1, b'{"a":1}')
+        first = storage.Write("t", "k", 0, b'{"a":1}')
+        assert await client.write(first) == storage.Committed()
+        assert await client.write(first) == storage.Conflict("t", "k")
+        assert await client.read("t", "k") == storage.Row("k", 1, b'{"a":1}')
 
     _with_platform(check)
 
 
 def test_a_transaction_is_all_or_nothing():
     async def check(client, state):
-        await client.write(platform.Write("t", "held", None, b"1"))
+        await client.write(storage.Write("t", "held", None, b"1"))
         result = await client.write(
-            platform.Write("t", "other", 0, b"2"),
-            platform.Write("t", "held", 0, b"3"),
+            storage.Write("t", "other", 0, b"2"),
+            storage.Write("t", "held", 0, b"3"),
         )
-        assert result == platform.Conflict("t", "held")
+        assert result == storage.Conflict("t", "held")
         assert await client.read("t", "other") is None
 
     _with_platform(check)
@@ -56,8 +56,8 @@
 
 def test_a_row_is_deleted():
     async def check(client, state):
-        await client.write(platform.Write("t", "k", 0, b"1"))
-        await client.write(platform.Write("t", "k", 1, None))
+        await client.write(storage.Write("t", "k", 0, b"1"))
+        await client.write(storage.Write("t", "k", 1, None))
         assert await client.scan("t") == ()
 
     _with_platform(check)
@@ -65,8 +65,8 @@
 
 def test_a_lost_answer_is_unsure_and_took_effect():
     async def check(client, state):
-        result = await client.write(platform.Write("t", "k", 0, b"1"))
-        assert isinstance(result, platform.Unsure)
+        result = await client.write(storage.Write("t", "k", 0, b"1"))
+        assert isinstance(result, storage.Unsure)
         assert (await client.read("t", "k")).value == b"1"
 
     _with_platform(check, lost_answers=1)
@@ -76,11 +76,11 @@
     async def check(client, state):
         for result in (
             await client.read("t", "k"),
-            await client.write(platform.Write("t", "k", 0, b"1")),
+            await client.write(storage.Write("t", "k", 0, b"1")),
             await client.list_vms(),
             await client.put("o", b"x"),
         ):
-            assert isinstance(result, platform.Unavailable)
+            assert isinstance(result, storage.Unavailable)
         assert not state.tables["t"]
 
     _with_platform(check, outage=True)
