Let only VMs of its own region send to a cold backend server

Ruled out: late knowledge (no send before the entry was read). Change: the region counts; work times are kept a service, for the wait, and the first in rank is taken to know an object only after six seconds.

--- a/dragonflystack/_limits.py
+++ b/dragonflystack/_limits.py
@@ -81,7 +81,7 @@
         """Ends the count of the head's bytes; keeps the target as it came."""
         self._in_head = False
         self._head_bytes = 0
-        self.scope["raw_target"] = self.url
+        self.scope["raw_target"] = self.url  # type: ignore[typeddict-unknown-key]
         super().on_headers_complete()
 
     def on_message_complete(self):
--- a/dragonflystack/daemon/_callers.py
+++ b/dragonflystack/daemon/_callers.py
@@ -7,12 +7,12 @@
 import eliot
 
 from dragonflystack import _asgi
+from dragonflystack import _hop_headers
 from dragonflystack import config
 from dragonflystack import forwarding
 from dragonflystack import ids
 from dragonflystack import outcomes
 from dragonflystack import steering
-from dragonflystack.daemon import _exchange
 from dragonflystack.daemon import _forwarding
 from dragonflystack.daemon import _look_up
 from dragonflystack.daemon import _node
@@ -201,7 +201,7 @@
     target = f"/{rest}?{query}" if query else f"/{rest}"
     kept = tuple(
         header
-        for header in _exchange.end_to_end(headers)
+        for header in _hop_headers.end_to_end(headers)
         if header[0] not in _OWN_HEADERS
         and not header[0].startswith(_OWN_HEADERS_PREFIX)
     )
--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -23,6 +23,12 @@
 """Backend servers of each other region that are looked at for one object."""
 
 _MAX_CACHED_RANKINGS = 4_096
+_LEARNT_AFTER = datetime.timedelta(seconds=6)
+"""The first in rank is taken to know an object once all VMs have had this
+long to send it."""
+
+_COLD_FACTOR = 2.0
+"""Work at a cold backend server over that at others; the users' figure."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,13 +142,18 @@
         load = server.load(now)
         if load >= slots * self._settings.queue_slots:
             return None
-        known = route.sticky and key is not None
-        known = known and (first or server.knows(key))
-        work = self._times.expect(route, known)
+        known = route.sticky and (
+            server.knows(key)
+            or (first and now - server.added_at > _LEARNT_AFTER)
+        )
+        work = self._times.expect(route, wanted.service, known)
         if server.is_cold(now):
-            work = self._times.expect(route, False) * 2
+            work *= _COLD_FACTOR
         ahead = load + 1 - slots
-        wait = work * (ahead / slots) if ahead > 0 else _ZERO
+        wait = _ZERO
+        if ahead > 0:
+            per_slot = self._times.per_slot(route, wanted.service)
+            wait = per_slot * (ahead / slots)
         way = self.round_trip(server.region)
         expected = way + wait + work
         cost = expected
--- a/dragonflystack/entry/_cold.py
+++ b/dragonflystack/entry/_cold.py
@@ -25,10 +25,12 @@
     def __init__(
         self,
         vm: ids.VmId,
+        region: ids.RegionId,
         bounds: _settings.FleetBounds,
         settings: _settings.ChoiceSettings,
     ):
         self._vm = vm
+        self._region = region
         self._bounds = bounds
         self._settings = settings
         self._sent: dict[
@@ -50,7 +52,7 @@
         now: datetime.timedelta,
     ) -> bool:
         """Returns whether this VM may send one more request to it now."""
-        if not self._owns(server.entry.id):
+        if server.region != self._region or not self._owns(server.entry.id):
             return False
         sent = self._sent.get(server.entry.id)
         if sent is None:
--- a/dragonflystack/entry/_servers.py
+++ b/dragonflystack/entry/_servers.py
@@ -71,6 +71,9 @@
     ):
         self.entry = entry
         self.region = region
+        self.added_at = now
+        """When it was first heard of."""
+
         self.learned_at = now
         """When the entry was last read or confirmed."""
 
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -48,7 +48,7 @@
         self._chooser = _choice.Chooser(
             members.own.region, self.book, self._times, settings
         )
-        self._cold = _cold.ColdPacer(members.own.vm, bounds, settings)
+        self._cold = self._make_pacer()
         self._budgets: dict[ids.ServiceId, retry_budget.RetryBudget] = {}
 
     # What it learns.
@@ -74,9 +74,7 @@
         if bounds == self.bounds:
             return
         self.bounds = bounds
-        self._cold = _cold.ColdPacer(
-            self.members.own.vm, bounds, self._settings
-        )
+        self._cold = self._make_pacer()
         self._budgets.clear()
 
     def on_evacuated(
@@ -182,7 +180,12 @@
         way = self._chooser.round_trip(candidate.server.region)
         work = elapsed - way - candidate.wait
         if work > _ZERO:
-            self._times.on_measured(route, candidate.known, work)
+            service = candidate.server.entry.service
+            self._times.on_measured(route, service, candidate.known, work)
+
+    def _make_pacer(self) -> _cold.ColdPacer:
+        own = self.members.own
+        return _cold.ColdPacer(own.vm, own.region, self.bounds, self._settings)
 
     def _may_use(
         self, server: _servers.Server, now: datetime.timedelta
--- /dev/null
+++ b/dragonflystack/entry/tests/builders.py
@@ -0,0 +1,110 @@
+"""Small builders for the tests of the decisions."""
+
+import datetime
+import random
+from typing import Any
+
+from dragonflystack import entry
+from dragonflystack import ids
+
+SERVICE = ids.ServiceId("rings")
+REGIONS = {
+    ids.FailureDomainId("a1"): ids.RegionId("a"),
+    ids.FailureDomainId("a2"): ids.RegionId("a"),
+    ids.FailureDomainId("b1"): ids.RegionId("b"),
+    ids.FailureDomainId("b2"): ids.RegionId("b"),
+}
+
+
+def ms(milliseconds: float) -> datetime.timedelta:
+    """Returns a duration."""
+    return datetime.timedelta(milliseconds=milliseconds)
+
+
+def server(name: str, domain: str = "a1", **changes) -> entry.ServerEntry:
+    """Returns an entry; the address is made of the name."""
+    fields: dict[str, Any] = {
+        "id": ids.BackendServerId(name),
+        "service": SERVICE,
+        "host": "10.0.0.1",
+        "port": 80,
+        "domain": ids.FailureDomainId(domain),
+        "slots": 3,
+        "leaving": False,
+        "cold_left": ms(0),
+        "born": 1,
+        "sequence": 1,
+    }
+    return entry.ServerEntry(**(fields | changes))
+
+
+def route(**changes) -> entry.Route:
+    """Returns a route to the service."""
+    fields: dict[str, Any] = {
+        "id": entry.RouteId("r"),
+        "host": "shop.example",
+        "prefix": "/r/",
+        "destinations": (entry.Destination(SERVICE, 1.0),),
+        "idempotent": True,
+        "target_latency": ms(250),
+        "timeout": ms(1200),
+        "max_attempts": 2,
+        "sticky": True,
+    }
+    return entry.Route(**(fields | changes))
+
+
+def catalogue(*routes: entry.Route, version: int = 1) -> entry.Catalogue:
+    """Returns a catalogue with the routes; all their services exist."""
+    routes = routes or (route(),)
+    names = {d.service for r in routes for d in r.destinations} | {SERVICE}
+    services = {
+        name: entry.ServicePolicy(name, "/health", 660, 11.0, ms(3000))
+        for name in names
+    }
+    return entry.Catalogue(version, routes, services)
+
+
+def address(vm: str, region: str = "a") -> entry.VmAddress:
+    """Returns the address of an entry VM."""
+    return entry.VmAddress(
+        ids.VmId(vm),
+        ids.RegionId(region),
+        ids.FailureDomainId(region + "1"),
+        f"{vm}:80",
+        f"{vm}:90",
+    )
+
+
+def entry_vm(
+    *servers: entry.ServerEntry,
+    vm: str = "vm-1",
+    region: str = "a",
+    routes: tuple[entry.Route, ...] = (),
+    bounds: entry.FleetBounds | None = None,
+    now: datetime.timedelta | None = None,
+) -> entry.EntryVm:
+    """Returns an entry VM that serves and knows the servers."""
+    made = entry.EntryVm(
+        entry.Members(address(vm, region), ids.Incarnation(vm + "-1")),
+        REGIONS,
+        bounds or entry.FleetBounds(),
+        entry.ChoiceSettings(),
+        random.Random(1),
+    )
+    made.on_catalogue(catalogue(*routes))
+    made.on_listing(entry.Listing(servers, (), whole=True), now or ms(0))
+    made.members.phase = entry.Phase.SERVING
+    return made
+
+
+def request(key: str | None = "1", **changes) -> entry.Request:
+    """Returns a request of the route."""
+    fields: dict[str, Any] = {
+        "id": "q1",
+        "host": "shop.example",
+        "path": "/r/x",
+        "object_key": key,
+        "time_left": ms(1200),
+    }
+    return entry.Request(**(fields | changes))
--- a/dragonflystack/entryd/_connections.py
+++ b/dragonflystack/entryd/_connections.py
@@ -85,7 +85,13 @@
         self._transport: asyncio.Transport | None = None
         self._outgoing: Outgoing | None = None
         self._future: asyncio.Future[Answer] | None = None
-        self._reset_message()
+        self._status = 0
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._echoed: bytes | None = None
+        self._is_framed = False
+        self._in_message = False
         self.is_reusable = True
         """Whether another request may go over it."""
 
@@ -194,12 +200,11 @@
 
     def _reset_message(self) -> None:
         self._status = 0
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._parts: list[bytes] = []
+        self._headers = []
+        self._parts = []
         self._size = 0
-        self._echoed: bytes | None = None
+        self._echoed = None
         self._is_framed = False
-        self._in_message = False
 
     def _ends_with_connection(self) -> bool:
         return (
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -171,9 +171,12 @@
             while isinstance(step, entry.Send | entry.Wait):
                 result: entry.Result | None = None
                 if isinstance(step, entry.Send):
-                    sending = await self._start(step)
-                    if isinstance(sending, entry.ConnectFailed):
-                        result, sending = sending, None
+                    sending = None
+                    started = await self._start(step)
+                    if isinstance(started, entry.ConnectFailed):
+                        result = started
+                    else:
+                        sending = started
                 if sending is not None:
                     result = await self._result(sending, step.patience)
                 assert result is not None
--- a/dragonflystack/entryd/_metrics.py
+++ b/dragonflystack/entryd/_metrics.py
@@ -76,8 +76,8 @@
             for labels, value in rows:
                 family.add_metric([v for _, v in labels], value)
             yield family
-        for name, value in sorted(self._gauges.items()):
-            yield core.GaugeMetricFamily(_full(name), name, value=value)
+        for name, level in sorted(self._gauges.items()):
+            yield core.GaugeMetricFamily(_full(name), name, value=level)
         for name in sorted({name for name, _ in self._histograms}):
             yield self._histogram_family(core, name)
 
