Deal objects to regions by shares that move under the operators' cap

Change: shares of regions follow what load asks for, over the VMs of a region, at a fifth of the cap a second; objects are dealt to regions by hash; at home two backend servers get an object, elsewhere one. The servers table is watched like the operators' one.

--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -3,11 +3,11 @@
 The cost of a backend server is the expected time until its answer (way, wait
 for a slot, work) and penalties for another region and for recent failures.
 Work is much shorter where the object is known, so objects are ranked over the
-backend servers, the same on every VM, and the first in rank is taken to know
-the object. It is left only when waiting for it costs more than the work of
-one that has yet to learn the object.
+backend servers, the same on every VM: the first in rank is taken to know the object, and only
+the first few get requests on it.
 """
 
+from collections.abc import Callable
 import dataclasses
 import datetime
 
@@ -19,14 +19,11 @@
 from dragonflystack.entry import _work_times
 
 _ZERO = datetime.timedelta()
-_REMOTE_RANKS = 2
-"""Backend servers of each other region that are looked at for one object."""
+_REMOTE_RANKS = 3
+"""Backend servers of another region that are looked at for a request that
+names no object."""
 
 _MAX_CACHED_RANKINGS = 4_096
-_LEARNT_AFTER = datetime.timedelta(seconds=6)
-"""The first in rank is taken to know an object once all VMs have had this
-long to send it."""
-
 _COLD_FACTOR = 2.0
 """Work at a cold backend server over that at others; the users' figure."""
 
@@ -102,33 +99,49 @@
         default = self._settings.remote_round_trip
         return self._round_trips.get(region, default)
 
-    def weigh(self, wanted: Wanted, now: datetime.timedelta) -> list[Candidate]:
+    def weigh(
+        self,
+        wanted: Wanted,
+        may_use: Callable[[_servers.Server], bool],
+        now: datetime.timedelta,
+    ) -> list[Candidate]:
         """Returns the backend servers that may serve, cheapest first.
 
-        The caller checks what only it knows, such as bounds on cold ones.
+        Args:
+            wanted: what is asked for.
+            may_use: tells which backend servers may get requests now.
+            now: the time.
         """
-        ranked = self._ranked(wanted)
         candidates: list[Candidate] = []
-        for region, servers in ranked.items():
+        for region, servers in self._ranked(wanted).items():
             if wanted.regions and region not in wanted.regions:
                 continue
-            near = region == self._region
+            ranks = self._ranks(wanted, region, len(servers))
             first = True
-            looked_at = 0
             for server in servers:
-                if not near and looked_at >= _REMOTE_RANKS:
+                if ranks == 0:
                     break
-                if not server.may_serve():
+                if not may_use(server):
                     continue
-                looked_at += 1
-                if server.suspect_since is None:
-                    candidate = self._candidate(wanted, server, first, now)
-                    if candidate is not None:
-                        candidates.append(candidate)
+                ranks -= 1
+                candidate = self._candidate(wanted, server, first, now)
                 first = False
+                if candidate is not None:
+                    candidates.append(candidate)
         candidates.sort(key=_cost)
         return candidates
 
+    def _ranks(self, wanted: Wanted, region: ids.RegionId, servers: int) -> int:
+        """Returns how many backend servers of a region are looked at.
+
+        A backend server remembers a bounded number of objects, so each object
+        is kept to a few of them.
+        """
+        near = region == self._region
+        if wanted.route.sticky and wanted.object_key is not None:
+            return self._settings.object_ranks if near else 1
+        return servers if near else _REMOTE_RANKS
+
     def _candidate(
         self,
         wanted: Wanted,
@@ -142,10 +155,7 @@
         load = server.load(now)
         if load >= slots * self._settings.queue_slots:
             return None
-        known = route.sticky and (
-            server.knows(key)
-            or (first and now - server.added_at > _LEARNT_AFTER)
-        )
+        known = route.sticky and (first or server.knows(key))
         work = self._times.expect(route, wanted.service, known)
         if server.is_cold(now):
             work *= _COLD_FACTOR
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -46,6 +46,23 @@
     ) -> list[_choice.Candidate]:
         """Returns the backend servers that may be used, cheapest first."""
 
+    def place(
+        self,
+        wanted: _choice.Wanted,
+        candidates: list[_choice.Candidate],
+        now: datetime.timedelta,
+    ) -> _choice.Candidate:
+        """Returns the one that serves, as the shares of regions allow.
+
+        Args:
+            wanted: what is asked for.
+            candidates: one or more, cheapest first.
+            now: the time.
+        """
+
+    def on_loss(self, now: datetime.timedelta) -> None:
+        """Notes that a backend server was lost."""
+
     def may_resend(self, service: ids.ServiceId) -> bool:
         """Takes one repeat out of the retry budget, if there is one."""
 
@@ -163,6 +180,7 @@
         server = self._release().server
         server.on_suspect(now)
         server.on_result(True, now)
+        self._context.on_loss(now)
         self._reached -= 1
         self._connect_tries += 1
         if self._connect_tries >= _MAX_CONNECT_TRIES:
@@ -231,10 +249,16 @@
         return self._start(best, now)
 
     def _best(self, now: datetime.timedelta) -> _choice.Candidate | None:
-        for candidate in self._context.weigh(self.wanted, now):
-            if candidate.server.entry.id not in self._tried:
-                return candidate
-        return None
+        candidates = [
+            candidate
+            for candidate in self._context.weigh(self.wanted, now)
+            if candidate.server.entry.id not in self._tried
+        ]
+        if not candidates:
+            return None
+        if self.sends:
+            return candidates[0]
+        return self._context.place(self.wanted, candidates, now)
 
     def _start(
         self, candidate: _choice.Candidate, now: datetime.timedelta
--- a/dragonflystack/entry/_members.py
+++ b/dragonflystack/entry/_members.py
@@ -60,6 +60,12 @@
     catalogue_version: int
     """The version of the catalogue in force there, 0 if none."""
 
+    shares: dict[ids.RegionId, float]
+    """The shares of the regions that serve its callers."""
+
+    wanted: dict[ids.RegionId, float]
+    """Where load alone would have its requests."""
+
     answer_wanted: bool = False
     """Whether the sender would like to hear of the receiver at once."""
 
@@ -78,6 +84,8 @@
     """When it was last read from a list or heard."""
 
     catalogue_version: int = 0
+    shares: dict[ids.RegionId, float] = dataclasses.field(default_factory=dict)
+    wanted: dict[ids.RegionId, float] = dataclasses.field(default_factory=dict)
 
 
 class Members:
@@ -120,6 +128,8 @@
         member.heard_at = now
         member.listed_at = now
         member.catalogue_version = beat.catalogue_version
+        member.shares = beat.shares
+        member.wanted = beat.wanted
         return member if changed or not was_alive else None
 
     def on_tick(self, now: datetime.timedelta) -> None:
@@ -133,7 +143,11 @@
                 del self._members[vm]
 
     def heartbeat(
-        self, catalogue_version: int, answer_wanted: bool = False
+        self,
+        catalogue_version: int,
+        shares: dict[ids.RegionId, float],
+        wanted: dict[ids.RegionId, float],
+        answer_wanted: bool = False,
     ) -> Heartbeat:
         """Returns what to tell the others now."""
         return Heartbeat(
@@ -141,6 +155,8 @@
             self._incarnation,
             self.phase,
             catalogue_version,
+            shares,
+            wanted,
             answer_wanted,
         )
 
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -50,6 +50,9 @@
     objects_kept: int = 24
     """Objects that a backend server is assumed to remember."""
 
+    object_ranks: int = 2
+    """Backend servers of the own region that get requests on one object."""
+
     remote_penalty: datetime.timedelta = _ms(40)
     """Delay that a nearer backend server may cost; bytes between regions are
     paid for."""
--- /dev/null
+++ b/dragonflystack/entry/_shares.py
@@ -0,0 +1,183 @@
+"""Keeps the part of requests that change region under the operators' cap.
+
+Load alone would move requests between regions as fast as queues grow. The
+shares of the regions in use follow what load asks for, over all VMs of the
+region, at a bounded pace. Objects are dealt to regions by their hash in
+proportion to the shares, so that few objects move and each is known in one
+place; each VM also keeps the count of its requests near the shares. After the
+loss of backend servers requests follow load at once: moving is then what
+callers need, and the cap speaks of ordinary days.
+"""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Mapping
+import datetime
+
+import xxhash
+
+from dragonflystack import ids
+
+_PACE_PART = 0.2
+"""Part of the cap by which shares move a second; the cap holds between two
+windows of 2 s, and half of it is left for chance."""
+
+_WANTED_WEIGHT = 1 / 16
+"""Weight of the latest request in what load asks for."""
+
+_LEEWAY = 1.0
+"""Requests by which a region may be ahead of its share or behind it."""
+
+_LIFTED = datetime.timedelta(seconds=5)
+"""How long requests follow load at once after a loss."""
+
+_MAX_STEP = datetime.timedelta(milliseconds=500)
+"""A pause of this VM or of its callers makes up for no more than this."""
+
+_HOME_FACTOR = 1.2
+"""Home is used beyond its even part: there is no way to go, and objects are
+soon known."""
+
+_HASHES = 2**32
+
+Shares = dict[ids.RegionId, float]
+
+
+class RegionShares:
+    """The shares of the regions that serve one VM's callers."""
+
+    def __init__(self, own: ids.RegionId, max_shift: float):
+        self._own = own
+        self._pace = max_shift * _PACE_PART
+        self._shares: Shares = {own: 1.0}
+        self._wanted: Shares = {own: 1.0}
+        self._peers_wanted: tuple[Mapping[ids.RegionId, float], ...] = ()
+        self._credits: Shares = {}
+        self._moved_at: datetime.timedelta | None = None
+        self._lifted_until = datetime.timedelta()
+
+    @property
+    def shares(self) -> Shares:
+        """The shares in use; they add up to one."""
+        return dict(self._shares)
+
+    @property
+    def wanted(self) -> Shares:
+        """Where load alone would have this VM's requests of late."""
+        return dict(self._wanted)
+
+    def on_room(self, slots: Mapping[ids.RegionId, int]) -> None:
+        """Takes in how many slots each region has, until the first request.
+
+        A region with less room than callers then begins with the part that it
+        can serve if all regions have as many callers, and some more.
+        """
+        total = sum(slots.values())
+        own = slots.get(self._own, 0)
+        if self._moved_at is not None or not total:
+            return
+        at_home = min(1.0, own * len(slots) / total * _HOME_FACTOR)
+        away = total - own
+        self._shares = {
+            region: (1 - at_home) * number / away
+            for region, number in slots.items()
+            if region != self._own and away
+        }
+        self._shares[self._own] = 1.0 - sum(self._shares.values())
+        self._wanted = dict(self._shares)
+
+    def on_peers(
+        self,
+        shares: Iterable[Mapping[ids.RegionId, float]],
+        wanted: Iterable[Mapping[ids.RegionId, float]],
+    ) -> None:
+        """Takes in the shares and the wishes of other VMs of the region."""
+        self._peers_wanted = tuple(wanted)
+        peers = tuple(shares)
+        if self._moved_at is None and peers:
+            self._shares = _mean(peers)
+            self._wanted = dict(self._shares)
+
+    def on_loss(self, now: datetime.timedelta) -> None:
+        """Notes that backend servers were lost or are leaving."""
+        self._lifted_until = now + _LIFTED
+
+    def place(
+        self,
+        object_key: str | None,
+        preferred: ids.RegionId,
+        usable: Collection[ids.RegionId],
+        now: datetime.timedelta,
+    ) -> ids.RegionId:
+        """Returns the region that gets the next request.
+
+        Args:
+            object_key: the object it concerns, if any.
+            preferred: where load alone would send it.
+            usable: the regions that can serve it; `preferred` is one.
+            now: the time.
+        """
+        self._want(preferred)
+        self._move(now)
+        if now < self._lifted_until:
+            self._credits.clear()
+            return preferred
+        credits = self._credits
+        for region, share in self._shares.items():
+            credits[region] = credits.get(region, 0.0) + share
+        chosen = preferred
+        if object_key is not None:
+            chosen = self._region_of(object_key)
+        behind = max(usable, key=lambda r: (credits.get(r, 0.0), r))
+        if (
+            chosen not in usable
+            or credits.get(behind, 0.0) >= 1.0 + _LEEWAY
+            or credits.get(chosen, 0.0) < 1.0 - _LEEWAY
+        ):
+            chosen = behind
+        credits[chosen] = credits.get(chosen, 0.0) - 1.0
+        limit = 2 * _LEEWAY
+        for region, credit in credits.items():
+            credits[region] = max(-limit, min(limit, credit))
+        return chosen
+
+    def _region_of(self, object_key: str) -> ids.RegionId:
+        """Returns the region to which an object is dealt."""
+        point = xxhash.xxh32_intdigest(object_key.encode()) / _HASHES
+        others = sorted(r for r in self._shares if r != self._own)
+        for region in (self._own, *others):
+            point -= self._shares.get(region, 0.0)
+            if point < 0:
+                return region
+        return self._own
+
+    def _want(self, preferred: ids.RegionId) -> None:
+        wanted = self._wanted
+        for region in wanted:
+            wanted[region] *= 1 - _WANTED_WEIGHT
+        wanted[preferred] = wanted.get(preferred, 0.0) + _WANTED_WEIGHT
+
+    def _move(self, now: datetime.timedelta) -> None:
+        """Moves the shares towards what load asks for."""
+        before = now if self._moved_at is None else self._moved_at
+        self._moved_at = now
+        goal = _mean((self._wanted, *self._peers_wanted))
+        regions = goal.keys() | self._shares.keys()
+        gaps = {r: goal.get(r, 0.0) - self._shares.get(r, 0.0) for r in regions}
+        apart = sum(gap for gap in gaps.values() if gap > 0)
+        elapsed = min(now - before, _MAX_STEP)
+        step = self._pace * elapsed.total_seconds()
+        part = 1.0 if apart <= step else step / apart
+        if now < self._lifted_until:
+            part = 1.0
+        self._shares = {
+            r: self._shares.get(r, 0.0) + gap * part for r, gap in gaps.items()
+        }
+
+
+def _mean(all_shares: Collection[Mapping[ids.RegionId, float]]) -> Shares:
+    sums: Shares = {}
+    for shares in all_shares:
+        for region, share in shares.items():
+            sums[region] = sums.get(region, 0.0) + share
+    return {region: total / len(all_shares) for region, total in sums.items()}
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -1,6 +1,7 @@
 """The decisions of one entry VM, apart from all input and output."""
 
 import datetime
+import functools
 import random
 
 from dragonflystack import ids
@@ -15,6 +16,7 @@
 from dragonflystack.entry import _routes
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
+from dragonflystack.entry import _shares
 from dragonflystack.entry import _work_times
 
 _ZERO = datetime.timedelta()
@@ -49,6 +51,9 @@
             members.own.region, self.book, self._times, settings
         )
         self._cold = self._make_pacer()
+        self._shares = _shares.RegionShares(
+            members.own.region, bounds.max_shift
+        )
         self._budgets: dict[ids.ServiceId, retry_budget.RetryBudget] = {}
 
     # What it learns.
@@ -87,6 +92,8 @@
         Backend servers of a domain that is taken back may be cold.
         """
         back = self.evacuated - domains
+        if domains - self.evacuated:
+            self._shares.on_loss(now)
         self.evacuated = domains
         for server in self.book.all():
             if server.entry.domain in back:
@@ -100,12 +107,21 @@
         """Takes in what was read of the list of backend servers."""
         changes = self.discovery.on_listing(listing, now)
         self._forget(changes)
+        if changes.leaving or changes.gone:
+            self._shares.on_loss(now)
+        if changes.added:
+            self._shares.on_room(self._room())
         return changes
 
     def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
         """Does what is due."""
         self.members.on_tick(now)
         self._cold.on_vms(self.members.vms(now))
+        alive = self.members.alive(now)
+        self._shares.on_peers(
+            [m.shares for m in alive if m.shares],
+            [m.wanted for m in alive if m.wanted],
+        )
         changes = self.discovery.on_tick(now)
         self._forget(changes)
         return changes
@@ -116,6 +132,16 @@
         """Takes in how long a connection took to open."""
         self._chooser.on_round_trip(server.region, round_trip)
 
+    def heartbeat(self, answer_wanted: bool = False) -> _members.Heartbeat:
+        """Returns what to tell the other VMs of the region now."""
+        version = 0 if self.catalogue is None else self.catalogue.version
+        return self.members.heartbeat(
+            version,
+            self._shares.shares,
+            self._shares.wanted,
+            answer_wanted,
+        )
+
     @property
     def is_informed(self) -> bool:
         """Whether it knows routes and backend servers."""
@@ -149,11 +175,25 @@
         self, wanted: _choice.Wanted, now: datetime.timedelta
     ) -> list[_choice.Candidate]:
         """See `_exchange.Context.weigh`."""
-        return [
-            candidate
-            for candidate in self._chooser.weigh(wanted, now)
-            if self._may_use(candidate.server, now)
-        ]
+        may_use = functools.partial(self._may_use, now=now)
+        return self._chooser.weigh(wanted, may_use, now)
+
+    def place(
+        self,
+        wanted: _choice.Wanted,
+        candidates: list[_choice.Candidate],
+        now: datetime.timedelta,
+    ) -> _choice.Candidate:
+        """See `_exchange.Context.place`."""
+        usable = {candidate.server.region for candidate in candidates}
+        preferred = candidates[0].server.region
+        key = wanted.object_key if wanted.route.sticky else None
+        region = self._shares.place(key, preferred, usable, now)
+        return next(c for c in candidates if c.server.region == region)
+
+    def on_loss(self, now: datetime.timedelta) -> None:
+        """See `_exchange.Context.on_loss`."""
+        self._shares.on_loss(now)
 
     def may_resend(self, service: ids.ServiceId) -> bool:
         """See `_exchange.Context.may_resend`."""
@@ -183,6 +223,13 @@
             service = candidate.server.entry.service
             self._times.on_measured(route, service, candidate.known, work)
 
+    def _room(self) -> dict[ids.RegionId, int]:
+        room: dict[ids.RegionId, int] = {}
+        for server in self.book.all():
+            slots = room.get(server.region, 0)
+            room[server.region] = slots + server.entry.slots
+        return room
+
     def _make_pacer(self) -> _cold.ColdPacer:
         own = self.members.own
         return _cold.ColdPacer(own.vm, own.region, self.bounds, self._settings)
@@ -190,6 +237,8 @@
     def _may_use(
         self, server: _servers.Server, now: datetime.timedelta
     ) -> bool:
+        if not server.may_serve() or server.suspect_since is not None:
+            return False
         if server.entry.domain in self.evacuated:
             return False
         if not server.is_cold(now):
--- /dev/null
+++ b/dragonflystack/entry/tests/test_shares.py
@@ -0,0 +1,86 @@
+"""Requests change region no faster than the operators allow."""
+
+import random
+
+import pytest
+
+from dragonflystack import ids
+from dragonflystack.entry import _shares
+from dragonflystack.entry.tests import builders
+
+_A = ids.RegionId("a")
+_B = ids.RegionId("b")
+_C = ids.RegionId("c")
+_CAP = 0.15
+_RATE = 15
+"""Requests a second of one VM."""
+
+
+def _run(vms, seconds, preferred, start=0, objects=None):
+    """Plays seconds of requests; returns (second, region) of each."""
+    rng = random.Random(7)
+
+    def key(_):
+        return None if objects is None else str(rng.randrange(objects))
+
+    ran = []
+    for i in range(start * _RATE, (start + seconds) * _RATE):
+        at = builders.ms(1000 * i / _RATE)
+        for vm in vms:
+            wants = preferred(i)
+            ran.append((i / _RATE, vm.place(key(i), wants, (_A, _B, _C), at)))
+    return ran
+
+
+def _worst_shift(ran):
+    """Returns the largest change between neighbouring windows of 2 s."""
+    last = ran[-1][0]
+    worst = 0.0
+    tenths = int(last * 10) - 40
+    for tenth in range(max(0, tenths)):
+        begin = tenth / 10
+        parts = []
+        for low in (begin, begin + 2):
+            window = [r for t, r in ran if low <= t < low + 2]
+            parts.append(
+                {r: window.count(r) / len(window) for r in (_A, _B, _C)}
+            )
+        gain = sum(max(0.0, parts[1][r] - parts[0][r]) for r in (_A, _B, _C))
+        worst = max(worst, gain)
+    return worst
+
+
+@pytest.mark.parametrize(
+    "preferred",
+    [
+        pytest.param(lambda i: _B, id="everything at once"),
+        pytest.param(lambda i: _B if i // 60 % 2 else _A, id="to and fro"),
+        pytest.param(lambda i: (_A, _B, _C)[i // 45 % 3], id="round and round"),
+        pytest.param(lambda i: _B if i % 2 else _C, id="to two others"),
+    ],
+)
+@pytest.mark.parametrize("objects", [None, 50, 500])
+def test_shifts_stay_under_the_cap_whatever_load_asks_for(preferred, objects):
+    vms = [_shares.RegionShares(_A, _CAP) for _ in range(6)]
+    ran = _run(vms, 24, preferred, objects=objects)
+    assert _worst_shift(ran) <= _CAP
+
+
+def test_the_shares_reach_what_load_asks_for():
+    vm = _shares.RegionShares(_A, _CAP)
+    _run([vm], 40, lambda i: _B)
+    assert vm.shares[_B] > 0.95
+
+
+def test_a_loss_moves_requests_at_once():
+    vm = _shares.RegionShares(_A, _CAP)
+    _run([vm], 2, lambda i: _A)
+    vm.on_loss(builders.ms(2000))
+    ran = _run([vm], 2, lambda i: _B, start=2)
+    assert {region for _, region in ran} == {_B}
+
+
+def test_a_region_that_cannot_serve_gets_nothing():
+    vm = _shares.RegionShares(_A, _CAP)
+    placed = {vm.place(None, _B, (_B,), builders.ms(i)) for i in range(50)}
+    assert placed == {_B}
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -373,6 +373,7 @@
             expected_ms=_journal.milliseconds(sent.expected),
             left_ms=_journal.milliseconds(step.time_left),
             entry_age_ms=_journal.milliseconds(now - step.server.learned_at),
+            heard_age_ms=_journal.milliseconds(now - step.server.last_heard),
             catalogue=_version(node),
         )
 
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -90,9 +90,7 @@
         if self._transport is None:
             return
         node = self._node
-        catalogue = node.vm.catalogue
-        version = 0 if catalogue is None else catalogue.version
-        beat = node.vm.members.heartbeat(version, answer_wanted)
+        beat = node.vm.heartbeat(answer_wanted)
         try:
             peer = _node.Endpoint.parse(address.peers)
         except ValueError as exc:
--- a/dragonflystack/entryd/_platform_port.py
+++ b/dragonflystack/entryd/_platform_port.py
@@ -65,14 +65,13 @@
             wait: how long to wait for a change.
         """
 
-    async def read_servers(
-        self, after: int | None
-    ) -> ServerNews | HistoryLost | storage.Unavailable:
-        """Returns the backend servers, or what changed of them.
+    async def read_servers(self) -> ServerNews | storage.Unavailable:
+        """Returns all that backend servers wrote."""
 
-        Args:
-            after: the version up to which changes are known, None for all.
-        """
+    async def watch_servers(
+        self, after: int, wait: datetime.timedelta
+    ) -> ServerNews | HistoryLost | storage.Unavailable:
+        """Returns what backend servers change; see `watch_operators`."""
 
     async def register(self, address: entry.VmAddress) -> storage.WriteResult:
         """Puts this VM on the list of entry VMs."""
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -1,9 +1,7 @@
 """Keeps what the platform's store says of operators and backend servers.
 
-Operators' rows are watched by one long read; the entries of backend servers
-change with every heartbeat and are read at a fixed pace. When the store is out
-a VM that knows nothing asks other VMs; one that knows goes on with what it
-has.
+Both are watched by long reads. When the store is out a VM that knows nothing
+asks other VMs; one that knows goes on with what it has.
 """
 
 import datetime
@@ -18,11 +16,13 @@
 from dragonflystack.entryd import _platform_port
 from dragonflystack.entryd import _snapshots
 
-_SERVERS_EVERY = datetime.timedelta(seconds=1)
-"""A leaving backend server is known well within the bound of 2.5 s."""
+_GATHER = datetime.timedelta(milliseconds=250)
+"""Least pause between two watches of the backend servers; a leaving one is
+still known well within the bound of 2.5 s."""
 
-_WATCH_WAIT = datetime.timedelta(seconds=20)
-"""The store answers a watch after this at the latest."""
+_WATCH_WAIT = datetime.timedelta(seconds=4)
+"""The store answers a watch after this at the latest. One that went silent
+and came back is noticed within the 4 s after which bounds hold again."""
 
 _FIRST_RETRY = datetime.timedelta(milliseconds=200)
 _MAX_RETRY = datetime.timedelta(seconds=1)
@@ -171,27 +171,34 @@
         """Follows the entries of backend servers, for ever."""
         node = self._node
         while True:
-            began = node.now()
-            news = await self._platform.read_servers(self._servers_version)
+            news = await self._next_servers()
             if isinstance(news, storage.Unavailable):
                 node.vm.discovery.on_store_away()
                 self._servers_version = None
                 await anyio.sleep(self._servers.on_failure(news))
-                continue
-            if isinstance(news, _platform_port.HistoryLost):
+            elif isinstance(news, _platform_port.HistoryLost):
                 node.note(_events.Event.HISTORY_LOST, table="servers")
                 self._servers_version = None
-                continue
-            if self._servers.is_lost:
-                # The watch may be waiting on a connection that died.
-                node.operators_poke.set()
-            self._servers.on_success()
-            self._servers_version = news.version
-            self._note_skipped("servers", news.skipped)
-            self.note_changes(node.vm.on_listing(news.listing, node.now()))
-            node.update_phase()
-            rest = _SERVERS_EVERY - (node.now() - began)
-            await anyio.sleep(max(0.05, rest.total_seconds()))
+            else:
+                self._servers.on_success()
+                self._servers_version = news.version
+                self._note_skipped("servers", news.skipped)
+                self.note_changes(node.vm.on_listing(news.listing, node.now()))
+                node.update_phase()
+
+    async def _next_servers(
+        self,
+    ) -> (
+        _platform_port.ServerNews
+        | _platform_port.HistoryLost
+        | storage.Unavailable
+    ):
+        version = self._servers_version
+        if version is None:
+            return await self._platform.read_servers()
+        # Entries often change together: one read takes them all.
+        await anyio.sleep(_GATHER.total_seconds())
+        return await self._platform.watch_servers(version, _WATCH_WAIT)
 
     def note_changes(self, changes: entry.Changes) -> None:
         """Logs what changed among the backend servers."""
