--- a/dragonflystack/_server.py
+++ b/dragonflystack/_server.py
@@ -45,6 +45,8 @@
             access_log=False,
             log_config=None,
             lifespan="off",
+            interface="asgi3",
+            proxy_headers=False,
             backlog=_BACKLOG,
             ws="none",
             server_header=False,
--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -3,8 +3,8 @@
 The cost of a backend server is the expected time until its answer (way, wait
 for a slot, work) and penalties for another region and for recent failures.
 Work is much shorter where the object is known, so objects are ranked over the
-backend servers, the same on every VM: the first in rank is taken to know the object, and only
-the first few get requests on it.
+backend servers, the same on every VM: the first in rank is taken to know the
+object, and only the first few get requests on it.
 """
 
 from collections.abc import Callable
--- /dev/null
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -0,0 +1,76 @@
+"""What is believed of registered backend servers, through outages."""
+
+import pytest
+
+from dragonflystack import entry
+from dragonflystack import ids
+from dragonflystack.entry import _discovery
+from dragonflystack.entry import _servers
+from dragonflystack.entry.tests import builders
+
+
+def _discovery_of(*names):
+    book = _servers.ServerBook(builders.REGIONS, entry.ChoiceSettings())
+    discovery = _discovery.Discovery(book)
+    entries = tuple(builders.server(name) for name in names)
+    discovery.on_listing(entry.Listing(entries, (), True), builders.ms(0))
+    return book, discovery
+
+
+def _names(book):
+    return {server.entry.id for server in book.all()}
+
+
+def test_a_removed_entry_is_gone_at_once():
+    book, discovery = _discovery_of("s1", "s2")
+    removed = entry.Listing((), (ids.BackendServerId("s1"),), False)
+    changes = discovery.on_listing(removed, builders.ms(10))
+    assert [s.entry.id for s in changes.gone] == ["s1"]
+    assert _names(book) == {"s2"}
+
+
+def test_what_lapsed_while_the_store_was_away_has_two_seconds_to_come_back():
+    book, discovery = _discovery_of("s1", "s2")
+    discovery.on_store_away()
+    none = entry.Listing((), (), True)
+    discovery.on_listing(none, builders.ms(5000))
+    assert _names(book) == {"s1", "s2"}
+    back = entry.Listing((builders.server("s1", sequence=9),), (), False)
+    discovery.on_listing(back, builders.ms(6000))
+    assert not discovery.on_tick(builders.ms(6900)).gone
+    discovery.on_tick(builders.ms(7300))
+    assert _names(book) == {"s1"}
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "kept"),
+    [
+        pytest.param((5, 7), (5, 8), "after", id="next of the same run"),
+        pytest.param((5, 7), (5, 6), "before", id="late write"),
+        pytest.param((5, 7), (4, 9), "before", id="of an earlier run"),
+        pytest.param((5, 7), (6, 1), "after", id="of a later run"),
+        pytest.param((0, 7), (0, 1), "after", id="counts start anew"),
+    ],
+)
+def test_the_latest_entry_of_an_id_holds(before, after, kept):
+    book = _servers.ServerBook(builders.REGIONS, entry.ChoiceSettings())
+    entries = {
+        "before": builders.server("s", born=before[0], sequence=before[1]),
+        "after": builders.server("s", born=after[0], sequence=after[1]),
+    }
+    book.on_entry(entries["before"], builders.ms(0))
+    book.on_entry(entries["after"], builders.ms(1))
+    found = book.get(ids.BackendServerId("s"))
+    assert found is not None and found.entry == entries[kept]
+
+
+def test_a_new_run_under_an_old_id_begins_with_nothing_believed():
+    book = _servers.ServerBook(builders.REGIONS, entry.ChoiceSettings())
+    first, _ = book.on_entry(builders.server("s", born=1), builders.ms(0))
+    first.on_start("object")
+    first.on_suspect(builders.ms(1))
+    second, is_new = book.on_entry(builders.server("s", born=2), builders.ms(2))
+    assert is_new and first.gone
+    assert second.in_flight == 0
+    assert second.suspect_since is None
+    assert not second.knows("object")
