Explain a request from log lines; read the servers table less often

Cause: an engineer with a request's id had to put the lines of several VMs together by hand; each change of a backend server cost every VM a call. Changes of backend servers are gathered for 0.9 s, within the bound of 2.5 s on leaving ones.

--- a/dragonflystack/cli/__main__.py
+++ b/dragonflystack/cli/__main__.py
@@ -9,6 +9,7 @@
 from dragonflystack.cli import _blocks
 from dragonflystack.cli import _command
 from dragonflystack.cli import _config
+from dragonflystack.cli import _explain
 from dragonflystack.cli import _vm
 
 _COMMANDS: tuple[type[_command.Command], ...] = (
@@ -24,6 +25,7 @@
     _config.Status,
     _vm.Drain,
     _vm.Dump,
+    _explain.Explain,
     _vm.LookUp,
     _vm.Promises,
 )
--- /dev/null
+++ b/dragonflystack/cli/tests/test_explain.py
@@ -0,0 +1,47 @@
+"""The story of a request is found among the lines of several VMs."""
+
+import json
+
+import pytest
+
+from dragonflystack.cli import __main__ as cli
+from dragonflystack.cli import _explain
+
+
+def _line(at, kind, vm="vm-1", **fields):
+    return {"timestamp": at, "message_type": kind, "vm": vm, **fields}
+
+
+_LINES = [
+    _line(1.0, "server-gone", server="s1"),
+    _line(8.0, "server-suspect", server="s1", request="earlier"),
+    _line(8.5, "server-suspect", server="s9"),
+    _line(9.0, "server-suspect", server="s1", vm="vm-2"),
+    _line(10.0, "request-sent", request="q", server="s1"),
+    _line(10.1, "request-sent", request="other", server="s1"),
+    _line(10.2, "request-failed", request="q", reason="broken"),
+    _line(11.0, "server-gone", server="s1"),
+]
+
+
+def test_the_story_has_the_request_and_what_was_believed_before():
+    story = _explain.find_story(_LINES, "q")
+    kinds = [line["message_type"] for line in story]
+    assert kinds == ["server-suspect", "request-sent", "request-failed"]
+
+
+def test_a_request_that_was_never_sent_is_explained_by_all_that_changed():
+    lines = [*_LINES, _line(10.3, "request-rejected", request="r")]
+    story = _explain.find_story(lines, "r")
+    assert sum("server" in line for line in story) == 2
+
+
+@pytest.mark.parametrize(("request_id", "code"), [("q", 0), ("nobody", 1)])
+def test_files_are_read(tmp_path, capsys, request_id, code):
+    path = tmp_path / "vm.log"
+    text = "\n".join(f"  1.5 vm-1 {json.dumps(line)}" for line in _LINES)
+    path.write_text(text + "\nnot a line\n")
+    assert cli.main(["explain", request_id, str(path)]) == code
+    out = capsys.readouterr()
+    assert ("request-failed" in out.out) == (code == 0)
+    assert "1 lines are no log lines" in out.err
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -4,7 +4,7 @@
 
 
 class Event(enum.Enum):
-    """The kinds of log line; docs/OPERATIONS.md explains each."""
+    """The kinds of log line; docs/PLATFORM.md explains each."""
 
     STARTED = "started"
     STOPPING = "stopping"
@@ -14,7 +14,6 @@
     DEPENDENCY_LOST = "dependency-lost"
     DEPENDENCY_REGAINED = "dependency-regained"
     CATALOGUE_ADOPTED = "catalogue-adopted"
-    CATALOGUE_REFUSED = "catalogue-refused"
     EVACUATION_CHANGED = "evacuation-changed"
     HISTORY_LOST = "history-lost"
     ENTRY_SKIPPED = "entry-skipped"
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -201,7 +201,20 @@
         exchange = self._exchange
         before = exchange.wanted.service
         server = exchange.sends[-1].server
+        known = self._node.vm.book.get(server)
+        was_suspect = known is None or known.suspect_since is not None
         step = exchange.on_result(result, self._node.now())
+        if not was_suspect and known and known.suspect_since is not None:
+            self._node.note(
+                _events.Event.SERVER_SUSPECT,
+                server=server,
+                service=before,
+                request=self._request.id,
+                why=type(result).__name__,
+                heard_age_ms=_journal.milliseconds(
+                    self._node.now() - known.last_heard
+                ),
+            )
         if isinstance(result, entry.Answered) and isinstance(
             step, entry.Deliver
         ):
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -16,7 +16,7 @@
 from dragonflystack.entryd import _platform_port
 from dragonflystack.entryd import _snapshots
 
-_GATHER = datetime.timedelta(milliseconds=250)
+_GATHER = datetime.timedelta(milliseconds=900)
 """Least pause between two watches of the backend servers; a leaving one is
 still known well within the bound of 2.5 s."""
 
