Have a few VMs watch the store and tell the others along a ring

Cause: every VM watched two tables, and told every VM of its region twice a second that it lives. Ruled out: longer watches (a store that went silent would be noticed too late), one watcher (its loss would hold a change back beyond its bound). Change: three VMs of a region, or an eighth, watch; the others take what is new from a neighbour, which tells it with a heartbeat at once. The VMs of a region stand on a ring and tell four on either side. A VM that hears of no working watch for 3 s watches itself. Tests: what a VM sends does not grow from 47 to 140 VMs, and news reach all of them.

--- a/dragonflystack/entry/__init__.py
+++ b/dragonflystack/entry/__init__.py
@@ -5,7 +5,7 @@
 
     vm = entry.EntryVm(members, regions, bounds, settings, rng)
     vm.on_catalogue(catalogue)
-    vm.on_listing(listing, now)
+    vm.on_listing(listing, position, now)
     exchange, step = vm.open(request, now)
     # -> Send(server, time_left, patience)
     exchange.on_result(entry.Answered(200), now)
@@ -32,6 +32,7 @@
 from dragonflystack.entry._members import Member
 from dragonflystack.entry._members import Members
 from dragonflystack.entry._members import Phase
+from dragonflystack.entry._members import UnknownVmError
 from dragonflystack.entry._members import VmAddress
 from dragonflystack.entry._messages import Answered
 from dragonflystack.entry._messages import Broken
@@ -50,6 +51,8 @@
 from dragonflystack.entry._messages import Step
 from dragonflystack.entry._messages import Unknown
 from dragonflystack.entry._messages import Wait
+from dragonflystack.entry._news import News
+from dragonflystack.entry._news import Position
 from dragonflystack.entry._servers import Load
 from dragonflystack.entry._servers import Server
 from dragonflystack.entry._servers import ServerEntry
@@ -81,7 +84,9 @@
     "Load",
     "Member",
     "Members",
+    "News",
     "Phase",
+    "Position",
     "Reason",
     "Reject",
     "Request",
@@ -96,6 +101,7 @@
     "Silent",
     "Step",
     "Unknown",
+    "UnknownVmError",
     "VmAddress",
     "Wait",
     "Wanted",
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -13,6 +13,7 @@
 from dragonflystack.entry import _exchange
 from dragonflystack.entry import _members
 from dragonflystack.entry import _messages
+from dragonflystack.entry import _news
 from dragonflystack.entry import _routes
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
@@ -20,6 +21,7 @@
 from dragonflystack.entry import _work_times
 
 _ZERO = datetime.timedelta()
+_MILLISECOND = datetime.timedelta(milliseconds=1)
 _LEAST_FLEET = 8
 """Until the other VMs are known the fleet is taken to be at least this big."""
 
@@ -44,6 +46,10 @@
         self.discovery = _discovery.Discovery(self.book)
         self.catalogue: _catalogue.Catalogue | None = None
         self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
+        self.log = _news.NewsLog()
+        self._regions = tuple(sorted(set(regions.values())))
+        self._watches = False
+        self._news_at = _ZERO
         self._settings = settings
         self._routes: _routes.RouteTable | None = None
         self._times = _work_times.WorkTimes(settings)
@@ -58,6 +64,10 @@
 
     # What it learns.
 
+    def on_start(self, now: datetime.timedelta) -> None:
+        """Gives other VMs time to tell what they know."""
+        self._news_at = now
+
     def on_catalogue(self, catalogue: _catalogue.Catalogue) -> bool:
         """Puts a catalogue in force unless it is older than the present one.
 
@@ -102,10 +112,21 @@
                     server.on_cold(policy.cold_period, now)
 
     def on_listing(
-        self, listing: _discovery.Listing, now: datetime.timedelta
+        self,
+        listing: _discovery.Listing,
+        position: int,
+        now: datetime.timedelta,
     ) -> _discovery.Changes:
-        """Takes in what was read of the list of backend servers."""
+        """Takes in what was read of the list of backend servers.
+
+        Args:
+            listing: what was read.
+            position: the store's version of the latest of its rows.
+            now: the time.
+        """
         changes = self.discovery.on_listing(listing, now)
+        gone = tuple(server.entry.id for server in changes.gone)
+        self.log.on_servers(position, listing.entries, gone, listing.whole)
         self._forget(changes)
         if changes.leaving or changes.gone:
             self._shares.on_loss(now)
@@ -116,14 +137,18 @@
     def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
         """Does what is due."""
         self.members.on_tick(now)
-        self._cold.on_vms(self.members.vms(now))
-        alive = self.members.alive(now)
+        self._cold.on_vms(self.members.listed())
+        beats = [m.beat for m in self.members.alive(now) if m.beat]
         self._shares.on_peers(
-            [m.shares for m in alive if m.shares],
-            [m.wanted for m in alive if m.wanted],
+            [self._to_shares(beat.shares) for beat in beats],
+            [self._to_shares(beat.wanted) for beat in beats],
         )
         changes = self.discovery.on_tick(now)
         self._forget(changes)
+        if changes.gone:
+            gone = tuple(server.entry.id for server in changes.gone)
+            latest = self.log.position.servers + 1
+            self.log.on_servers(latest, (), gone, whole=False)
         return changes
 
     def on_round_trip(
@@ -132,16 +157,89 @@
         """Takes in how long a connection took to open."""
         self._chooser.on_round_trip(server.region, round_trip)
 
-    def heartbeat(self, answer_wanted: bool = False) -> _members.Heartbeat:
-        """Returns what to tell the other VMs of the region now."""
-        version = 0 if self.catalogue is None else self.catalogue.version
-        return self.members.heartbeat(
-            version,
-            self._shares.shares,
-            self._shares.wanted,
+    def heartbeat(
+        self,
+        now: datetime.timedelta,
+        is_near: bool = True,
+        answer_wanted: bool = False,
+        introduce: bool = False,
+    ) -> _members.Heartbeat:
+        """Returns what to tell another VM of the region now.
+
+        Args:
+            now: the time.
+            is_near: whether that VM is a neighbour.
+            answer_wanted: whether it is to answer at once.
+            introduce: whether it may not know where this VM is.
+        """
+        members = self.members
+        return _members.Heartbeat(
+            members.own.vm,
+            members.incarnation,
+            members.phase,
+            self.log.position,
+            round(self.news_age(now) / _MILLISECOND),
+            self._to_thousandths(self._shares.shares),
+            self._to_thousandths(self._shares.wanted),
+            is_near,
             answer_wanted,
+            members.own if introduce else None,
         )
 
+    # News of the store, from it or from other VMs.
+
+    def on_watch(self, works: bool, now: datetime.timedelta) -> None:
+        """Notes whether this VM's own watch of the store works."""
+        self._watches = works
+        if works:
+            self._news_at = now
+
+    def news_age(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns how long ago a VM with a working watch was heard of."""
+        if self._watches:
+            return _ZERO
+        ages = [now - self._news_at]
+        for member in self.members.alive(now):
+            if member.beat is not None and member.heard_at is not None:
+                age = member.beat.news_age_ms * _MILLISECOND
+                ages.append(age + (now - member.heard_at))
+        return max(_ZERO, min(ages))
+
+    def should_watch(self, now: datetime.timedelta) -> bool:
+        """Returns whether this VM is to watch the store itself."""
+        if self.news_age(now) > _news.STALE_AFTER:
+            return True
+        members = self.members
+        if not members.is_listed:
+            return False
+        return _news.is_watcher(members.own.vm, members.listed())
+
+    def news_since(self, position: _news.Position) -> _news.News:
+        """Returns what a VM at a position does not know."""
+        return self.log.since(
+            position,
+            self.catalogue,
+            self.evacuated,
+            tuple(server.entry for server in self.book.all()),
+        )
+
+    def on_news(
+        self, news: _news.News, now: datetime.timedelta
+    ) -> _discovery.Changes:
+        """Takes in another VM's news of backend servers, and its position."""
+        self.log.on_operators(news.position.operators)
+        listing = _discovery.Listing(news.entries, news.gone, news.whole)
+        return self.on_listing(listing, news.position.servers, now)
+
+    def _to_thousandths(
+        self, shares: dict[ids.RegionId, float]
+    ) -> tuple[int, ...]:
+        return tuple(round(1000 * shares.get(r, 0.0)) for r in self._regions)
+
+    def _to_shares(self, parts: tuple[int, ...]) -> dict[ids.RegionId, float]:
+        pairs = zip(self._regions, parts, strict=False)
+        return {region: part / 1000 for region, part in pairs}
+
     @property
     def is_informed(self) -> bool:
         """Whether it knows routes and backend servers."""
--- /dev/null
+++ b/dragonflystack/entry/tests/test_news.py
@@ -0,0 +1,110 @@
+"""News of the store reach every VM of a region, and few VMs read it."""
+
+import pytest
+
+from dragonflystack import entry
+from dragonflystack import ids
+from dragonflystack.entry import _news
+from dragonflystack.entry.tests import builders
+
+
+def _region(size):
+    """Returns VMs that have read the list of them all."""
+    addresses = [builders.address(f"vm-{i:03}") for i in range(size)]
+    vms = {}
+    for address in addresses:
+        vm = builders.entry_vm(vm=address.vm)
+        vm.members.on_list(addresses)
+        vms[address.vm] = vm
+    return vms
+
+
+def _beat(vms, now, dead=()):
+    """Every VM tells its neighbours once; returns the messages sent."""
+    sent = 0
+    for name, vm in vms.items():
+        if name in dead:
+            continue
+        for member, is_near in vm.members.receivers(now):
+            sent += 1
+            receiver = member.address.vm
+            if receiver in dead:
+                continue
+            beat = vm.heartbeat(now, is_near, introduce=True)
+            vms[receiver].members.on_heartbeat(beat, now)
+            if beat.position > vms[receiver].log.position:
+                news = vm.news_since(vms[receiver].log.position)
+                vms[receiver].on_news(news, now)
+    for name, vm in vms.items():
+        if name not in dead:
+            vm.on_tick(now)
+    return sent
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 6, 47, 140])
+def test_few_vms_watch_whatever_the_size(size):
+    vms = _region(size)
+    for vm in vms.values():
+        vm.on_start(builders.ms(0))
+    watchers = [v for v in vms.values() if v.should_watch(builders.ms(1))]
+    assert min(3, size) <= len(watchers) <= max(3, 0.13 * size + 1)
+
+
+@pytest.mark.parametrize("size", [6, 47, 140])
+def test_news_reach_all_and_messages_do_not_grow_with_the_region(size):
+    vms = _region(size)
+    first = next(iter(vms.values()))
+    for round_number in range(3):
+        _beat(vms, builders.ms(500 * round_number))
+    added = builders.server("new")
+    listing = entry.Listing((added,), (), whole=False)
+    first.on_listing(listing, 7, builders.ms(1600))
+    sent = [_beat(vms, builders.ms(2000 + 500 * i)) for i in range(20)]
+    assert all(vm.book.get(ids.BackendServerId("new")) for vm in vms.values())
+    assert max(sent) <= size * min(size - 1, 10)
+
+
+def test_a_vm_that_hears_of_no_watch_watches_itself():
+    vms = _region(30)
+    name, vm = next(
+        (n, v)
+        for n, v in vms.items()
+        if not _news.is_watcher(n, v.members.listed())
+    )
+    vm.on_start(builders.ms(0))
+    assert not vm.should_watch(builders.ms(2900))
+    assert vm.should_watch(builders.ms(3100))
+
+
+def test_neighbours_that_die_are_passed_over():
+    vms = _region(40)
+    for i in range(4):
+        _beat(vms, builders.ms(500 * i))
+    dead = set(list(vms)[:20])
+    for i in range(4, 20):
+        _beat(vms, builders.ms(500 * i), dead)
+    now = builders.ms(500 * 19)
+    for name, vm in vms.items():
+        if name not in dead:
+            named = {address.split(":")[0] for address in vm.members.named(now)}
+            assert not named & dead
+            assert len(named) >= 5
+
+
+def test_one_far_behind_takes_everything():
+    log = _news.NewsLog()
+    for version in range(1, 600):
+        entries = (builders.server(f"s{version}"),)
+        log.on_servers(version, entries, (), whole=False)
+    late = log.since(_news.Position(0, 3), None, frozenset(), ())
+    assert late.whole
+    near = log.since(_news.Position(0, 590), None, frozenset(), ())
+    assert not near.whole and len(near.entries) == 9
+
+
+def test_a_server_that_came_and_went_is_told_as_gone():
+    log = _news.NewsLog()
+    log.on_servers(1, (builders.server("s"),), (), whole=False)
+    log.on_servers(2, (), (ids.BackendServerId("s"),), whole=False)
+    news = log.since(_news.Position(), None, frozenset(), ())
+    assert news.entries == () and news.gone == ("s",)
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -11,11 +11,12 @@
 
 from dragonflystack import entry
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _node
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(entry.Heartbeat)
+_GATHER_S = 0.02
+"""News that come together are told together."""
 
 
 class Heartbeats(asyncio.DatagramProtocol):
@@ -55,52 +56,74 @@
                 reason=str(exc),
             )
             return
-        members = node.vm.members
-        member = members.on_heartbeat(beat, node.now())
+        now = node.now()
+        try:
+            member = node.vm.members.on_heartbeat(beat, now)
+        except entry.UnknownVmError:
+            self._send(_node.Endpoint(*addr), answer_wanted=True)
+            return
         if beat.answer_wanted:
-            self._send(beat.sender, False)
+            self._send(_node.Endpoint(*addr), introduce=True)
         if member is not None:
             node.note(
                 _events.Event.VM_HEARD,
-                peer=beat.sender.vm,
+                peer=beat.vm,
                 phase=beat.phase.value,
                 incarnation=beat.incarnation,
             )
-        catalogue = node.vm.catalogue
-        own_version = 0 if catalogue is None else catalogue.version
-        if beat.catalogue_version > own_version:
-            node.operators_poke.set()
+        own = node.vm.log.position
+        if (
+            beat.position.operators > own.operators
+            or beat.position.servers > own.servers
+        ):
+            node.news_from = _node.Endpoint(*addr)
+            node.news_poke.set()
 
     def error_received(self, exc):
         """A receiver refused a datagram: nothing listens there now."""
 
-    def beat(self, answer_wanted: bool = False) -> None:
-        """Tells the others of the region that this VM lives."""
-        for address in self._node.vm.members.receivers():
-            self._send(address, answer_wanted)
+    def beat(self) -> None:
+        """Tells the neighbours that this VM lives."""
+        now = self._node.now()
+        for member, is_near in self._node.vm.members.receivers(now):
+            address = member.address
+            try:
+                peer = _node.Endpoint.parse(address.peers)
+            except ValueError as exc:
+                self._node.note(
+                    _events.Event.ENTRY_SKIPPED,
+                    source="vm",
+                    peer=address.vm,
+                    reason=str(exc),
+                )
+                continue
+            asks = address.vm not in self._alive
+            self._send(peer, is_near, answer_wanted=asks, introduce=asks)
 
     async def run(self) -> None:
-        """Sends heartbeats, for ever."""
+        """Sends heartbeats, for ever, at once if there is news."""
+        node = self._node
         while True:
             self._note_silent()
-            self.beat(answer_wanted=not self._alive)
-            await anyio.sleep(entry.HEARTBEAT_EVERY.total_seconds())
-
-    def _send(self, address: entry.VmAddress, answer_wanted: bool) -> None:
+            self.beat()
+            node.beat_poke = anyio.Event()
+            with anyio.move_on_after(entry.HEARTBEAT_EVERY.total_seconds()):
+                await node.beat_poke.wait()
+                await anyio.sleep(_GATHER_S)
+
+    def _send(
+        self,
+        peer: _node.Endpoint,
+        is_near: bool = True,
+        answer_wanted: bool = False,
+        introduce: bool = False,
+    ) -> None:
         if self._transport is None:
             return
         node = self._node
-        beat = node.vm.heartbeat(answer_wanted)
-        try:
-            peer = _node.Endpoint.parse(address.peers)
-        except ValueError as exc:
-            node.note(
-                _events.Event.ENTRY_SKIPPED,
-                source="vm",
-                peer=address.vm,
-                reason=str(exc),
-            )
-            return
+        beat = node.vm.heartbeat(
+            node.now(), is_near, answer_wanted, introduce or answer_wanted
+        )
         self._transport.sendto(_encoder.encode(beat), (peer.host, peer.port))
 
     def _note_silent(self) -> None:
@@ -110,10 +133,3 @@
         for vm in self._alive.keys() - alive.keys():
             node.note(_events.Event.VM_SILENT, peer=vm)
         self._alive = {vm: m.phase for vm, m in alive.items()}
-
-
-def age_ms(node: _node.Node, member: entry.Member) -> float | None:
-    """Returns how long ago a VM was heard, for a dump."""
-    if member.heard_at is None:
-        return None
-    return _journal.milliseconds(node.now() - member.heard_at)
--- a/dragonflystack/entryd/_node.py
+++ b/dragonflystack/entryd/_node.py
@@ -80,8 +80,22 @@
     in_flight: int = 0
     """Requests of callers without an answer."""
 
-    operators_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    """Set to have the operators' rows read again at once."""
+    watch_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    """Set to have watches of the store begin anew."""
+
+    news_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    """Set when another VM knows of news."""
+
+    news_from: Endpoint | None = None
+    """Which one that is."""
+
+    beat_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    """Set to have the neighbours told at once."""
+
+    def restart_watches(self) -> None:
+        """Has watches of the store begin anew."""
+        self.watch_poke.set()
+        self.watch_poke = anyio.Event()
 
     def now(self) -> datetime.timedelta:
         """Returns the time."""
--- a/dragonflystack/entryd/_platform_port.py
+++ b/dragonflystack/entryd/_platform_port.py
@@ -29,6 +29,9 @@
     version: int
     """Of the store; ask for changes after it."""
 
+    position: int
+    """Of the latest row among these, 0 if there is none."""
+
     whole: bool
     """Whether this is all that is in force, not only changes."""
 
@@ -45,6 +48,9 @@
     version: int
     """Of the store; ask for changes after it."""
 
+    position: int
+    """Of the latest row among these, 0 if there is none."""
+
     listing: entry.Listing
     skipped: tuple[Skipped, ...] = ()
 
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -80,6 +80,7 @@
         loops.start_soon(sync.run_operators)
         loops.start_soon(sync.run_servers)
         loops.start_soon(sync.run_registration)
+        loops.start_soon(sync.run_news)
         loops.start_soon(heartbeats.run)
         loops.start_soon(_probes.Prober(node, pool).run)
         async with anyio.create_task_group() as servers:
@@ -89,6 +90,8 @@
             await _leave(node, heartbeats, ports)
         loops.cancel_scope.cancel()
     pool.close()
+    await sync.aclose()
+    await platform.aclose()
     node.note(_events.Event.STOPPED, in_flight=node.in_flight)
     node.journal.flush()
 
--- a/dragonflystack/entryd/_snapshots.py
+++ b/dragonflystack/entryd/_snapshots.py
@@ -1,42 +1,36 @@
-"""What one VM tells another that starts while the store is out."""
+"""What one VM tells another of the store's rows, and its state for operators.
+
+A VM that is behind asks the neighbour that told it so. One that starts while
+the store is out asks whom it can find.
+"""
+
+import urllib.parse
 
 import httpcore
 import msgspec
 
 from dragonflystack import _asgi
 from dragonflystack import entry
-from dragonflystack import ids
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _node
 
-STATE_PATH = "/v1/state"
+NEWS_PATH = "/v1/news"
 DUMP_PATH = "/v1/dump"
+_TIMEOUT_S = 0.7
+"""A neighbour is half a millisecond away; another one can be asked."""
+
 _TIMEOUTS = {
-    "timeout": dict.fromkeys(("connect", "read", "write", "pool"), 1.0)
+    "timeout": dict.fromkeys(("connect", "read", "write", "pool"), _TIMEOUT_S)
 }
 _OK = 200
 
 
-class Snapshot(msgspec.Struct, frozen=True):
-    """What a VM believes, for one that knows nothing."""
-
-    catalogue: entry.Catalogue | None
-    evacuated: frozenset[ids.FailureDomainId]
-    servers: tuple[entry.ServerEntry, ...]
-    """Those that are registered."""
+class Told(msgspec.Struct, frozen=True):
+    """The answer of a VM that is asked for news."""
 
+    news: entry.News
     vms: tuple[entry.VmAddress, ...]
-
-
-def take(node: _node.Node) -> Snapshot:
-    """Returns what this VM believes."""
-    vm = node.vm
-    return Snapshot(
-        vm.catalogue,
-        vm.evacuated,
-        tuple(server.entry for server in vm.book.all()),
-        (vm.members.own, *vm.members.receivers()),
-    )
+    """The VMs of its region, if they were asked for."""
 
 
 def make_app(node: _node.Node) -> _asgi.App:
@@ -45,25 +39,48 @@
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
-        if scope["path"] == STATE_PATH and node.vm.is_informed:
-            await _asgi.send_json(send, take(node))
+        if scope["path"] == NEWS_PATH and node.vm.is_informed:
+            query = scope["query_string"].decode("latin-1")
+            await _tell(node, send, dict(urllib.parse.parse_qsl(query)))
         elif scope["path"] == DUMP_PATH:
             await _asgi.send_json(send, dump(node))
         else:
-            await _asgi.send_problem(send, 404, "no such path or no state yet")
+            await _asgi.send_problem(send, 404, "no such path or no news yet")
 
     return app
 
 
-async def ask(node: _node.Node, peer: _node.Endpoint) -> Snapshot | None:
-    """Returns what another VM believes, None if it does not say."""
-    url = f"http://{peer}{STATE_PATH}"
+async def _tell(
+    node: _node.Node, send: _asgi.Send, query: dict[str, str]
+) -> None:
+    try:
+        position = entry.Position(
+            int(query.get("operators", 0)), int(query.get("servers", 0))
+        )
+    except ValueError as exc:
+        await _asgi.send_problem(send, 400, "position", str(exc))
+        return
+    vms = node.vm.members.addresses() if "vms" in query else ()
+    await _asgi.send_json(send, Told(node.vm.news_since(position), vms))
+
+
+async def ask(
+    node: _node.Node,
+    pool: httpcore.AsyncConnectionPool,
+    peer: _node.Endpoint,
+    with_vms: bool = False,
+) -> Told | None:
+    """Returns what another VM knows and this one does not, if it says."""
+    position = node.vm.log.position
+    query = f"operators={position.operators}&servers={position.servers}"
+    if with_vms:
+        query += "&vms=1"
+    url = f"http://{peer}{NEWS_PATH}?{query}"
     try:
-        async with httpcore.AsyncConnectionPool() as pool:
-            res = await pool.request("GET", url, extensions=_TIMEOUTS)
+        res = await pool.request("GET", url, extensions=_TIMEOUTS)
         if res.status != _OK:
             return None
-        return msgspec.json.decode(res.content, type=Snapshot)
+        return msgspec.json.decode(res.content, type=Told)
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
@@ -107,7 +124,9 @@
             "heard_age_s": None
             if member.heard_at is None
             else round((now - member.heard_at).total_seconds(), 3),
-            "catalogue": member.catalogue_version,
+            "news_age_ms": None
+            if member.beat is None
+            else member.beat.news_age_ms,
         }
         for member in vm.members.alive(now)
     ]
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -1,12 +1,17 @@
 """Keeps what the platform's store says of operators and backend servers.
 
-Both are watched by long reads. When the store is out a VM that knows nothing
-asks other VMs; one that knows goes on with what it has.
+A few VMs of a region watch the store by long reads; the others take what is
+new from a neighbour. When the store is out, VMs go on with what they have, and
+one that knows nothing asks others.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import datetime
+from typing import TypeVar
 
 import anyio
+import httpcore
 
 from dragonflystack import entry
 from dragonflystack import storage
@@ -29,7 +34,9 @@
 _LIST_VMS_EVERY = datetime.timedelta(seconds=60)
 """VMs tell each other that they live; the list only brings strangers."""
 
+_DUTY_POLL_S = 0.25
 _STORE = "store"
+_News = TypeVar("_News")
 
 
 class _Link:
@@ -41,11 +48,6 @@
         self._lost_at: datetime.timedelta | None = None
         self._retry = _FIRST_RETRY
 
-    @property
-    def is_lost(self) -> bool:
-        """Whether the latest call failed."""
-        return self._lost_at is not None
-
     def on_failure(self, failure: storage.Unavailable) -> float:
         """Notes a failed call; returns the seconds to wait."""
         node = self._node
@@ -62,11 +64,11 @@
         spread = 0.75 + 0.5 * node.vm.rng.random()
         return pause.total_seconds() * spread
 
-    def on_success(self) -> None:
-        """Notes a call that was answered."""
+    def on_success(self) -> bool:
+        """Notes a call that was answered; returns whether it was lost."""
         self._retry = _FIRST_RETRY
         if self._lost_at is None:
-            return
+            return False
         away = self._node.now() - self._lost_at
         self._lost_at = None
         self._node.note(
@@ -75,74 +77,131 @@
             call=self._call,
             away_ms=_journal.milliseconds(away),
         )
+        return True
 
 
 class Sync:
-    """The loops that read the store."""
+    """The loops that follow the store, and the news of other VMs."""
 
     def __init__(self, node: _node.Node, platform: _platform_port.Platform):
         self._node = node
         self._platform = platform
-        self._operators = _Link(node, "operators")
-        self._servers = _Link(node, "servers")
-        self._operators_version: int | None = None
-        self._servers_version: int | None = None
-        self._store_back = anyio.Event()
+        self._peers = httpcore.AsyncConnectionPool(max_connections=4)
+
+    async def aclose(self) -> None:
+        """Closes the connections to other VMs."""
+        await self._peers.aclose()
 
-    # Operators.
+    # Watching the store.
 
     async def run_operators(self) -> None:
-        """Follows the operators' rows, for ever."""
+        """Follows the operators' rows while that is this VM's to do."""
+        await self._follow(
+            "operators",
+            self._platform.read_operators,
+            self._platform.watch_operators,
+            self._on_operators,
+            datetime.timedelta(),
+        )
+
+    async def run_servers(self) -> None:
+        """Follows the entries of backend servers likewise."""
+        await self._follow(
+            "servers",
+            self._platform.read_servers,
+            self._platform.watch_servers,
+            self._on_servers,
+            _GATHER,
+        )
+
+    async def _follow(
+        self,
+        table: str,
+        read: Callable[[], Awaitable],
+        watch: Callable[[int, datetime.timedelta], Awaitable],
+        take_in: Callable[[_News], None],
+        gather: datetime.timedelta,
+    ) -> None:
+        """Reads a table, then watches it, for ever."""
+        node = self._node
+        link = _Link(node, table)
+        version: int | None = None
         while True:
-            news = await self._next_operators()
+            if not node.vm.should_watch(node.now()):
+                version = None
+                node.vm.on_watch(False, node.now())
+                await anyio.sleep(_DUTY_POLL_S)
+                continue
+            if version is None:
+                news = await read()
+            else:
+                await anyio.sleep(gather.total_seconds())
+                news = await self._watch(watch, version)
             if isinstance(news, storage.Unavailable):
-                await self._ask_peers()
-                await anyio.sleep(self._operators.on_failure(news))
-                self._operators_version = None
+                version = None
+                node.vm.on_watch(False, node.now())
+                node.vm.discovery.on_store_away()
+                await self._ask_anyone()
+                await anyio.sleep(link.on_failure(news))
             elif isinstance(news, _platform_port.HistoryLost):
-                self._node.note(_events.Event.HISTORY_LOST, table="operators")
-                self._operators_version = None
+                node.note(_events.Event.HISTORY_LOST, table=table)
+                version = None
             elif news is not None:
-                self._operators.on_success()
-                self._operators_version = news.version
-                self._on_operators(news)
-
-    async def _next_operators(
+                if link.on_success():
+                    # Other watches may wait on a connection that died.
+                    node.restart_watches()
+                node.vm.on_watch(True, node.now())
+                version = news.version
+                self._note_skipped(table, news.skipped)
+                take_in(news)
+
+    async def _watch(
         self,
-    ) -> (
-        _platform_port.OperatorNews
-        | _platform_port.HistoryLost
-        | storage.Unavailable
-        | None
-    ):
-        """Reads or watches; returns None if another VM knows of a change."""
-        version = self._operators_version
-        if version is None:
-            return await self._platform.read_operators()
-        poke = self._node.operators_poke = anyio.Event()
-        result = None
+        watch: Callable[[int, datetime.timedelta], Awaitable],
+        version: int,
+    ) -> object:
+        """Watches until there is an answer or reason to read anew."""
+        poke = self._node.watch_poke
+        news: object = None
         async with anyio.create_task_group() as tasks:
 
             async def stop_on_poke() -> None:
                 await poke.wait()
-                self._operators_version = None
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(stop_on_poke)
-            result = await self._platform.watch_operators(version, _WATCH_WAIT)
+            news = await watch(version, _WATCH_WAIT)
             tasks.cancel_scope.cancel()
-        return result
+        return news
 
     def _on_operators(self, news: _platform_port.OperatorNews) -> None:
         node = self._node
-        self._note_skipped("operators", news.skipped)
-        if news.catalogue is not None:
-            self._adopt(news.catalogue, _STORE)
         evacuated = news.evacuated
         if not news.whole:
             evacuated = (node.vm.evacuated | evacuated) - news.taken_back
+        position = news.position
+        if news.whole and evacuated != node.vm.evacuated:
+            # A row that is gone leaves no version behind.
+            position = news.version
+        if news.catalogue is not None:
+            self._adopt(news.catalogue, _STORE)
         self._evacuate(evacuated, _STORE)
+        before = node.vm.log.position
+        node.vm.log.on_operators(position)
+        self._after_news(before)
+
+    def _on_servers(self, news: _platform_port.ServerNews) -> None:
+        node = self._node
+        before = node.vm.log.position
+        changes = node.vm.on_listing(news.listing, news.position, node.now())
+        self.note_changes(changes)
+        self._after_news(before)
+
+    def _after_news(self, before: entry.Position) -> None:
+        node = self._node
         node.update_phase()
+        if node.vm.log.position != before:
+            node.beat_poke.set()
 
     def _adopt(self, catalogue: entry.Catalogue, source: str) -> None:
         before = self._node.vm.catalogue
@@ -165,41 +224,6 @@
                 source=source,
             )
 
-    # Backend servers.
-
-    async def run_servers(self) -> None:
-        """Follows the entries of backend servers, for ever."""
-        node = self._node
-        while True:
-            news = await self._next_servers()
-            if isinstance(news, storage.Unavailable):
-                node.vm.discovery.on_store_away()
-                self._servers_version = None
-                await anyio.sleep(self._servers.on_failure(news))
-            elif isinstance(news, _platform_port.HistoryLost):
-                node.note(_events.Event.HISTORY_LOST, table="servers")
-                self._servers_version = None
-            else:
-                self._servers.on_success()
-                self._servers_version = news.version
-                self._note_skipped("servers", news.skipped)
-                self.note_changes(node.vm.on_listing(news.listing, node.now()))
-                node.update_phase()
-
-    async def _next_servers(
-        self,
-    ) -> (
-        _platform_port.ServerNews
-        | _platform_port.HistoryLost
-        | storage.Unavailable
-    ):
-        version = self._servers_version
-        if version is None:
-            return await self._platform.read_servers()
-        # Entries often change together: one read takes them all.
-        await anyio.sleep(_GATHER.total_seconds())
-        return await self._platform.watch_servers(version, _WATCH_WAIT)
-
     def note_changes(self, changes: entry.Changes) -> None:
         """Logs what changed among the backend servers."""
         for event, servers in (
@@ -238,47 +262,63 @@
                 await anyio.sleep(link.on_failure(vms))
                 continue
             link.on_success()
-            node.vm.members.on_list(vms, node.now())
+            node.vm.members.on_list(vms)
+            node.beat_poke.set()
             if registered:
                 await anyio.sleep(_LIST_VMS_EVERY.total_seconds())
 
-    # Other VMs.
+    # News of other VMs.
 
-    async def _ask_peers(self) -> None:
-        """Takes what another VM believes if this one knows nothing."""
+    async def run_news(self) -> None:
+        """Takes news from the VM that has some, for ever."""
+        node = self._node
+        while True:
+            await node.news_poke.wait()
+            node.news_poke = anyio.Event()
+            peer = node.news_from
+            if peer is not None and not await self._take_news(peer):
+                await anyio.sleep(_FIRST_RETRY.total_seconds())
+
+    async def _take_news(
+        self, peer: _node.Endpoint, with_vms: bool = False
+    ) -> bool:
+        """Returns whether another VM answered with news."""
+        node = self._node
+        told = await _snapshots.ask(node, self._peers, peer, with_vms)
+        if told is None:
+            return False
+        news = told.news
+        was_informed = node.vm.is_informed
+        if told.vms:
+            node.vm.members.on_list(told.vms)
+        if news.catalogue is not None:
+            self._adopt(news.catalogue, str(peer))
+        before = node.vm.log.position
+        if news.position.operators >= before.operators:
+            self._evacuate(news.evacuated, str(peer))
+        self.note_changes(node.vm.on_news(news, node.now()))
+        if not was_informed:
+            node.note(
+                _events.Event.STATE_FROM_PEER,
+                peer=str(peer),
+                servers=len(news.entries),
+            )
+        self._after_news(before)
+        return True
+
+    async def _ask_anyone(self) -> None:
+        """Asks VMs that may live, if this one knows nothing."""
         node = self._node
         if node.vm.is_informed:
             return
-        peers = {
-            str(member.address.peers)
-            for member in node.vm.members.alive(node.now())
-        }
-        endpoints = [_node.Endpoint.parse(p) for p in sorted(peers)]
+        alive = node.vm.members.alive(node.now())
+        peers = [_node.Endpoint.parse(m.address.peers) for m in alive]
         own = node.settings.peers
         seeds = [seed for seed in node.settings.seeds if seed != own]
-        for peer in (*endpoints, *seeds):
-            snapshot = await _snapshots.ask(node, peer)
-            if snapshot is not None:
-                self._on_snapshot(snapshot, str(peer))
+        for peer in (*peers, *seeds):
+            if await self._take_news(peer, with_vms=True):
                 return
 
-    def _on_snapshot(self, snapshot: _snapshots.Snapshot, peer: str) -> None:
-        node = self._node
-        now = node.now()
-        node.note(
-            _events.Event.STATE_FROM_PEER,
-            peer=peer,
-            servers=len(snapshot.servers),
-        )
-        node.vm.members.on_list(snapshot.vms, now)
-        if snapshot.catalogue is not None:
-            self._adopt(snapshot.catalogue, peer)
-        self._evacuate(snapshot.evacuated, peer)
-        listing = entry.Listing(snapshot.servers, (), whole=False)
-        self.note_changes(node.vm.on_listing(listing, now))
-        node.vm.discovery.on_store_away()
-        node.update_phase()
-
     def _note_skipped(
         self, source: str, skipped: tuple[_platform_port.Skipped, ...]
     ) -> None:
