Send late requests away where much waits; watch the store in small regions

Cause: (1) a request that would be late kept a slot from one in time. (3) Three VMs outlived their grace. The tests of watchers follow the traced need: more watch, and sooner. _front is split, and the store's errors stand once.

--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -26,6 +26,10 @@
 """For callers that do not say how long they wait."""
 
 _LEAST_RETRY_AFTER = datetime.timedelta(milliseconds=50)
+_RETRY_AFTER_PART = 0.22
+"""Part of the caller's time after which it may come back; with the spread it
+comes to a third, which callers wait at the most."""
+
 _RETRY_AFTER_SPREAD = 0.5
 """Returns are spread over this part of the time named, so that callers do not
 come back as one."""
@@ -33,7 +37,9 @@
 _LEAST_WORK_PART = 0.25
 """An idle backend server is tried if this part of the mean work fits."""
 
-_LEAST_PATIENCE = datetime.timedelta(milliseconds=150)
+_PATIENCE_TARGETS = 2.0
+"""An answer is not missed before this many target latencies: a backend server
+that is still cold, or has a queue, is not silent."""
 
 
 class Context(Protocol):
@@ -41,6 +47,15 @@
 
     rng: random.Random
 
+    @property
+    def late_wait_part(self) -> float:
+        """See `ChoiceSettings.late_wait_part`."""
+
+    def spent_before(
+        self, route: _catalogue.Route, request: _messages.Request
+    ) -> datetime.timedelta:
+        """Returns how long the caller had waited when the request came."""
+
     def weigh(
         self, wanted: _choice.Wanted, now: datetime.timedelta
     ) -> list[_choice.Candidate]:
@@ -224,7 +239,7 @@
         self.may_have_run = True
         if self.route.idempotent and self._may_send_more(now):
             best = self._best(now)
-            if best is not None and _is_in_time(best, self.deadline - now):
+            if best is not None and best.expected <= self.deadline - now:
                 self._release()
                 return self._start(best, now)
         return self._wait(current, now)
@@ -258,8 +273,24 @@
             return self._give_up(self._why, now)
         if not _is_in_time(best, self.deadline - now):
             return self._give_up(_messages.Reason.TOO_LATE, now, best)
+        if self._holds_up_others(best, now):
+            return self._give_up(_messages.Reason.FULL, now, best)
         return self._start(best, now)
 
+    def _holds_up_others(
+        self, best: _choice.Candidate, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether it would come late, and others late because of it.
+
+        Where much waits, each request that is late already keeps a slot from
+        one that could be in time.
+        """
+        target = self.route.target_latency
+        before = self._context.spent_before(self.route, self.request)
+        if before + (now - self.began) + best.expected <= target:
+            return False
+        return best.wait > target * self._context.late_wait_part
+
     def _best(self, now: datetime.timedelta) -> _choice.Candidate | None:
         candidates = [
             candidate
@@ -288,7 +319,10 @@
             )
         )
         left = self.deadline - now
-        patience = max(_LEAST_PATIENCE, self._context.overdue_after(candidate))
+        patience = max(
+            self.route.target_latency * _PATIENCE_TARGETS,
+            self._context.overdue_after(candidate),
+        )
         return _messages.Send(server, left, min(patience, left))
 
     def _release(self) -> _choice.Candidate:
@@ -307,6 +341,8 @@
         if self.may_have_run:
             return _messages.Fail(why, timed_out=now >= self.deadline)
         wait = _LEAST_RETRY_AFTER if best is None else best.wait
+        left = self._caller_leaves - now
+        wait = max(wait, left * _RETRY_AFTER_PART)
         return _messages.Reject(why, self._retry_after(wait))
 
     def _retry_after(self, wait: datetime.timedelta) -> datetime.timedelta:
--- a/dragonflystack/entry/_news.py
+++ b/dragonflystack/entry/_news.py
@@ -20,13 +20,17 @@
 _MAX_LOGGED = 256
 """Changes kept for VMs that are behind; one farther behind takes all."""
 
-_LEAST_WATCHERS = 3
+_LEAST_WATCHERS = 8
+"""In a region of today every VM watches: a VM cut off from its neighbours has
+to know a change within its bound, and would first have to miss them."""
+
 _WATCHING_PART = 0.12
 """Part of a region's VMs that watch the store: enough that some are left when
 half of all VMs are killed at once."""
 
-STALE_AFTER = datetime.timedelta(seconds=3)
-"""A VM that heard of no VM with a working watch for so long watches itself."""
+STALE_AFTER = datetime.timedelta(seconds=1.5)
+"""A VM that heard of no VM with a working watch for so long watches itself;
+with the read that follows it knows a change within the users' 2.5 s."""
 
 
 class Position(msgspec.Struct, frozen=True, array_like=True, order=True):
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -72,6 +72,10 @@
     queue_slots: float = 3.0
     """A backend server is full at this many requests per slot."""
 
+    late_wait_part: float = 0.6
+    """A request that would be late is sent only where it waits less than this
+    part of its target latency."""
+
     silence_factor: float = 3.0
     """A request is overdue after this many times its expected time."""
 
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -48,6 +48,7 @@
         self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
         self.log = _news.NewsLog()
         self._regions = tuple(sorted(set(regions.values())))
+        self._most_left: dict[_catalogue.RouteId, datetime.timedelta] = {}
         self._watches = False
         self._news_at = _ZERO
         self._settings = settings
@@ -293,6 +294,26 @@
         """See `_exchange.Context.on_loss`."""
         self._shares.on_loss(now)
 
+    @property
+    def late_wait_part(self) -> float:
+        """See `_exchange.Context.late_wait_part`."""
+        return self._settings.late_wait_part
+
+    def spent_before(
+        self, route: _catalogue.Route, request: _messages.Request
+    ) -> datetime.timedelta:
+        """See `_exchange.Context.spent_before`.
+
+        All first attempts on a route come with about the same time left; one
+        that comes with less has been waiting.
+        """
+        left = request.time_left
+        if left is None:
+            return _ZERO
+        most = max(left, self._most_left.get(route.id, _ZERO))
+        self._most_left[route.id] = most
+        return most - left
+
     def may_resend(self, service: ids.ServiceId) -> bool:
         """See `_exchange.Context.may_resend`."""
         return self._budget(service).take()
--- a/dragonflystack/entry/tests/test_exchange.py
+++ b/dragonflystack/entry/tests/test_exchange.py
@@ -148,3 +148,35 @@
     vm = builders.entry_vm(builders.server("s"))
     _, step = vm.open(builders.request(path="/other/"), builders.ms(0))
     assert isinstance(step, entry.Unknown)
+
+
+def test_a_server_that_is_only_slow_keeps_its_request():
+    """Nothing was heard of it for less than two target latencies."""
+    vm = builders.entry_vm(builders.server("s1"), builders.server("s2"))
+    _, step = vm.open(builders.request(), builders.ms(0))
+    assert isinstance(step, entry.Send)
+    assert step.patience >= 2 * builders.route().target_latency
+
+
+def test_no_second_send_that_cannot_be_in_time():
+    slow = builders.route(
+        target_latency=builders.ms(1000), timeout=builders.ms(2000)
+    )
+    vm = builders.entry_vm(
+        builders.server("s1"), builders.server("s2"), routes=(slow,)
+    )
+    request = builders.request(time_left=builders.ms(8000))
+    exchange, step = vm.open(request, builders.ms(0))
+    assert exchange is not None
+    assert isinstance(step, entry.Send)
+    step = exchange.on_result(_SILENT, builders.ms(1800))
+    assert isinstance(step, entry.Wait)
+
+
+def test_what_would_be_late_and_hold_up_others_is_rejected_at_once():
+    vm = builders.entry_vm(builders.server("s", slots=1))
+    steps = [vm.open(builders.request(), builders.ms(i))[1] for i in range(4)]
+    assert isinstance(steps[0], entry.Send)
+    last = steps[-1]
+    assert isinstance(last, entry.Reject)
+    assert last.retry_after <= builders.ms(1200) / 3
--- a/dragonflystack/entry/tests/test_loads.py
+++ b/dragonflystack/entry/tests/test_loads.py
@@ -53,3 +53,26 @@
     away = sum(n for (frm, to), n in tally.regions.items() if frm != to)
     assert away / tally.asked < 0.05
     assert tally.served_part == 1.0
+
+
+def test_sending_late_requests_away_serves_more_in_time():
+    """More than there is room for: what waits long makes others late."""
+    seeds = (1, 2, 3)
+    lookups = {
+        "work_ms": 600.0,
+        "target_ms": 500.0,
+        "deadline_ms": 3000.0,
+        "objects": 24,
+        "kept": 25,
+    }
+    kept_short = [
+        loads.play(_gallery(38, seed=seed, **lookups)) for seed in seeds
+    ]
+    let_grow = [
+        loads.play(_gallery(38, seed=seed, **lookups), late_wait_part=1e9)
+        for seed in seeds
+    ]
+    assert sum(t.credit for t in kept_short) > sum(t.credit for t in let_grow)
+    assert sum(t.in_target for t in kept_short) > sum(
+        t.in_target for t in let_grow
+    )
--- a/dragonflystack/entry/tests/test_news.py
+++ b/dragonflystack/entry/tests/test_news.py
@@ -47,7 +47,7 @@
     for vm in vms.values():
         vm.on_start(builders.ms(0))
     watchers = [v for v in vms.values() if v.should_watch(builders.ms(1))]
-    assert min(3, size) <= len(watchers) <= max(3, 0.13 * size + 1)
+    assert min(8, size) <= len(watchers) <= max(8, 0.13 * size + 1)
 
 
 @pytest.mark.parametrize("size", [6, 47, 140])
@@ -66,14 +66,16 @@
 
 def test_a_vm_that_hears_of_no_watch_watches_itself():
     vms = _region(30)
+    bound = builders.ms(2500)
+    read = builders.ms(500)
     name, vm = next(
         (n, v)
         for n, v in vms.items()
         if not _news.is_watcher(n, v.members.listed())
     )
     vm.on_start(builders.ms(0))
-    assert not vm.should_watch(builders.ms(2900))
-    assert vm.should_watch(builders.ms(3100))
+    assert not vm.should_watch(builders.ms(1400))
+    assert vm.should_watch(bound - read - builders.ms(250))
 
 
 def test_neighbours_that_die_are_passed_over():
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -1,7 +1,5 @@
 """The callers' port: takes requests and forwards them to backend servers."""
 
-import asyncio
-import dataclasses
 import datetime
 
 from dragonflystack import _asgi
@@ -11,23 +9,9 @@
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _node
+from dragonflystack.entryd import _sending
 
-_CONNECT_TIMEOUT = datetime.timedelta(milliseconds=350)
-"""A connection to another region takes 70 ms; one lost packet costs 200."""
-
-_MAX_IDLE = datetime.timedelta(seconds=4)
-"""Idle connections are used again for idempotent requests up to here."""
-
-_MAX_IDLE_NOT_IDEMPOTENT = datetime.timedelta(seconds=1)
-"""A request that may not be sent twice goes on a connection that answered
-just now, or on a new one."""
-
-_WATCH_AFTER_S = 0.2
-"""A caller that leaves is noticed from here on; most answers come sooner."""
-
-_MILLISECOND = datetime.timedelta(milliseconds=1)
 _NO_LENGTH_STATUSES = frozenset((204, 304))
-_SUCCESS = range(200, 300)
 _ENDS = {
     entry.Deliver: _events.Event.REQUEST_SERVED,
     entry.Reject: _events.Event.REQUEST_REJECTED,
@@ -74,7 +58,7 @@
         exchange, step = node.vm.open(request, node.now())
         answer: _connections.Answer | None = None
         if exchange is not None:
-            run = _Run(
+            run = _sending.Run(
                 node, self._pool, scope, receive, request, exchange, body
             )
             step = await run.carry_out(step)
@@ -110,7 +94,7 @@
             took_ms=_journal.milliseconds(elapsed),
             caller_left_ms=_journal.milliseconds(request.time_left),
             retry_after_ms=_journal.milliseconds(retry_after),
-            catalogue=_version(node),
+            catalogue=node.catalogue_version,
         )
 
     def _read(self, scope: _asgi.Scope) -> entry.Request:
@@ -131,266 +115,6 @@
         return entry.Request(request_id, host, scope["path"], key, left)
 
 
-@dataclasses.dataclass(slots=True)
-class _Sending:
-    """A send under way."""
-
-    address: _connections.Address
-    conn: _connections.Connection
-    answer: "asyncio.Future[_connections.Answer]"
-
-
-class _Run:
-    """Carries out the steps of one exchange."""
-
-    def __init__(
-        self,
-        node: _node.Node,
-        pool: _connections.Pool,
-        scope: _asgi.Scope,
-        receive: _asgi.Receive,
-        request: entry.Request,
-        exchange: entry.Exchange,
-        body: bytes,
-    ):
-        self._node = node
-        self._pool = pool
-        self._scope = scope
-        self._receive = receive
-        self._request = request
-        self._exchange = exchange
-        self._body = body
-        self._watch: asyncio.Task | None = None
-        self.answer: _connections.Answer | None = None
-        """The latest whole answer."""
-
-    async def carry_out(self, step: entry.Step) -> entry.Step:
-        """Takes steps until the last, which it returns."""
-        sending: _Sending | None = None
-        try:
-            while isinstance(step, entry.Send | entry.Wait):
-                result: entry.Result | None = None
-                if isinstance(step, entry.Send):
-                    sending = None
-                    started = await self._start(step)
-                    if isinstance(started, entry.ConnectFailed):
-                        result = started
-                    else:
-                        sending = started
-                if sending is not None:
-                    result = await self._result(sending, step.patience)
-                assert result is not None
-                step = self._decide(result)
-                if (
-                    sending is not None
-                    and isinstance(result, entry.Silent | entry.CallerGone)
-                    and not isinstance(step, entry.Wait)
-                ):
-                    self._abandon(sending)
-        except BaseException:
-            if sending is not None:
-                self._abandon(sending)
-            self._exchange.on_result(entry.CallerGone(), self._node.now())
-            raise
-        finally:
-            if self._watch is not None:
-                self._watch.cancel()
-        return step
-
-    def _decide(self, result: entry.Result) -> entry.Step:
-        exchange = self._exchange
-        before = exchange.wanted.service
-        server = exchange.sends[-1].server
-        known = self._node.vm.book.get(server)
-        was_suspect = known is None or known.suspect_since is not None
-        step = exchange.on_result(result, self._node.now())
-        if not was_suspect and known and known.suspect_since is not None:
-            self._node.note(
-                _events.Event.SERVER_SUSPECT,
-                server=server,
-                service=before,
-                request=self._request.id,
-                why=type(result).__name__,
-                heard_age_ms=_journal.milliseconds(
-                    self._node.now() - known.last_heard
-                ),
-            )
-        if isinstance(result, entry.Answered) and isinstance(
-            step, entry.Deliver
-        ):
-            return step
-        event = (
-            _events.Event.REQUEST_OVERDUE
-            if isinstance(result, entry.Silent)
-            else _events.Event.SEND_FAILED
-        )
-        self._node.note(
-            event,
-            request=self._request.id,
-            service=before,
-            server=server,
-            result=type(result).__name__,
-            detail=getattr(result, "reason", getattr(result, "status", None)),
-            next=type(step).__name__,
-        )
-        return step
-
-    # One send.
-
-    async def _start(
-        self, step: entry.Send
-    ) -> "_Sending | entry.ConnectFailed":
-        server = step.server
-        address = _connections.Address(
-            f"{server.entry.id}/{server.entry.born}",
-            server.entry.host,
-            server.entry.port,
-        )
-        self._note_sent(step)
-        began = self._node.now()
-        conn = self._pool.take_idle(address, self._max_idle())
-        if conn is None:
-            try:
-                conn = await self._pool.connect(address, _CONNECT_TIMEOUT)
-            except _connections.ConnectError as exc:
-                self._pool.close_idle(address)
-                return entry.ConnectFailed(str(exc))
-            took = self._node.now() - began
-            self._node.vm.on_round_trip(server, took)
-            self._node.metrics.count("connections-opened")
-        left = step.time_left - (self._node.now() - began)
-        answer = conn.send(self._outgoing(step, left))
-        return _Sending(address, conn, answer)
-
-    async def _result(
-        self, sending: _Sending, patience: datetime.timedelta
-    ) -> entry.Result:
-        settled = await self._settles(sending.answer, patience)
-        if not settled:
-            if self._watch is not None and self._watch.done():
-                return entry.CallerGone()
-            return entry.Silent()
-        try:
-            answer = sending.answer.result()
-        except _connections.BrokenError as exc:
-            return entry.Broken(str(exc))
-        except _connections.CorruptError as exc:
-            return entry.Broken(str(exc), corrupt=True)
-        self._pool.give_back(sending.address, sending.conn)
-        return self._judge(answer)
-
-    async def _settles(
-        self,
-        answer: "asyncio.Future[_connections.Answer]",
-        patience: datetime.timedelta,
-    ) -> bool:
-        """Waits for an answer; returns whether it came.
-
-        The caller is watched only once the wait is long, which costs a task.
-        """
-        left = max(0.0, patience.total_seconds())
-        if self._watch is None:
-            first = min(_WATCH_AFTER_S, left)
-            await asyncio.wait((answer,), timeout=first)
-            left -= first
-            if answer.done() or left <= 0:
-                return answer.done()
-            self._watch = asyncio.ensure_future(self._watch_caller())
-        await asyncio.wait(
-            (answer, self._watch),
-            timeout=left,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        return answer.done()
-
-    async def _watch_caller(self) -> None:
-        while (await self._receive())["type"] != "http.disconnect":
-            pass
-
-    def _abandon(self, sending: _Sending) -> None:
-        """Cancels a request at its backend server by closing its connection.
-
-        Others to the same server may be silent as well.
-        """
-        sending.conn.close()
-        sending.answer.cancel()
-        self._pool.close_idle(sending.address)
-
-    def _judge(self, answer: _connections.Answer) -> entry.Result:
-        dialect = self._node.dialect
-        self.answer = answer
-        load = answer.header(dialect.load)
-        result = entry.Answered(
-            answer.status,
-            not_run=answer.header(dialect.not_run) is not None,
-            wrong_server=answer.status == dialect.wrong_server_status,
-            load=None if load is None else dialect.read_load(load),
-        )
-        if answer.status in _SUCCESS:
-            if answer.header(dialect.signature) is None:
-                return entry.Broken("a success without signature", True)
-            if answer.header(dialect.request_id) is None:
-                return entry.Broken("an answer to no request", True)
-        return result
-
-    def _max_idle(self) -> datetime.timedelta:
-        if self._exchange.route.idempotent:
-            return _MAX_IDLE
-        return _MAX_IDLE_NOT_IDEMPOTENT
-
-    def _outgoing(
-        self, step: entry.Send, left: datetime.timedelta
-    ) -> _connections.Outgoing:
-        dialect = self._node.dialect
-        scope = self._scope
-        method = scope["method"].encode("ascii")
-        lines = [method + b" " + _target(scope) + b" HTTP/1.1"]
-        own = (dialect.time_left_ms, dialect.expected_server)
-        for name, value in _hop_headers.end_to_end(scope["headers"]):
-            if name not in own and name != b"expect":
-                lines.append(name + b": " + value)
-        left_ms = max(1, left // _MILLISECOND)
-        lines.append(dialect.time_left_ms + b": %d" % left_ms)
-        expected = step.server.entry.id.encode("latin-1")
-        lines.append(dialect.expected_server + b": " + expected)
-        if self._body or _has_body(scope):
-            lines.append(b"content-length: %d" % len(self._body))
-        head = b"\r\n".join(lines) + b"\r\n\r\n"
-        request_id = self._request.id.encode("latin-1")
-        return _connections.Outgoing(
-            head, self._body, request_id, scope["method"] == "HEAD"
-        )
-
-    def _note_sent(self, step: entry.Send) -> None:
-        node = self._node
-        exchange = self._exchange
-        now = node.now()
-        sent = exchange.sends[-1]
-        again = len(exchange.sends) > 1
-        node.metrics.count("sends", again=str(again).lower())
-        event = (
-            _events.Event.REQUEST_SENT_AGAIN
-            if again
-            else _events.Event.REQUEST_SENT
-        )
-        node.note(
-            event,
-            request=self._request.id,
-            route=exchange.route.id,
-            service=exchange.wanted.service,
-            server=sent.server,
-            region=step.server.region,
-            object=self._request.object_key,
-            known=sent.known,
-            load=round(step.server.load(now), 2),
-            expected_ms=_journal.milliseconds(sent.expected),
-            left_ms=_journal.milliseconds(step.time_left),
-            entry_age_ms=_journal.milliseconds(now - step.server.learned_at),
-            heard_age_ms=_journal.milliseconds(now - step.server.last_heard),
-            catalogue=_version(node),
-        )
-
-
 async def _reply(
     send: _asgi.Send,
     step: entry.Step,
@@ -436,31 +160,9 @@
     await send({"type": "http.response.body", "body": answer.body})
 
 
-def _version(node: _node.Node) -> int | None:
-    catalogue = node.vm.catalogue
-    return None if catalogue is None else catalogue.version
-
-
 def _cookie(text: str, name: str) -> str | None:
     for part in text.split(";"):
         key, equals, value = part.strip().partition("=")
         if equals and key == name:
             return value
     return None
-
-
-def _target(scope: _asgi.Scope) -> bytes:
-    """Returns the request target as the caller sent it."""
-    raw: bytes = scope.get("raw_target", b"")
-    if raw.startswith(b"/"):
-        return raw
-    query = scope["query_string"]
-    path: bytes = scope["raw_path"]
-    return path + b"?" + query if query else path
-
-
-def _has_body(scope: _asgi.Scope) -> bool:
-    return any(
-        name in (b"content-length", b"transfer-encoding")
-        for name, _ in scope["headers"]
-    )
--- a/dragonflystack/entryd/_node.py
+++ b/dragonflystack/entryd/_node.py
@@ -113,6 +113,12 @@
             members.phase = entry.Phase.SERVING
             self.note(_events.Event.READY_CHANGED, ready=True)
 
+    @property
+    def catalogue_version(self) -> int | None:
+        """The version of the catalogue in force, None if there is none."""
+        catalogue = self.vm.catalogue
+        return None if catalogue is None else catalogue.version
+
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -26,11 +26,13 @@
 """Log lines wait this long at most, and so does what is due."""
 
 _SWEEP_EVERY = datetime.timedelta(seconds=1)
-_CLOSE_BEFORE_KILL = datetime.timedelta(milliseconds=1_300)
+_CLOSE_BEFORE_KILL = datetime.timedelta(milliseconds=1_600)
 """Connections are closed this long before the end of the grace; by then
 callers have given up the answers that named this VM."""
 
-_EXIT_BEFORE_KILL = datetime.timedelta(milliseconds=250)
+_EXIT_BEFORE_KILL = datetime.timedelta(milliseconds=800)
+"""A small VM takes this long to end its loops."""
+
 _DRAIN_POLL_S = 0.05
 _MAX_BODY_BYTES = 33_554_432
 """Largest answer of a backend server that is held in memory."""
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -21,16 +21,16 @@
 from dragonflystack.entryd import _platform_port
 from dragonflystack.entryd import _snapshots
 
-_GATHER = datetime.timedelta(milliseconds=900)
+_GATHER = datetime.timedelta(milliseconds=400)
 """Least pause between two watches of the backend servers; a leaving one is
-still known well within the bound of 2.5 s."""
+still known well within the bound of 2.5 s, also after a call that failed."""
 
 _WATCH_WAIT = datetime.timedelta(seconds=4)
 """The store answers a watch after this at the latest. One that went silent
 and came back is noticed within the 4 s after which bounds hold again."""
 
 _FIRST_RETRY = datetime.timedelta(milliseconds=200)
-_MAX_RETRY = datetime.timedelta(seconds=1)
+_MAX_RETRY = datetime.timedelta(milliseconds=600)
 _LIST_VMS_EVERY = datetime.timedelta(seconds=60)
 """VMs tell each other that they live; the list only brings strangers."""
 
--- a/dragonflystack/storage/_http.py
+++ b/dragonflystack/storage/_http.py
@@ -20,16 +20,19 @@
 _NOT_FOUND = 404
 _CONFLICT = 409
 
-_CONNECT_ERRORS = (
+CONNECT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
 )
-_LOST_ANSWER_ERRORS = (
+"""Nothing was written."""
+
+LOST_ANSWER_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
+"""Something may have been written, and done."""
 
 
 class _RowBody(msgspec.Struct, frozen=True):
@@ -104,16 +107,16 @@
         content = msgspec.json.encode([_write_body(w) for w in writes])
         try:
             res = await self._request("POST", "/transactions", content)
-        except _CONNECT_ERRORS as exc:
-            return _ports.Unavailable(_failure(exc))
-        except _LOST_ANSWER_ERRORS as exc:
-            return _ports.Unsure(_failure(exc))
+        except CONNECT_ERRORS as exc:
+            return _ports.Unavailable(failure(exc))
+        except LOST_ANSWER_ERRORS as exc:
+            return _ports.Unsure(failure(exc))
         if res.status == _OK:
             return _ports.Committed()
         if res.status == _CONFLICT:
             body = msgspec.json.decode(res.content, type=_ConflictBody)
             return _ports.Conflict(body.table, body.key)
-        return _ports.Unavailable(_status_failure(res))
+        return _ports.Unavailable(status_failure(res))
 
     async def get(self, name: str) -> bytes | None | _ports.Unavailable:
         """See `ObjectStore.get`."""
@@ -124,11 +127,11 @@
         """See `ObjectStore.put`."""
         try:
             res = await self._request("PUT", f"/objects/{name}", data)
-        except (*_CONNECT_ERRORS, *_LOST_ANSWER_ERRORS) as exc:
-            return _ports.Unavailable(_failure(exc))
+        except (*CONNECT_ERRORS, *LOST_ANSWER_ERRORS) as exc:
+            return _ports.Unavailable(failure(exc))
         if res.status in (_OK, _CREATED):
             return None
-        return _ports.Unavailable(_status_failure(res))
+        return _ports.Unavailable(status_failure(res))
 
     async def list_names(
         self, prefix: str
@@ -164,12 +167,12 @@
     ) -> httpcore.Response | None | _ports.Unavailable:
         try:
             res = await self._request("GET", path, None)
-        except (*_CONNECT_ERRORS, *_LOST_ANSWER_ERRORS) as exc:
-            return _ports.Unavailable(_failure(exc))
+        except (*CONNECT_ERRORS, *LOST_ANSWER_ERRORS) as exc:
+            return _ports.Unavailable(failure(exc))
         if res.status == _NOT_FOUND:
             return None
         if res.status != _OK:
-            return _ports.Unavailable(_status_failure(res))
+            return _ports.Unavailable(status_failure(res))
         return res
 
     async def _request(
@@ -197,12 +200,16 @@
     }
 
 
-def _failure(exc: Exception) -> outcomes.Failure:
-    reason = f"{type(exc).__name__}: {exc}".rstrip(": ")
+def plain_failure(reason: str) -> outcomes.Failure:
+    """Returns a failure of a call to the store."""
     return outcomes.Failure(outcomes.Step.STORE, "platform", reason)
 
 
-def _status_failure(res: httpcore.Response) -> outcomes.Failure:
-    return outcomes.Failure(
-        outcomes.Step.STORE, "platform", f"answered {res.status}"
-    )
+def failure(exc: Exception) -> outcomes.Failure:
+    """Returns the failure that an error of httpcore stands for."""
+    return plain_failure(f"{type(exc).__name__}: {exc}".rstrip(": "))
+
+
+def status_failure(res: httpcore.Response) -> outcomes.Failure:
+    """Returns the failure that an unexpected status stands for."""
+    return plain_failure(f"answered {res.status}")
