Take an entry that is seen to go for gone at once, also after an outage

Change: only what the first whole read after the return does not name is held, for the users' two seconds; an entry that a watch tells to be dropped is gone.

--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -11,9 +11,8 @@
 from dragonflystack import ids
 from dragonflystack.entry import _servers
 
-LAPSE_GRACE = datetime.timedelta(seconds=2.2)
-"""How long after the store's return an entry may be missing; the users state
-about two seconds."""
+LAPSE_GRACE = datetime.timedelta(seconds=2)
+"""How long after the store's return an entry may be missing; the users' figure."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,8 +66,13 @@
                 added.append(server)
             if entry.leaving and not was_leaving:
                 leaving.append(server)
+        # An entry seen to go now did not lapse while the store was away.
+        gone = self._drop(listing.removed)
         missing = self._find_missing(listing)
-        gone = self._drop(missing, now)
+        if self._grace_until is not None:
+            self._missing |= missing
+        else:
+            gone += self._drop(missing)
         return Changes(tuple(added), tuple(leaving), gone)
 
     def on_tick(self, now: datetime.timedelta) -> Changes:
@@ -77,20 +81,16 @@
             return Changes()
         self._grace_until = None
         missing, self._missing = self._missing, set()
-        return Changes(gone=self._drop(missing, now))
+        return Changes(gone=self._drop(missing))
 
     def _find_missing(self, listing: Listing) -> set[ids.BackendServerId]:
-        missing = set(listing.removed)
-        if listing.whole:
-            present = {entry.id for entry in listing.entries}
-            missing |= {s.entry.id for s in self._book.all()} - present
-        return missing
+        if not listing.whole:
+            return set()
+        present = {entry.id for entry in listing.entries}
+        return {s.entry.id for s in self._book.all()} - present
 
     def _drop(
-        self, missing: Iterable[ids.BackendServerId], now: datetime.timedelta
+        self, missing: Iterable[ids.BackendServerId]
     ) -> tuple[_servers.Server, ...]:
-        if self._grace_until is not None:
-            self._missing.update(missing)
-            return ()
         dropped = (self._book.on_gone(server_id) for server_id in missing)
         return tuple(s for s in dropped if s is not None)
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -42,6 +42,18 @@
     assert _names(book) == {"s1"}
 
 
+def test_an_entry_that_goes_after_the_stores_return_did_not_lapse():
+    """It is seen to go: its backend server gets nothing more."""
+    book, discovery = _discovery_of("s1", "s2")
+    discovery.on_store_away()
+    both = (builders.server("s1"), builders.server("s2"))
+    discovery.on_listing(entry.Listing(both, (), True), builders.ms(5000))
+    removed = entry.Listing((), (ids.BackendServerId("s1"),), False)
+    changes = discovery.on_listing(removed, builders.ms(5300))
+    assert [s.entry.id for s in changes.gone] == ["s1"]
+    assert _names(book) == {"s2"}
+
+
 @pytest.mark.parametrize(
     ("before", "after", "kept"),
     [
