--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -12,7 +12,7 @@
 from dragonflystack.entry import _servers
 
 LAPSE_GRACE = datetime.timedelta(seconds=2)
-"""How long after the store's return an entry may be missing; the users' figure."""
+"""How long after the store's return an entry may be missing, by the users."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
