Take no request that a planned stop would cut

Ruled out: a late exit of the process (it was in time). Change: after 0.45 of the grace requests are rejected as not run, to go to another VM at once. Measured: entryd/tests/test_life.py has the case.

--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -39,6 +39,9 @@
     CORRUPT = "corrupt"
     """What came back was no whole answer to it."""
 
+    STOPPING = "stopping"
+    """This VM ends before it could have an answer."""
+
     CALLER_GONE = "caller-gone"
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -11,6 +11,13 @@
 from dragonflystack.entryd import _node
 from dragonflystack.entryd import _sending
 
+_TAKING_PART = 0.45
+"""Part of the grace of a planned stop in which requests are still taken; the
+rest is for those taken last, and the users count on under half of it."""
+
+_COME_BACK = datetime.timedelta(milliseconds=50)
+"""Another VM takes the request at once."""
+
 _NO_LENGTH_STATUSES = frozenset((204, 304))
 _ENDS = {
     entry.Deliver: _events.Event.REQUEST_SERVED,
@@ -55,7 +62,10 @@
             await _asgi.send_problem(send, 413, "body too large")
             return
         request = self._read(scope)
-        exchange, step = node.vm.open(request, node.now())
+        exchange: entry.Exchange | None = None
+        step: entry.Step = entry.Reject(entry.Reason.STOPPING, _COME_BACK)
+        if not self._is_too_late():
+            exchange, step = node.vm.open(request, node.now())
         answer: _connections.Answer | None = None
         if exchange is not None:
             run = _sending.Run(
@@ -66,6 +76,14 @@
         self._note_end(request, exchange, step, answer, began)
         await _reply(send, step, answer, scope["method"])
 
+    def _is_too_late(self) -> bool:
+        """Returns whether a planned stop leaves too little time to serve."""
+        since = self._node.leaving_since
+        if since is None:
+            return False
+        taken_for = self._node.vm.bounds.grace * _TAKING_PART
+        return self._node.now() - since >= taken_for
+
     def _note_end(
         self,
         request: entry.Request,
--- a/dragonflystack/entryd/_node.py
+++ b/dragonflystack/entryd/_node.py
@@ -77,6 +77,9 @@
     journal: _journal.Journal
     metrics: _metrics.Metrics
     stop_asked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    leaving_since: datetime.timedelta | None = None
+    """When a planned stop began, None before."""
+
     in_flight: int = 0
     """Requests of callers without an answer."""
 
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -175,6 +175,7 @@
     """Is no longer named, serves those who come still, then closes."""
     began = node.now()
     grace = node.vm.bounds.grace
+    node.leaving_since = began
     node.vm.members.phase = entry.Phase.LEAVING
     node.note(
         _events.Event.STOPPING,
--- a/dragonflystack/entryd/tests/test_life.py
+++ b/dragonflystack/entryd/tests/test_life.py
@@ -100,7 +100,7 @@
     return [entryd.Endpoint("127.0.0.1", port) for port in ports]
 
 
-def _settings(seeds=()):
+def _settings(seeds=(), grace_s=3.0):
     ports = _free_ports(5)
     return entryd.Settings(
         vm=ids.VmId(f"vm-{ports[0].port}"),
@@ -113,7 +113,7 @@
         peers=ports[3],
         metrics=ports[4],
         seeds=seeds,
-        bounds=entry.FleetBounds(grace=datetime.timedelta(seconds=3)),
+        bounds=entry.FleetBounds(grace=datetime.timedelta(seconds=grace_s)),
         heartbeat=datetime.timedelta(seconds=1.5),
         max_open_files=100,
         memory_bytes=10**8,
@@ -242,3 +242,22 @@
         assert backend.runs == 0
 
     _play(scenario)
+
+
+def test_a_vm_that_ends_soon_takes_no_request_that_it_could_not_finish():
+    async def scenario(platform, backend):
+        async with (
+            httpcore.AsyncConnectionPool() as pool,
+            anyio.create_task_group() as tasks,
+        ):
+            node = _start(tasks, platform, _settings(grace_s=6.0))
+            await _until(lambda: node.is_ready)
+            node.stop_asked.set()
+            await _until(lambda: node.is_leaving)
+            assert (await _get(pool, node)).status == 200
+            await anyio.sleep(node.vm.bounds.grace.total_seconds() / 2)
+            refused = await _get(pool, node)
+            assert refused.status == 503
+            assert backend.runs == 1
+
+    _play(scenario)
