Leave a region's callers there while its VMs are only starting

Cause: a daemon whose list of VMs named none of a region yet took that region for lost, dropped its share and walked back slowly; another one then took the mean of both. Ruled out: the test's own order (all VMs were ready and saw each other). Change: a region that was never listed is down only after the 5 s for which a silent one is waited for; one that leaves the list is down at once, as before. Measured: steering/tests/test_steering.py has the pattern, failed before, passes now.

--- a/dragonflystack/steering/_steering.py
+++ b/dragonflystack/steering/_steering.py
@@ -65,6 +65,7 @@
         self._meter = _meters.DemandMeter()
         self._heard: dict[str, _Heard] = {}
         self._region_heard_at: dict[ids.RegionId, datetime.timedelta] = {}
+        self._ever_listed: frozenset[ids.RegionId] = frozenset()
         self._vms: tuple[_answers.EntryVm, ...] = ()
         self._slots_owned: _answers.SlotsOwned = {}
         self._blocks: _block_table.BlockTable | None = None
@@ -123,6 +124,7 @@
         if ordered == self._vms and slots_owned == self._slots_owned:
             return
         self._vms = ordered
+        self._ever_listed |= {entry.region for entry in ordered}
         self._slots_owned = slots_owned
         self._answers = None
 
@@ -269,7 +271,9 @@
     ) -> frozenset[ids.RegionId]:
         """Returns the regions that no VM is listed in, or was heard from.
 
-        One that hears nobody at all cannot tell, and goes by the list.
+        One that hears nobody at all cannot tell, and goes by the list. A
+        region that was never listed may only start later than this VM: it
+        counts as down once it is silent.
         """
         listed = {entry.region for entry in self._vms}
         if not listed:
@@ -277,8 +281,11 @@
         down = set()
         for region in self._walker.policy.regions:
             heard_at = self._region_heard_at.setdefault(region, now)
-            silent = view.heard > 0 and now - heard_at > _DOWN_AFTER
-            if region != self._region and (silent or region not in listed):
+            overdue = now - heard_at > _DOWN_AFTER
+            silent = overdue and view.heard > 0
+            left = region in self._ever_listed or overdue
+            unlisted = region not in listed and left
+            if region != self._region and (silent or unlisted):
                 down.add(region)
         return frozenset(down)
 
--- a/dragonflystack/steering/tests/test_steering.py
+++ b/dragonflystack/steering/tests/test_steering.py
@@ -103,6 +103,35 @@
         assert trio.shares(region, A).refused == pytest.approx(0)
 
 
+def test_a_region_that_the_list_does_not_name_yet_keeps_its_callers():
+    trio = Trio()
+    trio.listed = [B, C]
+    trio.dead = {A}
+    trio.run(2)
+    trio.listed = list(documents.REGIONS)
+    trio.dead = set()
+    trio.run(3)
+    for region in documents.REGIONS:
+        assert trio.shares(region, A).by_region == {A: 1.0}
+
+
+def test_a_region_that_is_never_listed_is_left():
+    trio = Trio()
+    trio.listed = [B, C]
+    trio.dead = {A}
+    trio.run(10)
+    assert trio.shares(B, A).of(A) == 0
+
+
+def test_a_region_that_leaves_the_list_is_left_at_once():
+    trio = Trio()
+    trio.run(10)
+    trio.listed = [B, C]
+    trio.dead = {A}
+    trio.run(TICK_S)
+    assert trio.shares(B, A).of(A) == 0
+
+
 def test_a_silent_region_is_left_although_the_list_still_names_it():
     trio = Trio()
     trio.run(10)
