Add a fault soak of the entry daemon with real processes

Cause: the fault soak that the users ask for did not exist. Change: scripts/faultsoak starts entry VMs as processes on loopback addresses with stand-ins of the store and of backend servers in platform/fakes, draws faults from a seed (signals, proxies that delay, reset, silence or cut one way, a store that is out, slow, silent, forgets or loses answers, backend servers that crash, leave, are reborn, replaced, grey, dark), and compares what callers were told with what backend servers ran.

--- /dev/null
+++ b/faultsoak/__main__.py
@@ -0,0 +1,73 @@
+"""`scripts/faultsoak`: the randomised soak of the entry daemon."""
+
+import argparse
+import logging
+import pathlib
+import sys
+import tempfile
+
+import msgspec
+
+from faultsoak import _run
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="faultsoak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="runs in a row")
+    parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument("--vms", type=int, default=6)
+    parser.add_argument("--requests-s", type=float, default=60.0)
+    parser.add_argument(
+        "--no-times", action="store_true", help="check no bounds on times"
+    )
+    parser.add_argument("--logs", type=pathlib.Path, help="keep logs here")
+    parser.add_argument("--json", action="store_true")
+    return parser.parse_args()
+
+
+def _run_one(args: argparse.Namespace, seed: int) -> _run.Report:
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        if args.logs is not None:
+            folder = args.logs / f"seed-{seed}"
+            folder.mkdir(parents=True, exist_ok=True)
+        return _run.run(
+            _run.Settings(
+                seed,
+                args.seconds,
+                folder,
+                args.vms,
+                args.requests_s,
+                not args.no_times,
+            )
+        )
+
+
+def main() -> int:
+    """Returns 0 if no promise was broken, else 1."""
+    args = _parse()
+    # Calls to the store that are still open at the end are cut off.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    broken = 0
+    for seed in range(args.seed, args.seed + args.seeds):
+        report = _run_one(args, seed)
+        broken += len(report.violations)
+        if args.json:
+            print(msgspec.json.encode(report).decode(), flush=True)
+            continue
+        print(
+            f"seed {seed}: {report.attempts} attempts, {report.served} served,"
+            f" {report.rejected} rejected, {report.runs} runs,"
+            f" {report.exits} exits, {sum(report.faults.values())} faults,"
+            f" {len(report.violations)} broken",
+            flush=True,
+        )
+        for violation in report.violations:
+            text = f"{violation.attempt} {violation.detail}"
+            print(f"  {violation.promise}: {text}"[:400], flush=True)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/faultsoak/_actions.py
@@ -0,0 +1,255 @@
+"""Carries out what the plan says."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+import signal
+import time
+
+import anyio
+import fakes
+
+from faultsoak import _plan
+from faultsoak import _proxy
+from faultsoak import _record
+from faultsoak import _vms
+from faultsoak import _world
+
+_STORE_SLOW_S = 0.2
+"""Fifty times the 4 ms of an ordinary answer."""
+
+_LINK_DELAY_S = 0.15
+_LAPSE_RETURN_S = 1.2
+"""Entries are back within about two seconds of the store's return."""
+
+_RESTARTS_IN_S = 3.0
+"""A killed VM is started again and has its state by then."""
+
+_Do = Callable[[_plan.Action], Awaitable[None]]
+
+
+class Actions:
+    """Everything that can be done to one fleet."""
+
+    def __init__(
+        self,
+        fleet: _vms.Fleet,
+        world: _world.World,
+        record: _record.Record,
+        rng: random.Random,
+    ):
+        """Takes what it acts on."""
+        self._fleet = fleet
+        self._world = world
+        self._record = record
+        self._rng = rng
+        self._store_faults = 0
+        self._by_fault: dict[_plan.Fault, _Do] = {
+            _plan.Fault.STOP: self._stop,
+            _plan.Fault.RELOAD: self._reload,
+            _plan.Fault.CONFIG: self._config,
+            _plan.Fault.DRAIN: self._drain,
+            _plan.Fault.KILL: self._kill,
+            _plan.Fault.HERD_KILL: self._herd_kill,
+            _plan.Fault.PAUSE: self._pause,
+        }
+
+    async def carry_out(self, plan: list[_plan.Action]) -> None:
+        """Does all of a plan; returns when everything is healed."""
+        began_s = time.monotonic()
+        async with anyio.create_task_group() as tasks:
+            for action in plan:
+                await anyio.sleep(action.at_s - (time.monotonic() - began_s))
+                tasks.start_soon(self._do, action)
+
+    async def _do(self, action: _plan.Action) -> None:
+        do = self._by_fault.get(action.fault)
+        if do is not None:
+            await do(action)
+        elif action.fault.value.startswith("store"):
+            await self._on_store(action)
+        elif action.fault.value.startswith("server"):
+            await self._on_server(action)
+        else:
+            await self._on_callers(action)
+
+    def _vm(self, action: _plan.Action) -> _vms.Vm:
+        return self._fleet.vms[action.target % len(self._fleet.vms)]
+
+    def _disturb(self, name: str, for_s: float) -> None:
+        now_s = time.monotonic()
+        self._record.disturb(name, now_s, now_s + for_s)
+
+    # Entry VMs.
+
+    async def _stop(self, action: _plan.Action) -> None:
+        vm = self._vm(action)
+        is_first = vm.stopped_at_s is None
+        if self._fleet.signal(vm, signal.SIGTERM) and is_first:
+            self._record.stops.append((time.monotonic(), vm.id))
+
+    async def _reload(self, action: _plan.Action) -> None:
+        self._fleet.signal(self._vm(action), signal.SIGHUP)
+
+    async def _kill(self, action: _plan.Action) -> None:
+        vm = self._vm(action)
+        self._disturb(vm.id, _RESTARTS_IN_S)
+        self._fleet.signal(vm, signal.SIGKILL)
+
+    async def _herd_kill(self, action: _plan.Action) -> None:
+        vms = self._fleet.vms
+        for vm in self._rng.sample(vms, len(vms) // 2):
+            self._disturb(vm.id, _RESTARTS_IN_S)
+            self._fleet.signal(vm, signal.SIGKILL)
+
+    async def _pause(self, action: _plan.Action) -> None:
+        vm = self._vm(action)
+        self._disturb(vm.id, action.for_s + 0.1)
+        await self._fleet.pause(vm, action.for_s)
+
+    # Operators and backend servers.
+
+    async def _config(self, action: _plan.Action) -> None:
+        routes = sorted(self._world.service_of)
+        route = routes[action.target % len(routes)]
+        service = self._rng.choice(_world.SERVICES)
+        self._world.configure(route, service)
+
+    async def _drain(self, action: _plan.Action) -> None:
+        server = self._server(action)
+        if server is not None and not server.fake.is_leaving:
+            await self._world.drain(server)
+
+    def _server(self, action: _plan.Action) -> _world.Server | None:
+        """Returns a backend server that nothing else happens to."""
+        servers = [
+            server
+            for server in self._world.servers.values()
+            if not server.fake.is_leaving
+        ]
+        return servers[action.target % len(servers)] if servers else None
+
+    async def _on_server(self, action: _plan.Action) -> None:
+        server = self._server(action)
+        if server is None:
+            return
+        fake, proxy = server.fake, server.proxy
+        self._disturb(fake.name, action.for_s + 5.0)
+        match action.fault:
+            case _plan.Fault.SERVER_CRASH:
+                fake.is_leaving = True
+                await self._world.crash(server, action.for_s)
+            case _plan.Fault.SERVER_REBORN:
+                fake.is_leaving = True
+                await self._world.reborn(server, action.for_s)
+            case _plan.Fault.SERVER_REPLACED:
+                fake.is_leaving = True
+                await self._world.replace(server)
+            case _plan.Fault.SERVER_RESET:
+                proxy.reset_open()
+            case _plan.Fault.SERVER_SILENCE:
+                proxy.silence_open()
+            case _plan.Fault.SERVER_DELAY:
+                proxy.delay_s = _LINK_DELAY_S
+                await anyio.sleep(action.for_s)
+                proxy.heal()
+            case _plan.Fault.SERVER_CUT_ONE_WAY:
+                proxy.cut(_proxy.Direction.TO_CLIENT)
+                await anyio.sleep(action.for_s)
+                proxy.heal()
+            case _:
+                await self._misbehave(action, fake)
+
+    async def _misbehave(
+        self, action: _plan.Action, fake: fakes.BackendServer
+    ) -> None:
+        behaviour = fakes.Behaviour()
+        if action.fault is _plan.Fault.SERVER_DARK:
+            behaviour.is_dark = True
+        elif action.fault is _plan.Fault.SERVER_SLOW:
+            behaviour.work_s *= 4
+        else:
+            behaviour.fail_part = behaviour.lose_part = 0.1
+            behaviour.cut_part = behaviour.extra_part = 0.1
+        fake.behaviour = behaviour
+        await anyio.sleep(action.for_s)
+        fake.behaviour = fakes.Behaviour()
+
+    # The store.
+
+    async def _on_store(self, action: _plan.Action) -> None:
+        proxy = self._vm(action).store
+        match action.fault:
+            case _plan.Fault.STORE_RESET:
+                self._disturb(self._vm(action).id, 0.1)
+                proxy.reset_open()
+            case _plan.Fault.STORE_SILENCE:
+                self._disturb(self._vm(action).id, 0.1)
+                proxy.silence_open()
+            case _plan.Fault.STORE_CUT:
+                await self._cut(action, *_proxy.Direction)
+            case _plan.Fault.STORE_CUT_ONE_WAY:
+                await self._cut(action, _proxy.Direction.TO_CLIENT)
+            case _plan.Fault.STORE_FORGETS:
+                self._world.store.forget_history()
+            case _plan.Fault.STORE_LAPSE:
+                await self._lapse(action)
+            case _:
+                await self._trouble_store(action)
+
+    async def _cut(self, action: _plan.Action, *ways: _proxy.Direction) -> None:
+        vm = self._vm(action)
+        self._disturb(vm.id, action.for_s + 0.1)
+        vm.store.cut(*ways)
+        await anyio.sleep(action.for_s)
+        vm.store.heal()
+
+    async def _trouble_store(self, action: _plan.Action) -> None:
+        store = self._world.store
+        self._disturb(_record.STORE, action.for_s + 0.1)
+        self._store_faults += 1
+        match action.fault:
+            case _plan.Fault.STORE_OUT:
+                store.status = 503
+            case _plan.Fault.STORE_SILENT:
+                store.is_silent = True
+            case _plan.Fault.STORE_SLOW:
+                store.delay_s = _STORE_SLOW_S
+            case _plan.Fault.STORE_LOSES_ANSWERS:
+                store.lose_answers = True
+        await anyio.sleep(action.for_s)
+        self._store_faults -= 1
+        if not self._store_faults:
+            store.status, store.is_silent = None, False
+            store.delay_s, store.lose_answers = 0.0, False
+        self._disturb(_record.STORE, 0.1)
+
+    async def _lapse(self, action: _plan.Action) -> None:
+        """Entries go while the store is out, and come back after it."""
+        world = self._world
+        out = _plan.Action(
+            0.0, _plan.Fault.STORE_OUT, action.target, action.for_s
+        )
+        lapsed = [s for s in world.servers.values() if not s.fake.is_leaving]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._trouble_store, out)
+            await anyio.sleep(action.for_s / 2)
+            for server in lapsed:
+                if (_world.SERVERS, server.fake.name) in world.store.rows:
+                    world.store.drop(_world.SERVERS, server.fake.name)
+        await anyio.sleep(_LAPSE_RETURN_S)
+        for server in lapsed:
+            if world.servers.get(server.fake.name) is server:
+                world.register(server)
+
+    # The callers' way.
+
+    async def _on_callers(self, action: _plan.Action) -> None:
+        vm = self._vm(action)
+        self._disturb(vm.id, action.for_s + 0.1)
+        if action.fault is _plan.Fault.CALLER_RESET:
+            vm.callers.reset_open()
+            return
+        vm.callers.delay_s = _LINK_DELAY_S
+        await anyio.sleep(action.for_s)
+        vm.callers.heal()
--- /dev/null
+++ b/faultsoak/_checks.py
@@ -0,0 +1,282 @@
+"""The promises, checked from what callers and backend servers saw.
+
+The first group holds at any time and on any machine. The second bounds times:
+it speaks of VMs that were in touch, that is undisturbed for a while, with an
+undisturbed store.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+
+import fakes
+
+from faultsoak import _record
+
+_SECOND = 1.0
+_HANDED_OVER_LATE_S = 0.5
+"""A backend server may be told this much more time than the caller has left,
+by the users."""
+
+_CUT_BY_STOP_S = 0.2
+"""A request whose connection ends sooner may have crossed the close, unless it
+ran; by the users."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """The users' bounds, in seconds."""
+
+    stable_s: float = 4.0
+    """How long a VM or the store is undisturbed before bounds hold."""
+
+    drain_s: float = 2.5
+    config_apply_s: float = 2.5
+    grace_s: float = 6.0
+    recovery_s: float = 15.0
+    least_served: float = 0.25
+    """Part of the requests that is served after the recovery."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Violation:
+    """A promise that was broken once."""
+
+    promise: str
+    attempt: str
+    detail: str
+
+
+class _Index:
+    """The record by attempt."""
+
+    def __init__(self, record: _record.Record, bounds: Bounds):
+        self.record = record
+        self.bounds = bounds
+        self.runs: dict[str, list[fakes.Arrival]] = collections.defaultdict(
+            list
+        )
+        for run in record.runs:
+            self.runs[run.attempt].append(run)
+
+    def in_touch(self, vm: str, start_s: float, end_s: float) -> bool:
+        """Returns whether time bounds hold for a VM."""
+        since_s = start_s - self.bounds.stable_s
+        record = self.record
+        return record.is_calm(vm, since_s, end_s) and record.is_calm(
+            _record.STORE, since_s, end_s
+        )
+
+
+def check(
+    record: _record.Record, bounds: Bounds, with_times: bool = True
+) -> list[Violation]:
+    """Returns every promise that was broken.
+
+    Args:
+        record: what was seen.
+        bounds: the users' bounds.
+        with_times: whether bounds on times are checked; they mean little on a
+            machine that is busy with other work.
+    """
+    index = _Index(record, bounds)
+    checks = [*_ALWAYS, *(_TIMED if with_times else ())]
+    return [violation for find in checks for violation in find(index)]
+
+
+def _mixed(index: _Index) -> Iterator[Violation]:
+    """A success is the whole answer of a run of this very attempt."""
+    for attempt in index.record.attempts.values():
+        if attempt.status is None or not 200 <= attempt.status < 300:
+            continue
+        expected = {
+            f"{run.server}.{attempt.id}.{attempt.answer_digest}"
+            for run in index.runs[attempt.id]
+        }
+        if attempt.signature not in expected:
+            yield Violation("own-whole-answer", attempt.id, str(attempt))
+
+
+def _unasked(index: _Index) -> Iterator[Violation]:
+    """A run is of a request that was sent, unchanged."""
+    for run in index.record.runs:
+        attempt = index.record.attempts.get(run.attempt)
+        if attempt is None:
+            yield Violation("unasked", run.attempt, str(run))
+        elif (attempt.method, attempt.target, attempt.body_digest) != (
+            run.method,
+            run.target,
+            run.body_digest,
+        ):
+            yield Violation("unchanged", run.attempt, f"{attempt} {run}")
+
+
+def _twice(index: _Index) -> Iterator[Violation]:
+    """A request that is not idempotent runs at most once."""
+    for attempt in index.record.attempts.values():
+        runs = index.runs[attempt.id]
+        if not attempt.idempotent and len(runs) > 1:
+            yield Violation("at-most-once", attempt.id, str(runs))
+
+
+def _refused(index: _Index) -> Iterator[Violation]:
+    """What was told not to have run did not run."""
+    for attempt in index.record.attempts.values():
+        told = attempt.status is not None and fakes.is_not_run(attempt.status)
+        if told and not attempt.idempotent and index.runs[attempt.id]:
+            yield Violation("not-run-is-true", attempt.id, str(attempt))
+
+
+def _attempts(index: _Index) -> Iterator[Violation]:
+    """An attempt runs on no more backend servers than its route allows."""
+    for attempt in index.record.attempts.values():
+        servers = {run.server for run in index.runs[attempt.id]}
+        if len(servers) > attempt.max_attempts:
+            yield Violation("max-attempts", attempt.id, str(servers))
+
+
+def _route(index: _Index) -> Iterator[Violation]:
+    """A request runs only where some configuration sent it."""
+    allowed: dict[str, set[str]] = collections.defaultdict(set)
+    for change in index.record.changes:
+        allowed[change.route].add(change.service)
+    for run in index.record.runs:
+        attempt = index.record.attempts.get(run.attempt)
+        if attempt and run.service not in allowed[attempt.route]:
+            yield Violation("route", run.attempt, str(run))
+
+
+def _cold(index: _Index) -> Iterator[Violation]:
+    """A cold backend server gets few requests in any second."""
+    by_server: dict[str, list[float]] = collections.defaultdict(list)
+    for run in index.record.runs:
+        if run.is_cold:
+            by_server[run.server].append(run.at_s)
+    for server, times in by_server.items():
+        window: collections.deque[float] = collections.deque()
+        for at_s in times:
+            window.append(at_s)
+            while at_s - window[0] > _SECOND:
+                window.popleft()
+            if len(window) > index.record.cold_bound:
+                yield Violation("cold-bound", "", f"{server}: {len(window)}")
+                break
+
+
+def _exits(index: _Index) -> Iterator[Violation]:
+    """Processes end only when they are told to."""
+    for ended in index.record.exits:
+        if not ended.was_asked:
+            yield Violation("own-end", "", str(ended))
+
+
+def _drain(index: _Index) -> Iterator[Violation]:
+    """A leaving backend server gets nothing new after a while."""
+    bounds = index.bounds
+    left = {leaving.server: leaving.at_s for leaving in index.record.leavings}
+    for run in index.record.runs:
+        attempt = index.record.attempts.get(run.attempt)
+        said_s = left.get(run.server)
+        if attempt is None or said_s is None:
+            continue
+        due_s = said_s + bounds.drain_s
+        if run.at_s > due_s and index.in_touch(attempt.vm, said_s, run.at_s):
+            late_s = run.at_s - due_s
+            yield Violation("drain", run.attempt, f"{late_s:.3f} s late: {run}")
+
+
+def _config(index: _Index) -> Iterator[Violation]:
+    """A request goes by the newest configuration soon after it was taken."""
+    bounds = index.bounds
+    for run in index.record.runs:
+        attempt = index.record.attempts.get(run.attempt)
+        if attempt is None:
+            continue
+        applied_s = attempt.sent_at_s - bounds.config_apply_s
+        times = [
+            change
+            for change in index.record.changes
+            if change.route == attempt.route
+        ]
+        old = [change for change in times if change.at_s <= applied_s]
+        fresh = [change for change in times if change.at_s > applied_s]
+        allowed = {change.service for change in (*old[-1:], *fresh)}
+        outdated = {change.service for change in old[:-1]} - allowed
+        if run.service not in outdated:
+            continue
+        since_s = old[-1].at_s
+        if index.in_touch(attempt.vm, since_s, run.at_s):
+            yield Violation("config", run.attempt, f"{allowed} {run}")
+
+
+def _lost(index: _Index) -> Iterator[Violation]:
+    """A planned stop cuts no request that was read."""
+    for stopped_s, vm in index.record.stops:
+        for attempt in index.record.attempts.values():
+            if attempt.vm != vm or attempt.ending is not _record.Ending.BROKEN:
+                continue
+            if _is_cut_by_stop(index, attempt, stopped_s):
+                age_s = attempt.ended_at_s - stopped_s
+                yield Violation(
+                    "graceful-stop", attempt.id, f"{age_s:.2f} s: {attempt}"
+                )
+
+
+def _is_cut_by_stop(
+    index: _Index, attempt: _record.Attempt, stopped_s: float
+) -> bool:
+    bounds = index.bounds
+    until_s = stopped_s + bounds.grace_s + _SECOND
+    if not stopped_s <= attempt.ended_at_s <= until_s:
+        return False
+    is_short = attempt.ended_at_s - attempt.sent_at_s < _CUT_BY_STOP_S
+    if is_short and not index.runs[attempt.id]:
+        return False
+    since_s = attempt.sent_at_s - bounds.stable_s
+    names = [_record.STORE, attempt.vm]
+    names += [run.server for run in index.runs[attempt.id]]
+    calm = index.record.is_calm
+    return all(calm(name, since_s, attempt.ended_at_s) for name in names)
+
+
+def _deadlines(index: _Index) -> Iterator[Violation]:
+    """A backend server is told no more time than the caller has left."""
+    for run in index.record.runs:
+        attempt = index.record.attempts.get(run.attempt)
+        if attempt is None:
+            continue
+        told_s = float("inf") if run.left_ms is None else run.left_ms / 1000
+        ends_s = attempt.sent_at_s + attempt.left_s
+        is_late = run.came_at_s + told_s > ends_s + _HANDED_OVER_LATE_S
+        if is_late and index.in_touch(
+            attempt.vm, attempt.sent_at_s, run.came_at_s
+        ):
+            yield Violation("deadline", run.attempt, f"{told_s} {run}")
+
+
+def _recover(index: _Index) -> Iterator[Violation]:
+    """Requests are served again after the last fault."""
+    since_s = index.record.calm_from_s + index.bounds.recovery_s
+    late = [
+        attempt
+        for attempt in index.record.attempts.values()
+        if attempt.sent_at_s > since_s
+    ]
+    served = sum(1 for attempt in late if attempt.status == 200)
+    if late and served < index.bounds.least_served * len(late):
+        yield Violation("recover", "", f"{served} of {len(late)} served")
+
+
+_Check = Callable[[_Index], Iterator[Violation]]
+_ALWAYS: tuple[_Check, ...] = (
+    _mixed,
+    _unasked,
+    _twice,
+    _refused,
+    _attempts,
+    _route,
+    _cold,
+    _exits,
+)
+_TIMED: tuple[_Check, ...] = (_drain, _config, _lost, _deadlines, _recover)
--- /dev/null
+++ b/faultsoak/_plan.py
@@ -0,0 +1,133 @@
+"""What is done to the fleet and when, drawn from a seed."""
+
+import dataclasses
+import enum
+import random
+
+_WARM_UP_S = 3.0
+"""Requests flow undisturbed for so long first."""
+
+_MEAN_GAP_S = 1.1
+"""Between two series of faults."""
+
+_SERIES_PART = 0.35
+"""Part of the faults that come several times in a row."""
+
+_SERIES_GAP_S = 0.4
+
+
+class Fault(enum.Enum):
+    """What can be done; planned work comes first."""
+
+    STOP = "stop"
+    """SIGTERM to a VM, which starts again after its exit."""
+
+    RELOAD = "reload"
+    """SIGHUP to a VM."""
+
+    CONFIG = "config"
+    """A route goes to another service."""
+
+    DRAIN = "drain"
+    """A backend server leaves after its notice; another one starts."""
+
+    KILL = "kill"
+    """SIGKILL to a VM, which starts again."""
+
+    HERD_KILL = "herd-kill"
+    """SIGKILL to half of the VMs at once."""
+
+    PAUSE = "pause"
+    """SIGSTOP to a VM, then SIGCONT."""
+
+    STORE_RESET = "store-reset"
+    """Open connections of a VM to the store are reset."""
+
+    STORE_SILENCE = "store-silence"
+    """Open connections of a VM to the store go silent."""
+
+    STORE_CUT = "store-cut"
+    """A VM cannot reach the store."""
+
+    STORE_CUT_ONE_WAY = "store-cut-one-way"
+    """A VM's calls reach the store, the answers do not come back."""
+
+    STORE_OUT = "store-out"
+    """The store answers 503 to all."""
+
+    STORE_SILENT = "store-silent"
+    """The store answers nobody."""
+
+    STORE_SLOW = "store-slow"
+    STORE_LOSES_ANSWERS = "store-loses-answers"
+    STORE_FORGETS = "store-forgets"
+    """Its history of changes is gone."""
+
+    STORE_LAPSE = "store-lapse"
+    """Entries lapse in an outage and come back after it."""
+
+    SERVER_CRASH = "server-crash"
+    SERVER_REBORN = "server-reborn"
+    """A backend server starts again under its id, cold."""
+
+    SERVER_REPLACED = "server-replaced"
+    """Its address goes to a backend server of another service."""
+
+    SERVER_DARK = "server-dark"
+    SERVER_GREY = "server-grey"
+    """Part of its answers are failures, cut, doubled or lost."""
+
+    SERVER_SLOW = "server-slow"
+    SERVER_RESET = "server-reset"
+    """Open connections to it are reset."""
+
+    SERVER_SILENCE = "server-silence"
+    """Open connections to it go silent, new ones work."""
+
+    SERVER_DELAY = "server-delay"
+    SERVER_CUT_ONE_WAY = "server-cut-one-way"
+    """Requests reach it, answers do not come back."""
+
+    CALLER_RESET = "caller-reset"
+    """Open connections of callers to a VM are reset."""
+
+    CALLER_DELAY = "caller-delay"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Action:
+    """One fault."""
+
+    at_s: float
+    """From the start of the requests."""
+
+    fault: Fault
+    target: int
+    """Which VM or backend server, counted round."""
+
+    for_s: float
+    """How long it lasts, where it lasts."""
+
+
+def make_plan(seed: int, seconds: float) -> list[Action]:
+    """Returns the faults of a run, in order.
+
+    Args:
+        seed: what they are drawn from.
+        seconds: how long faults come.
+    """
+    rng = random.Random(seed)
+    kinds = list(Fault)
+    plan: list[Action] = []
+    at_s = _WARM_UP_S
+    while True:
+        at_s += rng.expovariate(1 / _MEAN_GAP_S)
+        if at_s >= seconds:
+            return sorted(plan, key=lambda action: action.at_s)
+        fault = rng.choice(kinds)
+        times = rng.randint(2, 3) if rng.random() < _SERIES_PART else 1
+        for i in range(times):
+            start_s = at_s + i * _SERIES_GAP_S * rng.random()
+            for_s = rng.choice((0.3, 1.0, 2.5, 6.0)) * (0.5 + rng.random())
+            target = rng.randrange(1_000)
+            plan.append(Action(start_s, fault, target, for_s))
--- /dev/null
+++ b/faultsoak/_record.py
@@ -0,0 +1,120 @@
+"""What callers and backend servers saw, and what was done to the fleet."""
+
+import collections
+import dataclasses
+import enum
+
+import fakes
+
+
+class Ending(enum.Enum):
+    """How an attempt ended for its caller."""
+
+    ANSWERED = "answered"
+    UNREACHED = "unreached"
+    """No connection could be made; nothing was sent."""
+
+    BROKEN = "broken"
+    """The connection ended without a whole answer."""
+
+    TIMED_OUT = "timed-out"
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt of a caller at one VM."""
+
+    id: str
+    vm: str
+    route: str
+    service: str
+    """Where the newest configuration sent it when it was sent."""
+
+    idempotent: bool
+    method: str
+    target: str
+    body_digest: str
+    max_attempts: int
+    left_s: float
+    sent_at_s: float
+    ended_at_s: float = 0.0
+    ending: Ending = Ending.TIMED_OUT
+    status: int | None = None
+    signature: str | None = None
+    answer_digest: str | None = None
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Span:
+    """A time in which something was disturbed."""
+
+    start_s: float
+    end_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteChange:
+    """A route goes to another service from now on."""
+
+    at_s: float
+    route: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """A backend server said that it leaves, and the store took it."""
+
+    at_s: float
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exit:
+    """A process of the fleet that ended."""
+
+    at_s: float
+    vm: str
+    code: int
+    was_asked: bool
+    """Whether a signal of the soak explains it."""
+
+
+STORE = "store"
+"""The name under which disturbances of the store are kept."""
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """All that the checks go by."""
+
+    attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
+    runs: list[fakes.Arrival] = dataclasses.field(default_factory=list)
+    changes: list[RouteChange] = dataclasses.field(default_factory=list)
+    leavings: list[Leaving] = dataclasses.field(default_factory=list)
+    exits: list[Exit] = dataclasses.field(default_factory=list)
+    stops: list[tuple[float, str]] = dataclasses.field(default_factory=list)
+    """When which VM got SIGTERM."""
+
+    disturbed: dict[str, list[Span]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    """By VM, by backend server, or `STORE`."""
+
+    cold_bound: float = 0.0
+    """Requests that a cold backend server may get within a second."""
+
+    calm_from_s: float = 0.0
+    """From when nothing is done to the fleet any more."""
+
+    def disturb(self, name: str, start_s: float, end_s: float) -> None:
+        """Notes that something was disturbed."""
+        self.disturbed[name].append(Span(start_s, end_s))
+
+    def is_calm(self, name: str, start_s: float, end_s: float) -> bool:
+        """Returns whether something was undisturbed for a whole time."""
+        return not any(
+            span.start_s < end_s and span.end_s > start_s
+            for span in self.disturbed.get(name, ())
+        )
--- /dev/null
+++ b/faultsoak/_vms.py
@@ -0,0 +1,186 @@
+"""The entry VMs: processes of this machine, each with an address of its own."""
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import anyio
+import fakes
+import httpcore
+
+from faultsoak import _proxy
+from faultsoak import _record
+
+_PROGRAM = "platform"
+_RESTART_AFTER_S = 0.4
+_POLL_S = 0.02
+_OK = 200
+READINESS_PORT = 8640
+CALLERS_PORT = 8641
+DIRECTORY_PORT = 8644
+PEERS_PORT = 8649
+
+
+@dataclasses.dataclass(slots=True)
+class Vm:
+    """One entry VM."""
+
+    id: str
+    ip: str
+    domain: str
+    settings: pathlib.Path
+    log: pathlib.Path
+    store: _proxy.Proxy
+    """Its way to the store."""
+
+    callers: _proxy.Proxy
+    """The callers' way to it."""
+
+    callers_port: int = 0
+    process: subprocess.Popen | None = None
+    stopped_at_s: float | None = None
+    """When it got SIGTERM, until it ends."""
+
+    was_killed: bool = False
+    paused: int = 0
+    """How many pauses hold it."""
+
+
+class Fleet:
+    """The processes; it ends only those that it started."""
+
+    def __init__(self, record: _record.Record, grace_s: float):
+        """Takes where exits are recorded, and the grace of a planned stop."""
+        self.vms: list[Vm] = []
+        self._record = record
+        self._grace_s = grace_s
+        self._ends = False
+
+    def start(self, vm: Vm) -> None:
+        """Starts the process of a VM."""
+        env = {
+            "PATH": os.environ.get("PATH", ""),
+            "DRAGONFLYSTACK_SETTINGS": str(vm.settings),
+        }
+        with vm.log.open("ab") as out:
+            vm.process = subprocess.Popen(
+                [sys.executable, _PROGRAM],
+                env=env,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+            )
+        vm.stopped_at_s = None
+        vm.was_killed = False
+        vm.paused = 0
+
+    async def watch(self) -> None:
+        """Records exits and starts ended processes again, for ever."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for vm in self.vms:
+                    process = vm.process
+                    if process is not None and process.poll() is not None:
+                        self._on_exit(vm, process.returncode)
+                        tasks.start_soon(self._restart, vm)
+                    elif self._is_overdue(vm):
+                        self.signal(vm, signal.SIGKILL)
+                await anyio.sleep(_POLL_S)
+
+    def signal(self, vm: Vm, number: signal.Signals) -> bool:
+        """Sends a signal to a VM; returns whether it runs."""
+        if vm.process is None or vm.process.poll() is not None:
+            return False
+        if number == signal.SIGTERM and vm.stopped_at_s is None:
+            vm.stopped_at_s = time.monotonic()
+        if number == signal.SIGKILL:
+            vm.was_killed = True
+        vm.process.send_signal(number)
+        return True
+
+    async def pause(self, vm: Vm, for_s: float) -> None:
+        """Stops a process for a while."""
+        process = vm.process
+        if not self.signal(vm, signal.SIGSTOP):
+            return
+        vm.paused += 1
+        await anyio.sleep(for_s)
+        if vm.process is process:
+            vm.paused -= 1
+            if not vm.paused:
+                self.signal(vm, signal.SIGCONT)
+
+    def end(self) -> None:
+        """Kills what still runs."""
+        self._ends = True
+        for vm in self.vms:
+            if vm.process is not None and vm.process.poll() is None:
+                vm.process.kill()
+                vm.process.wait()
+
+    async def wait_ready(self, timeout_s: float) -> None:
+        """Returns when all VMs are ready.
+
+        Raises:
+            TimeoutError: if that takes too long.
+        """
+        async with httpcore.AsyncConnectionPool() as pool:
+            with anyio.fail_after(timeout_s):
+                for vm in self.vms:
+                    while not await _is_ready(pool, vm):
+                        await anyio.sleep(_POLL_S)
+
+    def _is_overdue(self, vm: Vm) -> bool:
+        """Returns whether the grace of a planned stop is over."""
+        since_s = vm.stopped_at_s
+        if since_s is None or vm.was_killed:
+            return False
+        return time.monotonic() - since_s > self._grace_s
+
+    def _on_exit(self, vm: Vm, code: int) -> None:
+        vm.process = None
+        asked = vm.was_killed or (vm.stopped_at_s is not None and code == 0)
+        self._record.exits.append(
+            _record.Exit(time.monotonic(), vm.id, code, asked)
+        )
+
+    async def _restart(self, vm: Vm) -> None:
+        await asyncio.sleep(_RESTART_AFTER_S)
+        if not self._ends:
+            self.start(vm)
+
+
+async def _is_ready(pool: httpcore.AsyncConnectionPool, vm: Vm) -> bool:
+    url = f"http://{vm.ip}:{READINESS_PORT}/readiness"
+    try:
+        res = await pool.request("GET", url)
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return False
+    return res.status == _OK
+
+
+def settings_of(
+    vm: Vm,
+    regions: dict[str, str],
+    store: str,
+    seeds: tuple[str, ...],
+    bounds: dict[str, float],
+) -> fakes.VmSettings:
+    """Returns what the settings file of a VM says."""
+    return fakes.VmSettings(
+        vm.id,
+        vm.ip,
+        vm.domain,
+        regions,
+        store,
+        seeds,
+        bounds,
+        CALLERS_PORT,
+        READINESS_PORT,
+        PEERS_PORT,
+        DIRECTORY_PORT,
+    )
--- /dev/null
+++ b/faultsoak/_world.py
@@ -0,0 +1,225 @@
+"""The stand-ins round the fleet: the store, and backend servers that change."""
+
+import dataclasses
+import itertools
+import random
+import time
+
+import anyio
+import anyio.abc
+import fakes
+
+from faultsoak import _callers
+from faultsoak import _proxy
+from faultsoak import _record
+
+SERVERS = "servers"
+OPERATORS = "op"
+COLD_START_S = 2.0
+COLD_PER_S = 8.0
+_SLOTS = 4
+_LAPSE_AFTER_S = 4.5
+"""Three heartbeats of a backend server."""
+
+_REUSE_AFTER_S = 2.0
+_DRAIN_S = 2.5
+_STAYS_ON_S = 1.0
+"""A leaving backend server goes on serving for a little longer."""
+
+ROUTES = {
+    "browse": fakes.Route("browse", "/b/", "gallery", True, 0.3, 1.5),
+    "order": fakes.Route("order", "/o/", "orders", False, 0.4, 2.0),
+    "look-up": fakes.Route("look-up", "/l/", "stock", True, 0.5, 3.0),
+}
+SERVICES = ("gallery", "orders", "stock", "spare")
+KINDS = [
+    _callers.Kind(
+        route.name,
+        route.prefix,
+        route.idempotent,
+        route.timeout_s,
+        route.max_attempts,
+    )
+    for route in ROUTES.values()
+]
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """A backend server with its entry and the way to it."""
+
+    fake: fakes.BackendServer
+    entry: fakes.Registration
+    proxy: _proxy.Proxy
+    port: int
+    """Where it listens itself."""
+
+
+class World:
+    """The store, the configuration, and the backend servers."""
+
+    def __init__(self, record: _record.Record, host: str, rng: random.Random):
+        """Takes where runs are recorded, and a loopback address."""
+        self.store = fakes.StandInStore()
+        self.servers: dict[str, Server] = {}
+        self.service_of = {r.name: r.service for r in ROUTES.values()}
+        """The service of each route in the newest configuration."""
+
+        self._record = record
+        self._host = host
+        self._rng = rng
+        self._versions = itertools.count(3, 2)
+        self._names = itertools.count()
+        self._born = itertools.count(int(time.time() * 1000))
+
+    async def start(self, domains: list[str], per_domain: int) -> None:
+        """Starts backend servers and writes the first configuration."""
+        for domain in domains:
+            for service in SERVICES:
+                for _ in range(per_domain):
+                    await self.add_server(service, domain)
+        self.configure(ROUTES["browse"].name, "gallery")
+
+    def configure(self, route: str, service: str) -> None:
+        """Sends a route to a service, and tells the store."""
+        self.service_of[route] = service
+        routes = [
+            dataclasses.replace(r, service=self.service_of[r.name])
+            for r in ROUTES.values()
+        ]
+        services = [
+            fakes.Service(name, COLD_START_S, COLD_PER_S) for name in SERVICES
+        ]
+        self.store.put(
+            OPERATORS,
+            "config",
+            fakes.encode_config(
+                next(self._versions), _callers.HOST, routes, services
+            ),
+        )
+        now_s = time.monotonic()
+        for name, target in self.service_of.items():
+            self._record.changes.append(
+                _record.RouteChange(now_s, name, target)
+            )
+
+    async def add_server(
+        self,
+        service: str,
+        domain: str,
+        name: str | None = None,
+        port: int = 0,
+        cold_s: float = 0.0,
+    ) -> Server:
+        """Starts a backend server and registers it.
+
+        Args:
+            service: what it serves.
+            domain: its failure domain.
+            name: its id, a new one if None.
+            port: the port that it listens on, a free one if 0.
+            cold_s: how long it is cold.
+        """
+        name = name or f"i-{next(self._names):04x}"
+        fake = fakes.BackendServer(
+            name, service, _SLOTS, self._rng, self._record.runs.append
+        )
+        fake.cold_until_s = time.monotonic() + cold_s
+        port = await fake.start(self._host, port)
+        proxy = _proxy.Proxy(self._host, port)
+        front = await proxy.start(self._host)
+        entry = fakes.Registration(
+            service,
+            f"{self._host}:{front}",
+            domain,
+            _SLOTS,
+            next(self._born),
+            cold_left_s=cold_s,
+        )
+        server = Server(fake, entry, proxy, port)
+        self.servers[name] = server
+        self.register(server)
+        return server
+
+    def register(self, server: Server) -> None:
+        """Writes a backend server's entry."""
+        data = fakes.encode_registration(server.entry)
+        self.store.put(SERVERS, server.fake.name, data)
+
+    def forget(self, server: Server) -> None:
+        """Drops an entry, if it is still of this incarnation."""
+        name = server.fake.name
+        current = self.servers.get(name)
+        if current is server:
+            del self.servers[name]
+        if current in (server, None) and (SERVERS, name) in self.store.rows:
+            self.store.drop(SERVERS, name)
+
+    async def drain(self, server: Server) -> None:
+        """Has a backend server leave after its notice; another one starts."""
+        server.fake.is_leaving = True
+        server.entry = dataclasses.replace(
+            server.entry, leaving=True, sequence=server.entry.sequence + 1
+        )
+        self.register(server)
+        name = server.fake.name
+        self._record.leavings.append(_record.Leaving(time.monotonic(), name))
+        await self.add_server(server.fake.service, server.entry.domain)
+        await anyio.sleep(_DRAIN_S + _STAYS_ON_S)
+        self.forget(server)
+        server.fake.crash()
+        server.proxy.stop()
+
+    async def crash(self, server: Server, away_s: float) -> None:
+        """Ends a backend server; another one starts later, cold."""
+        server.fake.crash()
+        server.proxy.stop()
+        await anyio.sleep(_LAPSE_AFTER_S)
+        self.forget(server)
+        await anyio.sleep(away_s)
+        await self.add_server(
+            server.fake.service, server.entry.domain, cold_s=COLD_START_S
+        )
+
+    async def reborn(self, server: Server, away_s: float) -> None:
+        """Ends a backend server, which starts again under its id."""
+        server.fake.crash()
+        server.proxy.stop()
+        await anyio.sleep(away_s)
+        await self.add_server(
+            server.fake.service,
+            server.entry.domain,
+            name=server.fake.name,
+            cold_s=COLD_START_S,
+        )
+
+    async def replace(self, server: Server) -> None:
+        """Gives the address of one that ended to another service."""
+        server.fake.crash()
+        server.proxy.reset_open()
+        await anyio.sleep(_REUSE_AFTER_S)
+        others = [s for s in SERVICES if s != server.fake.service]
+        name = f"i-{next(self._names):04x}"
+        heir = fakes.BackendServer(
+            name,
+            self._rng.choice(others),
+            _SLOTS,
+            self._rng,
+            self._record.runs.append,
+        )
+        await heir.start(self._host, server.port)
+        entry = dataclasses.replace(
+            server.entry, service=heir.service, born=next(self._born)
+        )
+        taken = Server(heir, entry, server.proxy, server.port)
+        self.servers[name] = taken
+        self.register(taken)
+        await anyio.sleep(_LAPSE_AFTER_S - _REUSE_AFTER_S)
+        self.forget(server)
+        await self.add_server(server.fake.service, server.entry.domain)
+
+    def close(self) -> None:
+        """Ends everything."""
+        for server in self.servers.values():
+            server.fake.crash()
+            server.proxy.stop()
--- /dev/null
+++ b/faultsoak/tests/test_checks.py
@@ -0,0 +1,178 @@
+"""Each promise: a record that keeps it, and one that breaks only that one."""
+
+import hashlib
+
+import fakes
+import pytest
+
+from faultsoak import _checks
+from faultsoak import _record
+
+_BODY = b"ring"
+_DIGEST = hashlib.sha256(_BODY).hexdigest()[:16]
+
+
+def _attempt(name="a", **changes):
+    fields = {
+        "id": name,
+        "vm": "edge-1",
+        "route": "order",
+        "service": "orders",
+        "idempotent": False,
+        "method": "POST",
+        "target": "/o/1",
+        "body_digest": "0",
+        "max_attempts": 2,
+        "left_s": 2.0,
+        "sent_at_s": 100.0,
+        "ended_at_s": 100.5,
+        "ending": _record.Ending.ANSWERED,
+        "status": 200,
+        "signature": f"i-1.{name}.{_DIGEST}",
+        "answer_digest": _DIGEST,
+    }
+    return _record.Attempt(**{**fields, **changes})
+
+
+def _run(attempt="a", **changes):
+    fields = {
+        "attempt": attempt,
+        "server": "i-1",
+        "service": "orders",
+        "method": "POST",
+        "target": "/o/1",
+        "body_digest": "0",
+        "left_ms": 1_900,
+        "came_at_s": 100.1,
+        "at_s": 100.1,
+        "is_cold": False,
+    }
+    return fakes.Arrival(**{**fields, **changes})
+
+
+def _seen(attempts, runs, **changes):
+    record = _record.Record(
+        attempts={attempt.id: attempt for attempt in attempts},
+        runs=runs,
+        changes=[_record.RouteChange(0.0, "order", "orders")],
+        cold_bound=2,
+        calm_from_s=1_000.0,
+    )
+    for name, value in changes.items():
+        setattr(record, name, value)
+    return record
+
+
+def _broken(record):
+    found = _checks.check(record, _checks.Bounds())
+    return {violation.promise for violation in found}
+
+
+def test_a_request_that_was_served_breaks_nothing():
+    assert _broken(_seen([_attempt()], [_run()])) == set()
+
+
+@pytest.mark.parametrize(
+    ("attempt", "runs", "promise"),
+    [
+        ({"answer_digest": "other"}, [{}], "own-whole-answer"),
+        ({"signature": None}, [{}], "own-whole-answer"),
+        ({}, [], "own-whole-answer"),
+        ({}, [{}, {"attempt": "b"}], "unasked"),
+        ({}, [{"target": "/o/2"}], "unchanged"),
+        ({}, [{"body_digest": "1"}], "unchanged"),
+        ({}, [{}, {"server": "i-2"}], "at-most-once"),
+        ({"status": 503}, [{}], "not-run-is-true"),
+        ({"status": 429}, [{}], "not-run-is-true"),
+        ({}, [{"service": "stock"}], "route"),
+        (
+            {"idempotent": True},
+            [{}, {"server": "i-2"}, {"server": "i-3"}],
+            "max-attempts",
+        ),
+        ({}, [{"left_ms": None}], "deadline"),
+        ({}, [{"left_ms": 2_600}], "deadline"),
+    ],
+)
+def test_a_request_that_breaks_a_promise_is_found(attempt, runs, promise):
+    record = _seen([_attempt(**attempt)], [_run(**run) for run in runs])
+    assert _broken(record) == {promise}
+
+
+def test_a_cold_backend_server_gets_few_requests_in_any_second():
+    attempts = [_attempt(str(i)) for i in range(3)]
+    runs = [_run(str(i), is_cold=True, at_s=100 + i / 3) for i in range(3)]
+    assert _broken(_seen(attempts, runs)) == {"cold-bound"}
+    runs = [_run(str(i), is_cold=True, at_s=100 + i) for i in range(3)]
+    assert _broken(_seen(attempts, runs)) == set()
+
+
+@pytest.mark.parametrize(
+    ("disturbed", "broken"),
+    [
+        ({}, {"drain"}),
+        ({"edge-1": [_record.Span(95.0, 96.5)]}, set()),
+        ({"edge-1": [_record.Span(80.0, 81.0)]}, {"drain"}),
+        ({_record.STORE: [_record.Span(98.0, 98.5)]}, set()),
+    ],
+)
+def test_a_leaving_backend_server_gets_nothing_new(disturbed, broken):
+    leavings = [_record.Leaving(97.5, "i-1")]
+    record = _seen([_attempt()], [_run()], leavings=leavings)
+    record.disturbed.update(disturbed)
+    assert _broken(record) == broken
+
+
+@pytest.mark.parametrize(
+    ("changed_s", "broken"), [(97.4, {"config"}), (97.6, set())]
+)
+def test_a_configuration_is_in_force_after_its_bound(changed_s, broken):
+    changes = [
+        _record.RouteChange(0.0, "order", "orders"),
+        _record.RouteChange(changed_s, "order", "spare"),
+    ]
+    assert _broken(_seen([_attempt()], [_run()], changes=changes)) == broken
+
+
+@pytest.mark.parametrize(
+    ("attempt", "runs", "broken"),
+    [
+        ({}, [{}], {"graceful-stop"}),
+        ({}, [], {"graceful-stop"}),
+        ({"ended_at_s": 100.1}, [], set()),
+        ({"sent_at_s": 80.0, "ended_at_s": 90.0}, [], set()),
+    ],
+)
+def test_a_planned_stop_cuts_nothing(attempt, runs, broken):
+    cut = _attempt(ending=_record.Ending.BROKEN, status=None, **attempt)
+    record = _seen(
+        [cut], [_run(**run) for run in runs], stops=[(99.0, "edge-1")]
+    )
+    assert _broken(record) == broken
+    record.disturb("edge-1", 99.5, 99.6)
+    assert _broken(record) == set()
+
+
+@pytest.mark.parametrize(("was_asked", "broken"), [(False, 1), (True, 0)])
+def test_processes_end_only_when_told(was_asked, broken):
+    ended = _record.Exit(100.0, "edge-1", 1, was_asked)
+    assert len(_broken(_seen([], [], exits=[ended]))) == broken
+
+
+def test_requests_are_served_again_after_the_last_fault():
+    served = [_attempt("a", sent_at_s=120.0)]
+    lost = [
+        _attempt(str(i), sent_at_s=120.0, status=502, signature=None)
+        for i in range(4)
+    ]
+    runs = [_run(came_at_s=120.1, at_s=120.1)]
+    record = _seen(served + lost, runs, calm_from_s=104.0)
+    assert _broken(record) == {"recover"}
+    record = _seen(served + lost[:3], runs, calm_from_s=104.0)
+    assert _broken(record) == set()
+
+
+def test_bounds_on_times_can_be_left_out():
+    leavings = [_record.Leaving(90.0, "i-1")]
+    record = _seen([_attempt()], [_run()], leavings=leavings)
+    assert _checks.check(record, _checks.Bounds(), with_times=False) == []
--- /dev/null
+++ b/faultsoak/tests/test_plan.py
@@ -0,0 +1,19 @@
+from faultsoak import _plan
+
+
+def test_a_seed_gives_the_same_plan_each_time():
+    assert _plan.make_plan(7, 60) == _plan.make_plan(7, 60)
+    assert _plan.make_plan(7, 60) != _plan.make_plan(8, 60)
+
+
+def test_plans_have_every_fault_and_are_in_order():
+    plan = _plan.make_plan(1, 600)
+    assert {action.fault for action in plan} == set(_plan.Fault)
+    times = [action.at_s for action in plan]
+    assert times == sorted(times)
+
+
+def test_faults_overlap():
+    plan = _plan.make_plan(1, 60)
+    pairs = zip(plan, plan[1:], strict=False)
+    assert any(b.at_s < a.at_s + a.for_s for a, b in pairs)
