Doubt half of a service going at once, as after an outage nobody saw

Cause: a watch that was pending when an outage began can deliver entries that lapsed in it; they were dropped at once, and a VM told by another one dropped them as well. A second outage within the two seconds of the first dropped what could not have come back. Ruled out: a slow return of the entries (they were back 1.2 s after the store). Change: where half of a service or more goes unannounced at once, entries are kept for half of the drain bound, and through an outage that shows meanwhile; only the VM's own reading of the store shows that it is back.

--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -2,8 +2,11 @@
 
 An entry that disappears means that its backend server left, unless the store
 was away: then entries may have lapsed and come back shortly after its return.
+A VM need not have seen the outage. Where half of a service or more disappears
+at once without notice, an outage is likelier than so many failures.
 """
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 import datetime
@@ -14,6 +17,12 @@
 LAPSE_GRACE = datetime.timedelta(seconds=2)
 """How long after the store's return an entry may be missing, by the users."""
 
+_DOUBTED_PART = 0.5
+"""Part of a service's backend servers whose going at once is doubted."""
+
+_LEAST_DOUBTED = 2
+"""The loss of a single backend server is ordinary."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
@@ -37,8 +46,12 @@
 class Discovery:
     """Applies listings to the book of backend servers."""
 
-    def __init__(self, book: _servers.ServerBook):
+    def __init__(self, book: _servers.ServerBook, doubt: datetime.timedelta):
+        """Takes the book, and how long entries that go at once are kept."""
         self._book = book
+        self.doubt = doubt
+        """Less than the users' bound for backend servers that left."""
+
         self._was_away = False
         self._grace_until: datetime.timedelta | None = None
         self._missing: set[ids.BackendServerId] = set()
@@ -49,9 +62,21 @@
         """Notes that the list could not be read."""
         self._was_away = True
 
-    def on_listing(self, listing: Listing, now: datetime.timedelta) -> Changes:
-        """Takes in what was read."""
-        if self._was_away:
+    def on_listing(
+        self,
+        listing: Listing,
+        now: datetime.timedelta,
+        from_store: bool = True,
+    ) -> Changes:
+        """Takes in what was read.
+
+        Args:
+            listing: what was read.
+            now: the time.
+            from_store: whether this VM read it from the store; another VM may
+                pass on what it read before an outage.
+        """
+        if self._was_away and from_store:
             self._was_away = False
             self._grace_until = now + LAPSE_GRACE
         self.read_at = now
@@ -66,19 +91,50 @@
                 added.append(server)
             if entry.leaving and not was_leaving:
                 leaving.append(server)
-        # An entry seen to go now did not lapse while the store was away.
-        gone = self._drop(listing.removed)
-        missing = self._find_missing(listing)
-        if self._grace_until is not None:
-            self._missing |= missing
-        else:
-            gone += self._drop(missing)
+        gone = self._on_lost(listing, now)
         return Changes(tuple(added), tuple(leaving), gone)
 
+    def _on_lost(
+        self, listing: Listing, now: datetime.timedelta
+    ) -> tuple[_servers.Server, ...]:
+        """Drops the entries that a listing shows to be gone, or doubts it."""
+        removed = set(listing.removed)
+        missing = self._find_missing(listing)
+        if self._is_doubtful(removed | missing):
+            if self._grace_until is None:
+                self._grace_until = now + self.doubt
+            self._missing |= removed | missing
+            return ()
+        # An entry seen to go now did not lapse while the store was away.
+        gone = self._drop(removed)
+        if self._grace_until is None:
+            return gone + self._drop(missing)
+        self._missing |= missing
+        return gone
+
+    def _is_doubtful(self, lost: set[ids.BackendServerId]) -> bool:
+        """Returns whether so many go unannounced that they may have lapsed."""
+        known = collections.Counter(s.entry.service for s in self._book.all())
+        unannounced = collections.Counter(
+            server.entry.service
+            for server in map(self._book.get, lost)
+            if server is not None and not server.entry.leaving
+        )
+        return any(
+            number >= _LEAST_DOUBTED
+            and number >= known[service] * _DOUBTED_PART
+            for service, number in unannounced.items()
+        )
+
     def on_tick(self, now: datetime.timedelta) -> Changes:
-        """Drops what is still missing after the grace."""
+        """Drops what is still missing after the grace.
+
+        While the store is away, entries cannot come back.
+        """
         if self._grace_until is None or now < self._grace_until:
             return Changes()
+        if self._was_away:
+            return Changes()
         self._grace_until = None
         missing, self._missing = self._missing, set()
         return Changes(gone=self._drop(missing))
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -26,6 +26,9 @@
 """Until the other VMs are known the fleet is taken to be at least this big."""
 
 _LEAST_RETRIES = 1.0
+_DOUBT_PART = 0.5
+"""Part of the time for which leaving backend servers may get requests that
+entries are kept which go at once; the rest is for the news to get here."""
 
 
 class EntryVm:
@@ -43,7 +46,9 @@
         self.bounds = bounds
         self.rng = rng
         self.book = _servers.ServerBook(regions, settings)
-        self.discovery = _discovery.Discovery(self.book)
+        self.discovery = _discovery.Discovery(
+            self.book, bounds.drain * _DOUBT_PART
+        )
         self.catalogue: _catalogue.Catalogue | None = None
         self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
         self.log = _news.NewsLog()
@@ -90,6 +95,7 @@
         if bounds == self.bounds:
             return
         self.bounds = bounds
+        self.discovery.doubt = bounds.drain * _DOUBT_PART
         self._cold = self._make_pacer()
         self._budgets.clear()
 
@@ -117,6 +123,7 @@
         listing: _discovery.Listing,
         position: int,
         now: datetime.timedelta,
+        from_store: bool = True,
     ) -> _discovery.Changes:
         """Takes in what was read of the list of backend servers.
 
@@ -124,8 +131,9 @@
             listing: what was read.
             position: the store's version of the latest of its rows.
             now: the time.
+            from_store: whether this VM read it itself.
         """
-        changes = self.discovery.on_listing(listing, now)
+        changes = self.discovery.on_listing(listing, now, from_store)
         gone = tuple(server.entry.id for server in changes.gone)
         self.log.on_servers(position, listing.entries, gone, listing.whole)
         self._forget(changes)
@@ -230,7 +238,9 @@
         """Takes in another VM's news of backend servers, and its position."""
         self.log.on_operators(news.position.operators)
         listing = _discovery.Listing(news.entries, news.gone, news.whole)
-        return self.on_listing(listing, news.position.servers, now)
+        return self.on_listing(
+            listing, news.position.servers, now, from_store=False
+        )
 
     def _to_thousandths(
         self, shares: dict[ids.RegionId, float]
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -11,7 +11,7 @@
 
 def _discovery_of(*names):
     book = _servers.ServerBook(builders.REGIONS, entry.ChoiceSettings())
-    discovery = _discovery.Discovery(book)
+    discovery = _discovery.Discovery(book, builders.ms(1250))
     entries = tuple(builders.server(name) for name in names)
     discovery.on_listing(entry.Listing(entries, (), True), builders.ms(0))
     return book, discovery
@@ -23,8 +23,7 @@
 
 def test_a_removed_entry_is_gone_at_once():
     book, discovery = _discovery_of("s1", "s2")
-    removed = entry.Listing((), (ids.BackendServerId("s1"),), False)
-    changes = discovery.on_listing(removed, builders.ms(10))
+    changes = discovery.on_listing(_removal("s1"), builders.ms(10))
     assert [s.entry.id for s in changes.gone] == ["s1"]
     assert _names(book) == {"s2"}
 
@@ -48,12 +47,69 @@
     discovery.on_store_away()
     both = (builders.server("s1"), builders.server("s2"))
     discovery.on_listing(entry.Listing(both, (), True), builders.ms(5000))
-    removed = entry.Listing((), (ids.BackendServerId("s1"),), False)
-    changes = discovery.on_listing(removed, builders.ms(5300))
+    changes = discovery.on_listing(_removal("s1"), builders.ms(5300))
     assert [s.entry.id for s in changes.gone] == ["s1"]
     assert _names(book) == {"s2"}
 
 
+def _removal(*names):
+    gone = tuple(ids.BackendServerId(name) for name in names)
+    return entry.Listing((), gone, False)
+
+
+def test_half_of_a_service_going_at_once_is_doubted_for_a_while():
+    """Entries lapse in an outage that this VM did not see."""
+    book, discovery = _discovery_of("s1", "s2", "s3", "s4")
+    assert not discovery.on_listing(_removal("s1", "s2"), builders.ms(10)).gone
+    assert _names(book) == {"s1", "s2", "s3", "s4"}
+    back = entry.Listing((builders.server("s1", sequence=9),), (), False)
+    discovery.on_listing(back, builders.ms(900))
+    assert not discovery.on_tick(builders.ms(1200)).gone
+    discovery.on_tick(builders.ms(1300))
+    assert _names(book) == {"s1", "s3", "s4"}
+
+
+def test_what_went_at_once_in_an_outage_that_shows_later_is_kept():
+    book, discovery = _discovery_of("s1", "s2")
+    discovery.on_listing(_removal("s1", "s2"), builders.ms(10))
+    discovery.on_store_away()
+    assert not discovery.on_tick(builders.ms(9000)).gone
+    discovery.on_listing(_removal(), builders.ms(9100))
+    assert not discovery.on_tick(builders.ms(11000)).gone
+    discovery.on_tick(builders.ms(11200))
+    assert not _names(book)
+
+
+def test_leaving_ones_are_gone_at_once_however_many():
+    book, discovery = _discovery_of("s1", "s2")
+    leaving = tuple(builders.server(n, leaving=True) for n in ("s1", "s2"))
+    discovery.on_listing(entry.Listing(leaving, (), False), builders.ms(5))
+    discovery.on_listing(_removal("s1", "s2"), builders.ms(10))
+    assert not _names(book)
+
+
+def test_a_second_outage_within_the_wait_begins_it_anew():
+    """What lapsed in the first cannot have come back in the second."""
+    book, discovery = _discovery_of("s1", "s2")
+    discovery.on_store_away()
+    discovery.on_listing(entry.Listing((), (), True), builders.ms(5000))
+    discovery.on_store_away()
+    assert not discovery.on_tick(builders.ms(7500)).gone
+    discovery.on_listing(entry.Listing((), (), True), builders.ms(9000))
+    assert not discovery.on_tick(builders.ms(10900)).gone
+    discovery.on_tick(builders.ms(11100))
+    assert not _names(book)
+
+
+def test_news_of_another_vm_does_not_show_that_the_store_is_back():
+    """It may pass on what it read before the outage."""
+    book, discovery = _discovery_of("s1", "s2")
+    discovery.on_store_away()
+    discovery.on_listing(_removal("s1", "s2"), builders.ms(50), False)
+    assert not discovery.on_tick(builders.ms(9000)).gone
+    assert _names(book) == {"s1", "s2"}
+
+
 @pytest.mark.parametrize(
     ("before", "after", "kept"),
     [
