Judge waits by those that were met, and work by its length

What a first choice knew was assumed, which mixed the means of known and new work. Objects moved to second choices, each of which had to learn them. Change: waits that requests met count for a service in a region where a report is older than 0.6 s; measurements belong to the nearer of the two means, the first ones count fully; how likely a first choice knows its object is measured; sending an object to one that must learn it costs twice the work it adds; what waits must fit with a fifth more work than the mean. The soak's clock could ask for a negative sleep; mended.

--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -16,6 +16,7 @@
 from dragonflystack.entry import _ranking
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
+from dragonflystack.entry import _waits
 from dragonflystack.entry import _work_times
 
 _ZERO = datetime.timedelta()
@@ -24,6 +25,7 @@
 names no object."""
 
 _MAX_CACHED_RANKINGS = 4_096
+_LIKELY = 0.5
 _COLD_FACTOR = 2.0
 """Work at a cold backend server over that at others; the users' figure."""
 
@@ -46,8 +48,11 @@
     """A backend server weighed for a request."""
 
     server: _servers.Server
-    known: bool
-    """Whether it is thought to know the object."""
+    known: float
+    """How likely it knows the object, 0 to 1."""
+
+    is_guess: bool
+    """Whether that is only because the object is placed there."""
 
     wait: datetime.timedelta
     """Expected wait for a slot."""
@@ -55,6 +60,9 @@
     work: datetime.timedelta
     """Expected time of its work."""
 
+    likely_work: datetime.timedelta
+    """The work that more than half of such requests take."""
+
     expected: datetime.timedelta
     """Expected time until its answer is here."""
 
@@ -77,6 +85,7 @@
         self._times = times
         self._settings = settings
         self._round_trips: dict[ids.RegionId, datetime.timedelta] = {}
+        self.waits = _waits.Waits()
         self._rankings: dict[
             tuple[ids.ServiceId, str], dict[ids.RegionId, list[_servers.Server]]
         ] = {}
@@ -150,23 +159,31 @@
         now: datetime.timedelta,
     ) -> Candidate | None:
         route = wanted.route
-        key = wanted.object_key
         slots = max(1, server.entry.slots)
         load = server.load(now)
         if load >= slots * self._settings.queue_slots:
             return None
-        known = route.sticky and (first or server.knows(key))
-        work = self._times.expect(route, wanted.service, known)
+        known, is_guess = self._known(wanted, server, first)
+        work_known = self._times.expect(route, wanted.service, True)
+        work_new = self._times.expect(route, wanted.service, False)
+        work = work_known * known + work_new * (1 - known)
+        likely = work_known if known > _LIKELY else work_new
         if server.is_cold(now):
             work *= _COLD_FACTOR
+            likely *= _COLD_FACTOR
         ahead = load + 1 - slots
         wait = _ZERO
         if ahead > 0:
             per_slot = self._times.per_slot(route, wanted.service)
             wait = per_slot * (ahead / slots)
+        if now - server.load_known_at > self._settings.load_trusted:
+            seen = self.waits.expect(wanted.service, server.region, now)
+            wait = max(wait, seen)
         way = self.round_trip(server.region)
         expected = way + wait + work
         cost = expected
+        if not first:
+            cost += (work - work_known) * self._settings.teaching_penalty
         if server.region != self._region:
             cost += self._settings.remote_penalty
         rate = server.failure_rate(now)
@@ -174,7 +191,24 @@
             cost += route.target_latency * (
                 rate * self._settings.failure_penalty
             )
-        return Candidate(server, known, wait, work, expected, cost)
+        return Candidate(
+            server, known, is_guess, wait, work, likely, expected, cost
+        )
+
+    def _known(
+        self, wanted: Wanted, server: _servers.Server, first: bool
+    ) -> tuple[float, bool]:
+        """Returns how likely a backend server knows the object.
+
+        Other VMs send an object to its first choice as well.
+        """
+        if not wanted.route.sticky or wanted.object_key is None:
+            return 0.0, False
+        if server.knows(wanted.object_key):
+            return 1.0, False
+        if not first:
+            return 0.0, False
+        return 1.0 - self._times.new_part(wanted.route), True
 
     def _ranked(
         self, wanted: Wanted
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -34,6 +34,9 @@
 """Returns are spread over this part of the time named, so that callers do not
 come back as one."""
 
+_WORK_SPREAD = 1.2
+"""Nearly all requests take less than this many times the mean work."""
+
 _LEAST_WORK_PART = 0.25
 """An idle backend server is tried if this part of the mean work fits."""
 
@@ -94,9 +97,19 @@
         route: _catalogue.Route,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
+        now: datetime.timedelta,
     ) -> None:
         """Notes how long a send took until its answer."""
 
+    def on_overdue(
+        self,
+        route: _catalogue.Route,
+        candidate: _choice.Candidate,
+        elapsed: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Notes how long a send had no answer when its time was over."""
+
 
 class Exchange:
     """One request of a caller, from its arrival to its outcome."""
@@ -189,7 +202,9 @@
             if isinstance(step, _messages.Send):
                 return step
         if not failed:
-            self._context.on_work(self.route, candidate, now - self._sent_at)
+            self._context.on_work(
+                self.route, candidate, now - self._sent_at, now
+            )
         return _messages.Deliver()
 
     def _on_shed(
@@ -228,6 +243,9 @@
         assert current is not None
         if now >= self.deadline:
             self._release()
+            self._context.on_overdue(
+                self.route, current, now - self._sent_at, now
+            )
             if current.server.last_heard < self._sent_at:
                 current.server.on_suspect(now)
             self.may_have_run = True
@@ -315,7 +333,10 @@
         self._context.on_sent(candidate, now)
         self.sends.append(
             _messages.Sent(
-                server.entry.id, now, candidate.expected, candidate.known
+                server.entry.id,
+                now,
+                candidate.expected,
+                round(candidate.known, 2),
             )
         )
         left = self.deadline - now
@@ -357,9 +378,7 @@
     requests take much less than the mean, and a mean that is too long would
     never be corrected if nothing were sent.
     """
+    before = candidate.expected - candidate.work
     if candidate.wait > _ZERO:
-        return candidate.expected <= left
-    return (
-        candidate.expected - candidate.work + candidate.work * _LEAST_WORK_PART
-        <= left
-    )
+        return before + candidate.likely_work * _WORK_SPREAD <= left
+    return before + candidate.work * _LEAST_WORK_PART <= left
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -161,4 +161,5 @@
     server: ids.BackendServerId
     at: datetime.timedelta
     expected: datetime.timedelta
-    known: bool
+    known: float
+    """How likely the backend server knows the object, 0 to 1."""
--- a/dragonflystack/entry/_servers.py
+++ b/dragonflystack/entry/_servers.py
@@ -124,6 +124,11 @@
         """Returns whether it bears few requests yet."""
         return now < self.cold_until
 
+    @property
+    def load_known_at(self) -> datetime.timedelta:
+        """When this VM last heard of its load."""
+        return self._others_at
+
     def load(self, now: datetime.timedelta) -> float:
         """Returns the requests expected at it, from all VMs."""
         mean = self._others_mean
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -53,6 +53,10 @@
     object_ranks: int = 2
     """Backend servers of the own region that get requests on one object."""
 
+    teaching_penalty: float = 2.0
+    """Cost of sending an object to a backend server that has to learn it, in
+    the work that this adds: its slot is taken from others."""
+
     remote_penalty: datetime.timedelta = _ms(40)
     """Delay that a nearer backend server may cost; bytes between regions are
     paid for."""
@@ -60,6 +64,10 @@
     others_half_life: datetime.timedelta = _ms(300)
     """How fast a report of load goes back to its long-run mean."""
 
+    load_trusted: datetime.timedelta = _ms(600)
+    """How long a report of load stands for itself; after that the waits that
+    requests met in the region count as well."""
+
     failure_weight: float = 0.3
     """Weight of the latest result in a backend server's failure rate."""
 
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -344,13 +344,32 @@
         route: _catalogue.Route,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
+        now: datetime.timedelta,
     ) -> None:
         """See `_exchange.Context.on_work`."""
-        way = self._chooser.round_trip(candidate.server.region)
-        work = elapsed - way - candidate.wait
+        server = candidate.server
+        service = server.entry.service
+        there = elapsed - self._chooser.round_trip(server.region)
+        work = there - candidate.wait
         if work > _ZERO:
-            service = candidate.server.entry.service
-            self._times.on_measured(route, service, candidate.known, work)
+            self._times.on_measured(route, service, work, candidate.is_guess)
+        likely = self._times.likely(route, service, there)
+        self._chooser.waits.on_wait(service, server.region, there - likely, now)
+
+    def on_overdue(
+        self,
+        route: _catalogue.Route,
+        candidate: _choice.Candidate,
+        elapsed: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """See `_exchange.Context.on_overdue`."""
+        server = candidate.server
+        wait = elapsed - self._chooser.round_trip(server.region)
+        wait -= candidate.likely_work / 2
+        self._chooser.waits.on_wait(
+            server.entry.service, server.region, wait, now
+        )
 
     def _room(self) -> dict[ids.RegionId, int]:
         room: dict[ids.RegionId, int] = {}
--- a/dragonflystack/entry/tests/loads.py
+++ b/dragonflystack/entry/tests/loads.py
@@ -40,6 +40,9 @@
     work_ms: float = 240.0
     target_ms: float = 250.0
     deadline_ms: float = 1200.0
+    timeout_ms: float | None = None
+    """What the operators allow a request, None for the caller's own time."""
+
     objects: int = 50
     """Objects that the callers of each region ask for."""
 
@@ -61,6 +64,9 @@
     in_target: int = 0
     late: int = 0
     refused: int = 0
+    failed: int = 0
+    """Attempts that ended without an answer."""
+
     refused_again: int = 0
     """Of the refused ones, those that had come back."""
 
@@ -173,7 +179,7 @@
             (entry.Destination(service, 1.0),),
             idempotent=True,
             target_latency=_ms(load.target_ms),
-            timeout=_ms(load.deadline_ms),
+            timeout=_ms(load.timeout_ms or load.deadline_ms),
             max_attempts=2,
             sticky=True,
         )
@@ -269,6 +275,12 @@
                 self.tally.refused += 1
                 self.tally.refused_again += tries > 0
             case _:
+                self.tally.failed += 1
+                left = began + self._load.deadline_ms - now
+                if tries < self._load.retries and left > 0:
+                    again = now + 2 * _WAY_TO_CALLER_MS
+                    self._at(again, self._ask, region, key, began, tries + 1)
+                    return
                 self.tally.refused += 1
 
     def _way_ms(self, region: str, name: str) -> float:
--- a/dragonflystack/entry/tests/test_loads.py
+++ b/dragonflystack/entry/tests/test_loads.py
@@ -1,5 +1,6 @@
 """Loads that callers bring, played against the real decisions."""
 
+import datetime
 import math
 
 import pytest
@@ -31,7 +32,10 @@
     seeds = (1, 2, 3)
     kept = [loads.play(_gallery(per_second, seed=s)) for s in seeds]
     spread = [
-        loads.play(_gallery(per_second, seed=s), object_ranks=12) for s in seeds
+        loads.play(
+            _gallery(per_second, seed=s), object_ranks=12, teaching_penalty=0.0
+        )
+        for s in seeds
     ]
     assert sum(t.credit for t in kept) > sum(t.credit for t in spread)
     assert min(t.in_target_part for t in kept) > 0.5
@@ -76,3 +80,47 @@
     assert sum(t.in_target for t in kept_short) > sum(
         t.in_target for t in let_grow
     )
+
+
+def _sketches(per_second, seed):
+    """Work on a new object nearly fills the time that a request may take.
+
+    Nobody knows any object at the start, so little room is left to wait; what
+    waits longer is cut off at work, and its slot was taken for nothing.
+    """
+    return loads.Load(
+        _UNEVEN,
+        lambda region, second: per_second,
+        vms=7,
+        work_ms=1_600.0,
+        target_ms=1_000.0,
+        timeout_ms=2_075.0,
+        deadline_ms=8_000.0,
+        objects=24,
+        seed=seed,
+    )
+
+
+@pytest.mark.parametrize("per_second", [12, 16])
+def test_waits_that_were_met_keep_slots_from_work_that_is_cut_off(per_second):
+    """More than there is room for, while a VM hears of few queues."""
+    seeds = (1, 2, 3, 4)
+    seen = [loads.play(_sketches(per_second, seed)) for seed in seeds]
+    unseen = [
+        loads.play(
+            _sketches(per_second, seed), load_trusted=datetime.timedelta.max
+        )
+        for seed in seeds
+    ]
+    assert sum(t.credit for t in seen) > sum(t.credit for t in unseen)
+    assert sum(t.failed for t in seen) < sum(t.failed for t in unseen)
+
+
+def test_an_object_is_not_taught_to_another_backend_server_lightly():
+    """A short queue at the one that knows it costs less than new work."""
+    seeds = (1, 2, 3, 4)
+    patient = [loads.play(_sketches(8, seed)) for seed in seeds]
+    hasty = [
+        loads.play(_sketches(8, seed), teaching_penalty=0.0) for seed in seeds
+    ]
+    assert sum(t.in_target for t in patient) > sum(t.in_target for t in hasty)
--- a/faultsoak/_actions.py
+++ b/faultsoak/_actions.py
@@ -59,7 +59,8 @@
         began_s = time.monotonic()
         async with anyio.create_task_group() as tasks:
             for action in plan:
-                await anyio.sleep(action.at_s - (time.monotonic() - began_s))
+                due_s = began_s + action.at_s
+                await anyio.sleep(max(0.0, due_s - time.monotonic()))
                 tasks.start_soon(self._do, action)
 
     async def _do(self, action: _plan.Action) -> None:
