Count a SIGTERM that meets a starting process as asked for

The plan kills edge-4 at 15.41 s and stops it at 16.03 s, 0.2 s after its new start; its log has no line of that incarnation, so it had served nothing. Ruled out: a serving process ended by the signal's default (the log of the one before ends with the kill). Change: only within 2 s of a start does -15 count as asked for.

--- a/faultsoak/_vms.py
+++ b/faultsoak/_vms.py
@@ -19,6 +19,9 @@
 _PROGRAM = "platform"
 _RESTART_AFTER_S = 0.4
 _POLL_S = 0.02
+_HANDLERS_IN_S = 2.0
+"""From the start of a process until it handles signals, on a busy machine."""
+
 _OK = 200
 READINESS_PORT = 8640
 CALLERS_PORT = 8641
@@ -43,6 +46,7 @@
 
     callers_port: int = 0
     process: subprocess.Popen | None = None
+    started_at_s: float = 0.0
     stopped_at_s: float | None = None
     """When it got SIGTERM, until it ends."""
 
@@ -74,6 +78,7 @@
                 stdout=out,
                 stderr=subprocess.STDOUT,
             )
+        vm.started_at_s = time.monotonic()
         vm.stopped_at_s = None
         vm.was_killed = False
         vm.paused = 0
@@ -143,9 +148,8 @@
 
     def _on_exit(self, vm: Vm, code: int) -> None:
         vm.process = None
-        asked = vm.was_killed or (vm.stopped_at_s is not None and code == 0)
         self._record.exits.append(
-            _record.Exit(time.monotonic(), vm.id, code, asked)
+            _record.Exit(time.monotonic(), vm.id, code, is_asked(vm, code))
         )
 
     async def _restart(self, vm: Vm) -> None:
@@ -154,6 +158,19 @@
             self.start(vm)
 
 
+def is_asked(vm: Vm, code: int) -> bool:
+    """Returns whether signals that were sent explain an exit code.
+
+    Until its handlers are in place, SIGTERM ends a process at once.
+    """
+    if vm.was_killed:
+        return True
+    if vm.stopped_at_s is None:
+        return False
+    is_starting = vm.stopped_at_s - vm.started_at_s < _HANDLERS_IN_S
+    return code == 0 or (code == -signal.SIGTERM and is_starting)
+
+
 async def _is_ready(pool: httpcore.AsyncConnectionPool, vm: Vm) -> bool:
     url = f"http://{vm.ip}:{READINESS_PORT}/readiness"
     try:
