Give each VM its part of the retry budget as soon as it knows the fleet

Cause: a VM's part was worked out at its first request and never again; one that had not read the list of VMs by then, or was only told those of its region, took an eighth of the whole. 142 VMs killed at once could have repeated 3,578 sends against 336 allowed beyond the ratio. Change: the part follows the fleet's size at each tick; until the list is read, each region is taken to be as large as the own one; only the list counts VMs.

--- a/dragonflystack/entry/_members.py
+++ b/dragonflystack/entry/_members.py
@@ -132,16 +132,24 @@
         self._ticked_at: datetime.timedelta | None = None
         self._trust_until = datetime.timedelta()
         self.phase = Phase.STARTING
-        self.fleet_size = 1
-        """VMs in all regions, as last listed."""
+        self.fleet_size: int | None = None
+        """VMs in all regions as last listed, None before."""
 
         self.is_listed = False
         """Whether a list of VMs was read."""
 
-    def on_list(self, addresses: Iterable[VmAddress]) -> None:
-        """Takes in a list of VMs, some of which may be gone."""
+    def on_list(
+        self, addresses: Iterable[VmAddress], of_all_regions: bool = True
+    ) -> None:
+        """Takes in a list of VMs, some of which may be gone.
+
+        Args:
+            addresses: the VMs.
+            of_all_regions: whether they are the whole fleet.
+        """
         listed = list(addresses)
-        self.fleet_size = max(self.fleet_size, len(listed))
+        if of_all_regions:
+            self.fleet_size = max(self.fleet_size or 1, len(listed))
         self.is_listed = True
         for address in listed:
             self._meet(address)
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -23,7 +23,7 @@
 _ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _LEAST_FLEET = 8
-"""Until the other VMs are known the fleet is taken to be at least this big."""
+"""The fleet is taken to be at least this big."""
 
 _LEAST_RETRIES = 1.0
 _DOUBT_PART = 0.5
@@ -147,6 +147,8 @@
         """Does what is due."""
         self.members.on_tick(now)
         self._cold.on_vms(self.members.listed())
+        for budget in self._budgets.values():
+            budget.set_burst(self._retry_burst())
         beats = [m.beat for m in self.members.alive(now) if m.beat]
         self._shares.on_peers(
             [self._to_shares(beat.shares) for beat in beats],
@@ -405,14 +407,22 @@
         budget = self._budgets.get(service)
         if budget is None:
             part = self._settings.retry_part
-            fleet = max(_LEAST_FLEET, self.members.fleet_size)
-            burst = max(_LEAST_RETRIES, self.bounds.retry_extra * part / fleet)
             budget = retry_budget.RetryBudget(
-                self.bounds.retry_ratio * part, burst
+                self.bounds.retry_ratio * part, self._retry_burst()
             )
             self._budgets[service] = budget
         return budget
 
+    def _retry_burst(self) -> float:
+        """Returns this VM's part of the fleet's repeats beyond the ratio."""
+        members = self.members
+        fleet = members.fleet_size
+        if fleet is None:
+            fleet = len(members.listed()) * len(self._regions)
+        fleet = max(_LEAST_FLEET, fleet)
+        part = self._settings.retry_part
+        return max(_LEAST_RETRIES, self.bounds.retry_extra * part / fleet)
+
     def _forget(self, changes: _discovery.Changes) -> None:
         for server in changes.gone:
             self._cold.forget(server.entry.id)
--- a/dragonflystack/entry/tests/test_exchange.py
+++ b/dragonflystack/entry/tests/test_exchange.py
@@ -113,6 +113,34 @@
     assert repeats <= 0.2 * requests + share_of_extra
 
 
+def _repeats(vm, requests):
+    """Returns how many of broken sends are repeated."""
+    repeats = 0
+    for i in range(requests):
+        at = builders.ms(10 + 20 * i)
+        exchange, _ = vm.open(builders.request(str(i)), at)
+        step = exchange.on_result(_BROKEN, at)
+        if isinstance(step, entry.Send):
+            repeats += 1
+            exchange.on_result(_ANSWERED, at)
+    return repeats
+
+
+@pytest.mark.parametrize("of_all_regions", [True, False])
+def test_the_part_of_the_budget_shrinks_as_the_fleet_is_known(of_all_regions):
+    """Also if only the VMs of the own region are told at first."""
+    entries = [builders.server(f"s{i}", slots=1000) for i in range(4)]
+    bounds = entry.FleetBounds(retry_ratio=0.0, retry_extra=100.0)
+    vm = builders.entry_vm(*entries, bounds=bounds)
+    assert _repeats(vm, 1) == 1
+    regions = len(set(builders.REGIONS.values()))
+    number = 50 * (regions if of_all_regions else 1)
+    vms = [builders.address(f"vm-{i}") for i in range(number)]
+    vm.members.on_list(vms, of_all_regions)
+    vm.on_tick(builders.ms(5))
+    assert _repeats(vm, 20) <= 100.0 / (50 * regions)
+
+
 def test_the_answer_to_a_timeout_comes_at_once():
     vm = builders.entry_vm(builders.server("s"))
     exchange, step = vm.open(builders.request(), builders.ms(0))
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -290,7 +290,7 @@
         news = told.news
         was_informed = node.vm.is_informed
         if told.vms:
-            node.vm.members.on_list(told.vms)
+            node.vm.members.on_list(told.vms, of_all_regions=False)
         if news.catalogue is not None:
             self._adopt(news.catalogue, str(peer))
         before = node.vm.log.position
--- a/dragonflystack/retry_budget.py
+++ b/dragonflystack/retry_budget.py
@@ -40,6 +40,11 @@
             raise ValueError(f"ratio: expected 0 to 1, found {ratio}")
         self._ratio = ratio
 
+    def set_burst(self, burst: float) -> None:
+        """Sets the most tokens it holds; more than that are dropped."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def on_first_attempt(self) -> None:
         """Adds the share of a first attempt."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
