End the doubt about entries that went at once when the store answers

Other VMs doubted once more what they were told, which in a large region could have passed the drain bound. Change: while entries are doubted, watches are short, and an answer after the time of doubt decides; what another VM passes on as gone is taken as it is. The part of requests new to their first choice moves fast at first: on grown sites a VM sees one request of a kind in two seconds.

--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -54,6 +54,10 @@
 
         self._was_away = False
         self._grace_until: datetime.timedelta | None = None
+        self._doubted_at: datetime.timedelta | None = None
+        """Since when entries that went at once are doubted and the store did
+        not answer after that time was over."""
+
         self._missing: set[ids.BackendServerId] = set()
         self.read_at: datetime.timedelta | None = None
         """When the list was last read, None before the first time."""
@@ -73,12 +77,11 @@
         Args:
             listing: what was read.
             now: the time.
-            from_store: whether this VM read it from the store; another VM may
-                pass on what it read before an outage.
+            from_store: whether this VM read it from the store; what another
+                VM passes on as gone was doubted there.
         """
-        if self._was_away and from_store:
-            self._was_away = False
-            self._grace_until = now + LAPSE_GRACE
+        if from_store:
+            self._on_store_answer(now)
         self.read_at = now
         added: list[_servers.Server] = []
         leaving: list[_servers.Server] = []
@@ -91,9 +94,25 @@
                 added.append(server)
             if entry.leaving and not was_leaving:
                 leaving.append(server)
-        gone = self._on_lost(listing, now)
+        if from_store:
+            gone = self._on_lost(listing, now)
+        else:
+            gone = self._drop({*listing.removed, *self._find_missing(listing)})
         return Changes(tuple(added), tuple(leaving), gone)
 
+    @property
+    def is_doubting(self) -> bool:
+        """Whether the store should be read again, to see what is still gone."""
+        return self._doubted_at is not None
+
+    def _on_store_answer(self, now: datetime.timedelta) -> None:
+        if self._was_away:
+            self._was_away = False
+            self._doubted_at = None
+            self._grace_until = now + LAPSE_GRACE
+        elif self._grace_until is not None and now >= self._grace_until:
+            self._doubted_at = None
+
     def _on_lost(
         self, listing: Listing, now: datetime.timedelta
     ) -> tuple[_servers.Server, ...]:
@@ -102,6 +121,7 @@
         missing = self._find_missing(listing)
         if self._is_doubtful(removed | missing):
             if self._grace_until is None:
+                self._doubted_at = now
                 self._grace_until = now + self.doubt
             self._missing |= removed | missing
             return ()
@@ -129,13 +149,13 @@
     def on_tick(self, now: datetime.timedelta) -> Changes:
         """Drops what is still missing after the grace.
 
-        While the store is away, entries cannot come back.
+        While the store is away or does not answer, entries cannot come back.
         """
         if self._grace_until is None or now < self._grace_until:
             return Changes()
-        if self._was_away:
+        if self._was_away or self._doubted_at is not None:
             return Changes()
-        self._grace_until = None
+        self._grace_until = self._doubted_at = None
         missing, self._missing = self._missing, set()
         return Changes(gone=self._drop(missing))
 
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -26,9 +26,10 @@
 """The fleet is taken to be at least this big."""
 
 _LEAST_RETRIES = 1.0
-_DOUBT_PART = 0.5
+_DOUBT_PART = 0.4
 """Part of the time for which leaving backend servers may get requests that
-entries are kept which go at once; the rest is for the news to get here."""
+entries are kept which go at once; the rest is for the store to answer again
+and for the news to reach other VMs."""
 
 
 class EntryVm:
--- a/dragonflystack/entry/_work_times.py
+++ b/dragonflystack/entry/_work_times.py
@@ -19,7 +19,7 @@
 """Least weight of the latest measurement; about twenty count."""
 
 _NEW_PART_WEIGHT = 0.1
-"""Weight of the latest request; each object is asked for about once a second,
+"""Least weight of the latest request; each object is asked for about once a second,
 so at the start of a day the part falls within seconds."""
 
 _MOST_STEP = 4.0
@@ -51,6 +51,9 @@
     """Part of the requests that met a backend server new to their object,
     though it was the object's first choice."""
 
+    first_choices: int = 0
+    """Measurements that this part comes from."""
+
     def add(self, work: datetime.timedelta, warm_part: float) -> bool:
         """Takes in a measurement; returns whether the object was new."""
         product = self.known.value.total_seconds()
@@ -141,8 +144,10 @@
         if warm_part < 1:
             was_new = means.add(work, warm_part)
             if is_first_choice:
+                means.first_choices += 1
                 step = float(was_new) - means.new_part
-                means.new_part += step * _NEW_PART_WEIGHT
+                weight = 1 / (1 + means.first_choices)
+                means.new_part += step * max(_NEW_PART_WEIGHT, weight)
         else:
             means.new.add(work)
             means.known.value = means.new.value
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -29,6 +29,10 @@
 """The store answers a watch after this at the latest. One that went silent
 and came back is noticed within the 4 s after which bounds hold again."""
 
+_DOUBT_WAIT = datetime.timedelta(milliseconds=100)
+"""Watches are this short while entries that went at once are doubted: whether
+the store answers is what is asked."""
+
 _FIRST_RETRY = datetime.timedelta(milliseconds=200)
 _MAX_RETRY = datetime.timedelta(milliseconds=600)
 _LIST_VMS_EVERY = datetime.timedelta(seconds=60)
@@ -161,7 +165,9 @@
         version: int,
     ) -> object:
         """Watches until there is an answer or reason to read anew."""
-        poke = self._node.watch_poke
+        node = self._node
+        poke = node.watch_poke
+        wait = _DOUBT_WAIT if node.vm.discovery.is_doubting else _WATCH_WAIT
         news: object = None
         async with anyio.create_task_group() as tasks:
 
@@ -170,7 +176,7 @@
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(stop_on_poke)
-            news = await watch(version, _WATCH_WAIT)
+            news = await watch(version, wait)
             tasks.cancel_scope.cancel()
         return news
 
