Serve in a planned stop what its caller awaits no longer than the VM lives

Change: a request is still taken if its caller's time ends before the VM does. Measured: test_life.py has the case (rejected before).

--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -12,8 +12,8 @@
 from dragonflystack.entryd import _sending
 
 _TAKING_PART = 0.45
-"""Part of the grace of a planned stop in which requests are still taken; the
-rest is for those taken last, and the users count on under half of it."""
+"""Part of the grace of a planned stop in which all requests are still taken;
+the rest is for those taken last, and the users count on under half of it."""
 
 _COME_BACK = datetime.timedelta(milliseconds=50)
 """Another VM takes the request at once."""
@@ -70,7 +70,7 @@
         request = self._read(scope)
         exchange: entry.Exchange | None = None
         step: entry.Step = entry.Reject(entry.Reason.STOPPING, _COME_BACK)
-        if not self._is_too_late():
+        if not self._is_too_late(request):
             exchange, step = node.vm.open(request, node.now())
         answer: _connections.Answer | None = None
         if exchange is not None:
@@ -82,13 +82,21 @@
         self._note_end(request, exchange, step, answer, began)
         await _reply(send, step, answer, scope["method"])
 
-    def _is_too_late(self) -> bool:
-        """Returns whether a planned stop leaves too little time to serve."""
+    def _is_too_late(self, request: entry.Request) -> bool:
+        """Returns whether a planned stop leaves too little time to serve.
+
+        Until the users count on its end, a VM takes what comes; later only
+        what its caller awaits no longer than the VM lives.
+        """
         since = self._node.leaving_since
         if since is None:
             return False
-        taken_for = self._node.vm.bounds.grace * _TAKING_PART
-        return self._node.now() - since >= taken_for
+        grace = self._node.vm.bounds.grace
+        gone = self._node.now() - since
+        if gone < grace * _TAKING_PART:
+            return False
+        left = request.time_left
+        return left is None or gone + left > grace - _node.EXIT_BEFORE_KILL
 
     def _note_end(
         self,
--- a/dragonflystack/entryd/_node.py
+++ b/dragonflystack/entryd/_node.py
@@ -13,6 +13,10 @@
 from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _metrics
 
+EXIT_BEFORE_KILL = datetime.timedelta(milliseconds=800)
+"""Requests end this long before the end of a planned stop's grace; a small VM
+takes as long to end its loops."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -30,9 +30,6 @@
 """Connections are closed this long before the end of the grace; by then
 callers have given up the answers that named this VM."""
 
-_EXIT_BEFORE_KILL = datetime.timedelta(milliseconds=800)
-"""A small VM takes this long to end its loops."""
-
 _DRAIN_POLL_S = 0.05
 _MAX_BODY_BYTES = 33_554_432
 """Largest answer of a backend server that is held in memory."""
@@ -187,7 +184,7 @@
     await anyio.sleep(serve.total_seconds())
     for port in ports:
         port.stop()
-    end = began + grace - _EXIT_BEFORE_KILL
+    end = began + grace - _node.EXIT_BEFORE_KILL
     while node.in_flight and node.now() < end:
         await anyio.sleep(_DRAIN_POLL_S)
     for port in ports:
--- a/dragonflystack/entryd/tests/test_life.py
+++ b/dragonflystack/entryd/tests/test_life.py
@@ -166,9 +166,10 @@
     return node
 
 
-async def _get(pool, node, path="/r/1"):
+async def _get(pool, node, path="/r/1", left_ms=3000):
     url = f"http://{node.settings.callers}{path}"
-    return await pool.request("GET", url, headers=_HEADERS)
+    headers = [*_HEADERS[:2], (b"x-left", b"%d" % left_ms)]
+    return await pool.request("GET", url, headers=headers)
 
 
 async def _until(condition):
@@ -259,5 +260,6 @@
             refused = await _get(pool, node)
             assert refused.status == 503
             assert backend.runs == 1
+            assert (await _get(pool, node, left_ms=500)).status == 200
 
     _play(scenario)
