--- a/faultsoak/__init__.py
+++ b/faultsoak/__init__.py
@@ -15,6 +15,7 @@
 from faultsoak._record import Attempt
 from faultsoak._record import Ending
 from faultsoak._record import Record
+from faultsoak._run import Report
 from faultsoak._run import Settings
 from faultsoak._run import run
 
@@ -25,6 +26,7 @@
     "Ending",
     "Fault",
     "Record",
+    "Report",
     "Settings",
     "Violation",
     "check",
--- a/faultsoak/tests/test_run.py
+++ b/faultsoak/tests/test_run.py
@@ -6,19 +6,54 @@
 
 import faultsoak
 
-_SEEDS = (11,)
+_SECONDS = 8.0
 
 
-@pytest.mark.parametrize("seed", _SEEDS)
-def test_a_seeded_run_breaks_no_promise(seed, tmp_path: pathlib.Path):
-    cfg = faultsoak.Settings(
-        seed,
-        seconds=8.0,
-        folder=tmp_path,
-        vms=4,
-        requests_s=30.0,
-        with_times=False,
+def _run(seed: int, folder: pathlib.Path, plan=None) -> faultsoak.Report:
+    return faultsoak.run(
+        faultsoak.Settings(
+            seed,
+            seconds=_SECONDS,
+            folder=folder,
+            vms=4,
+            requests_s=30.0,
+            with_times=False,
+            plan=plan,
+        )
     )
-    report = faultsoak.run(cfg)
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        pytest.param(11, id="fixed"),
+        pytest.param(4, id="entries lapsed in an outage that no VM saw"),
+        pytest.param(28, id="the same, and the store silent after it"),
+        pytest.param(23, id="a SIGTERM met a starting process"),
+    ],
+)
+def test_a_seeded_run_breaks_no_promise(seed, tmp_path: pathlib.Path):
+    report = _run(seed, tmp_path)
     assert report.violations == []
     assert report.served > 0
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        pytest.param((faultsoak.Fault.STORE_LAPSE,), id="seed 4"),
+        pytest.param(
+            (faultsoak.Fault.STORE_LAPSE, faultsoak.Fault.STORE_SILENT),
+            id="seed 28",
+        ),
+    ],
+)
+def test_entries_that_lapse_cost_nobody_a_request(faults, tmp_path):
+    """Every backend server lives, only the store lost their entries."""
+    plan = tuple(
+        faultsoak.Action(1.0 + i, fault, 0, 3.0)
+        for i, fault in enumerate(faults)
+    )
+    report = _run(1, tmp_path, plan)
+    assert report.violations == []
+    assert report.rejected == 0
