--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -183,7 +183,7 @@
         expected = way + wait + work
         cost = expected
         if not first:
-            cost += (work - work_known) * self._settings.teaching_penalty
+            cost += (work - work_known) * self._settings.warmup_penalty
         if server.region != self._region:
             cost += self._settings.remote_penalty
         rate = server.failure_rate(now)
--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -17,10 +17,10 @@
 LAPSE_GRACE = datetime.timedelta(seconds=2)
 """How long after the store's return an entry may be missing, by the users."""
 
-_DOUBTED_PART = 0.5
-"""Part of a service's backend servers whose going at once is doubted."""
+_MASS_REMOVAL_PART = 0.5
+"""Part of a service's entries whose removal at once needs confirmation."""
 
-_LEAST_DOUBTED = 2
+_LEAST_MASS_REMOVAL = 2
 """The loss of a single backend server is ordinary."""
 
 
@@ -46,17 +46,19 @@
 class Discovery:
     """Applies listings to the book of backend servers."""
 
-    def __init__(self, book: _servers.ServerBook, doubt: datetime.timedelta):
-        """Takes the book, and how long entries that go at once are kept."""
+    def __init__(
+        self, book: _servers.ServerBook, confirm_after: datetime.timedelta
+    ):
+        """Takes the book, and how long the removal of many is unconfirmed."""
         self._book = book
-        self.doubt = doubt
+        self.confirm_after = confirm_after
         """Less than the users' bound for backend servers that left."""
 
         self._was_away = False
         self._grace_until: datetime.timedelta | None = None
-        self._doubted_at: datetime.timedelta | None = None
-        """Since when entries that went at once are doubted and the store did
-        not answer after that time was over."""
+        self._is_unconfirmed = False
+        """Whether a removal of many entries waits for the store to answer
+        again."""
 
         self._missing: set[ids.BackendServerId] = set()
         self.read_at: datetime.timedelta | None = None
@@ -78,7 +80,7 @@
             listing: what was read.
             now: the time.
             from_store: whether this VM read it from the store; what another
-                VM passes on as gone was doubted there.
+                VM passes on as gone was confirmed there.
         """
         if from_store:
             self._on_store_answer(now)
@@ -101,28 +103,28 @@
         return Changes(tuple(added), tuple(leaving), gone)
 
     @property
-    def is_doubting(self) -> bool:
-        """Whether the store should be read again, to see what is still gone."""
-        return self._doubted_at is not None
+    def needs_confirmation(self) -> bool:
+        """Whether the store should be asked again, to see what is gone."""
+        return self._is_unconfirmed
 
     def _on_store_answer(self, now: datetime.timedelta) -> None:
         if self._was_away:
             self._was_away = False
-            self._doubted_at = None
+            self._is_unconfirmed = False
             self._grace_until = now + LAPSE_GRACE
         elif self._grace_until is not None and now >= self._grace_until:
-            self._doubted_at = None
+            self._is_unconfirmed = False
 
     def _on_lost(
         self, listing: Listing, now: datetime.timedelta
     ) -> tuple[_servers.Server, ...]:
-        """Drops the entries that a listing shows to be gone, or doubts it."""
+        """Drops the entries that a listing shows to be gone, once confirmed."""
         removed = set(listing.removed)
         missing = self._find_missing(listing)
-        if self._is_doubtful(removed | missing):
+        if self._is_mass_removal(removed | missing):
             if self._grace_until is None:
-                self._doubted_at = now
-                self._grace_until = now + self.doubt
+                self._is_unconfirmed = True
+                self._grace_until = now + self.confirm_after
             self._missing |= removed | missing
             return ()
         # An entry seen to go now did not lapse while the store was away.
@@ -132,7 +134,7 @@
         self._missing |= missing
         return gone
 
-    def _is_doubtful(self, lost: set[ids.BackendServerId]) -> bool:
+    def _is_mass_removal(self, lost: set[ids.BackendServerId]) -> bool:
         """Returns whether so many go unannounced that they may have lapsed."""
         known = collections.Counter(s.entry.service for s in self._book.all())
         unannounced = collections.Counter(
@@ -141,8 +143,8 @@
             if server is not None and not server.entry.leaving
         )
         return any(
-            number >= _LEAST_DOUBTED
-            and number >= known[service] * _DOUBTED_PART
+            number >= _LEAST_MASS_REMOVAL
+            and number >= known[service] * _MASS_REMOVAL_PART
             for service, number in unannounced.items()
         )
 
@@ -153,9 +155,10 @@
         """
         if self._grace_until is None or now < self._grace_until:
             return Changes()
-        if self._was_away or self._doubted_at is not None:
+        if self._was_away or self._is_unconfirmed:
             return Changes()
-        self._grace_until = self._doubted_at = None
+        self._grace_until = None
+        self._is_unconfirmed = False
         missing, self._missing = self._missing, set()
         return Changes(gone=self._drop(missing))
 
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -53,9 +53,9 @@
     object_ranks: int = 2
     """Backend servers of the own region that get requests on one object."""
 
-    teaching_penalty: float = 2.0
-    """Cost of sending an object to a backend server that has to learn it, in
-    the work that this adds: its slot is taken from others."""
+    warmup_penalty: float = 2.0
+    """Cost of sending an object to a backend server that is not warm for it, in
+    units of the work that this adds: its slot is taken from others."""
 
     remote_penalty: datetime.timedelta = _ms(40)
     """Delay that a nearer backend server may cost; bytes between regions are
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -26,10 +26,10 @@
 """The fleet is taken to be at least this big."""
 
 _LEAST_RETRIES = 1.0
-_DOUBT_PART = 0.4
-"""Part of the time for which leaving backend servers may get requests that
-entries are kept which go at once; the rest is for the store to answer again
-and for the news to reach other VMs."""
+_CONFIRM_PART = 0.4
+"""Part of the drain bound for which the removal of many entries at once is
+unconfirmed; the rest is for the store to answer again and for the news to
+reach other VMs."""
 
 
 class EntryVm:
@@ -48,7 +48,7 @@
         self.rng = rng
         self.book = _servers.ServerBook(regions, settings)
         self.discovery = _discovery.Discovery(
-            self.book, bounds.drain * _DOUBT_PART
+            self.book, bounds.drain * _CONFIRM_PART
         )
         self.catalogue: _catalogue.Catalogue | None = None
         self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
@@ -96,7 +96,7 @@
         if bounds == self.bounds:
             return
         self.bounds = bounds
-        self.discovery.doubt = bounds.drain * _DOUBT_PART
+        self.discovery.confirm_after = bounds.drain * _CONFIRM_PART
         self._cold = self._make_pacer()
         self._budgets.clear()
 
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -57,7 +57,7 @@
     return entry.Listing((), gone, False)
 
 
-def test_half_of_a_service_going_at_once_is_doubted_for_a_while():
+def test_the_removal_of_half_a_service_at_once_is_unconfirmed():
     """Entries lapse in an outage that this VM did not see."""
     book, discovery = _discovery_of("s1", "s2", "s3", "s4")
     assert not discovery.on_listing(_removal("s1", "s2"), builders.ms(10)).gone
@@ -70,14 +70,14 @@
     assert _names(book) == {"s1", "s3", "s4"}
 
 
-def test_doubt_ends_only_when_the_store_answers_again():
+def test_a_removal_is_confirmed_only_when_the_store_answers_again():
     """Calls to a store gone silent fail late; meanwhile nothing came back."""
     book, discovery = _discovery_of("s1", "s2")
     discovery.on_listing(_removal("s1", "s2"), builders.ms(10))
-    assert discovery.is_doubting
+    assert discovery.needs_confirmation
     assert not discovery.on_tick(builders.ms(3000)).gone
     discovery.on_listing(_removal(), builders.ms(3100))
-    assert not discovery.is_doubting
+    assert not discovery.needs_confirmation
     discovery.on_tick(builders.ms(3100))
     assert not _names(book)
 
@@ -114,8 +114,8 @@
     assert not _names(book)
 
 
-def test_what_another_vm_passes_on_as_gone_is_not_doubted_twice():
-    """It was doubted there, and the bound for leaving ones runs."""
+def test_what_another_vm_passes_on_as_gone_is_not_confirmed_twice():
+    """It was confirmed there, and the bound for leaving ones runs."""
     book, discovery = _discovery_of("s1", "s2")
     discovery.on_listing(_removal("s1", "s2"), builders.ms(50), False)
     assert not _names(book)
--- a/dragonflystack/entry/tests/test_loads.py
+++ b/dragonflystack/entry/tests/test_loads.py
@@ -33,7 +33,7 @@
     kept = [loads.play(_gallery(per_second, seed=s)) for s in seeds]
     spread = [
         loads.play(
-            _gallery(per_second, seed=s), object_ranks=12, teaching_penalty=0.0
+            _gallery(per_second, seed=s), object_ranks=12, warmup_penalty=0.0
         )
         for s in seeds
     ]
@@ -131,12 +131,10 @@
     )
 
 
-def test_an_object_is_not_taught_to_another_backend_server_lightly():
+def test_another_backend_server_is_not_warmed_up_lightly():
     """A short queue at the one that knows it costs less than new work."""
     seeds = range(1, 7)
     patient = [loads.play(_bookings(seed)) for seed in seeds]
-    hasty = [
-        loads.play(_bookings(seed), teaching_penalty=0.0) for seed in seeds
-    ]
+    hasty = [loads.play(_bookings(seed), warmup_penalty=0.0) for seed in seeds]
     assert sum(t.in_target for t in patient) > sum(t.in_target for t in hasty)
     assert sum(t.credit for t in patient) > sum(t.credit for t in hasty)
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -29,9 +29,9 @@
 """The store answers a watch after this at the latest. One that went silent
 and came back is noticed within the 4 s after which bounds hold again."""
 
-_DOUBT_WAIT = datetime.timedelta(milliseconds=100)
-"""Watches are this short while entries that went at once are doubted: whether
-the store answers is what is asked."""
+_CONFIRM_WAIT = datetime.timedelta(milliseconds=100)
+"""Watches are this short while a removal of many entries is unconfirmed: all
+that is asked is whether the store answers."""
 
 _FIRST_RETRY = datetime.timedelta(milliseconds=200)
 _MAX_RETRY = datetime.timedelta(milliseconds=600)
@@ -167,7 +167,11 @@
         """Watches until there is an answer or reason to read anew."""
         node = self._node
         poke = node.watch_poke
-        wait = _DOUBT_WAIT if node.vm.discovery.is_doubting else _WATCH_WAIT
+        wait = (
+            _CONFIRM_WAIT
+            if node.vm.discovery.needs_confirmation
+            else _WATCH_WAIT
+        )
         news: object = None
         async with anyio.create_task_group() as tasks:
 
