Call a store that is out no more often in a large region

Change: VMs that are not watchers pause longer, so that all of them together call as often as the watchers do; 3.5 s at 47 VMs a region. Measured: test_news.py has the sizes.

--- a/dragonflystack/entry/_news.py
+++ b/dragonflystack/entry/_news.py
@@ -33,6 +33,11 @@
 with the read that follows it knows a change within the users' 2.5 s."""
 
 
+_RETRY_LIMIT = datetime.timedelta(milliseconds=600)
+"""Longest pause of a watcher between calls to a store that is out: its return
+is noticed well within the 4 s after which bounds hold again."""
+
+
 class Position(msgspec.Struct, frozen=True, array_like=True, order=True):
     """Up to where a VM knows the store's rows."""
 
@@ -136,5 +141,23 @@
         own: the VM.
         vms: the VMs of its region that are not known to be gone.
     """
-    number = max(_LEAST_WATCHERS, math.ceil(len(vms) * _WATCHING_PART))
-    return own in _ranking.rank("store", vms, str)[:number]
+    return own in _ranking.rank("store", vms, str)[: _watchers(len(vms))]
+
+
+def retry_limit(own: ids.VmId, vms: tuple[ids.VmId, ...]) -> datetime.timedelta:
+    """Returns the longest pause between calls to a store that is out.
+
+    Without news all VMs watch; those that are not watchers call less often, so
+    that all of them together make no more calls than the watchers do.
+
+    Args:
+        own: the VM.
+        vms: the VMs of its region that are not known to be gone.
+    """
+    if is_watcher(own, vms):
+        return _RETRY_LIMIT
+    return _RETRY_LIMIT * (len(vms) / _watchers(len(vms)))
+
+
+def _watchers(vms: int) -> int:
+    return max(_LEAST_WATCHERS, math.ceil(vms * _WATCHING_PART))
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -226,6 +226,12 @@
             return False
         return _news.is_watcher(members.own.vm, members.listed())
 
+    @property
+    def store_retry_limit(self) -> datetime.timedelta:
+        """The longest pause between calls to a store that is out."""
+        members = self.members
+        return _news.retry_limit(members.own.vm, members.listed())
+
     def news_since(self, position: _news.Position) -> _news.News:
         """Returns what a VM at a position does not know."""
         return self.log.since(
--- a/dragonflystack/entry/tests/test_news.py
+++ b/dragonflystack/entry/tests/test_news.py
@@ -78,6 +78,16 @@
     assert vm.should_watch(bound - read - builders.ms(250))
 
 
+@pytest.mark.parametrize("size", [5, 8, 47, 140])
+def test_a_store_that_is_out_is_called_no_more_often_in_a_large_region(size):
+    vms = tuple(ids.VmId(f"vm-{i}") for i in range(size))
+    limits = [_news.retry_limit(vm, vms) / builders.ms(1000) for vm in vms]
+    watchers = [vm for vm in vms if _news.is_watcher(vm, vms)]
+    calls_s = sum(1 / limit for limit in limits)
+    assert calls_s <= 2 * len(watchers) / 0.6
+    assert max(limits) < 6
+
+
 def test_neighbours_that_die_are_passed_over():
     vms = _region(40)
     for i in range(4):
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -34,7 +34,6 @@
 that is asked is whether the store answers."""
 
 _FIRST_RETRY = datetime.timedelta(milliseconds=200)
-_MAX_RETRY = datetime.timedelta(milliseconds=600)
 _LIST_VMS_EVERY = datetime.timedelta(seconds=60)
 """VMs tell each other that they live; the list only brings strangers."""
 
@@ -64,7 +63,8 @@
                 call=self._call,
                 reason=str(failure.failure),
             )
-        pause, self._retry = self._retry, min(2 * self._retry, _MAX_RETRY)
+        limit = node.vm.store_retry_limit
+        pause, self._retry = self._retry, min(2 * self._retry, limit)
         spread = 0.75 + 0.5 * node.vm.rng.random()
         return pause.total_seconds() * spread
 
