--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -85,7 +85,7 @@
         self._times = times
         self._settings = settings
         self._round_trips: dict[ids.RegionId, datetime.timedelta] = {}
-        self.waits = _waits.Waits()
+        self._waits = _waits.Waits()
         self._rankings: dict[
             tuple[ids.ServiceId, str], dict[ids.RegionId, list[_servers.Server]]
         ] = {}
@@ -108,6 +108,38 @@
         default = self._settings.remote_round_trip
         return self._round_trips.get(region, default)
 
+    def on_work(
+        self,
+        route: _catalogue.Route,
+        candidate: Candidate,
+        elapsed: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes in how long a send took until its answer."""
+        server = candidate.server
+        service = server.entry.service
+        there = elapsed - self.round_trip(server.region)
+        work = there - candidate.wait
+        if work > _ZERO:
+            self._times.on_measured(route, service, work, candidate.is_guess)
+        wait = there - self._times.likely(route, service, there)
+        self._waits.on_wait(service, server.region, wait, now)
+
+    def on_overdue(
+        self,
+        candidate: Candidate,
+        elapsed: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes in how long a send had no answer when its time was over.
+
+        It may have been at work; half of that is taken to be left.
+        """
+        server = candidate.server
+        there = elapsed - self.round_trip(server.region)
+        wait = there - candidate.likely_work / 2
+        self._waits.on_wait(server.entry.service, server.region, wait, now)
+
     def weigh(
         self,
         wanted: Wanted,
@@ -177,7 +209,7 @@
             per_slot = self._times.per_slot(route, wanted.service)
             wait = per_slot * (ahead / slots)
         if now - server.load_known_at > self._settings.load_trusted:
-            seen = self.waits.expect(wanted.service, server.region, now)
+            seen = self._waits.expect(wanted.service, server.region, now)
             wait = max(wait, seen)
         way = self.round_trip(server.region)
         expected = way + wait + work
--- a/dragonflystack/entry/_servers.py
+++ b/dragonflystack/entry/_servers.py
@@ -218,6 +218,14 @@
         """Returns every registered backend server."""
         return self._servers.values()
 
+    def slots_by_region(self) -> dict[ids.RegionId, int]:
+        """Returns how many slots the backend servers of each region have."""
+        slots: dict[ids.RegionId, int] = {}
+        for server in self._servers.values():
+            before = slots.get(server.region, 0)
+            slots[server.region] = before + server.entry.slots
+        return slots
+
     def on_entry(
         self, entry: ServerEntry, now: datetime.timedelta
     ) -> tuple[Server, bool]:
--- a/dragonflystack/entry/_shares.py
+++ b/dragonflystack/entry/_shares.py
@@ -12,6 +12,7 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import datetime
 
 import xxhash
@@ -175,6 +176,21 @@
         }
 
 
+def to_thousandths(
+    shares: Mapping[ids.RegionId, float], regions: Sequence[ids.RegionId]
+) -> tuple[int, ...]:
+    """Returns shares as they go over the wire, in the order of the regions."""
+    return tuple(round(1000 * shares.get(region, 0.0)) for region in regions)
+
+
+def from_thousandths(
+    parts: Sequence[int], regions: Sequence[ids.RegionId]
+) -> Shares:
+    """Returns the shares that `to_thousandths` was given, rounded."""
+    pairs = zip(regions, parts, strict=False)
+    return {region: part / 1000 for region, part in pairs}
+
+
 def _mean(all_shares: Collection[Mapping[ids.RegionId, float]]) -> Shares:
     sums: Shares = {}
     for shares in all_shares:
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -5,7 +5,7 @@
 import random
 
 from dragonflystack import ids
-from dragonflystack import retry_budget
+from dragonflystack.entry import _budgets
 from dragonflystack.entry import _catalogue
 from dragonflystack.entry import _choice
 from dragonflystack.entry import _cold
@@ -22,10 +22,6 @@
 
 _ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
-_LEAST_FLEET = 8
-"""The fleet is taken to be at least this big."""
-
-_LEAST_RETRIES = 1.0
 _CONFIRM_PART = 0.4
 """Part of the drain bound for which the removal of many entries at once is
 unconfirmed; the rest is for the store to answer again and for the news to
@@ -67,7 +63,7 @@
         self._shares = _shares.RegionShares(
             members.own.region, bounds.max_shift
         )
-        self._budgets: dict[ids.ServiceId, retry_budget.RetryBudget] = {}
+        self._budgets = self._make_budgets()
 
     # What it learns.
 
@@ -98,7 +94,7 @@
         self.bounds = bounds
         self.discovery.confirm_after = bounds.drain * _CONFIRM_PART
         self._cold = self._make_pacer()
-        self._budgets.clear()
+        self._budgets = self._make_budgets()
 
     def on_evacuated(
         self,
@@ -141,19 +137,24 @@
         if changes.leaving or changes.gone:
             self._shares.on_loss(now)
         if changes.added:
-            self._shares.on_room(self._room())
+            self._shares.on_room(self.book.slots_by_region())
         return changes
 
     def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
         """Does what is due."""
         self.members.on_tick(now)
         self._cold.on_vms(self.members.listed())
-        for budget in self._budgets.values():
-            budget.set_burst(self._retry_burst())
+        self._budgets.on_fleet(self._fleet_size())
         beats = [m.beat for m in self.members.alive(now) if m.beat]
         self._shares.on_peers(
-            [self._to_shares(beat.shares) for beat in beats],
-            [self._to_shares(beat.wanted) for beat in beats],
+            [
+                _shares.from_thousandths(beat.shares, self._regions)
+                for beat in beats
+            ],
+            [
+                _shares.from_thousandths(beat.wanted, self._regions)
+                for beat in beats
+            ],
         )
         changes = self.discovery.on_tick(now)
         self._forget(changes)
@@ -191,8 +192,8 @@
             members.phase,
             self.log.position,
             round(self.news_age(now) / _MILLISECOND),
-            self._to_thousandths(self._shares.shares),
-            self._to_thousandths(self._shares.wanted),
+            _shares.to_thousandths(self._shares.shares, self._regions),
+            _shares.to_thousandths(self._shares.wanted, self._regions),
             is_near,
             answer_wanted,
             members.own if introduce else None,
@@ -251,15 +252,6 @@
             listing, news.position.servers, now, from_store=False
         )
 
-    def _to_thousandths(
-        self, shares: dict[ids.RegionId, float]
-    ) -> tuple[int, ...]:
-        return tuple(round(1000 * shares.get(r, 0.0)) for r in self._regions)
-
-    def _to_shares(self, parts: tuple[int, ...]) -> dict[ids.RegionId, float]:
-        pairs = zip(self._regions, parts, strict=False)
-        return {region: part / 1000 for region, part in pairs}
-
     @property
     def is_informed(self) -> bool:
         """Whether it knows routes and backend servers."""
@@ -283,7 +275,7 @@
         wanted = _choice.Wanted(
             route, service, request.object_key, route.regions
         )
-        self._budget(service).on_first_attempt()
+        self._budgets.of(service).on_first_attempt()
         exchange = _exchange.Exchange(self, request, route, wanted, now)
         return exchange, exchange.begin(now)
 
@@ -335,7 +327,7 @@
 
     def may_resend(self, service: ids.ServiceId) -> bool:
         """See `_exchange.Context.may_resend`."""
-        return self._budget(service).take()
+        return self._budgets.of(service).take()
 
     def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
         """See `_exchange.Context.overdue_after`."""
@@ -356,14 +348,7 @@
         now: datetime.timedelta,
     ) -> None:
         """See `_exchange.Context.on_work`."""
-        server = candidate.server
-        service = server.entry.service
-        there = elapsed - self._chooser.round_trip(server.region)
-        work = there - candidate.wait
-        if work > _ZERO:
-            self._times.on_measured(route, service, work, candidate.is_guess)
-        likely = self._times.likely(route, service, there)
-        self._chooser.waits.on_wait(service, server.region, there - likely, now)
+        self._chooser.on_work(route, candidate, elapsed, now)
 
     def on_overdue(
         self,
@@ -373,19 +358,23 @@
         now: datetime.timedelta,
     ) -> None:
         """See `_exchange.Context.on_overdue`."""
-        server = candidate.server
-        wait = elapsed - self._chooser.round_trip(server.region)
-        wait -= candidate.likely_work / 2
-        self._chooser.waits.on_wait(
-            server.entry.service, server.region, wait, now
+        self._chooser.on_overdue(candidate, elapsed, now)
+
+    def _make_budgets(self) -> _budgets.RetryBudgets:
+        return _budgets.RetryBudgets(
+            self.bounds, self._settings, self._fleet_size()
         )
 
-    def _room(self) -> dict[ids.RegionId, int]:
-        room: dict[ids.RegionId, int] = {}
-        for server in self.book.all():
-            slots = room.get(server.region, 0)
-            room[server.region] = slots + server.entry.slots
-        return room
+    def _fleet_size(self) -> int:
+        """Returns how many VMs there are.
+
+        Until they are listed, each region is taken to be as large as the own
+        one.
+        """
+        listed = self.members.fleet_size
+        if listed is not None:
+            return listed
+        return len(self.members.listed()) * len(self._regions)
 
     def _make_pacer(self) -> _cold.ColdPacer:
         own = self.members.own
@@ -410,26 +399,6 @@
             return None
         return self.catalogue.services.get(service)
 
-    def _budget(self, service: ids.ServiceId) -> retry_budget.RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            part = self._settings.retry_part
-            budget = retry_budget.RetryBudget(
-                self.bounds.retry_ratio * part, self._retry_burst()
-            )
-            self._budgets[service] = budget
-        return budget
-
-    def _retry_burst(self) -> float:
-        """Returns this VM's part of the fleet's repeats beyond the ratio."""
-        members = self.members
-        fleet = members.fleet_size
-        if fleet is None:
-            fleet = len(members.listed()) * len(self._regions)
-        fleet = max(_LEAST_FLEET, fleet)
-        part = self._settings.retry_part
-        return max(_LEAST_RETRIES, self.bounds.retry_extra * part / fleet)
-
     def _forget(self, changes: _discovery.Changes) -> None:
         for server in changes.gone:
             self._cold.forget(server.entry.id)
