Take no entry back that was written before its removal

Change: entries carry the store's version of their row; one written up to the version at which its removal was known is skipped. Measured: test_what_was_written_before_a_removal_does_not_come_back (failed before for every case but the newer entry).

--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -17,6 +17,10 @@
 LAPSE_GRACE = datetime.timedelta(seconds=2)
 """How long after the store's return an entry may be missing, by the users."""
 
+_MAX_REMOVED = 1_024
+"""Removed entries that are remembered; other VMs learn of a removal within
+seconds."""
+
 _MASS_REMOVAL_PART = 0.5
 """Part of a service's entries whose removal at once needs confirmation."""
 
@@ -33,6 +37,9 @@
     whole: bool
     """Whether it names all that are registered, not only changes."""
 
+    version: int = 0
+    """The store's version up to which it tells all."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
@@ -61,6 +68,12 @@
         again."""
 
         self._missing: set[ids.BackendServerId] = set()
+        self._version = 0
+        self._removed_at: collections.OrderedDict[ids.BackendServerId, int] = (
+            collections.OrderedDict()
+        )
+        """The store's version at which an entry was known to be gone."""
+
         self.read_at: datetime.timedelta | None = None
         """When the list was last read, None before the first time."""
 
@@ -85,9 +98,12 @@
         if from_store:
             self._on_store_answer(now)
         self.read_at = now
+        self._version = max(self._version, listing.version)
         added: list[_servers.Server] = []
         leaving: list[_servers.Server] = []
         for entry in listing.entries:
+            if self._is_outdated(entry):
+                continue
             self._missing.discard(entry.id)
             before = self._book.get(entry.id)
             was_leaving = before is not None and before.entry.leaving
@@ -162,6 +178,14 @@
         missing, self._missing = self._missing, set()
         return Changes(gone=self._drop(missing))
 
+    def _is_outdated(self, entry: _servers.ServerEntry) -> bool:
+        """Returns whether it was written before its backend server was gone.
+
+        Another VM may pass on an entry whose removal it does not know yet.
+        """
+        removed_at = self._removed_at.get(entry.id, 0)
+        return 0 < entry.row_version <= removed_at
+
     def _find_missing(self, listing: Listing) -> set[ids.BackendServerId]:
         if not listing.whole:
             return set()
@@ -171,5 +195,13 @@
     def _drop(
         self, missing: Iterable[ids.BackendServerId]
     ) -> tuple[_servers.Server, ...]:
-        dropped = (self._book.on_gone(server_id) for server_id in missing)
-        return tuple(s for s in dropped if s is not None)
+        dropped = []
+        for server_id in missing:
+            self._removed_at[server_id] = self._version
+            self._removed_at.move_to_end(server_id)
+            if len(self._removed_at) > _MAX_REMOVED:
+                self._removed_at.popitem(last=False)
+            server = self._book.on_gone(server_id)
+            if server is not None:
+                dropped.append(server)
+        return tuple(dropped)
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -247,10 +247,11 @@
     ) -> _discovery.Changes:
         """Takes in another VM's news of backend servers, and its position."""
         self.log.on_operators(news.position.operators)
-        listing = _discovery.Listing(news.entries, news.gone, news.whole)
-        return self.on_listing(
-            listing, news.position.servers, now, from_store=False
+        version = news.position.servers
+        listing = _discovery.Listing(
+            news.entries, news.gone, news.whole, version
         )
+        return self.on_listing(listing, version, now, from_store=False)
 
     @property
     def is_informed(self) -> bool:
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -121,6 +121,26 @@
     assert not _names(book)
 
 
+@pytest.mark.parametrize(
+    ("row_version", "known"), [(15, False), (20, False), (21, True)]
+)
+@pytest.mark.parametrize("whole", [True, False])
+def test_what_was_written_before_a_removal_does_not_come_back(
+    row_version, known, whole
+):
+    """A VM that does not know the removal passes the entry on."""
+    book, discovery = _discovery_of("s1", "s2")
+    gone = (ids.BackendServerId("s1"),)
+    rest = (builders.server("s2"),)
+    removal = entry.Listing(rest, () if whole else gone, whole, 20)
+    discovery.on_listing(removal, builders.ms(10))
+    assert _names(book) == {"s2"}
+    told = builders.server("s1", sequence=9, row_version=row_version)
+    news = entry.Listing((told,), (), False, 30)
+    discovery.on_listing(news, builders.ms(20), False)
+    assert ("s1" in _names(book)) is known
+
+
 def test_news_of_another_vm_does_not_show_that_the_store_is_back():
     book, discovery = _discovery_of("s1", "s2")
     discovery.on_store_away()
