--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -26,6 +26,8 @@
 
 _MAX_CACHED_RANKINGS = 4_096
 _LIKELY = 0.5
+"""More likely than not."""
+
 _COLD_FACTOR = 2.0
 """Work at a cold backend server over that at others; the users' figure."""
 
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -103,7 +103,6 @@
 
     def on_overdue(
         self,
-        route: _catalogue.Route,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
@@ -243,9 +242,7 @@
         assert current is not None
         if now >= self.deadline:
             self._release()
-            self._context.on_overdue(
-                self.route, current, now - self._sent_at, now
-            )
+            self._context.on_overdue(current, now - self._sent_at, now)
             if current.server.last_heard < self._sent_at:
                 current.server.on_suspect(now)
             self.may_have_run = True
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -353,7 +353,6 @@
 
     def on_overdue(
         self,
-        route: _catalogue.Route,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
