--- a/faultsoak/_run.py
+++ b/faultsoak/_run.py
@@ -104,12 +104,6 @@
     domains = list(_DOMAINS)
     ips = [f"{net}.{1 + i // 200}.{1 + i % 200}" for i in range(cfg.vms)]
     seeds = tuple(f"{ip}:{_vms.PEERS_PORT}" for ip in ips[:_SEEDS])
-    terms = {
-        "drain_s": bounds.drain_s,
-        "grace_s": bounds.grace_s,
-        "cold_load_factor": _COLD_FACTOR,
-        "cold_margin": _COLD_MARGIN,
-    }
     for i, ip in enumerate(ips):
         vm = _vms.Vm(
             f"edge-{i + 1}",
@@ -122,8 +116,22 @@
         )
         store_port = await vm.store.start(ip)
         vm.callers_port = await vm.callers.start(ip)
-        store = f"{ip}:{store_port}"
-        settings = _vms.settings_of(vm, _DOMAINS, store, seeds, terms)
+        settings = fakes.VmSettings(
+            vm.id,
+            vm.ip,
+            vm.domain,
+            _DOMAINS,
+            f"{ip}:{store_port}",
+            seeds,
+            bounds.drain_s,
+            bounds.grace_s,
+            _COLD_FACTOR,
+            _COLD_MARGIN,
+            _vms.CALLERS_PORT,
+            _vms.READINESS_PORT,
+            _vms.PEERS_PORT,
+            _vms.DIRECTORY_PORT,
+        )
         vm.settings.write_text(fakes.encode_settings(settings), "utf-8")
         fleet.vms.append(vm)
         fleet.start(vm)
--- a/faultsoak/_vms.py
+++ b/faultsoak/_vms.py
@@ -69,7 +69,7 @@
         """Starts the process of a VM."""
         env = {
             "PATH": os.environ.get("PATH", ""),
-            "DRAGONFLYSTACK_SETTINGS": str(vm.settings),
+            fakes.SETTINGS_VARIABLE: str(vm.settings),
         }
         with vm.log.open("ab") as out:
             vm.process = subprocess.Popen(
@@ -178,26 +178,3 @@
     except (httpcore.NetworkError, httpcore.ProtocolError):
         return False
     return res.status == _OK
-
-
-def settings_of(
-    vm: Vm,
-    regions: dict[str, str],
-    store: str,
-    seeds: tuple[str, ...],
-    bounds: dict[str, float],
-) -> fakes.VmSettings:
-    """Returns what the settings file of a VM says."""
-    return fakes.VmSettings(
-        vm.id,
-        vm.ip,
-        vm.domain,
-        regions,
-        store,
-        seeds,
-        bounds,
-        CALLERS_PORT,
-        READINESS_PORT,
-        PEERS_PORT,
-        DIRECTORY_PORT,
-    )
--- a/faultsoak/_world.py
+++ b/faultsoak/_world.py
@@ -134,7 +134,7 @@
             domain,
             _SLOTS,
             next(self._born),
-            cold_left_s=cold_s,
+            cold_s=cold_s,
         )
         server = Server(fake, entry, proxy, port)
         self.servers[name] = server
