Evacuate failure domains and send noise between VMs in the soak

The soak had neither evacuations nor anything on the VMs' port for each other. Both kinds are drawn apart from the others, so that older seeds keep their faults.

--- a/faultsoak/_actions.py
+++ b/faultsoak/_actions.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import random
 import signal
+import socket
 import time
 
 import anyio
@@ -22,6 +24,11 @@
 _LAPSE_RETURN_S = 1.2
 """Entries are back within about two seconds of the store's return."""
 
+_EVACUATION_S = 6.0
+"""Longer than it takes until an evacuation is in force, by the users."""
+
+_NOISE_EVERY_S = 0.02
+_NOISE_BYTES = 200
 _RESTARTS_IN_S = 3.0
 """A killed VM is started again and has its state by then."""
 
@@ -52,6 +59,8 @@
             _plan.Fault.KILL: self._kill,
             _plan.Fault.HERD_KILL: self._herd_kill,
             _plan.Fault.PAUSE: self._pause,
+            _plan.Fault.EVACUATE: self._evacuate,
+            _plan.Fault.PEER_NOISE: self._peer_noise,
         }
 
     async def carry_out(self, plan: list[_plan.Action]) -> None:
@@ -108,8 +117,27 @@
         self._disturb(vm.id, action.for_s + 0.1)
         await self._fleet.pause(vm, action.for_s)
 
+    async def _peer_noise(self, action: _plan.Action) -> None:
+        vm = self._vm(action)
+        address = (vm.ip, _vms.PEERS_PORT)
+        until_s = time.monotonic() + action.for_s
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            while time.monotonic() < until_s:
+                size = self._rng.randrange(_NOISE_BYTES)
+                sock.sendto(self._rng.randbytes(size), address)
+                with contextlib.suppress(OSError, anyio.BrokenResourceError):
+                    # Nobody listens while the VM starts, or it ends.
+                    stream = await anyio.connect_tcp(*address)
+                    await stream.send(self._rng.randbytes(_NOISE_BYTES))
+                    await stream.aclose()
+                await anyio.sleep(_NOISE_EVERY_S)
+
     # Operators and backend servers.
 
+    async def _evacuate(self, action: _plan.Action) -> None:
+        vm = self._vm(action)
+        await self._world.evacuate(vm.domain, _EVACUATION_S + action.for_s)
+
     async def _config(self, action: _plan.Action) -> None:
         routes = sorted(self._world.service_of)
         route = routes[action.target % len(routes)]
--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -33,6 +33,7 @@
 
     drain_s: float = 2.5
     config_apply_s: float = 2.5
+    evacuate_s: float = 5.0
     grace_s: float = 6.0
     recovery_s: float = 15.0
     least_served: float = 0.25
@@ -210,6 +211,22 @@
             yield Violation("config", run.attempt, f"{allowed} {run}")
 
 
+def _evacuated(index: _Index) -> Iterator[Violation]:
+    """An evacuated failure domain gets nothing new after a while."""
+    record = index.record
+    for run in record.runs:
+        attempt = record.attempts.get(run.attempt)
+        if attempt is None:
+            continue
+        for evacuation in record.evacuations:
+            due_s = evacuation.start_s + index.bounds.evacuate_s
+            is_inside = evacuation.domain == record.domains.get(run.server)
+            if not is_inside or not due_s < run.came_at_s < evacuation.end_s:
+                continue
+            if index.in_touch(attempt.vm, evacuation.start_s, run.came_at_s):
+                yield Violation("evacuate", run.attempt, f"{evacuation} {run}")
+
+
 def _lost(index: _Index) -> Iterator[Violation]:
     """A planned stop cuts no request that was read."""
     for stopped_s, vm in index.record.stops:
@@ -279,4 +296,11 @@
     _cold,
     _exits,
 )
-_TIMED: tuple[_Check, ...] = (_drain, _config, _lost, _deadlines, _recover)
+_TIMED: tuple[_Check, ...] = (
+    _drain,
+    _config,
+    _evacuated,
+    _lost,
+    _deadlines,
+    _recover,
+)
--- a/faultsoak/_plan.py
+++ b/faultsoak/_plan.py
@@ -14,6 +14,8 @@
 """Part of the faults that come several times in a row."""
 
 _SERIES_GAP_S = 0.4
+_LATER_MEAN_GAP_S = 5.0
+"""The same for kinds that are drawn apart; some of them last for long."""
 
 
 class Fault(enum.Enum):
@@ -93,6 +95,17 @@
 
     CALLER_DELAY = "caller-delay"
 
+    EVACUATE = "evacuate"
+    """A failure domain is to get no requests for a while."""
+
+    PEER_NOISE = "peer-noise"
+    """Datagrams and connections that mean nothing reach a VM's port for other
+    VMs."""
+
+
+_LATER = (Fault.EVACUATE, Fault.PEER_NOISE)
+"""Kinds that are drawn apart, so that older seeds keep their other faults."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Action:
@@ -116,14 +129,22 @@
         seed: what they are drawn from.
         seconds: how long faults come.
     """
-    rng = random.Random(seed)
-    kinds = list(Fault)
+    kinds = [fault for fault in Fault if fault not in _LATER]
+    plan = _draw(random.Random(seed), kinds, _MEAN_GAP_S, seconds)
+    later = random.Random(f"{seed}, later kinds")
+    plan += _draw(later, list(_LATER), _LATER_MEAN_GAP_S, seconds)
+    return sorted(plan, key=lambda action: action.at_s)
+
+
+def _draw(
+    rng: random.Random, kinds: list[Fault], mean_gap_s: float, seconds: float
+) -> list[Action]:
     plan: list[Action] = []
     at_s = _WARM_UP_S
     while True:
-        at_s += rng.expovariate(1 / _MEAN_GAP_S)
+        at_s += rng.expovariate(1 / mean_gap_s)
         if at_s >= seconds:
-            return sorted(plan, key=lambda action: action.at_s)
+            return plan
         fault = rng.choice(kinds)
         times = rng.randint(2, 3) if rng.random() < _SERIES_PART else 1
         for i in range(times):
--- a/faultsoak/_record.py
+++ b/faultsoak/_record.py
@@ -70,6 +70,17 @@
     server: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """A failure domain that was to get no requests."""
+
+    start_s: float
+    """When the store took it."""
+
+    end_s: float
+    domain: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exit:
     """A process of the fleet that ended."""
@@ -93,6 +104,10 @@
     runs: list[fakes.Arrival] = dataclasses.field(default_factory=list)
     changes: list[RouteChange] = dataclasses.field(default_factory=list)
     leavings: list[Leaving] = dataclasses.field(default_factory=list)
+    evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
+    domains: dict[str, str] = dataclasses.field(default_factory=dict)
+    """The failure domain of each backend server."""
+
     exits: list[Exit] = dataclasses.field(default_factory=list)
     stops: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     """When which VM got SIGTERM."""
--- a/faultsoak/_world.py
+++ b/faultsoak/_world.py
@@ -66,6 +66,7 @@
         """The service of each route in the newest configuration."""
 
         self._record = record
+        self._is_evacuating = False
         self._host = host
         self._rng = rng
         self._versions = itertools.count(3, 2)
@@ -138,6 +139,7 @@
         )
         server = Server(fake, entry, proxy, port)
         self.servers[name] = server
+        self._record.domains[name] = domain
         self.register(server)
         return server
 
@@ -170,6 +172,24 @@
         server.fake.crash()
         server.proxy.stop()
 
+    async def evacuate(self, domain: str, for_s: float) -> None:
+        """Has a failure domain get no requests for a while.
+
+        Does nothing while another one is evacuated: somebody has to serve.
+        """
+        if self._is_evacuating:
+            return
+        self._is_evacuating = True
+        key = f"evacuate/{domain}"
+        start_s = time.monotonic()
+        self.store.put(OPERATORS, key, b"{}")
+        await anyio.sleep(for_s)
+        self._record.evacuations.append(
+            _record.Evacuation(start_s, time.monotonic(), domain)
+        )
+        self.store.drop(OPERATORS, key)
+        self._is_evacuating = False
+
     async def crash(self, server: Server, away_s: float) -> None:
         """Ends a backend server; another one starts later, cold."""
         server.fake.crash()
@@ -213,6 +233,7 @@
         )
         taken = Server(heir, entry, server.proxy, server.port)
         self.servers[name] = taken
+        self._record.domains[name] = entry.domain
         self.register(taken)
         await anyio.sleep(_LAPSE_AFTER_S - _REUSE_AFTER_S)
         self.forget(server)
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -123,6 +123,28 @@
     assert _broken(record) == broken
 
 
+@pytest.mark.parametrize(
+    ("start_s", "end_s", "domain", "broken"),
+    [
+        pytest.param(94.9, 110.0, "a", {"evacuate"}, id="after the bound"),
+        pytest.param(95.2, 110.0, "a", set(), id="within the bound"),
+        pytest.param(90.0, 100.0, "a", set(), id="taken back"),
+        pytest.param(94.9, 110.0, "b", set(), id="another domain"),
+    ],
+)
+def test_an_evacuated_domain_gets_nothing_new(start_s, end_s, domain, broken):
+    evacuation = _record.Evacuation(start_s, end_s, domain)
+    record = _seen(
+        [_attempt()],
+        [_run()],
+        evacuations=[evacuation],
+        domains={"i-1": "a"},
+    )
+    assert _broken(record) == broken
+    record.disturb("edge-1", 95.0, 95.1)
+    assert _broken(record) == set()
+
+
 @pytest.mark.parametrize(
     ("changed_s", "broken"), [(97.4, {"config"}), (97.6, set())]
 )
--- a/faultsoak/tests/test_plan.py
+++ b/faultsoak/tests/test_plan.py
@@ -1,5 +1,8 @@
 from faultsoak import _plan
 
+_SEED_4 = ["drain", "store-cut", "herd-kill"]
+"""Its first faults before later kinds were added."""
+
 
 def test_a_seed_gives_the_same_plan_each_time():
     assert _plan.make_plan(7, 60) == _plan.make_plan(7, 60)
@@ -13,6 +16,11 @@
     assert times == sorted(times)
 
 
+def test_later_kinds_leave_the_other_faults_of_a_seed_as_they_are():
+    plan = [a for a in _plan.make_plan(4, 8) if a.fault not in _plan._LATER]
+    assert [action.fault.value for action in plan[:3]] == _SEED_4
+
+
 def test_faults_overlap():
     plan = _plan.make_plan(1, 60)
     pairs = zip(plan, plan[1:], strict=False)
