Tell a suspicion that a request raised only once

dragonfly explain printed the line "server-suspect" twice where the request itself raised it: it named the request and was a change of belief as well. The test failed before.

--- a/dragonflystack/cli/_explain.py
+++ b/dragonflystack/cli/_explain.py
@@ -73,6 +73,7 @@
         line
         for line in ordered
         if begin <= line["timestamp"] <= end
+        and line.get("request") != request
         and line["vm"] in vms
         and not line["message_type"].startswith(("request-", "send-"))
         and ("server" not in line or line["server"] in servers or not servers)
--- a/dragonflystack/cli/tests/test_explain.py
+++ b/dragonflystack/cli/tests/test_explain.py
@@ -30,6 +30,12 @@
     assert kinds == ["server-suspect", "request-sent", "request-failed"]
 
 
+def test_a_suspicion_that_the_request_itself_raised_is_told_once():
+    suspicion = _line(10.15, "server-suspect", server="s1", request="q")
+    story = _explain.find_story([*_LINES, suspicion], "q")
+    assert story.count(suspicion) == 1
+
+
 def test_a_request_that_was_never_sent_is_explained_by_all_that_changed():
     lines = [*_LINES, _line(10.3, "request-rejected", request="r")]
     story = _explain.find_story(lines, "r")
