--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -4,7 +4,7 @@
 
 
 class Event(enum.Enum):
-    """The kinds of log line; docs/PLATFORM.md explains each."""
+    """The kinds of log line; docs/OPERATIONS.md explains each."""
 
     STARTED = "started"
     STOPPING = "stopping"
--- a/dragonflystack/entryd/tests/test_journal.py
+++ b/dragonflystack/entryd/tests/test_journal.py
@@ -68,7 +68,7 @@
 
 
 def test_every_event_is_explained_to_operators():
-    page = pathlib.Path(__file__).parents[3] / "docs" / "PLATFORM.md"
+    page = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
     text = page.read_text()
     missing = [e.value for e in _events.Event if f"`{e.value}`" not in text]
     assert not missing
