Pass on removals, and keep entries that are newer than a reading

The log of all VMs shows that i-0cc046a7c8 was removed at 21.4 s and that six VMs of one region never noticed. They take their news from edge-rgb-ost-11, which had dropped that entry at -9.56 s already: its first whole reading of the store was older than entries that others had told it of meanwhile.

Now a reading removes only entries that are no newer than itself, a removal counts at the reading's version, and a VM passes on each removal that it was told of and that is confirmed, whether it knew the entry or not.

Ruled out: the mass removal (16 entries at once of 68), a lost heartbeat (the six logged the other removals of the same reading).

The tests failed before: four of test_what_was_written_after_a_reading and both of test_a_removal_is_passed_on; test_a_removal_that_is_not_confirmed passed.

--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -7,7 +7,7 @@
 """
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import datetime
 
@@ -48,6 +48,9 @@
     added: tuple[_servers.Server, ...] = ()
     leaving: tuple[_servers.Server, ...] = ()
     gone: tuple[_servers.Server, ...] = ()
+    removed: tuple[ids.BackendServerId, ...] = ()
+    """The ids that are known to be gone now, also of backend servers that this
+    VM did not know: others may."""
 
 
 class Discovery:
@@ -67,8 +70,9 @@
         """Whether a removal of many entries waits for the store to answer
         again."""
 
-        self._missing: set[ids.BackendServerId] = set()
-        self._version = 0
+        self._missing: dict[ids.BackendServerId, int] = {}
+        """The store's version at which each entry was found missing."""
+
         self._removed_at: collections.OrderedDict[ids.BackendServerId, int] = (
             collections.OrderedDict()
         )
@@ -98,13 +102,12 @@
         if from_store:
             self._on_store_answer(now)
         self.read_at = now
-        self._version = max(self._version, listing.version)
         added: list[_servers.Server] = []
         leaving: list[_servers.Server] = []
         for entry in listing.entries:
             if self._is_outdated(entry):
                 continue
-            self._missing.discard(entry.id)
+            self._missing.pop(entry.id, None)
             before = self._book.get(entry.id)
             was_leaving = before is not None and before.entry.leaving
             server, is_new = self._book.on_entry(entry, now)
@@ -112,11 +115,11 @@
                 added.append(server)
             if entry.leaving and not was_leaving:
                 leaving.append(server)
+        lost = self._find_lost(listing)
         if from_store:
-            gone = self._on_lost(listing, now)
-        else:
-            gone = self._drop({*listing.removed, *self._find_missing(listing)})
-        return Changes(tuple(added), tuple(leaving), gone)
+            lost = self._confirmed(listing, lost, now)
+        gone = self._drop(dict.fromkeys(lost, listing.version))
+        return Changes(tuple(added), tuple(leaving), gone, tuple(lost))
 
     @property
     def needs_confirmation(self) -> bool:
@@ -131,24 +134,25 @@
         elif self._grace_until is not None and now >= self._grace_until:
             self._is_unconfirmed = False
 
-    def _on_lost(
-        self, listing: Listing, now: datetime.timedelta
-    ) -> tuple[_servers.Server, ...]:
-        """Drops the entries that a listing shows to be gone, once confirmed."""
-        removed = set(listing.removed)
-        missing = self._find_missing(listing)
-        if self._is_mass_removal(removed | missing):
+    def _confirmed(
+        self,
+        listing: Listing,
+        lost: set[ids.BackendServerId],
+        now: datetime.timedelta,
+    ) -> set[ids.BackendServerId]:
+        """Returns those of the lost entries that did not merely lapse."""
+        if self._is_mass_removal(lost):
             if self._grace_until is None:
                 self._is_unconfirmed = True
                 self._grace_until = now + self.confirm_after
-            self._missing |= removed | missing
-            return ()
-        # An entry seen to go now did not lapse while the store was away.
-        gone = self._drop(removed)
+            self._missing |= dict.fromkeys(lost, listing.version)
+            return set()
         if self._grace_until is None:
-            return gone + self._drop(missing)
-        self._missing |= missing
-        return gone
+            return lost
+        # An entry seen to go now did not lapse while the store was away.
+        removed = set(listing.removed)
+        self._missing |= dict.fromkeys(lost - removed, listing.version)
+        return removed
 
     def _is_mass_removal(self, lost: set[ids.BackendServerId]) -> bool:
         """Returns whether so many go unannounced that they may have lapsed."""
@@ -175,8 +179,8 @@
             return Changes()
         self._grace_until = None
         self._is_unconfirmed = False
-        missing, self._missing = self._missing, set()
-        return Changes(gone=self._drop(missing))
+        missing, self._missing = self._missing, {}
+        return Changes(gone=self._drop(missing), removed=tuple(missing))
 
     def _is_outdated(self, entry: _servers.ServerEntry) -> bool:
         """Returns whether it was written before its backend server was gone.
@@ -186,18 +190,34 @@
         removed_at = self._removed_at.get(entry.id, 0)
         return 0 < entry.row_version <= removed_at
 
-    def _find_missing(self, listing: Listing) -> set[ids.BackendServerId]:
-        if not listing.whole:
-            return set()
-        present = {entry.id for entry in listing.entries}
-        return {s.entry.id for s in self._book.all()} - present
+    def _is_gone(self, server_id: ids.BackendServerId, version: int) -> bool:
+        """Returns whether an entry that a reading lacks is gone.
+
+        Other VMs may have told of one that was written after the reading.
+        """
+        server = self._book.get(server_id)
+        return server is None or server.entry.row_version <= version
+
+    def _find_lost(self, listing: Listing) -> set[ids.BackendServerId]:
+        """Returns the entries that a reading names as removed or lacks."""
+        lost = set(listing.removed)
+        if listing.whole:
+            present = {entry.id for entry in listing.entries}
+            lost |= {s.entry.id for s in self._book.all()} - present
+        return {
+            server_id
+            for server_id in lost
+            if self._is_gone(server_id, listing.version)
+        }
 
     def _drop(
-        self, missing: Iterable[ids.BackendServerId]
+        self, missing: Mapping[ids.BackendServerId, int]
     ) -> tuple[_servers.Server, ...]:
+        """Forgets entries, each known to be gone at a version of the store."""
         dropped = []
-        for server_id in missing:
-            self._removed_at[server_id] = self._version
+        for server_id, version in missing.items():
+            before = self._removed_at.get(server_id, 0)
+            self._removed_at[server_id] = max(before, version)
             self._removed_at.move_to_end(server_id)
             if len(self._removed_at) > _MAX_REMOVED:
                 self._removed_at.popitem(last=False)
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -132,8 +132,9 @@
             from_store: whether this VM read it itself.
         """
         changes = self.discovery.on_listing(listing, now, from_store)
-        gone = tuple(server.entry.id for server in changes.gone)
-        self.log.on_servers(position, listing.entries, gone, listing.whole)
+        self.log.on_servers(
+            position, listing.entries, changes.removed, listing.whole
+        )
         self._forget(changes)
         if changes.leaving or changes.gone:
             self._shares.on_loss(now)
@@ -159,10 +160,9 @@
         )
         changes = self.discovery.on_tick(now)
         self._forget(changes)
-        if changes.gone:
-            gone = tuple(server.entry.id for server in changes.gone)
+        if changes.removed:
             latest = self.log.position.servers + 1
-            self.log.on_servers(latest, (), gone, whole=False)
+            self.log.on_servers(latest, (), changes.removed, whole=False)
         return changes
 
     def on_round_trip(
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -141,6 +141,26 @@
     assert ("s1" in _names(book)) is known
 
 
+@pytest.mark.parametrize(("version", "kept"), [(11, True), (12, False)])
+@pytest.mark.parametrize("whole", [True, False])
+@pytest.mark.parametrize("from_store", [True, False])
+def test_what_was_written_after_a_reading_is_not_removed_by_it(
+    version, kept, whole, from_store
+):
+    """A VM that starts may hear of an entry before its own reading ends."""
+    book, discovery = _discovery_of("s2")
+    told = builders.server("s1", row_version=12)
+    discovery.on_listing(entry.Listing((told,), (), False, 12), builders.ms(5))
+    gone = () if whole else (ids.BackendServerId("s1"),)
+    rest = (builders.server("s2"),)
+    reading = entry.Listing(rest, gone, whole, version)
+    discovery.on_listing(reading, builders.ms(10), from_store)
+    assert ("s1" in _names(book)) is kept
+    again = entry.Listing((told,), (), False, 12)
+    discovery.on_listing(again, builders.ms(20), False)
+    assert ("s1" in _names(book)) is kept
+
+
 def test_news_of_another_vm_does_not_show_that_the_store_is_back():
     book, discovery = _discovery_of("s1", "s2")
     discovery.on_store_away()
--- a/dragonflystack/entry/tests/test_news.py
+++ b/dragonflystack/entry/tests/test_news.py
@@ -120,3 +120,20 @@
     log.on_servers(2, (), (ids.BackendServerId("s"),), whole=False)
     news = log.since(_news.Position(), None, frozenset(), ())
     assert news.entries == () and news.gone == ("s",)
+
+
+@pytest.mark.parametrize("from_store", [True, False])
+def test_a_removal_is_passed_on_by_a_vm_that_did_not_know_the_entry(from_store):
+    """Others may know it, and hear of its removal from this VM alone."""
+    vm = builders.entry_vm(builders.server("s1"))
+    gone = entry.Listing((), (ids.BackendServerId("s2"),), whole=False)
+    vm.on_listing(gone, 7, builders.ms(10), from_store)
+    assert vm.news_since(_news.Position(0, 6)).gone == ("s2",)
+
+
+def test_a_removal_that_is_not_confirmed_is_not_passed_on():
+    servers = [builders.server(f"s{i}") for i in range(4)]
+    vm = builders.entry_vm(*servers)
+    lost = (*(s.id for s in servers[:2]), ids.BackendServerId("unknown"))
+    vm.on_listing(entry.Listing((), lost, whole=False), 7, builders.ms(10))
+    assert vm.news_since(_news.Position(0, 6)).gone == ()
