Begin each split of a route at a random place

Cause: every VM began the round robin of a split anew with each catalogue, and all at the same place: the first requests of a whole fleet went to the service of the largest weight. With a catalogue every few seconds and a request in two seconds a VM, that was nearly all of them.

--- a/dragonflystack/entry/_routes.py
+++ b/dragonflystack/entry/_routes.py
@@ -1,10 +1,15 @@
 """Finds the route of a request and the service it goes to."""
 
 import dataclasses
+import random
 
 from dragonflystack import ids
 from dragonflystack.entry import _catalogue
 
+_PHASES = 1_000
+"""Places in the sequence of a split at which a VM may begin; more than weights
+in percent need to come round."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Split:
@@ -37,7 +42,8 @@
 class RouteTable:
     """The routes of one catalogue."""
 
-    def __init__(self, catalogue: _catalogue.Catalogue):
+    def __init__(self, catalogue: _catalogue.Catalogue, rng: random.Random):
+        self._rng = rng
         by_host: dict[str, list[_catalogue.Route]] = {}
         for route in catalogue.routes:
             by_host.setdefault(route.host, []).append(route)
@@ -60,5 +66,16 @@
             return route.destinations[0].service
         split = self._splits.get(route.id)
         if split is None:
-            split = self._splits[route.id] = _Split()
+            split = self._splits[route.id] = self._begin_split(route)
         return split.next(route)
+
+    def _begin_split(self, route: _catalogue.Route) -> _Split:
+        """Returns a split at a random place of its sequence.
+
+        Else the first requests of all VMs would go to the same service, and a
+        VM of a large fleet sees few between two catalogues.
+        """
+        split = _Split()
+        for _ in range(self._rng.randrange(_PHASES)):
+            split.next(route)
+        return split
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -85,7 +85,7 @@
         ):
             return False
         self.catalogue = catalogue
-        self._routes = _routes.RouteTable(catalogue)
+        self._routes = _routes.RouteTable(catalogue, self.rng)
         return True
 
     def on_bounds(self, bounds: _settings.FleetBounds) -> None:
