--- a/dragonflystack/entryd/_node.py
+++ b/dragonflystack/entryd/_node.py
@@ -63,11 +63,6 @@
     """Where some other VMs answer peers; some may be gone."""
 
     bounds: entry.FleetBounds
-    heartbeat: datetime.timedelta
-    """How often backend servers renew their entries."""
-
-    max_open_files: int
-    memory_bytes: int
 
 
 @dataclasses.dataclass(slots=True)
--- a/dragonflystack/entryd/tests/test_life.py
+++ b/dragonflystack/entryd/tests/test_life.py
@@ -114,9 +114,6 @@
         metrics=ports[4],
         seeds=seeds,
         bounds=entry.FleetBounds(grace=datetime.timedelta(seconds=grace_s)),
-        heartbeat=datetime.timedelta(seconds=1.5),
-        max_open_files=100,
-        memory_bytes=10**8,
     )
 
 
