--- a/dragonflystack/entryd/tests/test_life.py
+++ b/dragonflystack/entryd/tests/test_life.py
@@ -123,12 +123,21 @@
     def __init__(self):
         self.runs = 0
         self.delay_s = 0.0
+        self.is_silent = False
+        """Whether it reads a request and never answers."""
+
+        self.closed = 0
+        """Connections that were closed while it was silent."""
 
     async def __call__(self, reader, writer):
         try:
             while True:
                 await reader.readuntil(b"\r\n\r\n")
                 self.runs += 1
+                if self.is_silent:
+                    await reader.read()
+                    self.closed += 1
+                    return
                 await anyio.sleep(self.delay_s)
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nx-id: 1\r\nx-signed: s\r\n"
@@ -201,6 +210,29 @@
     _play(scenario)
 
 
+def test_work_for_a_caller_that_left_is_cancelled():
+    """Closing the connection tells the backend server to stop."""
+
+    async def scenario(platform, backend):
+        backend.is_silent = True
+        async with anyio.create_task_group() as tasks:
+            node = _start(tasks, platform, _settings())
+            await _until(lambda: node.is_ready)
+            callers = node.settings.callers
+            caller = await anyio.connect_tcp(callers.host, callers.port)
+            await caller.send(
+                b"GET /r/1 HTTP/1.1\r\nhost: shop.example\r\n"
+                b"x-id: 1\r\nx-left: 20000\r\n\r\n"
+            )
+            await _until(lambda: backend.runs == 1)
+            assert backend.closed == 0
+            await caller.aclose()
+            await _until(lambda: backend.closed == 1)
+            node.stop_asked.set()
+
+    _play(scenario)
+
+
 def test_a_vm_that_starts_while_the_store_is_out_asks_another():
     async def scenario(platform, backend):
         async with (
