Keep newer entries shortly after an outage as well

Found by reading the diff: while lapsed entries are waited for, a removal that was read was taken as it was, even if the entry was written after it. The test failed before.

--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -150,7 +150,7 @@
         if self._grace_until is None:
             return lost
         # An entry seen to go now did not lapse while the store was away.
-        removed = set(listing.removed)
+        removed = lost.intersection(listing.removed)
         self._missing |= dict.fromkeys(lost - removed, listing.version)
         return removed
 
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -161,6 +161,18 @@
     assert ("s1" in _names(book)) is kept
 
 
+@pytest.mark.parametrize(("version", "kept"), [(11, True), (12, False)])
+def test_the_same_holds_shortly_after_an_outage(version, kept):
+    """What is seen to go then goes at once, unless it is newer."""
+    book, discovery = _discovery_of("s2", "s3")
+    discovery.on_store_away()
+    told = builders.server("s1", row_version=12)
+    discovery.on_listing(entry.Listing((told,), (), False, 12), builders.ms(5))
+    removal = entry.Listing((), (ids.BackendServerId("s1"),), False, version)
+    discovery.on_listing(removal, builders.ms(10))
+    assert ("s1" in _names(book)) is kept
+
+
 def test_news_of_another_vm_does_not_show_that_the_store_is_back():
     book, discovery = _discovery_of("s1", "s2")
     discovery.on_store_away()
