Start a daemon in its tests in one place, and drop an unused argument

Found by reading the whole change again: four tests of entryd's life started a daemon, waited until it was ready and stopped it with the same lines; three of them now use _serving (the planned stop and the two daemons need their own order). Their assertions are as before. Exchange._wait took a candidate that it did not read.

--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -258,7 +258,7 @@
             self.may_have_run = True
             return _messages.Fail(_messages.Reason.TIMEOUT, timed_out=True)
         if current.server.last_heard >= self._sent_at:
-            return self._wait(current, now)
+            return self._wait(now)
         current.server.on_suspect(now)
         current.server.on_result(True, now)
         self.may_have_run = True
@@ -267,11 +267,9 @@
             if best is not None and best.expected <= self.deadline - now:
                 self._release()
                 return self._start(best, now)
-        return self._wait(current, now)
+        return self._wait(now)
 
-    def _wait(
-        self, current: _choice.Candidate, now: datetime.timedelta
-    ) -> _messages.Step:
+    def _wait(self, now: datetime.timedelta) -> _messages.Step:
         """Goes on waiting for the latest send."""
         left = self.deadline - now
         return _messages.Wait(max(_ZERO, left))
--- a/dragonflystack/entryd/tests/test_life.py
+++ b/dragonflystack/entryd/tests/test_life.py
@@ -1,6 +1,7 @@
 """A daemon in this process: it serves, is asked to stop, and ends in time."""
 
 import asyncio
+import contextlib
 import datetime
 import socket
 
@@ -172,6 +173,19 @@
     return node
 
 
+@contextlib.asynccontextmanager
+async def _serving(platform, cfg=None):
+    """Gives a daemon that is ready, and its callers' pool; stops it at last."""
+    async with (
+        httpcore.AsyncConnectionPool() as pool,
+        anyio.create_task_group() as tasks,
+    ):
+        node = _start(tasks, platform, cfg or _settings())
+        await _until(lambda: node.is_ready)
+        yield pool, node
+        node.stop_asked.set()
+
+
 async def _get(pool, node, path="/r/1", left_ms=3000):
     url = f"http://{node.settings.callers}{path}"
     headers = [*_HEADERS[:2], (b"x-left", b"%d" % left_ms)]
@@ -215,9 +229,7 @@
 
     async def scenario(platform, backend):
         backend.is_silent = True
-        async with anyio.create_task_group() as tasks:
-            node = _start(tasks, platform, _settings())
-            await _until(lambda: node.is_ready)
+        async with _serving(platform) as (_, node):
             callers = node.settings.callers
             caller = await anyio.connect_tcp(callers.host, callers.port)
             await caller.send(
@@ -228,7 +240,6 @@
             assert backend.closed == 0
             await caller.aclose()
             await _until(lambda: backend.closed == 1)
-            node.stop_asked.set()
 
     _play(scenario)
 
@@ -261,14 +272,8 @@
 
 def test_a_route_that_does_not_exist_is_told():
     async def scenario(platform, backend):
-        async with (
-            httpcore.AsyncConnectionPool() as pool,
-            anyio.create_task_group() as tasks,
-        ):
-            node = _start(tasks, platform, _settings())
-            await _until(lambda: node.is_ready)
+        async with _serving(platform) as (pool, node):
             assert (await _get(pool, node, "/none/")).status == 404
-            node.stop_asked.set()
         assert backend.runs == 0
 
     _play(scenario)
@@ -276,12 +281,8 @@
 
 def test_a_vm_that_ends_soon_takes_no_request_that_it_could_not_finish():
     async def scenario(platform, backend):
-        async with (
-            httpcore.AsyncConnectionPool() as pool,
-            anyio.create_task_group() as tasks,
-        ):
-            node = _start(tasks, platform, _settings(grace_s=6.0))
-            await _until(lambda: node.is_ready)
+        cfg = _settings(grace_s=6.0)
+        async with _serving(platform, cfg) as (pool, node):
             node.stop_asked.set()
             await _until(lambda: node.is_leaving)
             assert (await _get(pool, node)).status == 200
