Take a backend server's word that it leaves, or wants to be left alone

Cause: only the store's rows told that a backend server leaves. Change: what an answer says of an incarnation holds until a newer one is heard of, also over rows that are older, lapse and return; neighbours are told in heartbeats for a second. A backend server that asks to wait gets nothing for so long, at most 300 s, and VMs return spread over 0.5 s. If all of a service ask, callers are rejected at once with the time of the first that is free. Ruled out: telling neighbours through the news of the store, whose position is the store's version; these have none.

--- a/dragonflystack/entry/__init__.py
+++ b/dragonflystack/entry/__init__.py
@@ -24,6 +24,7 @@
 from dragonflystack.entry._catalogue import ServicePolicy
 from dragonflystack.entry._choice import Candidate
 from dragonflystack.entry._choice import Wanted
+from dragonflystack.entry._departures import Departure
 from dragonflystack.entry._discovery import Changes
 from dragonflystack.entry._discovery import Listing
 from dragonflystack.entry._exchange import Exchange
@@ -51,6 +52,7 @@
 from dragonflystack.entry._messages import Step
 from dragonflystack.entry._messages import Unknown
 from dragonflystack.entry._messages import Wait
+from dragonflystack.entry._messages import Withdrawn
 from dragonflystack.entry._news import News
 from dragonflystack.entry._news import Position
 from dragonflystack.entry._servers import Load
@@ -72,6 +74,7 @@
     "ChoiceSettings",
     "ConnectFailed",
     "Deliver",
+    "Departure",
     "Destination",
     "Drop",
     "EntryVm",
@@ -105,4 +108,5 @@
     "VmAddress",
     "Wait",
     "Wanted",
+    "Withdrawn",
 ]
--- /dev/null
+++ b/dragonflystack/entry/_context.py
@@ -0,0 +1,111 @@
+"""What the exchange of one request asks of its VM, and tells it."""
+
+from collections.abc import Container
+import datetime
+import random
+from typing import Protocol
+
+from dragonflystack import ids
+from dragonflystack.entry import _catalogue
+from dragonflystack.entry import _choice
+from dragonflystack.entry import _messages
+from dragonflystack.entry import _servers
+
+
+class Context(Protocol):
+    """What an exchange asks of its VM."""
+
+    rng: random.Random
+
+    @property
+    def late_wait_part(self) -> float:
+        """See `ChoiceSettings.late_wait_part`."""
+
+    def spent_before(
+        self, route: _catalogue.Route, request: _messages.Request
+    ) -> datetime.timedelta:
+        """Returns how long the caller had waited when the request came."""
+
+    def weigh(
+        self,
+        wanted: _choice.Wanted,
+        now: datetime.timedelta,
+        tried: Container[ids.BackendServerId],
+    ) -> list[_choice.Candidate]:
+        """Returns the backend servers that may be used, cheapest first.
+
+        Args:
+            wanted: what is asked for.
+            now: the time.
+            tried: those that are passed over, as it was sent there already.
+        """
+
+    def place(
+        self,
+        wanted: _choice.Wanted,
+        candidates: list[_choice.Candidate],
+        now: datetime.timedelta,
+    ) -> _choice.Candidate:
+        """Returns the one that serves, as the shares of regions allow.
+
+        Args:
+            wanted: what is asked for.
+            candidates: one or more, cheapest first.
+            now: the time.
+        """
+
+    def on_loss(self, now: datetime.timedelta) -> None:
+        """Notes that a backend server was lost."""
+
+    def may_resend(self, service: ids.ServiceId) -> bool:
+        """Takes one repeat out of the retry budget, if there is one."""
+
+    def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
+        """Returns when an answer that has not come shows trouble."""
+
+    def free_in(
+        self, wanted: _choice.Wanted, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns when the first backend server may be used again.
+
+        None unless all that may serve the request asked to be left alone.
+        """
+
+    def on_said_leaving(
+        self, server: _servers.Server, now: datetime.timedelta
+    ) -> bool:
+        """Notes that a backend server says it leaves.
+
+        Returns:
+            Whether that is news.
+        """
+
+    def on_asked_wait(
+        self,
+        server: _servers.Server,
+        wait: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Notes that a backend server wants no requests for a while."""
+
+    def on_sent(
+        self, candidate: _choice.Candidate, now: datetime.timedelta
+    ) -> None:
+        """Notes a send."""
+
+    def on_work(
+        self,
+        route: _catalogue.Route,
+        candidate: _choice.Candidate,
+        elapsed: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Notes how long a send took until its answer."""
+
+    def on_overdue(
+        self,
+        candidate: _choice.Candidate,
+        elapsed: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Notes how long a send had no answer when its time was over."""
--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -12,6 +12,7 @@
 import datetime
 
 from dragonflystack import ids
+from dragonflystack.entry import _departures
 from dragonflystack.entry import _servers
 
 LAPSE_GRACE = datetime.timedelta(seconds=2)
@@ -57,10 +58,14 @@
     """Applies listings to the book of backend servers."""
 
     def __init__(
-        self, book: _servers.ServerBook, confirm_after: datetime.timedelta
+        self,
+        book: _servers.ServerBook,
+        departures: _departures.Departures,
+        confirm_after: datetime.timedelta,
     ):
-        """Takes the book, and how long the removal of many is unconfirmed."""
+        """Takes what it keeps, and how long removals of many are open."""
         self._book = book
+        self._departures = departures
         self.confirm_after = confirm_after
         """Less than the users' bound for backend servers that left."""
 
@@ -107,6 +112,8 @@
         for entry in listing.entries:
             if self._is_outdated(entry):
                 continue
+            if self._departures.includes(entry):
+                entry = dataclasses.replace(entry, leaving=True)
             self._missing.pop(entry.id, None)
             before = self._book.get(entry.id)
             was_leaving = before is not None and before.entry.leaving
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -6,14 +6,12 @@
 the retry budget. What cannot be served is told at once.
 """
 
-from collections.abc import Container
 import datetime
-import random
-from typing import Protocol
 
 from dragonflystack import ids
 from dragonflystack.entry import _catalogue
 from dragonflystack.entry import _choice
+from dragonflystack.entry import _context
 from dragonflystack.entry import _messages
 from dragonflystack.entry import _servers
 
@@ -46,86 +44,12 @@
 that is still cold, or has a queue, is not silent."""
 
 
-class Context(Protocol):
-    """What an exchange asks of its VM."""
-
-    rng: random.Random
-
-    @property
-    def late_wait_part(self) -> float:
-        """See `ChoiceSettings.late_wait_part`."""
-
-    def spent_before(
-        self, route: _catalogue.Route, request: _messages.Request
-    ) -> datetime.timedelta:
-        """Returns how long the caller had waited when the request came."""
-
-    def weigh(
-        self,
-        wanted: _choice.Wanted,
-        now: datetime.timedelta,
-        tried: Container[ids.BackendServerId],
-    ) -> list[_choice.Candidate]:
-        """Returns the backend servers that may be used, cheapest first.
-
-        Args:
-            wanted: what is asked for.
-            now: the time.
-            tried: those that are passed over, as it was sent there already.
-        """
-
-    def place(
-        self,
-        wanted: _choice.Wanted,
-        candidates: list[_choice.Candidate],
-        now: datetime.timedelta,
-    ) -> _choice.Candidate:
-        """Returns the one that serves, as the shares of regions allow.
-
-        Args:
-            wanted: what is asked for.
-            candidates: one or more, cheapest first.
-            now: the time.
-        """
-
-    def on_loss(self, now: datetime.timedelta) -> None:
-        """Notes that a backend server was lost."""
-
-    def may_resend(self, service: ids.ServiceId) -> bool:
-        """Takes one repeat out of the retry budget, if there is one."""
-
-    def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
-        """Returns when an answer that has not come shows trouble."""
-
-    def on_sent(
-        self, candidate: _choice.Candidate, now: datetime.timedelta
-    ) -> None:
-        """Notes a send."""
-
-    def on_work(
-        self,
-        route: _catalogue.Route,
-        candidate: _choice.Candidate,
-        elapsed: datetime.timedelta,
-        now: datetime.timedelta,
-    ) -> None:
-        """Notes how long a send took until its answer."""
-
-    def on_overdue(
-        self,
-        candidate: _choice.Candidate,
-        elapsed: datetime.timedelta,
-        now: datetime.timedelta,
-    ) -> None:
-        """Notes how long a send had no answer when its time was over."""
-
-
 class Exchange:
     """One request of a caller, from its arrival to its outcome."""
 
     def __init__(
         self,
-        context: Context,
+        context: _context.Context,
         request: _messages.Request,
         route: _catalogue.Route,
         wanted: _choice.Wanted,
@@ -179,6 +103,10 @@
         match result:
             case _messages.Answered():
                 return self._on_answered(result, now)
+            case _messages.Withdrawn():
+                self._release()
+                self._reached -= 1
+                return self._send(now)
             case _messages.ConnectFailed():
                 return self._on_connect_failed(now)
             case _messages.Broken(_, corrupt):
@@ -200,6 +128,10 @@
         if answer.wrong_server:
             server.gone = True
             return self._again(_messages.Reason.NO_SERVER, now)
+        if answer.leaving:
+            self._context.on_said_leaving(server, now)
+        if answer.asked_wait is not None:
+            self._context.on_asked_wait(server, answer.asked_wait, now)
         if answer.not_run:
             self._on_shed(server, answer, now)
             return self._again(_messages.Reason.FULL, now)
@@ -369,6 +301,12 @@
     ) -> _messages.Step:
         if self.may_have_run:
             return _messages.Fail(why, timed_out=now >= self.deadline)
+        if best is None:
+            free_in = self._context.free_in(self.wanted, now)
+            if free_in is not None:
+                return _messages.Reject(
+                    _messages.Reason.ASKED_TO_WAIT, self._retry_after(free_in)
+                )
         wait = _LEAST_RETRY_AFTER if best is None else best.wait
         left = self._caller_leaves - now
         wait = max(wait, left * _RETRY_AFTER_PART)
--- a/dragonflystack/entry/_members.py
+++ b/dragonflystack/entry/_members.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from dragonflystack import ids
+from dragonflystack.entry import _departures
 from dragonflystack.entry import _news
 from dragonflystack.entry import _ranking
 
@@ -99,6 +100,10 @@
     address: VmAddress | None = None
     """Where the sender is, for receivers that may not know."""
 
+    departures: tuple[_departures.Departure, ...] = ()
+    """Backend servers of which the sender just learnt that they are leaving,
+    other than from the store."""
+
 
 @dataclasses.dataclass(slots=True)
 class Member:
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -23,6 +23,9 @@
     TOO_LATE = "too-late"
     """No backend server could answer before the caller leaves."""
 
+    ASKED_TO_WAIT = "asked-to-wait"
+    """Every backend server that may be used asked to be left alone."""
+
     TIMEOUT = "timeout"
     """The route's or the caller's time is over while it may be running."""
 
@@ -67,6 +70,17 @@
     """Whether another backend server has the address now."""
 
     load: _servers.Load | None = None
+    leaving: bool = False
+    """Whether the backend server says that it is leaving."""
+
+    asked_wait: datetime.timedelta | None = None
+    """How long the backend server wants no more requests, None if it does not
+    say."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """Nothing was written, as the backend server may get no more requests."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,7 +109,7 @@
     """The caller closed its connection."""
 
 
-Result = Answered | ConnectFailed | Broken | Silent | CallerGone
+Result = Answered | Withdrawn | ConnectFailed | Broken | Silent | CallerGone
 """How one send ended."""
 
 
--- a/dragonflystack/entry/_servers.py
+++ b/dragonflystack/entry/_servers.py
@@ -93,6 +93,9 @@
         self.gone = False
         """Whether it is no longer registered, or its address was reused."""
 
+        self.asked_wait_until = _ZERO
+        """Until when it asked to be left alone."""
+
         self._settings = settings
         self._failure_rate = 0.0
         self._failed_at = now
@@ -123,6 +126,10 @@
         """Returns whether new requests may be sent to it at all."""
         return not (self.gone or self.entry.leaving)
 
+    def may_get_requests(self, now: datetime.timedelta) -> bool:
+        """Returns whether requests may be written to it now."""
+        return self.may_serve() and now >= self.asked_wait_until
+
     def is_cold(self, now: datetime.timedelta) -> bool:
         """Returns whether it bears few requests yet."""
         return now < self.cold_until
@@ -184,6 +191,16 @@
         self.last_heard = now
         self.suspect_since = None
 
+    def on_asked_wait(
+        self, wait: datetime.timedelta, now: datetime.timedelta
+    ) -> None:
+        """Leaves it alone for a while, as it asked."""
+        self.asked_wait_until = max(self.asked_wait_until, now + wait)
+
+    def on_said_leaving(self) -> None:
+        """Takes its word that it is leaving."""
+        self.entry = dataclasses.replace(self.entry, leaving=True)
+
     def on_suspect(self, now: datetime.timedelta) -> None:
         """Keeps requests away until it answers a probe."""
         if self.suspect_since is None:
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -89,6 +89,14 @@
     """A request that would be late is sent only where it waits less than this
     part of its target latency."""
 
+    max_asked_wait: datetime.timedelta = _ms(300_000)
+    """Longest time that a backend server is left alone when it asks for that;
+    one that asks for longer by mistake is not lost for good."""
+
+    asked_wait_spread: datetime.timedelta = _ms(500)
+    """VMs go back to a backend server that asked to be left alone over up to
+    this time, so that they do not come as one."""
+
     silence_factor: float = 3.0
     """A request is overdue after this many times its expected time."""
 
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -10,6 +10,7 @@
 from dragonflystack.entry import _catalogue
 from dragonflystack.entry import _choice
 from dragonflystack.entry import _cold
+from dragonflystack.entry import _departures
 from dragonflystack.entry import _discovery
 from dragonflystack.entry import _exchange
 from dragonflystack.entry import _members
@@ -44,8 +45,9 @@
         self.bounds = bounds
         self.rng = rng
         self.book = _servers.ServerBook(regions, settings)
+        self._departures = _departures.Departures()
         self.discovery = _discovery.Discovery(
-            self.book, bounds.drain * _CONFIRM_PART
+            self.book, self._departures, bounds.drain * _CONFIRM_PART
         )
         self.catalogue: _catalogue.Catalogue | None = None
         self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
@@ -142,6 +144,46 @@
             self._shares.on_room(self.book.slots_by_region())
         return changes
 
+    def on_said_leaving(
+        self, server: _servers.Server, now: datetime.timedelta
+    ) -> bool:
+        """See `_context.Context.on_said_leaving`."""
+        entry = server.entry
+        if entry.leaving:
+            return False
+        departure = _departures.Departure(entry.id, entry.born, entry.sequence)
+        return bool(self.on_departures((departure,), now))
+
+    def on_departures(
+        self,
+        departures: tuple[_departures.Departure, ...],
+        now: datetime.timedelta,
+    ) -> tuple[_servers.Server, ...]:
+        """Takes in backend servers that said they leave.
+
+        Args:
+            departures: what was read in answers, here or by another VM.
+            now: the time.
+
+        Returns:
+            Those that get no new requests from now on and got some before.
+        """
+        leaving = []
+        for departure in departures:
+            if not self._departures.note(departure, now):
+                continue
+            server = self.book.get(departure.server)
+            if (
+                server is not None
+                and not server.entry.leaving
+                and self._departures.includes(server.entry)
+            ):
+                server.on_said_leaving()
+                leaving.append(server)
+        if leaving:
+            self._shares.on_loss(now)
+        return tuple(leaving)
+
     def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
         """Does what is due."""
         self.members.on_tick(now)
@@ -198,6 +240,7 @@
             is_near,
             answer_wanted,
             members.own if introduce else None,
+            self._departures.recent(now),
         )
 
     # News of the store, from it or from other VMs.
@@ -281,7 +324,7 @@
         exchange = _exchange.Exchange(self, request, route, wanted, now)
         return exchange, exchange.begin(now)
 
-    # What an exchange asks; see `_exchange.Context`.
+    # What an exchange asks; see `_context.Context`.
 
     def weigh(
         self,
@@ -289,7 +332,7 @@
         now: datetime.timedelta,
         tried: Container[ids.BackendServerId],
     ) -> list[_choice.Candidate]:
-        """See `_exchange.Context.weigh`."""
+        """See `_context.Context.weigh`."""
         may_use = functools.partial(self._may_use, now=now)
         return self._chooser.weigh(wanted, may_use, now, tried)
 
@@ -299,7 +342,7 @@
         candidates: list[_choice.Candidate],
         now: datetime.timedelta,
     ) -> _choice.Candidate:
-        """See `_exchange.Context.place`."""
+        """See `_context.Context.place`."""
         usable = {candidate.server.region for candidate in candidates}
         preferred = candidates[0].server.region
         key = wanted.object_key if wanted.route.sticky else None
@@ -307,18 +350,18 @@
         return next(c for c in candidates if c.server.region == region)
 
     def on_loss(self, now: datetime.timedelta) -> None:
-        """See `_exchange.Context.on_loss`."""
+        """See `_context.Context.on_loss`."""
         self._shares.on_loss(now)
 
     @property
     def late_wait_part(self) -> float:
-        """See `_exchange.Context.late_wait_part`."""
+        """See `_context.Context.late_wait_part`."""
         return self._settings.late_wait_part
 
     def spent_before(
         self, route: _catalogue.Route, request: _messages.Request
     ) -> datetime.timedelta:
-        """See `_exchange.Context.spent_before`.
+        """See `_context.Context.spent_before`.
 
         All first attempts on a route come with about the same time left; one
         that comes with less has been waiting.
@@ -331,17 +374,44 @@
         return most - left
 
     def may_resend(self, service: ids.ServiceId) -> bool:
-        """See `_exchange.Context.may_resend`."""
+        """See `_context.Context.may_resend`."""
         return self._budgets.of(service).take()
 
     def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
-        """See `_exchange.Context.overdue_after`."""
+        """See `_context.Context.overdue_after`."""
         return candidate.expected * self._settings.silence_factor
 
+    def free_in(
+        self, wanted: _choice.Wanted, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """See `_context.Context.free_in`."""
+        frees = [
+            server.asked_wait_until
+            for server in self.book.of_service(wanted.service)
+            if server.may_serve()
+            and server.suspect_since is None
+            and server.entry.domain not in self.evacuated
+            and (not wanted.regions or server.region in wanted.regions)
+        ]
+        first = min(frees, default=now)
+        return first - now if first > now else None
+
+    def on_asked_wait(
+        self,
+        server: _servers.Server,
+        wait: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """See `_context.Context.on_asked_wait`."""
+        settings = self._settings
+        spread = min(wait, settings.asked_wait_spread) * self.rng.random()
+        wait = min(wait, settings.max_asked_wait) + spread
+        server.on_asked_wait(wait, now)
+
     def on_sent(
         self, candidate: _choice.Candidate, now: datetime.timedelta
     ) -> None:
-        """See `_exchange.Context.on_sent`."""
+        """See `_context.Context.on_sent`."""
         if candidate.server.is_cold(now):
             self._cold.on_sent(candidate.server, now)
 
@@ -352,7 +422,7 @@
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """See `_exchange.Context.on_work`."""
+        """See `_context.Context.on_work`."""
         self._chooser.on_work(route, candidate, elapsed, now)
 
     def on_overdue(
@@ -361,7 +431,7 @@
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """See `_exchange.Context.on_overdue`."""
+        """See `_context.Context.on_overdue`."""
         self._chooser.on_overdue(candidate, elapsed, now)
 
     def _make_budgets(self) -> _budgets.RetryBudgets:
@@ -387,7 +457,9 @@
     def _may_use(
         self, server: _servers.Server, now: datetime.timedelta
     ) -> bool:
-        if not server.may_serve() or server.suspect_since is not None:
+        if not server.may_get_requests(now):
+            return False
+        if server.suspect_since is not None:
             return False
         if server.entry.domain in self.evacuated:
             return False
--- /dev/null
+++ b/dragonflystack/entry/tests/test_asked_waits.py
@@ -0,0 +1,132 @@
+"""Backend servers that ask to be left alone for a while."""
+
+import datetime
+
+import pytest
+
+from dragonflystack import entry
+from dragonflystack import ids
+from dragonflystack.entry.tests import builders
+
+_SECOND = datetime.timedelta(seconds=1)
+_SETTINGS = entry.ChoiceSettings()
+
+
+def _asks(wait_s):
+    wait = datetime.timedelta(seconds=wait_s)
+    return entry.Answered(503, not_run=True, asked_wait=wait)
+
+
+def _vm(*names):
+    return builders.entry_vm(
+        *(builders.server(name) for name in names),
+        routes=(builders.route(sticky=False),),
+    )
+
+
+def _open(vm, at, **changes):
+    now = builders.ms(at)
+    exchange, step = vm.open(builders.request(None, **changes), now)
+    return exchange, step, now
+
+
+def test_others_take_over_until_the_time_is_over():
+    vm = _vm("s1", "s2")
+    exchange, step, now = _open(vm, 10)
+    asking = step.server
+    step = exchange.on_result(_asks(4), now)
+    assert isinstance(step, entry.Send)
+    assert step.server is not asking
+    exchange.on_result(entry.Answered(200), now)
+    for at in range(20, 4_000, 20):
+        exchange, step, now = _open(vm, at)
+        assert step.server is not asking
+        exchange.on_result(entry.Answered(200), now)
+    later = 10 + 4_000 + _SETTINGS.asked_wait_spread / builders.ms(1)
+    reached = set()
+    for i in range(40):
+        exchange, step, now = _open(vm, later + i)
+        reached.add(step.server)
+        exchange.on_result(entry.Answered(200), now)
+    assert asking in reached
+
+
+def test_if_all_ask_callers_are_told_at_once_when_the_first_is_free():
+    vm = _vm("s1", "s2")
+    exchange, _, now = _open(vm, 10)
+    exchange.on_result(_asks(3), now)
+    step = exchange.on_result(_asks(1), now)
+    assert isinstance(step, entry.Reject)
+    assert step.reason is entry.Reason.ASKED_TO_WAIT
+    _, step, now = _open(vm, 500)
+    assert isinstance(step, entry.Reject)
+    left = builders.ms(510) - now + _SECOND / 2
+    assert left <= step.retry_after <= 2 * _SECOND
+
+
+def test_returns_of_callers_and_vms_are_spread():
+    waits = set()
+    frees = set()
+    for seed in range(20):
+        vm = _vm("s1")
+        vm.rng.seed(seed)
+        exchange, _, now = _open(vm, 10)
+        step = exchange.on_result(_asks(2), now)
+        assert isinstance(step, entry.Reject)
+        waits.add(step.retry_after)
+        server = next(iter(vm.book.all()))
+        frees.add(server.asked_wait_until)
+        assert server.asked_wait_until >= now + 2 * _SECOND
+    assert len(waits) > 15
+    assert len(frees) > 15
+
+
+@pytest.mark.parametrize(
+    ("asked_s", "waited_s"),
+    [
+        pytest.param(0, 0, id="nothing"),
+        pytest.param(0.25, 0.25, id="a fraction"),
+        pytest.param(1e6, 300, id="more than the longest"),
+    ],
+)
+def test_the_longest_wait_is_bounded(asked_s, waited_s):
+    vm = _vm("s1")
+    exchange, _, now = _open(vm, 10)
+    exchange.on_result(_asks(asked_s), now)
+    server = next(iter(vm.book.all()))
+    waited = server.asked_wait_until - now
+    least = datetime.timedelta(seconds=waited_s)
+    assert least <= waited <= least + _SETTINGS.asked_wait_spread
+
+
+def test_a_shorter_wait_does_not_end_a_longer_one():
+    vm = _vm("s1")
+    server = next(iter(vm.book.all()))
+    server.on_asked_wait(builders.ms(4_000), builders.ms(0))
+    server.on_asked_wait(builders.ms(100), builders.ms(10))
+    assert not server.may_get_requests(builders.ms(3_900))
+    assert server.may_get_requests(builders.ms(4_000))
+
+
+def test_a_failure_that_ran_also_asks():
+    """The wait holds, and the caller gets the backend server's own failure."""
+    vm = _vm("s1", "s2")
+    exchange, step, now = _open(vm, 10)
+    asking = step.server
+    wait = datetime.timedelta(seconds=2)
+    exchange.on_result(entry.Answered(503, asked_wait=wait), now)
+    assert not asking.may_get_requests(builders.ms(1_000))
+
+
+def test_servers_of_regions_that_may_not_serve_do_not_count():
+    home = frozenset([ids.RegionId("a")])
+    route = builders.route(sticky=False, regions=home)
+    vm = builders.entry_vm(
+        builders.server("s1", "b1"), builders.server("s2"), routes=(route,)
+    )
+    for server in vm.book.all():
+        wait = 1_000 if server.entry.id == "s1" else 6_000
+        server.on_asked_wait(builders.ms(wait), builders.ms(0))
+    _, step, _ = _open(vm, 10)
+    assert isinstance(step, entry.Reject)
+    assert step.retry_after >= builders.ms(5_900)
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -4,6 +4,7 @@
 
 from dragonflystack import entry
 from dragonflystack import ids
+from dragonflystack.entry import _departures
 from dragonflystack.entry import _discovery
 from dragonflystack.entry import _servers
 from dragonflystack.entry.tests import builders
@@ -11,7 +12,9 @@
 
 def _discovery_of(*names):
     book = _servers.ServerBook(builders.REGIONS, entry.ChoiceSettings())
-    discovery = _discovery.Discovery(book, builders.ms(1250))
+    discovery = _discovery.Discovery(
+        book, _departures.Departures(), builders.ms(1250)
+    )
     entries = tuple(builders.server(name) for name in names)
     discovery.on_listing(entry.Listing(entries, (), True), builders.ms(0))
     return book, discovery
