Bound all that is read of one answer, and read what it says of its server

Only the body was bounded, and only for each answer. The headers that tell of leaving and of waits are read here; a request that was chosen and not yet written goes elsewhere. Found by the fuzz test: bytes that are no HTTP behind a whole answer in the same read spoilt that answer; it is delivered now and the connection closed. Trailers no longer pass as headers.

--- a/dragonflystack/entryd/__init__.py
+++ b/dragonflystack/entryd/__init__.py
@@ -14,6 +14,7 @@
 from dragonflystack import clock
 from dragonflystack import entry
 from dragonflystack import ids
+from dragonflystack.entryd._answer_reader import AnswerLimits
 from dragonflystack.entryd._dialect import Dialect
 from dragonflystack.entryd._journal import Journal
 from dragonflystack.entryd._metrics import Metrics
@@ -29,6 +30,7 @@
 from dragonflystack.entryd._run import run
 
 __all__ = [
+    "AnswerLimits",
     "Apps",
     "Dialect",
     "Endpoint",
--- a/dragonflystack/entryd/_connections.py
+++ b/dragonflystack/entryd/_connections.py
@@ -1,9 +1,4 @@
-"""Connections to backend servers, each carrying one request at a time.
-
-The answers are parsed by httptools. A backend server may answer twice: the
-second answer then stands where the next request's is due. It is told by the id
-that it echoes, and passed over.
-"""
+"""Connections to backend servers, each carrying one request at a time."""
 
 import asyncio
 import collections
@@ -11,12 +6,9 @@
 import datetime
 import socket
 
-import httptools
-
 from dragonflystack import clock
+from dragonflystack.entryd import _answer_reader
 
-_FIRST_FINAL_STATUS = 200
-_NO_BODY_STATUSES = frozenset((204, 304))
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
@@ -24,9 +16,6 @@
 """Unacknowledged bytes for so long show that the other side is out of reach."""
 
 _MAX_IDLE_PER_SERVER = 8
-_DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=5)
-"""Assumed where a backend server does not say how long it keeps idle ones."""
-
 _KEEP_ALIVE_PART = 0.5
 """Part of that time after which an idle connection is not used again; the
 other end may close it while a request is on its way."""
@@ -36,84 +25,57 @@
     """No connection could be made; nothing was written."""
 
 
-class BrokenError(Exception):
-    """The connection failed after something was written."""
-
-
-class CorruptError(Exception):
-    """What came is no whole answer to the request."""
-
-
-@dataclasses.dataclass(slots=True)
-class Answer:
-    """A whole answer."""
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    """Names as the backend server spelled them."""
-
-    body: bytes
-
-    def header(self, name: bytes) -> bytes | None:
-        """Returns the first header of that lower-case name, or None."""
-        for key, value in self.headers:
-            if key.lower() == name:
-                return value
-        return None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Outgoing:
-    """A request as it goes over the connection."""
-
-    head: bytes
-    body: bytes
-    request_id: bytes
-    """The id that its answer has to echo; empty if none is expected."""
-
-    has_no_answer_body: bool = False
-    """Whether the answer has no body whatever it says (HEAD)."""
-
-
 class Connection(asyncio.Protocol):
     """One connection to a backend server."""
 
-    def __init__(self, id_header: bytes, max_body_bytes: int):
-        self._id_header = id_header
-        self._max_body_bytes = max_body_bytes
-        self._parser = httptools.HttpResponseParser(self)
+    def __init__(self, reader: _answer_reader.AnswerReader, held: "_Held"):
+        self._reader = reader
+        self._held = held
         self._transport: asyncio.Transport | None = None
-        self._outgoing: Outgoing | None = None
-        self._future: asyncio.Future[Answer] | None = None
-        self._status = 0
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._parts: list[bytes] = []
-        self._size = 0
-        self._echoed: bytes | None = None
-        self._is_framed = False
-        self._in_message = False
-        self.is_reusable = True
-        """Whether another request may go over it."""
-
-        self.keep_alive = _DEFAULT_KEEP_ALIVE
+        self._future: asyncio.Future[_answer_reader.Answer] | None = None
         self.heard_at = datetime.timedelta()
         """When its last answer ended, set by the pool."""
 
-    def send(self, outgoing: Outgoing) -> "asyncio.Future[Answer]":
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may go over it."""
+        return self._reader.is_reusable
+
+    @property
+    def keep_alive(self) -> datetime.timedelta:
+        """How long the other end keeps it when idle."""
+        return self._reader.keep_alive
+
+    @property
+    def held_bytes(self) -> int:
+        """How much of a body it holds now."""
+        return self._reader.held_bytes
+
+    def send(
+        self, outgoing: _answer_reader.Outgoing
+    ) -> "asyncio.Future[_answer_reader.Answer]":
         """Writes a request; the future ends with its answer or an error."""
         assert self._transport is not None
-        self._outgoing = outgoing
+        self._reader.expect(outgoing)
         self._future = asyncio.get_running_loop().create_future()
         self._transport.write(outgoing.head + outgoing.body)
         return self._future
 
     def close(self) -> None:
         """Closes it at once; what was not written is dropped."""
-        self.is_reusable = False
+        self._reader.is_reusable = False
         self._future = None
+        self._held.forget(self)
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, exc: Exception) -> None:
+        """Closes it, and ends the request that waits on it with an error."""
+        future = self._future
+        self.close()
+        if future is not None and not future.done():
+            future.set_exception(exc)
+
     # asyncio.Protocol
 
     def connection_made(self, transport):
@@ -127,120 +89,67 @@
             self.close()
             return
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
-            self._fail(CorruptError(f"not HTTP: {exc}"))
+            answer = self._reader.feed(data)
+        except _answer_reader.CorruptError as exc:
+            self.fail(exc)
+            return
+        if answer is None:
+            self._held.on_growth(self)
+        else:
+            self._end(answer)
 
     def eof_received(self):
         """Ends an answer whose end is the end of the connection."""
-        if self._future is not None and self._ends_with_connection():
-            self._end_message()
+        self._finish(None)
         return False
 
     def connection_lost(self, exc):
         """See `asyncio.Protocol`."""
-        self.is_reusable = False
-        if self._future is None:
-            return
-        if exc is None and self._ends_with_connection():
-            self._end_message()
-        elif self._in_message:
-            self._fail(CorruptError("the answer broke off"))
-        else:
-            reason = "closed" if exc is None else str(exc)
-            self._fail(BrokenError(f"no answer: {reason}"))
-
-    # Callbacks of the parser
+        self._finish(exc)
 
-    def on_message_begin(self):
-        """Starts an answer."""
-        self._reset_message()
-        self._in_message = True
+    def _finish(self, cause: Exception | None) -> None:
+        self._reader.is_reusable = False
         if self._future is None:
-            self.is_reusable = False
-
-    def on_header(self, name, value):
-        """Takes in a header."""
-        self._headers.append((name, value))
-
-    def on_headers_complete(self):
-        """Takes in the status."""
-        self._status = self._parser.get_status_code()
-        for name, value in self._headers:
-            lower = name.lower()
-            if lower in (b"content-length", b"transfer-encoding"):
-                self._is_framed = True
-            elif lower == self._id_header:
-                self._echoed = value
-            elif lower == b"keep-alive":
-                self._read_keep_alive(value)
-        outgoing = self._outgoing
-        if outgoing is not None and outgoing.has_no_answer_body:
-            self.is_reusable = False
-            self._end_message()
-
-    def on_body(self, body):
-        """Takes in a part of the body."""
-        self._size += len(body)
-        if self._size > self._max_body_bytes:
-            self._fail(CorruptError("the answer is larger than allowed"))
             return
-        self._parts.append(body)
+        try:
+            self._end(self._reader.finish(cause))
+        except (
+            _answer_reader.BrokenError,
+            _answer_reader.CorruptError,
+        ) as exc:
+            self.fail(exc)
+
+    def _end(self, answer: _answer_reader.Answer) -> None:
+        self._held.forget(self)
+        future, self._future = self._future, None
+        if future is not None and not future.done():
+            future.set_result(answer)
 
-    def on_message_complete(self):
-        """Ends an answer."""
-        if self._status < _FIRST_FINAL_STATUS:
-            self._in_message = False
-            return
-        if not self._parser.should_keep_alive():
-            self.is_reusable = False
-        self._end_message()
-
-    # Its own steps
-
-    def _reset_message(self) -> None:
-        self._status = 0
-        self._headers = []
-        self._parts = []
-        self._size = 0
-        self._echoed = None
-        self._is_framed = False
-
-    def _ends_with_connection(self) -> bool:
-        return (
-            self._in_message
-            and self._status >= _FIRST_FINAL_STATUS
-            and not self._is_framed
-            and self._status not in _NO_BODY_STATUSES
-        )
 
-    def _end_message(self) -> None:
-        self._in_message = False
-        future = self._future
-        outgoing = self._outgoing
-        if future is None or outgoing is None:
-            self.is_reusable = False
-            return
-        echoed = self._echoed
-        expected = outgoing.request_id
-        if expected and echoed is not None and echoed != expected:
-            return
-        self._future = None
-        answer = Answer(self._status, self._headers, b"".join(self._parts))
-        if not future.done():
-            future.set_result(answer)
+class _Held:
+    """How much of answers is held until they are whole, and the bound on it."""
 
-    def _fail(self, exc: Exception) -> None:
-        future, self._future = self._future, None
-        self.close()
-        if future is not None and not future.done():
-            future.set_exception(exc)
+    def __init__(self, limit_bytes: int):
+        self._limit_bytes = limit_bytes
+        self._sizes: dict[Connection, int] = {}
+        self._total = 0
+
+    def on_growth(self, conn: Connection) -> None:
+        """Counts what a connection holds; drops the largest if it is much."""
+        size = conn.held_bytes
+        self._total += size - self._sizes.get(conn, 0)
+        self._sizes[conn] = size
+        while self._total > self._limit_bytes:
+            largest = max(self._sizes, key=self._sizes.__getitem__)
+            largest.fail(
+                _answer_reader.CorruptError(
+                    f"answers being read hold over {self._limit_bytes} bytes"
+                )
+            )
 
-    def _read_keep_alive(self, value: bytes) -> None:
-        for part in value.split(b","):
-            name, _, seconds = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and seconds.strip().isdigit():
-                self.keep_alive = datetime.timedelta(seconds=int(seconds))
+    def forget(self, conn: Connection) -> None:
+        """Notes that a connection holds nothing any more."""
+        self._total -= self._sizes.pop(conn, 0)
 
 
 def _set_options(sock: socket.socket | None) -> None:
@@ -272,9 +181,15 @@
 class Pool:
     """Idle connections to backend servers, and the making of new ones."""
 
-    def __init__(self, id_header: bytes, max_body_bytes: int, now: clock.Clock):
+    def __init__(
+        self,
+        id_header: bytes,
+        limits: _answer_reader.AnswerLimits,
+        now: clock.Clock,
+    ):
         self._id_header = id_header
-        self._max_body_bytes = max_body_bytes
+        self._limits = limits
+        self._held = _Held(limits.held_bytes)
         self._clock = now
         self._idle: dict[Address, collections.deque[Connection]] = {}
         self.opened = 0
@@ -309,7 +224,7 @@
         """
         loop = asyncio.get_running_loop()
         making = loop.create_connection(
-            lambda: Connection(self._id_header, self._max_body_bytes),
+            self._make_connection,
             address.host,
             address.port,
         )
@@ -323,6 +238,10 @@
         self.opened += 1
         return conn
 
+    def _make_connection(self) -> Connection:
+        reader = _answer_reader.AnswerReader(self._id_header, self._limits)
+        return Connection(reader, self._held)
+
     def give_back(self, address: Address, conn: Connection) -> None:
         """Keeps a connection for later, or closes it if it is no good."""
         if not conn.is_reusable:
--- a/dragonflystack/entryd/_dialect.py
+++ b/dragonflystack/entryd/_dialect.py
@@ -37,6 +37,9 @@
     cold_left_ms: bytes
     """Carries how long a probed backend server stays cold."""
 
+    leaving: bytes
+    """Stands on each answer of a backend server that is leaving."""
+
     wrong_server_status: int = 421
     """The status of another backend server that has the address now."""
 
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -20,6 +20,8 @@
     SERVER_ADDED = "server-added"
     SERVER_LEAVING = "server-leaving"
     SERVER_GONE = "server-gone"
+    SERVER_ASKED_WAIT = "server-asked-wait"
+    RETRY_AFTER_SKIPPED = "retry-after-skipped"
     SERVER_SUSPECT = "server-suspect"
     SERVER_BACK = "server-back"
     VM_HEARD = "vm-heard"
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -5,6 +5,7 @@
 from dragonflystack import _asgi
 from dragonflystack import _hop_headers
 from dragonflystack import entry
+from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
@@ -72,7 +73,7 @@
         step: entry.Step = entry.Reject(entry.Reason.STOPPING, _COME_BACK)
         if not self._is_too_late(request):
             exchange, step = node.vm.open(request, node.now())
-        answer: _connections.Answer | None = None
+        answer: _answer_reader.Answer | None = None
         if exchange is not None:
             run = _sending.Run(
                 node, self._pool, scope, receive, request, exchange, body
@@ -103,7 +104,7 @@
         request: entry.Request,
         exchange: entry.Exchange | None,
         step: entry.Step,
-        answer: _connections.Answer | None,
+        answer: _answer_reader.Answer | None,
         began: datetime.timedelta,
     ) -> None:
         node = self._node
@@ -150,7 +151,7 @@
 async def _reply(
     send: _asgi.Send,
     step: entry.Step,
-    answer: _connections.Answer | None,
+    answer: _answer_reader.Answer | None,
     method: str,
 ) -> None:
     """Gives the caller its final answer."""
@@ -173,7 +174,7 @@
 
 
 async def _deliver(
-    send: _asgi.Send, answer: _connections.Answer, method: str
+    send: _asgi.Send, answer: _answer_reader.Answer, method: str
 ) -> None:
     headers = list(_hop_headers.end_to_end(answer.headers))
     if method == "HEAD":
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -12,6 +12,7 @@
 from dragonflystack import entry
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _node
+from dragonflystack.entryd import _server_reports
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(entry.Heartbeat)
@@ -71,6 +72,8 @@
                 phase=beat.phase.value,
                 incarnation=beat.incarnation,
             )
+        for server in node.vm.on_departures(beat.departures, now):
+            _server_reports.note_leaving(node, server, beat.vm)
         own = node.vm.log.position
         if (
             beat.position.operators > own.operators
--- a/dragonflystack/entryd/_node.py
+++ b/dragonflystack/entryd/_node.py
@@ -8,6 +8,7 @@
 from dragonflystack import clock
 from dragonflystack import entry
 from dragonflystack import ids
+from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _dialect
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
@@ -63,6 +64,7 @@
     """Where some other VMs answer peers; some may be gone."""
 
     bounds: entry.FleetBounds
+    answers: _answer_reader.AnswerLimits = _answer_reader.AnswerLimits()
 
 
 @dataclasses.dataclass(slots=True)
--- a/dragonflystack/entryd/_probes.py
+++ b/dragonflystack/entryd/_probes.py
@@ -9,10 +9,12 @@
 import anyio
 
 from dragonflystack import entry
+from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _node
+from dragonflystack.entryd import _server_reports
 
 _EVERY = datetime.timedelta(milliseconds=700)
 _TIMEOUT = datetime.timedelta(milliseconds=600)
@@ -32,10 +34,12 @@
         while True:
             spread = 0.75 + 0.5 * node.vm.rng.random()
             await anyio.sleep(_EVERY.total_seconds() * spread)
+            now = node.now()
             suspects = [
                 server
                 for server in node.vm.book.all()
-                if server.suspect_since is not None and server.may_serve()
+                if server.suspect_since is not None
+                and server.may_get_requests(now)
             ]
             async with anyio.create_task_group() as tasks:
                 for server in suspects:
@@ -50,19 +54,20 @@
         except (
             TimeoutError,
             _connections.ConnectError,
-            _connections.BrokenError,
-            _connections.CorruptError,
+            _answer_reader.BrokenError,
+            _answer_reader.CorruptError,
         ) as exc:
             node.metrics.count("probes-failed", why=type(exc).__name__)
             return
-        if answer.status != _OK or server.suspect_since is None:
-            return
         now = node.now()
-        since = server.suspect_since
         named = answer.header(node.dialect.server_id)
         if named is not None and named.decode("latin-1") != server.entry.id:
             server.gone = True
             return
+        self._take_in_report(server, answer)
+        since = server.suspect_since
+        if answer.status != _OK or since is None:
+            return
         cold = answer.header(node.dialect.cold_left_ms)
         left = None if cold is None else node.dialect.read_milliseconds(cold)
         if left is not None and left > datetime.timedelta():
@@ -75,7 +80,22 @@
             cold_left_ms=_journal.milliseconds(left),
         )
 
-    async def _ask(self, server: entry.Server) -> _connections.Answer:
+    def _take_in_report(
+        self, server: entry.Server, answer: _answer_reader.Answer
+    ) -> None:
+        """Takes in that it leaves, or wants to be left alone."""
+        node = self._node
+        now = node.now()
+        if _server_reports.says_leaving(
+            node, answer
+        ) and node.vm.on_said_leaving(server, now):
+            _server_reports.note_leaving(node, server, "probe")
+        wait = _server_reports.asked_wait(node, answer, server)
+        if wait is not None:
+            node.vm.on_asked_wait(server, wait, now)
+            _server_reports.note_asked_wait(node, server)
+
+    async def _ask(self, server: entry.Server) -> _answer_reader.Answer:
         catalogue = self._node.vm.catalogue
         policy = None
         if catalogue is not None:
@@ -86,7 +106,7 @@
         conn = await self._pool.connect(address, _TIMEOUT)
         head = f"GET {path} HTTP/1.1\r\nhost: {target.host}\r\n\r\n"
         try:
-            outgoing = _connections.Outgoing(head.encode("latin-1"), b"", b"")
+            outgoing = _answer_reader.Outgoing(head.encode("latin-1"), b"", b"")
             return await conn.send(outgoing)
         finally:
             conn.close()
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -31,8 +31,6 @@
 callers have given up the answers that named this VM."""
 
 _DRAIN_POLL_S = 0.05
-_MAX_BODY_BYTES = 33_554_432
-"""Largest answer of a backend server that is held in memory."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,9 +64,7 @@
         region=cfg.region,
         domain=cfg.domain,
     )
-    pool = _connections.Pool(
-        node.dialect.request_id, _MAX_BODY_BYTES, node.clock
-    )
+    pool = _connections.Pool(node.dialect.request_id, cfg.answers, node.clock)
     heartbeats = _heartbeats.Heartbeats(node)
     await heartbeats.open()
     sync = _sync.Sync(node, platform)
--- a/dragonflystack/entryd/_sending.py
+++ b/dragonflystack/entryd/_sending.py
@@ -7,10 +7,12 @@
 from dragonflystack import _asgi
 from dragonflystack import _hop_headers
 from dragonflystack import entry
+from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _node
+from dragonflystack.entryd import _server_reports
 
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=350)
 """A connection to another region takes 70 ms; one lost packet costs 200."""
@@ -33,9 +35,10 @@
 class _Sending:
     """A send under way."""
 
+    server: entry.Server
     address: _connections.Address
     conn: _connections.Connection
-    answer: "asyncio.Future[_connections.Answer]"
+    answer: "asyncio.Future[_answer_reader.Answer]"
 
 
 class Run:
@@ -59,7 +62,8 @@
         self._exchange = exchange
         self._body = body
         self._watch: asyncio.Task | None = None
-        self.answer: _connections.Answer | None = None
+        self._server: entry.Server | None = None
+        self.answer: _answer_reader.Answer | None = None
         """The latest whole answer."""
 
     async def carry_out(self, step: entry.Step) -> entry.Step:
@@ -71,10 +75,10 @@
                 if isinstance(step, entry.Send):
                     sending = None
                     started = await self._start(step)
-                    if isinstance(started, entry.ConnectFailed):
-                        result = started
-                    else:
+                    if isinstance(started, _Sending):
                         sending = started
+                    else:
+                        result = started
                 if sending is not None:
                     result = await self._result(sending, step.patience)
                 assert result is not None
@@ -97,22 +101,18 @@
 
     def _decide(self, result: entry.Result) -> entry.Step:
         exchange = self._exchange
-        before = exchange.wanted.service
-        server = exchange.sends[-1].server
-        known = self._node.vm.book.get(server)
-        was_suspect = known is None or known.suspect_since is not None
+        server = self._server
+        assert server is not None
+        was_suspect = server.suspect_since is not None
+        was_leaving = server.entry.leaving
+        waited_until = server.asked_wait_until
         step = exchange.on_result(result, self._node.now())
-        if not was_suspect and known and known.suspect_since is not None:
-            self._node.note(
-                _events.Event.SERVER_SUSPECT,
-                server=server,
-                service=before,
-                request=self._request.id,
-                why=type(result).__name__,
-                heard_age_ms=_journal.milliseconds(
-                    self._node.now() - known.last_heard
-                ),
-            )
+        if not was_suspect and server.suspect_since is not None:
+            self._note_suspect(server, result)
+        if server.entry.leaving and not was_leaving:
+            _server_reports.note_leaving(self._node, server, "answer")
+        if server.asked_wait_until != waited_until:
+            _server_reports.note_asked_wait(self._node, server)
         if isinstance(result, entry.Answered) and isinstance(
             step, entry.Deliver
         ):
@@ -125,20 +125,31 @@
         self._node.note(
             event,
             request=self._request.id,
-            service=before,
-            server=server,
+            service=exchange.wanted.service,
+            server=server.entry.id,
             result=type(result).__name__,
             detail=getattr(result, "reason", getattr(result, "status", None)),
             next=type(step).__name__,
         )
         return step
 
+    def _note_suspect(self, server: entry.Server, result: entry.Result) -> None:
+        heard_age = self._node.now() - server.last_heard
+        self._node.note(
+            _events.Event.SERVER_SUSPECT,
+            server=server.entry.id,
+            service=server.entry.service,
+            request=self._request.id,
+            why=type(result).__name__,
+            heard_age_ms=_journal.milliseconds(heard_age),
+        )
+
     # One send.
 
     async def _start(
         self, step: entry.Send
-    ) -> "_Sending | entry.ConnectFailed":
-        server = step.server
+    ) -> "_Sending | entry.ConnectFailed | entry.Withdrawn":
+        server = self._server = step.server
         address = _connections.Address(
             f"{server.entry.id}/{server.entry.born}",
             server.entry.host,
@@ -156,9 +167,13 @@
             took = self._node.now() - began
             self._node.vm.on_round_trip(server, took)
             self._node.metrics.count("connections-opened")
+            if not server.may_get_requests(self._node.now()):
+                # Another answer was read while the connection was made.
+                self._pool.give_back(address, conn)
+                return entry.Withdrawn()
         left = step.time_left - (self._node.now() - began)
         answer = conn.send(self._outgoing(step, left))
-        return _Sending(address, conn, answer)
+        return _Sending(server, address, conn, answer)
 
     async def _result(
         self, sending: _Sending, patience: datetime.timedelta
@@ -170,16 +185,16 @@
             return entry.Silent()
         try:
             answer = sending.answer.result()
-        except _connections.BrokenError as exc:
+        except _answer_reader.BrokenError as exc:
             return entry.Broken(str(exc))
-        except _connections.CorruptError as exc:
+        except _answer_reader.CorruptError as exc:
             return entry.Broken(str(exc), corrupt=True)
         self._pool.give_back(sending.address, sending.conn)
-        return self._judge(answer)
+        return self._judge(answer, sending.server)
 
     async def _settles(
         self,
-        answer: "asyncio.Future[_connections.Answer]",
+        answer: "asyncio.Future[_answer_reader.Answer]",
         patience: datetime.timedelta,
     ) -> bool:
         """Waits for an answer; returns whether it came.
@@ -214,7 +229,9 @@
         sending.answer.cancel()
         self._pool.close_idle(sending.address)
 
-    def _judge(self, answer: _connections.Answer) -> entry.Result:
+    def _judge(
+        self, answer: _answer_reader.Answer, server: entry.Server
+    ) -> entry.Result:
         dialect = self._node.dialect
         self.answer = answer
         load = answer.header(dialect.load)
@@ -223,6 +240,8 @@
             not_run=answer.header(dialect.not_run) is not None,
             wrong_server=answer.status == dialect.wrong_server_status,
             load=None if load is None else dialect.read_load(load),
+            leaving=_server_reports.says_leaving(self._node, answer),
+            asked_wait=_server_reports.asked_wait(self._node, answer, server),
         )
         if answer.status in _SUCCESS:
             if answer.header(dialect.signature) is None:
@@ -238,7 +257,7 @@
 
     def _outgoing(
         self, step: entry.Send, left: datetime.timedelta
-    ) -> _connections.Outgoing:
+    ) -> _answer_reader.Outgoing:
         dialect = self._node.dialect
         scope = self._scope
         method = scope["method"].encode("ascii")
@@ -255,7 +274,7 @@
             lines.append(b"content-length: %d" % len(self._body))
         head = b"\r\n".join(lines) + b"\r\n\r\n"
         request_id = self._request.id.encode("latin-1")
-        return _connections.Outgoing(
+        return _answer_reader.Outgoing(
             head, self._body, request_id, scope["method"] == "HEAD"
         )
 
--- a/dragonflystack/entryd/_snapshots.py
+++ b/dragonflystack/entryd/_snapshots.py
@@ -109,6 +109,10 @@
             "leaving": server.entry.leaving,
             "cold": server.is_cold(now),
             "suspect": server.suspect_since is not None,
+            "asked_wait_s": max(
+                0.0,
+                round((server.asked_wait_until - now).total_seconds(), 3),
+            ),
             "in_flight": server.in_flight,
             "load": round(server.load(now), 2),
             "failure_rate": round(server.failure_rate(now), 3),
--- /dev/null
+++ b/dragonflystack/entryd/tests/test_answer_reader.py
@@ -0,0 +1,155 @@
+"""Answers within their bounds, and bytes that never end."""
+
+import itertools
+import tracemalloc
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from dragonflystack.entryd import _answer_reader
+
+_LIMITS = _answer_reader.AnswerLimits(body_bytes=200_000)
+_MOST_MEMORY_BYTES = 2_000_000
+"""Several times what the limits above come to; the endless answers below took
+58 to 383 MB in 1.5 s before there were limits."""
+
+_OUTGOING = _answer_reader.Outgoing(b"", b"", b"1")
+_STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+_CHUNKED = _STATUS_LINE + b"transfer-encoding: chunked\r\n\r\n"
+_OK = b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 2\r\n\r\nhi"
+_OTHERS = _OK.replace(b"x-id: 1", b"x-id: 9")
+_LINE = b"a: b\r\n"
+
+
+def _reader(limits=_LIMITS):
+    reader = _answer_reader.AnswerReader(b"x-id", limits)
+    reader.expect(_OUTGOING)
+    return reader
+
+
+@pytest.mark.parametrize(
+    ("start", "endless"),
+    [
+        pytest.param(_STATUS_LINE, _LINE * 5_000, id="header lines"),
+        pytest.param(_STATUS_LINE + b"a: ", b"b" * 65_536, id="a header"),
+        pytest.param(_STATUS_LINE, b"b" * 65_536, id="a header's name"),
+        pytest.param(b"HTTP/1.1 200 ", b"b" * 65_536, id="a reason phrase"),
+        pytest.param(
+            b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000, id="interim answers"
+        ),
+        pytest.param(b"", _OTHERS * 1_000, id="answers to others"),
+        pytest.param(_CHUNKED + b"1;", b"b" * 65_536, id="a chunk extension"),
+        pytest.param(
+            _CHUNKED,
+            b"1;" + b"b" * 200 + b"\r\nx\r\n",
+            id="chunk extensions",
+        ),
+        pytest.param(_CHUNKED + b"0\r\n", _LINE * 5_000, id="trailers"),
+        pytest.param(_CHUNKED + b"0\r\na: ", b"b" * 65_536, id="a trailer"),
+        pytest.param(
+            _CHUNKED, b"4000\r\n" + b"x" * 0x4000 + b"\r\n", id="chunks"
+        ),
+        pytest.param(_STATUS_LINE + b"\r\n", b"x" * 65_536, id="a body"),
+        pytest.param(b"", b"\r\n" * 30_000, id="empty lines"),
+    ],
+)
+def test_bytes_without_end_are_given_up_within_bounds(start, endless):
+    reader = _reader()
+    fed = 0
+    tracemalloc.start()
+    try:
+        with pytest.raises(_answer_reader.CorruptError):
+            for data in itertools.chain([start], itertools.repeat(endless)):
+                fed += len(data)
+                assert reader.feed(data) is None
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert not reader.is_reusable
+    assert reader.held_bytes == 0
+    assert peak_bytes < _MOST_MEMORY_BYTES
+    most = _LIMITS.head_bytes + _LIMITS.body_bytes
+    assert fed <= most * (1 + _LIMITS.framing_per_body_byte)
+
+
+def test_a_body_in_chunks_of_one_byte_is_whole():
+    reader = _reader()
+    head = _STATUS_LINE + b"x-id: 1\r\ntransfer-encoding: chunked\r\n\r\n"
+    assert reader.feed(head) is None
+    assert reader.feed(b"1\r\nx\r\n" * 50_000) is None
+    answer = reader.feed(b"0\r\n\r\n")
+    assert answer is not None
+    assert answer.body == b"x" * 50_000
+
+
+def test_trailers_are_not_headers():
+    answer = _reader().feed(_CHUNKED + b"1\r\nx\r\n0\r\nretry-after: 9\r\n\r\n")
+    assert answer is not None
+    assert answer.header(b"retry-after") is None
+
+
+def test_the_bounds_are_those_of_each_request():
+    reader = _reader()
+    padding = b"p: " + b"x" * 40_000 + b"\r\n"
+    for _ in range(5):
+        reader.expect(_OUTGOING)
+        answer = reader.feed(_OK.replace(b"x-id", padding + b"x-id"))
+        assert answer is not None
+
+
+@pytest.mark.parametrize("field", ["body_bytes", "head_bytes", "held_bytes"])
+def test_a_limit_that_makes_no_sense_is_named(field):
+    with pytest.raises(ValueError, match=f"{field}: 0"):
+        _answer_reader.AnswerLimits(**{field: 0})
+
+
+_PIECES = strategies.sampled_from(
+    [
+        _OK,
+        _OTHERS,
+        _CHUNKED,
+        _STATUS_LINE,
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 503 no\r\nretry-after: 4\r\nx-id: 1\r\n\r\n",
+        b"content-length: 3\r\n",
+        b"transfer-encoding: chunked\r\n",
+        b"x-id: 1\r\n",
+        b"\r\n",
+        b"3\r\nabc\r\n",
+        b"0\r\n\r\n",
+        b"\x00\xff",
+    ]
+)
+
+
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+@hypothesis.given(
+    pieces=strategies.lists(_PIECES | strategies.binary(max_size=9)),
+    cuts=strategies.lists(strategies.integers(1, 60), min_size=1),
+)
+def test_an_answer_does_not_depend_on_how_its_bytes_are_cut(pieces, cuts):
+    data = b"".join(pieces)
+    sizes = itertools.cycle(cuts)
+    parts = []
+    rest = data
+    while rest:
+        size = next(sizes)
+        parts.append(rest[:size])
+        rest = rest[size:]
+    assert _read(parts) == _read([data])
+
+
+def _read(parts):
+    """Returns the first answer in the parts, or how the reading ended."""
+    reader = _reader()
+    try:
+        for part in parts:
+            answer = reader.feed(part)
+            if answer is not None:
+                return answer
+        return reader.finish(None)
+    except _answer_reader.CorruptError:
+        return "corrupt"
+    except _answer_reader.BrokenError:
+        return "broken"
--- a/dragonflystack/entryd/tests/test_connections.py
+++ b/dragonflystack/entryd/tests/test_connections.py
@@ -9,6 +9,7 @@
 import pytest
 
 from dragonflystack import clock
+from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
 
 _ID = b"x-id"
@@ -49,7 +50,7 @@
 
 
 def _outgoing(request_id=b"1"):
-    return _connections.Outgoing(b"GET / HTTP/1.1\r\n\r\n", b"", request_id)
+    return _answer_reader.Outgoing(b"GET / HTTP/1.1\r\n\r\n", b"", request_id)
 
 
 def _run(script, scenario):
@@ -58,7 +59,8 @@
     async def run():
         server = await asyncio.start_server(script, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        pool = _connections.Pool(_ID, 1_000, clock.SystemClock())
+        limits = _answer_reader.AnswerLimits(body_bytes=1_000)
+        pool = _connections.Pool(_ID, limits, clock.SystemClock())
         address = _connections.Address("s", "127.0.0.1", port)
         with anyio.fail_after(10):
             await scenario(pool, address)
@@ -81,26 +83,28 @@
         ),
         pytest.param(
             _Script(_UNFRAMED, reset=True),
-            (_connections.CorruptError, _connections.BrokenError),
+            (_answer_reader.CorruptError, _answer_reader.BrokenError),
             id="ends by reset",
         ),
         pytest.param(
             _Script(_OK[:-1], close=True),
-            _connections.CorruptError,
+            _answer_reader.CorruptError,
             id="cut short",
         ),
         pytest.param(
-            _Script(b"\x00garbage\r\n"), _connections.CorruptError, id="no HTTP"
+            _Script(b"\x00garbage\r\n"),
+            _answer_reader.CorruptError,
+            id="no HTTP",
         ),
         pytest.param(
-            _Script(b"", close=True), _connections.BrokenError, id="nothing"
+            _Script(b"", close=True), _answer_reader.BrokenError, id="nothing"
         ),
         pytest.param(
             _Script(
                 b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 2000\r\n\r\n"
                 + b"x" * 2000
             ),
-            _connections.CorruptError,
+            _answer_reader.CorruptError,
             id="too large",
         ),
     ],
--- a/dragonflystack/entryd/tests/test_life.py
+++ b/dragonflystack/entryd/tests/test_life.py
@@ -26,6 +26,7 @@
     load=b"x-load",
     server_id=b"x-server",
     cold_left_ms=b"x-cold",
+    leaving=b"x-leaving",
 )
 _HEADERS = [(b"host", b"shop.example"), (b"x-id", b"1"), (b"x-left", b"3000")]
 
