Count the time for which a VM was suspended

Cause: CLOCK_MONOTONIC stands still while a VM is suspended, so a VM that wakes believed heartbeats, deadlines and waits to be as fresh as before, and Members.on_tick could not see the pause. Change: SystemClock reads CLOCK_BOOTTIME where the system has it. Ruled out: the time of day, which operators and NTP set.

--- a/dragonflystack/clock.py
+++ b/dragonflystack/clock.py
@@ -9,18 +9,26 @@
     """Tells the time."""
 
     def monotonic(self) -> datetime.timedelta:
-        """Returns the time since a fixed origin; it never goes back."""
+        """Returns the time since a fixed origin; it never goes back.
+
+        It counts the time for which the VM was suspended.
+        """
 
     def utcnow(self) -> datetime.datetime:
         """Returns the wall-clock time in UTC, for records only."""
 
 
+_STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""Where the system has it, a clock that goes on while the VM is suspended:
+what callers and other VMs await goes on as well."""
+
+
 class SystemClock:
     """The clock of the operating system."""
 
     def monotonic(self) -> datetime.timedelta:
         """See `Clock.monotonic`."""
-        return datetime.timedelta(seconds=time.monotonic())
+        return datetime.timedelta(seconds=time.clock_gettime(_STEADY_CLOCK))
 
     def utcnow(self) -> datetime.datetime:
         """See `Clock.utcnow`."""
