Do not send a request whose time ran out before it was written

Cause: the time left was counted from the begin of the send; a process paused between the choice and the send wrote a request that its caller had given up, with the whole time of the route left to work. Change: the time left is counted from the exchange's deadline when the request is written; if none is left, or the backend server may get no more requests, it is not written and the exchange decides anew. Not run is then true.

--- a/dragonflystack/entryd/_sending.py
+++ b/dragonflystack/entryd/_sending.py
@@ -27,6 +27,7 @@
 _WATCH_AFTER_S = 0.2
 """A caller that leaves is noticed from here on; most answers come sooner."""
 
+_ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _SUCCESS = range(200, 300)
 
@@ -167,11 +168,12 @@
             took = self._node.now() - began
             self._node.vm.on_round_trip(server, took)
             self._node.metrics.count("connections-opened")
-            if not server.may_get_requests(self._node.now()):
-                # Another answer was read while the connection was made.
-                self._pool.give_back(address, conn)
-                return entry.Withdrawn()
-        left = step.time_left - (self._node.now() - began)
+        now = self._node.now()
+        left = self._exchange.deadline - now
+        if left <= _ZERO or not server.may_get_requests(now):
+            # The process was paused, or another answer was read meanwhile.
+            self._pool.give_back(address, conn)
+            return entry.Withdrawn()
         answer = conn.send(self._outgoing(step, left))
         return _Sending(server, address, conn, answer)
 
--- /dev/null
+++ b/dragonflystack/entryd/tests/daemons.py
@@ -0,0 +1,234 @@
+"""Daemons in this process, with a store and backend servers in memory."""
+
+import asyncio
+import contextlib
+import datetime
+import socket
+import struct
+
+import anyio
+import httpcore
+
+from dragonflystack import _asgi
+from dragonflystack import entry
+from dragonflystack import entryd
+from dragonflystack import ids
+from dragonflystack import outcomes
+from dragonflystack import storage
+
+SERVICE = ids.ServiceId("rings")
+DIALECT = entryd.Dialect(
+    request_id=b"x-id",
+    time_left_ms=b"x-left",
+    object_cookie="object",
+    signature=b"x-signed",
+    expected_server=b"x-expected",
+    not_run=b"x-not-run",
+    load=b"x-load",
+    server_id=b"x-server",
+    cold_left_ms=b"x-cold",
+    leaving=b"x-leaving",
+)
+HEADERS = [(b"host", b"shop.example"), (b"x-id", b"1"), (b"x-left", b"3000")]
+
+
+class Platform:
+    """A store in memory that never changes."""
+
+    def __init__(self, backend_port: int):
+        self._port = backend_port
+        self.is_out = False
+
+    async def read_operators(self):
+        if self.is_out:
+            return out()
+        route = entry.Route(
+            entry.RouteId("r"),
+            "shop.example",
+            "/r/",
+            (entry.Destination(SERVICE, 1.0),),
+            idempotent=False,
+            target_latency=datetime.timedelta(seconds=1),
+        )
+        policy = entry.ServicePolicy(
+            SERVICE, "/health", 100, 10.0, datetime.timedelta(seconds=3)
+        )
+        catalogue = entry.Catalogue(3, (route,), {SERVICE: policy})
+        return entryd.OperatorNews(5, 5, True, catalogue, frozenset())
+
+    async def watch_operators(self, after, wait):
+        await anyio.sleep(wait.total_seconds())
+        return entryd.OperatorNews(after, 0, False, None, frozenset())
+
+    async def read_servers(self):
+        if self.is_out:
+            return out()
+        server = entry.ServerEntry(
+            ids.BackendServerId("s1"),
+            SERVICE,
+            "127.0.0.1",
+            self._port,
+            ids.FailureDomainId("a1"),
+            3,
+            leaving=False,
+            cold_left=datetime.timedelta(),
+        )
+        listing = entry.Listing((server,), (), whole=True)
+        return entryd.ServerNews(5, 5, listing)
+
+    async def watch_servers(self, after, wait):
+        await anyio.sleep(wait.total_seconds())
+        return entryd.ServerNews(after, 0, entry.Listing((), (), False))
+
+    async def register(self, address):
+        return out() if self.is_out else storage.Committed()
+
+    async def list_vms(self):
+        return out() if self.is_out else ()
+
+    async def aclose(self):
+        pass
+
+
+def out():
+    failure = outcomes.Failure(outcomes.Step.STORE, "platform", "out")
+    return storage.Unavailable(failure)
+
+
+def free_ports(number):
+    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(number)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return [entryd.Endpoint("127.0.0.1", port) for port in ports]
+
+
+def settings(seeds=(), grace_s=3.0):
+    ports = free_ports(5)
+    return entryd.Settings(
+        vm=ids.VmId(f"vm-{ports[0].port}"),
+        region=ids.RegionId("a"),
+        domain=ids.FailureDomainId("a1"),
+        regions={ids.FailureDomainId("a1"): ids.RegionId("a")},
+        callers=ports[0],
+        readiness=ports[1],
+        directory=ports[2],
+        peers=ports[3],
+        metrics=ports[4],
+        seeds=seeds,
+        bounds=entry.FleetBounds(grace=datetime.timedelta(seconds=grace_s)),
+    )
+
+
+class ScriptedBackend:
+    """A backend server that writes given bytes after each request."""
+
+    def __init__(self, *answers: bytes, reset_at_end: bool = False):
+        self._answers = list(answers)
+        self._reset_at_end = reset_at_end
+        self.runs = 0
+        """Requests that reached it."""
+
+        self.connections = 0
+
+    async def __call__(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.runs += 1
+                writer.write(self._answers.pop(0))
+                await writer.drain()
+                if not self._answers:
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        if self._reset_at_end:
+            # Closing with a linger time of 0 resets the connection.
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+
+class Backend:
+    """A backend server that answers after a while."""
+
+    def __init__(self):
+        self.runs = 0
+        self.delay_s = 0.0
+        self.is_silent = False
+        """Whether it reads a request and never answers."""
+
+        self.closed = 0
+        """Connections that were closed while it was silent."""
+
+    async def __call__(self, reader, writer):
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.runs += 1
+                if self.is_silent:
+                    await reader.read()
+                    self.closed += 1
+                    return
+                await anyio.sleep(self.delay_s)
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nx-id: 1\r\nx-signed: s\r\n"
+                    b"content-length: 4\r\n\r\nring"
+                )
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+
+def play(scenario, backend=None):
+    """Runs a daemon and a scenario with it; the daemon must end in time."""
+    backend = backend or Backend()
+
+    async def run():
+        server = await asyncio.start_server(backend, "127.0.0.1", 0)
+        platform = Platform(server.sockets[0].getsockname()[1])
+        with anyio.fail_after(30):
+            await scenario(platform, backend)
+        server.close()
+
+    anyio.run(run)
+
+
+async def no_app(scope, receive, send):
+    await _asgi.send_bytes(send, 200, (), b"")
+
+
+def start(tasks, platform, cfg):
+    node = entryd.make_node(cfg, DIALECT)
+    apps = entryd.Apps(no_app, no_app)
+    tasks.start_soon(entryd.run, node, platform, apps, lambda: cfg.bounds)
+    return node
+
+
+@contextlib.asynccontextmanager
+async def serving(platform, cfg=None):
+    """Gives a daemon that is ready, and its callers' pool; stops it at last."""
+    async with (
+        httpcore.AsyncConnectionPool() as pool,
+        anyio.create_task_group() as tasks,
+    ):
+        node = start(tasks, platform, cfg or settings())
+        await until(lambda: node.is_ready)
+        yield pool, node
+        node.stop_asked.set()
+
+
+async def get(pool, node, path="/r/1", left_ms=3000, request_id=b"1"):
+    url = f"http://{node.settings.callers}{path}"
+    headers = [
+        HEADERS[0],
+        (b"x-id", request_id),
+        (b"x-left", b"%d" % left_ms),
+    ]
+    return await pool.request("GET", url, headers=headers)
+
+
+async def until(condition):
+    while not condition():
+        await anyio.sleep(0.02)
