Bound what is read beside a body, from callers and from the store

Cause: callers' chunk extensions and trailers were not counted, so a caller could fill a VM for the 10 s that a request may take to arrive; answers of the store and of other VMs were read whole without a bound, and each read alone was bounded in time, not the answer. Change: the callers' port allows 8 bytes of framing a byte of body beside the bound of the head (431 beyond it); what a daemon asks itself is read by _bounded.request, 16 MiB at most. daemon/_exchange and _health read with the same function.

--- a/dragonflystack/_limits.py
+++ b/dragonflystack/_limits.py
@@ -14,6 +14,10 @@
 MAX_HEAD_BYTES = 32_768
 """Largest request line and headers together."""
 
+FRAMING_PER_BODY_BYTE = 8
+"""Bytes of framing and trailers allowed for each byte of a body beside
+`MAX_HEAD_BYTES`; a chunk of one byte takes five."""
+
 MAX_ARRIVAL = datetime.timedelta(seconds=10)
 """Longest time from a request's first byte, or from the connection, to its
 last byte."""
@@ -48,6 +52,8 @@
         """Starts the time that the first request may take."""
         self._head_bytes = 0
         self._in_head = True
+        self._framing_bytes = 0
+        self._body_bytes = 0
         self._tail = b""
         self._refused = False
         self._arrival_timer: asyncio.TimerHandle | None = None
@@ -69,11 +75,17 @@
                 self._refuse(_TOO_LARGE)
                 return
             self._tail = data[1 - len(_HEAD_END) :]
+        else:
+            self._framing_bytes += len(data)
         super().data_received(data)
+        if not self._in_head and self._framing_bytes > self._most_framing():
+            self._refuse(_TOO_LARGE)
 
     def on_message_begin(self):
         """Starts the time that this request may take."""
         self._in_head = True
+        self._framing_bytes = 0
+        self._body_bytes = 0
         self._start_arrival_timer()
         super().on_message_begin()
 
@@ -84,12 +96,22 @@
         self.scope["raw_target"] = self.url  # type: ignore[typeddict-unknown-key]
         super().on_headers_complete()
 
+    def on_body(self, body):
+        """Counts the body, which its reader bounds."""
+        self._body_bytes += len(body)
+        self._framing_bytes -= len(body)
+        super().on_body(body)
+
     def on_message_complete(self):
         """Stops the timer: the request has arrived."""
         self._in_head = True
         self._stop_arrival_timer()
         super().on_message_complete()
 
+    def _most_framing(self) -> int:
+        """Returns how many bytes of framing and trailers are allowed by now."""
+        return MAX_HEAD_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
+
     def _fits(self, data: bytes) -> bool:
         """Returns whether the head ends within its bound in this data."""
         seen = self._tail + data
--- a/dragonflystack/daemon/_exchange.py
+++ b/dragonflystack/daemon/_exchange.py
@@ -4,6 +4,7 @@
 
 import httpcore
 
+from dragonflystack import _bounded
 from dragonflystack import _hop_headers
 from dragonflystack import forwarding
 
@@ -26,10 +27,6 @@
 """Some of the request may have been written."""
 
 
-class AnswerTooLargeError(Exception):
-    """The answer is larger than allowed."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
     """What to send."""
@@ -52,12 +49,9 @@
 
     Raises:
         UNSENT_ERRORS: nothing was written.
-        BROKEN_ERRORS: it broke off, or the framing is wrong.
-        AnswerTooLargeError: the body is longer than the limit.
+        BROKEN_ERRORS: it broke off, its framing is wrong, or it is too long.
     """
     headers = [*call.headers, (b"content-length", b"%d" % len(call.body))]
-    parts: list[bytes] = []
-    size = 0
     async with conn.stream(
         call.method,
         call.url,
@@ -65,12 +59,7 @@
         content=call.body,
         extensions=_TIMEOUTS,
     ) as res:
-        async for part in res.aiter_stream():
-            size += len(part)
-            if size > limit_bytes:
-                raise AnswerTooLargeError
-            parts.append(part)
-    body = parts[0] if len(parts) == 1 else b"".join(parts)
+        body = await _bounded.read(res, limit_bytes)
     return _answer(call.method, res, body)
 
 
--- a/dragonflystack/daemon/_health.py
+++ b/dragonflystack/daemon/_health.py
@@ -8,6 +8,7 @@
 import httpcore
 import msgspec
 
+from dragonflystack import _bounded
 from dragonflystack import backends
 from dragonflystack import clock
 from dragonflystack import config
@@ -77,19 +78,14 @@
 
 async def _read(pool: httpcore.AsyncConnectionPool, url: str) -> bytes | None:
     """Returns a body of bounded size, None if there was no good answer."""
-    parts: list[bytes] = []
-    size = 0
     try:
         async with pool.stream("GET", url, extensions=_TIMEOUTS) as res:
-            async for part in res.aiter_stream():
-                parts.append(part)
-                size += len(part)
-                if res.status != 200 or size > _MAX_BODY_BYTES:
-                    return None
+            if res.status != 200:
+                return None
+            return await _bounded.read(res, _MAX_BODY_BYTES)
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
         httpcore.TimeoutException,
     ):
         return None
-    return b"".join(parts)
--- a/dragonflystack/daemon/_peers.py
+++ b/dragonflystack/daemon/_peers.py
@@ -141,7 +141,7 @@
             if _is_refused(exc):
                 self._on_refused(vm)
             return _failed(outcomes.Step.CONNECT, vm, exc, written=False)
-        except (*_exchange.BROKEN_ERRORS, _exchange.AnswerTooLargeError) as exc:
+        except _exchange.BROKEN_ERRORS as exc:
             return _failed(outcomes.Step.RECEIVE, vm, exc, written=True)
         await self._give_back(address, conn)
         if answer.status != _OK:
--- a/dragonflystack/daemon/_pools.py
+++ b/dragonflystack/daemon/_pools.py
@@ -295,11 +295,9 @@
             backends.ConnectFailed(),
             forwarding.Failed(failure, False, server.id),
         )
-    except (*_exchange.BROKEN_ERRORS, _exchange.AnswerTooLargeError) as exc:
+    except _exchange.BROKEN_ERRORS as exc:
         failure = _failure(outcomes.Step.RECEIVE, server, exc)
-        corrupt = isinstance(
-            exc, _exchange.AnswerTooLargeError | httpcore.RemoteProtocolError
-        )
+        corrupt = isinstance(exc, httpcore.RemoteProtocolError)
         result = backends.Corrupt() if corrupt else backends.BrokenAfterWrite()
         return result, forwarding.Failed(failure, True, server.id)
     return _judge(work, server, conn, answer)
--- a/dragonflystack/entryd/_snapshots.py
+++ b/dragonflystack/entryd/_snapshots.py
@@ -4,12 +4,14 @@
 the store is out asks whom it can find.
 """
 
+import datetime
 import urllib.parse
 
 import httpcore
 import msgspec
 
 from dragonflystack import _asgi
+from dragonflystack import _bounded
 from dragonflystack import entry
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _node
@@ -22,6 +24,10 @@
 _TIMEOUTS = {
     "timeout": dict.fromkeys(("connect", "read", "write", "pool"), _TIMEOUT_S)
 }
+_LONGEST = datetime.timedelta(seconds=2)
+"""Bound on one call; the news of 1,400 backend servers take 0.4 MB."""
+
+_MAX_NEWS_BYTES = 16_777_216
 _OK = 200
 
 
@@ -77,7 +83,9 @@
         query += "&vms=1"
     url = f"http://{peer}{NEWS_PATH}?{query}"
     try:
-        res = await pool.request("GET", url, extensions=_TIMEOUTS)
+        res = await _bounded.request(
+            pool, "GET", url, _MAX_NEWS_BYTES, _LONGEST, extensions=_TIMEOUTS
+        )
         if res.status != _OK:
             return None
         return msgspec.json.decode(res.content, type=Told)
--- a/dragonflystack/tests/test_limits.py
+++ b/dragonflystack/tests/test_limits.py
@@ -77,6 +77,38 @@
     assert _answer_to(*parts).startswith(b"HTTP/1.1 " + status)
 
 
+_CHUNKED = _HEAD + b"transfer-encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("parts", "status"),
+    [
+        pytest.param(
+            [_CHUNKED, b"1\r\nx\r\n" * 9_000, b"0\r\n\r\n"],
+            b"200",
+            id="chunks of one byte",
+        ),
+        pytest.param(
+            [_CHUNKED, b"1;" + b"e" * 2_000_000 + b"\r\nx\r\n0\r\n\r\n"],
+            b"431",
+            id="a long chunk extension",
+        ),
+        pytest.param(
+            [_CHUNKED, b"0\r\n", b"t: u\r\n" * 400_000, b"\r\n"],
+            b"431",
+            id="many trailers",
+        ),
+        pytest.param(
+            [_CHUNKED, b"0\r\nt: ", b"u" * 2_000_000, b"\r\n\r\n"],
+            b"431",
+            id="a long trailer",
+        ),
+    ],
+)
+def test_what_is_neither_head_nor_body_is_bounded(parts, status):
+    assert _answer_to(*parts).startswith(b"HTTP/1.1 " + status)
+
+
 @pytest.mark.parametrize(
     "part",
     [b"", b"GET / HT", _HEAD, _HEAD + b"content-length: 9\r\n\r\nab"],
