Keep the fleet's bound on repeats for any number of VMs

Cause: a VM whose part of the extra repeats came to less than one was given one all the same, so 1,400 VMs could make 1,400 repeats where 430 are allowed; and a token bucket with a burst of about one let a VM of a large fleet save up nothing of what its own requests allow. Change: a VM counts its requests and repeats within the operators' window; the repeats may be the share of the requests and its even part of the extra ones, which may be a fraction. Ruled out: dealing the extra repeats out to some VMs by rank, which needs all VMs to know the same list.

--- a/dragonflystack/entry/_context.py
+++ b/dragonflystack/entry/_context.py
@@ -57,7 +57,9 @@
     def on_loss(self, now: datetime.timedelta) -> None:
         """Notes that a backend server was lost."""
 
-    def may_resend(self, service: ids.ServiceId) -> bool:
+    def may_resend(
+        self, service: ids.ServiceId, now: datetime.timedelta
+    ) -> bool:
         """Takes one repeat out of the retry budget, if there is one."""
 
     def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -220,7 +220,7 @@
     def _may_send_more(self, now: datetime.timedelta) -> bool:
         if self._reached >= self.route.max_attempts or now >= self.deadline:
             return False
-        return self._context.may_resend(self.wanted.service)
+        return self._context.may_resend(self.wanted.service, now)
 
     def _send(self, now: datetime.timedelta) -> _messages.Step:
         best = self._best(now)
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -320,7 +320,7 @@
         wanted = _choice.Wanted(
             route, service, request.object_key, route.regions
         )
-        self._budgets.of(service).on_first_attempt()
+        self._budgets.of(service).on_request(now)
         exchange = _exchange.Exchange(self, request, route, wanted, now)
         return exchange, exchange.begin(now)
 
@@ -373,9 +373,11 @@
         self._most_left[route.id] = most
         return most - left
 
-    def may_resend(self, service: ids.ServiceId) -> bool:
+    def may_resend(
+        self, service: ids.ServiceId, now: datetime.timedelta
+    ) -> bool:
         """See `_context.Context.may_resend`."""
-        return self._budgets.of(service).take()
+        return self._budgets.of(service).take(now)
 
     def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
         """See `_context.Context.overdue_after`."""
