Leave VMs more leeway round the shares of the regions

Cause: a VM kept its counts within one request of the shares, so most objects were sent to another region than the one that they are dealt to whenever chance had it so, and were new there. Change: the leeway follows the cap on shifts, the VMs of the region and the requests that a VM sees: what chance moves stays within half of the cap. Test: test_objects_stay_in_the_region_that_they_are_dealt_to.

--- a/dragonflystack/entry/_shares.py
+++ b/dragonflystack/entry/_shares.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
+import math
 
 import xxhash
 
@@ -26,8 +27,24 @@
 _WANTED_WEIGHT = 1 / 16
 """Weight of the latest request in what load asks for."""
 
-_LEEWAY = 1.0
-"""Requests by which a region may be ahead of its share or behind it."""
+_LEAST_LEEWAY = 1.0
+"""Requests by which a region may always be ahead of its share or behind it."""
+
+_LEEWAY_PART = 0.12
+"""Part of the cap, in standard deviations, that leeway may use.
+
+A VM's count wanders within its leeway L. From one window to the next that
+moves 1.4 L requests (standard deviation), 1.4 L sqrt(V) for the V VMs of a
+region. Three of these are to stay within half of the cap on the V N requests
+that the region has in a window: L <= 0.12 cap sqrt(V) N.
+"""
+
+_WINDOW = datetime.timedelta(seconds=2)
+"""The cap compares windows of this length."""
+
+_RATE_WINDOW = datetime.timedelta(milliseconds=500)
+_RATE_WEIGHT = 0.25
+"""Weight of the latest such window in this VM's rate of requests."""
 
 _LIFTED = datetime.timedelta(seconds=5)
 """How long requests follow load at once after a loss."""
@@ -50,6 +67,9 @@
     def __init__(self, own: ids.RegionId, max_shift: float):
         self._own = own
         self._pace = max_shift * _PACE_PART
+        self._max_shift = max_shift
+        self._vms = 1
+        self._rate = _Rate()
         self._shares: Shares = {own: 1.0}
         self._wanted: Shares = {own: 1.0}
         self._peers_wanted: tuple[Mapping[ids.RegionId, float], ...] = ()
@@ -99,6 +119,10 @@
             self._shares = _mean(peers)
             self._wanted = dict(self._shares)
 
+    def on_vms(self, number: int) -> None:
+        """Takes in how many VMs the own region has."""
+        self._vms = max(1, number)
+
     def on_loss(self, now: datetime.timedelta) -> None:
         """Notes that backend servers were lost or are leaving."""
         self._lifted_until = now + _LIFTED
@@ -118,6 +142,7 @@
             usable: the regions that can serve it; `preferred` is one.
             now: the time.
         """
+        self._rate.on_request(now)
         self._want(preferred)
         self._move(now)
         if now < self._lifted_until:
@@ -130,18 +155,24 @@
         if object_key is not None:
             chosen = self._region_of(object_key)
         behind = max(usable, key=lambda r: (credits.get(r, 0.0), r))
+        leeway = self._leeway()
         if (
             chosen not in usable
-            or credits.get(behind, 0.0) >= 1.0 + _LEEWAY
-            or credits.get(chosen, 0.0) < 1.0 - _LEEWAY
+            or credits.get(behind, 0.0) >= 1.0 + leeway
+            or credits.get(chosen, 0.0) < 1.0 - leeway
         ):
             chosen = behind
         credits[chosen] = credits.get(chosen, 0.0) - 1.0
-        limit = 2 * _LEEWAY
+        limit = 2 * leeway
         for region, credit in credits.items():
             credits[region] = max(-limit, min(limit, credit))
         return chosen
 
+    def _leeway(self) -> float:
+        """Returns by how many requests a region may be off its share."""
+        part = _LEEWAY_PART * self._max_shift * math.sqrt(self._vms)
+        return max(_LEAST_LEEWAY, part * self._rate.per(_WINDOW))
+
     def _region_of(self, object_key: str) -> ids.RegionId:
         """Returns the region to which an object is dealt."""
         point = xxhash.xxh32_intdigest(object_key.encode()) / _HASHES
@@ -176,6 +207,33 @@
         }
 
 
+class _Rate:
+    """How many requests this VM gets, of late."""
+
+    def __init__(self):
+        self._began: datetime.timedelta | None = None
+        self._count = 0
+        self._mean: float | None = None
+
+    def on_request(self, now: datetime.timedelta) -> None:
+        """Counts a request."""
+        if self._began is None:
+            self._began = now
+        self._count += 1
+        elapsed = now - self._began
+        if elapsed < _RATE_WINDOW:
+            return
+        latest = self._count * (_RATE_WINDOW / elapsed)
+        mean = latest if self._mean is None else self._mean
+        self._mean = mean + _RATE_WEIGHT * (latest - mean)
+        self._began = now
+        self._count = 0
+
+    def per(self, window: datetime.timedelta) -> float:
+        """Returns the requests within a window; 0 before the first is over."""
+        return (self._mean or 0.0) * (window / _RATE_WINDOW)
+
+
 def to_thousandths(
     shares: Mapping[ids.RegionId, float], regions: Sequence[ids.RegionId]
 ) -> tuple[int, ...]:
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -189,6 +189,7 @@
         self.members.on_tick(now)
         self._cold.on_vms(self.members.listed())
         self._budgets.on_fleet(self._fleet_size())
+        self._shares.on_vms(len(self.members.listed()))
         beats = [m.beat for m in self.members.alive(now) if m.beat]
         self._shares.on_peers(
             [
--- a/dragonflystack/entry/tests/loads.py
+++ b/dragonflystack/entry/tests/loads.py
@@ -24,6 +24,8 @@
 """Work on a known object over that on a new one."""
 
 _SLOW_FACTOR = 5.0
+_SHIFT_WINDOW_MS = 2_000.0
+"""The users' bound on shifts compares windows of this length."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +85,32 @@
     )
     """Runs by region of the caller and of the backend server."""
 
+    runs: list[tuple[float, str, str]] = dataclasses.field(default_factory=list)
+    """When each run began, in ms, and those two regions."""
+
+    def largest_shift(self, region: str, from_ms: float = 0.0) -> float:
+        """Returns the most that changed region from one 2 s to the next.
+
+        Args:
+            region: where the callers are.
+            from_ms: when to begin.
+        """
+        times = [(at, to) for at, frm, to in self.runs if frm == region]
+        end_ms = max(at for at, _ in times)
+        most = 0.0
+        start_ms = from_ms
+        while start_ms + 2 * _SHIFT_WINDOW_MS <= end_ms:
+            parts = [
+                _parts(times, start_ms + i * _SHIFT_WINDOW_MS) for i in (0, 1)
+            ]
+            apart = sum(
+                abs(parts[0][to] - parts[1][to])
+                for to in parts[0].keys() | parts[1].keys()
+            )
+            most = max(most, apart / 2)
+            start_ms += _SHIFT_WINDOW_MS / 4
+        return most
+
     @property
     def in_target_part(self) -> float:
         """The part answered within the target latency."""
@@ -101,6 +129,19 @@
         return gained / self.asked
 
 
+def _parts(
+    times: list[tuple[float, str]], start_ms: float
+) -> collections.Counter[str]:
+    """Returns the part of the runs of one window in each region."""
+    end_ms = start_ms + _SHIFT_WINDOW_MS
+    inside = [to for at, to in times if start_ms <= at < end_ms]
+    counts = collections.Counter(inside)
+    parts: collections.Counter = collections.Counter()
+    for to, number in counts.items():
+        parts[to] = number / len(inside)
+    return parts
+
+
 class _Backend:
     """A backend server with slots, a queue and a memory of objects."""
 
@@ -317,6 +358,7 @@
                 continue
             backend.running += 1
             self.tally.regions[region, self._region_of[name]] += 1
+            self.tally.runs.append((now, region, self._region_of[name]))
             took = backend.work_ms(key, self._rng)
             left = exchange.deadline / _ms(1) - now
             self._at(now + min(took, left), self._done, name, call, send)
--- a/dragonflystack/entry/tests/test_loads.py
+++ b/dragonflystack/entry/tests/test_loads.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from dragonflystack.entry import _shares
 from dragonflystack.entry.tests import loads
 
 _UNEVEN = {"a": 2, "b": 4, "c": 6}
@@ -220,3 +221,40 @@
     """One of six takes five times as long."""
     load = loads.Load({"a": 6}, lambda r, t: 60.0, slow=1)
     assert loads.play(load).in_target_part > 0.8
+
+
+def _halls(seed):
+    """Many small VMs, and a region with a tenth of the slots.
+
+    Each VM sees few requests, of which any object may be the next.
+    """
+    return loads.Load(
+        {"a": 13, "b": 52, "c": 63},
+        _waves(179),
+        vms=16,
+        work_ms=920.0,
+        target_ms=600.0,
+        timeout_ms=1_200.0,
+        deadline_ms=5_000.0,
+        objects=268,
+        kept=19,
+        slots=5,
+        queue=15,
+        seconds=14.0,
+        seed=seed,
+    )
+
+
+def test_objects_stay_in_the_region_that_they_are_dealt_to(monkeypatch):
+    """Keeping each VM's counts exact would send objects back and forth."""
+    seeds = (1, 2)
+    kept = [loads.play(_halls(seed)) for seed in seeds]
+    monkeypatch.setattr(_shares, "_LEEWAY_PART", 0.0)
+    exact = [loads.play(_halls(seed)) for seed in seeds]
+    assert sum(t.in_target for t in kept) > sum(t.in_target for t in exact)
+    assert sum(t.credit for t in kept) > sum(t.credit for t in exact)
+    assert sum(t.failed for t in kept) < sum(t.failed for t in exact)
+    settled_ms = 6_000
+    for tally in kept:
+        for region in "abc":
+            assert tally.largest_shift(region, settled_ms) <= 0.15
