Give the choice of backend servers a class of its own

Dispatch answers what an exchange asks and learns from its sends; EntryVm keeps what is learnt of the store and of other VMs. A request is counted once in the popularity of its object, not at each weighing (test_popularity.py, failed before the count moved). An entry whose removal is confirmed on a tick now counts as a loss, as one that is read as removed does.

--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -114,6 +114,11 @@
         default = self._settings.remote_round_trip
         return self._round_trips.get(region, default)
 
+    def on_request(self, wanted: Wanted) -> None:
+        """Counts a request of a caller."""
+        if wanted.object_key is not None:
+            self._popularity.on_request(wanted.service, wanted.object_key)
+
     def on_work(
         self,
         route: _catalogue.Route,
@@ -162,8 +167,6 @@
             tried: those that are passed over, as it was sent there already.
         """
         candidates: list[Candidate] = []
-        if wanted.object_key is not None:
-            self._popularity.on_request(wanted.service, wanted.object_key)
         for region, servers in self._ranked(wanted).items():
             if wanted.regions and region not in wanted.regions:
                 continue
--- /dev/null
+++ b/dragonflystack/entry/_dispatch.py
@@ -0,0 +1,319 @@
+"""Where the requests of one VM may go, and what its sends teach it.
+
+Implements what an exchange asks of its VM: see `_context.Context`.
+"""
+
+from collections.abc import Container
+from collections.abc import Mapping
+import datetime
+import functools
+import random
+
+from dragonflystack import ids
+from dragonflystack.entry import _budgets
+from dragonflystack.entry import _catalogue
+from dragonflystack.entry import _choice
+from dragonflystack.entry import _cold
+from dragonflystack.entry import _departures
+from dragonflystack.entry import _discovery
+from dragonflystack.entry import _members
+from dragonflystack.entry import _messages
+from dragonflystack.entry import _servers
+from dragonflystack.entry import _settings
+from dragonflystack.entry import _shares
+from dragonflystack.entry import _work_times
+
+_ZERO = datetime.timedelta()
+
+
+class Dispatch:
+    """The choice of backend servers, with its bounds, for one VM."""
+
+    def __init__(
+        self,
+        members: _members.Members,
+        book: _servers.ServerBook,
+        departures: _departures.Departures,
+        regions: dict[ids.FailureDomainId, ids.RegionId],
+        bounds: _settings.FleetBounds,
+        settings: _settings.ChoiceSettings,
+        rng: random.Random,
+    ):
+        self.rng = rng
+        self.departures = departures
+        self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
+        """The failure domains that get no requests."""
+
+        self.shares = _shares.RegionShares(members.own.region, bounds.max_shift)
+        self._members = members
+        self._book = book
+        self._regions = tuple(sorted(set(regions.values())))
+        self._bounds = bounds
+        self._settings = settings
+        self._services: Mapping[ids.ServiceId, _catalogue.ServicePolicy] = {}
+        self._most_left: dict[_catalogue.RouteId, datetime.timedelta] = {}
+        self._chooser = _choice.Chooser(
+            members.own.region, book, _work_times.WorkTimes(settings), settings
+        )
+        self._cold = self._make_pacer()
+        self._budgets = self._make_budgets()
+
+    # What it learns.
+
+    def on_services(
+        self, services: Mapping[ids.ServiceId, _catalogue.ServicePolicy]
+    ) -> None:
+        """Takes in the services of the catalogue in force."""
+        self._services = services
+
+    def on_bounds(self, bounds: _settings.FleetBounds) -> None:
+        """Takes in bounds that changed."""
+        self._bounds = bounds
+        self._cold = self._make_pacer()
+        self._budgets = self._make_budgets()
+
+    def on_evacuated(
+        self,
+        domains: frozenset[ids.FailureDomainId],
+        now: datetime.timedelta,
+    ) -> None:
+        """Takes in the failure domains that are to get no requests.
+
+        Backend servers of a domain that is taken back may be cold.
+        """
+        back = self.evacuated - domains
+        if domains - self.evacuated:
+            self.shares.on_loss(now)
+        self.evacuated = domains
+        for server in self._book.all():
+            policy = self._services.get(server.entry.service)
+            if server.entry.domain in back and policy is not None:
+                server.on_cold(policy.cold_period, now)
+
+    def on_changes(
+        self, changes: _discovery.Changes, now: datetime.timedelta
+    ) -> None:
+        """Takes in what changed among the backend servers."""
+        for server in changes.gone:
+            self._cold.forget(server.entry.id)
+        if changes.leaving or changes.gone:
+            self.shares.on_loss(now)
+        if changes.added:
+            self.shares.on_room(self._book.slots_by_region())
+
+    def on_tick(self, now: datetime.timedelta) -> None:
+        """Takes in what other VMs of the region told."""
+        listed = self._members.listed()
+        self._cold.on_vms(listed)
+        self._budgets.on_fleet(self._fleet_size())
+        self.shares.on_vms(len(listed))
+        beats = [m.beat for m in self._members.alive(now) if m.beat]
+        self.shares.on_peers(
+            [
+                _shares.from_thousandths(beat.shares, self._regions)
+                for beat in beats
+            ],
+            [
+                _shares.from_thousandths(beat.wanted, self._regions)
+                for beat in beats
+            ],
+        )
+
+    def on_round_trip(
+        self, server: _servers.Server, round_trip: datetime.timedelta
+    ) -> None:
+        """Takes in how long a connection took to open."""
+        self._chooser.on_round_trip(server.region, round_trip)
+
+    def on_request(
+        self, wanted: _choice.Wanted, now: datetime.timedelta
+    ) -> None:
+        """Counts a request of a caller."""
+        self._budgets.of(wanted.service).on_request(now)
+        self._chooser.on_request(wanted)
+
+    def on_departures(
+        self,
+        departures: tuple[_departures.Departure, ...],
+        now: datetime.timedelta,
+    ) -> tuple[_servers.Server, ...]:
+        """Takes in backend servers that said they leave.
+
+        Args:
+            departures: what was read in answers, here or by another VM.
+            now: the time.
+
+        Returns:
+            Those that get no new requests from now on and got some before.
+        """
+        leaving = []
+        for departure in departures:
+            if not self.departures.note(departure, now):
+                continue
+            server = self._book.get(departure.server)
+            if (
+                server is not None
+                and not server.entry.leaving
+                and self.departures.includes(server.entry)
+            ):
+                server.on_said_leaving()
+                leaving.append(server)
+        if leaving:
+            self.shares.on_loss(now)
+        return tuple(leaving)
+
+    # What an exchange asks; see `_context.Context`.
+
+    def weigh(
+        self,
+        wanted: _choice.Wanted,
+        now: datetime.timedelta,
+        tried: Container[ids.BackendServerId],
+    ) -> list[_choice.Candidate]:
+        """See `_context.Context.weigh`."""
+        may_use = functools.partial(self._may_use, now=now)
+        return self._chooser.weigh(wanted, may_use, now, tried)
+
+    def place(
+        self,
+        wanted: _choice.Wanted,
+        candidates: list[_choice.Candidate],
+        now: datetime.timedelta,
+    ) -> _choice.Candidate:
+        """See `_context.Context.place`."""
+        usable = {candidate.server.region for candidate in candidates}
+        preferred = candidates[0].server.region
+        key = wanted.object_key if wanted.route.sticky else None
+        region = self.shares.place(key, preferred, usable, now)
+        return next(c for c in candidates if c.server.region == region)
+
+    def on_loss(self, now: datetime.timedelta) -> None:
+        """See `_context.Context.on_loss`."""
+        self.shares.on_loss(now)
+
+    @property
+    def late_wait_part(self) -> float:
+        """See `_context.Context.late_wait_part`."""
+        return self._settings.late_wait_part
+
+    def spent_before(
+        self, route: _catalogue.Route, request: _messages.Request
+    ) -> datetime.timedelta:
+        """See `_context.Context.spent_before`.
+
+        All first attempts on a route come with about the same time left; one
+        that comes with less has been waiting.
+        """
+        left = request.time_left
+        if left is None:
+            return _ZERO
+        most = max(left, self._most_left.get(route.id, _ZERO))
+        self._most_left[route.id] = most
+        return most - left
+
+    def may_resend(
+        self, service: ids.ServiceId, now: datetime.timedelta
+    ) -> bool:
+        """See `_context.Context.may_resend`."""
+        return self._budgets.of(service).take(now)
+
+    def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
+        """See `_context.Context.overdue_after`."""
+        return candidate.expected * self._settings.silence_factor
+
+    def free_in(
+        self, wanted: _choice.Wanted, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """See `_context.Context.free_in`."""
+        frees = [
+            server.asked_wait_until
+            for server in self._book.of_service(wanted.service)
+            if server.may_serve()
+            and server.suspect_since is None
+            and server.entry.domain not in self.evacuated
+            and (not wanted.regions or server.region in wanted.regions)
+        ]
+        first = min(frees, default=now)
+        return first - now if first > now else None
+
+    def on_asked_wait(
+        self,
+        server: _servers.Server,
+        wait: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """See `_context.Context.on_asked_wait`."""
+        settings = self._settings
+        spread = min(wait, settings.asked_wait_spread) * self.rng.random()
+        wait = min(wait, settings.max_asked_wait) + spread
+        server.on_asked_wait(wait, now)
+
+    def on_sent(
+        self, candidate: _choice.Candidate, now: datetime.timedelta
+    ) -> None:
+        """See `_context.Context.on_sent`."""
+        if candidate.server.is_cold(now):
+            self._cold.on_sent(candidate.server, now)
+
+    def on_work(
+        self,
+        route: _catalogue.Route,
+        candidate: _choice.Candidate,
+        elapsed: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """See `_context.Context.on_work`."""
+        self._chooser.on_work(route, candidate, elapsed, now)
+
+    def on_overdue(
+        self,
+        candidate: _choice.Candidate,
+        elapsed: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """See `_context.Context.on_overdue`."""
+        self._chooser.on_overdue(candidate, elapsed, now)
+
+    def on_said_leaving(
+        self, server: _servers.Server, now: datetime.timedelta
+    ) -> bool:
+        """See `_context.Context.on_said_leaving`."""
+        entry = server.entry
+        if entry.leaving:
+            return False
+        departure = _departures.Departure(entry.id, entry.born, entry.sequence)
+        return bool(self.on_departures((departure,), now))
+
+    def _make_budgets(self) -> _budgets.RetryBudgets:
+        return _budgets.RetryBudgets(
+            self._bounds, self._settings, self._fleet_size()
+        )
+
+    def _fleet_size(self) -> int:
+        """Returns how many VMs there are.
+
+        Until they are listed, each region is taken to be as large as the own
+        one.
+        """
+        listed = self._members.fleet_size
+        if listed is not None:
+            return listed
+        return len(self._members.listed()) * len(self._regions)
+
+    def _make_pacer(self) -> _cold.ColdPacer:
+        own = self._members.own
+        return _cold.ColdPacer(own.vm, own.region, self._bounds, self._settings)
+
+    def _may_use(
+        self, server: _servers.Server, now: datetime.timedelta
+    ) -> bool:
+        if not server.may_get_requests(now):
+            return False
+        if server.suspect_since is not None:
+            return False
+        if server.entry.domain in self.evacuated:
+            return False
+        if not server.is_cold(now):
+            return True
+        policy = self._services.get(server.entry.service)
+        return policy is not None and self._cold.may_send(server, policy, now)
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -1,17 +1,14 @@
 """The decisions of one entry VM, apart from all input and output."""
 
-from collections.abc import Container
 import datetime
-import functools
 import random
 
 from dragonflystack import ids
-from dragonflystack.entry import _budgets
 from dragonflystack.entry import _catalogue
 from dragonflystack.entry import _choice
-from dragonflystack.entry import _cold
 from dragonflystack.entry import _departures
 from dragonflystack.entry import _discovery
+from dragonflystack.entry import _dispatch
 from dragonflystack.entry import _exchange
 from dragonflystack.entry import _members
 from dragonflystack.entry import _messages
@@ -20,7 +17,6 @@
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
 from dragonflystack.entry import _shares
-from dragonflystack.entry import _work_times
 
 _ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -45,28 +41,21 @@
         self.bounds = bounds
         self.rng = rng
         self.book = _servers.ServerBook(regions, settings)
-        self._departures = _departures.Departures()
+        departures = _departures.Departures()
         self.discovery = _discovery.Discovery(
-            self.book, self._departures, bounds.drain * _CONFIRM_PART
+            self.book, departures, bounds.drain * _CONFIRM_PART
         )
+        self.dispatch = _dispatch.Dispatch(
+            members, self.book, departures, regions, bounds, settings, rng
+        )
+        """Where requests go."""
+
         self.catalogue: _catalogue.Catalogue | None = None
-        self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
         self.log = _news.NewsLog()
         self._regions = tuple(sorted(set(regions.values())))
-        self._most_left: dict[_catalogue.RouteId, datetime.timedelta] = {}
         self._watches = False
         self._news_at = _ZERO
-        self._settings = settings
         self._routes: _routes.RouteTable | None = None
-        self._times = _work_times.WorkTimes(settings)
-        self._chooser = _choice.Chooser(
-            members.own.region, self.book, self._times, settings
-        )
-        self._cold = self._make_pacer()
-        self._shares = _shares.RegionShares(
-            members.own.region, bounds.max_shift
-        )
-        self._budgets = self._make_budgets()
 
     # What it learns.
 
@@ -88,6 +77,7 @@
             return False
         self.catalogue = catalogue
         self._routes = _routes.RouteTable(catalogue, self.rng)
+        self.dispatch.on_services(catalogue.services)
         return True
 
     def on_bounds(self, bounds: _settings.FleetBounds) -> None:
@@ -96,27 +86,20 @@
             return
         self.bounds = bounds
         self.discovery.confirm_after = bounds.drain * _CONFIRM_PART
-        self._cold = self._make_pacer()
-        self._budgets = self._make_budgets()
+        self.dispatch.on_bounds(bounds)
+
+    @property
+    def evacuated(self) -> frozenset[ids.FailureDomainId]:
+        """The failure domains that get no requests."""
+        return self.dispatch.evacuated
 
     def on_evacuated(
         self,
         domains: frozenset[ids.FailureDomainId],
         now: datetime.timedelta,
     ) -> None:
-        """Takes in the failure domains that are to get no requests.
-
-        Backend servers of a domain that is taken back may be cold.
-        """
-        back = self.evacuated - domains
-        if domains - self.evacuated:
-            self._shares.on_loss(now)
-        self.evacuated = domains
-        for server in self.book.all():
-            if server.entry.domain in back:
-                policy = self._policy(server.entry.service)
-                if policy is not None:
-                    server.on_cold(policy.cold_period, now)
+        """See `_dispatch.Dispatch.on_evacuated`."""
+        self.dispatch.on_evacuated(domains, now)
 
     def on_listing(
         self,
@@ -137,83 +120,28 @@
         self.log.on_servers(
             position, listing.entries, changes.removed, listing.whole
         )
-        self._forget(changes)
-        if changes.leaving or changes.gone:
-            self._shares.on_loss(now)
-        if changes.added:
-            self._shares.on_room(self.book.slots_by_region())
+        self.dispatch.on_changes(changes, now)
         return changes
 
-    def on_said_leaving(
-        self, server: _servers.Server, now: datetime.timedelta
-    ) -> bool:
-        """See `_context.Context.on_said_leaving`."""
-        entry = server.entry
-        if entry.leaving:
-            return False
-        departure = _departures.Departure(entry.id, entry.born, entry.sequence)
-        return bool(self.on_departures((departure,), now))
-
     def on_departures(
         self,
         departures: tuple[_departures.Departure, ...],
         now: datetime.timedelta,
     ) -> tuple[_servers.Server, ...]:
-        """Takes in backend servers that said they leave.
-
-        Args:
-            departures: what was read in answers, here or by another VM.
-            now: the time.
-
-        Returns:
-            Those that get no new requests from now on and got some before.
-        """
-        leaving = []
-        for departure in departures:
-            if not self._departures.note(departure, now):
-                continue
-            server = self.book.get(departure.server)
-            if (
-                server is not None
-                and not server.entry.leaving
-                and self._departures.includes(server.entry)
-            ):
-                server.on_said_leaving()
-                leaving.append(server)
-        if leaving:
-            self._shares.on_loss(now)
-        return tuple(leaving)
+        """See `_dispatch.Dispatch.on_departures`."""
+        return self.dispatch.on_departures(departures, now)
 
     def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
         """Does what is due."""
         self.members.on_tick(now)
-        self._cold.on_vms(self.members.listed())
-        self._budgets.on_fleet(self._fleet_size())
-        self._shares.on_vms(len(self.members.listed()))
-        beats = [m.beat for m in self.members.alive(now) if m.beat]
-        self._shares.on_peers(
-            [
-                _shares.from_thousandths(beat.shares, self._regions)
-                for beat in beats
-            ],
-            [
-                _shares.from_thousandths(beat.wanted, self._regions)
-                for beat in beats
-            ],
-        )
+        self.dispatch.on_tick(now)
         changes = self.discovery.on_tick(now)
-        self._forget(changes)
+        self.dispatch.on_changes(changes, now)
         if changes.removed:
             latest = self.log.position.servers + 1
             self.log.on_servers(latest, (), changes.removed, whole=False)
         return changes
 
-    def on_round_trip(
-        self, server: _servers.Server, round_trip: datetime.timedelta
-    ) -> None:
-        """Takes in how long a connection took to open."""
-        self._chooser.on_round_trip(server.region, round_trip)
-
     def heartbeat(
         self,
         now: datetime.timedelta,
@@ -230,18 +158,19 @@
             introduce: whether it may not know where this VM is.
         """
         members = self.members
+        shares = self.dispatch.shares
         return _members.Heartbeat(
             members.own.vm,
             members.incarnation,
             members.phase,
             self.log.position,
             round(self.news_age(now) / _MILLISECOND),
-            _shares.to_thousandths(self._shares.shares, self._regions),
-            _shares.to_thousandths(self._shares.wanted, self._regions),
+            _shares.to_thousandths(shares.shares, self._regions),
+            _shares.to_thousandths(shares.wanted, self._regions),
             is_near,
             answer_wanted,
             members.own if introduce else None,
-            self._departures.recent(now),
+            self.dispatch.departures.recent(now),
         )
 
     # News of the store, from it or from other VMs.
@@ -321,163 +250,8 @@
         wanted = _choice.Wanted(
             route, service, request.object_key, route.regions
         )
-        self._budgets.of(service).on_request(now)
-        exchange = _exchange.Exchange(self, request, route, wanted, now)
-        return exchange, exchange.begin(now)
-
-    # What an exchange asks; see `_context.Context`.
-
-    def weigh(
-        self,
-        wanted: _choice.Wanted,
-        now: datetime.timedelta,
-        tried: Container[ids.BackendServerId],
-    ) -> list[_choice.Candidate]:
-        """See `_context.Context.weigh`."""
-        may_use = functools.partial(self._may_use, now=now)
-        return self._chooser.weigh(wanted, may_use, now, tried)
-
-    def place(
-        self,
-        wanted: _choice.Wanted,
-        candidates: list[_choice.Candidate],
-        now: datetime.timedelta,
-    ) -> _choice.Candidate:
-        """See `_context.Context.place`."""
-        usable = {candidate.server.region for candidate in candidates}
-        preferred = candidates[0].server.region
-        key = wanted.object_key if wanted.route.sticky else None
-        region = self._shares.place(key, preferred, usable, now)
-        return next(c for c in candidates if c.server.region == region)
-
-    def on_loss(self, now: datetime.timedelta) -> None:
-        """See `_context.Context.on_loss`."""
-        self._shares.on_loss(now)
-
-    @property
-    def late_wait_part(self) -> float:
-        """See `_context.Context.late_wait_part`."""
-        return self._settings.late_wait_part
-
-    def spent_before(
-        self, route: _catalogue.Route, request: _messages.Request
-    ) -> datetime.timedelta:
-        """See `_context.Context.spent_before`.
-
-        All first attempts on a route come with about the same time left; one
-        that comes with less has been waiting.
-        """
-        left = request.time_left
-        if left is None:
-            return _ZERO
-        most = max(left, self._most_left.get(route.id, _ZERO))
-        self._most_left[route.id] = most
-        return most - left
-
-    def may_resend(
-        self, service: ids.ServiceId, now: datetime.timedelta
-    ) -> bool:
-        """See `_context.Context.may_resend`."""
-        return self._budgets.of(service).take(now)
-
-    def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
-        """See `_context.Context.overdue_after`."""
-        return candidate.expected * self._settings.silence_factor
-
-    def free_in(
-        self, wanted: _choice.Wanted, now: datetime.timedelta
-    ) -> datetime.timedelta | None:
-        """See `_context.Context.free_in`."""
-        frees = [
-            server.asked_wait_until
-            for server in self.book.of_service(wanted.service)
-            if server.may_serve()
-            and server.suspect_since is None
-            and server.entry.domain not in self.evacuated
-            and (not wanted.regions or server.region in wanted.regions)
-        ]
-        first = min(frees, default=now)
-        return first - now if first > now else None
-
-    def on_asked_wait(
-        self,
-        server: _servers.Server,
-        wait: datetime.timedelta,
-        now: datetime.timedelta,
-    ) -> None:
-        """See `_context.Context.on_asked_wait`."""
-        settings = self._settings
-        spread = min(wait, settings.asked_wait_spread) * self.rng.random()
-        wait = min(wait, settings.max_asked_wait) + spread
-        server.on_asked_wait(wait, now)
-
-    def on_sent(
-        self, candidate: _choice.Candidate, now: datetime.timedelta
-    ) -> None:
-        """See `_context.Context.on_sent`."""
-        if candidate.server.is_cold(now):
-            self._cold.on_sent(candidate.server, now)
-
-    def on_work(
-        self,
-        route: _catalogue.Route,
-        candidate: _choice.Candidate,
-        elapsed: datetime.timedelta,
-        now: datetime.timedelta,
-    ) -> None:
-        """See `_context.Context.on_work`."""
-        self._chooser.on_work(route, candidate, elapsed, now)
-
-    def on_overdue(
-        self,
-        candidate: _choice.Candidate,
-        elapsed: datetime.timedelta,
-        now: datetime.timedelta,
-    ) -> None:
-        """See `_context.Context.on_overdue`."""
-        self._chooser.on_overdue(candidate, elapsed, now)
-
-    def _make_budgets(self) -> _budgets.RetryBudgets:
-        return _budgets.RetryBudgets(
-            self.bounds, self._settings, self._fleet_size()
+        self.dispatch.on_request(wanted, now)
+        exchange = _exchange.Exchange(
+            self.dispatch, request, route, wanted, now
         )
-
-    def _fleet_size(self) -> int:
-        """Returns how many VMs there are.
-
-        Until they are listed, each region is taken to be as large as the own
-        one.
-        """
-        listed = self.members.fleet_size
-        if listed is not None:
-            return listed
-        return len(self.members.listed()) * len(self._regions)
-
-    def _make_pacer(self) -> _cold.ColdPacer:
-        own = self.members.own
-        return _cold.ColdPacer(own.vm, own.region, self.bounds, self._settings)
-
-    def _may_use(
-        self, server: _servers.Server, now: datetime.timedelta
-    ) -> bool:
-        if not server.may_get_requests(now):
-            return False
-        if server.suspect_since is not None:
-            return False
-        if server.entry.domain in self.evacuated:
-            return False
-        if not server.is_cold(now):
-            return True
-        policy = self._policy(server.entry.service)
-        return policy is not None and self._cold.may_send(server, policy, now)
-
-    def _policy(
-        self, service: ids.ServiceId
-    ) -> _catalogue.ServicePolicy | None:
-        if self.catalogue is None:
-            return None
-        return self.catalogue.services.get(service)
-
-    def _forget(self, changes: _discovery.Changes) -> None:
-        for server in changes.gone:
-            self._cold.forget(server.entry.id)
+        return exchange, exchange.begin(now)
--- a/dragonflystack/entry/tests/loads.py
+++ b/dragonflystack/entry/tests/loads.py
@@ -104,7 +104,7 @@
                 _parts(times, start_ms + i * _SHIFT_WINDOW_MS) for i in (0, 1)
             ]
             apart = sum(
-                abs(parts[0][to] - parts[1][to])
+                abs(parts[0].get(to, 0.0) - parts[1].get(to, 0.0))
                 for to in parts[0].keys() | parts[1].keys()
             )
             most = max(most, apart / 2)
@@ -129,17 +129,12 @@
         return gained / self.asked
 
 
-def _parts(
-    times: list[tuple[float, str]], start_ms: float
-) -> collections.Counter[str]:
+def _parts(times: list[tuple[float, str]], start_ms: float) -> dict[str, float]:
     """Returns the part of the runs of one window in each region."""
     end_ms = start_ms + _SHIFT_WINDOW_MS
     inside = [to for at, to in times if start_ms <= at < end_ms]
     counts = collections.Counter(inside)
-    parts: collections.Counter = collections.Counter()
-    for to, number in counts.items():
-        parts[to] = number / len(inside)
-    return parts
+    return {to: number / len(inside) for to, number in counts.items()}
 
 
 class _Backend:
--- a/dragonflystack/entry/tests/test_departures.py
+++ b/dragonflystack/entry/tests/test_departures.py
@@ -117,7 +117,7 @@
     exchange, step = vm.open(builders.request(), now)
     assert isinstance(step, entry.Send)
     first = step.server
-    vm.on_said_leaving(first, now)
+    vm.dispatch.on_said_leaving(first, now)
     assert not first.may_get_requests(now)
     step = exchange.on_result(entry.Withdrawn(), now)
     assert isinstance(step, entry.Send)
@@ -140,7 +140,7 @@
 def test_one_that_is_known_to_leave_is_not_told_again():
     vm = builders.entry_vm(builders.server("s1", leaving=True))
     server = next(iter(vm.book.all()))
-    assert not vm.on_said_leaving(server, _at(10))
+    assert not vm.dispatch.on_said_leaving(server, _at(10))
     assert vm.heartbeat(_at(20)).departures == ()
 
 
--- a/dragonflystack/entry/tests/test_popularity.py
+++ b/dragonflystack/entry/tests/test_popularity.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from dragonflystack import entry
 from dragonflystack.entry import _popularity
 from dragonflystack.entry.tests import builders
 
@@ -30,3 +31,15 @@
 def test_counts_stay_bounded():
     popularity = _after(*(str(i) for i in range(10_000)))
     assert len(popularity._counts[builders.SERVICE]) <= 256
+
+
+def test_a_request_that_is_sent_again_counts_once():
+    vm = builders.entry_vm(*(builders.server(f"s{i}") for i in range(3)))
+    for i in range(20):
+        now = builders.ms(10 + i)
+        exchange, step = vm.open(builders.request(f"{i % 10}"), now)
+        assert exchange is not None
+        while isinstance(step, entry.Send):
+            step = exchange.on_result(entry.Broken("reset"), now)
+    popularity = vm.dispatch._chooser._popularity
+    assert popularity.part(builders.SERVICE, "0") == 0.0
--- a/dragonflystack/entryd/_probes.py
+++ b/dragonflystack/entryd/_probes.py
@@ -88,11 +88,11 @@
         now = node.now()
         if _server_reports.says_leaving(
             node, answer
-        ) and node.vm.on_said_leaving(server, now):
+        ) and node.vm.dispatch.on_said_leaving(server, now):
             _server_reports.note_leaving(node, server, "probe")
         wait = _server_reports.asked_wait(node, answer, server)
         if wait is not None:
-            node.vm.on_asked_wait(server, wait, now)
+            node.vm.dispatch.on_asked_wait(server, wait, now)
             _server_reports.note_asked_wait(node, server)
 
     async def _ask(self, server: entry.Server) -> _answer_reader.Answer:
--- a/dragonflystack/entryd/_sending.py
+++ b/dragonflystack/entryd/_sending.py
@@ -166,7 +166,7 @@
                 self._pool.close_idle(address)
                 return entry.ConnectFailed(str(exc))
             took = self._node.now() - began
-            self._node.vm.on_round_trip(server, took)
+            self._node.vm.dispatch.on_round_trip(server, took)
             self._node.metrics.count("connections-opened")
         now = self._node.now()
         left = self._exchange.deadline - now
--- a/dragonflystack/entryd/tests/test_incidents.py
+++ b/dragonflystack/entryd/tests/test_incidents.py
@@ -107,7 +107,7 @@
         ):
             if withdrawn == "server":
                 server = next(iter(first.vm.book.all()))
-                first.vm.on_said_leaving(server, first.now())
+                first.vm.dispatch.on_said_leaving(server, first.now())
             else:
                 first.vm.on_catalogue(entry.Catalogue(4, (), {}))
             out = daemons.Platform(0)
