Play backend servers that leave, ask to wait and send without end in the soak

New faults, drawn apart so that older seeds keep theirs: a backend server leaves while a VM is cut off from the store, asks to be left alone, or sends headers without end. What the soak's process itself took on the way is measured and no longer counts as a VM's delay (test_checks.py).

--- a/faultsoak/__main__.py
+++ b/faultsoak/__main__.py
@@ -59,7 +59,8 @@
         print(
             f"seed {seed}: {report.attempts} attempts, {report.served} served,"
             f" {report.rejected} rejected, {report.runs} runs,"
-            f" {report.exits} exits, {sum(report.faults.values())} faults,"
+            f" {report.exits} exits, {report.own_lag_s:.1f} s own lag,"
+            f" {sum(report.faults.values())} faults,"
             f" {len(report.violations)} broken",
             flush=True,
         )
--- a/faultsoak/_actions.py
+++ b/faultsoak/_actions.py
@@ -27,6 +27,7 @@
 _EVACUATION_S = 6.0
 """Longer than it takes until an evacuation is in force, by the users."""
 
+_CUT_BEFORE_S = 0.1
 _NOISE_EVERY_S = 0.02
 _NOISE_BYTES = 200
 _RESTARTS_IN_S = 3.0
@@ -61,6 +62,7 @@
             _plan.Fault.PAUSE: self._pause,
             _plan.Fault.EVACUATE: self._evacuate,
             _plan.Fault.PEER_NOISE: self._peer_noise,
+            _plan.Fault.DRAIN_UNSEEN: self._drain_unseen,
         }
 
     async def carry_out(self, plan: list[_plan.Action]) -> None:
@@ -90,6 +92,10 @@
         now_s = time.monotonic()
         self._record.disturb(name, now_s, now_s + for_s)
 
+    def _halt(self, vm: str, for_s: float) -> None:
+        now_s = time.monotonic()
+        self._record.halt(vm, now_s, now_s + for_s)
+
     # Entry VMs.
 
     async def _stop(self, action: _plan.Action) -> None:
@@ -103,18 +109,18 @@
 
     async def _kill(self, action: _plan.Action) -> None:
         vm = self._vm(action)
-        self._disturb(vm.id, _RESTARTS_IN_S)
+        self._halt(vm.id, _RESTARTS_IN_S)
         self._fleet.signal(vm, signal.SIGKILL)
 
     async def _herd_kill(self, action: _plan.Action) -> None:
         vms = self._fleet.vms
         for vm in self._rng.sample(vms, len(vms) // 2):
-            self._disturb(vm.id, _RESTARTS_IN_S)
+            self._halt(vm.id, _RESTARTS_IN_S)
             self._fleet.signal(vm, signal.SIGKILL)
 
     async def _pause(self, action: _plan.Action) -> None:
         vm = self._vm(action)
-        self._disturb(vm.id, action.for_s + 0.1)
+        self._halt(vm.id, action.for_s + 0.1)
         await self._fleet.pause(vm, action.for_s)
 
     async def _peer_noise(self, action: _plan.Action) -> None:
@@ -149,6 +155,13 @@
         if server is not None and not server.fake.is_leaving:
             await self._world.drain(server)
 
+    async def _drain_unseen(self, action: _plan.Action) -> None:
+        """Only its own answers tell the VM that the backend server leaves."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cut, action, *_proxy.Direction)
+            await anyio.sleep(_CUT_BEFORE_S)
+            await self._drain(action)
+
     def _server(self, action: _plan.Action) -> _world.Server | None:
         """Returns a backend server that nothing else happens to."""
         servers = [
@@ -197,6 +210,10 @@
             behaviour.is_dark = True
         elif action.fault is _plan.Fault.SERVER_SLOW:
             behaviour.work_s *= 4
+        elif action.fault is _plan.Fault.SERVER_ASKS_WAIT:
+            behaviour.asked_wait_s = action.for_s
+        elif action.fault is _plan.Fault.SERVER_ENDLESS:
+            behaviour.endless_part = 0.1
         else:
             behaviour.fail_part = behaviour.lose_part = 0.1
             behaviour.cut_part = behaviour.extra_part = 0.1
--- a/faultsoak/_callers.py
+++ b/faultsoak/_callers.py
@@ -189,10 +189,9 @@
         attempt.status = res.status
         attempt.signature = fakes.answer_signature(res.headers)
         attempt.answer_digest = hashlib.sha256(res.content).hexdigest()[:16]
-        for name, value in res.headers:
-            if name.lower() == b"retry-after":
-                return float(value)
-        return 0.0
+        answered = {name.lower(): value for name, value in res.headers}
+        attempt.said_leaving = b"server-leaving" in answered
+        return float(answered.get(b"retry-after", 0.0))
 
 
 def _may_return(kind: Kind, attempt: _record.Attempt) -> bool:
--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -19,6 +19,11 @@
 """A backend server may be told this much more time than the caller has left,
 by the users."""
 
+_ASKED_GRACE_S = 0.5
+_MOST_WHILE_ASKED = 2
+"""Requests that may reach a backend server between this time after it asked to
+be left alone and the end of the wait, from one VM; by the users."""
+
 _CUT_BY_STOP_S = 0.2
 """A request whose connection ends sooner may have crossed the close, unless it
 ran; by the users."""
@@ -187,6 +192,54 @@
             yield Violation("drain", run.attempt, f"{late_s:.3f} s late: {run}")
 
 
+def _said_leaving(index: _Index) -> Iterator[Violation]:
+    """A VM that passed on a departure sends nothing there after a while.
+
+    That holds out of touch as well, unless the VM was killed or paused.
+    """
+    passed_on: dict[tuple[str, str], float] = {}
+    for attempt in index.record.attempts.values():
+        if attempt.said_leaving and attempt.signature is not None:
+            key = (attempt.vm, attempt.signature.partition(".")[0])
+            before_s = passed_on.get(key, attempt.ended_at_s)
+            passed_on[key] = min(before_s, attempt.ended_at_s)
+    for run in index.record.runs:
+        sent = index.record.attempts.get(run.attempt)
+        said_s = None if sent is None else passed_on.get((sent.vm, run.server))
+        if sent is None or said_s is None:
+            continue
+        due_s = said_s + index.bounds.drain_s
+        runs_on = index.record.runs_on(sent.vm, said_s, run.at_s)
+        if sent.sent_at_s > due_s and runs_on:
+            late_s = sent.sent_at_s - due_s
+            yield Violation("said-leaving", run.attempt, f"{late_s:.3f} s late")
+
+
+def _asked_wait(index: _Index) -> Iterator[Violation]:
+    """A backend server that asked a VM to wait gets next to nothing from it."""
+    arrivals: dict[tuple[str, str], list[float]] = collections.defaultdict(list)
+    record = index.record
+    reached = [(run.server, run.attempt, run.came_at_s) for run in record.runs]
+    reached += [
+        (ask.server, ask.attempt, ask.at_s) for ask in record.asked_waits
+    ]
+    for server, name, at_s in reached:
+        if name in record.attempts:
+            arrivals[record.attempts[name].vm, server].append(at_s)
+    for ask in record.asked_waits:
+        if ask.attempt not in record.attempts:
+            continue
+        vm = record.attempts[ask.attempt].vm
+        start_s = ask.at_s + _ASKED_GRACE_S
+        end_s = ask.at_s + ask.wait_s
+        times = arrivals[vm, ask.server]
+        number = sum(1 for at_s in times if start_s < at_s < end_s)
+        is_calm = record.is_calm(vm, ask.at_s, end_s)
+        runs_on = record.runs_on(vm, ask.at_s, end_s)
+        if number > _MOST_WHILE_ASKED and is_calm and runs_on:
+            yield Violation("asked-wait", ask.attempt, f"{number} at {ask}")
+
+
 def _config(index: _Index) -> Iterator[Violation]:
     """A request goes by the newest configuration soon after it was taken."""
     bounds = index.bounds
@@ -258,14 +311,20 @@
 
 
 def _deadlines(index: _Index) -> Iterator[Violation]:
-    """A backend server is told no more time than the caller has left."""
+    """A backend server is told no more time than the caller has left.
+
+    Callers, proxies and backend servers are in one process; what that process
+    itself took on the way is not the VM's.
+    """
     for run in index.record.runs:
         attempt = index.record.attempts.get(run.attempt)
         if attempt is None:
             continue
         told_s = float("inf") if run.left_ms is None else run.left_ms / 1000
         ends_s = attempt.sent_at_s + attempt.left_s
-        is_late = run.came_at_s + told_s > ends_s + _HANDED_OVER_LATE_S
+        own_s = index.record.own_lag_s(attempt.sent_at_s, run.came_at_s)
+        late_s = run.came_at_s + told_s - ends_s - own_s
+        is_late = late_s > _HANDED_OVER_LATE_S
         if is_late and index.in_touch(
             attempt.vm, attempt.sent_at_s, run.came_at_s
         ):
@@ -298,6 +357,8 @@
 )
 _TIMED: tuple[_Check, ...] = (
     _drain,
+    _said_leaving,
+    _asked_wait,
     _config,
     _evacuated,
     _lost,
--- a/faultsoak/_plan.py
+++ b/faultsoak/_plan.py
@@ -102,8 +102,18 @@
     """Datagrams and connections that mean nothing reach a VM's port for other
     VMs."""
 
+    SERVER_ASKS_WAIT = "server-asks-wait"
+    """A backend server refuses requests and asks to be left alone."""
+
+    SERVER_ENDLESS = "server-endless"
+    """Part of a backend server's answers never end."""
+
+    DRAIN_UNSEEN = "drain-unseen"
+    """A backend server leaves while the store is out of a VM's reach."""
+
 
 _LATER = (Fault.EVACUATE, Fault.PEER_NOISE)
+_LATEST = (Fault.SERVER_ASKS_WAIT, Fault.SERVER_ENDLESS, Fault.DRAIN_UNSEEN)
 """Kinds that are drawn apart, so that older seeds keep their other faults."""
 
 
@@ -129,10 +139,12 @@
         seed: what they are drawn from.
         seconds: how long faults come.
     """
-    kinds = [fault for fault in Fault if fault not in _LATER]
+    kinds = [fault for fault in Fault if fault not in (*_LATER, *_LATEST)]
     plan = _draw(random.Random(seed), kinds, _MEAN_GAP_S, seconds)
     later = random.Random(f"{seed}, later kinds")
     plan += _draw(later, list(_LATER), _LATER_MEAN_GAP_S, seconds)
+    latest = random.Random(f"{seed}, latest kinds")
+    plan += _draw(latest, list(_LATEST), _LATER_MEAN_GAP_S, seconds)
     return sorted(plan, key=lambda action: action.at_s)
 
 
--- a/faultsoak/_record.py
+++ b/faultsoak/_record.py
@@ -42,6 +42,9 @@
     status: int | None = None
     signature: str | None = None
     answer_digest: str | None = None
+    said_leaving: bool = False
+    """Whether the answer says that its backend server leaves."""
+
     detail: str = ""
 
 
@@ -70,6 +73,16 @@
     server: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskedWait:
+    """A backend server refused an attempt and asked to be left alone."""
+
+    at_s: float
+    server: str
+    attempt: str
+    wait_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evacuation:
     """A failure domain that was to get no requests."""
@@ -104,6 +117,7 @@
     runs: list[fakes.Arrival] = dataclasses.field(default_factory=list)
     changes: list[RouteChange] = dataclasses.field(default_factory=list)
     leavings: list[Leaving] = dataclasses.field(default_factory=list)
+    asked_waits: list[AskedWait] = dataclasses.field(default_factory=list)
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     domains: dict[str, str] = dataclasses.field(default_factory=dict)
     """The failure domain of each backend server."""
@@ -117,6 +131,15 @@
     )
     """By VM, by backend server, or `STORE`."""
 
+    halted: dict[str, list[Span]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    """When which VM was killed or paused."""
+
+    own_lags: list[Span] = dataclasses.field(default_factory=list)
+    """When the process of the soak itself, with its callers, stand-ins and
+    proxies, did not run though it was due."""
+
     cold_bound: float = 0.0
     """Requests that a cold backend server may get within a second."""
 
@@ -127,9 +150,30 @@
         """Notes that something was disturbed."""
         self.disturbed[name].append(Span(start_s, end_s))
 
+    def halt(self, vm: str, start_s: float, end_s: float) -> None:
+        """Notes that a VM was killed or paused."""
+        self.disturb(vm, start_s, end_s)
+        self.halted[vm].append(Span(start_s, end_s))
+
+    def runs_on(self, vm: str, start_s: float, end_s: float) -> bool:
+        """Returns whether a VM ran for a whole time, in touch or not."""
+        ended = any(
+            ended.vm == vm and start_s <= ended.at_s <= end_s
+            for ended in self.exits
+        )
+        return not ended and not _meets(self.halted.get(vm), start_s, end_s)
+
+    def own_lag_s(self, start_s: float, end_s: float) -> float:
+        """Returns for how long of a time this process did not run."""
+        return sum(
+            max(0.0, min(lag.end_s, end_s) - max(lag.start_s, start_s))
+            for lag in self.own_lags
+        )
+
     def is_calm(self, name: str, start_s: float, end_s: float) -> bool:
         """Returns whether something was undisturbed for a whole time."""
-        return not any(
-            span.start_s < end_s and span.end_s > start_s
-            for span in self.disturbed.get(name, ())
-        )
+        return not _meets(self.disturbed.get(name), start_s, end_s)
+
+
+def _meets(spans: list[Span] | None, start_s: float, end_s: float) -> bool:
+    return any(s.start_s < end_s and s.end_s > start_s for s in spans or ())
--- a/faultsoak/_run.py
+++ b/faultsoak/_run.py
@@ -24,6 +24,8 @@
 _SEEDS = 3
 _COLD_FACTOR = 1.5
 _COLD_MARGIN = 5.0
+_LAG_EVERY_S = 0.02
+_LEAST_LAG_S = 0.05
 _FIRST_NET, _LAST_NET = 16, 250
 
 
@@ -57,6 +59,9 @@
     rejected: int
     runs: int
     exits: int
+    own_lag_s: float
+    """For how long the soak's own process ran late, all together."""
+
     faults: dict[str, int]
     violations: list[_checks.Violation]
 
@@ -85,6 +90,7 @@
             await world.start(list(_DOMAINS), _SERVERS_PER_DOMAIN)
             await _start_vms(cfg, net, world, fleet, bounds)
             background.start_soon(fleet.watch)
+            background.start_soon(_watch_own_lag, record)
             await _play(cfg, plan, world, fleet, record, bounds, rng)
             background.cancel_scope.cancel()
     finally:
@@ -138,6 +144,16 @@
     await fleet.wait_ready(_STARTS_IN_S)
 
 
+async def _watch_own_lag(record: _record.Record) -> None:
+    """Notes when this process runs late, for ever."""
+    while True:
+        due_s = time.monotonic() + _LAG_EVERY_S
+        await anyio.sleep(_LAG_EVERY_S)
+        now_s = time.monotonic()
+        if now_s - due_s > _LEAST_LAG_S:
+            record.own_lags.append(_record.Span(due_s, now_s))
+
+
 async def _play(
     cfg: Settings,
     plan: list[_plan.Action],
@@ -190,6 +206,7 @@
         sum(1 for a in attempts if a.status == 503),
         len(record.runs),
         len(record.exits),
+        sum(lag.end_s - lag.start_s for lag in record.own_lags),
         faults,
         violations,
     )
--- a/faultsoak/_world.py
+++ b/faultsoak/_world.py
@@ -1,6 +1,7 @@
 """The stand-ins round the fleet: the store, and backend servers that change."""
 
 import dataclasses
+import functools
 import itertools
 import random
 import time
@@ -125,6 +126,7 @@
         fake = fakes.BackendServer(
             name, service, _SLOTS, self._rng, self._record.runs.append
         )
+        fake.on_asked = functools.partial(self._note_asked, name)
         fake.cold_until_s = time.monotonic() + cold_s
         port = await fake.start(self._host, port)
         proxy = _proxy.Proxy(self._host, port)
@@ -143,6 +145,11 @@
         self.register(server)
         return server
 
+    def _note_asked(self, server: str, attempt: str, wait_s: float) -> None:
+        self._record.asked_waits.append(
+            _record.AskedWait(time.monotonic(), server, attempt, wait_s)
+        )
+
     def register(self, server: Server) -> None:
         """Writes a backend server's entry."""
         data = fakes.encode_registration(server.entry)
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -198,3 +198,62 @@
     leavings = [_record.Leaving(90.0, "i-1")]
     record = _seen([_attempt()], [_run()], leavings=leavings)
     assert _checks.check(record, _checks.Bounds(), with_times=False) == []
+
+
+@pytest.mark.parametrize(
+    ("sent_s", "halted", "broken"),
+    [
+        pytest.param(102.6, False, {"said-leaving"}, id="after the bound"),
+        pytest.param(102.4, False, set(), id="within the bound"),
+        pytest.param(102.6, True, set(), id="paused since"),
+    ],
+)
+def test_what_a_vm_passed_on_binds_it_also_out_of_touch(sent_s, halted, broken):
+    said = _attempt("a", ended_at_s=100.0, sent_at_s=99.8, said_leaving=True)
+    later = _attempt("b", sent_at_s=sent_s, ended_at_s=sent_s + 0.3)
+    runs = [
+        _run("a", came_at_s=99.9, at_s=99.9),
+        _run("b", came_at_s=sent_s + 0.1, at_s=sent_s + 0.1),
+    ]
+    record = _seen([said, later], runs)
+    record.disturb("edge-1", 99.0, 105.0)
+    if halted:
+        record.halt("edge-1", 101.0, 102.0)
+    assert _broken(record) == broken
+
+
+@pytest.mark.parametrize(
+    ("arrivals_s", "broken"),
+    [
+        pytest.param((100.6, 101.0, 103.9), {"asked-wait"}, id="three"),
+        pytest.param((100.6, 101.0), set(), id="two"),
+        pytest.param((100.1, 100.2, 104.1), set(), id="outside"),
+    ],
+)
+def test_a_backend_server_that_asks_to_wait_is_left_alone(arrivals_s, broken):
+    names = [str(i) for i in range(len(arrivals_s))]
+    times = dict(zip(names, arrivals_s, strict=True))
+    attempts = [
+        _attempt(n, sent_at_s=at_s, ended_at_s=at_s + 0.1)
+        for n, at_s in times.items()
+    ]
+    runs = [_run(n, came_at_s=at_s, at_s=at_s) for n, at_s in times.items()]
+    asked = _attempt("asked", status=503, signature=None)
+    waits = [_record.AskedWait(100.0, "i-1", "asked", 4.0)]
+    record = _seen([asked, *attempts], runs, asked_waits=waits)
+    assert _broken(record) == broken
+
+
+@pytest.mark.parametrize(
+    ("lag", "broken"),
+    [
+        pytest.param((100.2, 100.7), set(), id="the soak did not run"),
+        pytest.param((100.2, 100.4), {"deadline"}, id="not for so long"),
+        pytest.param((99.0, 99.9), {"deadline"}, id="before it was sent"),
+    ],
+)
+def test_time_that_the_soak_itself_took_is_not_a_vms(lag, broken):
+    run = _run(left_ms=2_000, came_at_s=100.8, at_s=100.8)
+    attempt = _attempt(ended_at_s=101.0)
+    record = _seen([attempt], [run], own_lags=[_record.Span(*lag)])
+    assert _broken(record) == broken
