Do not send all requests home when a backend server is lost anywhere

For 5 s after any loss requests went where load alone would have them, and the shares jumped there. A VM of 65 hears of a queue every few seconds, took it for 1 to 2, and so preferred home. Change: after a loss shares keep their pace, and only a request that would be late where it is dealt to goes at once where it would be in time. A region that cannot serve is passed over as before. Test: test_a_loss_elsewhere_does_not_send_all_requests_home, failed before. test_a_loss_moves_requests_at_once said that all requests move to the preferred region whatever happens where they are dealt to, which was the fault; it now says so of requests that would be late there, and a new test that the others stay within the cap.

--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -184,7 +184,9 @@
         usable = {candidate.server.region for candidate in candidates}
         preferred = candidates[0].server.region
         key = wanted.object_key if wanted.route.sticky else None
-        region = self.shares.place(key, preferred, usable, now)
+        target = wanted.route.target_latency
+        in_time = {c.server.region for c in candidates if c.expected <= target}
+        region = self.shares.place(key, preferred, usable, now, in_time)
         return next(c for c in candidates if c.server.region == region)
 
     def on_loss(self, now: datetime.timedelta) -> None:
--- a/dragonflystack/entry/_shares.py
+++ b/dragonflystack/entry/_shares.py
@@ -4,9 +4,9 @@
 shares of the regions in use follow what load asks for, over all VMs of the
 region, at a bounded pace. Objects are dealt to regions by their hash in
 proportion to the shares, so that few objects move and each is known in one
-place; each VM also keeps the count of its requests near the shares. After the
-loss of backend servers requests follow load at once: moving is then what
-callers need, and the cap speaks of ordinary days.
+place; each VM also keeps the count of its requests near the shares. A region
+that cannot serve at all is passed over at once, and for a while after a loss
+one that would answer late as well: the cap speaks of ordinary days.
 """
 
 from collections.abc import Collection
@@ -47,7 +47,7 @@
 """Weight of the latest such window in this VM's rate of requests."""
 
 _LIFTED = datetime.timedelta(seconds=5)
-"""How long requests follow load at once after a loss."""
+"""How long requests may leave their region after a loss."""
 
 _MAX_STEP = datetime.timedelta(milliseconds=500)
 """A pause of this VM or of its callers makes up for no more than this."""
@@ -133,6 +133,7 @@
         preferred: ids.RegionId,
         usable: Collection[ids.RegionId],
         now: datetime.timedelta,
+        in_time: Collection[ids.RegionId] | None = None,
     ) -> ids.RegionId:
         """Returns the region that gets the next request.
 
@@ -141,13 +142,11 @@
             preferred: where load alone would send it.
             usable: the regions that can serve it; `preferred` is one.
             now: the time.
+            in_time: those of them that would answer in time, None for all.
         """
         self._rate.on_request(now)
         self._want(preferred)
         self._move(now)
-        if now < self._lifted_until:
-            self._credits.clear()
-            return preferred
         credits = self._credits
         for region, share in self._shares.items():
             credits[region] = credits.get(region, 0.0) + share
@@ -162,6 +161,10 @@
             or credits.get(chosen, 0.0) < 1.0 - leeway
         ):
             chosen = behind
+        quick = usable if in_time is None else in_time
+        is_lifted = now < self._lifted_until
+        if is_lifted and chosen not in quick and preferred in quick:
+            chosen = preferred
         credits[chosen] = credits.get(chosen, 0.0) - 1.0
         limit = 2 * leeway
         for region, credit in credits.items():
@@ -200,8 +203,6 @@
         elapsed = min(now - before, _MAX_STEP)
         step = self._pace * elapsed.total_seconds()
         part = 1.0 if apart <= step else step / apart
-        if now < self._lifted_until:
-            part = 1.0
         self._shares = {
             r: self._shares.get(r, 0.0) + gap * part for r, gap in gaps.items()
         }
--- a/dragonflystack/entry/tests/loads.py
+++ b/dragonflystack/entry/tests/loads.py
@@ -61,6 +61,9 @@
     slow: int = 0
     """Backend servers in each region that take five times as long."""
 
+    loss_at_s: float | None = None
+    """When the last region's first backend server leaves, None if none does."""
+
     seconds: float = 20.0
     retries: int = 1
     seed: int = 1
@@ -186,6 +189,8 @@
         for region in self._load.servers:
             self._at(0.0, self._arrive, region)
         self._at(0.0, self._beat)
+        if self._load.loss_at_s is not None:
+            self._at(self._load.loss_at_s * 1000, self._lose)
         while self._events:
             now, _, run, args = heapq.heappop(self._events)
             if now > (self._load.seconds + 5) * 1000:
@@ -259,6 +264,13 @@
                 vms.setdefault(region, []).append(vm)
         return vms
 
+    def _lose(self, now: float) -> None:
+        name = ids.BackendServerId(f"{list(self._load.servers)[-1]}-s0")
+        listing = entry.Listing((), (name,), whole=False, version=5)
+        for group in self.vms.values():
+            for vm in group:
+                vm.on_listing(listing, 5, _ms(now))
+
     def _beat(self, now: float) -> None:
         for group in self.vms.values():
             beats = [vm.heartbeat(_ms(now), introduce=True) for vm in group]
