Explain a request by waits that were asked for long before

explain told only changes of belief of the last 5 s; a backend server that asked to be left alone for 30 s was not named. Test: test_explain.py, failed before.

--- a/dragonflystack/cli/_explain.py
+++ b/dragonflystack/cli/_explain.py
@@ -72,7 +72,8 @@
     context = [
         line
         for line in ordered
-        if begin <= line["timestamp"] <= end
+        if _lasts_until(line) >= begin
+        and line["timestamp"] <= end
         and line.get("request") != request
         and line["vm"] in vms
         and not line["message_type"].startswith(("request-", "send-"))
@@ -81,6 +82,12 @@
     return sorted([*own, *context], key=lambda line: line["timestamp"])
 
 
+def _lasts_until(line: dict[str, Any]) -> float:
+    """Returns until when a change of belief counts as told."""
+    wait_ms = line.get("wait_ms") or 0.0
+    return line["timestamp"] + wait_ms / 1000
+
+
 def _read(files: list[pathlib.Path]) -> Iterable[dict[str, Any]]:
     if not files:
         yield from _decode("standard input", sys.stdin)
--- a/dragonflystack/cli/tests/test_explain.py
+++ b/dragonflystack/cli/tests/test_explain.py
@@ -42,6 +42,18 @@
     assert sum("server" in line for line in story) == 2
 
 
+def test_a_wait_that_was_asked_for_long_before_still_explains():
+    asked = _line(2.0, "server-asked-wait", server="s1", wait_ms=30_000.0)
+    over = _line(2.1, "server-asked-wait", server="s2", wait_ms=1_000.0)
+    rejected = _line(
+        20.0, "request-rejected", request="r", reason="asked-to-wait"
+    )
+    assert _explain.find_story([asked, over, rejected], "r") == [
+        asked,
+        rejected,
+    ]
+
+
 @pytest.mark.parametrize(("request_id", "code"), [("q", 0), ("nobody", 1)])
 def test_files_are_read(tmp_path, capsys, request_id, code):
     path = tmp_path / "vm.log"
