Remember what a backend server says of its leaving, also if the store said it

Cause, found by reading the diff: a departure was not remembered when the row already said so, so a later row of the same incarnation that no longer does had requests sent there again. Test: test_what_the_store_says_again_does_not_take_back_what_was_said, failed before.

--- a/dragonflystack/entry/_departures.py
+++ b/dragonflystack/entry/_departures.py
@@ -46,6 +46,17 @@
         )
 
     def note(self, departure: Departure, now: datetime.timedelta) -> bool:
+        """Remembers a departure, to be told on if it was not known.
+
+        Returns:
+            Whether it was not known.
+        """
+        if not self.remember(departure):
+            return False
+        self._news.append((now, departure))
+        return True
+
+    def remember(self, departure: Departure) -> bool:
         """Remembers a departure; returns whether it was not known."""
         known = self._by_server.get(departure.server)
         if known is not None and known.born >= departure.born:
@@ -54,7 +65,6 @@
         self._by_server.move_to_end(departure.server)
         if len(self._by_server) > _MAX_REMEMBERED:
             self._by_server.popitem(last=False)
-        self._news.append((now, departure))
         return True
 
     def includes(self, entry: _servers.ServerEntry) -> bool:
--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -281,9 +281,11 @@
     ) -> bool:
         """See `_context.Context.on_said_leaving`."""
         entry = server.entry
+        departure = _departures.Departure(entry.id, entry.born, entry.sequence)
         if entry.leaving:
+            # Other VMs hear it from the store, whose row may yet change.
+            self.departures.remember(departure)
             return False
-        departure = _departures.Departure(entry.id, entry.born, entry.sequence)
         return bool(self.on_departures((departure,), now))
 
     def _make_budgets(self) -> _budgets.RetryBudgets:
--- a/dragonflystack/entry/tests/test_departures.py
+++ b/dragonflystack/entry/tests/test_departures.py
@@ -144,6 +144,21 @@
     assert vm.heartbeat(_at(20)).departures == ()
 
 
+def test_what_the_store_says_again_does_not_take_back_what_was_said():
+    """The row said so first, and then no longer does."""
+    vm = _vm("s1", "s2")
+    exchange, step = vm.open(builders.request(), _at(10))
+    assert isinstance(step, entry.Send)
+    name = step.server.entry.id
+    other = {"s1", "s2"} - {name}
+    leaving = builders.server(name, sequence=2, leaving=True)
+    vm.on_listing(_listing(leaving), 9, _at(20))
+    exchange.on_result(_LEAVING, _at(30))
+    ready = builders.server(name, sequence=3)
+    vm.on_listing(_listing(ready), 10, _at(40))
+    assert _reached(vm, 100) == other
+
+
 def test_a_neighbour_without_the_entry_remembers_it():
     vm = _vm("s2")
     gone = (entry.Departure(builders.server("s1").id, 1, 1),)
