Show how far a VM is behind the operators' rows

A VM notes when it first heard of a position that it lacks (_lag.py). Shown as gauges behind_seconds and catalogue_version, as a histogram of what was asked of other VMs, and in lines of their own: news-taken, news-failed (so far an entry-skipped without a duration), and behind_ms on catalogue-adopted. No decision uses it yet.

--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -10,6 +10,7 @@
 from dragonflystack.entry import _discovery
 from dragonflystack.entry import _dispatch
 from dragonflystack.entry import _exchange
+from dragonflystack.entry import _lag
 from dragonflystack.entry import _members
 from dragonflystack.entry import _messages
 from dragonflystack.entry import _news
@@ -59,6 +60,7 @@
         """The store's era as far as known, None before it was heard of."""
 
         self.log = _news.NewsLog()
+        self._lag = _lag.Lag()
         self._settled_at = _ZERO
         """When operators and backend servers have written again what the store
         lost; until then evacuations stay as they are."""
@@ -172,6 +174,10 @@
     def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
         """Does what is due."""
         self.members.on_tick(now)
+        beats = [m.beat for m in self.members.alive(now) if m.beat]
+        self._lag.on_alive(
+            max((beat.position.operators for beat in beats), default=0)
+        )
         self.dispatch.on_tick(now)
         changes = self.discovery.on_tick(now)
         self.dispatch.on_changes(changes, now)
@@ -232,6 +238,20 @@
                 ages.append(age + (now - member.heard_at))
         return max(_ZERO, min(ages))
 
+    def on_position(
+        self, position: _news.Position, now: datetime.timedelta
+    ) -> bool:
+        """Takes in another VM's position; returns whether it knows more."""
+        own = self.log.position
+        self._lag.on_heard(position.operators, own.operators, now)
+        return (
+            position.operators > own.operators or position.servers > own.servers
+        )
+
+    def behind(self, now: datetime.timedelta) -> datetime.timedelta:
+        """Returns for how long others have had rows that this VM lacks."""
+        return self._lag.age(self.log.position.operators, now)
+
     def should_watch(self, now: datetime.timedelta) -> bool:
         """Returns whether this VM is to watch the store itself."""
         if self.news_age(now) > _news.STALE_AFTER:
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -29,6 +29,8 @@
     VM_SILENT = "vm-silent"
     VM_REGISTERED = "vm-registered"
     STATE_FROM_PEER = "state-from-peer"
+    NEWS_TAKEN = "news-taken"
+    NEWS_FAILED = "news-failed"
     READY_CHANGED = "ready-changed"
     REQUEST_SENT = "request-sent"
     REQUEST_SENT_AGAIN = "request-sent-again"
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -75,11 +75,7 @@
         node.vm.dispatch.on_sightings(beat.loads, beat.learnt, now)
         for server in node.vm.on_departures(beat.departures, now):
             _server_reports.note_leaving(node, server, beat.vm)
-        own = node.vm.log.position
-        if (
-            beat.position.operators > own.operators
-            or beat.position.servers > own.servers
-        ):
+        if node.vm.on_position(beat.position, now):
             node.news_from = _node.Endpoint(*addr)
             node.news_poke.set()
 
--- a/dragonflystack/entryd/_metrics_port.py
+++ b/dragonflystack/entryd/_metrics_port.py
@@ -17,6 +17,9 @@
             await _asgi.send_problem(send, 404, "no such path")
             return
         node.metrics.set("in-flight", node.in_flight)
+        node.metrics.set("catalogue-version", node.catalogue_version or 0)
+        behind = node.vm.behind(node.now())
+        node.metrics.set("behind-seconds", behind.total_seconds())
         headers = [(b"content-type", _CONTENT_TYPE)]
         await _asgi.send_bytes(send, 200, headers, node.metrics.render())
 
--- a/dragonflystack/entryd/_snapshots.py
+++ b/dragonflystack/entryd/_snapshots.py
@@ -14,6 +14,7 @@
 from dragonflystack import _bounded
 from dragonflystack import entry
 from dragonflystack.entryd import _events
+from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _node
 
 NEWS_PATH = "/v1/news"
@@ -82,26 +83,52 @@
     if with_vms:
         query += "&vms=1"
     url = f"http://{peer}{NEWS_PATH}?{query}"
+    began = node.now()
     try:
         res = await _bounded.request(
             pool, "GET", url, _MAX_NEWS_BYTES, _LONGEST, extensions=_TIMEOUTS
         )
         if res.status != _OK:
             return None
-        return msgspec.json.decode(res.content, type=Told)
+        told = msgspec.json.decode(res.content, type=Told)
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
         httpcore.TimeoutException,
         msgspec.MsgspecError,
     ) as exc:
+        took = node.now() - began
+        node.metrics.time("news", took, outcome="failed")
         node.note(
-            _events.Event.ENTRY_SKIPPED,
-            source="peer",
+            _events.Event.NEWS_FAILED,
             peer=str(peer),
             reason=f"{type(exc).__name__}: {exc}",
+            took_ms=_journal.milliseconds(took),
+            behind_ms=_journal.milliseconds(node.vm.behind(node.now())),
         )
         return None
+    _note_taken(node, peer, told, len(res.content), node.now() - began)
+    return told
+
+
+def _note_taken(
+    node: _node.Node,
+    peer: _node.Endpoint,
+    told: Told,
+    size: int,
+    took: datetime.timedelta,
+) -> None:
+    node.metrics.time("news", took, outcome="taken")
+    catalogue = told.news.catalogue
+    if catalogue is not None:
+        node.note(
+            _events.Event.NEWS_TAKEN,
+            peer=str(peer),
+            catalogue=catalogue.version,
+            bytes=size,
+            took_ms=_journal.milliseconds(took),
+            behind_ms=_journal.milliseconds(node.vm.behind(node.now())),
+        )
 
 
 def dump(node: _node.Node) -> dict:
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -225,14 +225,17 @@
             node.beat_poke.set()
 
     def _adopt(self, catalogue: entry.Catalogue, source: str) -> None:
-        before = self._node.vm.catalogue
-        if self._node.vm.on_catalogue(catalogue):
-            self._node.note(
+        node = self._node
+        before = node.vm.catalogue
+        behind_ms = _journal.milliseconds(node.vm.behind(node.now()))
+        if node.vm.on_catalogue(catalogue):
+            node.note(
                 _events.Event.CATALOGUE_ADOPTED,
                 version=catalogue.version,
                 before=None if before is None else before.version,
                 routes=len(catalogue.routes),
                 source=source,
+                behind_ms=behind_ms,
             )
 
     def _evacuate(self, domains: frozenset, source: str) -> None:
