Decide each send by the catalogue in force when it is written

A request was resolved once, when it arrived. What is decided on it later went by that: a repeat after a failure, silence or a refused connection, and the write itself, which follows the decision by up to 0.35 s while a connection opens. In that time a catalogue, an evacuation or news of the backend server may come; only the last was looked at. So a request could leave its homes (HOME), go to a service of before (CONFIG) or to an evacuated failure domain.

An exchange resolves its request again before each send and before each write, and stays with its service while the route leads there. A request whose route is gone ends at once: 404 if it was never sent, else 502 (route-removed). Ways looked at: first send, repeat, send after silence, withdrawn send, write on a new connection, requests kept at a start (opened only then).

--- a/dragonflystack/entry/_catalogue.py
+++ b/dragonflystack/entry/_catalogue.py
@@ -54,6 +54,12 @@
     sticky: bool = False
     """Whether a backend server is faster for an object it handled before."""
 
+    def leads_to(self, service: ids.ServiceId) -> bool:
+        """Returns whether some of its requests go to a service."""
+        return any(
+            d.service == service and d.weight > 0 for d in self.destinations
+        )
+
     def __post_init__(self):
         """Checks the values.
 
--- a/dragonflystack/entry/_context.py
+++ b/dragonflystack/entry/_context.py
@@ -54,6 +54,11 @@
             now: the time.
         """
 
+    def may_write(
+        self, server: _servers.Server, now: datetime.timedelta
+    ) -> bool:
+        """Returns whether a request may be written to a backend server now."""
+
     def on_loss(self, now: datetime.timedelta) -> None:
         """Notes that a backend server was lost."""
 
--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -221,6 +221,15 @@
         region = self.shares.place(key, preferred, usable, now, in_time)
         return next(c for c in candidates if c.server.region == region)
 
+    def may_write(
+        self, server: _servers.Server, now: datetime.timedelta
+    ) -> bool:
+        """See `_context.Context.may_write`."""
+        return (
+            server.may_get_requests(now)
+            and server.entry.domain not in self.evacuated
+        )
+
     def on_loss(self, now: datetime.timedelta) -> None:
         """See `_context.Context.on_loss`."""
         self.shares.on_loss(now)
@@ -358,12 +367,10 @@
     def _may_use(
         self, server: _servers.Server, now: datetime.timedelta
     ) -> bool:
-        if not server.may_get_requests(now):
+        if not self.may_write(server, now):
             return False
         if server.suspect_since is not None:
             return False
-        if server.entry.domain in self.evacuated:
-            return False
         if not server.is_cold(now):
             return True
         policy = self._services.get(server.entry.service)
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -1,11 +1,13 @@
 """The life of one request: sends, one after the other, until it is settled.
 
-A request that is not idempotent is sent again only while it is known that no
-earlier send ran. Others may be sent again when a send broke off, stayed silent
+Each send goes by the catalogue that is in force when it is written. A request
+that is not idempotent is sent again only while it is known that no earlier send
+ran. Others may be sent again when a send broke off, stayed silent
 or failed. A send that follows one that reached a backend server comes out of
 the retry budget. What cannot be served is told at once.
 """
 
+from collections.abc import Callable
 import datetime
 
 from dragonflystack import ids
@@ -44,6 +46,11 @@
 that is still cold, or has a queue, is not silent."""
 
 
+Resolve = Callable[[_choice.Wanted], _choice.Wanted | None]
+"""Returns what a request needs under the catalogue in force, given what it
+needed before; None if no route leads anywhere."""
+
+
 class Exchange:
     """One request of a caller, from its arrival to its outcome."""
 
@@ -51,13 +58,14 @@
         self,
         context: _context.Context,
         request: _messages.Request,
-        route: _catalogue.Route,
         wanted: _choice.Wanted,
+        resolve: Resolve,
         now: datetime.timedelta,
     ):
         self.request = request
-        self.route = route
         self.wanted = wanted
+        """What it needs of its backend server, as last resolved."""
+
         self.began = now
         left = request.time_left
         self._caller_leaves = now + (
@@ -66,8 +74,8 @@
         self.deadline = self._caller_leaves
         """When the final answer is due."""
 
-        if route.timeout is not None:
-            self.deadline = min(self.deadline, now + route.timeout)
+        self._resolve = resolve
+        self._on_wanted(wanted)
         self.sends: list[_messages.Sent] = []
         self.may_have_run = False
         """Whether a backend server may have run it."""
@@ -83,6 +91,11 @@
         self._sent_at = now
         self._why = _messages.Reason.NO_SERVER
 
+    @property
+    def route(self) -> _catalogue.Route:
+        """The route that it follows, as last resolved."""
+        return self.wanted.route
+
     def begin(self, now: datetime.timedelta) -> _messages.Step:
         """Returns the first step."""
         return self._note(self._send(now))
@@ -93,6 +106,40 @@
         """Takes in how the latest send went; returns what to do next."""
         return self._note(self._decide(result, now))
 
+    def may_write(self, now: datetime.timedelta) -> bool:
+        """Returns whether the latest send may still be written.
+
+        A connection takes time, in which its route, evacuations and what is
+        known of the backend server may change.
+        """
+        current = self._current
+        assert current is not None
+        if not self._is_resolved() or now >= self.deadline:
+            return False
+        server = current.server
+        wanted = self.wanted
+        return (
+            server.entry.service == wanted.service
+            and (not wanted.regions or server.region in wanted.regions)
+            and self._context.may_write(server, now)
+        )
+
+    def _is_resolved(self) -> bool:
+        """Follows the catalogue in force; returns whether there is a route."""
+        wanted = self._resolve(self.wanted)
+        if wanted is None:
+            return False
+        if wanted is not self.wanted:
+            self._on_wanted(wanted)
+        return True
+
+    def _on_wanted(self, wanted: _choice.Wanted) -> None:
+        self.wanted = wanted
+        self.deadline = self._caller_leaves
+        if wanted.route.timeout is not None:
+            latest = self.began + wanted.route.timeout
+            self.deadline = min(self.deadline, latest)
+
     def _note(self, step: _messages.Step) -> _messages.Step:
         self.has_ended = not isinstance(step, _messages.Send | _messages.Wait)
         return step
@@ -194,7 +241,11 @@
         current.server.on_suspect(now)
         current.server.on_result(True, now)
         self.may_have_run = True
-        if self.route.idempotent and self._may_send_more(now):
+        if (
+            self._is_resolved()
+            and self.route.idempotent
+            and self._may_send_more(now)
+        ):
             candidates = self._candidates(now)
             if candidates and candidates[0].expected <= self.deadline - now:
                 self._release()
@@ -223,6 +274,8 @@
         return self._context.may_resend(self.wanted.service, now)
 
     def _send(self, now: datetime.timedelta) -> _messages.Step:
+        if not self._is_resolved():
+            return self._on_route_removed()
         candidates = self._candidates(now)
         if not candidates:
             return self._give_up(self._why, now)
@@ -234,6 +287,13 @@
             return self._start(best, now)
         return self._give_up(why, now, best)
 
+    def _on_route_removed(self) -> _messages.Step:
+        if self.may_have_run:
+            return _messages.Fail(
+                _messages.Reason.ROUTE_REMOVED, timed_out=False
+            )
+        return _messages.Unknown()
+
     def _why_not(
         self, candidate: _choice.Candidate, now: datetime.timedelta
     ) -> _messages.Reason | None:
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -35,6 +35,9 @@
     CORRUPT = "corrupt"
     """What came back was no whole answer to it."""
 
+    ROUTE_REMOVED = "route-removed"
+    """Its route was removed after it was sent to a backend server."""
+
     STOPPING = "stopping"
     """This VM ends before it could have an answer."""
 
@@ -80,7 +83,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdrawn:
-    """Nothing was written, as the backend server may get no more requests."""
+    """Nothing was written: the backend server may not get the request now."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -315,19 +315,48 @@
         if self._routes is None or not self.is_informed:
             wait = _NO_NEWS_RETRY_AFTER
             return None, _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
-        route = self._routes.find(request.host, request.path)
-        if route is None:
+        wanted = self._resolve(request, None)
+        if wanted is None:
             return None, _messages.Unknown()
-        service = self._routes.pick_service(route)
-        wanted = _choice.Wanted(
-            route, service, request.object_key, route.regions
-        )
         self.dispatch.on_request(wanted, now)
         exchange = _exchange.Exchange(
             self.dispatch,
             request,
-            route,
             wanted,
+            self._make_resolver(request),
             now if arrived is None else arrived,
         )
         return exchange, exchange.begin(now)
+
+    def _make_resolver(self, request: _messages.Request) -> _exchange.Resolve:
+        """Returns what an exchange resolves its request with."""
+        resolved_in = self._routes
+
+        def resolve(before: _choice.Wanted) -> _choice.Wanted | None:
+            nonlocal resolved_in
+            if resolved_in is self._routes:
+                return before
+            wanted = self._resolve(request, before)
+            if wanted is not None:
+                resolved_in = self._routes
+            return wanted
+
+        return resolve
+
+    def _resolve(
+        self, request: _messages.Request, before: _choice.Wanted | None
+    ) -> _choice.Wanted | None:
+        """Returns what a request needs under the catalogue in force.
+
+        It stays with its service while its route leads there.
+        """
+        routes = self._routes
+        assert routes is not None
+        route = routes.find(request.host, request.path)
+        if route is None:
+            return None
+        if before is not None and route.leads_to(before.service):
+            service = before.service
+        else:
+            service = routes.pick_service(route)
+        return _choice.Wanted(route, service, request.object_key, route.regions)
--- a/dragonflystack/entryd/_sending.py
+++ b/dragonflystack/entryd/_sending.py
@@ -27,7 +27,6 @@
 _WATCH_AFTER_S = 0.2
 """A caller that leaves is noticed from here on; most answers come sooner."""
 
-_ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _SUCCESS = range(200, 300)
 
@@ -169,11 +168,11 @@
             self._node.vm.dispatch.on_round_trip(server, took)
             self._node.metrics.count("connections-opened")
         now = self._node.now()
-        left = self._exchange.deadline - now
-        if left <= _ZERO or not server.may_get_requests(now):
-            # The process was paused, or another answer was read meanwhile.
+        if not self._exchange.may_write(now):
+            # The process was paused, or news came meanwhile.
             self._pool.give_back(address, conn)
             return entry.Withdrawn()
+        left = self._exchange.deadline - now
         answer = conn.send(self._outgoing(step, left))
         return _Sending(server, address, conn, answer)
 
