Keep tests of daemons free of the connect timeout

test_broken_off_answer_is_not_told_as_complete[in chunks] failed once on a busy machine (load 17), and test_planned_stop_under_load_cuts_no_accepted_request once in nine plays of both files beside the same load. The log of the second: four connections took over 0.35 s, the backend server became suspect and was probed, and the stand-in counted the probe as a run: 59 runs for 58 answers. The first left no log; a refused connection gives 503 where it wants 502, which fits.

The stand-in counts probes apart, and the daemons of these tests may take 10 s for a connection: what they check is what callers are told, not how fast a test machine connects. Assertions are as before.

--- a/dragonflystack/entryd/tests/daemons.py
+++ b/dragonflystack/entryd/tests/daemons.py
@@ -5,6 +5,7 @@
 import datetime
 import socket
 import struct
+from unittest import mock
 
 import anyio
 import httpcore
@@ -15,6 +16,7 @@
 from dragonflystack import ids
 from dragonflystack import outcomes
 from dragonflystack import storage
+from dragonflystack.entryd import _sending
 
 SERVICE = ids.ServiceId("rings")
 DIALECT = entryd.Dialect(
@@ -29,6 +31,10 @@
     cold_left_ms=b"x-cold",
     leaving=b"x-leaving",
 )
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=10)
+"""A busy machine may take longer than the daemon allows; what happens then has
+tests of its own."""
+
 HEADERS = [(b"host", b"shop.example"), (b"x-id", b"1"), (b"x-left", b"3000")]
 
 
@@ -161,6 +167,8 @@
 
     def __init__(self):
         self.runs = 0
+        """Requests that reached it, without probes."""
+
         self.delay_s = 0.0
         self.is_silent = False
         """Whether it reads a request and never answers."""
@@ -171,8 +179,9 @@
     async def __call__(self, reader, writer):
         try:
             while True:
-                await reader.readuntil(b"\r\n\r\n")
-                self.runs += 1
+                head = await reader.readuntil(b"\r\n\r\n")
+                if not head.startswith(b"GET /health "):
+                    self.runs += 1
                 if self.is_silent:
                     await reader.read()
                     self.closed += 1
@@ -214,14 +223,15 @@
 @contextlib.asynccontextmanager
 async def serving(platform, cfg=None):
     """Gives a daemon that is ready, and its callers' pool; stops it at last."""
-    async with (
-        httpcore.AsyncConnectionPool() as pool,
-        anyio.create_task_group() as tasks,
-    ):
-        node = start(tasks, platform, cfg or settings())
-        await until(lambda: node.is_ready)
-        yield pool, node
-        node.stop_asked.set()
+    with mock.patch.object(_sending, "_CONNECT_TIMEOUT", _CONNECT_TIMEOUT):
+        async with (
+            httpcore.AsyncConnectionPool() as pool,
+            anyio.create_task_group() as tasks,
+        ):
+            node = start(tasks, platform, cfg or settings())
+            await until(lambda: node.is_ready)
+            yield pool, node
+            node.stop_asked.set()
 
 
 async def get(pool, node, path="/r/1", left_ms=3000, request_id=b"1"):
