Reject requests while newer routes are known and overdue

A VM that has known of newer operators' rows for 0.6 of the bound on changes rejects requests with 503 (outdated) and a short Retry-After, also before a repeat and before a write; its neighbours serve by the new ones. It stops as soon as it has them, or when no VM that is alive has them: a neighbour that died before it could tell keeps nobody from serving. A VM that has been behind for 1.5 s also reads the store itself; so far only silence of its neighbours made it do so.

What it cannot know, it cannot reject: a VM that is cut off from the store and from its neighbours serves by what it has.

--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -46,9 +46,11 @@
 that is still cold, or has a queue, is not silent."""
 
 
-Resolve = Callable[[_choice.Wanted], _choice.Wanted | None]
+Resolve = Callable[
+    [_choice.Wanted, datetime.timedelta], _choice.Wanted | _messages.Reason
+]
 """Returns what a request needs under the catalogue in force, given what it
-needed before; None if no route leads anywhere."""
+needed before and the time, or why it may not be sent."""
 
 
 class Exchange:
@@ -114,7 +116,7 @@
         """
         current = self._current
         assert current is not None
-        if not self._is_resolved() or now >= self.deadline:
+        if self._why_unresolved(now) is not None or now >= self.deadline:
             return False
         server = current.server
         wanted = self.wanted
@@ -124,14 +126,16 @@
             and self._context.may_write(server, now)
         )
 
-    def _is_resolved(self) -> bool:
-        """Follows the catalogue in force; returns whether there is a route."""
-        wanted = self._resolve(self.wanted)
-        if wanted is None:
-            return False
+    def _why_unresolved(
+        self, now: datetime.timedelta
+    ) -> _messages.Reason | None:
+        """Follows the catalogue in force; returns why it cannot, if so."""
+        wanted = self._resolve(self.wanted, now)
+        if isinstance(wanted, _messages.Reason):
+            return wanted
         if wanted is not self.wanted:
             self._on_wanted(wanted)
-        return True
+        return None
 
     def _on_wanted(self, wanted: _choice.Wanted) -> None:
         self.wanted = wanted
@@ -242,7 +246,7 @@
         current.server.on_result(True, now)
         self.may_have_run = True
         if (
-            self._is_resolved()
+            self._why_unresolved(now) is None
             and self.route.idempotent
             and self._may_send_more(now)
         ):
@@ -274,8 +278,9 @@
         return self._context.may_resend(self.wanted.service, now)
 
     def _send(self, now: datetime.timedelta) -> _messages.Step:
-        if not self._is_resolved():
-            return self._on_route_removed()
+        unresolved = self._why_unresolved(now)
+        if unresolved is not None:
+            return self._on_unresolved(unresolved)
         candidates = self._candidates(now)
         if not candidates:
             return self._give_up(self._why, now)
@@ -287,12 +292,12 @@
             return self._start(best, now)
         return self._give_up(why, now, best)
 
-    def _on_route_removed(self) -> _messages.Step:
+    def _on_unresolved(self, why: _messages.Reason) -> _messages.Step:
         if self.may_have_run:
-            return _messages.Fail(
-                _messages.Reason.ROUTE_REMOVED, timed_out=False
-            )
-        return _messages.Unknown()
+            return _messages.Fail(why, timed_out=False)
+        if why is _messages.Reason.ROUTE_REMOVED:
+            return _messages.Unknown()
+        return _messages.Reject(why, self._retry_after(_LEAST_RETRY_AFTER))
 
     def _why_not(
         self, candidate: _choice.Candidate, now: datetime.timedelta
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -14,6 +14,10 @@
     NO_CATALOGUE = "no-catalogue"
     """This VM knows no routes yet."""
 
+    OUTDATED = "outdated"
+    """Other VMs have had newer routes for so long that this one may not decide
+    by its own."""
+
     NO_SERVER = "no-server"
     """No backend server of the service may be used now."""
 
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -29,6 +29,10 @@
     max_shift: float = 0.15
     """Part of a region's requests that may change region in 2 s."""
 
+    apply: datetime.timedelta = _ms(2_500)
+    """From the store's acknowledgement of a change until every VM decides by
+    it."""
+
     drain: datetime.timedelta = _ms(2_500)
     """How long a leaving backend server still takes requests."""
 
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -25,6 +25,13 @@
 """The store did not answer, and a VM that starts asks it again after 0.2 to
 0.6 s."""
 
+_OUTDATED_PART = 0.6
+"""Part of the bound on changes for which a VM decides by routes that it knows
+to be old; the rest is for the first VMs to read a change and to tell it."""
+
+_OUTDATED_RETRY_AFTER = datetime.timedelta(milliseconds=50)
+"""Another VM takes the request at once."""
+
 _CONFIRM_PART = 0.4
 """Part of the drain bound for which the removal of many entries at once is
 unconfirmed; the rest is for the store to answer again and for the news to
@@ -252,10 +259,16 @@
         """Returns for how long others have had rows that this VM lacks."""
         return self._lag.age(self.log.position.operators, now)
 
+    def is_outdated(self, now: datetime.timedelta) -> bool:
+        """Returns whether its routes are too old to decide by them."""
+        return self.behind(now) > self.bounds.apply * _OUTDATED_PART
+
     def should_watch(self, now: datetime.timedelta) -> bool:
         """Returns whether this VM is to watch the store itself."""
         if self.news_age(now) > _news.STALE_AFTER:
             return True
+        if self.behind(now) > _news.STALE_AFTER:
+            return True
         members = self.members
         if not members.is_listed:
             return False
@@ -315,6 +328,9 @@
         if self._routes is None or not self.is_informed:
             wait = _NO_NEWS_RETRY_AFTER
             return None, _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
+        if self.is_outdated(now):
+            wait = _OUTDATED_RETRY_AFTER
+            return None, _messages.Reject(_messages.Reason.OUTDATED, wait)
         wanted = self._resolve(request, None)
         if wanted is None:
             return None, _messages.Unknown()
@@ -332,13 +348,18 @@
         """Returns what an exchange resolves its request with."""
         resolved_in = self._routes
 
-        def resolve(before: _choice.Wanted) -> _choice.Wanted | None:
+        def resolve(
+            before: _choice.Wanted, now: datetime.timedelta
+        ) -> _choice.Wanted | _messages.Reason:
             nonlocal resolved_in
+            if self.is_outdated(now):
+                return _messages.Reason.OUTDATED
             if resolved_in is self._routes:
                 return before
             wanted = self._resolve(request, before)
-            if wanted is not None:
-                resolved_in = self._routes
+            if wanted is None:
+                return _messages.Reason.ROUTE_REMOVED
+            resolved_in = self._routes
             return wanted
 
         return resolve
