Resolve a request before it is judged whether it may be repeated

Also a repeat was taken out of the retry budget before the request was refused.

A request counts as idempotent only if every route that it followed says so, and it is resolved before that, attempts and budget are asked. If its time got shorter while a connection opened, its answer is awaited for that time only.

--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -77,6 +77,9 @@
         """When the final answer is due."""
 
         self._resolve = resolve
+        self._is_idempotent = True
+        """Whether every route that it followed says so."""
+
         self._on_wanted(wanted)
         self.sends: list[_messages.Sent] = []
         self.may_have_run = False
@@ -139,6 +142,7 @@
 
     def _on_wanted(self, wanted: _choice.Wanted) -> None:
         self.wanted = wanted
+        self._is_idempotent &= wanted.route.idempotent
         self.deadline = self._caller_leaves
         if wanted.route.timeout is not None:
             latest = self.began + wanted.route.timeout
@@ -189,7 +193,7 @@
         self.may_have_run = True
         failed = answer.status >= _FIRST_SERVER_ERROR
         server.on_result(failed, now)
-        if failed and self.route.idempotent and self._may_send_more(now):
+        if failed and self._may_repeat(now):
             step = self._send(now)
             if isinstance(step, _messages.Send):
                 return step
@@ -245,11 +249,7 @@
         current.server.on_suspect(now)
         current.server.on_result(True, now)
         self.may_have_run = True
-        if (
-            self._why_unresolved(now) is None
-            and self.route.idempotent
-            and self._may_send_more(now)
-        ):
+        if self._may_repeat(now):
             candidates = self._candidates(now)
             if candidates and candidates[0].expected <= self.deadline - now:
                 self._release()
@@ -265,13 +265,22 @@
         self, why: _messages.Reason, now: datetime.timedelta
     ) -> _messages.Step:
         """Sends again if that is safe and allowed, else gives up."""
-        if self.may_have_run and not self.route.idempotent:
-            return self._give_up(why, now)
-        if not self._may_send_more(now):
+        unresolved = self._why_unresolved(now)
+        if unresolved is not None:
+            return self._on_unresolved(unresolved)
+        if not self._may_repeat(now):
             return self._give_up(why, now)
         self._why = why
         return self._send(now)
 
+    def _may_repeat(self, now: datetime.timedelta) -> bool:
+        """Returns whether it may be sent again; takes it out of the budget."""
+        if self._why_unresolved(now) is not None:
+            return False
+        if self.may_have_run and not self._is_idempotent:
+            return False
+        return self._may_send_more(now)
+
     def _may_send_more(self, now: datetime.timedelta) -> bool:
         if self._reached >= self.route.max_attempts or now >= self.deadline:
             return False
--- a/dragonflystack/entry/tests/test_catalogue_changes.py
+++ b/dragonflystack/entry/tests/test_catalogue_changes.py
@@ -161,3 +161,34 @@
     assert not exchange.may_write(builders.ms(5010))
     _put_in_force(vm, builders.route(timeout=builders.ms(300)))
     assert not exchange.may_write(builders.ms(310))
+
+
+_MAY_HAVE_RUN = [
+    pytest.param(entry.Broken("reset"), id="broken"),
+    pytest.param(entry.Answered(500), id="failed"),
+    pytest.param(entry.Silent(), id="silent"),
+]
+
+
+# Guards against a second run of a request that may run once, as a route that
+# allows repeats took over from one that does not, or the other way round.
+@pytest.mark.parametrize("result", _MAY_HAVE_RUN)
+@pytest.mark.parametrize("before", [True, False])
+def test_what_may_have_run_is_sent_again_only_if_both_routes_allow(
+    before, result
+):
+    vm = _vm(_route(idempotent=before))
+    exchange, _ = _open(vm, path="/r/x/y")
+    nested = _route(prefix="/r/x/", idempotent=not before)
+    _put_in_force(vm, _route(), nested)
+    step = exchange.on_result(result, builders.ms(700))
+    assert not isinstance(step, entry.Send)
+
+
+@pytest.mark.parametrize("result", _MAY_HAVE_RUN)
+def test_the_attempts_of_the_route_in_force_bind(result):
+    vm = _vm(_route())
+    exchange, _ = _open(vm)
+    _put_in_force(vm, builders.route(timeout=builders.ms(5000), max_attempts=1))
+    step = exchange.on_result(result, builders.ms(700))
+    assert not isinstance(step, entry.Send)
--- a/dragonflystack/entryd/_sending.py
+++ b/dragonflystack/entryd/_sending.py
@@ -80,7 +80,9 @@
                     else:
                         result = started
                 if sending is not None:
-                    result = await self._result(sending, step.patience)
+                    left = self._exchange.deadline - self._node.now()
+                    patience = min(step.patience, left)
+                    result = await self._result(sending, patience)
                 assert result is not None
                 step = self._decide(result)
                 if (
