Pass on the word of newer rows faster than the rows

Found by the review: a VM heard of newer operators' rows only from a neighbour that had them already, so the word of them spread as slowly as they did.

Heartbeats carry the latest position that their sender heard of and lacks, with the age of the first word and of the last sign of a VM that has the rows; a new word is passed on at once. It expires 2 s after that last sign, so two VMs cannot keep it alive between them, and a neighbour that died keeps nobody from serving.

Also from the review: reading the store ends the lag (after an evacuation was taken back the own position could stay below a neighbour's for good); a VM that is behind reads the operators' rows only, and not the whole list of backend servers over the same full link; a watch of the store counts as working only if those of both tables do.

Tests: test_lag.py, test_outdated.py. Before: the word did not pass a VM that lacks the rows, and a VM that had read the store counted as behind.

--- a/dragonflystack/entry/__init__.py
+++ b/dragonflystack/entry/__init__.py
@@ -56,6 +56,7 @@
 from dragonflystack.entry._messages import Withdrawn
 from dragonflystack.entry._news import News
 from dragonflystack.entry._news import Position
+from dragonflystack.entry._news import Table
 from dragonflystack.entry._servers import Load
 from dragonflystack.entry._servers import Server
 from dragonflystack.entry._servers import ServerEntry
@@ -108,6 +109,7 @@
     "ServicePolicy",
     "Silent",
     "Step",
+    "Table",
     "Unknown",
     "UnknownVmError",
     "VmAddress",
--- a/dragonflystack/entry/_members.py
+++ b/dragonflystack/entry/_members.py
@@ -17,6 +17,7 @@
 
 from dragonflystack import ids
 from dragonflystack.entry import _departures
+from dragonflystack.entry import _lag
 from dragonflystack.entry import _news
 from dragonflystack.entry import _ranking
 from dragonflystack.entry import _sightings
@@ -112,6 +113,9 @@
     """Objects that backend servers came to know, seen by the sender or told
     to it."""
 
+    heard: _lag.Word | None = None
+    """The latest operators' rows that the sender heard of and lacks."""
+
 
 @dataclasses.dataclass(slots=True)
 class Member:
--- a/dragonflystack/entry/_news.py
+++ b/dragonflystack/entry/_news.py
@@ -8,6 +8,7 @@
 
 import collections
 import datetime
+import enum
 import math
 
 import msgspec
@@ -38,6 +39,13 @@
 is noticed well within the 4 s after which bounds hold again."""
 
 
+class Table(enum.Enum):
+    """What VMs watch of the store."""
+
+    OPERATORS = "operators"
+    SERVERS = "servers"
+
+
 class Position(msgspec.Struct, frozen=True, array_like=True, order=True):
     """Up to where a VM knows the store's rows."""
 
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -73,7 +73,9 @@
         lost; until then evacuations stay as they are."""
 
         self._regions = tuple(sorted(set(regions.values())))
-        self._watches = False
+        self._watched: set[_news.Table] = set()
+        """The tables that this VM watches itself."""
+
         self._news_at = _ZERO
         self._routes: _routes.RouteTable | None = None
 
@@ -181,10 +183,6 @@
     def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
         """Does what is due."""
         self.members.on_tick(now)
-        beats = [m.beat for m in self.members.alive(now) if m.beat]
-        self._lag.on_alive(
-            max((beat.position.operators for beat in beats), default=0)
-        )
         self.dispatch.on_tick(now)
         changes = self.discovery.on_tick(now)
         self.dispatch.on_changes(changes, now)
@@ -224,16 +222,30 @@
             self.dispatch.departures.recent(now),
             self.dispatch.sightings.loads(now),
             self.dispatch.sightings.learnt(now),
+            self._lag.word(self.log.position.operators, now),
         )
 
     # News of the store, from it or from other VMs.
 
-    def on_watch(self, works: bool, now: datetime.timedelta) -> None:
-        """Notes whether this VM's own watch of the store works."""
-        self._watches = works
+    def on_watch(
+        self, table: _news.Table, works: bool, now: datetime.timedelta
+    ) -> None:
+        """Notes whether this VM's own watch of a table works."""
         if works:
+            self._watched.add(table)
+        else:
+            self._watched.discard(table)
+        if self._watches:
             self._news_at = now
 
+    @property
+    def _watches(self) -> bool:
+        return len(self._watched) == len(_news.Table)
+
+    def on_operators_read(self, version: int) -> None:
+        """Notes up to which version of the store it read operators' rows."""
+        self._lag.on_read(version)
+
     def news_age(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns how long ago a VM with a working watch was heard of."""
         if self._watches:
@@ -245,12 +257,25 @@
                 ages.append(age + (now - member.heard_at))
         return max(_ZERO, min(ages))
 
-    def on_position(
-        self, position: _news.Position, now: datetime.timedelta
+    def on_beat(
+        self, beat: _members.Heartbeat, now: datetime.timedelta
     ) -> bool:
-        """Takes in another VM's position; returns whether it knows more."""
+        """Takes in which operators' rows another VM has, or heard of.
+
+        Returns:
+            Whether this VM hears of rows that it lacks for the first time.
+        """
+        known = self.log.position.operators
+        is_new = self._lag.on_word(
+            _lag.Word(beat.position.operators, 0, 0), known, now
+        )
+        if beat.heard is not None:
+            is_new |= self._lag.on_word(beat.heard, known, now)
+        return is_new
+
+    def lacks(self, position: _news.Position) -> bool:
+        """Returns whether a VM at a position knows more than this one."""
         own = self.log.position
-        self._lag.on_heard(position.operators, own.operators, now)
         return (
             position.operators > own.operators or position.servers > own.servers
         )
@@ -267,13 +292,17 @@
         """Returns whether this VM is to watch the store itself."""
         if self.news_age(now) > _news.STALE_AFTER:
             return True
-        if self.behind(now) > _news.STALE_AFTER:
-            return True
         members = self.members
         if not members.is_listed:
             return False
         return _news.is_watcher(members.own.vm, members.listed())
 
+    def should_watch_operators(self, now: datetime.timedelta) -> bool:
+        """Returns whether this VM is to watch the operators' rows itself."""
+        if self.behind(now) > _news.STALE_AFTER:
+            return True
+        return self.should_watch(now)
+
     @property
     def store_retry_limit(self) -> datetime.timedelta:
         """The longest pause between calls to a store that is out."""
--- a/dragonflystack/entry/tests/builders.py
+++ b/dragonflystack/entry/tests/builders.py
@@ -109,3 +109,9 @@
         "time_left": ms(1200),
     }
     return entry.Request(**(fields | changes))
+
+
+def watch(vm: entry.EntryVm, now: datetime.timedelta) -> None:
+    """Has the VM's own watches of the store work."""
+    for table in entry.Table:
+        vm.on_watch(table, True, now)
--- a/dragonflystack/entry/tests/test_lag.py
+++ b/dragonflystack/entry/tests/test_lag.py
@@ -1,53 +1,112 @@
 """How long a VM has been behind the operators' rows, as far as it knows."""
 
+import pytest
+
 from dragonflystack import entry
 from dragonflystack.entry import _lag
 from dragonflystack.entry.tests import builders
 
+_ZERO = builders.ms(0)
+
+
+def _hear(lag, position, at_ms, known=3, first_ms=0, confirmed_ms=0):
+    word = _lag.Word(position, first_ms, confirmed_ms)
+    return lag.on_word(word, known, builders.ms(at_ms))
+
 
 def test_the_lag_counts_from_the_first_word_of_the_oldest_missing_position():
     lag = _lag.Lag()
-    assert lag.age(3, builders.ms(0)) == builders.ms(0)
-    lag.on_heard(5, 3, builders.ms(100))
-    lag.on_heard(5, 3, builders.ms(600))
-    lag.on_heard(8, 3, builders.ms(900))
+    assert lag.age(3, _ZERO) == _ZERO
+    assert _hear(lag, 5, 100)
+    assert not _hear(lag, 5, 600)
+    assert _hear(lag, 8, 900)
     assert lag.age(3, builders.ms(1000)) == builders.ms(900)
     assert lag.age(5, builders.ms(1000)) == builders.ms(100)
-    assert lag.age(8, builders.ms(1000)) == builders.ms(0)
+    assert lag.age(8, builders.ms(1000)) == _ZERO
 
 
-def test_a_position_that_is_known_is_no_lag():
+def test_a_word_that_was_passed_on_counts_from_the_first_vm():
     lag = _lag.Lag()
-    lag.on_heard(3, 3, builders.ms(0))
-    assert lag.age(3, builders.ms(500)) == builders.ms(0)
+    assert _hear(lag, 5, 1000, first_ms=300, confirmed_ms=200)
+    assert lag.age(3, builders.ms(1100)) == builders.ms(400)
+    passed_on = lag.word(3, builders.ms(1100))
+    assert passed_on == _lag.Word(5, 400, 300)
 
 
-def test_a_position_that_no_living_vm_has_is_forgotten():
+@pytest.mark.parametrize(
+    ("position", "confirmed_ms", "is_new"),
+    [
+        pytest.param(3, 0, False, id="known"),
+        pytest.param(4, 0, False, id="read from the store"),
+        pytest.param(5, 0, True, id="new"),
+        pytest.param(5, 2_001, False, id="too old"),
+    ],
+)
+def test_what_is_known_or_too_old_is_no_word(position, confirmed_ms, is_new):
     lag = _lag.Lag()
-    lag.on_heard(5, 3, builders.ms(0))
-    lag.on_heard(8, 3, builders.ms(100))
-    lag.on_alive(5)
-    assert lag.age(5, builders.ms(500)) == builders.ms(0)
-    assert lag.age(3, builders.ms(500)) == builders.ms(500)
+    lag.on_read(4)
+    heard = _hear(lag, position, 5_000, confirmed_ms=confirmed_ms)
+    assert heard is is_new
 
 
-def test_a_vm_forgets_the_lag_behind_a_neighbour_that_fell_silent():
-    vm = builders.entry_vm()
-    ahead = builders.entry_vm(vm="vm-2")
+def test_rows_that_no_living_vm_has_are_no_lag():
+    lag = _lag.Lag()
+    _hear(lag, 5, 0)
+    _hear(lag, 5, 900)
+    assert lag.age(3, builders.ms(2900)) == builders.ms(2900)
+    assert lag.age(3, builders.ms(2901)) == _ZERO
+    assert lag.word(3, builders.ms(2901)) is None
+    assert not _hear(lag, 5, 4000)
+    assert lag.age(3, builders.ms(4000)) == builders.ms(4000)
+
+
+def test_two_vms_do_not_keep_a_word_alive_between_them():
+    first, second = _lag.Lag(), _lag.Lag()
+    _hear(first, 5, 0)
+    for at in range(0, 6000, 500):
+        for teller, hearer in ((first, second), (second, first)):
+            word = teller.word(3, builders.ms(at))
+            if word is not None:
+                hearer.on_word(word, 3, builders.ms(at))
+    assert first.age(3, builders.ms(2001)) == _ZERO
+    assert second.age(3, builders.ms(2001)) == _ZERO
+
+
+def _tell(receiver, sender, now):
+    beat = sender.heartbeat(now, introduce=True)
+    receiver.members.on_heartbeat(beat, now)
+    return receiver.on_beat(beat, now)
+
+
+# Guards against a VM that serves by old routes as none of its neighbours has
+# the new ones yet: word of them must not spread as slowly as they do.
+def test_word_of_newer_rows_passes_a_vm_that_lacks_them():
+    ahead, middle, far = (builders.entry_vm(vm=f"vm-{i}") for i in range(3))
     ahead.log.on_operators(9)
-    beat = ahead.heartbeat(builders.ms(0), introduce=True)
-    vm.members.on_heartbeat(beat, builders.ms(0))
-    assert vm.on_position(beat.position, builders.ms(0))
-    vm.on_tick(builders.ms(500))
+    for i in range(6):
+        now = builders.ms(500 * i)
+        is_new = _tell(middle, ahead, now), _tell(far, middle, now)
+        assert is_new == (i == 0, i == 0)
+    assert middle.behind(builders.ms(2500)) == builders.ms(2500)
+    assert far.behind(builders.ms(2500)) == builders.ms(2500)
+
+
+def test_a_vm_that_read_the_store_later_is_not_behind():
+    """Its position is that of the latest row that is left."""
+    vm = builders.entry_vm()
+    other = builders.entry_vm(vm="vm-2")
+    other.log.on_operators(150)
+    _tell(vm, other, _ZERO)
     assert vm.behind(builders.ms(500)) == builders.ms(500)
-    for i in range(2, 6):
-        vm.on_tick(builders.ms(500 * i))
-    assert vm.behind(builders.ms(2500)) == builders.ms(0)
+    vm.log.on_operators(100)
+    vm.on_operators_read(500)
+    _tell(vm, other, builders.ms(500))
+    assert vm.behind(builders.ms(600)) == _ZERO
 
 
-def test_a_vm_hears_that_another_knows_more():
+def test_a_vm_lacks_what_another_knows():
     vm = builders.entry_vm()
-    assert not vm.on_position(vm.log.position, builders.ms(0))
-    servers = entry.Position(0, vm.log.position.servers + 1)
-    assert vm.on_position(servers, builders.ms(0))
-    assert vm.behind(builders.ms(100)) == builders.ms(0)
+    own = vm.log.position
+    assert not vm.lacks(own)
+    assert vm.lacks(entry.Position(0, own.servers + 1))
+    assert vm.lacks(entry.Position(own.operators + 1, 0))
--- a/dragonflystack/entry/tests/test_outdated.py
+++ b/dragonflystack/entry/tests/test_outdated.py
@@ -14,7 +14,7 @@
     entries = [builders.server(f"s{i}", f"a{i % 2 + 1}") for i in range(6)]
     bounds = entry.FleetBounds(apply=_BOUND)
     vm = builders.entry_vm(*entries, routes=(_ROUTE,), bounds=bounds)
-    vm.on_watch(True, builders.ms(0))
+    builders.watch(vm, builders.ms(0))
     return vm
 
 
@@ -24,7 +24,7 @@
     other.log.on_operators(vm.log.position.operators + 5)
     beat = other.heartbeat(now, introduce=True)
     vm.members.on_heartbeat(beat, now)
-    vm.on_position(beat.position, now)
+    vm.on_beat(beat, now)
 
 
 def _open(vm, now):
@@ -50,6 +50,7 @@
 def test_requests_are_taken_again_once_the_routes_are_there():
     vm = _vm()
     _ahead(vm, builders.ms(0))
+    _ahead(vm, builders.ms(1500))
     late = _LAST + builders.ms(500)
     assert vm.is_outdated(late)
     vm.log.on_operators(vm.log.position.operators + 5)
@@ -60,9 +61,7 @@
 def test_a_neighbour_that_fell_silent_keeps_no_vm_from_serving():
     vm = _vm()
     _ahead(vm, builders.ms(0))
-    for i in range(1, 6):
-        vm.on_tick(builders.ms(500 * i))
-    _, step = _open(vm, builders.ms(2500))
+    _, step = _open(vm, builders.ms(2001))
     assert isinstance(step, entry.Send)
 
 
@@ -87,7 +86,7 @@
     assert isinstance(exchange.on_result(result, late), last)
 
 
-def test_a_vm_that_stays_behind_reads_the_store_itself():
+def test_a_vm_that_stays_behind_reads_the_operators_rows_itself():
     addresses = [builders.address(f"vm-{i}") for i in range(60)]
     vms = [builders.entry_vm(vm=address.vm) for address in addresses]
     for vm in vms:
@@ -95,9 +94,11 @@
     vm, neighbour = [v for v in vms if not v.should_watch(builders.ms(1))][:2]
     _ahead(vm, builders.ms(0))
     for at in (builders.ms(1400), builders.ms(1600)):
-        neighbour.on_watch(True, at)
+        builders.watch(neighbour, at)
+        _ahead(vm, at)
         beat = neighbour.heartbeat(at, introduce=True)
         vm.members.on_heartbeat(beat, at)
         assert vm.news_age(at) == builders.ms(0)
-    assert not vm.should_watch(builders.ms(1400))
-    assert vm.should_watch(builders.ms(1600))
+    assert not vm.should_watch_operators(builders.ms(1400))
+    assert vm.should_watch_operators(builders.ms(1600))
+    assert not vm.should_watch(builders.ms(1600))
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -105,7 +105,8 @@
     async def run_operators(self) -> None:
         """Follows the operators' rows while that is this VM's to do."""
         await self._follow(
-            "operators",
+            entry.Table.OPERATORS,
+            self._node.vm.should_watch_operators,
             self._platform.read_operators,
             self._platform.watch_operators,
             self._on_operators,
@@ -115,7 +116,8 @@
     async def run_servers(self) -> None:
         """Follows the entries of backend servers likewise."""
         await self._follow(
-            "servers",
+            entry.Table.SERVERS,
+            self._node.vm.should_watch,
             self._platform.read_servers,
             self._platform.watch_servers,
             self._on_servers,
@@ -124,7 +126,8 @@
 
     async def _follow(
         self,
-        table: str,
+        table: entry.Table,
+        should_watch: Callable[[datetime.timedelta], bool],
         read: Callable[[], Awaitable],
         watch: Callable[[int, datetime.timedelta], Awaitable],
         take_in: Callable[[_News], None],
@@ -132,13 +135,13 @@
     ) -> None:
         """Reads a table, then watches it, for ever."""
         node = self._node
-        link = _Link(node, table)
+        link = _Link(node, table.value)
         version: int | None = None
         read_too_soon = False
         while True:
-            if not node.vm.should_watch(node.now()):
+            if not should_watch(node.now()):
                 version = None
-                node.vm.on_watch(False, node.now())
+                node.vm.on_watch(table, False, node.now())
                 await anyio.sleep(_DUTY_POLL_S)
                 continue
             if read_too_soon and node.vm.is_settled(node.now()):
@@ -154,20 +157,20 @@
             read_too_soon |= not node.vm.is_settled(node.now())
             if isinstance(news, storage.Unavailable):
                 version = None
-                node.vm.on_watch(False, node.now())
+                node.vm.on_watch(table, False, node.now())
                 node.vm.discovery.on_store_away()
                 await self._ask_anyone()
                 await anyio.sleep(link.on_failure(news))
             elif isinstance(news, _platform_port.HistoryLost):
-                node.note(_events.Event.HISTORY_LOST, table=table)
+                node.note(_events.Event.HISTORY_LOST, table=table.value)
                 version = None
             elif news is not None:
                 if link.on_success():
                     # Other watches may wait on a connection that died.
                     node.restart_watches()
-                node.vm.on_watch(True, node.now())
+                node.vm.on_watch(table, True, node.now())
                 version = news.version
-                self._note_skipped(table, news.skipped)
+                self._note_skipped(table.value, news.skipped)
                 take_in(news)
 
     async def _watch(
@@ -209,6 +212,7 @@
         self._evacuate(evacuated, _STORE)
         before = node.vm.log.position
         node.vm.log.on_operators(position)
+        node.vm.on_operators_read(news.version)
         self._after_news(before)
 
     def _on_servers(self, news: _platform_port.ServerNews) -> None:
