--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -30,7 +30,8 @@
 to be old; the rest is for the first VMs to read a change and to tell it."""
 
 _OUTDATED_RETRY_AFTER = datetime.timedelta(milliseconds=50)
-"""Another VM takes the request at once."""
+"""Another VM takes the request at once. Spread over as much again, so that
+callers do not come back as one."""
 
 _CONFIRM_PART = 0.4
 """Part of the drain bound for which the removal of many entries at once is
@@ -366,7 +367,7 @@
             wait = _NO_NEWS_RETRY_AFTER
             return None, _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
         if self.is_outdated(now):
-            wait = _OUTDATED_RETRY_AFTER
+            wait = _OUTDATED_RETRY_AFTER * (1 + self.rng.random())
             return None, _messages.Reject(_messages.Reason.OUTDATED, wait)
         wanted = self._resolve(request, None)
         if wanted is None:
