Decide by a customer's key whether a request is served

EntryVm.access resolves route, customer and regions of a request under the catalogue in force; without a key in force it is Unauthorized, without a region common to route and customer it is rejected. It changes nothing, so that it can be asked again before each send. Customers of one name or key, empty keys and limits that are negative or no number are refused when the catalogue is made, without telling the key. An empty list of customers refuses all that is not public; None is as before. Nothing decides by priority today, so it is held only; rate and burst are held for quotas.

A look-up takes one hash and at most one comparison, counted.

--- a/dragonflystack/entry/__init__.py
+++ b/dragonflystack/entry/__init__.py
@@ -15,6 +15,8 @@
 the origin of the process's monotonic clock, passed in as `now`.
 """
 
+from dragonflystack.entry._access import Access
+from dragonflystack.entry._access import Denial
 from dragonflystack.entry._catalogue import CallerLimits
 from dragonflystack.entry._catalogue import Catalogue
 from dragonflystack.entry._catalogue import Destination
@@ -24,6 +26,11 @@
 from dragonflystack.entry._catalogue import ServicePolicy
 from dragonflystack.entry._choice import Candidate
 from dragonflystack.entry._choice import Wanted
+from dragonflystack.entry._customers import Customer
+from dragonflystack.entry._customers import CustomerId
+from dragonflystack.entry._customers import InvalidCustomerError
+from dragonflystack.entry._customers import KeyDigest
+from dragonflystack.entry._customers import digest_key
 from dragonflystack.entry._departures import Departure
 from dragonflystack.entry._discovery import LAPSE_GRACE
 from dragonflystack.entry._discovery import Changes
@@ -51,6 +58,7 @@
 from dragonflystack.entry._messages import Sent
 from dragonflystack.entry._messages import Silent
 from dragonflystack.entry._messages import Step
+from dragonflystack.entry._messages import Unauthorized
 from dragonflystack.entry._messages import Unknown
 from dragonflystack.entry._messages import Wait
 from dragonflystack.entry._messages import Withdrawn
@@ -68,6 +76,7 @@
 
 __all__ = [
     "HEARTBEAT_EVERY",
+    "Access",
     "Answered",
     "Broken",
     "CallerGone",
@@ -77,7 +86,10 @@
     "Changes",
     "ChoiceSettings",
     "ConnectFailed",
+    "Customer",
+    "CustomerId",
     "Deliver",
+    "Denial",
     "Departure",
     "Destination",
     "Drop",
@@ -87,6 +99,8 @@
     "FleetBounds",
     "Heartbeat",
     "InvalidCatalogueError",
+    "InvalidCustomerError",
+    "KeyDigest",
     "Listing",
     "LAPSE_GRACE",
     "Load",
@@ -108,12 +122,14 @@
     "ServicePolicy",
     "Silent",
     "Step",
+    "Unauthorized",
     "Unknown",
     "UnknownVmError",
     "VmAddress",
     "Wait",
     "Wanted",
     "Withdrawn",
+    "digest_key",
     "era_of",
     "number_of",
     "store_version",
--- a/dragonflystack/entry/_catalogue.py
+++ b/dragonflystack/entry/_catalogue.py
@@ -5,6 +5,7 @@
 from typing import NewType
 
 from dragonflystack import ids
+from dragonflystack.entry import _customers
 
 RouteId = NewType("RouteId", str)
 """A route, as named by the operators; unique in a catalogue."""
@@ -54,6 +55,9 @@
     sticky: bool = False
     """Whether a backend server is faster for an object it handled before."""
 
+    public: bool = False
+    """Whether it needs no key where the catalogue names customers."""
+
     def __post_init__(self):
         """Checks the values.
 
@@ -111,13 +115,18 @@
     routes: tuple[Route, ...]
     services: dict[ids.ServiceId, ServicePolicy]
     limits: CallerLimits = CallerLimits()
+    customers: tuple[_customers.Customer, ...] | None = None
+    """Those whose requests are served; None if requests need no key."""
 
     def __post_init__(self):
-        """Checks that every route leads to a known service.
+        """Checks that services exist, and that keys tell customers apart.
 
         Raises:
-            InvalidCatalogueError: if one does not.
+            InvalidCatalogueError: if a route leads to an unknown service.
+            _customers.InvalidCustomerError: if two customers share a name or a
+                key.
         """
+        _customers.CustomerTable(self.customers or ())
         for route in self.routes:
             for destination in route.destinations:
                 if destination.service not in self.services:
--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -15,6 +15,7 @@
 
 from dragonflystack import ids
 from dragonflystack.entry import _catalogue
+from dragonflystack.entry import _customers
 from dragonflystack.entry import _popularity
 from dragonflystack.entry import _ranking
 from dragonflystack.entry import _servers
@@ -48,6 +49,12 @@
     regions: frozenset[ids.RegionId]
     """The only regions that may serve it; any if empty."""
 
+    customer: _customers.Customer | None = None
+    """Whose request it is; see `_access.Access`."""
+
+    hides_key: bool = False
+    """See `_access.Access`."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -5,6 +5,8 @@
 import enum
 
 from dragonflystack import ids
+from dragonflystack.entry import _catalogue
+from dragonflystack.entry import _customers
 from dragonflystack.entry import _servers
 
 
@@ -35,6 +37,15 @@
     CORRUPT = "corrupt"
     """What came back was no whole answer to it."""
 
+    NO_KEY = "no-key"
+    """Its route needs a customer's key, and none can be read in it."""
+
+    UNKNOWN_KEY = "unknown-key"
+    """Its key is no customer's in the catalogue in force."""
+
+    NO_REGION = "no-region"
+    """No region may serve both its route and its customer."""
+
     STOPPING = "stopping"
     """This VM ends before it could have an answer."""
 
@@ -57,6 +68,10 @@
     time_left: datetime.timedelta | None
     """How long the caller waits, None if it does not say."""
 
+    customer_key: _customers.KeyDigest | None = None
+    """The digest of the key it shows, None if it shows none that can be
+    read."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
@@ -159,12 +174,20 @@
     """Tell the caller that there is no such route."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unauthorized:
+    """Tell the caller that the route needs a key of a customer."""
+
+    reason: Reason
+    route: _catalogue.RouteId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Drop:
     """Nobody waits for an answer."""
 
 
-Step = Send | Wait | Deliver | Reject | Fail | Unknown | Drop
+Step = Send | Wait | Deliver | Reject | Fail | Unknown | Unauthorized | Drop
 """What to do next for a request."""
 
 
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -4,6 +4,7 @@
 import random
 
 from dragonflystack import ids
+from dragonflystack.entry import _access
 from dragonflystack.entry import _catalogue
 from dragonflystack.entry import _choice
 from dragonflystack.entry import _departures
@@ -67,6 +68,7 @@
         self._watches = False
         self._news_at = _ZERO
         self._routes: _routes.RouteTable | None = None
+        self._rules: _access.AccessRules | None = None
 
     # What it learns.
 
@@ -88,6 +90,7 @@
             return False
         self.catalogue = catalogue
         self._routes = _routes.RouteTable(catalogue, self.rng)
+        self._rules = _access.AccessRules(catalogue, self._routes)
         self.dispatch.on_services(catalogue.services)
         return True
 
@@ -276,6 +279,18 @@
 
     # Requests.
 
+    def access(
+        self, request: _messages.Request
+    ) -> _access.Access | _access.Denial:
+        """Returns what the catalogue in force allows a request.
+
+        It changes nothing, so it may be asked again before each send.
+        """
+        if self._rules is None or not self.is_informed:
+            wait = _NO_NEWS_RETRY_AFTER
+            return _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
+        return self._rules.resolve(request)
+
     def open(
         self,
         request: _messages.Request,
@@ -292,15 +307,18 @@
         Returns:
             Its exchange, if there is one, and the first step.
         """
-        if self._routes is None or not self.is_informed:
-            wait = _NO_NEWS_RETRY_AFTER
-            return None, _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
-        route = self._routes.find(request.host, request.path)
-        if route is None:
-            return None, _messages.Unknown()
-        service = self._routes.pick_service(route)
+        access = self.access(request)
+        if not isinstance(access, _access.Access):
+            return None, access
+        assert self._routes is not None
+        route = access.route
         wanted = _choice.Wanted(
-            route, service, request.object_key, route.regions
+            route,
+            self._routes.pick_service(route),
+            request.object_key,
+            access.regions,
+            access.customer,
+            access.hides_key,
         )
         self.dispatch.on_request(wanted, now)
         exchange = _exchange.Exchange(
--- a/dragonflystack/entry/tests/builders.py
+++ b/dragonflystack/entry/tests/builders.py
@@ -54,7 +54,19 @@
     return entry.Route(**(fields | changes))
 
 
-def catalogue(*routes: entry.Route, version: int = 1) -> entry.Catalogue:
+def customer(name: str, *keys: str, **changes) -> entry.Customer:
+    """Returns a customer with the keys, or one named after it."""
+    digests = tuple(
+        entry.digest_key(key.encode()) for key in keys or (f"key-{name}",)
+    )
+    return entry.Customer(entry.CustomerId(name), digests, **changes)
+
+
+def catalogue(
+    *routes: entry.Route,
+    version: int = 1,
+    customers: tuple[entry.Customer, ...] | None = None,
+) -> entry.Catalogue:
     """Returns a catalogue with the routes; all their services exist."""
     routes = routes or (route(),)
     names = {d.service for r in routes for d in r.destinations} | {SERVICE}
@@ -62,7 +74,7 @@
         name: entry.ServicePolicy(name, "/health", 660, 11.0, ms(3000))
         for name in names
     }
-    return entry.Catalogue(version, routes, services)
+    return entry.Catalogue(version, routes, services, customers=customers)
 
 
 def address(vm: str, region: str = "a") -> entry.VmAddress:
@@ -83,6 +95,7 @@
     routes: tuple[entry.Route, ...] = (),
     bounds: entry.FleetBounds | None = None,
     now: datetime.timedelta | None = None,
+    customers: tuple[entry.Customer, ...] | None = None,
 ) -> entry.EntryVm:
     """Returns an entry VM that serves and knows the servers."""
     made = entry.EntryVm(
@@ -92,7 +105,7 @@
         entry.ChoiceSettings(),
         random.Random(1),
     )
-    made.on_catalogue(catalogue(*routes))
+    made.on_catalogue(catalogue(*routes, customers=customers))
     listing = entry.Listing(servers, (), whole=True)
     made.on_listing(listing, 1, now or ms(0))
     made.members.phase = entry.Phase.SERVING
