Replace a key by its customer's name on the way to backend servers

The front reads one bearer token and keeps its digest alone. Where the catalogue names customers, nothing that a caller sent in either header goes on; the customer's name is set from the key. Without a key in force a caller gets 401 with WWW-Authenticate, also on a connection that was open before the key was taken away. The end of each request is logged with its customer, a 401 with the digest of the key. Without customers headers go on as before.

Not in it: a request that waits or is sent again is decided on once, when it comes; EntryVm.access is there to be asked again before each send.

--- a/dragonflystack/entryd/_dialect.py
+++ b/dragonflystack/entryd/_dialect.py
@@ -1,10 +1,15 @@
 """The names that callers and backend servers use, handed in by an adapter."""
 
+from collections.abc import Sequence
 import dataclasses
 import datetime
+import re
 
 from dragonflystack.entry import _servers
 
+_BEARER = b"bearer"
+_SPACE = re.compile(rb"\s")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dialect:
@@ -40,9 +45,28 @@
     leaving: bytes
     """Stands on each answer of a backend server that is leaving."""
 
+    key: bytes
+    """Carries a customer's key, as a bearer token (RFC 6750)."""
+
+    customer: bytes
+    """Names the customer of a request to backend servers."""
+
     wrong_server_status: int = 421
     """The status of another backend server that has the address now."""
 
+    def read_key(self, values: Sequence[bytes]) -> bytes | None:
+        """Returns the key in a request's headers of that name.
+
+        None if there is not one of them, or it carries no bearer token.
+        """
+        if len(values) != 1:
+            return None
+        scheme, _, rest = values[0].partition(b" ")
+        key = rest.strip(b" ")
+        if scheme.lower() != _BEARER or not key or _SPACE.search(key):
+            return None
+        return key
+
     def read_load(self, value: bytes) -> _servers.Load | None:
         """Returns a report of load, None if it cannot be read."""
         parts = value.split(b",")
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -38,6 +38,7 @@
     REQUEST_REJECTED = "request-rejected"
     REQUEST_FAILED = "request-failed"
     REQUEST_UNKNOWN = "request-unknown"
+    REQUEST_UNAUTHORIZED = "request-unauthorized"
     REQUEST_DROPPED = "request-dropped"
     LINES_DROPPED = "lines-dropped"
 
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -26,6 +26,7 @@
     entry.Reject: _events.Event.REQUEST_REJECTED,
     entry.Fail: _events.Event.REQUEST_FAILED,
     entry.Unknown: _events.Event.REQUEST_UNKNOWN,
+    entry.Unauthorized: _events.Event.REQUEST_UNAUTHORIZED,
     entry.Drop: _events.Event.REQUEST_DROPPED,
 }
 
@@ -115,7 +116,6 @@
     ) -> None:
         node = self._node
         elapsed = node.now() - began
-        route = "" if exchange is None else exchange.route.id
         event = _ENDS[type(step)]
         status = None
         if isinstance(step, entry.Deliver) and answer is not None:
@@ -123,10 +123,12 @@
         node.metrics.time("request", elapsed, outcome=event.value)
         retry_after = getattr(step, "retry_after", None)
         reason = getattr(step, "reason", None)
+        denied = isinstance(step, entry.Unauthorized)
         node.note(
             event,
             request=request.id,
-            route=route,
+            route=_route(exchange, step),
+            customer=_customer(exchange),
             status=status,
             reason=None if reason is None else reason.value,
             sends=0 if exchange is None else len(exchange.sends),
@@ -134,6 +136,7 @@
             caller_left_ms=_journal.milliseconds(request.time_left),
             retry_after_ms=_journal.milliseconds(retry_after),
             catalogue=node.catalogue_version,
+            **({"key_digest": request.customer_key} if denied else {}),
         )
 
     def _read(self, scope: _asgi.Scope) -> entry.Request:
@@ -141,7 +144,8 @@
         request_id = ""
         host = ""
         left: datetime.timedelta | None = None
-        key: str | None = None
+        object_key: str | None = None
+        keys: list[bytes] = []
         for name, value in scope["headers"]:
             if name == b"host":
                 host = value.decode("latin-1").partition(":")[0].lower()
@@ -149,9 +153,36 @@
                 request_id = value.decode("latin-1")
             elif name == dialect.time_left_ms:
                 left = dialect.read_milliseconds(value)
-            elif name == b"cookie" and key is None:
-                key = _cookie(value.decode("latin-1"), dialect.object_cookie)
-        return entry.Request(request_id, host, scope["path"], key, left)
+            elif name == dialect.key:
+                keys.append(value)
+            elif name == b"cookie" and object_key is None:
+                text = value.decode("latin-1")
+                object_key = _cookie(text, dialect.object_cookie)
+        key = dialect.read_key(keys)
+        return entry.Request(
+            request_id,
+            host,
+            scope["path"],
+            object_key,
+            left,
+            None if key is None else entry.digest_key(key),
+        )
+
+
+def _route(
+    exchange: entry.Exchange | None, step: entry.Step
+) -> entry.RouteId | None:
+    """Returns the route of a request, if it has one."""
+    if isinstance(step, entry.Unauthorized):
+        return step.route
+    return None if exchange is None else exchange.route.id
+
+
+def _customer(exchange: entry.Exchange | None) -> entry.CustomerId | None:
+    """Returns the customer of a request, if it has one."""
+    if exchange is None or exchange.wanted.customer is None:
+        return None
+    return exchange.wanted.customer.id
 
 
 async def _reply(
@@ -177,6 +208,12 @@
             )
         case entry.Unknown():
             await _asgi.send_problem(send, 404, "no such route")
+        case entry.Unauthorized(reason):
+            # RFC 9110 asks for the header with each 401.
+            headers = [(b"www-authenticate", b"Bearer")]
+            await _asgi.send_problem(
+                send, 401, "not authorized", reason.value, headers=headers
+            )
 
 
 async def _deliver(
--- a/dragonflystack/entryd/_sending.py
+++ b/dragonflystack/entryd/_sending.py
@@ -264,7 +264,7 @@
         scope = self._scope
         method = scope["method"].encode("ascii")
         lines = [method + b" " + _target(scope) + b" HTTP/1.1"]
-        own = (dialect.time_left_ms, dialect.expected_server)
+        own = self._own_headers()
         for name, value in _hop_headers.end_to_end(scope["headers"]):
             if name not in own and name != b"expect":
                 lines.append(name + b": " + value)
@@ -272,6 +272,10 @@
         lines.append(dialect.time_left_ms + b": %d" % left_ms)
         expected = step.server.entry.id.encode("latin-1")
         lines.append(dialect.expected_server + b": " + expected)
+        customer = self._exchange.wanted.customer
+        if customer is not None:
+            name = customer.id.encode("ascii")
+            lines.append(dialect.customer + b": " + name)
         if self._body or _has_body(scope):
             lines.append(b"content-length: %d" % len(self._body))
         head = b"\r\n".join(lines) + b"\r\n\r\n"
@@ -280,6 +284,14 @@
             head, self._body, request_id, scope["method"] == "HEAD"
         )
 
+    def _own_headers(self) -> tuple[bytes, ...]:
+        """Returns the headers in which nothing of the caller is passed on."""
+        dialect = self._node.dialect
+        own = (dialect.time_left_ms, dialect.expected_server)
+        if self._exchange.wanted.hides_key:
+            return (*own, dialect.key, dialect.customer)
+        return own
+
     def _note_sent(self, step: entry.Send) -> None:
         node = self._node
         exchange = self._exchange
--- a/dragonflystack/entryd/tests/daemons.py
+++ b/dragonflystack/entryd/tests/daemons.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import datetime
 import socket
 import struct
@@ -28,6 +29,8 @@
     server_id=b"x-server",
     cold_left_ms=b"x-cold",
     leaving=b"x-leaving",
+    key=b"authorization",
+    customer=b"x-customer",
 )
 HEADERS = [(b"host", b"shop.example"), (b"x-id", b"1"), (b"x-left", b"3000")]
 
@@ -42,23 +45,14 @@
         self.reads_wait_for: anyio.Event | None = None
         """Reads of the operators' rows are not answered before this."""
 
+        self.customers: tuple[entry.Customer, ...] | None = None
+
     async def read_operators(self):
         if self.reads_wait_for is not None:
             await self.reads_wait_for.wait()
         if self.is_out:
             return out()
-        route = entry.Route(
-            entry.RouteId("r"),
-            "shop.example",
-            "/r/",
-            (entry.Destination(SERVICE, 1.0),),
-            idempotent=False,
-            target_latency=datetime.timedelta(seconds=1),
-        )
-        policy = entry.ServicePolicy(
-            SERVICE, "/health", 100, 10.0, datetime.timedelta(seconds=3)
-        )
-        catalogue = entry.Catalogue(3, (route,), {SERVICE: policy})
+        catalogue = make_catalogue(3, self.customers)
         return entryd.OperatorNews(5, 5, True, catalogue, frozenset())
 
     async def watch_operators(self, after, wait):
@@ -95,6 +89,27 @@
         pass
 
 
+def make_catalogue(version, customers=None):
+    """Returns a catalogue with a private and a public route."""
+    private = entry.Route(
+        entry.RouteId("r"),
+        "shop.example",
+        "/r/",
+        (entry.Destination(SERVICE, 1.0),),
+        idempotent=False,
+        target_latency=datetime.timedelta(seconds=1),
+    )
+    public = dataclasses.replace(
+        private, id=entry.RouteId("open"), prefix="/open/", public=True
+    )
+    policy = entry.ServicePolicy(
+        SERVICE, "/health", 100, 10.0, datetime.timedelta(seconds=3)
+    )
+    return entry.Catalogue(
+        version, (private, public), {SERVICE: policy}, customers=customers
+    )
+
+
 def out():
     failure = outcomes.Failure(outcomes.Step.STORE, "platform", "out")
     return storage.Unavailable(failure)
@@ -161,6 +176,9 @@
 
     def __init__(self):
         self.runs = 0
+        self.heads: list[bytes] = []
+        """Request lines and headers of what reached it."""
+
         self.delay_s = 0.0
         self.is_silent = False
         """Whether it reads a request and never answers."""
@@ -171,7 +189,7 @@
     async def __call__(self, reader, writer):
         try:
             while True:
-                await reader.readuntil(b"\r\n\r\n")
+                self.heads.append(await reader.readuntil(b"\r\n\r\n"))
                 self.runs += 1
                 if self.is_silent:
                     await reader.read()
@@ -224,12 +242,13 @@
         node.stop_asked.set()
 
 
-async def get(pool, node, path="/r/1", left_ms=3000, request_id=b"1"):
+async def get(pool, node, path="/r/1", left_ms=3000, request_id=b"1", more=()):
     url = f"http://{node.settings.callers}{path}"
     headers = [
         HEADERS[0],
         (b"x-id", request_id),
         (b"x-left", b"%d" % left_ms),
+        *more,
     ]
     return await pool.request("GET", url, headers=headers)
 
