Check customers and their keys in the fault soak

Cause: the soak's callers showed no keys, so what became of them was checked within one process only.

Changed: the soak's configurations name three customers, whose keys begin and end with each version; callers show keys in force, new ones, ones taken away, ones that never were, or none, and some name a customer themselves. One route is public. Checks: a run is its key's customer's (customer), no key reaches a backend server (key-hidden), no run without a key that ever was (key-known), no 401 for a key in all versions (denied), and no run with a key after its end and the bound of the configuration (key-ends). Draws of the callers' random numbers are as before.

--- a/faultsoak/_callers.py
+++ b/faultsoak/_callers.py
@@ -15,6 +15,7 @@
 import httpcore
 import msgspec
 
+from faultsoak import _keys
 from faultsoak import _record
 from faultsoak import _vms
 
@@ -39,6 +40,8 @@
     idempotent: bool
     deadline_s: float
     max_attempts: int
+    public: bool = False
+    """Whether it needs no key."""
 
 
 class Callers:
@@ -50,13 +53,15 @@
         kinds: list[Kind],
         record: _record.Record,
         service_of: dict[str, str],
+        keys: _keys.Keys,
         rng: random.Random,
     ):
-        """Takes the VMs of the region, and which service has each route."""
+        """Takes the VMs of the region, the services of routes, and the keys."""
         self._vms = {f"{vm.ip}:{_vms.CALLERS_PORT}": vm for vm in vms}
         self._kinds = kinds
         self._record = record
         self._service_of = service_of
+        self._keys = keys
         self._rng = rng
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=1_000, keepalive_expiry=10.0
@@ -123,7 +128,9 @@
         self, kind: Kind, vm: _vms.Vm, left_s: float
     ) -> tuple[_record.Attempt, float]:
         key = str(self._rng.randrange(_OBJECTS))
-        attempt_id = f"{self._prefix}{next(self._ids):08x}"
+        number = next(self._ids)
+        attempt_id = f"{self._prefix}{number:08x}"
+        shown = self._keys.shown(number)
         target = f"{kind.prefix}{key}?n={self._rng.randrange(1000)}"
         body = b""
         if not kind.idempotent:
@@ -140,10 +147,17 @@
             kind.max_attempts,
             left_s,
             time.monotonic(),
+            key=shown.key,
+            public=kind.public,
         )
         self._record.attempts[attempt_id] = attempt
         headers = fakes.request_headers(
-            attempt_id, HOST, int(left_s * 1000), key
+            attempt_id,
+            HOST,
+            int(left_s * 1000),
+            key,
+            shown.key,
+            shown.customer,
         )
         if body:
             headers.append((b"content-length", b"%d" % len(body)))
--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -153,6 +153,37 @@
             yield Violation("route", run.attempt, str(run))
 
 
+def _customer(index: _Index) -> Iterator[Violation]:
+    """A run is its key's customer's, and the key went no further."""
+    holders: dict[str, str] = {}
+    for change in index.record.key_changes:
+        holders.update(change.holders)
+    for run in index.record.runs if holders else ():
+        attempt = index.record.attempts.get(run.attempt)
+        if attempt is None:
+            continue
+        holder = None
+        if not attempt.public:
+            holder = holders.get(attempt.key or "")
+            if holder is None:
+                yield Violation("key-known", run.attempt, str(attempt))
+        if run.customer != holder:
+            yield Violation("customer", run.attempt, f"{attempt.key} {run}")
+        if run.shows_key:
+            yield Violation("key-hidden", run.attempt, str(run))
+
+
+def _denied(index: _Index) -> Iterator[Violation]:
+    """No request is denied whose key was in force all the time."""
+    changes = index.record.key_changes
+    for attempt in index.record.attempts.values():
+        if attempt.status is None or not fakes.is_unauthorized(attempt.status):
+            continue
+        is_held = all(attempt.key in change.holders for change in changes)
+        if attempt.public or is_held:
+            yield Violation("denied", attempt.id, str(attempt))
+
+
 def _cold(index: _Index) -> Iterator[Violation]:
     """A cold backend server gets few requests in any second."""
     by_server: dict[str, list[float]] = collections.defaultdict(list)
@@ -264,6 +295,26 @@
             yield Violation("config", run.attempt, f"{allowed} {run}")
 
 
+def _key_ends(index: _Index) -> Iterator[Violation]:
+    """A key is refused soon after it was taken away."""
+    changes = index.record.key_changes
+    for run in index.record.runs:
+        attempt = index.record.attempts.get(run.attempt)
+        if attempt is None or attempt.public or attempt.key is None:
+            continue
+        applied_s = attempt.sent_at_s - index.bounds.config_apply_s
+        old = [change for change in changes if change.at_s <= applied_s]
+        fresh = [change for change in changes if change.at_s > applied_s]
+        was_held = any(attempt.key in change.holders for change in old)
+        possible = (*old[-1:], *fresh)
+        is_held = any(attempt.key in change.holders for change in possible)
+        if not was_held or is_held:
+            continue
+        since_s = max(old[-1].at_s, applied_s)
+        if index.in_touch(attempt.vm, since_s, run.at_s):
+            yield Violation("key-ends", run.attempt, f"{attempt.key} {run}")
+
+
 def _evacuated(index: _Index) -> Iterator[Violation]:
     """An evacuated failure domain gets nothing new after a while."""
     record = index.record
@@ -352,6 +403,8 @@
     _refused,
     _attempts,
     _route,
+    _customer,
+    _denied,
     _cold,
     _exits,
 )
@@ -360,6 +413,7 @@
     _said_leaving,
     _asked_wait,
     _config,
+    _key_ends,
     _evacuated,
     _lost,
     _deadlines,
--- a/faultsoak/_record.py
+++ b/faultsoak/_record.py
@@ -46,6 +46,11 @@
     """Whether the answer says that its backend server leaves."""
 
     detail: str = ""
+    key: str | None = None
+    """The customer's key that it showed."""
+
+    public: bool = False
+    """Whether its route needs no key."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +70,15 @@
     service: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyChange:
+    """Customers hold these keys and no others from now on."""
+
+    at_s: float
+    holders: dict[str, str]
+    """The customer of each key."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leaving:
     """A backend server said that it leaves, and the store took it."""
@@ -116,6 +130,9 @@
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
     runs: list[fakes.Arrival] = dataclasses.field(default_factory=list)
     changes: list[RouteChange] = dataclasses.field(default_factory=list)
+    key_changes: list[KeyChange] = dataclasses.field(default_factory=list)
+    """Empty if callers need no keys."""
+
     leavings: list[Leaving] = dataclasses.field(default_factory=list)
     asked_waits: list[AskedWait] = dataclasses.field(default_factory=list)
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
--- a/faultsoak/_run.py
+++ b/faultsoak/_run.py
@@ -171,7 +171,7 @@
         for region in regions:
             vms = [vm for vm in fleet.vms if _DOMAINS[vm.domain] == region]
             callers = _callers.Callers(
-                vms, _world.KINDS, record, world.service_of, rng
+                vms, _world.KINDS, record, world.service_of, world.keys, rng
             )
             rate = cfg.requests_s / len(regions)
             tasks.start_soon(callers.run, rate, stop)
--- a/faultsoak/_world.py
+++ b/faultsoak/_world.py
@@ -11,6 +11,7 @@
 import fakes
 
 from faultsoak import _callers
+from faultsoak import _keys
 from faultsoak import _proxy
 from faultsoak import _record
 
@@ -30,7 +31,9 @@
 ROUTES = {
     "browse": fakes.Route("browse", "/b/", "gallery", True, 0.3, 1.5),
     "order": fakes.Route("order", "/o/", "orders", False, 0.4, 2.0),
-    "look-up": fakes.Route("look-up", "/l/", "stock", True, 0.5, 3.0),
+    "look-up": fakes.Route(
+        "look-up", "/l/", "stock", True, 0.5, 3.0, public=True
+    ),
 }
 SERVICES = ("gallery", "orders", "stock", "spare")
 KINDS = [
@@ -40,6 +43,7 @@
         route.idempotent,
         route.timeout_s,
         route.max_attempts,
+        route.public,
     )
     for route in ROUTES.values()
 ]
@@ -66,6 +70,7 @@
         self.service_of = {r.name: r.service for r in ROUTES.values()}
         """The service of each route in the newest configuration."""
 
+        self.keys = _keys.Keys(record)
         self._record = record
         self._config = b""
         self._evacuated: str | None = None
@@ -96,7 +101,11 @@
             fakes.Service(name, COLD_START_S, COLD_PER_S) for name in SERVICES
         ]
         self._config = fakes.encode_config(
-            next(self._versions), _callers.HOST, routes, services
+            next(self._versions),
+            _callers.HOST,
+            routes,
+            services,
+            self.keys.next(),
         )
         self.store.put(OPERATORS, "config", self._config)
         now_s = time.monotonic()
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -156,6 +156,49 @@
     assert _broken(_seen([_attempt()], [_run()], changes=changes)) == broken
 
 
+_MIKA = {"customer": "mika"}
+
+
+@pytest.mark.parametrize(
+    ("attempt", "run", "broken"),
+    [
+        ({"key": "k1"}, _MIKA, set()),
+        ({"key": "k1"}, {}, {"customer"}),
+        ({"key": "k1"}, {"customer": "noor"}, {"customer"}),
+        ({"key": "k1"}, {"customer": "mika, noor"}, {"customer"}),
+        ({"key": "k1"}, {**_MIKA, "shows_key": True}, {"key-hidden"}),
+        ({"key": "k9"}, {}, {"key-known"}),
+        ({"key": None}, {}, {"key-known"}),
+        ({"key": "k1", "public": True}, {}, set()),
+        ({"key": "k1", "public": True}, _MIKA, {"customer"}),
+        ({"key": "k1", "status": 401}, _MIKA, {"denied"}),
+        ({"key": "k2", "status": 401}, {"customer": "noor"}, set()),
+        ({"public": True, "status": 401}, {}, {"denied"}),
+    ],
+)
+def test_a_run_is_its_key_s_customer_s(attempt, run, broken):
+    changes = [
+        _record.KeyChange(0.0, {"k1": "mika", "k2": "noor"}),
+        _record.KeyChange(99.0, {"k1": "mika"}),
+    ]
+    record = _seen([_attempt(**attempt)], [_run(**run)], key_changes=changes)
+    assert _broken(record) == broken
+
+
+@pytest.mark.parametrize(
+    ("taken_s", "broken"), [(97.4, {"key-ends"}), (97.6, set())]
+)
+def test_a_key_ends_after_the_bound_of_the_configuration(taken_s, broken):
+    changes = [
+        _record.KeyChange(0.0, {"k1": "mika"}),
+        _record.KeyChange(taken_s, {"k2": "mika"}),
+    ]
+    record = _seen([_attempt(key="k1")], [_run(**_MIKA)], key_changes=changes)
+    assert _broken(record) == broken
+    record.disturb("edge-1", 96.0, 96.1)
+    assert _broken(record) == set()
+
+
 @pytest.mark.parametrize(
     ("attempt", "runs", "broken"),
     [
