Name the header of a customer's key as such

Cause: Dialect.key could be the key of an object or of a customer.

Changed: it is Dialect.customer_key, as Request.customer_key is.

--- a/dragonflystack/entryd/_dialect.py
+++ b/dragonflystack/entryd/_dialect.py
@@ -45,7 +45,7 @@
     leaving: bytes
     """Stands on each answer of a backend server that is leaving."""
 
-    key: bytes
+    customer_key: bytes
     """Carries a customer's key, as a bearer token (RFC 6750)."""
 
     customer: bytes
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -153,7 +153,7 @@
                 request_id = value.decode("latin-1")
             elif name == dialect.time_left_ms:
                 left = dialect.read_milliseconds(value)
-            elif name == dialect.key:
+            elif name == dialect.customer_key:
                 keys.append(value)
             elif name == b"cookie" and object_key is None:
                 text = value.decode("latin-1")
--- a/dragonflystack/entryd/_sending.py
+++ b/dragonflystack/entryd/_sending.py
@@ -289,7 +289,7 @@
         dialect = self._node.dialect
         own = (dialect.time_left_ms, dialect.expected_server)
         if self._exchange.wanted.hides_key:
-            return (*own, dialect.key, dialect.customer)
+            return (*own, dialect.customer_key, dialect.customer)
         return own
 
     def _note_sent(self, step: entry.Send) -> None:
--- a/dragonflystack/entryd/tests/daemons.py
+++ b/dragonflystack/entryd/tests/daemons.py
@@ -29,7 +29,7 @@
     server_id=b"x-server",
     cold_left_ms=b"x-cold",
     leaving=b"x-leaving",
-    key=b"authorization",
+    customer_key=b"authorization",
     customer=b"x-customer",
 )
 HEADERS = [(b"host", b"shop.example"), (b"x-id", b"1"), (b"x-left", b"3000")]
