Merge customers and their keys

An exchange resolves route, customer and regions again before each send and each write: a key taken away ends a request that waits or would be repeated with 401, or 502 if it may have run (test_a_key_taken_away_meanwhile_ends_a_request).

--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -11,6 +11,7 @@
 import datetime
 
 from dragonflystack import ids
+from dragonflystack.entry import _access
 from dragonflystack.entry import _catalogue
 from dragonflystack.entry import _choice
 from dragonflystack.entry import _context
@@ -47,7 +48,7 @@
 
 
 Resolve = Callable[
-    [_choice.Wanted, datetime.timedelta], _choice.Wanted | _messages.Reason
+    [_choice.Wanted, datetime.timedelta], _choice.Wanted | _access.Denial
 ]
 """Returns what a request needs under the catalogue in force, given what it
 needed before and the time, or why it may not be sent."""
@@ -119,7 +120,7 @@
         """
         current = self._current
         assert current is not None
-        if self._why_unresolved(now) is not None or now >= self.deadline:
+        if self._denial(now) is not None or now >= self.deadline:
             return False
         server = current.server
         wanted = self.wanted
@@ -129,12 +130,10 @@
             and self._context.may_write(server, now)
         )
 
-    def _why_unresolved(
-        self, now: datetime.timedelta
-    ) -> _messages.Reason | None:
+    def _denial(self, now: datetime.timedelta) -> _access.Denial | None:
         """Follows the catalogue in force; returns why it cannot, if so."""
         wanted = self._resolve(self.wanted, now)
-        if isinstance(wanted, _messages.Reason):
+        if not isinstance(wanted, _choice.Wanted):
             return wanted
         if wanted is not self.wanted:
             self._on_wanted(wanted)
@@ -265,9 +264,9 @@
         self, why: _messages.Reason, now: datetime.timedelta
     ) -> _messages.Step:
         """Sends again if that is safe and allowed, else gives up."""
-        unresolved = self._why_unresolved(now)
-        if unresolved is not None:
-            return self._on_unresolved(unresolved)
+        denial = self._denial(now)
+        if denial is not None:
+            return self._on_denied(denial)
         if not self._may_repeat(now):
             return self._give_up(why, now)
         self._why = why
@@ -275,7 +274,7 @@
 
     def _may_repeat(self, now: datetime.timedelta) -> bool:
         """Returns whether it may be sent again; takes it out of the budget."""
-        if self._why_unresolved(now) is not None:
+        if self._denial(now) is not None:
             return False
         if self.may_have_run and not self._is_idempotent:
             return False
@@ -287,9 +286,9 @@
         return self._context.may_resend(self.wanted.service, now)
 
     def _send(self, now: datetime.timedelta) -> _messages.Step:
-        unresolved = self._why_unresolved(now)
-        if unresolved is not None:
-            return self._on_unresolved(unresolved)
+        denial = self._denial(now)
+        if denial is not None:
+            return self._on_denied(denial)
         candidates = self._candidates(now)
         if not candidates:
             return self._give_up(self._why, now)
@@ -301,12 +300,13 @@
             return self._start(best, now)
         return self._give_up(why, now, best)
 
-    def _on_unresolved(self, why: _messages.Reason) -> _messages.Step:
-        if self.may_have_run:
-            return _messages.Fail(why, timed_out=False)
-        if why is _messages.Reason.ROUTE_REMOVED:
-            return _messages.Unknown()
-        return _messages.Reject(why, self._retry_after(_LEAST_RETRY_AFTER))
+    def _on_denied(self, denial: _access.Denial) -> _messages.Step:
+        if not self.may_have_run:
+            return denial
+        why = _messages.Reason.ROUTE_REMOVED
+        if not isinstance(denial, _messages.Unknown):
+            why = denial.reason
+        return _messages.Fail(why, timed_out=False)
 
     def _why_not(
         self, candidate: _choice.Candidate, now: datetime.timedelta
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -4,6 +4,7 @@
 import random
 
 from dragonflystack import ids
+from dragonflystack.entry import _access
 from dragonflystack.entry import _catalogue
 from dragonflystack.entry import _choice
 from dragonflystack.entry import _departures
@@ -79,6 +80,7 @@
 
         self._news_at = _ZERO
         self._routes: _routes.RouteTable | None = None
+        self._rules: _access.AccessRules | None = None
 
     # What it learns.
 
@@ -100,6 +102,7 @@
             return False
         self.catalogue = catalogue
         self._routes = _routes.RouteTable(catalogue, self.rng)
+        self._rules = _access.AccessRules(catalogue, self._routes)
         self.dispatch.on_services(catalogue.services)
         return True
 
@@ -347,6 +350,21 @@
 
     # Requests.
 
+    def access(
+        self, request: _messages.Request, now: datetime.timedelta
+    ) -> _access.Access | _access.Denial:
+        """Returns what the catalogue in force allows a request.
+
+        It changes nothing, so it may be asked again before each send.
+        """
+        if self._rules is None or not self.is_informed:
+            wait = _NO_NEWS_RETRY_AFTER
+            return _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
+        if self.is_outdated(now):
+            wait = _OUTDATED_RETRY_AFTER * (1 + self.rng.random())
+            return _messages.Reject(_messages.Reason.OUTDATED, wait)
+        return self._rules.resolve(request)
+
     def open(
         self,
         request: _messages.Request,
@@ -363,15 +381,9 @@
         Returns:
             Its exchange, if there is one, and the first step.
         """
-        if self._routes is None or not self.is_informed:
-            wait = _NO_NEWS_RETRY_AFTER
-            return None, _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
-        if self.is_outdated(now):
-            wait = _OUTDATED_RETRY_AFTER * (1 + self.rng.random())
-            return None, _messages.Reject(_messages.Reason.OUTDATED, wait)
-        wanted = self._resolve(request, None)
-        if wanted is None:
-            return None, _messages.Unknown()
+        wanted = self._resolve(request, None, now)
+        if not isinstance(wanted, _choice.Wanted):
+            return None, wanted
         self.dispatch.on_request(wanted, now)
         exchange = _exchange.Exchange(
             self.dispatch,
@@ -384,38 +396,45 @@
 
     def _make_resolver(self, request: _messages.Request) -> _exchange.Resolve:
         """Returns what an exchange resolves its request with."""
-        resolved_in = self._routes
+        resolved_by = self._rules
 
         def resolve(
             before: _choice.Wanted, now: datetime.timedelta
-        ) -> _choice.Wanted | _messages.Reason:
-            nonlocal resolved_in
-            if self.is_outdated(now):
-                return _messages.Reason.OUTDATED
-            if resolved_in is self._routes:
+        ) -> _choice.Wanted | _access.Denial:
+            nonlocal resolved_by
+            if resolved_by is self._rules and not self.is_outdated(now):
                 return before
-            wanted = self._resolve(request, before)
-            if wanted is None:
-                return _messages.Reason.ROUTE_REMOVED
-            resolved_in = self._routes
+            wanted = self._resolve(request, before, now)
+            if isinstance(wanted, _choice.Wanted):
+                resolved_by = self._rules
             return wanted
 
         return resolve
 
     def _resolve(
-        self, request: _messages.Request, before: _choice.Wanted | None
-    ) -> _choice.Wanted | None:
+        self,
+        request: _messages.Request,
+        before: _choice.Wanted | None,
+        now: datetime.timedelta,
+    ) -> _choice.Wanted | _access.Denial:
         """Returns what a request needs under the catalogue in force.
 
         It stays with its service while its route leads there.
         """
-        routes = self._routes
-        assert routes is not None
-        route = routes.find(request.host, request.path)
-        if route is None:
-            return None
+        access = self.access(request, now)
+        if not isinstance(access, _access.Access):
+            return access
+        assert self._routes is not None
+        route = access.route
         if before is not None and route.leads_to(before.service):
             service = before.service
         else:
-            service = routes.pick_service(route)
-        return _choice.Wanted(route, service, request.object_key, route.regions)
+            service = self._routes.pick_service(route)
+        return _choice.Wanted(
+            route,
+            service,
+            request.object_key,
+            access.regions,
+            access.customer,
+            access.hides_key,
+        )
--- a/dragonflystack/entryd/tests/daemons.py
+++ b/dragonflystack/entryd/tests/daemons.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import datetime
 import socket
 import struct
@@ -30,6 +31,8 @@
     server_id=b"x-server",
     cold_left_ms=b"x-cold",
     leaving=b"x-leaving",
+    customer_key=b"authorization",
+    customer=b"x-customer",
 )
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=10)
 """A busy machine may take longer than the daemon allows; what happens then has
@@ -48,23 +51,14 @@
         self.reads_wait_for: anyio.Event | None = None
         """Reads of the operators' rows are not answered before this."""
 
+        self.customers: tuple[entry.Customer, ...] | None = None
+
     async def read_operators(self):
         if self.reads_wait_for is not None:
             await self.reads_wait_for.wait()
         if self.is_out:
             return out()
-        route = entry.Route(
-            entry.RouteId("r"),
-            "shop.example",
-            "/r/",
-            (entry.Destination(SERVICE, 1.0),),
-            idempotent=False,
-            target_latency=datetime.timedelta(seconds=1),
-        )
-        policy = entry.ServicePolicy(
-            SERVICE, "/health", 100, 10.0, datetime.timedelta(seconds=3)
-        )
-        catalogue = entry.Catalogue(3, (route,), {SERVICE: policy})
+        catalogue = make_catalogue(3, self.customers)
         return entryd.OperatorNews(5, 5, True, catalogue, frozenset())
 
     async def watch_operators(self, after, wait):
@@ -101,6 +95,27 @@
         pass
 
 
+def make_catalogue(version, customers=None):
+    """Returns a catalogue with a private and a public route."""
+    private = entry.Route(
+        entry.RouteId("r"),
+        "shop.example",
+        "/r/",
+        (entry.Destination(SERVICE, 1.0),),
+        idempotent=False,
+        target_latency=datetime.timedelta(seconds=1),
+    )
+    public = dataclasses.replace(
+        private, id=entry.RouteId("open"), prefix="/open/", public=True
+    )
+    policy = entry.ServicePolicy(
+        SERVICE, "/health", 100, 10.0, datetime.timedelta(seconds=3)
+    )
+    return entry.Catalogue(
+        version, (private, public), {SERVICE: policy}, customers=customers
+    )
+
+
 def out():
     failure = outcomes.Failure(outcomes.Step.STORE, "platform", "out")
     return storage.Unavailable(failure)
@@ -169,6 +184,9 @@
         self.runs = 0
         """Requests that reached it, without probes."""
 
+        self.heads: list[bytes] = []
+        """Request lines and headers of what reached it."""
+
         self.delay_s = 0.0
         self.is_silent = False
         """Whether it reads a request and never answers."""
@@ -181,6 +199,7 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 if not head.startswith(b"GET /health "):
+                    self.heads.append(head)
                     self.runs += 1
                 if self.is_silent:
                     await reader.read()
@@ -234,12 +253,13 @@
             node.stop_asked.set()
 
 
-async def get(pool, node, path="/r/1", left_ms=3000, request_id=b"1"):
+async def get(pool, node, path="/r/1", left_ms=3000, request_id=b"1", more=()):
     url = f"http://{node.settings.callers}{path}"
     headers = [
         HEADERS[0],
         (b"x-id", request_id),
         (b"x-left", b"%d" % left_ms),
+        *more,
     ]
     return await pool.request("GET", url, headers=headers)
 
