Move what a VM knows of the age of its rows out of EntryVm

Who watches the store, how old news are and how far this VM is behind are one matter, with state of their own (_freshness.py).

--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -11,7 +11,7 @@
 from dragonflystack.entry import _discovery
 from dragonflystack.entry import _dispatch
 from dragonflystack.entry import _exchange
-from dragonflystack.entry import _lag
+from dragonflystack.entry import _freshness
 from dragonflystack.entry import _members
 from dragonflystack.entry import _messages
 from dragonflystack.entry import _news
@@ -69,25 +69,19 @@
         """The store's era as far as known, None before it was heard of."""
 
         self.log = _news.NewsLog()
-        self._lag = _lag.Lag()
+        self.freshness = _freshness.Freshness(members, self.log)
+        """How far behind the store's rows it may be."""
+
         self._settled_at = _ZERO
         """When operators and backend servers have written again what the store
         lost; until then evacuations stay as they are."""
 
         self._regions = tuple(sorted(set(regions.values())))
-        self._watched: set[_news.Table] = set()
-        """The tables that this VM watches itself."""
-
-        self._news_at = _ZERO
         self._routes: _routes.RouteTable | None = None
         self._rules: _access.AccessRules | None = None
 
     # What it learns.
 
-    def on_start(self, now: datetime.timedelta) -> None:
-        """Gives other VMs time to tell what they know."""
-        self._news_at = now
-
     def on_catalogue(self, catalogue: _catalogue.Catalogue) -> bool:
         """Puts a catalogue in force unless it is older than the present one.
 
@@ -217,7 +211,7 @@
             members.incarnation,
             members.phase,
             self.log.position,
-            round(self.news_age(now) / _MILLISECOND),
+            round(self.freshness.news_age(now) / _MILLISECOND),
             _shares.to_thousandths(shares.shares, self._regions),
             _shares.to_thousandths(shares.wanted, self._regions),
             is_near,
@@ -226,57 +220,11 @@
             self.dispatch.departures.recent(now),
             self.dispatch.sightings.loads(now),
             self.dispatch.sightings.learnt(now),
-            self._lag.word(self.log.position.operators, now),
+            self.freshness.word(now),
         )
 
     # News of the store, from it or from other VMs.
 
-    def on_watch(
-        self, table: _news.Table, works: bool, now: datetime.timedelta
-    ) -> None:
-        """Notes whether this VM's own watch of a table works."""
-        if works:
-            self._watched.add(table)
-        else:
-            self._watched.discard(table)
-        if self._watches:
-            self._news_at = now
-
-    @property
-    def _watches(self) -> bool:
-        return len(self._watched) == len(_news.Table)
-
-    def on_operators_read(self, version: int) -> None:
-        """Notes up to which version of the store it read operators' rows."""
-        self._lag.on_read(version)
-
-    def news_age(self, now: datetime.timedelta) -> datetime.timedelta:
-        """Returns how long ago a VM with a working watch was heard of."""
-        if self._watches:
-            return _ZERO
-        ages = [now - self._news_at]
-        for member in self.members.alive(now):
-            if member.beat is not None and member.heard_at is not None:
-                age = member.beat.news_age_ms * _MILLISECOND
-                ages.append(age + (now - member.heard_at))
-        return max(_ZERO, min(ages))
-
-    def on_beat(
-        self, beat: _members.Heartbeat, now: datetime.timedelta
-    ) -> bool:
-        """Takes in which operators' rows another VM has, or heard of.
-
-        Returns:
-            Whether this VM hears of rows that it lacks for the first time.
-        """
-        known = self.log.position.operators
-        is_new = self._lag.on_word(
-            _lag.Word(beat.position.operators, 0, 0), known, now
-        )
-        if beat.heard is not None:
-            is_new |= self._lag.on_word(beat.heard, known, now)
-        return is_new
-
     def lacks(self, position: _news.Position) -> bool:
         """Returns whether a VM at a position knows more than this one."""
         own = self.log.position
@@ -284,34 +232,9 @@
             position.operators > own.operators or position.servers > own.servers
         )
 
-    def behind(self, now: datetime.timedelta) -> datetime.timedelta:
-        """Returns for how long others have had rows that this VM lacks."""
-        return self._lag.age(self.log.position.operators, now)
-
     def is_outdated(self, now: datetime.timedelta) -> bool:
         """Returns whether its routes are too old to decide by them."""
-        return self.behind(now) > self.bounds.apply * _OUTDATED_PART
-
-    def should_watch(self, now: datetime.timedelta) -> bool:
-        """Returns whether this VM is to watch the store itself."""
-        if self.news_age(now) > _news.STALE_AFTER:
-            return True
-        members = self.members
-        if not members.is_listed:
-            return False
-        return _news.is_watcher(members.own.vm, members.listed())
-
-    def should_watch_operators(self, now: datetime.timedelta) -> bool:
-        """Returns whether this VM is to watch the operators' rows itself."""
-        if self.behind(now) > _news.STALE_AFTER:
-            return True
-        return self.should_watch(now)
-
-    @property
-    def store_retry_limit(self) -> datetime.timedelta:
-        """The longest pause between calls to a store that is out."""
-        members = self.members
-        return _news.retry_limit(members.own.vm, members.listed())
+        return self.freshness.behind(now) > self.bounds.apply * _OUTDATED_PART
 
     def news_since(
         self, position: _news.Position, known_version: int = 0
--- a/dragonflystack/entry/tests/builders.py
+++ b/dragonflystack/entry/tests/builders.py
@@ -127,4 +127,4 @@
 def watch(vm: entry.EntryVm, now: datetime.timedelta) -> None:
     """Has the VM's own watches of the store work."""
     for table in entry.Table:
-        vm.on_watch(table, True, now)
+        vm.freshness.on_watch(table, True, now)
--- a/dragonflystack/entry/tests/test_lag.py
+++ b/dragonflystack/entry/tests/test_lag.py
@@ -75,7 +75,7 @@
 def _tell(receiver, sender, now):
     beat = sender.heartbeat(now, introduce=True)
     receiver.members.on_heartbeat(beat, now)
-    return receiver.on_beat(beat, now)
+    return receiver.freshness.on_beat(beat, now)
 
 
 # Guards against a VM that serves by old routes as none of its neighbours has
@@ -87,8 +87,8 @@
         now = builders.ms(500 * i)
         is_new = _tell(middle, ahead, now), _tell(far, middle, now)
         assert is_new == (i == 0, i == 0)
-    assert middle.behind(builders.ms(2500)) == builders.ms(2500)
-    assert far.behind(builders.ms(2500)) == builders.ms(2500)
+    assert middle.freshness.behind(builders.ms(2500)) == builders.ms(2500)
+    assert far.freshness.behind(builders.ms(2500)) == builders.ms(2500)
 
 
 def test_a_vm_that_read_the_store_later_is_not_behind():
@@ -97,11 +97,11 @@
     other = builders.entry_vm(vm="vm-2")
     other.log.on_operators(150)
     _tell(vm, other, _ZERO)
-    assert vm.behind(builders.ms(500)) == builders.ms(500)
+    assert vm.freshness.behind(builders.ms(500)) == builders.ms(500)
     vm.log.on_operators(100)
-    vm.on_operators_read(500)
+    vm.freshness.on_operators_read(500)
     _tell(vm, other, builders.ms(500))
-    assert vm.behind(builders.ms(600)) == _ZERO
+    assert vm.freshness.behind(builders.ms(600)) == _ZERO
 
 
 def test_a_vm_lacks_what_another_knows():
--- a/dragonflystack/entry/tests/test_news.py
+++ b/dragonflystack/entry/tests/test_news.py
@@ -45,8 +45,10 @@
 def test_few_vms_watch_whatever_the_size(size):
     vms = _region(size)
     for vm in vms.values():
-        vm.on_start(builders.ms(0))
-    watchers = [v for v in vms.values() if v.should_watch(builders.ms(1))]
+        vm.freshness.on_start(builders.ms(0))
+    watchers = [
+        v for v in vms.values() if v.freshness.should_watch(builders.ms(1))
+    ]
     assert min(8, size) <= len(watchers) <= max(8, 0.13 * size + 1)
 
 
@@ -73,9 +75,9 @@
         for n, v in vms.items()
         if not _news.is_watcher(n, v.members.listed())
     )
-    vm.on_start(builders.ms(0))
-    assert not vm.should_watch(builders.ms(1400))
-    assert vm.should_watch(bound - read - builders.ms(250))
+    vm.freshness.on_start(builders.ms(0))
+    assert not vm.freshness.should_watch(builders.ms(1400))
+    assert vm.freshness.should_watch(bound - read - builders.ms(250))
 
 
 @pytest.mark.parametrize("size", [5, 8, 47, 140])
--- a/dragonflystack/entry/tests/test_outdated.py
+++ b/dragonflystack/entry/tests/test_outdated.py
@@ -24,7 +24,7 @@
     other.log.on_operators(vm.log.position.operators + 5)
     beat = other.heartbeat(now, introduce=True)
     vm.members.on_heartbeat(beat, now)
-    vm.on_beat(beat, now)
+    vm.freshness.on_beat(beat, now)
 
 
 def _open(vm, now):
@@ -91,14 +91,16 @@
     vms = [builders.entry_vm(vm=address.vm) for address in addresses]
     for vm in vms:
         vm.members.on_list(addresses)
-    vm, neighbour = [v for v in vms if not v.should_watch(builders.ms(1))][:2]
+    vm, neighbour = [
+        v for v in vms if not v.freshness.should_watch(builders.ms(1))
+    ][:2]
     _ahead(vm, builders.ms(0))
     for at in (builders.ms(1400), builders.ms(1600)):
         builders.watch(neighbour, at)
         _ahead(vm, at)
         beat = neighbour.heartbeat(at, introduce=True)
         vm.members.on_heartbeat(beat, at)
-        assert vm.news_age(at) == builders.ms(0)
-    assert not vm.should_watch_operators(builders.ms(1400))
-    assert vm.should_watch_operators(builders.ms(1600))
-    assert not vm.should_watch(builders.ms(1600))
+        assert vm.freshness.news_age(at) == builders.ms(0)
+    assert not vm.freshness.should_watch_operators(builders.ms(1400))
+    assert vm.freshness.should_watch_operators(builders.ms(1600))
+    assert not vm.freshness.should_watch(builders.ms(1600))
--- a/dragonflystack/entryd/__init__.py
+++ b/dragonflystack/entryd/__init__.py
@@ -61,6 +61,6 @@
         entry.ChoiceSettings(),
         random.Random(os.urandom(8)),
     )
-    vm.on_start(now.monotonic())
+    vm.freshness.on_start(now.monotonic())
     journal = Journal(sys.stdout.fileno(), now)
     return Node(cfg, dialect, now, vm, journal, Metrics())
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -75,7 +75,7 @@
         node.vm.dispatch.on_sightings(beat.loads, beat.learnt, now)
         for server in node.vm.on_departures(beat.departures, now):
             _server_reports.note_leaving(node, server, beat.vm)
-        if node.vm.on_beat(beat, now):
+        if node.vm.freshness.on_beat(beat, now):
             node.beat_poke.set()
         if node.vm.lacks(beat.position):
             node.news_from = _node.Endpoint(*addr)
--- a/dragonflystack/entryd/_metrics_port.py
+++ b/dragonflystack/entryd/_metrics_port.py
@@ -18,7 +18,7 @@
             return
         node.metrics.set("in-flight", node.in_flight)
         node.metrics.set("catalogue-version", node.catalogue_version or 0)
-        behind = node.vm.behind(node.now())
+        behind = node.vm.freshness.behind(node.now())
         node.metrics.set("behind-seconds", behind.total_seconds())
         headers = [(b"content-type", _CONTENT_TYPE)]
         await _asgi.send_bytes(send, 200, headers, node.metrics.render())
--- a/dragonflystack/entryd/_news_calls.py
+++ b/dragonflystack/entryd/_news_calls.py
@@ -131,7 +131,7 @@
         peer=str(peer),
         reason=reason,
         took_ms=_journal.milliseconds(took),
-        behind_ms=_journal.milliseconds(node.vm.behind(node.now())),
+        behind_ms=_journal.milliseconds(node.vm.freshness.behind(node.now())),
     )
 
 
@@ -152,5 +152,7 @@
             catalogue=catalogue.version,
             bytes=size,
             took_ms=_journal.milliseconds(took),
-            behind_ms=_journal.milliseconds(node.vm.behind(node.now())),
+            behind_ms=_journal.milliseconds(
+                node.vm.freshness.behind(node.now())
+            ),
         )
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -71,7 +71,7 @@
                 call=self._call,
                 reason=str(failure.failure),
             )
-        limit = node.vm.store_retry_limit
+        limit = node.vm.freshness.store_retry_limit
         pause, self._retry = self._retry, min(2 * self._retry, limit)
         spread = 0.75 + 0.5 * node.vm.rng.random()
         return pause.total_seconds() * spread
@@ -110,7 +110,7 @@
         """Follows the operators' rows while that is this VM's to do."""
         await self._follow(
             entry.Table.OPERATORS,
-            self._node.vm.should_watch_operators,
+            self._node.vm.freshness.should_watch_operators,
             self._platform.read_operators,
             self._platform.watch_operators,
             self._on_operators,
@@ -121,7 +121,7 @@
         """Follows the entries of backend servers likewise."""
         await self._follow(
             entry.Table.SERVERS,
-            self._node.vm.should_watch,
+            self._node.vm.freshness.should_watch,
             self._platform.read_servers,
             self._platform.watch_servers,
             self._on_servers,
@@ -145,7 +145,7 @@
         while True:
             if not should_watch(node.now()):
                 version = None
-                node.vm.on_watch(table, False, node.now())
+                node.vm.freshness.on_watch(table, False, node.now())
                 await anyio.sleep(_DUTY_POLL_S)
                 continue
             if read_too_soon and node.vm.is_settled(node.now()):
@@ -161,7 +161,7 @@
             read_too_soon |= not node.vm.is_settled(node.now())
             if isinstance(news, storage.Unavailable):
                 version = None
-                node.vm.on_watch(table, False, node.now())
+                node.vm.freshness.on_watch(table, False, node.now())
                 node.vm.discovery.on_store_away()
                 await self._ask_anyone()
                 await anyio.sleep(link.on_failure(news))
@@ -172,7 +172,7 @@
                 if link.on_success():
                     # Other watches may wait on a connection that died.
                     node.restart_watches()
-                node.vm.on_watch(table, True, node.now())
+                node.vm.freshness.on_watch(table, True, node.now())
                 version = news.version
                 self._note_skipped(table.value, news.skipped)
                 take_in(news)
@@ -216,7 +216,7 @@
         self._evacuate(evacuated, _STORE)
         before = node.vm.log.position
         node.vm.log.on_operators(position)
-        node.vm.on_operators_read(news.version)
+        node.vm.freshness.on_operators_read(news.version)
         self._after_news(before)
 
     def _on_servers(self, news: _platform_port.ServerNews) -> None:
@@ -235,7 +235,7 @@
     def _adopt(self, catalogue: entry.Catalogue, source: str) -> None:
         node = self._node
         before = node.vm.catalogue
-        behind_ms = _journal.milliseconds(node.vm.behind(node.now()))
+        behind_ms = _journal.milliseconds(node.vm.freshness.behind(node.now()))
         if node.vm.on_catalogue(catalogue):
             node.note(
                 _events.Event.CATALOGUE_ADOPTED,
