Split following the store from taking news of other VMs

Asking other VMs is _peer_news.py, taking in what either source says _intake.py, which the daemon's tick uses as well.

--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -14,9 +14,11 @@
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _front
 from dragonflystack.entryd import _heartbeats
+from dragonflystack.entryd import _intake
 from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _metrics_port
 from dragonflystack.entryd import _node
+from dragonflystack.entryd import _peer_news
 from dragonflystack.entryd import _platform_port
 from dragonflystack.entryd import _probes
 from dragonflystack.entryd import _snapshots
@@ -67,15 +69,16 @@
     pool = _connections.Pool(node.dialect.request_id, cfg.answers, node.clock)
     heartbeats = _heartbeats.Heartbeats(node)
     await heartbeats.open()
-    sync = _sync.Sync(node, platform)
+    peer_news = _peer_news.PeerNews(node)
+    sync = _sync.Sync(node, platform, peer_news)
     ports = _make_ports(node, pool, apps)
     async with anyio.create_task_group() as loops:
         loops.start_soon(_follow_signals, node, reload_bounds)
-        loops.start_soon(_tick, node, sync, pool, ports[0])
+        loops.start_soon(_tick, node, pool, ports[0])
         loops.start_soon(sync.run_operators)
         loops.start_soon(sync.run_servers)
         loops.start_soon(sync.run_registration)
-        loops.start_soon(sync.run_news)
+        loops.start_soon(peer_news.run)
         loops.start_soon(heartbeats.run)
         loops.start_soon(_probes.Prober(node, pool).run)
         async with anyio.create_task_group() as servers:
@@ -85,7 +88,7 @@
             await _leave(node, heartbeats, ports)
         loops.cancel_scope.cancel()
     pool.close()
-    await sync.aclose()
+    await peer_news.aclose()
     await platform.aclose()
     node.note(_events.Event.STOPPED, in_flight=node.in_flight)
     node.journal.flush()
@@ -117,7 +120,6 @@
 
 async def _tick(
     node: _node.Node,
-    sync: _sync.Sync,
     pool: _connections.Pool,
     front: _server.Server,
 ) -> None:
@@ -126,7 +128,7 @@
     while True:
         await anyio.sleep(_TICK_S)
         now = node.now()
-        sync.note_changes(node.vm.on_tick(now))
+        _intake.note_changes(node, node.vm.on_tick(now))
         if now - swept_at >= _SWEEP_EVERY:
             swept_at = now
             pool.sweep()
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -11,14 +11,14 @@
 from typing import TypeVar
 
 import anyio
-import httpcore
 
 from dragonflystack import entry
 from dragonflystack import storage
 from dragonflystack.entryd import _events
+from dragonflystack.entryd import _intake
 from dragonflystack.entryd import _journal
-from dragonflystack.entryd import _news_calls
 from dragonflystack.entryd import _node
+from dragonflystack.entryd import _peer_news
 from dragonflystack.entryd import _platform_port
 
 _GATHER = datetime.timedelta(milliseconds=400)
@@ -38,10 +38,6 @@
 it is read anew soon after all have written again."""
 
 _FIRST_RETRY = datetime.timedelta(milliseconds=200)
-_ASK_ANOTHER_AFTER = datetime.timedelta(milliseconds=500)
-"""Most news are here within a tenth of that; a VM that is behind has 0.6 of the
-bound on changes until it rejects requests."""
-
 _LIST_VMS_EVERY = datetime.timedelta(seconds=60)
 """VMs tell each other that they live; the list only brings strangers."""
 
@@ -93,16 +89,17 @@
 
 
 class Sync:
-    """The loops that follow the store, and the news of other VMs."""
+    """The loops that follow the store."""
 
-    def __init__(self, node: _node.Node, platform: _platform_port.Platform):
+    def __init__(
+        self,
+        node: _node.Node,
+        platform: _platform_port.Platform,
+        peer_news: _peer_news.PeerNews,
+    ):
         self._node = node
         self._platform = platform
-        self._peers = httpcore.AsyncConnectionPool(max_connections=4)
-
-    async def aclose(self) -> None:
-        """Closes the connections to other VMs."""
-        await self._peers.aclose()
+        self._peer_news = peer_news
 
     # Watching the store.
 
@@ -163,7 +160,7 @@
                 version = None
                 node.vm.freshness.on_watch(table, False, node.now())
                 node.vm.discovery.on_store_away()
-                await self._ask_anyone()
+                await self._peer_news.ask_anyone()
                 await anyio.sleep(link.on_failure(news))
             elif isinstance(news, _platform_port.HistoryLost):
                 node.note(_events.Event.HISTORY_LOST, table=table.value)
@@ -212,67 +209,19 @@
             # A row that is gone leaves no version behind.
             position = news.version
         if news.catalogue is not None:
-            self._adopt(news.catalogue, _STORE)
-        self._evacuate(evacuated, _STORE)
+            _intake.adopt(node, news.catalogue, _STORE)
+        _intake.evacuate(node, evacuated, _STORE)
         before = node.vm.log.position
         node.vm.log.on_operators(position)
         node.vm.freshness.on_operators_read(news.version)
-        self._after_news(before)
+        _intake.after_news(node, before)
 
     def _on_servers(self, news: _platform_port.ServerNews) -> None:
         node = self._node
         before = node.vm.log.position
         changes = node.vm.on_listing(news.listing, news.position, node.now())
-        self.note_changes(changes)
-        self._after_news(before)
-
-    def _after_news(self, before: entry.Position) -> None:
-        node = self._node
-        node.update_phase()
-        if node.vm.log.position != before:
-            node.beat_poke.set()
-
-    def _adopt(self, catalogue: entry.Catalogue, source: str) -> None:
-        node = self._node
-        before = node.vm.catalogue
-        behind_ms = _journal.milliseconds(node.vm.freshness.behind(node.now()))
-        if node.vm.on_catalogue(catalogue):
-            node.note(
-                _events.Event.CATALOGUE_ADOPTED,
-                version=catalogue.version,
-                before=None if before is None else before.version,
-                routes=len(catalogue.routes),
-                source=source,
-                behind_ms=behind_ms,
-            )
-
-    def _evacuate(self, domains: frozenset, source: str) -> None:
-        node = self._node
-        if domains != node.vm.evacuated:
-            node.vm.on_evacuated(domains, node.now())
-            node.note(
-                _events.Event.EVACUATION_CHANGED,
-                domains=sorted(domains),
-                source=source,
-            )
-
-    def note_changes(self, changes: entry.Changes) -> None:
-        """Logs what changed among the backend servers."""
-        for event, servers in (
-            (_events.Event.SERVER_ADDED, changes.added),
-            (_events.Event.SERVER_LEAVING, changes.leaving),
-            (_events.Event.SERVER_GONE, changes.gone),
-        ):
-            for server in servers:
-                self._node.note(
-                    event,
-                    server=server.entry.id,
-                    service=server.entry.service,
-                    address=f"{server.entry.host}:{server.entry.port}",
-                    domain=server.entry.domain,
-                    cold_left_ms=_journal.milliseconds(server.entry.cold_left),
-                    in_flight=server.in_flight,
-                )
+        _intake.note_changes(node, changes)
+        _intake.after_news(node, before)
 
     # Entry VMs.
 
@@ -290,7 +239,7 @@
                     registered_era = self._platform.era
                     node.note(_events.Event.VM_REGISTERED)
                 else:
-                    await self._ask_anyone()
+                    await self._peer_news.ask_anyone()
                     await anyio.sleep(_failure_pause(link, result))
             vms = await self._platform.list_vms()
             node.on_store_era(self._platform.era, _STORE)
@@ -307,103 +256,6 @@
     def _latest_era(self) -> int:
         return max(self._platform.era, self._node.vm.store_era or 0)
 
-    # News of other VMs.
-
-    async def run_news(self) -> None:
-        """Takes news from the VM that has some, for ever."""
-        node = self._node
-        while True:
-            await node.news_poke.wait()
-            node.news_poke = anyio.Event()
-            peer = node.news_from
-            if peer is not None and not await self._take_first_news(peer):
-                await anyio.sleep(_FIRST_RETRY.total_seconds())
-
-    async def _take_first_news(self, peer: _node.Endpoint) -> bool:
-        """Takes news from a VM, or from another if that one is slow to tell.
-
-        A connection may have gone silent, or a link be full.
-
-        Returns:
-            Whether one of them answered with news.
-        """
-        taken = False
-        async with anyio.create_task_group() as tasks:
-
-            async def take(source: _node.Endpoint) -> None:
-                nonlocal taken
-                if await self._take_news(source):
-                    taken = True
-                    tasks.cancel_scope.cancel()
-
-            async def take_from_another() -> None:
-                await anyio.sleep(_ASK_ANOTHER_AFTER.total_seconds())
-                other = self._another_that_knows_more(peer)
-                if other is not None:
-                    await take(other)
-
-            tasks.start_soon(take, peer)
-            tasks.start_soon(take_from_another)
-        return taken
-
-    def _another_that_knows_more(
-        self, peer: _node.Endpoint
-    ) -> _node.Endpoint | None:
-        vm = self._node.vm
-        others = [
-            _node.Endpoint.parse(member.address.peers)
-            for member in vm.members.alive(self._node.now())
-            if member.beat is not None and vm.lacks(member.beat.position)
-        ]
-        others = [other for other in others if other != peer]
-        return vm.rng.choice(others) if others else None
-
-    async def _take_news(
-        self, peer: _node.Endpoint, with_vms: bool = False
-    ) -> bool:
-        """Returns whether another VM answered with news."""
-        node = self._node
-        told = await _news_calls.ask(node, self._peers, peer, with_vms)
-        if told is None:
-            return False
-        news = told.news
-        node.on_store_era(entry.era_of(news.position.latest), str(peer))
-        was_informed = node.vm.is_informed
-        if told.vms:
-            node.vm.members.on_list(told.vms, of_all_regions=False)
-        if news.catalogue is not None:
-            self._adopt(news.catalogue, str(peer))
-        before = node.vm.log.position
-        if news.position.operators >= before.operators:
-            self._evacuate(news.evacuated, str(peer))
-        self.note_changes(node.vm.on_news(news, node.now()))
-        if not was_informed:
-            node.note(
-                _events.Event.STATE_FROM_PEER,
-                peer=str(peer),
-                servers=len(news.entries),
-            )
-        self._after_news(before)
-        return True
-
-    async def _ask_anyone(self) -> None:
-        """Asks VMs that may live, if this one knows nothing."""
-        node = self._node
-        if node.vm.is_informed:
-            return
-        await self._ask_each_in_turn()
-        node.first_news.set()
-
-    async def _ask_each_in_turn(self) -> None:
-        node = self._node
-        alive = node.vm.members.alive(node.now())
-        peers = [_node.Endpoint.parse(m.address.peers) for m in alive]
-        own = node.settings.peers
-        seeds = [seed for seed in node.settings.seeds if seed != own]
-        for peer in (*peers, *seeds):
-            if await self._take_news(peer, with_vms=True):
-                return
-
     def _note_skipped(
         self, source: str, skipped: tuple[_platform_port.Skipped, ...]
     ) -> None:
--- a/dragonflystack/entryd/tests/test_news_calls.py
+++ b/dragonflystack/entryd/tests/test_news_calls.py
@@ -10,7 +10,7 @@
 from dragonflystack import entryd
 from dragonflystack.entryd import _news_calls
 from dragonflystack.entryd import _node
-from dragonflystack.entryd import _sync
+from dragonflystack.entryd import _peer_news
 from dragonflystack.entryd import _told
 from dragonflystack.entryd.tests import daemons
 
@@ -37,11 +37,11 @@
         peer = _node.Endpoint(*silent.sockets[0].getsockname())
         async with daemons.serving(platform) as (_, neighbour):
             node = _behind(neighbour)
-            sync = _sync.Sync(node, platform)
-            assert await sync._take_first_news(peer)
+            news = _peer_news.PeerNews(node)
+            assert await news._take_first_news(peer)
             assert node.vm.is_informed
             assert node.catalogue_version == 3
-            await sync.aclose()
+            await news.aclose()
         silent.close()
 
     daemons.play(scenario)
@@ -52,9 +52,9 @@
         silent = await asyncio.start_server(_never_answer, "127.0.0.1", 0)
         peer = _node.Endpoint(*silent.sockets[0].getsockname())
         node = entryd.make_node(daemons.settings(), daemons.DIALECT)
-        sync = _sync.Sync(node, platform)
-        assert not await sync._take_first_news(peer)
-        await sync.aclose()
+        news = _peer_news.PeerNews(node)
+        assert not await news._take_first_news(peer)
+        await news.aclose()
         silent.close()
 
     daemons.play(scenario)
