--- a/benchmarks/_ablate.py
+++ b/benchmarks/_ablate.py
@@ -18,6 +18,7 @@
 from collections.abc import Sequence
 from concurrent import futures
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -248,13 +249,17 @@
     return [figures, f"{lost:+.3f}"]
 
 
+def _name(mechanism: str, site: str) -> str:
+    """Returns the name of the copy in which a site is played."""
+    return f"{mechanism}-{pathlib.Path(site).stem}"
+
+
 def _play_days(
     bench: _Bench, mechanism: str, site: str, days: Sequence[str]
 ) -> bool:
     """Plays days with a mechanism off; returns whether all were played."""
-    name = f"{mechanism}-{pathlib.Path(site).stem}"
+    name = _name(mechanism, site)
     copy = bench.folder / name
-    make_copy(copy, mechanism)
     well = True
     with (bench.folder / f"{name}.log").open("a") as log:
         for day in [day for day in days for _ in range(bench.repeats)]:
@@ -295,17 +300,19 @@
     folder = args.folder.resolve()
     folder.mkdir(parents=True, exist_ok=True)
     bench = _Bench(args.bench.resolve(), folder, args.seed, args.repeats)
-    with futures.ThreadPoolExecutor(args.jobs) as pool:
-        pending = [
-            pool.submit(_play_days, bench, mechanism, site, args.day)
-            for mechanism in args.off or MECHANISMS
-            for site in args.site
-        ]
+    wanted = list(itertools.product(args.off or MECHANISMS, args.site))
     try:
-        well = all([future.result() for future in pending])
+        for mechanism, site in wanted:
+            make_copy(folder / _name(mechanism, site), mechanism)
     except EditError as exc:
         print(exc, file=sys.stderr)
         return 2
+    with futures.ThreadPoolExecutor(args.jobs) as pool:
+        pending = [
+            pool.submit(_play_days, bench, mechanism, site, args.day)
+            for mechanism, site in wanted
+        ]
+    well = all([future.result() for future in pending])
     print(format_table(read_plays(_ROOT / _JOURNAL, args.seed)))
     return 0 if well else 1
 
--- a/benchmarks/tests/test_ablate.py
+++ b/benchmarks/tests/test_ablate.py
@@ -44,3 +44,18 @@
     assert row == (
         "| s | d | leeway | 0.500 | +0.050 | 0.800 | +0.100 | SHIFT | e3 |"
     )
+
+
+def test_no_day_is_played_when_an_edit_does_not_apply(
+    tmp_path, monkeypatch, capsys
+):
+    edit = _ablate.Edit("README.md", "no such line", "")
+    monkeypatch.setattr(_ablate, "MECHANISMS", {"none": (), "gone": (edit,)})
+    program = tmp_path / "bench"
+    program.write_text("#!/bin/sh\ntouch played\n")
+    program.chmod(0o755)
+    folder = tmp_path / "copies"
+    argv = [str(folder), "--bench", str(program), "--site", "s", "--day", "d"]
+    assert _ablate.main(argv) == 2
+    assert "README.md: expected the line" in capsys.readouterr().err
+    assert not list(folder.glob("*/played"))
