--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -35,6 +35,15 @@
     grace: datetime.timedelta = _ms(6_000)
     """From SIGTERM until the process is killed."""
 
+    quota_window: datetime.timedelta = _ms(5_000)
+    """Any span of this length counts for the limits of customers."""
+
+    quota_overrun: float = 0.0
+    """Part by which a customer's limit may be exceeded within a window."""
+
+    quota_margin: float = 0.0
+    """Requests within a window beyond that."""
+
     max_answer_ttl: datetime.timedelta = _ms(5_000)
     """Callers keep no answer of the directory for longer than this."""
 
--- a/dragonflystack/ids.py
+++ b/dragonflystack/ids.py
@@ -20,6 +20,9 @@
 BackendServerId = NewType("BackendServerId", str)
 """A backend server; unique in the fleet."""
 
+CustomerId = NewType("CustomerId", str)
+"""A customer, whose callers share its limits."""
+
 SiteId = NewType("SiteId", int)
 """A site of clients: the index into the document's list of sites."""
 
