--- a/dragonflystack/entry/_quotas.py
+++ b/dragonflystack/entry/_quotas.py
@@ -19,6 +19,7 @@
 import random
 
 from dragonflystack import ids
+from dragonflystack.entry import _quota_empty
 from dragonflystack.entry import _quota_owners
 from dragonflystack.entry import _quota_shards
 from dragonflystack.entry import _settings
@@ -41,9 +42,6 @@
 _SUSPECT_FOR = datetime.timedelta(milliseconds=500)
 """How long an owner that gave no answer is passed over."""
 
-_MAX_EMPTY_FOR = datetime.timedelta(seconds=5)
-"""How long at most a shard is passed over without being asked."""
-
 _MAX_WANTED = 16
 """Tokens that are asked for at once."""
 
@@ -105,7 +103,7 @@
     stock: collections.deque[tuple[datetime.timedelta, int]]
     """Tokens got ahead: until when they may be used, and how many."""
 
-    empty_until: dict[_quota_owners.Place, datetime.timedelta]
+    empty: _quota_empty.EmptyShards
     """Shards of other VMs that have no token."""
 
     slot: int = 0
@@ -128,27 +126,11 @@
             self.requests = 0
         self.requests += 1
 
-    def on_empty(
-        self,
-        empty: tuple[_quota_shards.EmptyShard, ...],
-        now: datetime.timedelta,
-    ) -> None:
-        """Takes in shards that another VM knows to be empty."""
-        for shard in empty:
-            if shard.place in self.shards:
-                self.empty_until[shard.place] = now + min(
-                    shard.for_ms * _MILLISECOND, _MAX_EMPTY_FOR
-                )
-
-    def empty(
-        self, asked: _quota_owners.Place, now: datetime.timedelta
+    def known(
+        self, empty: tuple[_quota_shards.EmptyShard, ...]
     ) -> tuple[_quota_shards.EmptyShard, ...]:
-        """Returns the shards known to be empty, but for one that is asked."""
-        return tuple(
-            _quota_shards.EmptyShard(place, _quota_shards.to_ms(until - now))
-            for place, until in self.empty_until.items()
-            if until > now and place != asked
-        )
+        """Returns those that are shards of this customer."""
+        return tuple(shard for shard in empty if shard.place in self.shards)
 
     def take(self, now: datetime.timedelta) -> bool:
         """Takes a token got ahead, if there is one."""
@@ -230,8 +212,8 @@
             use = self._use(ask.customer)
         if use is None:
             return self._shards.on_ask(ask, (), now)
-        use.on_empty(ask.empty, now)
-        return self._shards.on_ask(ask, use.empty(ask.place, now), now)
+        use.empty.on_ask(use.known(ask.empty), now)
+        return self._shards.on_ask(ask, use.empty.to_answer(now), now)
 
     # Requests.
 
@@ -273,7 +255,8 @@
         if answer is None or not answer.is_owner:
             self._suspect_until[ask.owner] = now + _SUSPECT_FOR
         elif not answer.granted:
-            use.on_empty(answer.empty, now)
+            empty = use.known(answer.empty)
+            use.empty.on_answer(ask.message.place, empty, now)
             fits_in = answer.fits_ms * _MILLISECOND
             if ask.fits_in is not None:
                 fits_in = min(fits_in, ask.fits_in)
@@ -289,7 +272,7 @@
         use = self._uses.get(customer)
         if use is None and self._tenure.table is not None:
             shards = self._tenure.shards(customer)
-            use = _Use(shards, collections.deque(), {})
+            use = _Use(shards, collections.deque(), _quota_empty.EmptyShards())
             self._uses[customer] = use
         return use
 
@@ -326,7 +309,7 @@
             position.owner,
             position.peers,
             _quota_shards.QuotaAsk(
-                self._asks, customer, place, wanted, use.empty(place, now)
+                self._asks, customer, place, wanted, use.empty.to_ask(now)
             ),
             patience,
             now,
@@ -351,7 +334,7 @@
             if (
                 place in tried
                 or position.owner == self._own
-                or now < use.empty_until.get(place, _ZERO)
+                or use.empty.empty_for(place, now)
                 or now < self._suspect_until.get(position.owner, _ZERO)
             ):
                 continue
@@ -367,29 +350,26 @@
         now: datetime.timedelta,
     ) -> Step:
         """Sends a request away, until a token is there."""
-        waits = [] if fits_in is None else [fits_in]
-        if fits_in is None:
-            waits = [
-                until - now for until in use.empty_until.values() if until > now
-            ]
-        if not waits:
-            waits = self._own_waits(customer, use, now)
-        if not waits:
+        wait = use.empty.shortest(now) if fits_in is None else fits_in
+        if wait is None:
+            wait = self._own_wait(customer, use, now)
+        if wait is None:
             return self._unreachable()
-        return OverQuota(self._retry_after(min(waits)))
+        return OverQuota(self._retry_after(wait))
 
-    def _own_waits(
+    def _own_wait(
         self,
         customer: ids.CustomerId,
         use: _Use,
         now: datetime.timedelta,
-    ) -> list[datetime.timedelta]:
-        """Returns how long the shards of this VM will be empty."""
-        return [
+    ) -> datetime.timedelta | None:
+        """Returns how long the shards of this VM are empty, if it has any."""
+        waits = [
             self._shards.empty_for(customer, place, now)
             for place in use.shards
             if self._tenure.acts_since(place, now) is not None
         ]
+        return min(waits, default=None)
 
     def _unreachable(self) -> Unreachable:
         return Unreachable(self._retry_after(_SUSPECT_FOR))
--- a/dragonflystack/entry/tests/test_quotas.py
+++ b/dragonflystack/entry/tests/test_quotas.py
@@ -541,6 +541,23 @@
     assert {e.for_ms for e in answer.empty if e.place != own} == {200}
 
 
+def test_what_owners_pass_on_is_not_told_on():
+    """News that went in circles would never end."""
+    quotas = _quotas_of(_OTHERS[0])
+    first = quotas.admit(quota_fleet.CUSTOMER, builders.ms(1_000))
+    place = first.message.place
+    other = next(
+        p
+        for p in quotas.owners.place_shards(quota_fleet.CUSTOMER)
+        if p != place
+    )
+    empty = tuple(_quota_shards.EmptyShard(p, 300) for p in (place, other))
+    answer = _quota_shards.QuotaAnswer(1, 0, fits_ms=300, empty=empty)
+    second = quotas.on_answer(first, answer, builders.ms(1_002))
+    assert second.message.place not in (place, other)
+    assert second.message.empty == (_quota_shards.EmptyShard(place, 300),)
+
+
 # Owners.
 
 
