--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -45,7 +45,7 @@
     for vms, (regions, per_region) in _FLEETS.items():
         sites = {"all": vms, "region": per_region, "one": 1}
         for rate in _RATES:
-            limit = _quota_shards.Limit(rate, rate)
+            limit = _quota_shards.QuotaLimit(rate, rate)
             for load in _LOADS:
                 for where, number in sites.items():
                     rng = random.Random(seed)
@@ -69,7 +69,7 @@
     case: str,
     regions: int,
     per_region: int,
-    limit: _quota_shards.Limit,
+    limit: _quota_shards.QuotaLimit,
     sent: _Requests,
 ) -> list[figures.Figure]:
     vms = regions * per_region
@@ -89,7 +89,7 @@
 def _shards(
     regions: int,
     per_region: int,
-    limit: _quota_shards.Limit,
+    limit: _quota_shards.QuotaLimit,
     sent: _Requests,
 ) -> tuple[float, float, float]:
     """Returns the part refused, asks a request and the median wait in ms."""
--- a/dragonflystack/entry/__init__.py
+++ b/dragonflystack/entry/__init__.py
@@ -56,6 +56,17 @@
 from dragonflystack.entry._messages import Withdrawn
 from dragonflystack.entry._news import News
 from dragonflystack.entry._news import Position
+from dragonflystack.entry._quota_owners import OwnerTable
+from dragonflystack.entry._quota_owners import found_owners
+from dragonflystack.entry._quota_owners import replace_owner
+from dragonflystack.entry._quota_shards import QuotaAnswer
+from dragonflystack.entry._quota_shards import QuotaAsk
+from dragonflystack.entry._quota_shards import QuotaLimit
+from dragonflystack.entry._quotas import Admitted
+from dragonflystack.entry._quotas import AskOwner
+from dragonflystack.entry._quotas import OverQuota
+from dragonflystack.entry._quotas import Quotas
+from dragonflystack.entry._quotas import Unreachable
 from dragonflystack.entry._servers import Load
 from dragonflystack.entry._servers import Server
 from dragonflystack.entry._servers import ServerEntry
@@ -68,7 +79,9 @@
 
 __all__ = [
     "HEARTBEAT_EVERY",
+    "Admitted",
     "Answered",
+    "AskOwner",
     "Broken",
     "CallerGone",
     "CallerLimits",
@@ -93,8 +106,14 @@
     "Member",
     "Members",
     "News",
+    "OverQuota",
+    "OwnerTable",
     "Phase",
     "Position",
+    "QuotaAnswer",
+    "QuotaAsk",
+    "QuotaLimit",
+    "Quotas",
     "Reason",
     "Reject",
     "Request",
@@ -110,11 +129,14 @@
     "Step",
     "Unknown",
     "UnknownVmError",
+    "Unreachable",
     "VmAddress",
     "Wait",
     "Wanted",
     "Withdrawn",
     "era_of",
+    "found_owners",
     "number_of",
+    "replace_owner",
     "store_version",
 ]
--- a/dragonflystack/entry/_quota_owners.py
+++ b/dragonflystack/entry/_quota_owners.py
@@ -93,7 +93,7 @@
         return tuple(_by_turns(chosen))
 
 
-def found(vms: Iterable[_members.VmAddress]) -> OwnerTable:
+def found_owners(vms: Iterable[_members.VmAddress]) -> OwnerTable:
     """Returns the first table of a fleet.
 
     The positions of a region are spread over its failure domains.
@@ -117,7 +117,7 @@
     return OwnerTable(_FOUNDED, tuple(positions))
 
 
-def replace(
+def replace_owner(
     table: OwnerTable, gone: ids.VmId, successor: _members.VmAddress
 ) -> OwnerTable:
     """Returns a table in which another VM has the positions of one.
--- a/dragonflystack/entry/_quota_shards.py
+++ b/dragonflystack/entry/_quota_shards.py
@@ -36,7 +36,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Limit:
+class QuotaLimit:
     """What all callers of a customer may send together."""
 
     rate: float
@@ -103,7 +103,7 @@
 
 
 def part_of(
-    limit: Limit, bounds: _settings.FleetBounds, shards: int, nth: int
+    limit: QuotaLimit, bounds: _settings.FleetBounds, shards: int, nth: int
 ) -> Part:
     """Returns the part of a limit that one of its shards has.
 
@@ -210,7 +210,7 @@
     ):
         self._tenure = tenure
         self._bounds = bounds
-        self._limits: dict[ids.CustomerId, Limit] = {}
+        self._limits: dict[ids.CustomerId, QuotaLimit] = {}
         self._limited_since: dict[ids.CustomerId, datetime.timedelta] = {}
         self._buckets: dict[
             tuple[ids.CustomerId, _quota_owners.Place],
@@ -223,7 +223,7 @@
 
     def on_limits(
         self,
-        limits: Mapping[ids.CustomerId, Limit],
+        limits: Mapping[ids.CustomerId, QuotaLimit],
         now: datetime.timedelta,
     ) -> None:
         """Takes in the limits in force."""
--- a/dragonflystack/entry/_quotas.py
+++ b/dragonflystack/entry/_quotas.py
@@ -5,7 +5,7 @@
 reach an owner admits nothing that has a limit.
 
     step = quotas.admit(customer, now)
-    while isinstance(step, Ask):
+    while isinstance(step, AskOwner):
         answer = ...  # of step.peers to step.message, None after step.patience
         step = quotas.on_answer(step, answer, now)
 
@@ -70,7 +70,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Ask:
+class AskOwner:
     """Ask another VM, and pass its answer on to `Quotas.on_answer`."""
 
     owner: ids.VmId
@@ -92,7 +92,7 @@
     """The shortest wait that an owner told so far."""
 
 
-Step = Admitted | OverQuota | Unreachable | Ask
+Step = Admitted | OverQuota | Unreachable | AskOwner
 
 
 @dataclasses.dataclass(slots=True)
@@ -160,7 +160,7 @@
         self._rng = rng
         self._tenure = tenure or _quota_owners.Tenure(own)
         self._shards = _quota_shards.QuotaShards(self._tenure, bounds)
-        self._limits: dict[ids.CustomerId, _quota_shards.Limit] = {}
+        self._limits: dict[ids.CustomerId, _quota_shards.QuotaLimit] = {}
         self._uses: dict[ids.CustomerId, _Use] = {}
         self._suspect_until: dict[ids.VmId, datetime.timedelta] = {}
         self._asks = 0
@@ -173,7 +173,7 @@
 
     def on_limits(
         self,
-        limits: Mapping[ids.CustomerId, _quota_shards.Limit],
+        limits: Mapping[ids.CustomerId, _quota_shards.QuotaLimit],
         now: datetime.timedelta,
     ) -> None:
         """Takes in the limits in force, without customers that have none."""
@@ -234,7 +234,7 @@
 
     def on_answer(
         self,
-        ask: Ask,
+        ask: AskOwner,
         answer: _quota_shards.QuotaAnswer | None,
         now: datetime.timedelta,
     ) -> Step:
@@ -280,7 +280,7 @@
         self,
         customer: ids.CustomerId,
         use: _Use,
-        before: Ask | None,
+        before: AskOwner | None,
         now: datetime.timedelta,
     ) -> Step:
         """Asks the next owner, or gives up."""
@@ -305,7 +305,7 @@
             wanted = min(_MAX_WANTED, max(1, use.requests_before))
             if wanted > 1:
                 use.ahead_until = now + patience
-        return Ask(
+        return AskOwner(
             position.owner,
             position.peers,
             _quota_shards.QuotaAsk(
--- a/dragonflystack/entry/tests/quota_fleet.py
+++ b/dragonflystack/entry/tests/quota_fleet.py
@@ -42,7 +42,7 @@
 
     paused_until: float = 0.0
     reads_table: bool = True
-    limit: _quota_shards.Limit | None = None
+    limit: _quota_shards.QuotaLimit | None = None
 
 
 def addresses(regions: int, per_region: int) -> list[entry.VmAddress]:
@@ -64,7 +64,7 @@
         self,
         vms: list[entry.VmAddress],
         bounds: entry.FleetBounds,
-        limit: _quota_shards.Limit,
+        limit: _quota_shards.QuotaLimit,
         seed: int,
         loss: float = 0.0,
         keep_for: datetime.timedelta = _quota_owners.KEEP_FOR,
@@ -77,7 +77,7 @@
         self.keep_for = keep_for
         self.wait_for = wait_for
         self.now = 0.0
-        self.table = _quota_owners.found(vms)
+        self.table = _quota_owners.found_owners(vms)
         self.vms = {
             a.vm: Vm(a, self.rng.uniform(0, 1e6), limit=limit) for a in vms
         }
@@ -149,7 +149,7 @@
 
     def replace(self, gone: ids.VmId, successor: ids.VmId) -> None:
         address = self.vms[successor].address
-        self.table = _quota_owners.replace(self.table, gone, address)
+        self.table = _quota_owners.replace_owner(self.table, gone, address)
 
     # Requests.
 
@@ -172,10 +172,10 @@
                 self.waits.append(self.now - began)
             case _quotas.Unreachable():
                 self.unreachable.append(self.now)
-            case _quotas.Ask():
+            case _quotas.AskOwner():
                 self._ask(vm, step, began)
 
-    def _ask(self, vm: Vm, ask: _quotas.Ask, began: float) -> None:
+    def _ask(self, vm: Vm, ask: _quotas.AskOwner, began: float) -> None:
         self.asks += 1
         number = next(self._order)
         self._waiting.add(number)
--- a/dragonflystack/entry/tests/test_quotas.py
+++ b/dragonflystack/entry/tests/test_quotas.py
@@ -89,7 +89,7 @@
         for _ in range(faults):
             self._rng.choice(kinds)(self._rng.uniform(0, self._length))
 
-    def change_limit(self, limit: _quota_shards.Limit) -> None:
+    def change_limit(self, limit: _quota_shards.QuotaLimit) -> None:
         at = self._rng.uniform(0, self._length / 2)
         fleet = self._fleet
 
@@ -102,7 +102,7 @@
             fleet.at(learns, functools.partial(fleet.read_limit, name))
         self.limit_known_at = at + 4_000
         before = self.most_limit
-        self.most_limit = _quota_shards.Limit(
+        self.most_limit = _quota_shards.QuotaLimit(
             max(before.rate, limit.rate), max(before.burst, limit.burst)
         )
 
@@ -151,7 +151,7 @@
 
 
 _limits = strategies.builds(
-    _quota_shards.Limit,
+    _quota_shards.QuotaLimit,
     rate=strategies.sampled_from((0.2, 1.0, 4.0, 15.0, 60.0)),
     burst=strategies.sampled_from((0.0, 1.0, 5.0, 15.0, 60.0)),
 )
@@ -213,7 +213,7 @@
 def test_a_customer_far_beyond_its_limit_gets_its_rate(
     regions, per_region, vms
 ):
-    limit = _quota_shards.Limit(15.0, 15.0)
+    limit = _quota_shards.QuotaLimit(15.0, 15.0)
     addresses = quota_fleet.addresses(regions, per_region)
     fleet = quota_fleet.Fleet(addresses, _BOUNDS, limit, 1)
     _send(fleet, _Load(110.0, vms))
@@ -233,7 +233,7 @@
 @pytest.mark.parametrize("rate", [4.0, 15.0, 60.0])
 @pytest.mark.parametrize("where", ["all", "one region", "one VM"])
 def test_little_is_refused_within_the_limit(regions, per_region, rate, where):
-    limit = _quota_shards.Limit(rate, rate)
+    limit = _quota_shards.QuotaLimit(rate, rate)
     addresses = quota_fleet.addresses(regions, per_region)
     fleet = quota_fleet.Fleet(addresses, _BOUNDS, limit, 1)
     vms = {"all": None, "one region": per_region, "one VM": 1}[where]
@@ -246,7 +246,7 @@
 
 def test_no_request_of_a_living_vm_is_refused_when_a_domain_is_lost():
     """One shard of six is lost; the others hold more than what is sent."""
-    limit = _quota_shards.Limit(15.0, 15.0)
+    limit = _quota_shards.QuotaLimit(15.0, 15.0)
     fleet = quota_fleet.Fleet(quota_fleet.addresses(3, 10), _BOUNDS, limit, 1)
     lost = [
         name
@@ -265,7 +265,7 @@
 
 def test_one_vm_that_is_cut_off_admits_its_part_at_most():
     """The VMs that count reach each other, or each only itself."""
-    limit = _quota_shards.Limit(15.0, 15.0)
+    limit = _quota_shards.QuotaLimit(15.0, 15.0)
     for vms in (1, 3, 30):
         fleet = quota_fleet.Fleet(
             quota_fleet.addresses(3, 10), _BOUNDS, limit, 1
@@ -280,7 +280,7 @@
 
 def test_owners_that_miss_their_successors_and_those_keep_the_limit():
     """All owners are replaced; the former ones go on and do not learn it."""
-    limit = _quota_shards.Limit(15.0, 15.0)
+    limit = _quota_shards.QuotaLimit(15.0, 15.0)
     fleet = quota_fleet.Fleet(
         quota_fleet.addresses(1, 22),
         _BOUNDS,
@@ -323,16 +323,16 @@
     quotas = _quotas.Quotas(
         own.vm, own.region, _BOUNDS, random.Random(1), tenure
     )
-    limit = limit or _quota_shards.Limit(15.0, 15.0)
+    limit = limit or _quota_shards.QuotaLimit(15.0, 15.0)
     now = builders.ms(at_ms)
     quotas.on_limits({quota_fleet.CUSTOMER: limit}, now)
-    quotas.on_owners(_quota_owners.found(addresses), now, now)
+    quotas.on_owners(_quota_owners.found_owners(addresses), now, now)
     return quotas
 
 
 def _names_by_shard() -> tuple[list[ids.VmId], list[ids.VmId]]:
     """Returns the VMs that own a shard of the customer, and the others."""
-    table = _quota_owners.found(quota_fleet.addresses(1, 7))
+    table = _quota_owners.found_owners(quota_fleet.addresses(1, 7))
     places = table.place_shards(quota_fleet.CUSTOMER)
     owners = [table.positions[place].owner for place in places]
     others = [p.owner for p in table.positions if p.owner not in owners]
@@ -353,7 +353,7 @@
     quotas = _quotas.Quotas(
         address.vm, address.region, _BOUNDS, random.Random(1)
     )
-    limit = _quota_shards.Limit(15.0, 15.0)
+    limit = _quota_shards.QuotaLimit(15.0, 15.0)
     quotas.on_limits({quota_fleet.CUSTOMER: limit}, builders.ms(0))
     step = quotas.admit(quota_fleet.CUSTOMER, builders.ms(9_000))
     assert isinstance(step, _quotas.Unreachable)
@@ -364,7 +364,7 @@
     now = builders.ms(5_000)
     steps = [quotas.admit(quota_fleet.CUSTOMER, now) for _ in range(7)]
     assert steps[:6] == [_quotas.Admitted()] * 6
-    assert isinstance(steps[6], _quotas.Ask)
+    assert isinstance(steps[6], _quotas.AskOwner)
 
 
 def test_another_vm_asks_and_uses_what_it_got_ahead():
@@ -384,7 +384,7 @@
         quotas.admit(quota_fleet.CUSTOMER, builders.ms(1_260)) for _ in range(3)
     ]
     assert steps[:3] == [_quotas.Admitted()] * 3
-    assert isinstance(steps[3], _quotas.Ask)
+    assert isinstance(steps[3], _quotas.AskOwner)
 
 
 @pytest.mark.parametrize(
@@ -430,7 +430,7 @@
     quotas = _quotas_of(_OTHERS[0])
     now = 1_000
     step = quotas.admit(quota_fleet.CUSTOMER, builders.ms(now))
-    while isinstance(step, _quotas.Ask):
+    while isinstance(step, _quotas.AskOwner):
         now += 60
         step = quotas.on_answer(step, None, builders.ms(now))
     assert isinstance(step, _quotas.Unreachable)
@@ -463,7 +463,7 @@
 def test_the_wait_that_was_told_is_passed_on_to_the_caller():
     quotas = _quotas_of(_OTHERS[0])
     step = quotas.admit(quota_fleet.CUSTOMER, builders.ms(1_000))
-    while isinstance(step, _quotas.Ask):
+    while isinstance(step, _quotas.AskOwner):
         answer = _quota_shards.QuotaAnswer(
             step.message.number,
             0,
@@ -502,7 +502,7 @@
 
     ask = _quota_shards.QuotaAsk(0, quota_fleet.CUSTOMER, place)
     assert owner.on_ask(ask, builders.ms(2_000)).granted == 1
-    limit = _quota_shards.Limit(rate, burst)
+    limit = _quota_shards.QuotaLimit(rate, burst)
     owner.on_limits({quota_fleet.CUSTOMER: limit}, builders.ms(5_000))
     assert take(5_000) == at_once
     assert sum(take(at) for at in range(5_010, 15_001, 10)) == in_10_s
@@ -511,12 +511,12 @@
 def test_a_customer_that_comes_back_starts_empty():
     """Its bucket is forgotten with it."""
     owner = _quotas_of(_OWNERS[0])
-    limit = _quota_shards.Limit(15.0, 15.0)
+    limit = _quota_shards.QuotaLimit(15.0, 15.0)
     now = builders.ms(5_000)
     assert owner.admit(quota_fleet.CUSTOMER, now) == _quotas.Admitted()
     owner.on_limits({}, now)
     owner.on_limits({quota_fleet.CUSTOMER: limit}, now)
-    assert isinstance(owner.admit(quota_fleet.CUSTOMER, now), _quotas.Ask)
+    assert isinstance(owner.admit(quota_fleet.CUSTOMER, now), _quotas.AskOwner)
 
 
 def test_owners_pass_on_which_shards_are_empty():
@@ -580,8 +580,8 @@
 def test_an_owner_stops_before_its_successor_begins(at_ms, acts):
     """Seen are the former owner until 100 ms and the next from 120 ms on."""
     addresses = quota_fleet.addresses(1, 2)
-    table = _quota_owners.found(addresses[:1])
-    later = _quota_owners.replace(table, addresses[0].vm, addresses[1])
+    table = _quota_owners.found_owners(addresses[:1])
+    later = _quota_owners.replace_owner(table, addresses[0].vm, addresses[1])
     tenures = [
         _quota_owners.Tenure(a.vm, builders.ms(100), builders.ms(120))
         for a in addresses
@@ -596,7 +596,7 @@
 
 def test_an_owner_that_did_not_read_for_long_starts_anew():
     addresses = quota_fleet.addresses(1, 1)
-    table = _quota_owners.found(addresses)
+    table = _quota_owners.found_owners(addresses)
     tenure = _quota_owners.Tenure(
         addresses[0].vm, builders.ms(100), builders.ms(120)
     )
@@ -608,8 +608,8 @@
 
 def test_an_older_table_changes_nothing():
     addresses = quota_fleet.addresses(1, 2)
-    table = _quota_owners.found(addresses[:1])
-    later = _quota_owners.replace(table, addresses[0].vm, addresses[1])
+    table = _quota_owners.found_owners(addresses[:1])
+    later = _quota_owners.replace_owner(table, addresses[0].vm, addresses[1])
     tenure = _quota_owners.Tenure(addresses[0].vm)
     tenure.on_table(later, builders.ms(0), builders.ms(0))
     assert not tenure.on_table(table, builders.ms(5), builders.ms(5))
@@ -622,7 +622,7 @@
     regions, per_region
 ):
     addresses = {a.vm: a for a in quota_fleet.addresses(regions, per_region)}
-    table = _quota_owners.found(addresses.values())
+    table = _quota_owners.found_owners(addresses.values())
     for number in range(100):
         places = table.place_shards(ids.CustomerId(f"c{number}"))
         owners = [addresses[table.positions[p].owner] for p in places]
@@ -634,15 +634,17 @@
 
 def test_a_successor_moves_no_shard():
     addresses = quota_fleet.addresses(3, 20)
-    table = _quota_owners.found(addresses[1:])
-    later = _quota_owners.replace(table, table.positions[0].owner, addresses[0])
+    table = _quota_owners.found_owners(addresses[1:])
+    later = _quota_owners.replace_owner(
+        table, table.positions[0].owner, addresses[0]
+    )
     for number in range(50):
         customer = ids.CustomerId(f"c{number}")
         assert table.place_shards(customer) == later.place_shards(customer)
 
 
 def test_customers_are_spread_over_owners():
-    table = _quota_owners.found(quota_fleet.addresses(3, 43))
+    table = _quota_owners.found_owners(quota_fleet.addresses(3, 43))
     shards = [0] * len(table.positions)
     for number in range(1_000):
         for place in table.place_shards(ids.CustomerId(f"c{number}")):
@@ -660,7 +662,7 @@
 @pytest.mark.parametrize("rate", [0.1, 1.0, 15.0, 200.0])
 @pytest.mark.parametrize("burst", [0.0, 0.5, 3.0, 200.0])
 def test_parts_add_up_to_the_limit_at_most(bounds, shards, rate, burst):
-    limit = _quota_shards.Limit(rate, burst)
+    limit = _quota_shards.QuotaLimit(rate, burst)
     parts = [
         _quota_shards.part_of(limit, bounds, shards, nth)
         for nth in range(shards)
@@ -677,13 +679,13 @@
 )
 def test_impossible_limits_are_refused(rate, burst, field):
     with pytest.raises(ValueError, match=field):
-        _quota_shards.Limit(rate, burst)
+        _quota_shards.QuotaLimit(rate, burst)
 
 
 @pytest.mark.parametrize("value", [float("nan")])
 def test_a_limit_is_a_number(value):
     with pytest.raises(ValueError, match="rate"):
-        _quota_shards.Limit(value, 1.0)
+        _quota_shards.QuotaLimit(value, 1.0)
 
 
 # Messages.
--- a/spec/_prove.py
+++ b/spec/_prove.py
@@ -11,6 +11,7 @@
 from spec import _configuration
 from spec import _model
 from spec import _mutations
+from spec import _quotas
 from spec import _requests
 from spec import _system
 
@@ -89,6 +90,10 @@
         result = _system.check_bounded(system, _REQUEST_STEPS)
         yield Finding(system.name, Method.BOUNDED, False, result)
     yield Finding("clocks", Method.REAL_TIMES, False, _clocks.check())
+    result = _system.check_inductive(_quotas.system())
+    yield Finding("quota shard", Method.INDUCTION, False, result)
+    result = _quotas.check_lent()
+    yield Finding("quota token", Method.REAL_TIMES, False, result)
 
 
 def _mutants() -> Iterator[Finding]:
@@ -103,6 +108,14 @@
         result = _clocks.check(guard)
         subject = f"clocks without: {guard}"
         yield Finding(subject, Method.REAL_TIMES, True, result)
+    for guard in _quotas.BUCKET_GUARDS:
+        result = _system.check_inductive(_quotas.system(guard))
+        subject = f"quota shard without: {guard}"
+        yield Finding(subject, Method.INDUCTION, True, result)
+    for guard in _quotas.LENT_GUARDS:
+        result = _quotas.check_lent(guard)
+        subject = f"quota token without: {guard}"
+        yield Finding(subject, Method.REAL_TIMES, True, result)
 
 
 def _request_mutant(guard: str, free: bool) -> Finding:
