--- a/dragonflystack/entry/__init__.py
+++ b/dragonflystack/entry/__init__.py
@@ -27,7 +27,6 @@
 from dragonflystack.entry._choice import Candidate
 from dragonflystack.entry._choice import Wanted
 from dragonflystack.entry._customers import Customer
-from dragonflystack.entry._customers import CustomerId
 from dragonflystack.entry._customers import InvalidCustomerError
 from dragonflystack.entry._customers import KeyDigest
 from dragonflystack.entry._customers import digest_key
@@ -88,7 +87,6 @@
     "ChoiceSettings",
     "ConnectFailed",
     "Customer",
-    "CustomerId",
     "Deliver",
     "Denial",
     "Departure",
--- a/dragonflystack/entry/_customers.py
+++ b/dragonflystack/entry/_customers.py
@@ -8,9 +8,6 @@
 
 from dragonflystack import ids
 
-CustomerId = NewType("CustomerId", str)
-"""A customer, as named by the operators and to backend servers."""
-
 KeyDigest = NewType("KeyDigest", str)
 """The lower-case hexadecimal digest of a key; keys themselves are not kept."""
 
@@ -35,7 +32,7 @@
 class Customer:
     """One customer of the operators, whose callers show one of its keys."""
 
-    id: CustomerId
+    id: ids.CustomerId
     keys: tuple[KeyDigest, ...]
     """Any of them names the customer; none may if it is empty."""
 
@@ -91,7 +88,7 @@
             InvalidCustomerError: if two customers share a name or a key.
         """
         self._by_key: dict[KeyDigest, Customer] = {}
-        names: set[CustomerId] = set()
+        names: set[ids.CustomerId] = set()
         for customer in customers:
             if customer.id in names:
                 raise InvalidCustomerError(
--- a/dragonflystack/entry/tests/builders.py
+++ b/dragonflystack/entry/tests/builders.py
@@ -59,7 +59,7 @@
     digests = tuple(
         entry.digest_key(key.encode()) for key in keys or (f"key-{name}",)
     )
-    return entry.Customer(entry.CustomerId(name), digests, **changes)
+    return entry.Customer(ids.CustomerId(name), digests, **changes)
 
 
 def catalogue(
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -5,6 +5,7 @@
 from dragonflystack import _asgi
 from dragonflystack import _hop_headers
 from dragonflystack import entry
+from dragonflystack import ids
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
 from dragonflystack.entryd import _events
@@ -178,7 +179,7 @@
     return None if exchange is None else exchange.route.id
 
 
-def _customer(exchange: entry.Exchange | None) -> entry.CustomerId | None:
+def _customer(exchange: entry.Exchange | None) -> ids.CustomerId | None:
     """Returns the customer of a request, if it has one."""
     if exchange is None or exchange.wanted.customer is None:
         return None
--- a/dragonflystack/entryd/tests/test_keys.py
+++ b/dragonflystack/entryd/tests/test_keys.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dragonflystack import entry
+from dragonflystack import ids
 from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _snapshots
 from dragonflystack.entryd.tests import daemons
@@ -17,7 +18,7 @@
 
 def _customer(name, *keys):
     digests = tuple(map(entry.digest_key, keys))
-    return entry.Customer(entry.CustomerId(name), digests)
+    return entry.Customer(ids.CustomerId(name), digests)
 
 
 _ALICE = _customer("alice", _KEY, b"second-key")
