Put a proxy before each VM's port for others in the soak

A VM binds port 8649, and others know it by 8659, where the soak passes on datagrams and news calls. The port is replaced in rows that VMs write to the stand-in store, in datagrams and in answers to other VMs, so the product needs no setting of its own. Datagrams leave by the sender's link and come from its announced address. News calls pass the link of the VM that is asked only: their source address does not name the asking VM.

Each link has an ordinary width of 5, 20 or 100 Mbit/s, drawn from the seed. New faults, drawn apart so that older seeds keep theirs: delay, cut one way, silence, narrow (60 kB/s). By the users' rules only a squeeze of its own link puts a VM out of touch, so bounds on times hold through the other three, and hold for VMs that ask one behind a narrow link.

`test_later_kinds_leave_the_other_faults_of_a_seed_as_they_are` leaves out all kinds that are drawn apart, instead of naming two groups of them.

--- a/faultsoak/_actions.py
+++ b/faultsoak/_actions.py
@@ -11,6 +11,7 @@
 import anyio
 import fakes
 
+from faultsoak import _links
 from faultsoak import _plan
 from faultsoak import _proxy
 from faultsoak import _record
@@ -21,6 +22,9 @@
 """Fifty times the 4 ms of an ordinary answer."""
 
 _LINK_DELAY_S = 0.15
+_NARROW_BYTES_S = 60_000.0
+"""A tenth of the narrowest ordinary link."""
+
 _LAPSE_RETURN_S = 1.2
 """Entries are back within about two seconds of the store's return."""
 
@@ -88,6 +92,8 @@
             await self._on_store(action)
         elif action.fault.value.startswith("server"):
             await self._on_server(action)
+        elif action.fault.value.startswith("peer"):
+            await self._on_link(action)
         else:
             await self._on_callers(action)
 
@@ -131,7 +137,7 @@
 
     async def _peer_noise(self, action: _plan.Action) -> None:
         vm = self._vm(action)
-        address = (vm.ip, _vms.PEERS_PORT)
+        address = (vm.ip, _links.BOUND_PORT)
         until_s = time.monotonic() + action.for_s
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             while time.monotonic() < until_s:
@@ -144,6 +150,26 @@
                     await stream.aclose()
                 await anyio.sleep(_NOISE_EVERY_S)
 
+    async def _on_link(self, action: _plan.Action) -> None:
+        """Troubles a VM's link to the others.
+
+        Only a narrow link puts it out of touch, by the users' rules.
+        """
+        vm = self._vm(action)
+        way = list(_proxy.Direction)[action.target // 7 % 2]
+        match action.fault:
+            case _plan.Fault.PEER_DELAY:
+                vm.link.news.delay_s = _LINK_DELAY_S
+            case _plan.Fault.PEER_CUT_ONE_WAY:
+                vm.link.news.cut(way)
+            case _plan.Fault.PEER_SILENCE:
+                vm.link.news.cut(*_proxy.Direction)
+            case _plan.Fault.PEER_NARROW:
+                self._disturb(vm.id, action.for_s + 0.1)
+                vm.link.pace.narrow(_NARROW_BYTES_S)
+        await anyio.sleep(action.for_s)
+        vm.link.heal()
+
     # Operators and backend servers.
 
     async def _evacuate(self, action: _plan.Action) -> None:
--- a/faultsoak/_plan.py
+++ b/faultsoak/_plan.py
@@ -117,14 +117,31 @@
     STORE_RETURNS = "store-returns"
     """The store comes back from a copy that is some seconds old."""
 
+    PEER_DELAY = "peer-delay"
+    """What a VM and the others tell each other comes late."""
+
+    PEER_CUT_ONE_WAY = "peer-cut-one-way"
+    """A VM does not hear the others, or they do not hear it."""
+
+    PEER_SILENCE = "peer-silence"
+    """A VM and the others do not hear each other."""
+
+    PEER_NARROW = "peer-narrow"
+    """Few bytes a second pass between a VM and the others."""
+
 
 _LATER = (Fault.EVACUATE, Fault.PEER_NOISE)
 _LATEST = (Fault.SERVER_ASKS_WAIT, Fault.SERVER_ENDLESS, Fault.DRAIN_UNSEEN)
 _NEWEST = (Fault.STORE_RETURNS,)
+_LINKS = (
+    Fault.PEER_DELAY,
+    Fault.PEER_CUT_ONE_WAY,
+    Fault.PEER_SILENCE,
+    Fault.PEER_NARROW,
+)
 """Kinds that are drawn apart, so that older seeds keep their other faults."""
 
-
-_DRAWN_APART = (*_LATER, *_LATEST, *_NEWEST)
+_DRAWN_APART = (*_LATER, *_LATEST, *_NEWEST, *_LINKS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,6 +174,8 @@
     plan += _draw(latest, list(_LATEST), _LATER_MEAN_GAP_S, seconds)
     newest = random.Random(f"{seed}, newest kinds")
     plan += _draw(newest, list(_NEWEST), _NEWEST_MEAN_GAP_S, seconds)
+    links = random.Random(f"{seed}, links")
+    plan += _draw(links, list(_LINKS), _LATER_MEAN_GAP_S, seconds)
     return sorted(plan, key=lambda action: action.at_s)
 
 
@@ -173,6 +192,9 @@
         times = rng.randint(2, 3) if rng.random() < _SERIES_PART else 1
         for i in range(times):
             start_s = at_s + i * _SERIES_GAP_S * rng.random()
-            for_s = rng.choice((0.3, 1.0, 2.5, 6.0)) * (0.5 + rng.random())
-            target = rng.randrange(1_000)
-            plan.append(Action(start_s, fault, target, for_s))
+            plan.append(_draw_action(rng, start_s, fault))
+
+
+def _draw_action(rng: random.Random, start_s: float, fault: Fault) -> Action:
+    for_s = rng.choice((0.3, 1.0, 2.5, 6.0)) * (0.5 + rng.random())
+    return Action(start_s, fault, rng.randrange(1_000), for_s)
--- a/faultsoak/_proxy.py
+++ b/faultsoak/_proxy.py
@@ -1,12 +1,16 @@
 """A TCP proxy on the loopback interface that misbehaves on request."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 import socket
+import time
 
 import anyio
 
-_READ_BYTES = 65_536
+from faultsoak import _pace
+
+_READ_BYTES = 16_384
 _LINGER_RESET = b"\x01\0\0\0\0\0\0\0"
 """Makes a close reset the connection."""
 
@@ -39,9 +43,24 @@
 class Proxy:
     """Passes connections on to one address."""
 
-    def __init__(self, host: str, port: int):
-        """Takes the address to pass connections on to."""
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        pace: _pace.Pace | None = None,
+        rewrite: Callable[[bytes], bytes] = bytes,
+    ):
+        """Takes the address to pass connections on to.
+
+        Args:
+            host: the address.
+            port: its port.
+            pace: the bandwidth that its connections share, None for no limit.
+            rewrite: applied to each piece of bytes that goes to the clients.
+        """
         self._target = (host, port)
+        self._pace = pace or _pace.Pace(None)
+        self._rewrite = rewrite
         self._links: set[_Link] = set()
         self._server: asyncio.Server | None = None
         self._flows = {way: anyio.Event() for way in Direction}
@@ -50,9 +69,9 @@
         self.delay_s = 0.0
         """Added to the way of each piece of bytes."""
 
-    async def start(self, host: str) -> int:
-        """Listens; returns the port."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
+    async def start(self, host: str, port: int = 0) -> int:
+        """Listens on a port, a free one if 0; returns it."""
+        self._server = await asyncio.start_server(self._serve, host, port)
         return self._server.sockets[0].getsockname()[1]
 
     def stop(self) -> None:
@@ -66,6 +85,10 @@
         for way in ways:
             self._flows[way] = anyio.Event()
 
+    def passes(self, way: Direction) -> bool:
+        """Returns whether bytes are not held back in a direction."""
+        return self._flows[way].is_set()
+
     def heal(self) -> None:
         """Lets everything pass again, at once."""
         self.delay_s = 0.0
@@ -121,8 +144,13 @@
         try:
             while data := await reader.read(_READ_BYTES):
                 await self._flows[way].wait()
-                if self.delay_s:
-                    await anyio.sleep(self.delay_s)
+                wait_s = self.delay_s + self._pace.reserve(
+                    way, len(data), time.monotonic()
+                )
+                if wait_s:
+                    await anyio.sleep(wait_s)
+                if way is Direction.TO_CLIENT:
+                    data = self._rewrite(data)
                 if not link.is_silenced:
                     writer.write(data)
                     await writer.drain()
--- a/faultsoak/_run.py
+++ b/faultsoak/_run.py
@@ -12,6 +12,7 @@
 from faultsoak import _actions
 from faultsoak import _callers
 from faultsoak import _checks
+from faultsoak import _links
 from faultsoak import _plan
 from faultsoak import _proxy
 from faultsoak import _record
@@ -26,6 +27,9 @@
 _COLD_MARGIN = 5.0
 _LAG_EVERY_S = 0.02
 _LEAST_LAG_S = 0.05
+_LINK_BYTES_S = (625_000.0, 2_500_000.0, 12_500_000.0)
+"""5, 20 and 100 Mbit/s, what links on the users' platform have."""
+
 _FIRST_NET, _LAST_NET = 16, 250
 
 
@@ -109,7 +113,9 @@
 ) -> None:
     domains = list(_DOMAINS)
     ips = [f"{net}.{1 + i // 200}.{1 + i % 200}" for i in range(cfg.vms)]
-    seeds = tuple(f"{ip}:{_vms.PEERS_PORT}" for ip in ips[:_SEEDS])
+    seeds = tuple(f"{ip}:{_links.PROXY_PORT}" for ip in ips[:_SEEDS])
+    widths = random.Random(f"{cfg.seed}, widths of links")
+    world.store.rewrite = _links.announce
     for i, ip in enumerate(ips):
         vm = _vms.Vm(
             f"edge-{i + 1}",
@@ -119,6 +125,7 @@
             cfg.folder / f"edge-{i + 1}.log",
             _proxy.Proxy("127.0.0.1", world.store.port),
             _proxy.Proxy(ip, _vms.CALLERS_PORT),
+            await fleet.links.add(ip, widths.choice(_LINK_BYTES_S)),
         )
         store_port = await vm.store.start(ip)
         vm.callers_port = await vm.callers.start(ip)
@@ -135,7 +142,7 @@
             _COLD_MARGIN,
             _vms.CALLERS_PORT,
             _vms.READINESS_PORT,
-            _vms.PEERS_PORT,
+            _links.BOUND_PORT,
             _vms.DIRECTORY_PORT,
         )
         vm.settings.write_text(fakes.encode_settings(settings), "utf-8")
--- a/faultsoak/_vms.py
+++ b/faultsoak/_vms.py
@@ -13,6 +13,7 @@
 import fakes
 import httpcore
 
+from faultsoak import _links
 from faultsoak import _proxy
 from faultsoak import _record
 
@@ -26,7 +27,6 @@
 READINESS_PORT = 8640
 CALLERS_PORT = 8641
 DIRECTORY_PORT = 8644
-PEERS_PORT = 8649
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +44,9 @@
     callers: _proxy.Proxy
     """The callers' way to it."""
 
+    link: _links.Link
+    """Its link to other VMs."""
+
     callers_port: int = 0
     process: subprocess.Popen | None = None
     started_at_s: float = 0.0
@@ -61,6 +64,7 @@
     def __init__(self, record: _record.Record, grace_s: float):
         """Takes where exits are recorded, and the grace of a planned stop."""
         self.vms: list[Vm] = []
+        self.links = _links.Links()
         self._record = record
         self._grace_s = grace_s
         self._ends = False
@@ -122,6 +126,7 @@
     def end(self) -> None:
         """Kills what still runs."""
         self._ends = True
+        self.links.stop()
         for vm in self.vms:
             if vm.process is not None and vm.process.poll() is None:
                 vm.process.kill()
--- a/faultsoak/tests/test_plan.py
+++ b/faultsoak/tests/test_plan.py
@@ -17,7 +17,7 @@
 
 
 def test_later_kinds_leave_the_other_faults_of_a_seed_as_they_are():
-    apart = (*_plan._LATER, *_plan._LATEST)
+    apart = _plan._DRAWN_APART
     plan = [a for a in _plan.make_plan(4, 8) if a.fault not in apart]
     assert [action.fault.value for action in plan[:3]] == _SEED_4
 
--- a/faultsoak/tests/test_run.py
+++ b/faultsoak/tests/test_run.py
@@ -5,6 +5,7 @@
 import pytest
 
 import faultsoak
+from faultsoak import _links
 
 _SECONDS = 8.0
 
@@ -79,3 +80,20 @@
     report = _run(1, tmp_path, plan)
     assert report.violations == []
     assert report.served > 0
+
+
+def test_vms_reach_each_other_only_by_links_that_fail(tmp_path):
+    plan = (
+        faultsoak.Action(1.0, faultsoak.Fault.STORE_OUT, 0, 3.0),
+        faultsoak.Action(1.1, faultsoak.Fault.KILL, 1, 1.0),
+        faultsoak.Action(1.5, faultsoak.Fault.PEER_DELAY, 0, 2.0),
+        faultsoak.Action(4.0, faultsoak.Fault.PEER_CUT_ONE_WAY, 0, 2.0),
+        faultsoak.Action(4.0, faultsoak.Fault.PEER_CUT_ONE_WAY, 7, 2.0),
+        faultsoak.Action(4.0, faultsoak.Fault.PEER_NARROW, 2, 2.0),
+        faultsoak.Action(6.5, faultsoak.Fault.PEER_SILENCE, 3, 2.0),
+    )
+    report = _run(1, tmp_path, plan)
+    assert report.violations == []
+    logs = "".join(path.read_text("utf-8") for path in tmp_path.glob("*.log"))
+    assert f":{_links.PROXY_PORT}" in logs
+    assert f":{_links.BOUND_PORT}" not in logs
--- a/faultsoak/tests/test_vms.py
+++ b/faultsoak/tests/test_vms.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from faultsoak import _links
 from faultsoak import _proxy
 from faultsoak import _vms
 
@@ -21,7 +22,8 @@
 def test_exits_that_signals_explain(code, killed, stopped_at_s, asked):
     way = _proxy.Proxy("127.0.0.1", 1)
     path = pathlib.Path()
-    vm = _vms.Vm("edge-1", "127.0.0.1", "north-a", path, path, way, way)
+    link = _links.Link("127.0.0.1", _links.Links(), None)
+    vm = _vms.Vm("edge-1", "127.0.0.1", "north-a", path, path, way, way, link)
     vm.started_at_s = 10.0
     vm.was_killed = killed
     vm.stopped_at_s = stopped_at_s
