Check homes and growing configurations in the soak, with changes in series

- `CONFIG_GROWS` adds 1,400 routes, one of them with a home region below the prefix of an older route; callers request it from the acknowledgement on.
`HOMES_MOVE` moves a home.
One route has homes from the start.
- Check `home`: a request runs in no region that every configuration forbids which may be in force.
`config` and `home` share one function.
- Rollouts: 2 to 4 of evacuation, configuration, growth and move within 3 s, with 1 to 3 of kill, pause, stop and reload.
A second failure domain may be evacuated while a first one is, if another one is left.
- `config` and `evacuate` held only for VMs undisturbed since the change; now for VMs undisturbed for the bound and the stable window before the request, as the users' rules say.
That is stricter.

The new cases of `test_checks.py` were seen to fail before (6 failed). Measured: `pytest faultsoak -k "not test_run or grows"` passed.

--- a/faultsoak/_actions.py
+++ b/faultsoak/_actions.py
@@ -73,6 +73,8 @@
             _plan.Fault.EVACUATE: self._evacuate,
             _plan.Fault.PEER_NOISE: self._peer_noise,
             _plan.Fault.DRAIN_UNSEEN: self._drain_unseen,
+            _plan.Fault.CONFIG_GROWS: self._grow_config,
+            _plan.Fault.HOMES_MOVE: self._move_homes,
         }
 
     async def carry_out(self, plan: list[_plan.Action]) -> None:
@@ -177,10 +179,25 @@
         await self._world.evacuate(vm.domain, _EVACUATION_S + action.for_s)
 
     async def _config(self, action: _plan.Action) -> None:
-        routes = sorted(self._world.service_of)
+        routes = sorted(_world.OPEN_ROUTES)
         route = routes[action.target % len(routes)]
         service = self._rng.choice(_world.SERVICES)
-        self._world.configure(route, service)
+        self._world.configure(route, service=service)
+
+    async def _grow_config(self, action: _plan.Action) -> None:
+        parents = sorted(_world.OPEN_ROUTES)
+        self._world.grow(
+            parents[action.target % len(parents)], self._draw_homes()
+        )
+
+    async def _move_homes(self, action: _plan.Action) -> None:
+        routes = sorted(self._world.routes.keys() - _world.OPEN_ROUTES.keys())
+        route = routes[action.target % len(routes)]
+        self._world.configure(route, homes=self._draw_homes())
+
+    def _draw_homes(self) -> tuple[str, ...]:
+        regions = sorted(set(self._world.regions.values()))
+        return tuple(self._rng.sample(regions, 1))
 
     async def _drain(self, action: _plan.Action) -> None:
         server = self._server(action)
--- a/faultsoak/_callers.py
+++ b/faultsoak/_callers.py
@@ -40,6 +40,17 @@
     deadline_s: float
     max_attempts: int
 
+    @classmethod
+    def from_route(cls, route: fakes.Route) -> "Kind":
+        """Returns the requests for a route."""
+        return cls(
+            route.name,
+            route.prefix,
+            route.idempotent,
+            route.timeout_s,
+            route.max_attempts,
+        )
+
 
 class Callers:
     """All callers of one region."""
@@ -49,14 +60,14 @@
         vms: list[_vms.Vm],
         kinds: list[Kind],
         record: _record.Record,
-        service_of: dict[str, str],
+        routes: dict[str, fakes.Route],
         rng: random.Random,
     ):
-        """Takes the VMs of the region, and which service has each route."""
+        """Takes the VMs of the region, and the routes in force."""
         self._vms = {f"{vm.ip}:{_vms.CALLERS_PORT}": vm for vm in vms}
         self._kinds = kinds
         self._record = record
-        self._service_of = service_of
+        self._routes = routes
         self._rng = rng
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=1_000, keepalive_expiry=10.0
@@ -132,7 +143,7 @@
             attempt_id,
             vm.id,
             kind.route,
-            self._service_of[kind.route],
+            self._routes[kind.route].service,
             kind.idempotent,
             "GET" if kind.idempotent else "POST",
             target,
--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
 
@@ -65,6 +66,13 @@
         )
         for run in record.runs:
             self.runs[run.attempt].append(run)
+        self.changes: dict[str, list[_record.RouteChange]] = (
+            collections.defaultdict(list)
+        )
+        """The changes of each route, in order."""
+
+        for change in record.changes:
+            self.changes[change.route].append(change)
 
     def in_touch(self, vm: str, start_s: float, end_s: float) -> bool:
         """Returns whether time bounds hold for a VM."""
@@ -144,13 +152,37 @@
 
 def _route(index: _Index) -> Iterator[Violation]:
     """A request runs only where some configuration sent it."""
-    allowed: dict[str, set[str]] = collections.defaultdict(set)
-    for change in index.record.changes:
-        allowed[change.route].add(change.service)
     for run in index.record.runs:
         attempt = index.record.attempts.get(run.attempt)
-        if attempt and run.service not in allowed[attempt.route]:
-            yield Violation("route", run.attempt, str(run))
+        if attempt is None:
+            continue
+        changes = index.changes[attempt.route]
+        promise = _forbidden(index, changes, run, outside="route")
+        if promise is not None:
+            yield Violation(promise, run.attempt, str(run))
+
+
+def _forbidden(
+    index: _Index,
+    changes: Iterable[_record.RouteChange],
+    run: fakes.Arrival,
+    outside: str,
+) -> str | None:
+    """Returns the promise that a run breaks if only some changes may hold.
+
+    Args:
+        index: the record.
+        changes: what may be in force for the route of the run.
+        run: the run.
+        outside: the promise about the service.
+    """
+    homes = [c.homes for c in changes if c.service == run.service]
+    if not homes:
+        return outside
+    domain = index.record.domains.get(run.server, "")
+    region = index.record.regions.get(domain)
+    is_allowed = any(not allowed or region in allowed for allowed in homes)
+    return None if is_allowed else "home"
 
 
 def _cold(index: _Index) -> Iterator[Violation]:
@@ -248,20 +280,16 @@
         if attempt is None:
             continue
         applied_s = attempt.sent_at_s - bounds.config_apply_s
-        times = [
-            change
-            for change in index.record.changes
-            if change.route == attempt.route
-        ]
-        old = [change for change in times if change.at_s <= applied_s]
-        fresh = [change for change in times if change.at_s > applied_s]
-        allowed = {change.service for change in (*old[-1:], *fresh)}
-        outdated = {change.service for change in old[:-1]} - allowed
-        if run.service not in outdated:
-            continue
-        since_s = old[-1].at_s
-        if index.in_touch(attempt.vm, since_s, run.at_s):
-            yield Violation("config", run.attempt, f"{allowed} {run}")
+        changes = index.changes[attempt.route]
+        if _forbidden(index, changes, run, outside="route") is not None:
+            continue  # Not outdated: no configuration ever allowed it.
+        first = sum(1 for change in changes if change.at_s <= applied_s)
+        in_force = changes[max(0, first - 1) :]
+        promise = _forbidden(index, in_force, run, outside="config")
+        if promise is not None and index.in_touch(
+            attempt.vm, applied_s, run.at_s
+        ):
+            yield Violation(promise, run.attempt, f"{in_force} {run}")
 
 
 def _evacuated(index: _Index) -> Iterator[Violation]:
@@ -276,7 +304,8 @@
             is_inside = evacuation.domain == record.domains.get(run.server)
             if not is_inside or not due_s < run.came_at_s < evacuation.end_s:
                 continue
-            if index.in_touch(attempt.vm, evacuation.start_s, run.came_at_s):
+            since_s = run.came_at_s - index.bounds.evacuate_s
+            if index.in_touch(attempt.vm, since_s, run.came_at_s):
                 yield Violation("evacuate", run.attempt, f"{evacuation} {run}")
 
 
--- a/faultsoak/_plan.py
+++ b/faultsoak/_plan.py
@@ -129,6 +129,12 @@
     PEER_NARROW = "peer-narrow"
     """Few bytes a second pass between a VM and the others."""
 
+    CONFIG_GROWS = "config-grows"
+    """Many routes are added, one with homes below an older one's prefix."""
+
+    HOMES_MOVE = "homes-move"
+    """Other regions than before may serve a route."""
+
 
 _LATER = (Fault.EVACUATE, Fault.PEER_NOISE)
 _LATEST = (Fault.SERVER_ASKS_WAIT, Fault.SERVER_ENDLESS, Fault.DRAIN_UNSEEN)
@@ -139,9 +145,16 @@
     Fault.PEER_SILENCE,
     Fault.PEER_NARROW,
 )
+_HOMES = (Fault.CONFIG_GROWS, Fault.HOMES_MOVE)
 """Kinds that are drawn apart, so that older seeds keep their other faults."""
 
-_DRAWN_APART = (*_LATER, *_LATEST, *_NEWEST, *_LINKS)
+_DRAWN_APART = (*_LATER, *_LATEST, *_NEWEST, *_LINKS, *_HOMES)
+
+_OPERATIONS = (Fault.EVACUATE, Fault.CONFIG, *_HOMES)
+_INTERRUPTIONS = (Fault.KILL, Fault.PAUSE, Fault.STOP, Fault.RELOAD)
+_MEAN_ROLLOUT_GAP_S = 10.0
+_ROLLOUT_S = 3.0
+"""Operations and interruptions that overlap come within this time."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -176,6 +189,7 @@
     plan += _draw(newest, list(_NEWEST), _NEWEST_MEAN_GAP_S, seconds)
     links = random.Random(f"{seed}, links")
     plan += _draw(links, list(_LINKS), _LATER_MEAN_GAP_S, seconds)
+    plan += _draw_rollouts(random.Random(f"{seed}, rollouts"), seconds)
     return sorted(plan, key=lambda action: action.at_s)
 
 
@@ -195,6 +209,21 @@
             plan.append(_draw_action(rng, start_s, fault))
 
 
+def _draw_rollouts(rng: random.Random, seconds: float) -> list[Action]:
+    """Returns changes by operators in series, while VMs are interrupted."""
+    plan: list[Action] = []
+    at_s = _WARM_UP_S
+    while True:
+        at_s += rng.expovariate(1 / _MEAN_ROLLOUT_GAP_S)
+        if at_s >= seconds:
+            return plan
+        faults = rng.choices(_OPERATIONS, k=rng.randint(2, 4))
+        faults += rng.choices(_INTERRUPTIONS, k=rng.randint(1, 3))
+        for fault in faults:
+            start_s = at_s + _ROLLOUT_S * rng.random()
+            plan.append(_draw_action(rng, start_s, fault))
+
+
 def _draw_action(rng: random.Random, start_s: float, fault: Fault) -> Action:
     for_s = rng.choice((0.3, 1.0, 2.5, 6.0)) * (0.5 + rng.random())
     return Action(start_s, fault, rng.randrange(1_000), for_s)
--- a/faultsoak/_record.py
+++ b/faultsoak/_record.py
@@ -58,11 +58,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteChange:
-    """A route goes to another service from now on."""
+    """A route goes to another service or other regions from now on."""
 
     at_s: float
     route: str
     service: str
+    homes: frozenset[str] = frozenset()
+    """The only regions that may serve it, any if empty."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,6 +124,9 @@
     domains: dict[str, str] = dataclasses.field(default_factory=dict)
     """The failure domain of each backend server."""
 
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
+    """The region of each failure domain."""
+
     exits: list[Exit] = dataclasses.field(default_factory=list)
     stops: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     """When which VM got SIGTERM."""
--- a/faultsoak/_run.py
+++ b/faultsoak/_run.py
@@ -84,7 +84,8 @@
     if cfg.plan is not None:
         plan = list(cfg.plan)
     net = f"127.{_free_net()}"
-    world = _world.World(record, f"{net}.250.1", rng)
+    record.regions = _DOMAINS
+    world = _world.World(record, f"{net}.250.1", _DOMAINS, rng)
     fleet = _vms.Fleet(record, bounds.grace_s)
     try:
         async with (
@@ -178,7 +179,7 @@
         for region in regions:
             vms = [vm for vm in fleet.vms if _DOMAINS[vm.domain] == region]
             callers = _callers.Callers(
-                vms, _world.KINDS, record, world.service_of, rng
+                vms, world.kinds, record, world.routes, rng
             )
             rate = cfg.requests_s / len(regions)
             tasks.start_soon(callers.run, rate, stop)
--- a/faultsoak/_world.py
+++ b/faultsoak/_world.py
@@ -1,10 +1,12 @@
 """The stand-ins round the fleet: the store, and backend servers that change."""
 
+import collections
 import dataclasses
 import functools
 import itertools
 import random
 import time
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -27,22 +29,22 @@
 _STAYS_ON_S = 1.0
 """A leaving backend server goes on serving for a little longer."""
 
-ROUTES = {
+OPEN_ROUTES = {
     "browse": fakes.Route("browse", "/b/", "gallery", True, 0.3, 1.5),
     "order": fakes.Route("order", "/o/", "orders", False, 0.4, 2.0),
     "look-up": fakes.Route("look-up", "/l/", "stock", True, 0.5, 3.0),
 }
 SERVICES = ("gallery", "orders", "stock", "spare")
-KINDS = [
-    _callers.Kind(
-        route.name,
-        route.prefix,
-        route.idempotent,
-        route.timeout_s,
-        route.max_attempts,
-    )
-    for route in ROUTES.values()
-]
+"""Routes that all regions may serve."""
+
+_HOME_ROUTE = fakes.Route(
+    "at-home", "/h/", "stock", True, 0.4, 2.0, homes=("south",)
+)
+_GROWS_BY = 1_400
+"""Routes that one change adds on the users' platform."""
+
+_MOST_GROWTHS = 2
+"""Growths whose routes are in force at once; older ones are taken back."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,17 +61,37 @@
 class World:
     """The store, the configuration, and the backend servers."""
 
-    def __init__(self, record: _record.Record, host: str, rng: random.Random):
-        """Takes where runs are recorded, and a loopback address."""
+    def __init__(
+        self,
+        record: _record.Record,
+        host: str,
+        regions: dict[str, str],
+        rng: random.Random,
+    ):
+        """Takes what it works with.
+
+        Args:
+            record: where runs are recorded.
+            host: a loopback address.
+            regions: the region of each failure domain.
+            rng: for all that is drawn.
+        """
         self.store = fakes.StandInStore()
         self.servers: dict[str, Server] = {}
-        self.service_of = {r.name: r.service for r in ROUTES.values()}
-        """The service of each route in the newest configuration."""
+        self.regions = regions
+        self.routes = {_HOME_ROUTE.name: _HOME_ROUTE, **OPEN_ROUTES}
+        """The routes with requests in the newest configuration, by name."""
+
+        self.kinds = list(map(_callers.Kind.from_route, self.routes.values()))
+        """The requests that callers send."""
 
+        self._growths: collections.deque[list[fakes.Route]] = collections.deque(
+            maxlen=_MOST_GROWTHS
+        )
         self._record = record
         self._config = b""
-        self._evacuated: str | None = None
-        """The row of the evacuation under way."""
+        self._evacuated: set[str] = set()
+        """The rows of the evacuations under way."""
 
         self._host = host
         self._rng = rng
@@ -83,15 +105,40 @@
             for service in SERVICES:
                 for _ in range(per_domain):
                     await self.add_server(service, domain)
-        self.configure(ROUTES["browse"].name, "gallery")
-
-    def configure(self, route: str, service: str) -> None:
-        """Sends a route to a service, and tells the store."""
-        self.service_of[route] = service
-        routes = [
-            dataclasses.replace(r, service=self.service_of[r.name])
-            for r in ROUTES.values()
+        self.configure("browse")
+
+    def grow(self, parent: str, homes: tuple[str, ...]) -> None:
+        """Adds many routes, and tells the store.
+
+        Requests come for one of them. It lies below the prefix of another
+        route, which serves its requests wherever the new one is not known.
+
+        Args:
+            parent: that other route.
+            homes: the regions that may serve the new one.
+        """
+        number = len(self.routes)
+        below = self.routes[parent]
+        added = dataclasses.replace(
+            below,
+            name=f"{parent}-{number}",
+            prefix=f"{below.prefix}{number}/",
+            homes=homes,
+        )
+        self._record.changes += [
+            dataclasses.replace(change, route=added.name)
+            for change in self._record.changes
+            if change.route == parent
         ]
+        self._growths.append(_fillers(number))
+        self.routes[added.name] = added
+        self.configure(added.name)
+        self.kinds.append(_callers.Kind.from_route(added))
+
+    def configure(self, name: str, **changes: Any) -> None:
+        """Changes fields of a route, and tells the store."""
+        self.routes[name] = dataclasses.replace(self.routes[name], **changes)
+        routes = [*self.routes.values(), *itertools.chain(*self._growths)]
         services = [
             fakes.Service(name, COLD_START_S, COLD_PER_S) for name in SERVICES
         ]
@@ -100,10 +147,10 @@
         )
         self.store.put(OPERATORS, "config", self._config)
         now_s = time.monotonic()
-        for name, target in self.service_of.items():
-            self._record.changes.append(
-                _record.RouteChange(now_s, name, target)
-            )
+        self._record.changes += [
+            _record.RouteChange(now_s, r.name, r.service, frozenset(r.homes))
+            for r in self.routes.values()
+        ]
 
     async def add_server(
         self,
@@ -161,12 +208,12 @@
         for table, key in tuple(self.store.rows):
             is_old = table == OPERATORS and key not in (
                 "config",
-                self._evacuated,
+                *self._evacuated,
             )
             if is_old or (table == SERVERS and key not in self.servers):
                 self.store.drop(table, key)
-        if self._evacuated is not None:
-            self.store.put(OPERATORS, self._evacuated, b"{}")
+        for key in self._evacuated:
+            self.store.put(OPERATORS, key, b"{}")
         for server in self.servers.values():
             server.entry = dataclasses.replace(
                 server.entry, sequence=server.entry.sequence + 1
@@ -200,18 +247,20 @@
     async def evacuate(self, domain: str, for_s: float) -> None:
         """Has a failure domain get no requests for a while.
 
-        Does nothing while another one is evacuated: somebody has to serve.
+        Does nothing if it is evacuated, or no other one would be left.
         """
-        if self._evacuated is not None:
+        key = f"evacuate/{domain}"
+        is_last = len(self._evacuated) + 1 == len(self.regions)
+        if key in self._evacuated or is_last:
             return
-        key = self._evacuated = f"evacuate/{domain}"
+        self._evacuated.add(key)
         start_s = time.monotonic()
         self.store.put(OPERATORS, key, b"{}")
         await anyio.sleep(for_s)
         self._record.evacuations.append(
             _record.Evacuation(start_s, time.monotonic(), domain)
         )
-        self._evacuated = None
+        self._evacuated.remove(key)
         if (OPERATORS, key) in self.store.rows:
             self.store.drop(OPERATORS, key)
 
@@ -269,3 +318,18 @@
         for server in self.servers.values():
             server.fake.crash()
             server.proxy.stop()
+
+
+def _fillers(number: int) -> list[fakes.Route]:
+    """Returns routes of one growth for which no requests come."""
+    return [
+        fakes.Route(
+            f"filler-{number}-{i}",
+            f"/f{number}/{i}/",
+            SERVICES[i % len(SERVICES)],
+            True,
+            0.3,
+            1.5,
+        )
+        for i in range(_GROWS_BY)
+    ]
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -145,6 +145,20 @@
     assert _broken(record) == set()
 
 
+def test_a_vm_is_bound_by_an_evacuation_that_it_could_read_since():
+    """It was out of touch when the evacuation began."""
+    record = _seen(
+        [_attempt()],
+        [_run()],
+        evacuations=[_record.Evacuation(80.0, 110.0, "a")],
+        domains={"i-1": "a"},
+    )
+    record.disturb("edge-1", 79.0, 91.0)
+    assert _broken(record) == {"evacuate"}
+    record.disturb("edge-1", 91.0, 92.0)
+    assert _broken(record) == set()
+
+
 @pytest.mark.parametrize(
     ("changed_s", "broken"), [(97.4, {"config"}), (97.6, set())]
 )
@@ -156,6 +170,75 @@
     assert _broken(_seen([_attempt()], [_run()], changes=changes)) == broken
 
 
+def test_a_vm_is_bound_by_a_configuration_that_it_could_read_since():
+    """It was out of touch when the configuration was acknowledged."""
+    changes = [
+        _record.RouteChange(0.0, "order", "orders"),
+        _record.RouteChange(80.0, "order", "spare"),
+    ]
+    record = _seen([_attempt()], [_run()], changes=changes)
+    record.disturb("edge-1", 79.0, 93.0)
+    assert _broken(record) == {"config"}
+    record.disturb("edge-1", 93.0, 94.0)
+    assert _broken(record) == set()
+
+
+_NORTH, _SOUTH = frozenset({"north"}), frozenset({"south"})
+
+
+@pytest.mark.parametrize(
+    ("changes", "broken"),
+    [
+        pytest.param([(0.0, _NORTH)], set(), id="at home"),
+        pytest.param([(0.0, _SOUTH)], {"home"}, id="never allowed"),
+        pytest.param(
+            [(0.0, frozenset()), (97.4, _SOUTH)], {"home"}, id="after the bound"
+        ),
+        pytest.param(
+            [(0.0, frozenset()), (97.6, _SOUTH)], set(), id="within the bound"
+        ),
+        pytest.param(
+            [(0.0, _NORTH), (90.0, _SOUTH), (98.0, _NORTH)],
+            set(),
+            id="allowed again",
+        ),
+        pytest.param(
+            [(0.0, _NORTH), (80.0, _SOUTH), (90.0, _SOUTH)],
+            {"home"},
+            id="forbidden by all since",
+        ),
+    ],
+)
+def test_a_route_with_homes_runs_in_no_other_region(changes, broken):
+    record = _seen(
+        [_attempt()],
+        [_run()],
+        changes=[
+            _record.RouteChange(at_s, "order", "orders", homes)
+            for at_s, homes in changes
+        ],
+        domains={"i-1": "north-a"},
+        regions={"north-a": "north", "south-a": "south"},
+    )
+    assert _broken(record) == broken
+
+
+def test_a_home_is_bound_to_the_service_of_its_configuration():
+    """Service and region are each allowed by some version, not together."""
+    changes = [
+        _record.RouteChange(0.0, "order", "spare", _NORTH),
+        _record.RouteChange(90.0, "order", "orders", _SOUTH),
+    ]
+    record = _seen(
+        [_attempt()],
+        [_run()],
+        changes=changes,
+        domains={"i-1": "north-a"},
+        regions={"north-a": "north"},
+    )
+    assert _broken(record) == {"home"}
+
+
 @pytest.mark.parametrize(
     ("attempt", "runs", "broken"),
     [
--- a/faultsoak/tests/test_run.py
+++ b/faultsoak/tests/test_run.py
@@ -97,3 +97,26 @@
     logs = "".join(path.read_text("utf-8") for path in tmp_path.glob("*.log"))
     assert f":{_links.PROXY_PORT}" in logs
     assert f":{_links.BOUND_PORT}" not in logs
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        pytest.param(
+            (faultsoak.Fault.KILL, faultsoak.Fault.PEER_NARROW),
+            id="a VM starts meanwhile, over a narrow link",
+        ),
+        pytest.param((faultsoak.Fault.EVACUATE,), id="with an evacuation"),
+    ],
+)
+def test_a_configuration_that_grows_breaks_no_promise(faults, tmp_path):
+    grows, move = faultsoak.Fault.CONFIG_GROWS, faultsoak.Fault.HOMES_MOVE
+    plan = (
+        faultsoak.Action(1.0, grows, 0, 1.0),
+        *(faultsoak.Action(1.1, fault, 1, 3.0) for fault in faults),
+        faultsoak.Action(2.0, move, 1, 1.0),
+        faultsoak.Action(3.0, grows, 2, 1.0),
+    )
+    report = _run(1, tmp_path, plan)
+    assert report.violations == []
+    assert report.served > 0
