Show in the soak who held a request that was handed over late

Proxies before VMs and backend servers now note when they read and wrote the head of each attempt, and the detail of a `deadline` violation lists these steps with the time between them.

--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -14,6 +14,7 @@
 import fakes
 
 from faultsoak import _record
+from faultsoak import _way
 
 _SECOND = 1.0
 _HANDED_OVER_LATE_S = 0.5
@@ -357,7 +358,10 @@
         if is_late and index.in_touch(
             attempt.vm, attempt.sent_at_s, run.came_at_s
         ):
-            yield Violation("deadline", run.attempt, f"{told_s} {run}")
+            passings = index.record.passings[run.attempt]
+            way = _way.describe(attempt.sent_at_s, passings, run.came_at_s)
+            detail = f"{late_s:.3f} s late: {way}: {run}"
+            yield Violation("deadline", run.attempt, detail)
 
 
 def _recover(index: _Index) -> Iterator[Violation]:
--- a/faultsoak/_proxy.py
+++ b/faultsoak/_proxy.py
@@ -9,12 +9,17 @@
 import anyio
 
 from faultsoak import _pace
+from faultsoak import _way
 
 _READ_BYTES = 16_384
 _LINGER_RESET = b"\x01\0\0\0\0\0\0\0"
 """Makes a close reset the connection."""
 
 
+def _ignore(data: bytes, step: _way.Step) -> None:
+    """Takes no note."""
+
+
 class Direction(enum.Enum):
     """The way that bytes go."""
 
@@ -59,6 +64,9 @@
             rewrite: applied to each piece of bytes that goes to the clients.
         """
         self._target = (host, port)
+        self.on_request_bytes: Callable[[bytes, _way.Step], None] = _ignore
+        """Told of the bytes from clients when they are read and written."""
+
         self._pace = pace or _pace.Pace(None)
         self._rewrite = rewrite
         self._links: set[_Link] = set()
@@ -143,6 +151,8 @@
         """Passes bytes on in one direction until that side ends."""
         try:
             while data := await reader.read(_READ_BYTES):
+                if way is Direction.TO_SERVER:
+                    self.on_request_bytes(data, _way.Step.READ)
                 await self._flows[way].wait()
                 wait_s = self.delay_s + self._pace.reserve(
                     way, len(data), time.monotonic()
@@ -154,6 +164,8 @@
                 if not link.is_silenced:
                     writer.write(data)
                     await writer.drain()
+                if way is Direction.TO_SERVER:
+                    self.on_request_bytes(data, _way.Step.WRITTEN)
             await self._flows[way].wait()
             if not link.is_silenced:
                 writer.write_eof()
--- a/faultsoak/_record.py
+++ b/faultsoak/_record.py
@@ -1,11 +1,15 @@
 """What callers and backend servers saw, and what was done to the fleet."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import enum
+import time
 
 import fakes
 
+from faultsoak import _way
+
 
 class Ending(enum.Enum):
     """How an attempt ended for its caller."""
@@ -141,6 +145,11 @@
     )
     """When which VM was killed or paused."""
 
+    passings: dict[str, list[_way.Passing]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    """Where each attempt was seen on its way to backend servers."""
+
     own_lags: list[Span] = dataclasses.field(default_factory=list)
     """When the process of the soak itself, with its callers, stand-ins and
     proxies, did not run though it was due."""
@@ -160,6 +169,16 @@
         self.disturb(vm, start_s, end_s)
         self.halted[vm].append(Span(start_s, end_s))
 
+    def follow(self, place: str) -> Callable[[bytes, _way.Step], None]:
+        """Returns what notes the requests that a proxy passes on."""
+
+        def note(data: bytes, step: _way.Step) -> None:
+            for attempt in fakes.attempts_in(data):
+                passing = _way.Passing(time.monotonic(), place, step)
+                self.passings[attempt].append(passing)
+
+        return note
+
     def runs_on(self, vm: str, start_s: float, end_s: float) -> bool:
         """Returns whether a VM ran for a whole time, in touch or not."""
         ended = any(
--- a/faultsoak/_run.py
+++ b/faultsoak/_run.py
@@ -52,6 +52,9 @@
     plan: tuple[_plan.Action, ...] | None = None
     """What is done to the fleet, None to draw it from the seed."""
 
+    link_bytes_s: tuple[float, ...] = _LINK_BYTES_S
+    """What bandwidths of the VMs' links are drawn from."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
@@ -93,7 +96,7 @@
             anyio.create_task_group() as background,
         ):
             await world.start(list(_DOMAINS), _SERVERS_PER_DOMAIN)
-            await _start_vms(cfg, net, world, fleet, bounds)
+            await _start_vms(cfg, net, world, fleet, record, bounds)
             background.start_soon(fleet.watch)
             background.start_soon(_watch_own_lag, record)
             await _play(cfg, plan, world, fleet, record, bounds, rng)
@@ -110,6 +113,7 @@
     net: str,
     world: _world.World,
     fleet: _vms.Fleet,
+    record: _record.Record,
     bounds: _checks.Bounds,
 ) -> None:
     domains = list(_DOMAINS)
@@ -126,8 +130,9 @@
             cfg.folder / f"edge-{i + 1}.log",
             _proxy.Proxy("127.0.0.1", world.store.port),
             _proxy.Proxy(ip, _vms.CALLERS_PORT),
-            await fleet.links.add(ip, widths.choice(_LINK_BYTES_S)),
+            await fleet.links.add(ip, widths.choice(cfg.link_bytes_s)),
         )
+        vm.callers.on_request_bytes = record.follow(vm.id)
         store_port = await vm.store.start(ip)
         vm.callers_port = await vm.callers.start(ip)
         settings = fakes.VmSettings(
--- a/faultsoak/_world.py
+++ b/faultsoak/_world.py
@@ -177,6 +177,7 @@
         fake.cold_until_s = time.monotonic() + cold_s
         port = await fake.start(self._host, port)
         proxy = _proxy.Proxy(self._host, port)
+        proxy.on_request_bytes = self._record.follow(name)
         front = await proxy.start(self._host)
         entry = fakes.Registration(
             service,
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -7,6 +7,7 @@
 
 from faultsoak import _checks
 from faultsoak import _record
+from faultsoak import _way
 
 _BODY = b"ring"
 _DIGEST = hashlib.sha256(_BODY).hexdigest()[:16]
@@ -340,3 +341,29 @@
     attempt = _attempt(ended_at_s=101.0)
     record = _seen([attempt], [run], own_lags=[_record.Span(*lag)])
     assert _broken(record) == broken
+
+
+def test_a_late_hand_over_tells_where_the_request_was():
+    run = _run(left_ms=2_000, came_at_s=100.8, at_s=100.8)
+    record = _seen([_attempt(ended_at_s=101.0)], [run])
+    for place, at_s in (("edge-1", 100.01), ("i-1", 100.79)):
+        note = (_way.Step.READ, at_s), (_way.Step.WRITTEN, at_s + 0.001)
+        record.passings["a"] += [
+            _way.Passing(noted_s, place, step) for step, noted_s in note
+        ]
+    (violation,) = _checks.check(record, _checks.Bounds())
+    assert (
+        "read at edge-1 10 (+10), written at edge-1 11 (+1),"
+        " read at i-1 790 (+779), written at i-1 791 (+1),"
+        " backend server 800 (+9)"
+    ) in violation.detail
+
+
+def test_a_record_follows_requests_by_their_heads():
+    record = _record.Record()
+    headers = fakes.request_headers("0a1b", "shop.example", 900, "7")
+    head = b"".join(b"%s: %s\r\n" % pair for pair in headers)
+    data = b"GET / HTTP/1.1\r\n" + head + b"\r\n"
+    record.follow("edge-1")(data, _way.Step.READ)
+    ((attempt, (passing,)),) = record.passings.items()
+    assert (attempt, passing.place) == ("0a1b", "edge-1")
