Tell in the soak whether a VM that held a request had a processor

The steps of the new trace show the requests at one VM at a time, for 0.4 to 3.6 s between the proxy before it and the proxy before the backend server, and not in the soak's own process. They do not tell whether that VM computed, waited for a processor or slept. The soak now samples what the system gave each VM's process (`/proc/PID/schedstat`) and adds it to the detail.

Measured: `pytest faultsoak -k "not test_run"` 70 passed.

--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -360,7 +360,12 @@
         ):
             passings = index.record.passings[run.attempt]
             way = _way.describe(attempt.sent_at_s, passings, run.came_at_s)
-            detail = f"{late_s:.3f} s late: {way}: {run}"
+            process = _way.describe_process(
+                index.record.samples[attempt.vm],
+                attempt.sent_at_s,
+                run.came_at_s,
+            )
+            detail = f"{late_s:.3f} s late: {way}; VM: {process}: {run}"
             yield Violation("deadline", run.attempt, detail)
 
 
--- a/faultsoak/_record.py
+++ b/faultsoak/_record.py
@@ -150,6 +150,11 @@
     )
     """Where each attempt was seen on its way to backend servers."""
 
+    samples: dict[str, list[_way.Sample]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    """What the system gave the process of each VM."""
+
     own_lags: list[Span] = dataclasses.field(default_factory=list)
     """When the process of the soak itself, with its callers, stand-ins and
     proxies, did not run though it was due."""
--- a/faultsoak/_run.py
+++ b/faultsoak/_run.py
@@ -98,6 +98,7 @@
             await world.start(list(_DOMAINS), _SERVERS_PER_DOMAIN)
             await _start_vms(cfg, net, world, fleet, record, bounds)
             background.start_soon(fleet.watch)
+            background.start_soon(fleet.watch_processors)
             background.start_soon(_watch_own_lag, record)
             await _play(cfg, plan, world, fleet, record, bounds, rng)
             background.cancel_scope.cancel()
--- a/faultsoak/_vms.py
+++ b/faultsoak/_vms.py
@@ -16,10 +16,12 @@
 from faultsoak import _links
 from faultsoak import _proxy
 from faultsoak import _record
+from faultsoak import _way
 
 _PROGRAM = "platform"
 _RESTART_AFTER_S = 0.4
 _POLL_S = 0.02
+_SAMPLE_EVERY_S = 0.2
 _HANDLERS_IN_S = 2.0
 """From the start of a process until it handles signals, on a busy machine."""
 
@@ -100,6 +102,16 @@
                         self.signal(vm, signal.SIGKILL)
                 await anyio.sleep(_POLL_S)
 
+    async def watch_processors(self) -> None:
+        """Samples what the system gives the processes, for ever."""
+        while True:
+            for vm in self.vms:
+                if vm.process is not None:
+                    sample = _way.read_sample(vm.process.pid, time.monotonic())
+                    if sample is not None:
+                        self._record.samples[vm.id].append(sample)
+            await anyio.sleep(_SAMPLE_EVERY_S)
+
     def signal(self, vm: Vm, number: signal.Signals) -> bool:
         """Sends a signal to a VM; returns whether it runs."""
         if vm.process is None or vm.process.poll() is not None:
--- a/faultsoak/_way.py
+++ b/faultsoak/_way.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 import enum
+import pathlib
+
+_NS = 1_000_000_000
 
 
 class Step(enum.Enum):
@@ -22,6 +25,45 @@
     step: Step
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """What the system had given a process so far."""
+
+    at_s: float
+    pid: int
+    ran_s: float
+    """On a processor."""
+
+    waited_s: float
+    """Ready to run, without a processor."""
+
+
+def read_sample(pid: int, at_s: float) -> Sample | None:
+    """Returns a sample of a process, None if the system does not tell."""
+    try:
+        text = pathlib.Path(f"/proc/{pid}/schedstat").read_text("utf-8")
+    except OSError:
+        return None
+    ran_ns, waited_ns = map(int, text.split()[:2])
+    return Sample(at_s, pid, ran_ns / _NS, waited_ns / _NS)
+
+
+def describe_process(
+    samples: list[Sample], start_s: float, end_s: float
+) -> str:
+    """Returns what a process did between two times, as far as it is known."""
+    before = [s for s in samples if s.at_s <= start_s][-1:]
+    after = [s for s in samples if s.at_s >= end_s][:1]
+    if not before or not after or before[0].pid != after[0].pid:
+        return "not known"
+    (first,), (last,) = before, after
+    return (
+        f"of {last.at_s - first.at_s:.2f} s it ran"
+        f" {last.ran_s - first.ran_s:.2f} s and waited"
+        f" {last.waited_s - first.waited_s:.2f} s for a processor"
+    )
+
+
 def describe(
     sent_at_s: float, passings: list[Passing], came_at_s: float
 ) -> str:
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -351,11 +351,16 @@
         record.passings["a"] += [
             _way.Passing(noted_s, place, step) for step, noted_s in note
         ]
+    record.samples["edge-1"] = [
+        _way.Sample(99.9, 7, 1.0, 2.0),
+        _way.Sample(100.9, 7, 1.1, 2.8),
+    ]
     (violation,) = _checks.check(record, _checks.Bounds())
     assert (
         "read at edge-1 10 (+10), written at edge-1 11 (+1),"
         " read at i-1 790 (+779), written at i-1 791 (+1),"
-        " backend server 800 (+9)"
+        " backend server 800 (+9); VM: of 1.00 s it ran 0.10 s and waited"
+        " 0.80 s for a processor"
     ) in violation.detail
 
 
