Send half of the soak's requests to the route that changed last

Half of the requests now go to the route that changed last.

A link's bandwidth no longer shrinks when the soak wakes up late, which it does on a busy machine: 0.1 s of bytes may pass at once. `--link-bytes-s` sets the bandwidth of all links.

Measured: `pytest faultsoak -k "not test_run"` passed.

--- a/faultsoak/__main__.py
+++ b/faultsoak/__main__.py
@@ -1,6 +1,7 @@
 """`scripts/faultsoak`: the randomised soak of the entry daemon."""
 
 import argparse
+import dataclasses
 import logging
 import pathlib
 import sys
@@ -18,6 +19,11 @@
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--vms", type=int, default=6)
     parser.add_argument("--requests-s", type=float, default=60.0)
+    parser.add_argument(
+        "--link-bytes-s",
+        type=float,
+        help="bandwidth of each VM's link to others; drawn if not given",
+    )
     parser.add_argument(
         "--no-times", action="store_true", help="check no bounds on times"
     )
@@ -32,16 +38,17 @@
         if args.logs is not None:
             folder = args.logs / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-        return _run.run(
-            _run.Settings(
-                seed,
-                args.seconds,
-                folder,
-                args.vms,
-                args.requests_s,
-                not args.no_times,
-            )
+        cfg = _run.Settings(
+            seed,
+            args.seconds,
+            folder,
+            args.vms,
+            args.requests_s,
+            not args.no_times,
         )
+        if args.link_bytes_s is not None:
+            cfg = dataclasses.replace(cfg, link_bytes_s=(args.link_bytes_s,))
+        return _run.run(cfg)
 
 
 def main() -> int:
--- a/faultsoak/_callers.py
+++ b/faultsoak/_callers.py
@@ -3,6 +3,7 @@
 Requests come at a given rate whether or not answers do (an open loop).
 """
 
+from collections.abc import Callable
 import dataclasses
 import hashlib
 import itertools
@@ -58,14 +59,22 @@
     def __init__(
         self,
         vms: list[_vms.Vm],
-        kinds: list[Kind],
+        pick_kind: Callable[[], Kind],
         record: _record.Record,
         routes: dict[str, fakes.Route],
         rng: random.Random,
     ):
-        """Takes the VMs of the region, and the routes in force."""
+        """Takes what it works with.
+
+        Args:
+            vms: the VMs of the region.
+            pick_kind: returns the kind of the next request.
+            record: where attempts are noted.
+            routes: the routes in force, by name.
+            rng: for all that is drawn.
+        """
         self._vms = {f"{vm.ip}:{_vms.CALLERS_PORT}": vm for vm in vms}
-        self._kinds = kinds
+        self._pick_kind = pick_kind
         self._record = record
         self._routes = routes
         self._rng = rng
@@ -84,7 +93,7 @@
             while not stop.is_set():
                 due_s += self._rng.expovariate(requests_s)
                 await anyio.sleep(max(0.0, due_s - time.monotonic()))
-                tasks.start_soon(self._request, self._rng.choice(self._kinds))
+                tasks.start_soon(self._request, self._pick_kind())
         await self._pool.aclose()
 
     async def _request(self, kind: Kind) -> None:
--- a/faultsoak/_links.py
+++ b/faultsoak/_links.py
@@ -2,7 +2,9 @@
 
 A VM tells others the address that it binds. The port in what it tells is
 replaced on the way, in datagrams, in answers to other VMs and in its row of
-the store, so that others reach it by its proxy only.
+the store, so that others reach it by its proxy only. A datagram passes the
+links of its sender and its receiver. A call for news passes the link of the VM
+that is asked alone, as its source address does not tell who asks.
 """
 
 import asyncio
--- a/faultsoak/_pace.py
+++ b/faultsoak/_pace.py
@@ -2,6 +2,10 @@
 
 import enum
 
+_BURST_S = 0.1
+"""Bytes of this time may pass at once, so that a late wake-up of the caller
+takes nothing from the bandwidth."""
+
 
 class Pace:
     """The bandwidth of one link, the same in each direction."""
@@ -31,6 +35,7 @@
         """
         if self._bytes_s is None:
             return 0.0
-        begins_s = max(now_s, self._free_at_s.get(way, now_s))
+        earliest_s = now_s - _BURST_S
+        begins_s = max(earliest_s, self._free_at_s.get(way, earliest_s))
         self._free_at_s[way] = begins_s + size / self._bytes_s
-        return self._free_at_s[way] - now_s
+        return max(0.0, self._free_at_s[way] - now_s)
--- a/faultsoak/_run.py
+++ b/faultsoak/_run.py
@@ -185,7 +185,7 @@
         for region in regions:
             vms = [vm for vm in fleet.vms if _DOMAINS[vm.domain] == region]
             callers = _callers.Callers(
-                vms, world.kinds, record, world.routes, rng
+                vms, world.pick_kind, record, world.routes, rng
             )
             rate = cfg.requests_s / len(regions)
             tasks.start_soon(callers.run, rate, stop)
--- a/faultsoak/_world.py
+++ b/faultsoak/_world.py
@@ -43,6 +43,9 @@
 _GROWS_BY = 1_400
 """Routes that one change adds on the users' platform."""
 
+_LATEST_PART = 0.5
+"""Part of the requests that goes to the route that changed last."""
+
 _MOST_GROWTHS = 2
 """Growths whose routes are in force at once; older ones are taken back."""
 
@@ -82,8 +85,8 @@
         self.routes = {_HOME_ROUTE.name: _HOME_ROUTE, **OPEN_ROUTES}
         """The routes with requests in the newest configuration, by name."""
 
-        self.kinds = list(map(_callers.Kind.from_route, self.routes.values()))
-        """The requests that callers send."""
+        self._latest = _HOME_ROUTE.name
+        """The route that changed last."""
 
         self._growths: collections.deque[list[fakes.Route]] = collections.deque(
             maxlen=_MOST_GROWTHS
@@ -133,11 +136,11 @@
         self._growths.append(_fillers(number))
         self.routes[added.name] = added
         self.configure(added.name)
-        self.kinds.append(_callers.Kind.from_route(added))
 
     def configure(self, name: str, **changes: Any) -> None:
         """Changes fields of a route, and tells the store."""
         self.routes[name] = dataclasses.replace(self.routes[name], **changes)
+        self._latest = name
         routes = [*self.routes.values(), *itertools.chain(*self._growths)]
         services = [
             fakes.Service(name, COLD_START_S, COLD_PER_S) for name in SERVICES
@@ -152,6 +155,17 @@
             for r in self.routes.values()
         ]
 
+    def pick_kind(self) -> _callers.Kind:
+        """Returns what the next request of a caller is.
+
+        Many are for the route that changed last, where a VM that does not know
+        the newest configuration shows.
+        """
+        name = self._latest
+        if self._rng.random() >= _LATEST_PART:
+            name = self._rng.choice(list(self.routes))
+        return _callers.Kind.from_route(self.routes[name])
+
     async def add_server(
         self,
         service: str,
