Count in the soak's deadline check only the time at the VM

The request was in the soak's own process, whose lags below 0.05 s are not counted, and a VM cannot know that time. The check now compares what the VM was told when the proxy wrote the request to it with what it told when the proxy before the backend server read it. The soak's own lag is taken off between the two only, where it was taken off from the sending on.

--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -344,21 +344,25 @@
     """A backend server is told no more time than the caller has left.
 
     Callers, proxies and backend servers are in one process; what that process
-    itself took on the way is not the VM's.
+    itself took on the way is not the VM's: the time before the proxy passed the
+    request on to the VM, the time after the proxy read it from the VM, and in
+    between the time for which the process did not run.
     """
     for run in index.record.runs:
         attempt = index.record.attempts.get(run.attempt)
         if attempt is None:
             continue
         told_s = float("inf") if run.left_ms is None else run.left_ms / 1000
-        ends_s = attempt.sent_at_s + attempt.left_s
-        own_s = index.record.own_lag_s(attempt.sent_at_s, run.came_at_s)
-        late_s = run.came_at_s + told_s - ends_s - own_s
+        passings = index.record.passings[run.attempt]
+        start_s, end_s = _way.time_at(
+            attempt.vm, attempt.sent_at_s, passings, run.came_at_s
+        )
+        own_s = index.record.own_lag_s(start_s, end_s)
+        late_s = end_s + told_s - (start_s + attempt.left_s) - own_s
         is_late = late_s > _HANDED_OVER_LATE_S
         if is_late and index.in_touch(
             attempt.vm, attempt.sent_at_s, run.came_at_s
         ):
-            passings = index.record.passings[run.attempt]
             way = _way.describe(attempt.sent_at_s, passings, run.came_at_s)
             process = _way.describe_process(
                 index.record.samples[attempt.vm],
--- a/faultsoak/_way.py
+++ b/faultsoak/_way.py
@@ -64,6 +64,28 @@
     )
 
 
+def time_at(
+    vm: str, sent_at_s: float, passings: list[Passing], came_at_s: float
+) -> tuple[float, float]:
+    """Returns from when until when a VM had a request.
+
+    Args:
+        vm: the VM.
+        sent_at_s: when the caller sent the request.
+        passings: where it was seen, in order.
+        came_at_s: when the backend server had read it.
+    """
+    start_s, end_s = sent_at_s, came_at_s
+    for passing in passings:
+        if passing.at_s > came_at_s:
+            break
+        if passing.place == vm and passing.step is Step.WRITTEN:
+            start_s = passing.at_s
+        elif passing.place != vm and passing.step is Step.READ:
+            end_s = passing.at_s
+    return start_s, end_s
+
+
 def describe(
     sent_at_s: float, passings: list[Passing], came_at_s: float
 ) -> str:
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -343,6 +343,29 @@
     assert _broken(record) == broken
 
 
+@pytest.mark.parametrize(
+    ("read_s", "written_s", "handed_over_s", "broken"),
+    [
+        pytest.param(100.01, 100.02, 100.79, {"deadline"}, id="at the VM"),
+        pytest.param(100.6, 100.61, 100.79, set(), id="before its proxy"),
+        pytest.param(100.01, 100.6, 100.79, set(), id="in its proxy"),
+        pytest.param(100.01, 100.02, 100.1, set(), id="after it"),
+    ],
+)
+def test_only_the_time_at_a_vm_is_its_own(
+    read_s, written_s, handed_over_s, broken
+):
+    run = _run(left_ms=2_000, came_at_s=100.8, at_s=100.8)
+    record = _seen([_attempt(ended_at_s=101.0)], [run])
+    record.passings["a"] = [
+        _way.Passing(read_s, "edge-1", _way.Step.READ),
+        _way.Passing(written_s, "edge-1", _way.Step.WRITTEN),
+        _way.Passing(handed_over_s, "i-1", _way.Step.READ),
+        _way.Passing(100.795, "i-1", _way.Step.WRITTEN),
+    ]
+    assert _broken(record) == broken
+
+
 def test_a_late_hand_over_tells_where_the_request_was():
     run = _run(left_ms=2_000, came_at_s=100.8, at_s=100.8)
     record = _seen([_attempt(ended_at_s=101.0)], [run])
