--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -14,7 +14,7 @@
 import fakes
 
 from faultsoak import _record
-from faultsoak import _way
+from faultsoak import _trace
 
 _SECOND = 1.0
 _HANDED_OVER_LATE_S = 0.5
@@ -354,7 +354,7 @@
             continue
         told_s = float("inf") if run.left_ms is None else run.left_ms / 1000
         passings = index.record.passings[run.attempt]
-        start_s, end_s = _way.time_at(
+        start_s, end_s = _trace.time_at(
             attempt.vm, attempt.sent_at_s, passings, run.came_at_s
         )
         own_s = index.record.own_lag_s(start_s, end_s)
@@ -363,8 +363,8 @@
         if is_late and index.in_touch(
             attempt.vm, attempt.sent_at_s, run.came_at_s
         ):
-            way = _way.describe(attempt.sent_at_s, passings, run.came_at_s)
-            process = _way.describe_process(
+            way = _trace.describe(attempt.sent_at_s, passings, run.came_at_s)
+            process = _trace.describe_process(
                 index.record.samples[attempt.vm],
                 attempt.sent_at_s,
                 run.came_at_s,
--- a/faultsoak/_proxy.py
+++ b/faultsoak/_proxy.py
@@ -9,14 +9,14 @@
 import anyio
 
 from faultsoak import _pace
-from faultsoak import _way
+from faultsoak import _trace
 
 _READ_BYTES = 16_384
 _LINGER_RESET = b"\x01\0\0\0\0\0\0\0"
 """Makes a close reset the connection."""
 
 
-def _ignore(data: bytes, step: _way.Step) -> None:
+def _ignore(data: bytes, step: _trace.Step) -> None:
     """Takes no note."""
 
 
@@ -64,7 +64,7 @@
             rewrite: applied to each piece of bytes that goes to the clients.
         """
         self._target = (host, port)
-        self.on_request_bytes: Callable[[bytes, _way.Step], None] = _ignore
+        self.on_request_bytes: Callable[[bytes, _trace.Step], None] = _ignore
         """Told of the bytes from clients when they are read and written."""
 
         self._pace = pace or _pace.Pace(None)
@@ -152,7 +152,7 @@
         try:
             while data := await reader.read(_READ_BYTES):
                 if way is Direction.TO_SERVER:
-                    self.on_request_bytes(data, _way.Step.READ)
+                    self.on_request_bytes(data, _trace.Step.READ)
                 await self._flows[way].wait()
                 wait_s = self.delay_s + self._pace.reserve(
                     way, len(data), time.monotonic()
@@ -165,7 +165,7 @@
                     writer.write(data)
                     await writer.drain()
                 if way is Direction.TO_SERVER:
-                    self.on_request_bytes(data, _way.Step.WRITTEN)
+                    self.on_request_bytes(data, _trace.Step.WRITTEN)
             await self._flows[way].wait()
             if not link.is_silenced:
                 writer.write_eof()
--- a/faultsoak/_record.py
+++ b/faultsoak/_record.py
@@ -8,7 +8,7 @@
 
 import fakes
 
-from faultsoak import _way
+from faultsoak import _trace
 
 
 class Ending(enum.Enum):
@@ -145,12 +145,12 @@
     )
     """When which VM was killed or paused."""
 
-    passings: dict[str, list[_way.Passing]] = dataclasses.field(
+    passings: dict[str, list[_trace.Passing]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
     """Where each attempt was seen on its way to backend servers."""
 
-    samples: dict[str, list[_way.Sample]] = dataclasses.field(
+    samples: dict[str, list[_trace.Sample]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list)
     )
     """What the system gave the process of each VM."""
@@ -174,12 +174,12 @@
         self.disturb(vm, start_s, end_s)
         self.halted[vm].append(Span(start_s, end_s))
 
-    def follow(self, place: str) -> Callable[[bytes, _way.Step], None]:
+    def follow(self, place: str) -> Callable[[bytes, _trace.Step], None]:
         """Returns what notes the requests that a proxy passes on."""
 
-        def note(data: bytes, step: _way.Step) -> None:
+        def note(data: bytes, step: _trace.Step) -> None:
             for attempt in fakes.attempts_in(data):
-                passing = _way.Passing(time.monotonic(), place, step)
+                passing = _trace.Passing(time.monotonic(), place, step)
                 self.passings[attempt].append(passing)
 
         return note
--- a/faultsoak/_vms.py
+++ b/faultsoak/_vms.py
@@ -16,7 +16,7 @@
 from faultsoak import _links
 from faultsoak import _proxy
 from faultsoak import _record
-from faultsoak import _way
+from faultsoak import _trace
 
 _PROGRAM = "platform"
 _RESTART_AFTER_S = 0.4
@@ -107,7 +107,9 @@
         while True:
             for vm in self.vms:
                 if vm.process is not None:
-                    sample = _way.read_sample(vm.process.pid, time.monotonic())
+                    sample = _trace.read_sample(
+                        vm.process.pid, time.monotonic()
+                    )
                     if sample is not None:
                         self._record.samples[vm.id].append(sample)
             await anyio.sleep(_SAMPLE_EVERY_S)
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -7,7 +7,7 @@
 
 from faultsoak import _checks
 from faultsoak import _record
-from faultsoak import _way
+from faultsoak import _trace
 
 _BODY = b"ring"
 _DIGEST = hashlib.sha256(_BODY).hexdigest()[:16]
@@ -358,10 +358,10 @@
     run = _run(left_ms=2_000, came_at_s=100.8, at_s=100.8)
     record = _seen([_attempt(ended_at_s=101.0)], [run])
     record.passings["a"] = [
-        _way.Passing(read_s, "edge-1", _way.Step.READ),
-        _way.Passing(written_s, "edge-1", _way.Step.WRITTEN),
-        _way.Passing(handed_over_s, "i-1", _way.Step.READ),
-        _way.Passing(100.795, "i-1", _way.Step.WRITTEN),
+        _trace.Passing(read_s, "edge-1", _trace.Step.READ),
+        _trace.Passing(written_s, "edge-1", _trace.Step.WRITTEN),
+        _trace.Passing(handed_over_s, "i-1", _trace.Step.READ),
+        _trace.Passing(100.795, "i-1", _trace.Step.WRITTEN),
     ]
     assert _broken(record) == broken
 
@@ -370,13 +370,13 @@
     run = _run(left_ms=2_000, came_at_s=100.8, at_s=100.8)
     record = _seen([_attempt(ended_at_s=101.0)], [run])
     for place, at_s in (("edge-1", 100.01), ("i-1", 100.79)):
-        note = (_way.Step.READ, at_s), (_way.Step.WRITTEN, at_s + 0.001)
+        note = (_trace.Step.READ, at_s), (_trace.Step.WRITTEN, at_s + 0.001)
         record.passings["a"] += [
-            _way.Passing(noted_s, place, step) for step, noted_s in note
+            _trace.Passing(noted_s, place, step) for step, noted_s in note
         ]
     record.samples["edge-1"] = [
-        _way.Sample(99.9, 7, 1.0, 2.0),
-        _way.Sample(100.9, 7, 1.1, 2.8),
+        _trace.Sample(99.9, 7, 1.0, 2.0),
+        _trace.Sample(100.9, 7, 1.1, 2.8),
     ]
     (violation,) = _checks.check(record, _checks.Bounds())
     assert (
@@ -392,6 +392,6 @@
     headers = fakes.request_headers("0a1b", "shop.example", 900, "7")
     head = b"".join(b"%s: %s\r\n" % pair for pair in headers)
     data = b"GET / HTTP/1.1\r\n" + head + b"\r\n"
-    record.follow("edge-1")(data, _way.Step.READ)
+    record.follow("edge-1")(data, _trace.Step.READ)
     ((attempt, (passing,)),) = record.passings.items()
     assert (attempt, passing.place) == ("0a1b", "edge-1")
