Tell in the soak how late a configuration was and what the soak held up

The detail of a `config` or `home` violation now has the VM, by how much the request was late and the soak's own lag since the change.

--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -290,7 +290,14 @@
         if promise is not None and index.in_touch(
             attempt.vm, applied_s, run.at_s
         ):
-            yield Violation(promise, run.attempt, f"{in_force} {run}")
+            since_s = in_force[0].at_s
+            late_s = attempt.sent_at_s - since_s - bounds.config_apply_s
+            own_s = index.record.own_lag_s(since_s, run.at_s)
+            detail = (
+                f"sent by {attempt.vm} {late_s:.3f} s late, {own_s:.3f} s own"
+                f" lag since the change: {in_force} {run}"
+            )
+            yield Violation(promise, run.attempt, detail)
 
 
 def _evacuated(index: _Index) -> Iterator[Violation]:
