Let the soak leave out all faults but some

`--only config-grows` carries out only those faults of a seed, so that a finding can be played in a calm fleet.

--- a/faultsoak/__main__.py
+++ b/faultsoak/__main__.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from faultsoak import _plan
 from faultsoak import _run
 
 
@@ -24,6 +25,13 @@
         type=float,
         help="bandwidth of each VM's link to others; drawn if not given",
     )
+    parser.add_argument(
+        "--only",
+        type=_plan.Fault,
+        nargs="+",
+        metavar="FAULT",
+        help="leave out all other faults of a seed",
+    )
     parser.add_argument(
         "--no-times", action="store_true", help="check no bounds on times"
     )
@@ -48,6 +56,10 @@
         )
         if args.link_bytes_s is not None:
             cfg = dataclasses.replace(cfg, link_bytes_s=(args.link_bytes_s,))
+        if args.only is not None:
+            plan = _plan.make_plan(seed, args.seconds)
+            chosen = tuple(a for a in plan if a.fault in args.only)
+            cfg = dataclasses.replace(cfg, plan=chosen)
         return _run.run(cfg)
 
 
