--- a/dragonflystack/entryd/_told.py
+++ b/dragonflystack/entryd/_told.py
@@ -36,17 +36,12 @@
 
 
 class _PackedBody(msgspec.Struct, frozen=True, array_like=True):
-    rest: bytes
+    news: bytes
     """All but the catalogue."""
 
     catalogue: bytes | None
-
-
-class _RestBody(msgspec.Struct, frozen=True, array_like=True):
-    news: entry.News
-    """Without its catalogue."""
-
     vms: tuple[entry.VmAddress, ...]
+    """As they are: few ask for them, and they are seen on the wire."""
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -65,8 +60,9 @@
         news = msgspec.structs.replace(told.news, catalogue=None)
         return _encoder.encode(
             _PackedBody(
-                _pack(_RestBody(news, told.vms)),
+                _pack(news),
                 None if catalogue is None else self._packed(catalogue),
+                told.vms,
             )
         )
 
@@ -89,14 +85,13 @@
         if content_type != CONTENT_TYPE:
             return msgspec.json.decode(data, type=Told)
         packed = msgspec.msgpack.decode(data, type=_PackedBody)
-        rest = _unpack(packed.rest, _RestBody)
-        news = rest.news
+        news = _unpack(packed.news, entry.News)
         if packed.catalogue is not None:
             catalogue = _unpack(packed.catalogue, entry.Catalogue)
             news = msgspec.structs.replace(news, catalogue=catalogue)
     except (msgspec.MsgspecError, zlib.error) as exc:
         raise ToldError(f"news: {exc}") from exc
-    return Told(news, rest.vms)
+    return Told(news, packed.vms)
 
 
 def _pack(value: object) -> bytes:
--- a/dragonflystack/entryd/tests/test_told.py
+++ b/dragonflystack/entryd/tests/test_told.py
@@ -90,8 +90,8 @@
 def test_a_catalogue_that_cannot_be_read_is_refused(packed, monkeypatch):
     told = _told_by()
     news = msgspec.structs.replace(told.news, catalogue=None)
-    rest = _told._pack(_told._RestBody(news, ()))
+    rest = _told._pack(news)
     monkeypatch.setattr(_told, "_MAX_UNPACKED_BYTES", 1_000)
-    data = msgspec.msgpack.encode(_told._PackedBody(rest, packed))
+    data = msgspec.msgpack.encode(_told._PackedBody(rest, packed, ()))
     with pytest.raises(_told.ToldError):
         _told.decode(data)
--- a/faultsoak/__main__.py
+++ b/faultsoak/__main__.py
@@ -1,6 +1,7 @@
 """`scripts/faultsoak`: the randomised soak of the entry daemon."""
 
 import argparse
+import dataclasses
 import logging
 import pathlib
 import sys
@@ -8,6 +9,7 @@
 
 import msgspec
 
+from faultsoak import _plan
 from faultsoak import _run
 
 
@@ -18,6 +20,18 @@
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--vms", type=int, default=6)
     parser.add_argument("--requests-s", type=float, default=60.0)
+    parser.add_argument(
+        "--link-bytes-s",
+        type=float,
+        help="bandwidth of each VM's link to others; drawn if not given",
+    )
+    parser.add_argument(
+        "--only",
+        type=_plan.Fault,
+        nargs="+",
+        metavar="FAULT",
+        help="leave out all other faults of a seed",
+    )
     parser.add_argument(
         "--no-times", action="store_true", help="check no bounds on times"
     )
@@ -32,16 +46,21 @@
         if args.logs is not None:
             folder = args.logs / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-        return _run.run(
-            _run.Settings(
-                seed,
-                args.seconds,
-                folder,
-                args.vms,
-                args.requests_s,
-                not args.no_times,
-            )
+        cfg = _run.Settings(
+            seed,
+            args.seconds,
+            folder,
+            args.vms,
+            args.requests_s,
+            not args.no_times,
         )
+        if args.link_bytes_s is not None:
+            cfg = dataclasses.replace(cfg, link_bytes_s=(args.link_bytes_s,))
+        if args.only is not None:
+            plan = _plan.make_plan(seed, args.seconds)
+            chosen = tuple(a for a in plan if a.fault in args.only)
+            cfg = dataclasses.replace(cfg, plan=chosen)
+        return _run.run(cfg)
 
 
 def main() -> int:
@@ -66,7 +85,7 @@
         )
         for violation in report.violations:
             text = f"{violation.attempt} {violation.detail}"
-            print(f"  {violation.promise}: {text}"[:400], flush=True)
+            print(f"  {violation.promise}: {text}"[:800], flush=True)
     return 1 if broken else 0
 
 
--- a/faultsoak/_callers.py
+++ b/faultsoak/_callers.py
@@ -3,6 +3,7 @@
 Requests come at a given rate whether or not answers do (an open loop).
 """
 
+from collections.abc import Callable
 import dataclasses
 import hashlib
 import itertools
@@ -43,6 +44,18 @@
     public: bool = False
     """Whether it needs no key."""
 
+    @classmethod
+    def from_route(cls, route: fakes.Route) -> "Kind":
+        """Returns the requests for a route."""
+        return cls(
+            route.name,
+            route.prefix,
+            route.idempotent,
+            route.timeout_s,
+            route.max_attempts,
+            route.public,
+        )
+
 
 class Callers:
     """All callers of one region."""
@@ -50,17 +63,26 @@
     def __init__(
         self,
         vms: list[_vms.Vm],
-        kinds: list[Kind],
+        pick_kind: Callable[[], Kind],
         record: _record.Record,
-        service_of: dict[str, str],
+        routes: dict[str, fakes.Route],
         keys: _keys.Keys,
         rng: random.Random,
     ):
-        """Takes the VMs of the region, the services of routes, and the keys."""
+        """Takes what it works with.
+
+        Args:
+            vms: the VMs of the region.
+            pick_kind: returns the kind of the next request.
+            record: where attempts are noted.
+            routes: the routes in force, by name.
+            keys: the keys that callers show.
+            rng: for all that is drawn.
+        """
         self._vms = {f"{vm.ip}:{_vms.CALLERS_PORT}": vm for vm in vms}
-        self._kinds = kinds
+        self._pick_kind = pick_kind
         self._record = record
-        self._service_of = service_of
+        self._routes = routes
         self._keys = keys
         self._rng = rng
         self._pool = httpcore.AsyncConnectionPool(
@@ -78,7 +100,7 @@
             while not stop.is_set():
                 due_s += self._rng.expovariate(requests_s)
                 await anyio.sleep(max(0.0, due_s - time.monotonic()))
-                tasks.start_soon(self._request, self._rng.choice(self._kinds))
+                tasks.start_soon(self._request, self._pick_kind())
         await self._pool.aclose()
 
     async def _request(self, kind: Kind) -> None:
@@ -139,7 +161,7 @@
             attempt_id,
             vm.id,
             kind.route,
-            self._service_of[kind.route],
+            self._routes[kind.route].service,
             kind.idempotent,
             "GET" if kind.idempotent else "POST",
             target,
--- a/faultsoak/_record.py
+++ b/faultsoak/_record.py
@@ -1,11 +1,15 @@
 """What callers and backend servers saw, and what was done to the fleet."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import enum
+import time
 
 import fakes
 
+from faultsoak import _trace
+
 
 class Ending(enum.Enum):
     """How an attempt ended for its caller."""
@@ -63,11 +67,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteChange:
-    """A route goes to another service from now on."""
+    """A route goes to another service or other regions from now on."""
 
     at_s: float
     route: str
     service: str
+    homes: frozenset[str] = frozenset()
+    """The only regions that may serve it, any if empty."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,6 +145,9 @@
     domains: dict[str, str] = dataclasses.field(default_factory=dict)
     """The failure domain of each backend server."""
 
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
+    """The region of each failure domain."""
+
     exits: list[Exit] = dataclasses.field(default_factory=list)
     stops: list[tuple[float, str]] = dataclasses.field(default_factory=list)
     """When which VM got SIGTERM."""
@@ -153,6 +162,16 @@
     )
     """When which VM was killed or paused."""
 
+    passings: dict[str, list[_trace.Passing]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    """Where each attempt was seen on its way to backend servers."""
+
+    samples: dict[str, list[_trace.Sample]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    """What the system gave the process of each VM."""
+
     own_lags: list[Span] = dataclasses.field(default_factory=list)
     """When the process of the soak itself, with its callers, stand-ins and
     proxies, did not run though it was due."""
@@ -172,6 +191,16 @@
         self.disturb(vm, start_s, end_s)
         self.halted[vm].append(Span(start_s, end_s))
 
+    def follow(self, place: str) -> Callable[[bytes, _trace.Step], None]:
+        """Returns what notes the requests that a proxy passes on."""
+
+        def note(data: bytes, step: _trace.Step) -> None:
+            for attempt in fakes.attempts_in(data):
+                passing = _trace.Passing(time.monotonic(), place, step)
+                self.passings[attempt].append(passing)
+
+        return note
+
     def runs_on(self, vm: str, start_s: float, end_s: float) -> bool:
         """Returns whether a VM ran for a whole time, in touch or not."""
         ended = any(
--- a/faultsoak/_run.py
+++ b/faultsoak/_run.py
@@ -12,6 +12,7 @@
 from faultsoak import _actions
 from faultsoak import _callers
 from faultsoak import _checks
+from faultsoak import _links
 from faultsoak import _plan
 from faultsoak import _proxy
 from faultsoak import _record
@@ -26,6 +27,9 @@
 _COLD_MARGIN = 5.0
 _LAG_EVERY_S = 0.02
 _LEAST_LAG_S = 0.05
+_LINK_BYTES_S = (625_000.0, 2_500_000.0, 12_500_000.0)
+"""5, 20 and 100 Mbit/s, what links on the users' platform have."""
+
 _FIRST_NET, _LAST_NET = 16, 250
 
 
@@ -48,6 +52,9 @@
     plan: tuple[_plan.Action, ...] | None = None
     """What is done to the fleet, None to draw it from the seed."""
 
+    link_bytes_s: tuple[float, ...] = _LINK_BYTES_S
+    """What bandwidths of the VMs' links are drawn from."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
@@ -80,7 +87,8 @@
     if cfg.plan is not None:
         plan = list(cfg.plan)
     net = f"127.{_free_net()}"
-    world = _world.World(record, f"{net}.250.1", rng)
+    record.regions = _DOMAINS
+    world = _world.World(record, f"{net}.250.1", _DOMAINS, rng)
     fleet = _vms.Fleet(record, bounds.grace_s)
     try:
         async with (
@@ -88,8 +96,9 @@
             anyio.create_task_group() as background,
         ):
             await world.start(list(_DOMAINS), _SERVERS_PER_DOMAIN)
-            await _start_vms(cfg, net, world, fleet, bounds)
+            await _start_vms(cfg, net, world, fleet, record, bounds)
             background.start_soon(fleet.watch)
+            background.start_soon(fleet.watch_processors)
             background.start_soon(_watch_own_lag, record)
             await _play(cfg, plan, world, fleet, record, bounds, rng)
             background.cancel_scope.cancel()
@@ -105,11 +114,14 @@
     net: str,
     world: _world.World,
     fleet: _vms.Fleet,
+    record: _record.Record,
     bounds: _checks.Bounds,
 ) -> None:
     domains = list(_DOMAINS)
     ips = [f"{net}.{1 + i // 200}.{1 + i % 200}" for i in range(cfg.vms)]
-    seeds = tuple(f"{ip}:{_vms.PEERS_PORT}" for ip in ips[:_SEEDS])
+    seeds = tuple(f"{ip}:{_links.PROXY_PORT}" for ip in ips[:_SEEDS])
+    widths = random.Random(f"{cfg.seed}, widths of links")
+    world.store.rewrite = _links.announce
     for i, ip in enumerate(ips):
         vm = _vms.Vm(
             f"edge-{i + 1}",
@@ -119,7 +131,9 @@
             cfg.folder / f"edge-{i + 1}.log",
             _proxy.Proxy("127.0.0.1", world.store.port),
             _proxy.Proxy(ip, _vms.CALLERS_PORT),
+            await fleet.links.add(ip, widths.choice(cfg.link_bytes_s)),
         )
+        vm.callers.on_request_bytes = record.follow(vm.id)
         store_port = await vm.store.start(ip)
         vm.callers_port = await vm.callers.start(ip)
         settings = fakes.VmSettings(
@@ -135,7 +149,7 @@
             _COLD_MARGIN,
             _vms.CALLERS_PORT,
             _vms.READINESS_PORT,
-            _vms.PEERS_PORT,
+            _links.BOUND_PORT,
             _vms.DIRECTORY_PORT,
         )
         vm.settings.write_text(fakes.encode_settings(settings), "utf-8")
@@ -171,7 +185,7 @@
         for region in regions:
             vms = [vm for vm in fleet.vms if _DOMAINS[vm.domain] == region]
             callers = _callers.Callers(
-                vms, _world.KINDS, record, world.service_of, world.keys, rng
+                vms, world.pick_kind, record, world.routes, world.keys, rng
             )
             rate = cfg.requests_s / len(regions)
             tasks.start_soon(callers.run, rate, stop)
--- a/faultsoak/_vms.py
+++ b/faultsoak/_vms.py
@@ -13,12 +13,15 @@
 import fakes
 import httpcore
 
+from faultsoak import _links
 from faultsoak import _proxy
 from faultsoak import _record
+from faultsoak import _trace
 
 _PROGRAM = "platform"
 _RESTART_AFTER_S = 0.4
 _POLL_S = 0.02
+_SAMPLE_EVERY_S = 0.2
 _HANDLERS_IN_S = 2.0
 """From the start of a process until it handles signals, on a busy machine."""
 
@@ -26,7 +29,6 @@
 READINESS_PORT = 8640
 CALLERS_PORT = 8641
 DIRECTORY_PORT = 8644
-PEERS_PORT = 8649
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +46,9 @@
     callers: _proxy.Proxy
     """The callers' way to it."""
 
+    link: _links.Link
+    """Its link to other VMs."""
+
     callers_port: int = 0
     process: subprocess.Popen | None = None
     started_at_s: float = 0.0
@@ -61,6 +66,7 @@
     def __init__(self, record: _record.Record, grace_s: float):
         """Takes where exits are recorded, and the grace of a planned stop."""
         self.vms: list[Vm] = []
+        self.links = _links.Links()
         self._record = record
         self._grace_s = grace_s
         self._ends = False
@@ -96,6 +102,18 @@
                         self.signal(vm, signal.SIGKILL)
                 await anyio.sleep(_POLL_S)
 
+    async def watch_processors(self) -> None:
+        """Samples what the system gives the processes, for ever."""
+        while True:
+            for vm in self.vms:
+                if vm.process is not None:
+                    sample = _trace.read_sample(
+                        vm.process.pid, time.monotonic()
+                    )
+                    if sample is not None:
+                        self._record.samples[vm.id].append(sample)
+            await anyio.sleep(_SAMPLE_EVERY_S)
+
     def signal(self, vm: Vm, number: signal.Signals) -> bool:
         """Sends a signal to a VM; returns whether it runs."""
         if vm.process is None or vm.process.poll() is not None:
@@ -122,6 +140,7 @@
     def end(self) -> None:
         """Kills what still runs."""
         self._ends = True
+        self.links.stop()
         for vm in self.vms:
             if vm.process is not None and vm.process.poll() is None:
                 vm.process.kill()
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -7,6 +7,7 @@
 
 from faultsoak import _checks
 from faultsoak import _record
+from faultsoak import _trace
 
 _BODY = b"ring"
 _DIGEST = hashlib.sha256(_BODY).hexdigest()[:16]
@@ -145,6 +146,20 @@
     assert _broken(record) == set()
 
 
+def test_a_vm_is_bound_by_an_evacuation_that_it_could_read_since():
+    """It was out of touch when the evacuation began."""
+    record = _seen(
+        [_attempt()],
+        [_run()],
+        evacuations=[_record.Evacuation(80.0, 110.0, "a")],
+        domains={"i-1": "a"},
+    )
+    record.disturb("edge-1", 79.0, 91.0)
+    assert _broken(record) == {"evacuate"}
+    record.disturb("edge-1", 91.0, 92.0)
+    assert _broken(record) == set()
+
+
 @pytest.mark.parametrize(
     ("changed_s", "broken"), [(97.4, {"config"}), (97.6, set())]
 )
@@ -199,6 +214,75 @@
     assert _broken(record) == set()
 
 
+def test_a_vm_is_bound_by_a_configuration_that_it_could_read_since():
+    """It was out of touch when the configuration was acknowledged."""
+    changes = [
+        _record.RouteChange(0.0, "order", "orders"),
+        _record.RouteChange(80.0, "order", "spare"),
+    ]
+    record = _seen([_attempt()], [_run()], changes=changes)
+    record.disturb("edge-1", 79.0, 93.0)
+    assert _broken(record) == {"config"}
+    record.disturb("edge-1", 93.0, 94.0)
+    assert _broken(record) == set()
+
+
+_NORTH, _SOUTH = frozenset({"north"}), frozenset({"south"})
+
+
+@pytest.mark.parametrize(
+    ("changes", "broken"),
+    [
+        pytest.param([(0.0, _NORTH)], set(), id="at home"),
+        pytest.param([(0.0, _SOUTH)], {"home"}, id="never allowed"),
+        pytest.param(
+            [(0.0, frozenset()), (97.4, _SOUTH)], {"home"}, id="after the bound"
+        ),
+        pytest.param(
+            [(0.0, frozenset()), (97.6, _SOUTH)], set(), id="within the bound"
+        ),
+        pytest.param(
+            [(0.0, _NORTH), (90.0, _SOUTH), (98.0, _NORTH)],
+            set(),
+            id="allowed again",
+        ),
+        pytest.param(
+            [(0.0, _NORTH), (80.0, _SOUTH), (90.0, _SOUTH)],
+            {"home"},
+            id="forbidden by all since",
+        ),
+    ],
+)
+def test_a_route_with_homes_runs_in_no_other_region(changes, broken):
+    record = _seen(
+        [_attempt()],
+        [_run()],
+        changes=[
+            _record.RouteChange(at_s, "order", "orders", homes)
+            for at_s, homes in changes
+        ],
+        domains={"i-1": "north-a"},
+        regions={"north-a": "north", "south-a": "south"},
+    )
+    assert _broken(record) == broken
+
+
+def test_a_home_is_bound_to_the_service_of_its_configuration():
+    """Service and region are each allowed by some version, not together."""
+    changes = [
+        _record.RouteChange(0.0, "order", "spare", _NORTH),
+        _record.RouteChange(90.0, "order", "orders", _SOUTH),
+    ]
+    record = _seen(
+        [_attempt()],
+        [_run()],
+        changes=changes,
+        domains={"i-1": "north-a"},
+        regions={"north-a": "north"},
+    )
+    assert _broken(record) == {"home"}
+
+
 @pytest.mark.parametrize(
     ("attempt", "runs", "broken"),
     [
@@ -300,3 +384,57 @@
     attempt = _attempt(ended_at_s=101.0)
     record = _seen([attempt], [run], own_lags=[_record.Span(*lag)])
     assert _broken(record) == broken
+
+
+@pytest.mark.parametrize(
+    ("read_s", "written_s", "handed_over_s", "broken"),
+    [
+        pytest.param(100.01, 100.02, 100.79, {"deadline"}, id="at the VM"),
+        pytest.param(100.6, 100.61, 100.79, set(), id="before its proxy"),
+        pytest.param(100.01, 100.6, 100.79, set(), id="in its proxy"),
+        pytest.param(100.01, 100.02, 100.1, set(), id="after it"),
+    ],
+)
+def test_only_the_time_at_a_vm_is_its_own(
+    read_s, written_s, handed_over_s, broken
+):
+    run = _run(left_ms=2_000, came_at_s=100.8, at_s=100.8)
+    record = _seen([_attempt(ended_at_s=101.0)], [run])
+    record.passings["a"] = [
+        _trace.Passing(read_s, "edge-1", _trace.Step.READ),
+        _trace.Passing(written_s, "edge-1", _trace.Step.WRITTEN),
+        _trace.Passing(handed_over_s, "i-1", _trace.Step.READ),
+        _trace.Passing(100.795, "i-1", _trace.Step.WRITTEN),
+    ]
+    assert _broken(record) == broken
+
+
+def test_a_late_hand_over_tells_where_the_request_was():
+    run = _run(left_ms=2_000, came_at_s=100.8, at_s=100.8)
+    record = _seen([_attempt(ended_at_s=101.0)], [run])
+    for place, at_s in (("edge-1", 100.01), ("i-1", 100.79)):
+        note = (_trace.Step.READ, at_s), (_trace.Step.WRITTEN, at_s + 0.001)
+        record.passings["a"] += [
+            _trace.Passing(noted_s, place, step) for step, noted_s in note
+        ]
+    record.samples["edge-1"] = [
+        _trace.Sample(99.9, 7, 1.0, 2.0),
+        _trace.Sample(100.9, 7, 1.1, 2.8),
+    ]
+    (violation,) = _checks.check(record, _checks.Bounds())
+    assert (
+        "read at edge-1 10 (+10), written at edge-1 11 (+1),"
+        " read at i-1 790 (+779), written at i-1 791 (+1),"
+        " backend server 800 (+9); VM: of 1.00 s it ran 0.10 s and waited"
+        " 0.80 s for a processor"
+    ) in violation.detail
+
+
+def test_a_record_follows_requests_by_their_heads():
+    record = _record.Record()
+    headers = fakes.request_headers("0a1b", "shop.example", 900, "7")
+    head = b"".join(b"%s: %s\r\n" % pair for pair in headers)
+    data = b"GET / HTTP/1.1\r\n" + head + b"\r\n"
+    record.follow("edge-1")(data, _trace.Step.READ)
+    ((attempt, (passing,)),) = record.passings.items()
+    assert (attempt, passing.place) == ("0a1b", "edge-1")
