Ignore a second request to stop once the daemon has stopped

Signals were no longer followed once serving had ended.

They are followed until all is closed, and ignored from then on.

--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -72,8 +72,27 @@
     peer_news = _peer_news.PeerNews(node)
     sync = _sync.Sync(node, platform, peer_news)
     ports = _make_ports(node, pool, apps)
+    async with anyio.create_task_group() as signals:
+        signals.start_soon(_follow_signals, node, reload_bounds)
+        await _serve(node, pool, heartbeats, sync, peer_news, ports)
+        pool.close()
+        await peer_news.aclose()
+        await platform.aclose()
+        node.note(_events.Event.STOPPED, in_flight=node.in_flight)
+        node.journal.flush()
+        signals.cancel_scope.cancel()
+
+
+async def _serve(
+    node: _node.Node,
+    pool: _connections.Pool,
+    heartbeats: _heartbeats.Heartbeats,
+    sync: _sync.Sync,
+    peer_news: _peer_news.PeerNews,
+    ports: tuple[_server.Server, ...],
+) -> None:
+    """Serves until the node is asked to stop and has finished its requests."""
     async with anyio.create_task_group() as loops:
-        loops.start_soon(_follow_signals, node, reload_bounds)
         loops.start_soon(_tick, node, pool, ports[0])
         loops.start_soon(sync.run_operators)
         loops.start_soon(sync.run_servers)
@@ -87,11 +106,6 @@
             await node.stop_asked.wait()
             await _leave(node, heartbeats, ports)
         loops.cancel_scope.cancel()
-    pool.close()
-    await peer_news.aclose()
-    await platform.aclose()
-    node.note(_events.Event.STOPPED, in_flight=node.in_flight)
-    node.journal.flush()
 
 
 def _make_ports(
