--- a/benchmarks/tests/test_soak.py
+++ b/benchmarks/tests/test_soak.py
@@ -39,29 +39,29 @@
 
 
 def _without_tombstones(patch):
-    judge = _key_ledger.KeyLedger._judge_known
+    judge = _key_ledger.KeyLedger._verdict_for_known
 
     def forgetful(self, entry, attempt):
         verdict = judge(self, entry, attempt)
         if verdict is not _Verdict.NOT_RUN:
             return verdict
-        entry.held = True
+        entry.in_progress = True
         return _Verdict.RUN
 
-    patch.setattr(_key_ledger.KeyLedger, "_judge_known", forgetful)
+    patch.setattr(_key_ledger.KeyLedger, "_verdict_for_known", forgetful)
 
 
 def _unknown_may_run_again(patch):
-    judge = _key_ledger.KeyLedger._judge_known
+    judge = _key_ledger.KeyLedger._verdict_for_known
 
     def careless(self, entry, attempt):
         verdict = judge(self, entry, attempt)
         if verdict is not _Verdict.UNKNOWN:
             return verdict
-        entry.held = True
+        entry.in_progress = True
         return _Verdict.RUN
 
-    patch.setattr(_key_ledger.KeyLedger, "_judge_known", careless)
+    patch.setattr(_key_ledger.KeyLedger, "_verdict_for_known", careless)
 
 
 def _retries_after_bytes_were_written(patch):
@@ -94,23 +94,25 @@
 
 
 def _runs_keys_of_other_incarnations(patch):
-    take = _engine.Engine._take_with_key
+    take = _engine.Engine._handle_with_key
 
-    def take_with_key(self, offer, key):
+    def take_with_key(self, incoming, key):
         if _identity.parse_issued_key(key) is None:
-            take(self, offer, key)
+            take(self, incoming, key)
         else:
-            self._take_with_bound_key(offer, key)
+            self._handle_bound_key(incoming, key)
 
-    patch.setattr(_engine.Engine, "_take_with_key", take_with_key)
+    patch.setattr(_engine.Engine, "_handle_with_key", take_with_key)
 
 
 def _runs_without_the_table_service(patch):
-    def on_result(self, claim, result, on_won, on_held, on_out):
+    def on_result(
+        self, claim, result, on_bound, on_held_elsewhere, on_unavailable
+    ):
         job = self._jobs.pop(claim, None)
         if job is not None:
             self._keys.bind(job.key)
-            on_won(job)
+            on_bound(job)
 
     patch.setattr(_claims.Claims, "on_result", on_result)
 
--- a/dragonflystack/backends/__init__.py
+++ b/dragonflystack/backends/__init__.py
@@ -1,31 +1,35 @@
-"""Backend servers: shards and owners, slots, outliers, ramp-up, drain.
+"""Assigns requests to backend servers and tracks their slots and health.
 
 A service's backend servers in a region are split into shards, and each shard
 has one owner among the region's VMs (`shards_of`, `owner_of`). The owner keeps
-one `BackendPool` per service: it counts the slots of the backend servers that
-it owns exactly and names the connection for each request.
+one `BackendPool` per service. The pool keeps an exact count of the slots in use
+on the backend servers that it owns, ejects outliers, ramps up cold backend
+servers, drains leaving ones, and picks the connection for each request.
 
     pool = backends.BackendPool.from_config(
         service, owned, settings, ledger, now
     )
-    pool.on_request(backends.Work(work_id, deadline, idempotent=True), now)
-    # -> (Start(work_id, backend_server, connection, fresh=True),)
-    pool.on_result(work_id, backends.Answered(), now)
-    # -> (), or the start of work that waited
+    pool.on_request(
+        backends.Attempt(attempt_id, deadline, idempotent=True), now
+    )
+    # -> (Start(attempt_id, backend_server, connection, fresh=True),)
+    pool.on_result(attempt_id, backends.Answered(), now)
+    # -> (), or a Start for a queued attempt
 
-Each handler returns the actions to carry out, in order. A work gets either
-`Refuse`, which is final and means that it was not run, or `Start`, at once or
-later. After `Start`, report one result with `on_result`, unless `CancelWork`
-came first: then a result may follow, and it only frees the slot. The pool
-never tries again by itself: a retry is a new `Work` with a new id that names
-the backend servers already tried in `avoid`, under the taker's retry budget.
+Each handler returns the actions to carry out, in order. An attempt gets either
+`Refuse`, which is final and means that the request was not run, or `Start`,
+immediately or later. After `Start`, report one result with `on_result`. If the
+pool returns `CancelAttempt` first, a result is optional and only frees the
+slot. The pool never retries by itself: a retry is a new `Attempt` with a new id
+that lists the backend servers already tried in `avoid`. The requester enforces
+its retry budget.
 
-Whether a result leaves the request not run or unknown is the taker's to tell:
-`Shed` and `ConnectFailed` are not run; `BrokenAfterWrite`, `Silent`, `Corrupt`
-and `CancelWork` are unknown.
+The requester decides whether a result means not run or unknown: `Shed` and
+`ConnectFailed` mean not run; `BrokenAfterWrite`, `Silent`, `Corrupt` and
+`CancelAttempt` mean unknown.
 
 Call `on_tick` at `next_wake_up(now)` at the latest, and `on_connection_lost`
-when an idle connection was closed by the other end or sent bytes unasked.
+when the peer closed an idle connection or sent unsolicited bytes on it.
 """
 
 from dragonflystack.backends._messages import Action
--- a/dragonflystack/backends/_admission.py
+++ b/dragonflystack/backends/_admission.py
@@ -1,11 +1,11 @@
-"""Whether a work can finish in time, and when to come back if it cannot.
-
-The wait for a slot is the work ahead over the rate at which slots come free.
-Work is admitted if it then still has time to finish and if the wait is short:
-a queue longer than a few service times makes every answer late and serves no
-more. For the same reason a queue is watched by time and not by length, as in
-Kathleen Nichols and Van Jacobson, "Controlling Queue Delay", ACM Queue 10(5),
-2012.
+"""Admission control: admits attempts that can finish before their deadlines.
+
+The estimated wait for a slot is the number of attempts ahead divided by the
+rate at which slots become free. An attempt is admitted if it can still finish
+after that wait and if the wait is short: a queue longer than a few service
+times delays every answer without raising throughput. For the same reason the
+queue is limited by its waiting time and not by its length, as in Kathleen
+Nichols and Van Jacobson, "Controlling Queue Delay", ACM Queue 10(5), 2012.
 """
 
 import dataclasses
@@ -19,84 +19,92 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
-    """What admission says of one work."""
+class AdmissionDecision:
+    """The admission decision for one attempt."""
 
     admitted: bool
-    """Whether it may start or wait."""
+    """Whether the attempt may start or wait in the queue."""
 
     wait: datetime.timedelta
     """Estimated wait for a slot."""
 
     reason: str = ""
-    """Why not; empty if it is admitted."""
+    """Why the attempt is refused; empty if it is admitted."""
 
 
 class Admission:
-    """The service times of a pool and the returns it has promised."""
+    """Decides on admission and computes when refused requests may retry."""
 
     def __init__(self, settings: _settings.PoolSettings):
-        self.times = _service_times.ServiceTimes(settings.initial_service_time)
-        """How long the pool's works take."""
+        self.service_times = _service_times.ServiceTimes(
+            settings.initial_service_time
+        )
+        """Service times of the pool."""
 
         self._settings = settings
-        self._next_return = _ZERO
+        self._next_retry = _ZERO
 
     @property
     def max_wait(self) -> datetime.timedelta:
-        """Longest wait with which a work is admitted."""
-        wait = self.times.mean * self._settings.max_wait_services
+        """Longest estimated wait with which an attempt is admitted."""
+        wait = self.service_times.mean * self._settings.max_wait_service_times
         return max(self._settings.min_max_wait, wait)
 
     def queue_limit(self, slots: int) -> int:
-        """Returns how many works may wait at once for so many slots."""
-        return int(self.max_wait * slots / self.times.mean)
+        """Returns the maximum queue length for a number of usable slots."""
+        return int(self.max_wait * slots / self.service_times.mean)
 
-    def judge(
+    def decide(
         self, remaining: datetime.timedelta, ahead: int, free: int, slots: int
-    ) -> Verdict:
-        """Returns whether a work can finish in time.
+    ) -> AdmissionDecision:
+        """Decides whether an attempt is admitted.
 
         Args:
-            remaining: time until its deadline.
-            ahead: works that wait and come before it.
-            free: slots free now.
-            slots: slots that may be used, 1 or more.
+            remaining: time until the deadline of the attempt.
+            ahead: number of queued attempts that start before it.
+            free: number of slots free now.
+            slots: number of usable slots, 1 or more.
         """
         turns = max(0, ahead + 1 - free)
-        wait = self.times.mean * turns / slots
-        if wait + self.times.bound > remaining:
-            return Verdict(False, wait, "cannot finish before its deadline")
+        wait = self.service_times.mean * turns / slots
+        if wait + self.service_times.bound > remaining:
+            return AdmissionDecision(
+                False, wait, "cannot finish before its deadline"
+            )
         if wait > self.max_wait:
-            return Verdict(False, wait, "too much work waits already")
-        return Verdict(True, wait)
+            return AdmissionDecision(False, wait, "the queue is too long")
+        return AdmissionDecision(True, wait)
 
-    def give_up_at(
+    def queue_deadline(
         self, wait: datetime.timedelta, now: datetime.timedelta
     ) -> datetime.timedelta:
-        """Returns when an admitted work that still waits is refused.
+        """Returns when an admitted attempt is refused if it is still queued.
 
-        This comes long before its deadline, and only if the backend servers
-        became slower or fewer after it was admitted.
+        This instant lies well before the attempt's deadline. An attempt only
+        reaches it if the backend servers became slower or fewer after it was
+        admitted.
         """
-        longest = max(wait, self.max_wait) * self._settings.hold_factor
-        return now + longest
+        max_queue_time = (
+            max(wait, self.max_wait) * self._settings.queue_timeout_factor
+        )
+        return now + max_queue_time
 
     def retry_after(
         self, ahead: int, slots: int, now: datetime.timedelta
     ) -> datetime.timedelta:
-        """Returns when a refused work should come back.
+        """Returns the delay after which a refused request may be retried.
 
-        Each refusal is given a turn after those already refused, at the rate
-        at which slots come free, so that they do not come back together.
+        Each refused request gets a later time than the one before, spaced at
+        the rate at which slots become free, so that retries do not arrive at
+        the same time.
 
         Args:
-            ahead: works that wait now.
-            slots: slots that may be used, 1 or more.
-            now: the time.
+            ahead: number of queued attempts.
+            slots: number of usable slots, 1 or more.
+            now: the current time.
         """
-        turn = self.times.mean / slots
-        earliest = now + self.times.mean + turn * ahead
-        self._next_return = max(earliest, self._next_return + turn)
-        self._next_return = min(self._next_return, now + _MAX_RETRY_AFTER)
-        return self._next_return - now
+        turn = self.service_times.mean / slots
+        earliest = now + self.service_times.mean + turn * ahead
+        self._next_retry = max(earliest, self._next_retry + turn)
+        self._next_retry = min(self._next_retry, now + _MAX_RETRY_AFTER)
+        return self._next_retry - now
--- a/dragonflystack/backends/_choice.py
+++ b/dragonflystack/backends/_choice.py
@@ -1,8 +1,8 @@
-"""Which backend server gets a work, and which is ejected.
+"""Chooses backend servers for attempts and decides on outlier ejection.
 
-Since slots are counted exactly, any free one will do; the choice spreads work
-and keeps it off backend servers that failed of late. Nothing that a backend
-server says of itself brings it work.
+Slots are counted exactly, so any backend server with a free slot can run an
+attempt; the choice spreads load and avoids backend servers that failed
+recently. No report by a backend server about itself can attract load to it.
 """
 
 from collections.abc import Collection
@@ -15,14 +15,14 @@
 
 def choose(
     servers: Collection[_server.Server],
-    work: _messages.Work,
+    attempt: _messages.Work,
     now: datetime.timedelta,
 ) -> _server.Server | None:
-    """Returns the backend server that gets the work, None if none can.
+    """Returns the backend server for an attempt, None if no slot is free.
 
-    In order: one not tried yet; for idempotent work, one that failed and is
-    due to be tried again; one without recent failures; the one with most of
-    its slots free; the one that started work longest ago.
+    Preference, most important first: a backend server not tried yet; for
+    idempotent attempts, a suspect one that is due for a probe; one that is not
+    suspect; the lowest utilization; the least recently used.
     """
     best: _server.Server | None = None
     best_key: tuple[bool, bool, bool, float, datetime.timedelta] | None = None
@@ -30,8 +30,8 @@
         if not server.has_free_slot(now):
             continue
         key = (
-            server.config.id in work.avoid,
-            not (work.idempotent and server.probe_due(now)),
+            server.config.id in attempt.avoid,
+            not (attempt.idempotent and server.probe_due(now)),
             server.suspect,
             server.utilization(now),
             server.last_start,
@@ -42,18 +42,18 @@
     return best
 
 
-def may_eject(
+def should_eject(
     suspect: _server.Server,
     servers: Collection[_server.Server],
     settings: _settings.PoolSettings,
     now: datetime.timedelta,
 ) -> bool:
-    """Returns whether a backend server that just failed is to be ejected.
+    """Returns whether to eject a backend server that just failed.
 
-    It must fail often, and more often than the better half of the others:
-    requests that fail everywhere are no fault of one backend server, and many
-    that fail must not hide each other. A bounded part of those not leaving is
-    ejected at once, never all.
+    Its failure rate must be high, and well above the mean of the better half
+    of the others: requests that fail on every backend server do not indicate
+    an outlier, and several failing ones must not mask each other. At most a
+    bounded fraction of those not leaving, never all, is ejected at a time.
     """
     members = [s for s in servers if s.drain_began is None]
     in_service = [s for s in members if s.may_serve(now)]
--- a/dragonflystack/backends/_connections.py
+++ b/dragonflystack/backends/_connections.py
@@ -6,55 +6,59 @@
 
 
 class Connections:
-    """Idle connections, the one heard from last on top, and a count of all."""
+    """A stack of idle connections, most recently used last, and a total count.
+
+    Every connection in the stack carries the instant at which it became idle.
+    """
 
     def __init__(self):
         self.open = 0
-        """Connections idle or carrying work."""
+        """Number of open connections, idle or busy."""
 
         self._idle: list[tuple[datetime.timedelta, _messages.ConnectionId]] = []
 
     @property
     def idle(self) -> int:
-        """How many carry no work."""
+        """Number of idle connections."""
         return len(self._idle)
 
     @property
-    def oldest_heard(self) -> datetime.timedelta | None:
-        """When the longest idle one was heard from, None if none is idle."""
+    def oldest_idle_since(self) -> datetime.timedelta | None:
+        """When the longest idle connection became idle, None without one."""
         return self._idle[0][0] if self._idle else None
 
-    def take(
-        self, heard_since: datetime.timedelta
+    def acquire_idle(
+        self, min_idle_since: datetime.timedelta
     ) -> _messages.ConnectionId | None:
-        """Returns the idle connection heard from last, for one work.
+        """Removes and returns the most recently used idle connection.
 
         Args:
-            heard_since: it must have been heard from at this instant or later.
+            min_idle_since: the connection must have become idle at this instant
+                or later.
 
         Returns:
-            The connection, or None if a fresh one is needed.
+            The connection, or None if a new one must be opened.
         """
-        if not self._idle or self._idle[-1][0] < heard_since:
+        if not self._idle or self._idle[-1][0] < min_idle_since:
             return None
         return self._idle.pop()[1]
 
     def add_busy(self) -> None:
-        """Counts a fresh connection that carries work."""
+        """Counts a newly opened connection that is busy."""
         self.open += 1
 
     def drop_busy(self) -> None:
-        """Counts a connection that carried work as closed."""
+        """Counts a busy connection as closed."""
         self.open -= 1
 
-    def give_back(
+    def return_idle(
         self, connection: _messages.ConnectionId, now: datetime.timedelta
     ) -> None:
-        """Makes a connection idle that was heard from now."""
+        """Makes a connection idle whose answer just arrived."""
         self._idle.append((now, connection))
 
     def remove_idle(self, connection: _messages.ConnectionId) -> bool:
-        """Forgets an idle connection; returns whether there was one."""
+        """Removes an idle connection; returns whether it was found."""
         for i, (_, idle) in enumerate(self._idle):
             if idle == connection:
                 del self._idle[i]
@@ -62,25 +66,25 @@
                 return True
         return False
 
-    def retire(
-        self, heard_before: datetime.timedelta
+    def remove_idle_before(
+        self, instant: datetime.timedelta
     ) -> list[_messages.ConnectionId]:
-        """Forgets and returns the idle ones not heard from since then."""
-        kept = 0
-        while kept < len(self._idle) and self._idle[kept][0] < heard_before:
-            kept += 1
-        return self._forget(kept)
-
-    def retire_oldest(self) -> list[_messages.ConnectionId]:
-        """Forgets and returns the longest idle one, if any."""
-        return self._forget(min(1, len(self._idle)))
-
-    def retire_all(self) -> list[_messages.ConnectionId]:
-        """Forgets and returns every idle one."""
-        return self._forget(len(self._idle))
-
-    def _forget(self, count: int) -> list[_messages.ConnectionId]:
-        gone = [connection for _, connection in self._idle[:count]]
+        """Removes and returns the connections that became idle before then."""
+        expired = 0
+        while expired < len(self._idle) and self._idle[expired][0] < instant:
+            expired += 1
+        return self._remove_oldest(expired)
+
+    def remove_oldest_idle(self) -> list[_messages.ConnectionId]:
+        """Removes and returns the longest idle connection, if any."""
+        return self._remove_oldest(min(1, len(self._idle)))
+
+    def remove_all_idle(self) -> list[_messages.ConnectionId]:
+        """Removes and returns all idle connections."""
+        return self._remove_oldest(len(self._idle))
+
+    def _remove_oldest(self, count: int) -> list[_messages.ConnectionId]:
+        removed = [connection for _, connection in self._idle[:count]]
         del self._idle[:count]
         self.open -= count
-        return gone
+        return removed
--- a/dragonflystack/backends/_messages.py
+++ b/dragonflystack/backends/_messages.py
@@ -1,4 +1,4 @@
-"""What goes into and comes out of a pool of backend servers."""
+"""The inputs and outputs of a pool of backend servers."""
 
 import dataclasses
 import datetime
@@ -9,27 +9,27 @@
 from dragonflystack import outcomes
 
 WorkId = NewType("WorkId", str)
-"""One placement of one request; a retry is a new placement with a new id."""
+"""Id of one attempt at running a request; each retry gets a new id."""
 
 ConnectionId = NewType("ConnectionId", int)
-"""A connection to a backend server, unique in its pool; never used twice."""
+"""Id of a connection to a backend server, unique in its pool and not reused."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work:
-    """One request that asks for a backend server."""
+    """One attempt at running a request on a backend server."""
 
     id: WorkId
-    """Unique among all placements of the pool."""
+    """Unique in the pool."""
 
     deadline: datetime.timedelta
-    """The instant by which the whole answer must be there."""
+    """The instant by which the complete answer must have arrived."""
 
     idempotent: bool
-    """Whether it may be run twice without harm."""
+    """Whether the request may safely be run more than once."""
 
     priority: config.Priority = config.Priority.NORMAL
-    """Work of high priority is placed first."""
+    """High priority attempts start before those of normal priority."""
 
     avoid: frozenset[ids.BackendServerId] = frozenset()
     """Backend servers already tried, used only if no other has a free slot."""
@@ -37,10 +37,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
-    """The whole answer came, framed right and for this request."""
+    """A complete, correctly framed answer to this request arrived."""
 
     error: bool = False
-    """Whether the backend server says that it failed (a 5xx status)."""
+    """Whether the answer reports a server error (a 5xx status)."""
 
     reusable: bool = True
     """Whether the connection may carry another request."""
@@ -48,7 +48,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shed:
-    """The backend server refused it before running it, on a good connection."""
+    """The backend server refused the request without running it."""
 
     reusable: bool = True
     """Whether the connection may carry another request."""
@@ -56,27 +56,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectFailed:
-    """No connection could be made; not a byte of the request was written."""
+    """No connection was established; no byte of the request was written."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BrokenAfterWrite:
-    """The connection failed after bytes of the request had been written."""
+    """The connection broke after part of the request had been written."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Silent:
-    """No answer came in the time that the taker was ready to wait."""
+    """No answer came within the requester's timeout."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Corrupt:
-    """The answer was cut, of the wrong length, doubled, or another's."""
+    """The answer was truncated, duplicated, misrouted or of wrong length."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cancelled:
-    """The backend server confirmed that it no longer runs the request."""
+    """The backend server confirmed that the request no longer runs."""
 
 
 Result = (
@@ -88,96 +88,97 @@
     | Corrupt
     | Cancelled
 )
-"""How one started work ended."""
+"""How a started attempt ended."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HealthReport:
-    """What a backend server says of itself; it may lag or mislead."""
+    """A backend server's report on itself, which may be stale or wrong."""
 
     age: datetime.timedelta
-    """How old it was when it was passed in."""
+    """Age of the report when it reached the pool."""
 
     in_use: int | None = None
-    """Slots in use, None if it does not say."""
+    """Number of slots in use, None if not reported."""
 
     draining: bool = False
-    """Whether it asks for no new work."""
+    """Whether the backend server asks for no new requests."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Start:
-    """Send the work on this connection now."""
+    """Action: send the attempt on this connection now."""
 
     work_id: WorkId
-    """The work to send."""
+    """The attempt to send."""
 
     backend_server: ids.BackendServerId
-    """Where to."""
+    """The backend server to send to."""
 
     connection: ConnectionId
-    """On which connection."""
+    """The connection to use."""
 
     fresh: bool
-    """Whether the connection is to be opened first."""
+    """Whether the connection must be opened first."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
-    """The work is given up before it was started: it was not run."""
+    """Action: report that the attempt was refused and the request not run."""
 
     work_id: WorkId
-    """The work given up."""
+    """The refused attempt."""
 
     failure: outcomes.Failure
-    """Why, and when to come back."""
+    """The reason, and the delay before a retry."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelWork:
-    """Stop waiting for a started work and cancel it at the backend server.
+    """Action: cancel a started attempt at its backend server.
 
-    Whether it ran is unknown. The slot stays taken until a result comes or
-    the backend server must have dropped it by its deadline.
+    Whether the request ran is unknown. The slot stays in use until a result
+    arrives or the backend server must have dropped the request because its
+    deadline passed.
     """
 
     work_id: WorkId
-    """The work to stop."""
+    """The attempt to cancel."""
 
     backend_server: ids.BackendServerId
-    """Where it runs."""
+    """The backend server that runs the attempt."""
 
     connection: ConnectionId
-    """The connection that carried it; a `CloseConnection` follows."""
+    """The connection of the attempt; a `CloseConnection` follows."""
 
     failure: outcomes.Failure
-    """Why."""
+    """The reason."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseConnection:
-    """Close the connection; it is never used again."""
+    """Action: close a connection, which the pool will not use again."""
 
     connection: ConnectionId
-    """Which one."""
+    """The connection to close."""
 
     backend_server: ids.BackendServerId
-    """Its other end."""
+    """The backend server at the other end."""
 
 
 Action = Start | Refuse | CancelWork | CloseConnection
-"""What the caller of a pool has to do, in the order given."""
+"""An action for the user of a pool to carry out, in the order returned."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainReport:
-    """How long a leaving backend server took to finish its work."""
+    """How long a leaving backend server took to drain."""
 
     backend_server: ids.BackendServerId
-    """Which one."""
+    """The leaving backend server."""
 
     began: datetime.timedelta
-    """The instant at which the pool learnt that it is leaving."""
+    """The instant at which the pool learned that it is leaving."""
 
     duration: datetime.timedelta | None
-    """From then until its last work ended; None while work runs."""
+    """Time until the last attempt ended; None while attempts run."""
--- a/dragonflystack/backends/_pool.py
+++ b/dragonflystack/backends/_pool.py
@@ -1,4 +1,4 @@
-"""The backend servers of one service that one VM owns."""
+"""The pool of backend servers of one service that one VM owns."""
 
 import collections
 from collections.abc import Iterable
@@ -10,21 +10,21 @@
 from dragonflystack import promises
 from dragonflystack.backends import _admission
 from dragonflystack.backends import _choice
-from dragonflystack.backends import _due
 from dragonflystack.backends import _messages
 from dragonflystack.backends import _queue
+from dragonflystack.backends import _running_attempts
 from dragonflystack.backends import _server
 from dragonflystack.backends import _settings
-from dragonflystack.backends import _started
 from dragonflystack.backends import _summary
+from dragonflystack.backends import _timer_heap
 
-_MAX_DRAINS_KEPT = 64
+_MAX_FINISHED_DRAINS = 64
 _NO_SERVER_RETRY_AFTER = datetime.timedelta(seconds=1)
 _RESOLUTION = datetime.timedelta.resolution
 
 
 class BackendPool:
-    """Counts slots, admits work, and picks backend servers and connections."""
+    """Counts slots, admits attempts, picks backend servers and connections."""
 
     def __init__(
         self,
@@ -36,14 +36,18 @@
         self._settings = settings
         self._ledger = ledger
         self._admission = _admission.Admission(settings)
-        self._queue = _queue.WorkQueue()
+        self._queue = _queue.AttemptQueue()
         self._servers: dict[ids.BackendServerId, _server.Server] = {}
-        self._started = _started.StartedWorks(
-            service, self._servers, self._admission.times, settings, ledger
+        self._running_attempts = _running_attempts.RunningAttempts(
+            service,
+            self._servers,
+            self._admission.service_times,
+            settings,
+            ledger,
         )
-        self._give_up = _due.DueTimes()
-        self._drains: collections.deque[_messages.DrainReport] = (
-            collections.deque(maxlen=_MAX_DRAINS_KEPT)
+        self._queue_timers = _timer_heap.TimerHeap()
+        self._finished_drains: collections.deque[_messages.DrainReport] = (
+            collections.deque(maxlen=_MAX_FINISHED_DRAINS)
         )
 
     @classmethod
@@ -59,10 +63,10 @@
 
         Args:
             service: the service's entry in the document.
-            owned: its backend servers that this VM owns.
-            settings: bounds and rates.
-            ledger: where promises are checked.
-            now: the time.
+            owned: the backend servers of the service that this VM owns.
+            settings: limits and rates.
+            ledger: checks and records the promises.
+            now: the current time.
         """
         pool = cls(service.id, settings, ledger)
         pool.on_document(service, owned, now)
@@ -74,10 +78,10 @@
         owned: Iterable[config.BackendServer],
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
-        """Takes in the service's latest entry and what this VM owns of it.
+        """Applies the service's latest entry and the owned backend servers.
 
         Raises:
-            ValueError: if the entry is another service's.
+            ValueError: if the entry belongs to another service.
         """
         if service.id != self._service:
             raise ValueError(
@@ -93,8 +97,8 @@
             server.update(entry, now)
         for server_id, server in self._servers.items():
             if server_id not in entries:
-                server.disown(now)
-        actions = self._tidy(now)
+                server.mark_not_owned(now)
+        actions = self._clean_up_leaving(now)
         self._dispatch(now, actions)
         return tuple(actions)
 
@@ -104,40 +108,46 @@
         report: _messages.HealthReport,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
-        """Takes in what a backend server says of itself."""
+        """Applies a backend server's report on itself."""
         server = self._servers.get(server_id)
         if server is None:
             return ()
-        server.note_report(report, now)
-        actions = self._tidy(now)
+        server.apply_report(report, now)
+        actions = self._clean_up_leaving(now)
         self._dispatch(now, actions)
         return tuple(actions)
 
     def on_request(
-        self, work: _messages.Work, now: datetime.timedelta
+        self, attempt: _messages.Work, now: datetime.timedelta
     ) -> tuple[_messages.Action, ...]:
-        """Starts a work, lets it wait, or refuses it at once.
+        """Starts, queues or refuses an attempt.
 
         Raises:
-            ValueError: if the id is in use.
+            ValueError: if the id of the attempt is in use.
         """
-        if work.id in self._started or work.id in self._queue:
-            raise ValueError(f"work {work.id}: its id is in use")
+        if attempt.id in self._running_attempts or attempt.id in self._queue:
+            raise ValueError(f"attempt {attempt.id}: its id is in use")
         slots, free = self._capacity(now)
         if slots == 0:
-            return (self._refuse(work, "no backend server may be used", now),)
-        ahead = self._queue.ahead_of(work.priority)
-        verdict = self._admission.judge(work.deadline - now, ahead, free, slots)
-        probes = not self._started and free > 0 and work.deadline > now
-        if not verdict.admitted and not probes:
-            return (self._refuse(work, verdict.reason, now),)
-        give_up_at = self._admission.give_up_at(verdict.wait, now)
-        self._queue.push(_queue.Queued(work, give_up_at))
+            return (
+                self._refuse(attempt, "no backend server may be used", now),
+            )
+        ahead = self._queue.count_ahead(attempt.priority)
+        decision = self._admission.decide(
+            attempt.deadline - now, ahead, free, slots
+        )
+        is_probe = (
+            not self._running_attempts and free > 0 and attempt.deadline > now
+        )
+        if not decision.admitted and not is_probe:
+            return (self._refuse(attempt, decision.reason, now),)
+        queue_deadline = self._admission.queue_deadline(decision.wait, now)
+        self._queue.push(_queue.QueuedAttempt(attempt, queue_deadline))
         actions: list[_messages.Action] = []
         self._dispatch(now, actions)
-        self._displace(slots, now, actions)
-        if work.id in self._queue:
-            self._give_up.arm(give_up_at, work.id)
+        self._evict_excess(slots, now, actions)
+        if attempt.id in self._queue:
+            self._queue_timers.arm(queue_deadline, attempt.id)
         return tuple(actions)
 
     def on_result(
@@ -146,23 +156,23 @@
         result: _messages.Result,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
-        """Takes in how a started work ended; unknown ids are ignored."""
+        """Handles the result of a started attempt; ignores unknown ids."""
         actions: list[_messages.Action] = []
-        server = self._started.on_result(work_id, result, now, actions)
+        server = self._running_attempts.on_result(work_id, result, now, actions)
         if server is None:
             return ()
-        self._tidy_server(server, now, actions)
+        self._clean_up_if_leaving(server, now, actions)
         self._dispatch(now, actions)
         return tuple(actions)
 
     def on_cancel(
         self, work_id: _messages.WorkId, now: datetime.timedelta
     ) -> tuple[_messages.Action, ...]:
-        """Drops a work whose caller is gone."""
+        """Drops an attempt whose caller has gone."""
         if self._queue.remove(work_id) is not None:
             return ()
         actions: list[_messages.Action] = []
-        self._started.on_cancel(work_id, now, actions)
+        self._running_attempts.on_cancel(work_id, now, actions)
         return tuple(actions)
 
     def on_connection_lost(
@@ -171,52 +181,54 @@
         connection: _messages.ConnectionId,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
-        """Forgets an idle connection that the other end closed or misused."""
+        """Drops an idle connection that the peer closed or misused."""
         server = self._servers.get(server_id)
         if server is None or not server.connections.remove_idle(connection):
             return ()
         return (_messages.CloseConnection(connection, server_id),)
 
     def on_tick(self, now: datetime.timedelta) -> tuple[_messages.Action, ...]:
-        """Gives up what is overdue, closes idle connections, starts work."""
+        """Expires attempts, closes idle connections, starts queued attempts."""
         actions: list[_messages.Action] = []
-        for work_id in self._give_up.pop_due(now):
+        for work_id in self._queue_timers.pop_due(now):
             queued = self._queue.remove(work_id)
             if queued is not None:
-                reason = "no slot came free in the time expected"
-                actions.append(self._refuse(queued.work, reason, now))
-        self._started.on_tick(now, actions)
-        actions.extend(self._tidy(now))
+                reason = "no slot became free in the expected time"
+                actions.append(self._refuse(queued.attempt, reason, now))
+        self._running_attempts.on_tick(now, actions)
+        actions.extend(self._clean_up_leaving(now))
         for server in self._servers.values():
-            gone = server.connections.retire(now - self._settings.max_idle)
-            _server.close(server, gone, actions)
+            expired = server.connections.remove_idle_before(
+                now - self._settings.max_idle
+            )
+            _server.add_close_actions(server, expired, actions)
         self._dispatch(now, actions)
         return tuple(actions)
 
     def next_wake_up(
         self, now: datetime.timedelta
     ) -> datetime.timedelta | None:
-        """Returns when `on_tick` is due, None if nothing is awaited."""
+        """Returns when to call `on_tick` next, None if no timer is pending."""
         instants = [
-            self._started.next_due(),
-            self._give_up.next(self._queue.__contains__),
+            self._running_attempts.next_due(),
+            self._queue_timers.earliest(self._queue.__contains__),
         ]
         for server in self._servers.values():
-            oldest = server.connections.oldest_heard
+            oldest = server.connections.oldest_idle_since
             if oldest is not None:
                 instants.append(oldest + self._settings.max_idle + _RESOLUTION)
-            wake_up = server.wake_up(now) if len(self._queue) else None
-            instants.append(wake_up)
+            pause_end = server.pause_end(now) if len(self._queue) else None
+            instants.append(pause_end)
         return min((i for i in instants if i is not None), default=None)
 
     def drain_reports(self) -> tuple[_messages.DrainReport, ...]:
-        """Returns the latest drains, those still going on last."""
-        going_on = (
+        """Returns the latest drains: finished ones, then ongoing ones."""
+        ongoing = (
             _summary.drain_report(server)
             for server in self._servers.values()
             if server.drain_began is not None
         )
-        return (*self._drains, *(r for r in going_on if r is not None))
+        return (*self._finished_drains, *(r for r in ongoing if r is not None))
 
     def summary(self, now: datetime.timedelta) -> _summary.PoolSummary:
         """Returns the state of the pool."""
@@ -224,7 +236,7 @@
         servers = sorted(self._servers.values(), key=lambda s: s.config.id)
         return _summary.PoolSummary(
             service=self._service,
-            mean_service_time=self._admission.times.mean,
+            mean_service_time=self._admission.service_times.mean,
             slots=slots,
             in_use=sum(server.in_use for server in servers),
             queued=len(self._queue),
@@ -232,7 +244,7 @@
         )
 
     def _capacity(self, now: datetime.timedelta) -> tuple[int, int]:
-        """Returns how many slots may be used and how many are free now."""
+        """Returns the number of usable slots and of slots free now."""
         slots = 0
         free = 0
         for server in self._servers.values():
@@ -243,7 +255,7 @@
         return slots, free
 
     def _refuse(
-        self, work: _messages.Work, reason: str, now: datetime.timedelta
+        self, attempt: _messages.Work, reason: str, now: datetime.timedelta
     ) -> _messages.Refuse:
         failure = outcomes.Failure(
             step=outcomes.Step.ADMISSION,
@@ -251,72 +263,79 @@
             reason=reason,
             retry_after=self._retry_after(now),
         )
-        return _messages.Refuse(work.id, failure)
+        return _messages.Refuse(attempt.id, failure)
 
     def _retry_after(self, now: datetime.timedelta) -> datetime.timedelta:
         slots, _ = self._capacity(now)
         if slots:
             return self._admission.retry_after(len(self._queue), slots, now)
-        wake_ups = [s.wake_up(now) for s in self._servers.values()]
-        instants = [instant for instant in wake_ups if instant is not None]
+        pause_ends = [s.pause_end(now) for s in self._servers.values()]
+        instants = [instant for instant in pause_ends if instant is not None]
         return min(instants, default=now + _NO_SERVER_RETRY_AFTER) - now
 
-    def _displace(
+    def _evict_excess(
         self,
         slots: int,
         now: datetime.timedelta,
         actions: list[_messages.Action],
     ) -> None:
-        """Refuses work of normal priority that high priority pushed back."""
+        """Refuses normal priority attempts beyond the queue limit."""
         limit = self._admission.queue_limit(slots)
         while len(self._queue) > limit:
             queued = self._queue.pop_last_normal()
             if queued is None:
                 return
-            reason = "work of higher priority came"
-            actions.append(self._refuse(queued.work, reason, now))
+            reason = "displaced by a request of higher priority"
+            actions.append(self._refuse(queued.attempt, reason, now))
 
     def _dispatch(
         self, now: datetime.timedelta, actions: list[_messages.Action]
     ) -> None:
-        """Starts waiting work on free slots; refuses what is too late."""
+        """Starts queued attempts on free slots; refuses those too late."""
         while (queued := self._queue.first()) is not None:
-            work = queued.work
-            remaining = work.deadline - now
-            if self._started and remaining < self._admission.times.mean:
-                self._queue.remove(work.id)
+            attempt = queued.attempt
+            remaining = attempt.deadline - now
+            if (
+                self._running_attempts
+                and remaining < self._admission.service_times.mean
+            ):
+                self._queue.remove(attempt.id)
                 reason = "cannot finish before its deadline"
-                actions.append(self._refuse(work, reason, now))
+                actions.append(self._refuse(attempt, reason, now))
                 continue
-            server = _choice.choose(self._servers.values(), work, now)
+            server = _choice.choose(self._servers.values(), attempt, now)
             if server is None:
                 break
-            self._queue.remove(work.id)
-            self._started.start(work, server, now, actions)
+            self._queue.remove(attempt.id)
+            self._running_attempts.start(attempt, server, now, actions)
         if len(self._queue) and self._capacity(now)[0] == 0:
             for queued in self._queue.clear():
                 reason = "no backend server may be used"
-                actions.append(self._refuse(queued.work, reason, now))
+                actions.append(self._refuse(queued.attempt, reason, now))
 
-    def _tidy(self, now: datetime.timedelta) -> list[_messages.Action]:
+    def _clean_up_leaving(
+        self, now: datetime.timedelta
+    ) -> list[_messages.Action]:
         actions: list[_messages.Action] = []
         for server in tuple(self._servers.values()):
-            self._tidy_server(server, now, actions)
+            self._clean_up_if_leaving(server, now, actions)
         return actions
 
-    def _tidy_server(
+    def _clean_up_if_leaving(
         self,
         server: _server.Server,
         now: datetime.timedelta,
         actions: list[_messages.Action],
     ) -> None:
-        """Closes what a leaving server no longer needs, forgets a left one."""
+        """Closes a leaving server's idle connections; removes a drained one."""
         if server.drain_began is None:
             return
-        _server.close(server, server.connections.retire_all(), actions)
+        _server.add_close_actions(
+            server, server.connections.remove_all_idle(), actions
+        )
         if server.owned or server.in_use:
             return
         report = _summary.drain_report(server)
         if report is not None:
-            self._drains.append(report)
+            self._finished_drains.append(report)
         self._servers.pop(server.config.id, None)
--- a/dragonflystack/backends/_queue.py
+++ b/dragonflystack/backends/_queue.py
@@ -1,4 +1,4 @@
-"""Work that waits for a slot, in order of priority and then of arrival."""
+"""The queue of attempts waiting for a slot, by priority, then by arrival."""
 
 import dataclasses
 import datetime
@@ -8,22 +8,22 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Queued:
-    """One work that waits."""
+class QueuedAttempt:
+    """An attempt that waits for a slot."""
 
-    work: _messages.Work
-    """The work."""
+    attempt: _messages.Work
+    """The attempt."""
 
-    give_up_at: datetime.timedelta
-    """The instant at which it is refused if it still waits."""
+    queue_deadline: datetime.timedelta
+    """The instant at which the attempt is refused if it is still queued."""
 
 
-class WorkQueue:
-    """First come, first served in each priority; high before normal."""
+class AttemptQueue:
+    """A FIFO queue for each priority; high priority goes first."""
 
     def __init__(self):
         self._by_priority: dict[
-            config.Priority, dict[_messages.WorkId, Queued]
+            config.Priority, dict[_messages.WorkId, QueuedAttempt]
         ] = {config.Priority.HIGH: {}, config.Priority.NORMAL: {}}
 
     def __len__(self) -> int:
@@ -32,40 +32,40 @@
     def __contains__(self, work_id: _messages.WorkId) -> bool:
         return any(work_id in queue for queue in self._by_priority.values())
 
-    def ahead_of(self, priority: config.Priority) -> int:
-        """Returns how many a newcomer of this priority would wait for."""
+    def count_ahead(self, priority: config.Priority) -> int:
+        """Returns how many attempts a new one of this priority waits for."""
         high = len(self._by_priority[config.Priority.HIGH])
         return high if priority is config.Priority.HIGH else len(self)
 
-    def push(self, queued: Queued) -> None:
-        """Puts a work last in its priority."""
-        queue = self._by_priority[queued.work.priority]
-        queue[queued.work.id] = queued
+    def push(self, queued: QueuedAttempt) -> None:
+        """Appends an attempt to the queue of its priority."""
+        queue = self._by_priority[queued.attempt.priority]
+        queue[queued.attempt.id] = queued
 
-    def remove(self, work_id: _messages.WorkId) -> Queued | None:
-        """Takes out and returns a work, None if it does not wait."""
+    def remove(self, work_id: _messages.WorkId) -> QueuedAttempt | None:
+        """Removes and returns an attempt, None if it is not queued."""
         for queue in self._by_priority.values():
             found = queue.pop(work_id, None)
             if found is not None:
                 return found
         return None
 
-    def first(self) -> Queued | None:
-        """Returns the work that is next, None if none waits."""
+    def first(self) -> QueuedAttempt | None:
+        """Returns the next attempt, None if the queue is empty."""
         for queue in self._by_priority.values():
             if queue:
                 return next(iter(queue.values()))
         return None
 
-    def pop_last_normal(self) -> Queued | None:
-        """Takes out the work of normal priority that came last, if any."""
+    def pop_last_normal(self) -> QueuedAttempt | None:
+        """Removes and returns the newest normal priority attempt, if any."""
         queue = self._by_priority[config.Priority.NORMAL]
         return queue.popitem()[1] if queue else None
 
-    def clear(self) -> list[Queued]:
-        """Takes out every work, in order."""
+    def clear(self) -> list[QueuedAttempt]:
+        """Removes and returns all attempts, in order."""
         queues = self._by_priority.values()
-        gone = [queued for queue in queues for queued in queue.values()]
+        removed = [queued for queue in queues for queued in queue.values()]
         for queue in queues:
             queue.clear()
-        return gone
+        return removed
--- a/dragonflystack/backends/_running.py
+++ b/dragonflystack/backends/_running.py
@@ -1,4 +1,4 @@
-"""The record of a work that was started."""
+"""The record of a started attempt."""
 
 import dataclasses
 import datetime
@@ -8,26 +8,26 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Running:
-    """One work that was started and may still hold its slot."""
+class RunningAttempt:
+    """An attempt that was started and may still hold its slot."""
 
-    work: _messages.Work
-    """The work."""
+    attempt: _messages.Work
+    """The attempt."""
 
     server: _server.Server
-    """Where it runs."""
+    """The backend server that runs the attempt."""
 
     connection: _messages.ConnectionId
-    """What carries it."""
+    """The connection that carries the attempt."""
 
     fresh: bool
-    """Whether the connection was opened for it."""
+    """Whether the connection was opened for this attempt."""
 
-    started: datetime.timedelta
-    """When it was started."""
+    started_at: datetime.timedelta
+    """When the attempt was started."""
 
     due: datetime.timedelta
-    """When it is given up or, if it was, when its slot is free for certain."""
+    """When it times out or, once abandoned, when its slot is surely free."""
 
-    given_up: bool = False
-    """Whether nobody waits for its answer any more."""
+    abandoned: bool = False
+    """Whether the requester no longer waits for the result."""
--- a/dragonflystack/backends/_service_times.py
+++ b/dragonflystack/backends/_service_times.py
@@ -1,4 +1,4 @@
-"""Running mean and deviation of how long a backend server takes.
+"""Running mean and mean deviation of service times.
 
 Source: Van Jacobson, "Congestion Avoidance and Control", SIGCOMM 1988 (mean
 and mean deviation by exponential smoothing).
@@ -14,7 +14,7 @@
 
 
 class ServiceTimes:
-    """The service times of the whole answers that one pool got."""
+    """Statistics over the service times of one pool's complete answers."""
 
     def __init__(self, initial: datetime.timedelta):
         self.mean = initial
@@ -24,18 +24,19 @@
         """Mean deviation from the mean."""
 
         self.samples = 0
-        """How many answers were measured."""
+        """Number of measured answers."""
 
     @property
     def bound(self) -> datetime.timedelta:
-        """A time within which most works finish."""
+        """A time within which most attempts finish."""
         return self.mean + self.deviation * _BOUND_DEVIATIONS
 
     def add(self, sample: datetime.timedelta) -> None:
-        """Takes in one measured time; an extreme one is cut to a limit.
+        """Adds one measured time, clamped to an upper limit.
 
-        The limit follows the mean, so a lasting slowdown is learnt within
-        some tens of answers, and one outlier hardly matters.
+        The limit follows the mean, so the statistics adapt to a lasting
+        slowdown within some tens of answers, while a single outlier has little
+        effect.
         """
         self.samples += 1
         if self.samples == 1:
--- a/dragonflystack/backends/_settings.py
+++ b/dragonflystack/backends/_settings.py
@@ -1,4 +1,4 @@
-"""The bounds and rates that a pool of backend servers works by."""
+"""The settings of a pool of backend servers."""
 
 import dataclasses
 import datetime
@@ -10,67 +10,67 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolSettings:
-    """The bounds and rates of one pool."""
+    """The limits and rates of one pool."""
 
     initial_service_time: datetime.timedelta = _ms(50)
-    """Assumed time of one work before any was measured."""
+    """Service time assumed before any was measured."""
 
-    max_wait_services: float = 2.0
+    max_wait_service_times: float = 2.0
     """Longest admitted wait for a slot, in mean service times."""
 
     min_max_wait: datetime.timedelta = _ms(5)
-    """The longest admitted wait is at least this."""
+    """Lower bound of the longest admitted wait."""
 
-    hold_factor: float = 2.0
-    """Queued work is given up after this many longest admitted waits."""
+    queue_timeout_factor: float = 2.0
+    """An attempt is refused after waiting this many longest admitted waits."""
 
-    silence_services: float = 20.0
-    """Idempotent work is given up after this many mean service times."""
+    answer_timeout_service_times: float = 20.0
+    """Answer timeout of idempotent attempts, in mean service times."""
 
-    min_silence: datetime.timedelta = _ms(250)
-    """Started work is never given up sooner, but for its deadline."""
+    min_answer_timeout: datetime.timedelta = _ms(250)
+    """Lower bound of the answer timeout; a deadline may still come earlier."""
 
     max_tick_lateness: datetime.timedelta = _ms(100)
-    """Silence noticed later than this shows a pause of this VM."""
+    """A timeout noticed later than this indicates a pause of this VM."""
 
     cancel_grace: datetime.timedelta = _ms(100)
-    """How long after its deadline abandoned work may still hold a slot."""
+    """How long an abandoned attempt may hold its slot after its deadline."""
 
     max_idle: datetime.timedelta = _ms(10_000)
-    """A connection idle for longer is closed."""
+    """A connection that is idle for longer is closed."""
 
     max_idle_not_idempotent: datetime.timedelta = _ms(500)
-    """Not idempotent work goes on a connection heard from since, or fresh."""
+    """Longest idle time of a connection reused for a non-idempotent attempt."""
 
     failure_weight: float = 0.25
     """Weight of the latest result in a backend server's failure rate."""
 
     ejection_failure_rate: float = 0.5
-    """A backend server is ejected from this failure rate on."""
+    """Lowest failure rate at which a backend server is ejected."""
 
     ejection_excess: float = 0.3
-    """And only if it is this much above the rate of the better others."""
+    """Least excess over the mean failure rate of the others' better half."""
 
     probation_failure_rate: float = 0.4
-    """Failure rate with which an ejected backend server comes back."""
+    """Failure rate assigned to a backend server when it is ejected."""
 
     min_ejection: datetime.timedelta = _ms(1_000)
-    """How long a first ejection lasts; each one in a row lasts twice that."""
+    """Length of a first ejection; doubles with each ejection in a row."""
 
     max_ejection: datetime.timedelta = _ms(30_000)
-    """The longest ejection."""
+    """Upper bound of the length of an ejection."""
 
     max_ejected_fraction: float = 0.5
-    """At most this part of the backend servers is ejected at once."""
+    """Largest fraction of the backend servers ejected at the same time."""
 
     ramp_answers: int = 2
-    """Good answers since a failure after which the limit grows by a slot."""
+    """Quick answers needed since a failure for the limit to grow by a slot."""
 
-    ramp_slowness: float = 3.0
-    """An answer is good if it took at most this many mean service times."""
+    ramp_max_slowdown: float = 3.0
+    """Longest service time of a quick answer, in mean service times."""
 
     shed_pause: datetime.timedelta = _ms(20)
-    """Pause after a backend server refused with none of our work on it."""
+    """First pause after a refusal by a backend server with no other attempt."""
 
     report_max_age: datetime.timedelta = _ms(2_000)
-    """Older load reports are ignored."""
+    """Load reports older than this are ignored."""
--- a/dragonflystack/backends/_shards.py
+++ b/dragonflystack/backends/_shards.py
@@ -1,8 +1,8 @@
-"""Which backend servers form a shard, and which VM owns it.
+"""Splits backend servers into shards and assigns an owner to each shard.
 
-Every VM works this out for itself from the document and its list of VMs; two
-VMs with the same inputs agree, and a VM that comes or goes moves only the
-shards that it owns.
+Every VM computes this locally from the document and its list of VMs. VMs with
+the same inputs get the same result, and when a VM joins or leaves, only the
+shards that it owns change owner.
 
 Source: David G. Thaler and Chinya V. Ravishankar, "Using Name-Based Mappings
 to Increase Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998
@@ -22,7 +22,7 @@
 from dragonflystack import ids
 
 DEFAULT_SHARD_SIZE = 2
-"""Most backend servers of a shard; docs/design/routing.md has the figures."""
+"""Maximum backend servers per shard; figures in docs/design/routing.md."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,24 +30,24 @@
     """Backend servers of one service in one region that have one owner."""
 
     service: ids.ServiceId
-    """The service that they serve."""
+    """The service of the backend servers."""
 
     region: ids.RegionId
-    """Where they are."""
+    """The region of the backend servers."""
 
     index: int
-    """Distinguishes the shards of one service in one region, from 0."""
+    """Index among the shards of the service in the region, from 0."""
 
     backend_servers: tuple[config.BackendServer, ...]
-    """The members, in order of their ids."""
+    """The backend servers of the shard, ordered by id."""
 
     @property
     def name(self) -> str:
-        """The name that is hashed to find the owner."""
+        """The name that is hashed to select the owner."""
         return f"{self.service}/{self.region}/{self.index}"
 
 
-def _weight(place: str, candidate: str) -> int:
+def _hash_score(place: str, candidate: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{place}\x00{candidate}".encode())
 
 
@@ -63,7 +63,7 @@
         document: the configuration in force.
         service: the service; it must be in the document.
         region: the region.
-        size: most members of a shard, 1 or more.
+        size: maximum number of backend servers per shard, 1 or more.
 
     Raises:
         ValueError: if `size` is below 1.
@@ -85,7 +85,7 @@
     groups: list[list[config.BackendServer]] = [[] for _ in range(count)]
     for server in members:
         room = [i for i in range(count) if len(groups[i]) < capacity]
-        best = max(room, key=lambda i: _weight(str(i), server.id))
+        best = max(room, key=lambda i: _hash_score(str(i), server.id))
         groups[best].append(server)
     return tuple(
         Shard(service, region, index, tuple(group))
@@ -96,17 +96,17 @@
 def owners_ranked(shard: Shard, vms: Iterable[ids.VmId]) -> Sequence[ids.VmId]:
     """Returns the VMs of a shard's region, its owner first.
 
-    The second takes over when the first is gone, and so on.
+    Each VM takes over from the one before when that one is gone.
 
     Args:
         shard: the shard.
         vms: the live VMs of the region, in any order.
     """
     name = shard.name
-    return sorted(vms, key=lambda vm: (_weight(name, vm), vm), reverse=True)
+    return sorted(vms, key=lambda vm: (_hash_score(name, vm), vm), reverse=True)
 
 
 def owner_of(shard: Shard, vms: Iterable[ids.VmId]) -> ids.VmId | None:
     """Returns the owner of a shard, None if the region has no VM."""
     name = shard.name
-    return max(vms, key=lambda vm: (_weight(name, vm), vm), default=None)
+    return max(vms, key=lambda vm: (_hash_score(name, vm), vm), default=None)
--- a/dragonflystack/backends/_summary.py
+++ b/dragonflystack/backends/_summary.py
@@ -1,4 +1,4 @@
-"""The state of a pool, for a dump, for load reports and for drain times."""
+"""Summaries of a pool's state for dumps, load reports and drain reports."""
 
 import dataclasses
 import datetime
@@ -13,28 +13,28 @@
     """The state of one backend server, for a dump and for load reports."""
 
     backend_server: ids.BackendServerId
-    """Which one."""
+    """The backend server."""
 
     slots: int
-    """Slots it has."""
+    """Number of slots it has."""
 
     limit: int
-    """Slots that may be used for now."""
+    """Number of slots that may be used now."""
 
     in_use: int
-    """Slots taken."""
+    """Number of slots in use."""
 
     connections: int
-    """Open connections."""
+    """Number of open connections."""
 
     failure_rate: float
-    """Recent part of results that were failures."""
+    """Recent fraction of results that were failures."""
 
     ejected: bool
-    """Whether it gets no work because it failed."""
+    """Whether it is ejected because of failures."""
 
     leaving: bool
-    """Whether it gets no work because it is leaving."""
+    """Whether it gets no new attempts because it is leaving."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,22 +42,22 @@
     """The state of a pool, for a dump and for load reports."""
 
     service: ids.ServiceId
-    """The service served."""
+    """The service of the pool."""
 
     mean_service_time: datetime.timedelta
-    """Mean time of one work at a backend server."""
+    """Mean service time at a backend server."""
 
     slots: int
-    """Slots that may be used now."""
+    """Number of usable slots."""
 
     in_use: int
-    """Slots taken."""
+    """Number of slots in use."""
 
     queued: int
-    """Works that wait."""
+    """Number of queued attempts."""
 
     servers: tuple[ServerSummary, ...]
-    """Each backend server, in order of ids."""
+    """Each backend server, ordered by id."""
 
 
 def of_server(server: _server.Server, now: datetime.timedelta) -> ServerSummary:
@@ -76,7 +76,7 @@
 
 
 def drain_report(server: _server.Server) -> _messages.DrainReport | None:
-    """Returns how its drain goes, None if it is not leaving."""
+    """Returns the progress of its drain, None if it is not leaving."""
     if server.drain_began is None:
         return None
     duration = None
--- a/dragonflystack/backends/_due.py
+++ b/dragonflystack/backends/_timer_heap.py
@@ -1,4 +1,4 @@
-"""Instants at which works are due, soonest first."""
+"""Timers for attempts, earliest first."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -9,8 +9,11 @@
 from dragonflystack.backends import _messages
 
 
-class DueTimes:
-    """A heap of instants; whoever takes one out checks that it still holds."""
+class TimerHeap:
+    """A heap of timers.
+
+    Timers are not cancelled: users check whether an expired one still applies.
+    """
 
     def __init__(self):
         self._heap: list[tuple[datetime.timedelta, int, _messages.WorkId]] = []
@@ -19,19 +22,26 @@
     def arm(
         self, instant: datetime.timedelta, work_id: _messages.WorkId
     ) -> None:
-        """Notes that a work is due at an instant."""
+        """Adds a timer for an attempt."""
         entry = (instant, next(self._sequence), work_id)
         heapq.heappush(self._heap, entry)
 
     def pop_due(self, now: datetime.timedelta) -> Iterator[_messages.WorkId]:
-        """Takes out and yields the works due by now, soonest first."""
+        """Removes and yields attempts whose timers expired, earliest first."""
         while self._heap and self._heap[0][0] <= now:
             yield heapq.heappop(self._heap)[2]
 
-    def next(
-        self, holds: Callable[[_messages.WorkId], bool]
+    def earliest(
+        self, is_pending: Callable[[_messages.WorkId], bool]
     ) -> datetime.timedelta | None:
-        """Returns the soonest instant that still holds, None if none does."""
-        while self._heap and not holds(self._heap[0][2]):
+        """Returns the earliest pending expiry and drops obsolete timers.
+
+        Args:
+            is_pending: tells whether the timer of an attempt still applies.
+
+        Returns:
+            The instant, or None if no timer is pending.
+        """
+        while self._heap and not is_pending(self._heap[0][2]):
             heapq.heappop(self._heap)
         return self._heap[0][0] if self._heap else None
--- a/dragonflystack/backends/tests/builders.py
+++ b/dragonflystack/backends/tests/builders.py
@@ -1,4 +1,4 @@
-"""Pools, documents and works for the tests of this package."""
+"""Builds pools, documents and attempts for the tests of this package."""
 
 import datetime
 
@@ -62,8 +62,8 @@
     return backends.PoolSettings(**{"initial_service_time": ms(20), **fields})
 
 
-class Bench:
-    """A pool with a strict ledger and a time that the test moves on."""
+class PoolHarness:
+    """A pool with a strict promise ledger and a clock set by the test."""
 
     def __init__(self, servers, warm=True, **fields):
         self.now = ms(60_000)
@@ -95,7 +95,7 @@
             for start in started:
                 self.result(start, backends.Answered())
 
-    def work(self, deadline_ms=2_000, idempotent=True, **fields):
+    def attempt(self, deadline_ms=2_000, idempotent=True, **fields):
         self._next_id += 1
         return backends.Work(
             backends.WorkId(f"w{self._next_id}"),
@@ -105,7 +105,7 @@
         )
 
     def request(self, **fields):
-        return self.pool.on_request(self.work(**fields), self.now)
+        return self.pool.on_request(self.attempt(**fields), self.now)
 
     def start(self, **fields) -> backends.Start:
         starts = [a for a in self.request(**fields) if is_start(a)]
--- a/dragonflystack/backends/tests/test_random_runs.py
+++ b/dragonflystack/backends/tests/test_random_runs.py
@@ -1,8 +1,9 @@
 """Long seeded runs of a pool against backend servers that misbehave.
 
-The test keeps its own count of what runs where, so that it does not trust
-the pool's: a backend server accepts work only into its own slots, drops work
-at its deadline, and is told of other users by a second pool for some of them.
+The test counts the attempts on every backend server independently of the pool.
+It checks that no backend server runs more attempts than it has slots, and
+removes abandoned attempts when their deadlines pass. Random health reports
+stand for load from other users of the backend servers.
 """
 
 import random
@@ -27,7 +28,7 @@
     backends.Corrupt(): 2,
     backends.Answered(reusable=False): 2,
 }
-_ENDS_FOR_CERTAIN = (
+_FINAL_RESULTS = (
     backends.Answered,
     backends.Shed,
     backends.ConnectFailed,
@@ -36,12 +37,14 @@
 
 
 class _Run:
-    """One run: the pool, and what the test knows of works and connections."""
+    """One run: the pool and the expected state of attempts and connections."""
 
     def __init__(self, seed):
         self.random = random.Random(seed)
         self.entries = {i: builders.server(i) for i in range(_SERVERS)}
-        self.bench = builders.Bench(list(self.entries.values()), warm=False)
+        self.harness = builders.PoolHarness(
+            list(self.entries.values()), warm=False
+        )
         self.waiting = {}
         self.running = {}
         self.abandoned = {}
@@ -60,8 +63,8 @@
             (self._health, 2),
         ]
         handlers, weights = zip(*kinds, strict=True)
-        self.bench.now += builders.ms(self.random.random() * 4)
-        self._drop_expired()
+        self.harness.now += builders.ms(self.random.random() * 4)
+        self._remove_expired()
         self.random.choices(handlers, weights)[0]()
         self._check()
 
@@ -71,46 +74,46 @@
                 case backends.Start():
                     self._started(action)
                 case backends.Refuse():
-                    work = self.waiting.pop(action.work_id)
+                    attempt = self.waiting.pop(action.work_id)
                     assert action.failure.retry_after is not None
                     assert action.failure.retry_after >= builders.ms(0)
-                    self.outcomes.append((work.id, "refused"))
+                    self.outcomes.append((attempt.id, "refused"))
                 case backends.CancelWork():
-                    start, work = self.running.pop(action.work_id)
-                    self.abandoned[work.id] = (start, work)
-                    self.outcomes.append((work.id, "given up"))
+                    start, attempt = self.running.pop(action.work_id)
+                    self.abandoned[attempt.id] = (start, attempt)
+                    self.outcomes.append((attempt.id, "abandoned"))
                 case backends.CloseConnection():
                     self.closed.add(action.connection)
                     self.busy.pop(action.connection, None)
 
     def _started(self, start):
-        work = self.waiting.pop(start.work_id)
+        attempt = self.waiting.pop(start.work_id)
         assert start.connection not in self.closed
         assert start.connection not in self.busy
-        self.busy[start.connection] = work.id
-        self.running[work.id] = (start, work)
-        self.outcomes.append((work.id, start.backend_server, start.fresh))
+        self.busy[start.connection] = attempt.id
+        self.running[attempt.id] = (start, attempt)
+        self.outcomes.append((attempt.id, start.backend_server, start.fresh))
 
     def _request(self):
-        work = self.bench.work(
+        attempt = self.harness.attempt(
             deadline_ms=self.random.choice([15, 60, 400, 2_000]),
             idempotent=self.random.random() < 0.6,
             priority=self.random.choice(list(config.Priority)),
         )
-        self.waiting[work.id] = work
-        self._carry_out(self.bench.pool.on_request(work, self.bench.now))
+        self.waiting[attempt.id] = attempt
+        self._carry_out(self.harness.pool.on_request(attempt, self.harness.now))
 
     def _result(self):
         if not self.running:
             return
         work_id = self.random.choice(list(self.running))
         result = self.random.choices(list(_RESULTS), list(_RESULTS.values()))[0]
-        start, work = self.running.pop(work_id)
-        if not isinstance(result, _ENDS_FOR_CERTAIN):
-            self.running[work_id] = (start, work)
+        start, attempt = self.running.pop(work_id)
+        if not isinstance(result, _FINAL_RESULTS):
+            self.running[work_id] = (start, attempt)
         self.busy.pop(start.connection)
         self._carry_out(
-            self.bench.pool.on_result(work_id, result, self.bench.now)
+            self.harness.pool.on_result(work_id, result, self.harness.now)
         )
 
     def _late_result(self):
@@ -123,10 +126,10 @@
             backends.Silent(),
         ]
         result = self.random.choice(results)
-        if isinstance(result, _ENDS_FOR_CERTAIN):
+        if isinstance(result, _FINAL_RESULTS):
             del self.abandoned[work_id]
         self._carry_out(
-            self.bench.pool.on_result(work_id, result, self.bench.now)
+            self.harness.pool.on_result(work_id, result, self.harness.now)
         )
 
     def _cancel(self):
@@ -135,10 +138,10 @@
             return
         work_id = self.random.choice(known)
         self.waiting.pop(work_id, None)
-        self._carry_out(self.bench.pool.on_cancel(work_id, self.bench.now))
+        self._carry_out(self.harness.pool.on_cancel(work_id, self.harness.now))
 
     def _tick(self):
-        self._carry_out(self.bench.tick())
+        self._carry_out(self.harness.tick())
 
     def _document(self):
         number = self.random.randrange(_SERVERS)
@@ -147,7 +150,7 @@
         owned = [e for e in self.entries.values() if self.random.random() < 0.9]
         service = builders.service(self.entries.values())
         self._carry_out(
-            self.bench.pool.on_document(service, owned, self.bench.now)
+            self.harness.pool.on_document(service, owned, self.harness.now)
         )
 
     def _health(self):
@@ -158,15 +161,15 @@
         )
         number = self.random.randrange(_SERVERS)
         self._carry_out(
-            self.bench.pool.on_health(
-                self.entries[number].id, report, self.bench.now
+            self.harness.pool.on_health(
+                self.entries[number].id, report, self.harness.now
             )
         )
 
-    def _drop_expired(self):
-        """A backend server drops work whose deadline has passed."""
-        for work_id, (_, work) in list(self.abandoned.items()):
-            if work.deadline <= self.bench.now:
+    def _remove_expired(self):
+        """Removes abandoned attempts whose deadlines have passed."""
+        for work_id, (_, attempt) in list(self.abandoned.items()):
+            if attempt.deadline <= self.harness.now:
                 del self.abandoned[work_id]
 
     def _check(self):
@@ -175,7 +178,7 @@
             server = start.backend_server
             in_use[server] = in_use.get(server, 0) + 1
         assert all(count <= 3 for count in in_use.values())
-        summary = self.bench.pool.summary(self.bench.now)
+        summary = self.harness.pool.summary(self.harness.now)
         assert summary.queued == len(self.waiting)
         for server in summary.servers:
             assert server.in_use >= in_use.get(server.backend_server, 0)
@@ -190,9 +193,9 @@
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_no_promise_is_broken_in_a_long_run(seed):
+def test_long_run_breaks_no_promise(seed):
     run = _run(seed)
-    records = {r.promise: r for r in run.bench.ledger.records()}
+    records = {r.promise: r for r in run.harness.ledger.records()}
     for promise in (
         promises.PromiseId.REGION_CAPACITY,
         promises.PromiseId.LEAVING_BACKEND_SERVER,
@@ -200,22 +203,22 @@
         assert records[promise].checks > 100
         assert records[promise].breaches == 0
     ends = {outcome[1] for outcome in run.outcomes if len(outcome) == 2}
-    assert ends == {"refused", "given up"}
+    assert ends == {"refused", "abandoned"}
 
 
-def test_a_run_repeats_exactly_from_its_seed():
+def test_same_seed_gives_the_same_run():
     assert _run(1).outcomes == _run(1).outcomes
 
 
-def test_silence_ends_every_started_work():
+def test_every_started_attempt_ends_without_results():
     run = _run(2)
     for _ in range(100):
-        due = run.bench.pool.next_wake_up(run.bench.now)
+        due = run.harness.pool.next_wake_up(run.harness.now)
         if due is None:
             break
-        run.bench.now = max(due, run.bench.now)
-        run._carry_out(run.bench.tick())
+        run.harness.now = max(due, run.harness.now)
+        run._carry_out(run.harness.tick())
     assert not run.waiting and not run.running
-    servers = run.bench.pool.summary(run.bench.now).servers
+    servers = run.harness.pool.summary(run.harness.now).servers
     assert sum(s.in_use for s in servers) == 0
     assert sum(s.connections for s in servers) == 0
--- a/dragonflystack/backends/tests/test_shards.py
+++ b/dragonflystack/backends/tests/test_shards.py
@@ -29,7 +29,7 @@
         (4, 9, [4]),
     ],
 )
-def test_shards_hold_each_backend_server_of_the_region_once(
+def test_each_backend_server_of_the_region_is_in_one_shard(
     servers, size, expected
 ):
     shards = _shards(servers, size)
@@ -38,12 +38,12 @@
     assert sorted(members) == [f"b{i}" for i in range(servers)]
 
 
-def test_a_shard_size_below_one_is_refused():
+def test_shard_size_below_one_raises():
     with pytest.raises(ValueError, match="expected 1 or more, found 0"):
         _shards(4, 0)
 
 
-def test_a_vm_that_goes_moves_only_the_shards_that_it_owned():
+def test_removed_vm_moves_only_the_shards_that_it_owned():
     shards = _shards(40, 1)
     vms = _vms(6)
     gone = vms[2]
@@ -60,7 +60,7 @@
     assert 0 < moved < len(shards) / 2
 
 
-def test_the_owner_does_not_depend_on_the_order_of_the_vms():
+def test_owner_does_not_depend_on_the_order_of_vms():
     for shard in _shards(8, 2):
         vms = _vms(6)
         assert backends.owner_of(shard, vms) == backends.owner_of(
@@ -71,5 +71,5 @@
         )
 
 
-def test_a_region_without_vms_has_no_owner():
+def test_region_without_vms_has_no_owner():
     assert backends.owner_of(_shards(1, 1)[0], []) is None
--- a/dragonflystack/forwarding/__init__.py
+++ b/dragonflystack/forwarding/__init__.py
@@ -1,15 +1,15 @@
-"""The life of a request: identity, admission, deadlines, retries.
+"""Forwards requests: idempotency keys, admission, deadlines and retries.
 
-`Engine` is the entry point. A shell, a bench or a test tells it what happened
-and carries out the actions that it returns:
+`Engine` is the entry point. It does no I/O: its user reports events and carries
+out the actions that it returns:
 
     engine = forwarding.Engine(issuer, limits, checks, rng)
     engine.on_request(request, owners, now)
-    # -> (Dispatch(owner, work),)
-    engine.on_work_result(work.id, forwarding.Answered(answer), now)
-    # -> (Finish(call, reply),)
+    # -> (Dispatch(owner, attempt),)
+    engine.on_attempt_result(attempt.id, forwarding.Answered(answer), now)
+    # -> (SendReply(call, reply),)
 
-`docs/design/requests.md` says why it decides as it does.
+`docs/design/requests.md` explains the reasons for its decisions.
 """
 
 from dragonflystack.forwarding._answer_checks import find_fault
--- a/dragonflystack/forwarding/_answer_checks.py
+++ b/dragonflystack/forwarding/_answer_checks.py
@@ -1,18 +1,18 @@
-"""Whether an answer is whole and belongs to the work it came for."""
+"""Checks that an answer is complete and belongs to its attempt."""
 
 from dragonflystack import outcomes
 from dragonflystack.forwarding import _messages
 
 
 def find_fault(
-    answer: _messages.Answer, work: _messages.WorkId, peer: str
+    answer: _messages.Answer, attempt_id: _messages.WorkId, peer: str
 ) -> outcomes.Failure | None:
-    """Returns what is wrong with an answer, None if it is sound.
+    """Returns the fault of an answer, None if it is complete and its own.
 
     Args:
-        answer: the answer as read.
-        work: the try for which it came.
-        peer: who sent it, for the failure.
+        answer: the answer as received.
+        attempt_id: the attempt that it answers.
+        peer: the sender, named in the failure.
     """
     declared = answer.declared_length
     found = len(answer.body)
@@ -20,11 +20,13 @@
         return outcomes.Failure(
             outcomes.Step.RECEIVE,
             peer,
-            f"answer of {found} bytes where {declared} were announced",
+            f"answer has {found} bytes, expected {declared}",
         )
     echoed = answer.echoed_work
-    if echoed is not None and echoed != work:
+    if echoed is not None and echoed != attempt_id:
         return outcomes.Failure(
-            outcomes.Step.RECEIVE, peer, f"answer to another request: {echoed}"
+            outcomes.Step.RECEIVE,
+            peer,
+            f"answer belongs to another request: {echoed}",
         )
     return None
--- a/dragonflystack/forwarding/_calls.py
+++ b/dragonflystack/forwarding/_calls.py
@@ -1,4 +1,4 @@
-"""The requests that have no answer yet, and the final words on them."""
+"""The open calls of a VM and the replies that end them."""
 
 import collections
 import dataclasses
@@ -13,49 +13,49 @@
 
 @dataclasses.dataclass(slots=True)
 class Call:
-    """One request without an answer."""
+    """A request that has no reply yet."""
 
     request: _messages.Request
     job: _runner.Job | None = None
-    """The job it waits for, None while it is relayed."""
+    """The job that runs the request, None while it is relayed."""
 
 
 class Calls:
-    """All requests without an answer on one VM."""
+    """All calls on one VM that have no reply yet."""
 
     def __init__(
         self,
         vm: ids.VmId,
-        checks: promises.Ledger,
-        out: list[_messages.Action],
+        promise_ledger: promises.Ledger,
+        actions: list[_messages.Action],
     ):
         self._vm = vm
-        self._checks = checks
-        self._out = out
+        self._promise_ledger = promise_ledger
+        self._actions = actions
         self._calls: dict[_messages.CallId, Call] = {}
         self.ended: collections.Counter[str] = collections.Counter()
-        """How many requests ended with each outcome and cause."""
+        """Number of calls that ended with each outcome and cause."""
 
     def __len__(self) -> int:
-        """Returns the number of requests without an answer."""
+        """Returns the number of open calls."""
         return len(self._calls)
 
     def open(self, request: _messages.Request) -> None:
-        """Notes a new request."""
+        """Adds a call for a new request."""
         self._calls[request.call] = Call(request)
 
     def get(self, call: _messages.CallId) -> Call | None:
-        """Returns a request, None if it has its answer or its caller left."""
+        """Returns an open call, None if it has ended or its caller left."""
         return self._calls.get(call)
 
-    def drop(self, call: _messages.CallId) -> Call | None:
-        """Takes out a request whose caller left."""
+    def remove(self, call: _messages.CallId) -> Call | None:
+        """Removes and returns a call whose caller left, None if not open."""
         return self._calls.pop(call, None)
 
     def failure(
         self, reason: str, retry_after: datetime.timedelta | None = None
     ) -> outcomes.Failure:
-        """Returns a failure that arose on this VM."""
+        """Returns a failure with this VM as its origin."""
         return outcomes.Failure(
             outcomes.Step.ADMISSION, self._vm, reason, retry_after
         )
@@ -66,11 +66,11 @@
         reply: _messages.Reply,
         now: datetime.timedelta,
     ) -> None:
-        """Gives the caller its final word, and checks that it is whole."""
+        """Ends a call with a reply; checks that its answer is complete."""
         answer = reply.answer
         if answer is not None:
             whole = answer.declared_length in (None, len(answer.body))
-            self._checks.check(
+            self._promise_ledger.check(
                 promises.PromiseId.OWN_WHOLE_ANSWER,
                 0.0 if whole else -1.0,
                 str(call),
@@ -84,7 +84,7 @@
         cause: _messages.Cause,
         failure: outcomes.Failure,
     ) -> None:
-        """Says that it was not run and never will be for this attempt."""
+        """Replies that this attempt number did not run and never will."""
         reply = _messages.Reply(
             outcomes.RequestOutcome.NOT_RUN, cause=cause, failure=failure
         )
@@ -96,27 +96,27 @@
         cause: _messages.Cause,
         failure: outcomes.Failure,
     ) -> None:
-        """Says that it may have run, or may be running."""
+        """Replies that the request may have run or may still be running."""
         reply = _messages.Reply(
             outcomes.RequestOutcome.UNKNOWN, cause=cause, failure=failure
         )
         self._send(call, reply)
 
-    def finish_closed(self, call: _messages.CallId) -> None:
-        """Says that the key was forgotten, or never given out."""
+    def finish_key_closed(self, call: _messages.CallId) -> None:
+        """Replies that the key was forgotten or never issued."""
         self.finish_unknown(
             call,
             _messages.Cause.KEY_CLOSED,
-            self.failure("nothing is known of this key any more"),
+            self.failure("the key is no longer known"),
         )
 
-    def finish_unclaimed(
+    def finish_claim_failed(
         self,
         call: _messages.CallId,
         reason: str,
         retry_after: datetime.timedelta,
     ) -> None:
-        """Says that it could not be found out who holds the key."""
+        """Replies that the holder of the key could not be determined."""
         self.finish_unknown(
             call,
             _messages.Cause.STORE,
@@ -129,4 +129,4 @@
         if reply.cause is not None:
             label = f"{label}.{reply.cause.value}"
         self.ended[label] += 1
-        self._out.append(_messages.Finish(call, reply))
+        self._actions.append(_messages.Finish(call, reply))
--- a/dragonflystack/forwarding/_claims.py
+++ b/dragonflystack/forwarding/_claims.py
@@ -1,9 +1,10 @@
-"""Binds a key that no VM issued, by a conditional write to the table service.
+"""Binds keys that no VM issued, by conditional writes to the table service.
 
-The write creates the row only if there is none, and names the claim. A lost
-answer is settled by reading the row back; if there is none, the same claim is
-written again, so a first write that lands late does no harm. A claim that is
-given up stays with its entry: the next request for the key takes it up again.
+The write creates a row with the id of the claim, only if no row exists. If the
+answer to the write is lost, the row is read back. If no row exists, the same
+claim is written again, so a first write that takes effect late is harmless. An
+abandoned claim stays in the entry of its key, and the next request for the key
+reuses it.
 """
 
 from collections.abc import Callable
@@ -17,17 +18,17 @@
 
 
 class Claims:
-    """The claims under way on one VM."""
+    """The pending claims of one VM."""
 
     def __init__(
         self,
         issuer: _messages.Issuer,
         keys: _key_ledger.KeyLedger,
-        out: list[_messages.Action],
+        actions: list[_messages.Action],
     ):
         self._issuer = issuer
         self._keys = keys
-        self._out = out
+        self._actions = actions
         self._serial = 0
         self._jobs: dict[_messages.ClaimId, _runner.Job] = {}
 
@@ -35,7 +36,7 @@
         """Returns the number of jobs that wait for a claim."""
         return len(self._jobs)
 
-    def next_claim(self) -> _messages.ClaimId:
+    def new_claim_id(self) -> _messages.ClaimId:
         """Returns the id of a new claim."""
         self._serial += 1
         issuer = self._issuer
@@ -49,12 +50,12 @@
         key: ids.RequestKey,
         claim: _messages.ClaimId,
     ) -> None:
-        """Writes the claim for a job that waits for it."""
+        """Writes the claim of a job."""
         self._jobs[claim] = job
         self._write(job, key, claim)
 
-    def give_up(self, job: _runner.Job) -> None:
-        """Stops waiting; nothing was started under the key."""
+    def abandon(self, job: _runner.Job) -> None:
+        """Stops waiting for a claim; no attempt was started under its key."""
         assert job.key is not None
         entry = self._keys.find(job.key)
         if entry is not None and entry.claim is not None:
@@ -65,18 +66,20 @@
         self,
         claim: _messages.ClaimId,
         result: _messages.ClaimResult,
-        on_won: Callable[[_runner.Job], None],
-        on_held: Callable[[_runner.Job, _messages.Issuer], None],
-        on_out: Callable[[_runner.Job], None],
+        on_bound: Callable[[_runner.Job], None],
+        on_held_elsewhere: Callable[[_runner.Job, _messages.Issuer], None],
+        on_unavailable: Callable[[_runner.Job], None],
     ) -> None:
-        """Takes what became of a write or a read.
+        """Handles the result of writing or reading a claim.
 
         Args:
-            claim: the claim.
-            result: what became of it.
-            on_won: called with the job if the key is bound here.
-            on_held: called with the job and the holder if it is not.
-            on_out: called with the job if that can't be found out.
+            claim: the id of the claim.
+            result: the result of the write or the read.
+            on_bound: called with the job if the key is now bound here.
+            on_held_elsewhere: called with the job and the holder if another
+                incarnation holds the key.
+            on_unavailable: called with the job if the holder can't be
+                determined.
         """
         job = self._jobs.get(claim)
         if job is None or job.key is None:
@@ -85,20 +88,20 @@
             case _messages.ClaimHeld(record) if record.claim == claim:
                 del self._jobs[claim]
                 self._keys.bind(job.key)
-                on_won(job)
+                on_bound(job)
             case _messages.ClaimHeld(record):
                 del self._jobs[claim]
                 self._keys.forget_unstarted(job.key)
-                on_held(job, record.holder)
+                on_held_elsewhere(job, record.holder)
             case _messages.ClaimTrouble.LOST:
                 record = _messages.ClaimRecord(claim, self._issuer)
-                self._out.append(_messages.ReadClaim(job.key, record))
+                self._actions.append(_messages.ReadClaim(job.key, record))
             case _messages.ClaimTrouble.ABSENT if (
                 job.claim_writes < _MAX_WRITES
             ):
                 self._write(job, job.key, claim)
             case _:
-                on_out(job)
+                on_unavailable(job)
 
     def _write(
         self,
@@ -108,4 +111,4 @@
     ) -> None:
         job.claim_writes += 1
         record = _messages.ClaimRecord(claim, self._issuer)
-        self._out.append(_messages.WriteClaim(key, record))
+        self._actions.append(_messages.WriteClaim(key, record))
--- a/dragonflystack/forwarding/_identity.py
+++ b/dragonflystack/forwarding/_identity.py
@@ -1,8 +1,9 @@
-"""Keys that name the incarnation which alone may run them.
+"""Issued keys, which name the only incarnation that may run them.
 
-An issued key reads `VM.INCARNATION.SLICE.REST`. The slice numbers a share of
-the issuer's keys. It lets the issuer forget: closing a slice refuses every
-key of it for good, so their entries need not be kept.
+An issued key has the form `VM.INCARNATION.SLICE.REST`. SLICE is the index of a
+slice of the issuer's keys. Slices bound the issuer's memory: once a slice is
+closed, all of its keys are refused permanently, so their entries need not be
+kept.
 """
 
 import dataclasses
@@ -17,17 +18,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IssuedKey:
-    """What an issued key says of itself."""
+    """The parts of an issued key that name its issuer and slice."""
 
     issuer: _messages.Issuer
     slice_index: int
 
 
 def check_issuer(issuer: _messages.Issuer) -> None:
-    """Checks that keys of the issuer can be taken apart again.
+    """Checks that keys of the issuer can be parsed.
 
     Raises:
-        ValueError: names the part that is empty or holds a separator.
+        ValueError: if a part is empty or contains a separator.
     """
     for name, part in (
         ("vm", issuer.vm),
@@ -41,17 +42,17 @@
 
 
 def key_prefix(issuer: _messages.Issuer, slice_index: int) -> str:
-    """Returns what every key of that slice begins with."""
+    """Returns the prefix of all keys of a slice."""
     return f"{issuer.vm}.{issuer.incarnation}.{slice_index}."
 
 
 def is_valid(key: ids.RequestKey) -> bool:
-    """Whether the key may be used at all, on any VM."""
+    """Returns whether the key is well formed."""
     return 0 < len(key) <= MAX_KEY_CHARS and key.isascii() and key.isprintable()
 
 
 def parse_issued_key(key: ids.RequestKey) -> IssuedKey | None:
-    """Returns the parts of an issued key, None for a key of another form."""
+    """Returns the parts of an issued key, None for any other key."""
     parts = key.split(_SEPARATOR, 3)
     if len(parts) != 4 or not all(parts):
         return None
--- a/dragonflystack/forwarding/_jobs.py
+++ b/dragonflystack/forwarding/_jobs.py
@@ -1,4 +1,4 @@
-"""The jobs under way, the callers that wait for them, and relayed requests."""
+"""The running jobs, the calls that wait for them, and relayed requests."""
 
 import datetime
 import functools
@@ -17,45 +17,52 @@
 
 
 class Jobs:
-    """What is under way on one VM, and for whom."""
+    """The running jobs of one VM and the calls that wait for them."""
 
     def __init__(
         self,
         issuer: _messages.Issuer,
         limits: _limits.Limits,
         keys: _key_ledger.KeyLedger,
-        checks: promises.Ledger,
+        promise_ledger: promises.Ledger,
         rng: random.Random,
         timers: _timers.Timers,
-        out: list[_messages.Action],
+        actions: list[_messages.Action],
     ):
         self._issuer = issuer
         self._timers = timers
-        self._out = out
+        self._actions = actions
         self._jobs: set[_runner.Job] = set()
         self._by_key: dict[ids.RequestKey, _runner.Job] = {}
-        self.calls = _calls.Calls(issuer.vm, checks, out)
-        self.claims = _claims.Claims(issuer, keys, out)
+        self.calls = _calls.Calls(issuer.vm, promise_ledger, actions)
+        self.claims = _claims.Claims(issuer, keys, actions)
         self.runner = _runner.Runner(
-            issuer, limits, keys, checks, rng, timers, out, self._on_job_end
+            issuer,
+            limits,
+            keys,
+            promise_ledger,
+            rng,
+            timers,
+            actions,
+            self._on_job_end,
         )
 
     def __len__(self) -> int:
-        """Returns the number of jobs under way."""
+        """Returns the number of running jobs."""
         return len(self._jobs)
 
     @property
     def idle(self) -> int:
-        """The number of jobs that wait for neither a try nor a claim."""
-        waiting = self.runner.jobs_under_way + len(self.claims)
+        """Number of jobs that wait for neither an attempt nor a claim."""
+        waiting = self.runner.jobs_in_flight + len(self.claims)
         return len(self._jobs) - waiting
 
-    def of_key(self, key: ids.RequestKey) -> _runner.Job:
-        """Returns the job that runs a key."""
+    def find_by_key(self, key: ids.RequestKey) -> _runner.Job:
+        """Returns the job that runs the request with a key."""
         return self._by_key[key]
 
-    def come_back(self, reason: str) -> outcomes.Failure:
-        """Returns a failure of this VM that tells when to come back."""
+    def retryable_failure(self, reason: str) -> outcomes.Failure:
+        """Returns a failure of this VM with a time to retry after."""
         return self.calls.failure(reason, self.runner.retry_after())
 
     def on_claim_result(
@@ -64,24 +71,26 @@
         result: _messages.ClaimResult,
         now: datetime.timedelta,
     ) -> None:
-        """Runs, relays or gives up the job that waits for a claim."""
+        """Starts, relays or abandons the job that waits for a claim."""
         self.claims.on_result(
             claim,
             result,
-            on_won=functools.partial(self.runner.begin, now=now),
-            on_held=functools.partial(self._on_held_elsewhere, now=now),
-            on_out=functools.partial(
-                self._give_up_claim, reason="the table service is out"
+            on_bound=functools.partial(self.runner.begin, now=now),
+            on_held_elsewhere=functools.partial(
+                self._on_held_elsewhere, now=now
+            ),
+            on_unavailable=functools.partial(
+                self._abandon_claim, reason="the table service is unavailable"
             ),
         )
 
-    def make(
+    def create(
         self,
         request: _messages.Request,
-        owners: _messages.Owners,
+        owner_lookup: _messages.Owners,
         key: ids.RequestKey | None,
     ) -> _runner.Job:
-        job = _runner.Job(request, owners, key, [])
+        job = _runner.Job(request, owner_lookup, key, [])
         self._jobs.add(job)
         if key is not None:
             self._by_key[key] = job
@@ -105,7 +114,7 @@
     def _on_deadline(
         self, call: _messages.CallId, now: datetime.timedelta
     ) -> None:
-        """Gives a relayed or joined caller its final word."""
+        """Replies to a call that is relayed or waits for a job."""
         waiting = self.calls.get(call)
         if waiting is None:
             return
@@ -113,29 +122,31 @@
         self.calls.finish_unknown(
             call,
             _messages.Cause.DEADLINE,
-            self.come_back("no answer in time; ask again with the same key"),
+            self.retryable_failure(
+                "no answer in time; ask again with the same key"
+            ),
         )
         if job is None:
-            self._out.append(_messages.CancelRelay(call))
+            self._actions.append(_messages.CancelRelay(call))
         else:
-            self.leave(call, job, now)
+            self.remove_caller(call, job, now)
 
-    def leave(
+    def remove_caller(
         self,
         call: _messages.CallId,
         job: _runner.Job,
         now: datetime.timedelta,
     ) -> None:
-        """Takes a caller off a job, and ends a job that is of no use now."""
+        """Removes a call from a job; ends the job if its answer has no use."""
         job.callers.remove(call)
         known = not job.request.idempotent and job.request.key is not None
-        if job.callers or (known and job.begun):
+        if job.callers or (known and job.started):
             return
-        if job.begun:
-            failure = self.calls.failure("nobody waits for it")
+        if job.started:
+            failure = self.calls.failure("no caller waits for it")
             self.runner.abandon(job, _messages.Cause.DEADLINE, failure, now)
         else:
-            self._give_up_claim(job, "nobody waits for it")
+            self._abandon_claim(job, "no caller waits for it")
 
     def _on_job_end(
         self,
@@ -164,15 +175,17 @@
             assert waiting is not None
             waiting.job = None
             if waiting.request.relayed or holder.vm == self._issuer.vm:
-                self.calls.finish_closed(call)
+                self.calls.finish_key_closed(call)
             else:
                 self.relay(waiting.request, holder, now)
 
-    def _give_up_claim(self, job: _runner.Job, reason: str) -> None:
-        self.claims.give_up(job)
+    def _abandon_claim(self, job: _runner.Job, reason: str) -> None:
+        self.claims.abandon(job)
         self._forget_job(job)
         for call in job.callers:
-            self.calls.finish_unclaimed(call, reason, self.runner.retry_after())
+            self.calls.finish_claim_failed(
+                call, reason, self.runner.retry_after()
+            )
 
     def relay(
         self,
@@ -181,7 +194,7 @@
         now: datetime.timedelta,
     ) -> None:
         time_left = request.deadline - now
-        self._out.append(
+        self._actions.append(
             _messages.Relay(request.call, issuer, request, time_left)
         )
         self._add_deadline(request)
--- a/dragonflystack/forwarding/_key_ledger.py
+++ b/dragonflystack/forwarding/_key_ledger.py
@@ -1,22 +1,22 @@
-"""What became of every key that is bound to this incarnation.
+"""The state of every key that is bound to this incarnation.
 
-Two rules make a second run impossible, and they need no clock:
+Two rules prevent a second run of a key, without relying on a clock:
 
-1. A key runs only if its slice is open and its entry, if any, says that no try
-   at it can have run.
-2. An entry stays until its slice is closed, and a closed slice never reopens;
-   the lowest open slice only grows.
+1. A key runs only if its slice is open and its entry, if any, shows that no
+   attempt at it can have run.
+2. An entry is kept until its slice is closed, and a closed slice never reopens;
+   the lowest open slice index only grows.
 
-So once a key has been started, rule 2 leaves either its entry or a closed
-slice, and rule 1 refuses it by either. Memory is bounded because a slice may
-be closed at any time: the oldest one is, when there are too many entries. Its
-keys are answered as unknown from then on. Slices follow the number of keys and
-not the time, so a prefix stays good however long ago it was given out, as long
-as few keys came since.
+Once a key has been started, rule 2 guarantees that its entry exists or its
+slice is closed, and rule 1 refuses the key in both cases. Memory is bounded
+because a slice may be closed at any time: the oldest one is closed when there
+are too many entries. Requests for its keys get the outcome unknown from then
+on. Slices advance with the number of keys and not with time, so a prefix stays
+valid for any length of time while few new keys arrive.
 
-A claimed key is filed under the slice that is current when it is first seen.
-Once forgotten it is refused as well: its row in the table service names a claim
-that the ledger no longer knows.
+A claimed key is stored in the slice that is current when the key is first seen.
+Once forgotten, it is refused as well: its row in the table service names a
+claim that the ledger no longer knows.
 """
 
 import collections
@@ -31,13 +31,13 @@
 
 
 class KeyState(enum.Enum):
-    """How far a key has come."""
+    """The state of the request with a key."""
 
     FRESH = "fresh"
-    """Never started."""
+    """No attempt was started."""
 
     RUNNING = "running"
-    """Being run, or about to be."""
+    """An attempt is running or about to start."""
 
     SERVED = "served"
     NOT_RUN = "not-run"
@@ -45,42 +45,42 @@
 
 
 class Verdict(enum.Enum):
-    """What is to be done with a request for a key."""
+    """The decision on a request with a key."""
 
     RUN = "run"
     JOIN = "join"
-    """It is being run: wait for the same answer."""
+    """The request is running: wait for the same answer."""
 
     REPEAT = "repeat"
-    """It was served: give the same answer."""
+    """The request was served: repeat the same answer."""
 
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
     CLOSED = "closed"
-    """Its slice is not open, so nothing is known of it."""
+    """The slice of the key is not open, so its state is not known."""
 
     REUSED = "reused"
-    """The key was used for another request."""
+    """The key was used for a different request."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
-    """How much is remembered."""
+    """The limits of the key ledger's memory."""
 
     max_entries: int = 40_000
-    """Keys in all open slices."""
+    """Maximum number of keys in all open slices."""
 
     open_slices: int = 16
-    """Slices open at once; the keys are spread over them."""
+    """Number of slices open at a time; they share `max_entries` equally."""
 
     max_answer_bytes: int = 8_388_608
-    """Bytes of kept answers."""
+    """Maximum total size of kept answers."""
 
     answer_kept: datetime.timedelta = datetime.timedelta(seconds=120)
-    """How long an answer is kept for a repeated request."""
+    """How long an answer is kept for repeated requests."""
 
     def __post_init__(self) -> None:
-        """Checks the bounds."""
+        """Validates the bounds."""
         if self.open_slices < 2:
             raise ValueError(
                 f"open_slices: expected 2 or more, found {self.open_slices}"
@@ -94,36 +94,36 @@
 
 @dataclasses.dataclass(slots=True)
 class Entry:
-    """What is known of one key."""
+    """The state of one key."""
 
     fingerprint: bytes
-    attempt: int
-    """The highest attempt that was asked for."""
+    attempt_number: int
+    """The highest attempt number requested so far."""
 
     claim: _messages.ClaimId | None = None
-    """The claim by which it is bound here, None for an issued key."""
+    """The claim that binds the key here, None for an issued key."""
 
     bound: bool = True
     """Whether the key is known to be bound to this incarnation."""
 
     state: KeyState = KeyState.FRESH
-    held: bool = True
-    """Whether the engine is at work on it."""
+    in_progress: bool = True
+    """Whether the engine is processing a request with the key."""
 
-    refused: int | None = None
-    """The highest attempt ruled out as not run, None if there is none."""
+    highest_refused: int | None = None
+    """The highest attempt number ruled out as not run, None if none was."""
 
     possible_runs: int = 0
-    """Tries that were started and are not known to have been refused."""
+    """Number of started attempts that are not known to have been refused."""
 
     answer: _messages.Answer | None = None
-    """The answer if it was served and is still kept."""
+    """The answer if the request was served and the answer is still kept."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _KeptAnswer:
     size: int
-    until: datetime.timedelta
+    expires_at: datetime.timedelta
 
 
 class KeyLedger:
@@ -133,12 +133,12 @@
         self,
         issuer: _messages.Issuer,
         bounds: Bounds,
-        checks: promises.Ledger,
+        promise_ledger: promises.Ledger,
     ):
         _identity.check_issuer(issuer)
         self._issuer = issuer
         self._bounds = bounds
-        self._checks = checks
+        self._promise_ledger = promise_ledger
         self._slice_entries = bounds.max_entries // bounds.open_slices
         self._current = 0
         self._slices: dict[int, dict[ids.RequestKey, Entry]] = {0: {}}
@@ -152,27 +152,27 @@
 
     @property
     def prefix(self) -> str:
-        """What keys that are given out now begin with."""
+        """The prefix of keys that are issued now."""
         return _identity.key_prefix(self._issuer, self._current)
 
     @property
     def size(self) -> int:
-        """The number of keys remembered in open slices."""
+        """Number of keys in open slices."""
         return self._size
 
     @property
     def kept_bytes(self) -> int:
-        """The bytes of kept answers."""
+        """Total size of kept answers, in bytes."""
         return self._kept_bytes
 
-    def mint(self) -> ids.RequestKey:
+    def new_key(self) -> ids.RequestKey:
         """Returns a new key for a request that came without one."""
         self._serial += 1
         return ids.RequestKey(f"{self.prefix}+{self._serial}")
 
-    def advance(self, now: datetime.timedelta) -> None:
-        """Drops kept answers that are too old."""
-        while self._kept and next(iter(self._kept.values())).until <= now:
+    def drop_expired_answers(self, now: datetime.timedelta) -> None:
+        """Drops kept answers that have expired."""
+        while self._kept and next(iter(self._kept.values())).expires_at <= now:
             self._drop_oldest_answer()
 
     def find(self, key: ids.RequestKey) -> Entry | None:
@@ -191,32 +191,34 @@
     def admit(
         self,
         key: ids.RequestKey,
-        attempt: int,
+        attempt_number: int,
         fingerprint: bytes,
         claim: _messages.ClaimId | None = None,
     ) -> Verdict:
-        """Decides on a request and makes its entry if it is new.
+        """Decides on a request; adds an entry if the key is new.
 
         Args:
             key: a key bound to this incarnation, or about to be by a claim.
-            attempt: which attempt the caller says it is.
-            fingerprint: digest of what is asked for.
+            attempt_number: the attempt number stated by the caller.
+            fingerprint: digest of the request.
             claim: the claim for a new key that was not issued.
         """
         entry = self.find(key)
         if entry is None:
-            entry = Entry(fingerprint, attempt, claim, bound=claim is None)
+            entry = Entry(
+                fingerprint, attempt_number, claim, bound=claim is None
+            )
             made = self._make_entry(key, entry)
             return Verdict.RUN if made else Verdict.CLOSED
         if entry.fingerprint != fingerprint:
             return Verdict.REUSED
-        return self._judge_known(entry, attempt)
+        return self._verdict_for_known(entry, attempt_number)
 
     def on_started(self, key: ids.RequestKey, now: datetime.timedelta) -> None:
-        """Notes that a try is about to start, and checks that it may."""
+        """Records that an attempt is about to start; checks that it may."""
         entry = self.find(key)
         earlier = entry.possible_runs if entry else 1
-        self._checks.check(
+        self._promise_ledger.check(
             promises.PromiseId.AT_MOST_ONCE, -float(earlier), key, now
         )
         if entry is not None:
@@ -225,7 +227,7 @@
             entry.possible_runs += 1
 
     def on_not_started(self, key: ids.RequestKey) -> None:
-        """Notes that a started try is known not to have run."""
+        """Records that a started attempt is known not to have run."""
         entry = self.find(key)
         if entry is not None:
             entry.possible_runs -= 1
@@ -236,7 +238,7 @@
         answer: _messages.Answer,
         now: datetime.timedelta,
     ) -> None:
-        """Keeps the answer for repeated requests, as far as there is room."""
+        """Records that a request was served; keeps the answer if it fits."""
         entry = self.find(key)
         if entry is None:
             return
@@ -247,38 +249,38 @@
     def settle_not_run(
         self, key: ids.RequestKey, now: datetime.timedelta
     ) -> None:
-        """Rules out the attempt for good, and checks that it did not run."""
+        """Rules out the attempt number forever; checks that it did not run."""
         entry = self.find(key)
         runs = entry.possible_runs if entry else 1
-        self._checks.check(
+        self._promise_ledger.check(
             promises.PromiseId.NOT_RUN_IS_TRUE, -float(runs), key, now
         )
         if entry is not None:
             entry.state = KeyState.NOT_RUN
-            entry.refused = entry.attempt
+            entry.highest_refused = entry.attempt_number
             self._release(key, entry)
 
     def settle_unknown(self, key: ids.RequestKey) -> None:
-        """Rules out every further run of the key."""
+        """Records the outcome unknown, which rules out further runs."""
         entry = self.find(key)
         if entry is not None:
             entry.state = KeyState.UNKNOWN
             self._release(key, entry)
 
     def bind(self, key: ids.RequestKey) -> None:
-        """Notes that the key's claim was won."""
+        """Records that the claim bound the key to this incarnation."""
         entry = self.find(key)
         if entry is not None:
             entry.bound = True
 
     def release_unstarted(self, key: ids.RequestKey) -> None:
-        """Notes that the engine gave up on a key before any try at it."""
+        """Records that the engine abandoned a key before any attempt."""
         entry = self.find(key)
         if entry is not None and entry.state is KeyState.FRESH:
             self._release(key, entry)
 
     def forget_unstarted(self, key: ids.RequestKey) -> None:
-        """Drops the entry of a key that turned out to be held elsewhere."""
+        """Removes the entry of a key that is held by another incarnation."""
         entry = self.find(key)
         if entry is None or entry.state is not KeyState.FRESH:
             return
@@ -290,28 +292,31 @@
     def _check_not_ruled_out(
         self, key: ids.RequestKey, entry: Entry, now: datetime.timedelta
     ) -> None:
-        allowed = entry.refused is None or entry.attempt > entry.refused
-        self._checks.check(
+        allowed = (
+            entry.highest_refused is None
+            or entry.attempt_number > entry.highest_refused
+        )
+        self._promise_ledger.check(
             promises.PromiseId.NOT_RUN_IS_TRUE,
             0.0 if allowed else -1.0,
             key,
             now,
         )
 
-    def _judge_known(self, entry: Entry, attempt: int) -> Verdict:
-        ruled_out = attempt <= entry.attempt
-        entry.attempt = max(entry.attempt, attempt)
-        if entry.held:
+    def _verdict_for_known(self, entry: Entry, attempt_number: int) -> Verdict:
+        ruled_out = attempt_number <= entry.attempt_number
+        entry.attempt_number = max(entry.attempt_number, attempt_number)
+        if entry.in_progress:
             return Verdict.JOIN
         match entry.state:
             case KeyState.SERVED:
                 return Verdict.REPEAT
             case KeyState.FRESH:
-                entry.held = True
+                entry.in_progress = True
                 return Verdict.RUN
             case KeyState.NOT_RUN if not ruled_out:
                 entry.state = KeyState.FRESH
-                entry.held = True
+                entry.in_progress = True
                 return Verdict.RUN
             case KeyState.NOT_RUN:
                 return Verdict.NOT_RUN
@@ -319,7 +324,7 @@
                 return Verdict.UNKNOWN
 
     def _release(self, key: ids.RequestKey, entry: Entry) -> None:
-        entry.held = False
+        entry.in_progress = False
         self._detached.pop(key, None)
 
     def _make_entry(self, key: ids.RequestKey, entry: Entry) -> bool:
@@ -327,7 +332,7 @@
         if issued is not None and issued.slice_index not in self._slices:
             return False
         if len(self._slices[self._current]) >= self._slice_entries:
-            self._open_next()
+            self._open_next_slice()
         while self._size >= self._bounds.max_entries:
             self._make_room()
         index = self._current if issued is None else issued.slice_index
@@ -340,20 +345,20 @@
 
     def _make_room(self) -> None:
         if len(self._slices) == 1:
-            self._open_next()
-        self._close_oldest()
+            self._open_next_slice()
+        self._close_oldest_slice()
 
-    def _open_next(self) -> None:
+    def _open_next_slice(self) -> None:
         self._current += 1
         self._slices[self._current] = {}
         while len(self._slices) > self._bounds.open_slices:
-            self._close_oldest()
+            self._close_oldest_slice()
 
-    def _close_oldest(self) -> None:
+    def _close_oldest_slice(self) -> None:
         entries = self._slices.pop(next(iter(self._slices)))
         self._size -= len(entries)
         for key, entry in entries.items():
-            if entry.held:
+            if entry.in_progress:
                 self._detached[key] = entry
             if key in self._kept:
                 self._drop_answer(key)
@@ -373,8 +378,8 @@
         while self._kept_bytes + size > self._bounds.max_answer_bytes:
             self._drop_oldest_answer()
         entry.answer = answer
-        until = now + self._bounds.answer_kept
-        self._kept[key] = _KeptAnswer(size, until)
+        expires_at = now + self._bounds.answer_kept
+        self._kept[key] = _KeptAnswer(size, expires_at)
         self._kept_bytes += size
 
     def _drop_oldest_answer(self) -> None:
--- a/dragonflystack/forwarding/_messages.py
+++ b/dragonflystack/forwarding/_messages.py
@@ -1,4 +1,4 @@
-"""What goes into the engine and what comes out of it, all of it typed.
+"""The inputs and outputs of the forwarding engine.
 
 Durations and instants are `datetime.timedelta`; an instant is the time since
 the origin of the process's monotonic clock.
@@ -17,13 +17,13 @@
 from dragonflystack import outcomes
 
 CallId = NewType("CallId", int)
-"""One exchange with a caller or a relaying VM, chosen by the shell."""
+"""Id of one call by a caller or a relaying VM, chosen by the I/O layer."""
 
 WorkId = NewType("WorkId", str)
-"""One try at running a request; unique in the fleet, so it can be echoed."""
+"""Id of one attempt, unique in the fleet; backend servers may echo it."""
 
 ClaimId = NewType("ClaimId", str)
-"""One wish to bind a key to an incarnation; unique in the fleet."""
+"""Id of one claim to bind a key to an incarnation, unique in the fleet."""
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -38,17 +38,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Payload:
-    """What the backend server is to get."""
+    """The content of a request, as sent to the backend server."""
 
     method: str
     target: str
-    """The path below the service, with its query."""
+    """The path relative to the service, with its query string."""
 
     headers: Headers = ()
     body: bytes = b""
 
     def fingerprint(self) -> bytes:
-        """Returns a digest of the method, the target and the body."""
+        """Returns a digest of the method, target and body."""
         digest = hashlib.sha256(f"{self.method} {self.target}\n".encode())
         digest.update(self.body)
         return digest.digest()[:16]
@@ -56,60 +56,60 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """A request as it came from a caller, or from a VM that relays it."""
+    """A request from a caller, or from a VM that relays it."""
 
     call: CallId
     service: ids.ServiceId
     idempotent: bool
-    """Whether it may be run twice without harm."""
+    """Whether the request may safely be run more than once."""
 
     deadline: datetime.timedelta
-    """The instant after which the answer is of no use."""
+    """The instant after which an answer is useless."""
 
     payload: Payload
     key: ids.RequestKey | None = None
     attempt: int = 1
-    """Which attempt at the key this is; a higher one may follow not-run."""
+    """The caller's attempt number for the key; may rise after not run."""
 
     priority: config.Priority = config.Priority.NORMAL
     relayed: bool = False
-    """Whether it comes from another VM, for a key that is bound here."""
+    """Whether another VM relayed it, for a key that is bound here."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerHint:
-    """A VM that owns backend servers of the service, as last heard of."""
+    """The last known state of a VM that owns backend servers of the service."""
 
     vm: ids.VmId
     free_slots: int = 1
-    """Slots free when last heard of; it may lag."""
+    """Last known number of free slots; may be stale."""
 
     wait: datetime.timedelta = datetime.timedelta()
-    """How long work waited for a slot there when last heard of."""
+    """Last known wait for a slot there."""
 
     one_way: datetime.timedelta = datetime.timedelta()
-    """Delay to it in one direction."""
+    """One-way network delay to the VM."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """An answer of a backend server as it was read."""
+    """A backend server's answer as received."""
 
     status: int
     headers: Headers = ()
     body: bytes = b""
     declared_length: int | None = None
-    """Length that the backend server announced, in bytes, if it did."""
+    """Body length in bytes that the backend server declared, if it did."""
 
     echoed_work: str | None = None
-    """The work id that the backend server repeated, if it did."""
+    """The attempt id that the backend server echoed, if it did."""
 
 
 Owners = Callable[[], Sequence[OwnerHint]]
-"""Tells the VMs that may run a request, as known when it is called."""
+"""Returns the VMs that may run a request, as currently known."""
 
 
-# What became of one try.
+# Results of an attempt.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,29 +121,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """It was not run, and this try never will be."""
+    """The request was not run, and this attempt never will run it."""
 
     failure: outcomes.Failure
     server: ids.BackendServerId | None = None
-    """The backend server that refused it, None if the owner did."""
+    """The backend server that refused the attempt, None if the owner did."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
-    """It broke off."""
+    """The attempt failed before a complete answer arrived."""
 
     failure: outcomes.Failure
     written: bool
-    """Whether any byte of it may have left towards the backend server."""
+    """Whether any byte may have been sent to a backend server."""
 
     server: ids.BackendServerId | None = None
-    """The backend server at which it broke off, None if it was the owner."""
+    """The backend server that failed, None if the owner failed."""
 
 
 WorkResult = Answered | Refused | Failed
 
 
-# What became of a claim.
+# Results of a claim.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,19 +156,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimHeld:
-    """The row as it stands after the conditional write, or as read back."""
+    """The row as stored after the conditional write, or as read back."""
 
     record: ClaimRecord
 
 
 class ClaimTrouble(enum.Enum):
-    """Why it is not known who holds a key."""
+    """Why the holder of a key is not known."""
 
     LOST = "lost"
-    """The write was sent and its answer never came."""
+    """The write was sent, but its answer was lost."""
 
     ABSENT = "absent"
-    """Reading back found no row; a write under way may still land."""
+    """No row was read back; a write in flight may still take effect."""
 
     UNAVAILABLE = "unavailable"
     """The table service can't be reached."""
@@ -196,71 +196,71 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """The final word on a request."""
+    """The reply that ends a call."""
 
     outcome: outcomes.RequestOutcome
     answer: Answer | None = None
-    """The whole answer if it was served, else None."""
+    """The complete answer if the request was served, else None."""
 
     cause: Cause | None = None
-    """Why it was not served, else None."""
+    """Why the request was not served, None if it was."""
 
     failure: outcomes.Failure | None = None
-    """The step, the peer and when to come back, None if it was served."""
+    """The step, the peer and the delay before a retry; None if served."""
 
     key: ids.RequestKey | None = None
-    """The key it was run under, None for an idempotent request."""
+    """The key that the request ran under, None for an idempotent one."""
 
 
-# Actions for the shell.
+# Actions.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Work:
-    """One try at running a request."""
+    """One attempt at running a request."""
 
     id: WorkId
     service: ids.ServiceId
     idempotent: bool
     priority: config.Priority
     time_left: datetime.timedelta
-    """How long the owner has, the way back already taken off."""
+    """Time that the owner has, less the network delay in both directions."""
 
     payload: Payload
     avoid: tuple[ids.BackendServerId, ...] = ()
-    """Backend servers at which earlier tries failed."""
+    """Backend servers at which earlier attempts failed."""
 
     key: ids.RequestKey | None = None
-    """The key it is run under, None for an idempotent request."""
+    """The key that the request runs under, None for an idempotent one."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Have the owner run this; report by `Engine.on_work_result`."""
+    """Have the owner run an attempt; report to `Engine.on_attempt_result`."""
 
     owner: ids.VmId
-    work: Work
+    attempt: Work
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelWork:
-    """Nobody waits for this try any more; its result is not needed."""
+    """Cancel an attempt, whose result is no longer needed."""
 
     owner: ids.VmId
-    work: WorkId
+    attempt_id: WorkId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseConnection:
-    """The connection that carried this try can't be trusted any more."""
+    """Close the connection of an attempt, which is in an unknown state."""
 
     owner: ids.VmId
-    work: WorkId
+    attempt_id: WorkId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Relay:
-    """Ask the issuer of the key; report by `Engine.on_relay_result`."""
+    """Relay to the issuer of the key; report to `Engine.on_relay_result`."""
 
     call: CallId
     issuer: Issuer
@@ -270,14 +270,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelRelay:
-    """Nobody waits for this relayed request any more."""
+    """Cancel a relayed request, whose reply is no longer needed."""
 
     call: CallId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteClaim:
-    """Write the row if there is none; report by `Engine.on_claim_result`."""
+    """Write the row if absent; report to `Engine.on_claim_result`."""
 
     key: ids.RequestKey
     record: ClaimRecord
@@ -285,7 +285,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadClaim:
-    """Read the row back; report by `Engine.on_claim_result`."""
+    """Read the row back; report to `Engine.on_claim_result`."""
 
     key: ids.RequestKey
     record: ClaimRecord
@@ -293,7 +293,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finish:
-    """Tell the caller; it is the last action for this call."""
+    """Send the reply to the caller; the last action for the call."""
 
     call: CallId
     reply: Reply
--- a/dragonflystack/forwarding/_owner_choice.py
+++ b/dragonflystack/forwarding/_owner_choice.py
@@ -1,10 +1,10 @@
-"""Which owner gets a request, judged by hints that lag and by own traffic.
+"""Chooses owners for attempts by stale load hints and by own traffic.
 
-Two owners are drawn at random and the better one is taken, as in "The Power of
-Two Choices in Randomized Load Balancing" (Mitzenmacher, 2001), so that VMs
-with the same stale hints don't all pick the same owner. An owner that failed
-or stayed silent is passed over for a while that doubles with each failure in a
-row; when every owner is under suspicion, all of them are used.
+Two owners are drawn at random and the better one is used, as in "The Power of
+Two Choices in Randomized Load Balancing" (Mitzenmacher, 2001), so that VMs with
+the same stale hints don't all choose the same owner. An owner that failed or
+timed out is suspected, and avoided for a time that doubles with each failure in
+a row; if all owners are suspected, all of them are used.
 """
 
 import collections
@@ -17,10 +17,10 @@
 from dragonflystack import ids
 from dragonflystack.forwarding import _messages
 
-_FIRST_SUSPICION = datetime.timedelta(seconds=0.5)
-_LONGEST_SUSPICION = datetime.timedelta(seconds=8)
+_MIN_SUSPICION = datetime.timedelta(seconds=0.5)
+_MAX_SUSPICION = datetime.timedelta(seconds=8)
 _MAX_DOUBLINGS = 5
-_SUSPICION_MEMORY = datetime.timedelta(seconds=60)
+_SUSPICION_TTL = datetime.timedelta(seconds=60)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +30,7 @@
 
 
 class OwnerChooser:
-    """What one VM knows of the owners from its own traffic."""
+    """Chooses owners for the attempts of one VM."""
 
     def __init__(self, own_vm: ids.VmId, rng: random.Random):
         self._own_vm = own_vm
@@ -40,7 +40,7 @@
 
     @property
     def suspected(self) -> tuple[ids.VmId, ...]:
-        """The owners whose last work failed."""
+        """The owners at which the last attempt failed, sorted."""
         return tuple(sorted(self._suspicions))
 
     def choose(
@@ -49,7 +49,7 @@
         tried: Container[ids.VmId],
         now: datetime.timedelta,
     ) -> _messages.OwnerHint | None:
-        """Returns the owner to use, None if each was tried already."""
+        """Returns the owner to use, None if all were tried already."""
         untried = [hint for hint in owners if hint.vm not in tried]
         if not untried:
             return None
@@ -66,33 +66,33 @@
         return first
 
     def on_dispatch(self, vm: ids.VmId) -> None:
-        """Counts work that is under way at an owner."""
+        """Counts an attempt in flight at an owner."""
         self._outstanding[vm] += 1
 
-    def on_end(self, vm: ids.VmId) -> None:
-        """Counts work as no longer under way."""
+    def on_attempt_end(self, vm: ids.VmId) -> None:
+        """Counts an attempt at an owner as ended."""
         self._outstanding[vm] -= 1
         if self._outstanding[vm] <= 0:
             del self._outstanding[vm]
 
-    def on_alive(self, vm: ids.VmId) -> None:
-        """Notes that the owner answered, if only to refuse."""
+    def on_response(self, vm: ids.VmId) -> None:
+        """Clears the suspicion of an owner that answered or refused."""
         self._suspicions.pop(vm, None)
 
     def on_failure(self, vm: ids.VmId, now: datetime.timedelta) -> None:
-        """Notes that the owner failed or stayed silent."""
-        before = self._suspicions.get(vm)
-        failures = before.failures + 1 if before else 1
+        """Suspects an owner that failed or timed out."""
+        previous = self._suspicions.get(vm)
+        failures = previous.failures + 1 if previous else 1
         doublings = min(failures - 1, _MAX_DOUBLINGS)
-        length = min(_FIRST_SUSPICION * 2**doublings, _LONGEST_SUSPICION)
-        self._forget_old(now)
+        length = min(_MIN_SUSPICION * 2**doublings, _MAX_SUSPICION)
+        self._drop_expired(now)
         self._suspicions[vm] = _Suspicion(failures, now + length)
 
-    def _forget_old(self, now: datetime.timedelta) -> None:
+    def _drop_expired(self, now: datetime.timedelta) -> None:
         forgotten = [
             vm
             for vm, suspicion in self._suspicions.items()
-            if now - suspicion.until > _SUSPICION_MEMORY
+            if now - suspicion.until > _SUSPICION_TTL
         ]
         for vm in forgotten:
             del self._suspicions[vm]
--- a/dragonflystack/forwarding/_runner.py
+++ b/dragonflystack/forwarding/_runner.py
@@ -1,9 +1,10 @@
-"""Runs jobs: tries at owners, one after the other, until one settles it.
+"""Runs jobs by sending attempts to owners until one gives the outcome.
 
-A job whose request is not idempotent is tried again only while every earlier
-try is known not to have run. Others may be tried again when a try broke off or
-stayed silent. Retries come out of a budget and go to an owner not tried yet.
-When no further try is possible the job ends at once.
+A job whose request is not idempotent is retried only while every earlier
+attempt is known not to have run. An idempotent one may also be retried after an
+attempt failed or timed out. Retries are limited by a budget and go to an owner
+not tried yet. A job ends immediately when no attempt is in flight and no
+further one is possible.
 """
 
 from collections.abc import Callable
@@ -24,92 +25,92 @@
 from dragonflystack.forwarding import _owner_choice
 from dragonflystack.forwarding import _timers
 
-_RETRY_AFTER_SPREAD = 0.25
+_RETRY_AFTER_JITTER = 0.25
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
-    """One request being run for one or more callers."""
+    """A request that runs for one or more calls."""
 
     request: _messages.Request
-    owners: _messages.Owners
+    owner_lookup: _messages.Owners
     key: ids.RequestKey | None
     callers: list[_messages.CallId]
     claim_writes: int = 0
-    """How often the claim was written, for a key that is claimed."""
+    """Number of times that the claim was written, for a claimed key."""
 
-    begun: bool = False
+    started: bool = False
     ended: bool = False
-    tries: int = 0
+    attempts: int = 0
     possible_runs: int = 0
-    """Tries that were started and are not known to have been refused."""
+    """Number of started attempts not known to have been refused."""
 
-    tried: set[ids.VmId] = dataclasses.field(default_factory=set)
-    """Owners that are not to be asked again."""
+    tried_owners: set[ids.VmId] = dataclasses.field(default_factory=set)
+    """Owners that get no further attempt."""
 
     avoid: tuple[ids.BackendServerId, ...] = ()
-    """Backend servers at which a try failed."""
+    """Backend servers at which an attempt failed."""
 
-    live: dict[_messages.WorkId, ids.VmId] = dataclasses.field(
+    in_flight: dict[_messages.WorkId, ids.VmId] = dataclasses.field(
         default_factory=dict
     )
-    """The tries under way and where."""
+    """The attempts in flight and their owners."""
 
-    refusals: list[outcomes.Failure] = dataclasses.field(default_factory=list)
-    """Why the tries so far did not settle it, oldest first."""
+    failures: list[outcomes.Failure] = dataclasses.field(default_factory=list)
+    """Failures of the attempts so far, oldest first."""
 
 
 EndCallback = Callable[[Job, _messages.Reply, datetime.timedelta], None]
 
 
 class Runner:
-    """The jobs under way on one VM."""
+    """The started jobs of one VM."""
 
     def __init__(
         self,
         issuer: _messages.Issuer,
         limits: _limits.Limits,
         keys: _key_ledger.KeyLedger,
-        checks: promises.Ledger,
+        promise_ledger: promises.Ledger,
         rng: random.Random,
         timers: _timers.Timers,
-        out: list[_messages.Action],
+        actions: list[_messages.Action],
         on_end: EndCallback,
     ):
         self._issuer = issuer
         self._limits = limits
         self._keys = keys
-        self._checks = checks
+        self._promise_ledger = promise_ledger
         self._rng = rng
         self._timers = timers
-        self._out = out
+        self._actions = actions
         self._on_end = on_end
         self._jobs: dict[_messages.WorkId, Job] = {}
         self._serial = 0
-        self.owners = _owner_choice.OwnerChooser(issuer.vm, rng)
+        self.owner_chooser = _owner_choice.OwnerChooser(issuer.vm, rng)
         self.budget = retry_budget.RetryBudget(
             limits.retry_ratio, limits.retry_burst
         )
 
     @property
-    def tries_under_way(self) -> int:
-        """The number of tries that have no result yet."""
+    def attempts_in_flight(self) -> int:
+        """Number of attempts that have no result yet."""
         return len(self._jobs)
 
     @property
-    def jobs_under_way(self) -> int:
-        """The number of jobs that have a try under way."""
+    def jobs_in_flight(self) -> int:
+        """Number of jobs that have an attempt in flight."""
         return len(set(self._jobs.values()))
 
     def begin(self, job: Job, now: datetime.timedelta) -> None:
-        """Starts the first try, or ends the job at once."""
-        job.begun = True
+        """Starts the first attempt, or ends the job if that is impossible."""
+        job.started = True
         self._timers.add(
             job.request.deadline, functools.partial(self._on_deadline, job)
         )
         self.budget.on_first_attempt()
-        owners = job.owners()
-        hint = self._choose(job, owners, now)
+        owners = job.owner_lookup()
+        hint = self._choose_owner(job, owners, now)
         if hint is not None:
             self._dispatch(job, hint, now)
             return
@@ -119,7 +120,7 @@
             if owners
             else "no VM owns a backend server of the service"
         )
-        job.refusals.append(
+        job.failures.append(
             outcomes.Failure(
                 outcomes.Step.ADMISSION, job.request.service, reason
             )
@@ -128,28 +129,28 @@
 
     def on_result(
         self,
-        work: _messages.WorkId,
+        attempt_id: _messages.WorkId,
         result: _messages.WorkResult,
         now: datetime.timedelta,
     ) -> None:
-        """Takes the result of a try; one that nobody waits for is dropped."""
-        job = self._jobs.pop(work, None)
+        """Handles the result of an attempt; ignores cancelled attempts."""
+        job = self._jobs.pop(attempt_id, None)
         if job is None:
             return
-        owner = job.live.pop(work)
-        self.owners.on_end(owner)
+        owner = job.in_flight.pop(attempt_id)
+        self.owner_chooser.on_attempt_end(owner)
         match result:
             case _messages.Answered(answer):
-                self._on_answer(job, owner, work, answer, now)
+                self._on_answer(job, owner, attempt_id, answer, now)
             case _messages.Refused(failure, server):
                 self._on_not_started(job)
                 self._note_failure(job, owner, server, True, now)
-                self._go_on(job, failure, now)
+                self._retry_or_end(job, failure, now)
             case _messages.Failed(failure, written, server):
                 if not written:
                     self._on_not_started(job)
                 self._note_failure(job, owner, server, False, now)
-                self._go_on(job, failure, now)
+                self._retry_or_end(job, failure, now)
 
     def abandon(
         self,
@@ -158,37 +159,37 @@
         failure: outcomes.Failure,
         now: datetime.timedelta,
     ) -> None:
-        """Ends a job whose time is up or that nobody waits for."""
-        job.refusals.append(failure)
+        """Ends a job whose deadline passed or that no caller waits for."""
+        job.failures.append(failure)
         self._end_unserved(job, cause, now)
 
     def retry_after(self, job: Job | None = None) -> datetime.timedelta:
-        """Returns when to come back: the soonest that an owner named.
+        """Returns the delay before a retry: the shortest that an owner named.
 
-        It is spread, so that callers don't come back as one.
+        Jitter is added so that callers don't retry at the same time.
         """
         named = [
-            refusal.retry_after
-            for refusal in (job.refusals if job else ())
-            if refusal.retry_after is not None
+            failure.retry_after
+            for failure in (job.failures if job else ())
+            if failure.retry_after is not None
         ]
         soonest = min(named, default=self._limits.retry_after)
-        return soonest * (1 + _RETRY_AFTER_SPREAD * self._rng.random())
+        return soonest * (1 + _RETRY_AFTER_JITTER * self._rng.random())
 
     def _on_answer(
         self,
         job: Job,
         owner: ids.VmId,
-        work: _messages.WorkId,
+        attempt_id: _messages.WorkId,
         answer: _messages.Answer,
         now: datetime.timedelta,
     ) -> None:
-        fault = _answer_checks.find_fault(answer, work, owner)
+        fault = _answer_checks.find_fault(answer, attempt_id, owner)
         if fault is not None:
-            self._out.append(_messages.CloseConnection(owner, work))
-            self._go_on(job, fault, now)
+            self._actions.append(_messages.CloseConnection(owner, attempt_id))
+            self._retry_or_end(job, fault, now)
             return
-        self.owners.on_alive(owner)
+        self.owner_chooser.on_response(owner)
         if job.key is not None:
             self._keys.settle_served(job.key, answer, now)
         reply = _messages.Reply(
@@ -204,25 +205,25 @@
         refused: bool,
         now: datetime.timedelta,
     ) -> None:
-        """Steers later tries away from what failed."""
+        """Makes later attempts avoid the failed owner or backend server."""
         if server is not None:
             job.avoid = (*job.avoid, server)
-            job.tried.discard(owner)
+            job.tried_owners.discard(owner)
         if refused or server is not None:
-            self.owners.on_alive(owner)
+            self.owner_chooser.on_response(owner)
         else:
-            self.owners.on_failure(owner, now)
+            self.owner_chooser.on_failure(owner, now)
 
     def _on_not_started(self, job: Job) -> None:
         job.possible_runs -= 1
         if job.key is not None:
             self._keys.on_not_started(job.key)
 
-    def _go_on(
+    def _retry_or_end(
         self, job: Job, failure: outcomes.Failure, now: datetime.timedelta
     ) -> None:
-        job.refusals.append(failure)
-        if job.live or self._try_again(job, now):
+        job.failures.append(failure)
+        if job.in_flight or self._retry(job, now):
             return
         cause = (
             _messages.Cause.BACKEND_SERVER
@@ -231,28 +232,30 @@
         )
         self._end_unserved(job, cause, now)
 
-    def _try_again(self, job: Job, now: datetime.timedelta) -> bool:
+    def _retry(self, job: Job, now: datetime.timedelta) -> bool:
         if job.possible_runs and not job.request.idempotent:
             return False
-        if job.tries >= self._limits.max_tries:
+        if job.attempts >= self._limits.max_tries:
             return False
-        hint = self._choose(job, job.owners(), now)
+        hint = self._choose_owner(job, job.owner_lookup(), now)
         if hint is None or not self.budget.take():
             return False
         self._dispatch(job, hint, now)
         return True
 
-    def _choose(
+    def _choose_owner(
         self,
         job: Job,
         owners: Sequence[_messages.OwnerHint],
         now: datetime.timedelta,
     ) -> _messages.OwnerHint | None:
-        least = self._limits.least_time
+        min_time_left = self._limits.min_time_left
         in_time = [
-            hint for hint in owners if _time_left(job, hint, now) >= least
+            hint
+            for hint in owners
+            if _time_left(job, hint, now) >= min_time_left
         ]
-        return self.owners.choose(in_time, job.tried, now)
+        return self.owner_chooser.choose(in_time, job.tried_owners, now)
 
     def _dispatch(
         self, job: Job, hint: _messages.OwnerHint, now: datetime.timedelta
@@ -261,21 +264,21 @@
             self._keys.on_started(job.key, now)
         self._serial += 1
         issuer = self._issuer
-        work = _messages.WorkId(
+        attempt_id = _messages.WorkId(
             f"{issuer.vm}.{issuer.incarnation}:{self._serial}"
         )
-        job.tries += 1
+        job.attempts += 1
         job.possible_runs += 1
-        job.tried.add(hint.vm)
-        job.live[work] = hint.vm
-        self._jobs[work] = job
-        self.owners.on_dispatch(hint.vm)
+        job.tried_owners.add(hint.vm)
+        job.in_flight[attempt_id] = hint.vm
+        self._jobs[attempt_id] = job
+        self.owner_chooser.on_dispatch(hint.vm)
         req = job.request
-        self._out.append(
+        self._actions.append(
             _messages.Dispatch(
                 hint.vm,
                 _messages.Work(
-                    work,
+                    attempt_id,
                     req.service,
                     req.idempotent,
                     req.priority,
@@ -286,19 +289,22 @@
                 ),
             )
         )
-        patience = (req.deadline - now) * self._limits.patience
+        owner_timeout = (
+            req.deadline - now
+        ) * self._limits.owner_timeout_fraction
         self._timers.add(
-            now + patience, functools.partial(self._on_silence, work)
+            now + owner_timeout,
+            functools.partial(self._on_owner_timeout, attempt_id),
         )
 
-    def _on_silence(
-        self, work: _messages.WorkId, now: datetime.timedelta
+    def _on_owner_timeout(
+        self, attempt_id: _messages.WorkId, now: datetime.timedelta
     ) -> None:
-        job = self._jobs.get(work)
+        job = self._jobs.get(attempt_id)
         if job is None:
             return
-        self.owners.on_failure(job.live[work], now)
-        self._try_again(job, now)
+        self.owner_chooser.on_failure(job.in_flight[attempt_id], now)
+        self._retry(job, now)
 
     def _on_deadline(self, job: Job, now: datetime.timedelta) -> None:
         if job.ended:
@@ -318,7 +324,7 @@
             self._settle_not_run(job, now)
             outcome = outcomes.RequestOutcome.NOT_RUN
         failure = dataclasses.replace(
-            job.refusals[-1], retry_after=self.retry_after(job)
+            job.failures[-1], retry_after=self.retry_after(job)
         )
         reply = _messages.Reply(
             outcome, cause=cause, failure=failure, key=job.key
@@ -333,9 +339,9 @@
         if job.key is not None:
             self._keys.settle_not_run(job.key, now)
             return
-        self._checks.check(
+        self._promise_ledger.check(
             promises.PromiseId.NOT_RUN_IS_TRUE,
-            -float(len(job.live)),
+            -float(len(job.in_flight)),
             job.request.service,
             now,
         )
@@ -344,11 +350,11 @@
         self, job: Job, reply: _messages.Reply, now: datetime.timedelta
     ) -> None:
         job.ended = True
-        for work, owner in job.live.items():
-            del self._jobs[work]
-            self.owners.on_end(owner)
-            self._out.append(_messages.CancelWork(owner, work))
-        job.live.clear()
+        for attempt_id, owner in job.in_flight.items():
+            del self._jobs[attempt_id]
+            self.owner_chooser.on_attempt_end(owner)
+            self._actions.append(_messages.CancelWork(owner, attempt_id))
+        job.in_flight.clear()
         self._on_end(job, reply, now)
 
 
--- a/dragonflystack/forwarding/tests/test_key_ledger.py
+++ b/dragonflystack/forwarding/tests/test_key_ledger.py
@@ -33,9 +33,9 @@
     keys.settle_served(key, _messages.Answer(200, body=body), now)
 
 
-def test_a_key_goes_from_fresh_to_running_to_served():
+def test_key_goes_from_fresh_to_running_to_served():
     keys = _ledger()
-    key = keys.mint()
+    key = keys.new_key()
     assert _admit(keys, key) is _Verdict.RUN
     assert _admit(keys, key) is _Verdict.JOIN
     keys.on_started(key, _ZERO)
@@ -47,9 +47,9 @@
     assert entry.answer.body == b"ring"
 
 
-def test_a_refused_attempt_stays_refused_and_a_higher_one_runs():
+def test_refused_attempt_number_stays_refused_and_a_higher_one_runs():
     keys = _ledger()
-    key = keys.mint()
+    key = keys.new_key()
     assert _admit(keys, key, attempt=2) is _Verdict.RUN
     keys.settle_not_run(key, _ZERO)
     assert _admit(keys, key, attempt=1) is _Verdict.NOT_RUN
@@ -58,9 +58,9 @@
 
 
 @pytest.mark.parametrize("started", [True, False])
-def test_a_joined_higher_attempt_is_refused_with_the_lower_one(started):
+def test_joined_higher_attempt_number_is_refused_with_the_lower_one(started):
     keys = _ledger()
-    key = keys.mint()
+    key = keys.new_key()
     _admit(keys, key, attempt=1)
     if not started:
         keys.release_unstarted(key)
@@ -70,18 +70,18 @@
     assert _admit(keys, key, attempt=3) is _Verdict.RUN
 
 
-def test_an_unknown_key_never_runs_again():
+def test_key_with_unknown_outcome_never_runs_again():
     keys = _ledger()
-    key = keys.mint()
+    key = keys.new_key()
     _admit(keys, key)
     keys.on_started(key, _ZERO)
     keys.settle_unknown(key)
     assert _admit(keys, key, attempt=9) is _Verdict.UNKNOWN
 
 
-def test_a_key_is_not_good_for_another_request():
+def test_key_cannot_be_reused_for_another_request():
     keys = _ledger()
-    key = keys.mint()
+    key = keys.new_key()
     _serve(keys, key)
     assert _admit(keys, key, fingerprint=b"g") is _Verdict.REUSED
 
@@ -93,9 +93,9 @@
         (True, "on_started", "at-most-once"),
     ],
 )
-def test_a_breach_is_found_where_the_state_changes(start, settle, promise):
+def test_state_change_that_breaks_a_promise_raises(start, settle, promise):
     keys = _ledger()
-    key = keys.mint()
+    key = keys.new_key()
     _admit(keys, key)
     keys.on_started(key, _ZERO)
     with pytest.raises(AssertionError, match=promise):
@@ -107,7 +107,7 @@
         _admit(keys, f"{keys.prefix}fill{i}")
 
 
-def test_a_closed_slice_refuses_served_and_unseen_keys():
+def test_closed_slice_refuses_served_and_unseen_keys():
     keys = _ledger(max_entries=4, open_slices=2)
     prefix = keys.prefix
     _serve(keys, prefix + "1")
@@ -120,14 +120,14 @@
     assert _admit(keys, prefix + "3") is _Verdict.CLOSED
 
 
-def test_a_prefix_stays_good_while_no_keys_come():
+def test_prefix_stays_valid_while_no_keys_arrive():
     keys = _ledger()
     prefix = keys.prefix
-    keys.advance(1_000_000 * _SECOND)
+    keys.drop_expired_answers(1_000_000 * _SECOND)
     assert _admit(keys, prefix + "1") is _Verdict.RUN
 
 
-def test_asking_for_closed_keys_pushes_nothing_out():
+def test_requests_for_closed_keys_evict_no_entries():
     keys = _ledger(max_entries=4, open_slices=2)
     prefix = keys.prefix
     _fill(keys, 7)
@@ -138,14 +138,14 @@
     assert keys.size == kept
 
 
-def test_a_slice_not_yet_open_is_refused():
+def test_key_of_a_slice_not_yet_open_is_refused():
     keys = _ledger()
     assert _admit(keys, "vm1.a1.1.x") is _Verdict.CLOSED
 
 
-def test_work_under_way_outlives_its_slice_and_then_is_forgotten():
+def test_running_key_outlives_its_slice_and_is_then_forgotten():
     keys = _ledger(max_entries=2, open_slices=2)
-    key = keys.mint()
+    key = keys.new_key()
     _admit(keys, key)
     keys.on_started(key, _ZERO)
     _fill(keys, 3)
@@ -155,7 +155,7 @@
     assert (keys.size, keys.kept_bytes) == (2, 0)
 
 
-def test_too_many_keys_close_the_oldest_slice_early():
+def test_too_many_keys_close_the_oldest_slice():
     keys = _ledger(max_entries=3, open_slices=3)
     first = keys.prefix
     for i in range(4):
@@ -165,7 +165,7 @@
     assert _admit(keys, first + "0", attempt=2) is not _Verdict.RUN
 
 
-def test_answers_are_dropped_by_bytes_and_by_age_but_their_keys_stay():
+def test_answers_are_dropped_by_size_and_age_but_their_keys_stay():
     keys = _ledger(max_answer_bytes=10)
     for i in range(3):
         _serve(keys, f"{keys.prefix}{i}", body=b"12345")
@@ -173,45 +173,45 @@
     entry = keys.find(ids.RequestKey(keys.prefix + "0"))
     assert entry is not None and entry.answer is None
     assert _admit(keys, keys.prefix + "0") is _Verdict.REPEAT
-    keys.advance(datetime.timedelta(seconds=121))
+    keys.drop_expired_answers(datetime.timedelta(seconds=121))
     assert keys.kept_bytes == 0
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_no_key_starts_twice_whatever_is_forgotten(seed):
+def test_no_key_starts_twice_when_entries_are_forgotten(seed):
     rng = random.Random(seed)
     keys = _ledger(max_entries=8, open_slices=3, max_answer_bytes=40)
     now = _ZERO
     names = [f"claimed{i}" for i in range(4)]
     may_have_run: set[str] = set()
-    under_way: set[str] = set()
+    running: set[str] = set()
     for _ in range(600):
         now += _SECOND * rng.random()
-        keys.advance(now)
+        keys.drop_expired_answers(now)
         names.append(keys.prefix + str(rng.randrange(6)))
         key = ids.RequestKey(rng.choice(names[-40:]))
         if _identity.parse_issued_key(key) is None and key in may_have_run:
             continue
         if keys.admit(key, rng.randrange(4), b"f") is _Verdict.RUN:
             assert key not in may_have_run
-            under_way.add(key)
+            running.add(key)
             keys.on_started(key, now)
-        if under_way and rng.random() < 0.6:
-            done = ids.RequestKey(rng.choice(sorted(under_way)))
-            under_way.discard(done)
+        if running and rng.random() < 0.6:
+            done = ids.RequestKey(rng.choice(sorted(running)))
+            running.discard(done)
             _settle_at_random(keys, done, may_have_run, rng, now)
         assert keys.size <= 8
         assert keys.kept_bytes <= 40
 
 
 def _settle_at_random(keys, key, may_have_run, rng, now):
-    way = rng.randrange(3)
-    if way == 0:
+    outcome = rng.randrange(3)
+    if outcome == 0:
         keys.on_not_started(key)
         keys.settle_not_run(key, now)
         return
     may_have_run.add(key)
-    if way == 1:
+    if outcome == 1:
         keys.settle_unknown(key)
     else:
         body = b"x" * rng.randrange(30)
