Rename what several folders use

Names that several packages share were figurative or private to this project, and each package reworded alone would have left two terms for one concept.

--- a/dragonflystack/backends/__init__.py
+++ b/dragonflystack/backends/__init__.py
@@ -34,9 +34,11 @@
 
 from dragonflystack.backends._messages import Action
 from dragonflystack.backends._messages import Answered
+from dragonflystack.backends._messages import Attempt
+from dragonflystack.backends._messages import AttemptId
 from dragonflystack.backends._messages import BrokenAfterWrite
+from dragonflystack.backends._messages import CancelAttempt
 from dragonflystack.backends._messages import Cancelled
-from dragonflystack.backends._messages import CancelWork
 from dragonflystack.backends._messages import CloseConnection
 from dragonflystack.backends._messages import ConnectFailed
 from dragonflystack.backends._messages import ConnectionId
@@ -48,8 +50,6 @@
 from dragonflystack.backends._messages import Shed
 from dragonflystack.backends._messages import Silent
 from dragonflystack.backends._messages import Start
-from dragonflystack.backends._messages import Work
-from dragonflystack.backends._messages import WorkId
 from dragonflystack.backends._pool import BackendPool
 from dragonflystack.backends._settings import PoolSettings
 from dragonflystack.backends._shards import DEFAULT_SHARD_SIZE
@@ -66,7 +66,7 @@
     "Answered",
     "BackendPool",
     "BrokenAfterWrite",
-    "CancelWork",
+    "CancelAttempt",
     "Cancelled",
     "CloseConnection",
     "ConnectFailed",
@@ -83,8 +83,8 @@
     "Shed",
     "Silent",
     "Start",
-    "Work",
-    "WorkId",
+    "Attempt",
+    "AttemptId",
     "owner_of",
     "owners_ranked",
     "shards_of",
--- a/dragonflystack/backends/_choice.py
+++ b/dragonflystack/backends/_choice.py
@@ -15,7 +15,7 @@
 
 def choose(
     servers: Collection[_server.Server],
-    attempt: _messages.Work,
+    attempt: _messages.Attempt,
     now: datetime.timedelta,
 ) -> _server.Server | None:
     """Returns the backend server for an attempt, None if no slot is free.
--- a/dragonflystack/backends/_messages.py
+++ b/dragonflystack/backends/_messages.py
@@ -8,7 +8,7 @@
 from dragonflystack import ids
 from dragonflystack import outcomes
 
-WorkId = NewType("WorkId", str)
+AttemptId = NewType("AttemptId", str)
 """Id of one attempt at running a request; each retry gets a new id."""
 
 ConnectionId = NewType("ConnectionId", int)
@@ -16,10 +16,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Work:
+class Attempt:
     """One attempt at running a request on a backend server."""
 
-    id: WorkId
+    id: AttemptId
     """Unique in the pool."""
 
     deadline: datetime.timedelta
@@ -109,7 +109,7 @@
 class Start:
     """Action: send the attempt on this connection now."""
 
-    work_id: WorkId
+    attempt_id: AttemptId
     """The attempt to send."""
 
     backend_server: ids.BackendServerId
@@ -126,7 +126,7 @@
 class Refuse:
     """Action: report that the attempt was refused and the request not run."""
 
-    work_id: WorkId
+    attempt_id: AttemptId
     """The refused attempt."""
 
     failure: outcomes.Failure
@@ -134,7 +134,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CancelWork:
+class CancelAttempt:
     """Action: cancel a started attempt at its backend server.
 
     Whether the request ran is unknown. The slot stays in use until a result
@@ -142,7 +142,7 @@
     deadline passed.
     """
 
-    work_id: WorkId
+    attempt_id: AttemptId
     """The attempt to cancel."""
 
     backend_server: ids.BackendServerId
@@ -166,7 +166,7 @@
     """The backend server at the other end."""
 
 
-Action = Start | Refuse | CancelWork | CloseConnection
+Action = Start | Refuse | CancelAttempt | CloseConnection
 """An action for the user of a pool to carry out, in the order returned."""
 
 
--- a/dragonflystack/backends/_pool.py
+++ b/dragonflystack/backends/_pool.py
@@ -118,7 +118,7 @@
         return tuple(actions)
 
     def on_request(
-        self, attempt: _messages.Work, now: datetime.timedelta
+        self, attempt: _messages.Attempt, now: datetime.timedelta
     ) -> tuple[_messages.Action, ...]:
         """Starts, queues or refuses an attempt.
 
@@ -152,13 +152,15 @@
 
     def on_result(
         self,
-        work_id: _messages.WorkId,
+        attempt_id: _messages.AttemptId,
         result: _messages.Result,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
         """Handles the result of a started attempt; ignores unknown ids."""
         actions: list[_messages.Action] = []
-        server = self._running_attempts.on_result(work_id, result, now, actions)
+        server = self._running_attempts.on_result(
+            attempt_id, result, now, actions
+        )
         if server is None:
             return ()
         self._clean_up_if_leaving(server, now, actions)
@@ -166,13 +168,13 @@
         return tuple(actions)
 
     def on_cancel(
-        self, work_id: _messages.WorkId, now: datetime.timedelta
+        self, attempt_id: _messages.AttemptId, now: datetime.timedelta
     ) -> tuple[_messages.Action, ...]:
         """Drops an attempt whose caller has gone."""
-        if self._queue.remove(work_id) is not None:
+        if self._queue.remove(attempt_id) is not None:
             return ()
         actions: list[_messages.Action] = []
-        self._running_attempts.on_cancel(work_id, now, actions)
+        self._running_attempts.on_cancel(attempt_id, now, actions)
         return tuple(actions)
 
     def on_connection_lost(
@@ -190,8 +192,8 @@
     def on_tick(self, now: datetime.timedelta) -> tuple[_messages.Action, ...]:
         """Expires attempts, closes idle connections, starts queued attempts."""
         actions: list[_messages.Action] = []
-        for work_id in self._queue_timers.pop_due(now):
-            queued = self._queue.remove(work_id)
+        for attempt_id in self._queue_timers.pop_due(now):
+            queued = self._queue.remove(attempt_id)
             if queued is not None:
                 reason = "no slot became free in the expected time"
                 actions.append(self._refuse(queued.attempt, reason, now))
@@ -255,7 +257,7 @@
         return slots, free
 
     def _refuse(
-        self, attempt: _messages.Work, reason: str, now: datetime.timedelta
+        self, attempt: _messages.Attempt, reason: str, now: datetime.timedelta
     ) -> _messages.Refuse:
         failure = outcomes.Failure(
             step=outcomes.Step.ADMISSION,
--- a/dragonflystack/backends/_queue.py
+++ b/dragonflystack/backends/_queue.py
@@ -11,7 +11,7 @@
 class QueuedAttempt:
     """An attempt that waits for a slot."""
 
-    attempt: _messages.Work
+    attempt: _messages.Attempt
     """The attempt."""
 
     queue_deadline: datetime.timedelta
@@ -23,14 +23,14 @@
 
     def __init__(self):
         self._by_priority: dict[
-            config.Priority, dict[_messages.WorkId, QueuedAttempt]
+            config.Priority, dict[_messages.AttemptId, QueuedAttempt]
         ] = {config.Priority.HIGH: {}, config.Priority.NORMAL: {}}
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._by_priority.values())
 
-    def __contains__(self, work_id: _messages.WorkId) -> bool:
-        return any(work_id in queue for queue in self._by_priority.values())
+    def __contains__(self, attempt_id: _messages.AttemptId) -> bool:
+        return any(attempt_id in queue for queue in self._by_priority.values())
 
     def count_ahead(self, priority: config.Priority) -> int:
         """Returns how many attempts a new one of this priority waits for."""
@@ -42,10 +42,10 @@
         queue = self._by_priority[queued.attempt.priority]
         queue[queued.attempt.id] = queued
 
-    def remove(self, work_id: _messages.WorkId) -> QueuedAttempt | None:
+    def remove(self, attempt_id: _messages.AttemptId) -> QueuedAttempt | None:
         """Removes and returns an attempt, None if it is not queued."""
         for queue in self._by_priority.values():
-            found = queue.pop(work_id, None)
+            found = queue.pop(attempt_id, None)
             if found is not None:
                 return found
         return None
--- a/dragonflystack/backends/_running.py
+++ b/dragonflystack/backends/_running.py
@@ -11,7 +11,7 @@
 class RunningAttempt:
     """An attempt that was started and may still hold its slot."""
 
-    attempt: _messages.Work
+    attempt: _messages.Attempt
     """The attempt."""
 
     server: _server.Server
--- a/dragonflystack/backends/_running_attempts.py
+++ b/dragonflystack/backends/_running_attempts.py
@@ -36,15 +36,15 @@
         self._service_times = service_times
         self._settings = settings
         self._ledger = ledger
-        self._running: dict[_messages.WorkId, _running.RunningAttempt] = {}
+        self._running: dict[_messages.AttemptId, _running.RunningAttempt] = {}
         self._timers = _timer_heap.TimerHeap()
         self._connection_ids = itertools.count(1)
 
     def __len__(self) -> int:
         return len(self._running)
 
-    def __contains__(self, work_id: _messages.WorkId) -> bool:
-        return work_id in self._running
+    def __contains__(self, attempt_id: _messages.AttemptId) -> bool:
+        return attempt_id in self._running
 
     def next_due(self) -> datetime.timedelta | None:
         """Returns when to call `on_tick` next, None if no timer is pending."""
@@ -52,7 +52,7 @@
 
     def start(
         self,
-        attempt: _messages.Work,
+        attempt: _messages.Attempt,
         server: _server.Server,
         now: datetime.timedelta,
         actions: list[_messages.Action],
@@ -74,7 +74,7 @@
 
     def on_result(
         self,
-        work_id: _messages.WorkId,
+        attempt_id: _messages.AttemptId,
         result: _messages.Result,
         now: datetime.timedelta,
         actions: list[_messages.Action],
@@ -84,7 +84,7 @@
         Returns:
             The backend server that ran the attempt, None for an unknown id.
         """
-        running = self._running.get(work_id)
+        running = self._running.get(attempt_id)
         if running is None:
             return None
         if running.abandoned:
@@ -95,12 +95,12 @@
 
     def on_cancel(
         self,
-        work_id: _messages.WorkId,
+        attempt_id: _messages.AttemptId,
         now: datetime.timedelta,
         actions: list[_messages.Action],
     ) -> None:
         """Abandons an attempt whose caller has gone; ignores unknown ids."""
-        running = self._running.get(work_id)
+        running = self._running.get(attempt_id)
         if running is None or running.abandoned:
             return
         if now - running.started_at >= self._answer_timeout:
@@ -111,8 +111,8 @@
         self, now: datetime.timedelta, actions: list[_messages.Action]
     ) -> None:
         """Abandons attempts that timed out; frees slots of those abandoned."""
-        for work_id in self._timers.pop_due(now):
-            running = self._running.get(work_id)
+        for attempt_id in self._timers.pop_due(now):
+            running = self._running.get(attempt_id)
             if running is None or running.due > now:
                 continue
             if running.abandoned:
@@ -152,7 +152,7 @@
 
     def _pick_connection(
         self,
-        attempt: _messages.Work,
+        attempt: _messages.Attempt,
         server: _server.Server,
         now: datetime.timedelta,
         actions: list[_messages.Action],
@@ -280,7 +280,7 @@
             step=outcomes.Step.RECEIVE, peer=server.config.id, reason=reason
         )
         actions.append(
-            _messages.CancelWork(
+            _messages.CancelAttempt(
                 running.attempt.id,
                 server.config.id,
                 running.connection,
--- a/dragonflystack/backends/_timer_heap.py
+++ b/dragonflystack/backends/_timer_heap.py
@@ -16,23 +16,25 @@
     """
 
     def __init__(self):
-        self._heap: list[tuple[datetime.timedelta, int, _messages.WorkId]] = []
+        self._heap: list[
+            tuple[datetime.timedelta, int, _messages.AttemptId]
+        ] = []
         self._sequence = itertools.count()
 
     def arm(
-        self, instant: datetime.timedelta, work_id: _messages.WorkId
+        self, instant: datetime.timedelta, attempt_id: _messages.AttemptId
     ) -> None:
         """Adds a timer for an attempt."""
-        entry = (instant, next(self._sequence), work_id)
+        entry = (instant, next(self._sequence), attempt_id)
         heapq.heappush(self._heap, entry)
 
-    def pop_due(self, now: datetime.timedelta) -> Iterator[_messages.WorkId]:
+    def pop_due(self, now: datetime.timedelta) -> Iterator[_messages.AttemptId]:
         """Removes and yields attempts whose timers expired, earliest first."""
         while self._heap and self._heap[0][0] <= now:
             yield heapq.heappop(self._heap)[2]
 
     def earliest(
-        self, is_pending: Callable[[_messages.WorkId], bool]
+        self, is_pending: Callable[[_messages.AttemptId], bool]
     ) -> datetime.timedelta | None:
         """Returns the earliest pending expiry and drops obsolete timers.
 
--- a/dragonflystack/backends/tests/test_pool.py
+++ b/dragonflystack/backends/tests/test_pool.py
@@ -92,8 +92,8 @@
     def test_abandoned_attempt_holds_its_slot_until_its_deadline(self):
         harness = _harness(1)
         started = _fill(harness, 3, idempotent=False, deadline_ms=1_000)
-        actions = harness.pool.on_cancel(started[0].work_id, harness.now)
-        assert builders.kinds(actions) == ["CancelWork", "CloseConnection"]
+        actions = harness.pool.on_cancel(started[0].attempt_id, harness.now)
+        assert builders.kinds(actions) == ["CancelAttempt", "CloseConnection"]
         assert harness.state(0).in_use == 3
         for start in started[1:]:
             harness.result(start, backends.Answered(), after_ms=20)
@@ -104,7 +104,7 @@
     def test_confirmed_cancellation_frees_the_slot(self):
         harness = _harness(1)
         start = harness.start()
-        harness.pool.on_cancel(start.work_id, harness.now)
+        harness.pool.on_cancel(start.attempt_id, harness.now)
         harness.result(start, backends.Cancelled())
         assert harness.state(0).in_use == 0
 
@@ -154,7 +154,7 @@
         assert due - harness.now < builders.ms(200)
         (refusal,) = harness.pool.on_tick(due)
         assert isinstance(refusal, backends.Refuse)
-        assert refusal.work_id == attempt.id
+        assert refusal.attempt_id == attempt.id
 
     def test_queued_attempt_is_not_started_when_it_became_too_late(self):
         """A slot becomes free, but later than estimated at admission."""
@@ -166,7 +166,7 @@
             started[0], backends.Answered(), after_ms=60
         )
         assert isinstance(refusal, backends.Refuse)
-        assert refusal.work_id == attempt.id
+        assert refusal.attempt_id == attempt.id
 
     def test_one_outlier_hardly_changes_the_mean_service_time(self):
         harness = _harness()
@@ -208,7 +208,7 @@
         high = harness.attempt(priority=_HIGH)
         harness.pool.on_request(high, harness.now)
         (start,) = harness.result(started[0], backends.Answered(), after_ms=20)
-        assert start.work_id == high.id
+        assert start.attempt_id == high.id
 
     def test_high_priority_attempt_displaces_a_normal_one_in_a_full_queue(self):
         harness = _harness(1)
@@ -217,7 +217,7 @@
         high = harness.attempt(priority=_HIGH)
         (refusal,) = harness.pool.on_request(high, harness.now)
         assert isinstance(refusal, backends.Refuse)
-        assert refusal.work_id != high.id
+        assert refusal.attempt_id != high.id
 
 
 class TestConnections:
@@ -297,7 +297,7 @@
         actions = harness.tick()
         closed = [a for a in actions if isinstance(a, backends.CloseConnection)]
         assert len(closed) == 3
-        assert "CancelWork" in builders.kinds(actions)
+        assert "CancelAttempt" in builders.kinds(actions)
         assert harness.state(0).connections == 0
 
     def test_number_of_connections_stays_below_the_limit(self):
@@ -455,12 +455,12 @@
         harness = _harness(1)
         start = harness.start(idempotent=False)
         harness.now += builders.ms(after_ms)
-        harness.pool.on_cancel(start.work_id, harness.now)
+        harness.pool.on_cancel(start.attempt_id, harness.now)
         assert (harness.state(0).failure_rate > 0) == failed
 
     @pytest.mark.parametrize(
         ("deadline_ms", "expected"),
-        [(60_000, []), (2_000, ["CancelWork", "CloseConnection"] * 6)],
+        [(60_000, []), (2_000, ["CancelAttempt", "CloseConnection"] * 6)],
     )
     def test_pause_of_this_vm_is_not_a_failure_of_backend_servers(
         self, deadline_ms, expected
@@ -484,7 +484,7 @@
         assert harness.tick(after_ms=3_000) == ()
         due = harness.pool.next_wake_up(harness.now)
         assert due is not None
-        assert "CancelWork" in builders.kinds(harness.pool.on_tick(due))
+        assert "CancelAttempt" in builders.kinds(harness.pool.on_tick(due))
 
     def test_retry_avoids_backend_servers_already_tried(self):
         harness = _harness(2)
--- a/dragonflystack/backends/tests/test_random_runs.py
+++ b/dragonflystack/backends/tests/test_random_runs.py
@@ -74,12 +74,12 @@
                 case backends.Start():
                     self._started(action)
                 case backends.Refuse():
-                    attempt = self.waiting.pop(action.work_id)
+                    attempt = self.waiting.pop(action.attempt_id)
                     assert action.failure.retry_after is not None
                     assert action.failure.retry_after >= builders.ms(0)
                     self.outcomes.append((attempt.id, "refused"))
-                case backends.CancelWork():
-                    start, attempt = self.running.pop(action.work_id)
+                case backends.CancelAttempt():
+                    start, attempt = self.running.pop(action.attempt_id)
                     self.abandoned[attempt.id] = (start, attempt)
                     self.outcomes.append((attempt.id, "abandoned"))
                 case backends.CloseConnection():
@@ -87,7 +87,7 @@
                     self.busy.pop(action.connection, None)
 
     def _started(self, start):
-        attempt = self.waiting.pop(start.work_id)
+        attempt = self.waiting.pop(start.attempt_id)
         assert start.connection not in self.closed
         assert start.connection not in self.busy
         self.busy[start.connection] = attempt.id
@@ -106,20 +106,20 @@
     def _result(self):
         if not self.running:
             return
-        work_id = self.random.choice(list(self.running))
+        attempt_id = self.random.choice(list(self.running))
         result = self.random.choices(list(_RESULTS), list(_RESULTS.values()))[0]
-        start, attempt = self.running.pop(work_id)
+        start, attempt = self.running.pop(attempt_id)
         if not isinstance(result, _FINAL_RESULTS):
-            self.running[work_id] = (start, attempt)
+            self.running[attempt_id] = (start, attempt)
         self.busy.pop(start.connection)
         self._carry_out(
-            self.harness.pool.on_result(work_id, result, self.harness.now)
+            self.harness.pool.on_result(attempt_id, result, self.harness.now)
         )
 
     def _late_result(self):
         if not self.abandoned:
             return
-        work_id = self.random.choice(list(self.abandoned))
+        attempt_id = self.random.choice(list(self.abandoned))
         results: list[backends.Result] = [
             backends.Cancelled(),
             backends.Answered(),
@@ -127,18 +127,20 @@
         ]
         result = self.random.choice(results)
         if isinstance(result, _FINAL_RESULTS):
-            del self.abandoned[work_id]
+            del self.abandoned[attempt_id]
         self._carry_out(
-            self.harness.pool.on_result(work_id, result, self.harness.now)
+            self.harness.pool.on_result(attempt_id, result, self.harness.now)
         )
 
     def _cancel(self):
         known = [*self.waiting, *self.running]
         if not known:
             return
-        work_id = self.random.choice(known)
-        self.waiting.pop(work_id, None)
-        self._carry_out(self.harness.pool.on_cancel(work_id, self.harness.now))
+        attempt_id = self.random.choice(known)
+        self.waiting.pop(attempt_id, None)
+        self._carry_out(
+            self.harness.pool.on_cancel(attempt_id, self.harness.now)
+        )
 
     def _tick(self):
         self._carry_out(self.harness.tick())
@@ -168,9 +170,9 @@
 
     def _remove_expired(self):
         """Removes abandoned attempts whose deadlines have passed."""
-        for work_id, (_, attempt) in list(self.abandoned.items()):
+        for attempt_id, (_, attempt) in list(self.abandoned.items()):
             if attempt.deadline <= self.harness.now:
-                del self.abandoned[work_id]
+                del self.abandoned[attempt_id]
 
     def _check(self):
         in_use: dict[ids.BackendServerId, int] = {}
--- a/dragonflystack/forwarding/_answer_checks.py
+++ b/dragonflystack/forwarding/_answer_checks.py
@@ -5,7 +5,7 @@
 
 
 def find_fault(
-    answer: _messages.Answer, attempt_id: _messages.WorkId, peer: str
+    answer: _messages.Answer, attempt_id: _messages.AttemptId, peer: str
 ) -> outcomes.Failure | None:
     """Returns the fault of an answer, None if it is complete and its own.
 
--- a/dragonflystack/forwarding/_engine.py
+++ b/dragonflystack/forwarding/_engine.py
@@ -28,7 +28,7 @@
     """A new request and the inputs for the decision on it."""
 
     request: _messages.Request
-    owner_lookup: _messages.Owners
+    owner_lookup: _messages.OwnerLookup
     refusal_cause: _messages.Cause | None
     """Why this VM accepts no new requests, None if it accepts them."""
 
@@ -125,7 +125,7 @@
     def on_request(
         self,
         request: _messages.Request,
-        owner_lookup: _messages.Owners,
+        owner_lookup: _messages.OwnerLookup,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
         """Handles a new request.
@@ -149,10 +149,10 @@
             self._handle_with_key(incoming, request.key)
         return self._flush()
 
-    def on_work_result(
+    def on_attempt_result(
         self,
-        attempt_id: _messages.WorkId,
-        result: _messages.WorkResult,
+        attempt_id: _messages.AttemptId,
+        result: _messages.AttemptResult,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
         """Handles the result of a `Dispatch`, here or at another VM."""
--- a/dragonflystack/forwarding/_jobs.py
+++ b/dragonflystack/forwarding/_jobs.py
@@ -87,7 +87,7 @@
     def create(
         self,
         request: _messages.Request,
-        owner_lookup: _messages.Owners,
+        owner_lookup: _messages.OwnerLookup,
         key: ids.RequestKey | None,
     ) -> _runner.Job:
         job = _runner.Job(request, owner_lookup, key, [])
--- a/dragonflystack/forwarding/_key_ledger.py
+++ b/dragonflystack/forwarding/_key_ledger.py
@@ -76,7 +76,7 @@
     max_answer_bytes: int = 8_388_608
     """Maximum total size of kept answers."""
 
-    answer_kept: datetime.timedelta = datetime.timedelta(seconds=120)
+    answer_ttl: datetime.timedelta = datetime.timedelta(seconds=120)
     """How long an answer is kept for repeated requests."""
 
     def __post_init__(self) -> None:
@@ -378,7 +378,7 @@
         while self._kept_bytes + size > self._bounds.max_answer_bytes:
             self._drop_oldest_answer()
         entry.answer = answer
-        expires_at = now + self._bounds.answer_kept
+        expires_at = now + self._bounds.answer_ttl
         self._kept[key] = _KeptAnswer(size, expires_at)
         self._kept_bytes += size
 
--- a/dragonflystack/forwarding/_messages.py
+++ b/dragonflystack/forwarding/_messages.py
@@ -19,7 +19,7 @@
 CallId = NewType("CallId", int)
 """Id of one call by a caller or a relaying VM, chosen by the I/O layer."""
 
-WorkId = NewType("WorkId", str)
+AttemptId = NewType("AttemptId", str)
 """Id of one attempt, unique in the fleet; backend servers may echo it."""
 
 ClaimId = NewType("ClaimId", str)
@@ -105,7 +105,7 @@
     """The attempt id that the backend server echoed, if it did."""
 
 
-Owners = Callable[[], Sequence[OwnerHint]]
+OwnerLookup = Callable[[], Sequence[OwnerHint]]
 """Returns the VMs that may run a request, as currently known."""
 
 
@@ -140,7 +140,7 @@
     """The backend server that failed, None if the owner failed."""
 
 
-WorkResult = Answered | Refused | Failed
+AttemptResult = Answered | Refused | Failed
 
 
 # Results of a claim.
@@ -216,10 +216,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Work:
+class Attempt:
     """One attempt at running a request."""
 
-    id: WorkId
+    id: AttemptId
     service: ids.ServiceId
     idempotent: bool
     priority: config.Priority
@@ -239,15 +239,15 @@
     """Have the owner run an attempt; report to `Engine.on_attempt_result`."""
 
     owner: ids.VmId
-    attempt: Work
+    attempt: Attempt
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CancelWork:
+class CancelAttempt:
     """Cancel an attempt, whose result is no longer needed."""
 
     owner: ids.VmId
-    attempt_id: WorkId
+    attempt_id: AttemptId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -255,7 +255,7 @@
     """Close the connection of an attempt, which is in an unknown state."""
 
     owner: ids.VmId
-    attempt_id: WorkId
+    attempt_id: AttemptId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -292,7 +292,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Finish:
+class SendReply:
     """Send the reply to the caller; the last action for the call."""
 
     call: CallId
@@ -301,11 +301,11 @@
 
 Action = (
     Dispatch
-    | CancelWork
+    | CancelAttempt
     | CloseConnection
     | Relay
     | CancelRelay
     | WriteClaim
     | ReadClaim
-    | Finish
+    | SendReply
 )
--- a/dragonflystack/forwarding/_runner.py
+++ b/dragonflystack/forwarding/_runner.py
@@ -33,7 +33,7 @@
     """A request that runs for one or more calls."""
 
     request: _messages.Request
-    owner_lookup: _messages.Owners
+    owner_lookup: _messages.OwnerLookup
     key: ids.RequestKey | None
     callers: list[_messages.CallId]
     claim_writes: int = 0
@@ -51,7 +51,7 @@
     avoid: tuple[ids.BackendServerId, ...] = ()
     """Backend servers at which an attempt failed."""
 
-    in_flight: dict[_messages.WorkId, ids.VmId] = dataclasses.field(
+    in_flight: dict[_messages.AttemptId, ids.VmId] = dataclasses.field(
         default_factory=dict
     )
     """The attempts in flight and their owners."""
@@ -85,7 +85,7 @@
         self._timers = timers
         self._actions = actions
         self._on_end = on_end
-        self._jobs: dict[_messages.WorkId, Job] = {}
+        self._jobs: dict[_messages.AttemptId, Job] = {}
         self._serial = 0
         self.owner_chooser = _owner_choice.OwnerChooser(issuer.vm, rng)
         self.budget = retry_budget.RetryBudget(
@@ -129,8 +129,8 @@
 
     def on_result(
         self,
-        attempt_id: _messages.WorkId,
-        result: _messages.WorkResult,
+        attempt_id: _messages.AttemptId,
+        result: _messages.AttemptResult,
         now: datetime.timedelta,
     ) -> None:
         """Handles the result of an attempt; ignores cancelled attempts."""
@@ -180,7 +180,7 @@
         self,
         job: Job,
         owner: ids.VmId,
-        attempt_id: _messages.WorkId,
+        attempt_id: _messages.AttemptId,
         answer: _messages.Answer,
         now: datetime.timedelta,
     ) -> None:
@@ -264,7 +264,7 @@
             self._keys.on_started(job.key, now)
         self._serial += 1
         issuer = self._issuer
-        attempt_id = _messages.WorkId(
+        attempt_id = _messages.AttemptId(
             f"{issuer.vm}.{issuer.incarnation}:{self._serial}"
         )
         job.attempts += 1
@@ -277,7 +277,7 @@
         self._actions.append(
             _messages.Dispatch(
                 hint.vm,
-                _messages.Work(
+                _messages.Attempt(
                     attempt_id,
                     req.service,
                     req.idempotent,
@@ -298,7 +298,7 @@
         )
 
     def _on_owner_timeout(
-        self, attempt_id: _messages.WorkId, now: datetime.timedelta
+        self, attempt_id: _messages.AttemptId, now: datetime.timedelta
     ) -> None:
         job = self._jobs.get(attempt_id)
         if job is None:
@@ -353,7 +353,7 @@
         for attempt_id, owner in job.in_flight.items():
             del self._jobs[attempt_id]
             self.owner_chooser.on_attempt_end(owner)
-            self._actions.append(_messages.CancelWork(owner, attempt_id))
+            self._actions.append(_messages.CancelAttempt(owner, attempt_id))
         job.in_flight.clear()
         self._on_end(job, reply, now)
 
--- a/dragonflystack/forwarding/tests/test_engine.py
+++ b/dragonflystack/forwarding/tests/test_engine.py
@@ -72,7 +72,9 @@
 
     def result(self, result, now=0.1, which=-1):
         attempt_id = self.of(forwarding.Dispatch)[which].attempt.id
-        self.actions += self.engine.on_work_result(attempt_id, result, _at(now))
+        self.actions += self.engine.on_attempt_result(
+            attempt_id, result, _at(now)
+        )
 
     def claim(self, result, now=0.1):
         record = self.of(forwarding.WriteClaim)[0].record
@@ -85,7 +87,7 @@
 
     def reply(self, call):
         replies = [
-            a.reply for a in self.of(forwarding.Finish) if a.call == call
+            a.reply for a in self.of(forwarding.SendReply) if a.call == call
         ]
         assert len(replies) <= 1
         return replies[0] if replies else None
@@ -200,7 +202,7 @@
     assert harness.engine.state().suspected_owners == (first.owner,)
     harness.tick(2)
     assert harness.outcome(call) is _UNKNOWN
-    cancelled = {a.attempt_id for a in harness.of(forwarding.CancelWork)}
+    cancelled = {a.attempt_id for a in harness.of(forwarding.CancelAttempt)}
     assert cancelled == {d.attempt.id for d in harness.of(forwarding.Dispatch)}
     assert harness.engine.next_wake_up() is None
 
@@ -214,7 +216,7 @@
     harness.result(_ANSWERED, 0.9, which=1)
     harness.result(_ANSWERED, 0.9, which=0)
     assert harness.outcome(call) is _SERVED
-    assert [a.attempt_id for a in harness.of(forwarding.CancelWork)] == [
+    assert [a.attempt_id for a in harness.of(forwarding.CancelAttempt)] == [
         second.attempt.id
     ]
 
@@ -383,10 +385,10 @@
     full = harness.prefix + key if key else None
     call = harness.ask(full, idempotent=idempotent)
     harness.actions += harness.engine.on_caller_gone(call, _at(0.1))
-    assert len(harness.of(forwarding.CancelWork)) == cancels
+    assert len(harness.of(forwarding.CancelAttempt)) == cancels
     assert harness.reply(call) is None
     harness.tick(2)
-    assert len(harness.of(forwarding.CancelWork)) == 1
+    assert len(harness.of(forwarding.CancelAttempt)) == 1
     assert harness.engine.state().jobs == 0
 
 
