--- a/dragonflystack/backends/_running_attempts.py
+++ b/dragonflystack/backends/_running_attempts.py
@@ -310,7 +310,9 @@
         now: datetime.timedelta,
         actions: list[_messages.Action],
     ) -> None:
-        """Closes older connections; counts a failure if this one was new.
+        """Closes connections idle since before this attempt started.
+
+        Counts a failure only if this connection was opened for the attempt.
 
         A reused connection may have been closed by the peer while it was idle,
         which is not a failure of the backend server.
@@ -327,7 +329,7 @@
         now: datetime.timedelta,
         actions: list[_messages.Action],
     ) -> None:
-        """Closes connections idle for as long as this one; counts a failure."""
+        """Closes connections idle since before it started; counts a failure."""
         server = running.server
         older = server.connections.remove_idle_before(running.started_at)
         _server.add_close_actions(server, older, actions)
--- a/dragonflystack/backends/_server.py
+++ b/dragonflystack/backends/_server.py
@@ -18,7 +18,7 @@
     """The slots, limit, failures and drain of one backend server.
 
     The limit is the number of slots that may be used. It starts at one and
-    grows with good answers, so that load on a cold backend server ramps up as
+    grows with quick answers, so that load on a cold backend server ramps up as
     the server warms up. A refusal cuts the limit to the number of attempts that
     the backend server accepted, a failure to one.
     """
@@ -64,7 +64,7 @@
         self._paused_until = _ZERO
         self._ejections = 0
         self._idle_sheds = 0
-        self._good_answers = 0
+        self._quick_answers = 0
         self._ramp_answers = settings.ramp_answers
         self._reported_in_use = 0
         self._reported_until = _ZERO
@@ -156,14 +156,14 @@
         self._idle_sheds = 0
         if not quick:
             return
-        self._good_answers += 1
-        if self._good_answers >= self._ramp_answers:
+        self._quick_answers += 1
+        if self._quick_answers >= self._ramp_answers:
             self._raise_limit()
 
     def record_failure(self) -> None:
         """Records a failure and cuts the limit to one slot."""
         self._update_failure_rate(1.0)
-        self._good_answers = 0
+        self._quick_answers = 0
         self.limit = 1
 
     def record_shed(self, now: datetime.timedelta) -> None:
@@ -173,7 +173,7 @@
         longer with each refusal in a row.
         """
         self.limit = max(1, min(self.limit, self.in_use))
-        self._good_answers = 0
+        self._quick_answers = 0
         self._ramp_answers = min(2 * self._ramp_answers, _MAX_RAMP_ANSWERS)
         if self.in_use == 0:
             pause = self._settings.shed_pause * 2**self._idle_sheds
@@ -219,7 +219,7 @@
         self.failure_rate += weight * (failure - self.failure_rate)
 
     def _raise_limit(self) -> None:
-        self._good_answers = 0
+        self._quick_answers = 0
         self.limit = min(self.limit + 1, self.config.slots)
         if self.limit == self.config.slots:
             self._ramp_answers = self._settings.ramp_answers
--- a/dragonflystack/forwarding/_engine.py
+++ b/dragonflystack/forwarding/_engine.py
@@ -260,7 +260,7 @@
             self._runner.begin(job, incoming.now)
             return
         if key is not None:
-            self._keys.settle_not_run(key, incoming.now)
+            self._keys.record_not_run(key, incoming.now)
         self._calls.finish_not_run(
             incoming.request.call,
             incoming.refusal_cause,
--- a/dragonflystack/forwarding/_jobs.py
+++ b/dragonflystack/forwarding/_jobs.py
@@ -99,9 +99,9 @@
 
     def join(self, request: _messages.Request, job: _runner.Job) -> None:
         job.callers.append(request.call)
-        waiting = self.calls.get(request.call)
-        assert waiting is not None
-        waiting.job = job
+        call_state = self.calls.get(request.call)
+        assert call_state is not None
+        call_state.job = job
         if not job.request.idempotent:
             self._add_deadline(request)
 
@@ -115,10 +115,10 @@
         self, call: _messages.CallId, now: datetime.timedelta
     ) -> None:
         """Replies to a call that is relayed or waits for a job."""
-        waiting = self.calls.get(call)
-        if waiting is None:
+        call_state = self.calls.get(call)
+        if call_state is None:
             return
-        job = waiting.job
+        job = call_state.job
         self.calls.finish_unknown(
             call,
             _messages.Cause.DEADLINE,
@@ -171,13 +171,13 @@
     ) -> None:
         self._forget_job(job)
         for call in job.callers:
-            waiting = self.calls.get(call)
-            assert waiting is not None
-            waiting.job = None
-            if waiting.request.relayed or holder.vm == self._issuer.vm:
+            call_state = self.calls.get(call)
+            assert call_state is not None
+            call_state.job = None
+            if call_state.request.relayed or holder.vm == self._issuer.vm:
                 self.calls.finish_key_closed(call)
             else:
-                self.relay(waiting.request, holder, now)
+                self.relay(call_state.request, holder, now)
 
     def _abandon_claim(self, job: _runner.Job, reason: str) -> None:
         self.claims.abandon(job)
--- a/dragonflystack/forwarding/_key_ledger.py
+++ b/dragonflystack/forwarding/_key_ledger.py
@@ -232,7 +232,7 @@
         if entry is not None:
             entry.possible_runs -= 1
 
-    def settle_served(
+    def record_served(
         self,
         key: ids.RequestKey,
         answer: _messages.Answer,
@@ -246,7 +246,7 @@
         self._keep_answer(key, entry, answer, now)
         self._release(key, entry)
 
-    def settle_not_run(
+    def record_not_run(
         self, key: ids.RequestKey, now: datetime.timedelta
     ) -> None:
         """Rules out the attempt number forever; checks that it did not run."""
@@ -260,7 +260,7 @@
             entry.highest_refused = entry.attempt_number
             self._release(key, entry)
 
-    def settle_unknown(self, key: ids.RequestKey) -> None:
+    def record_unknown(self, key: ids.RequestKey) -> None:
         """Records the outcome unknown, which rules out further runs."""
         entry = self.find(key)
         if entry is not None:
--- a/dragonflystack/forwarding/_owner_choice.py
+++ b/dragonflystack/forwarding/_owner_choice.py
@@ -53,8 +53,8 @@
         untried = [hint for hint in owners if hint.vm not in tried]
         if not untried:
             return None
-        trusted = [h for h in untried if not self._is_suspected(h.vm, now)]
-        candidates = trusted or untried
+        unsuspected = [h for h in untried if not self._is_suspected(h.vm, now)]
+        candidates = unsuspected or untried
         for hint in candidates:
             if hint.vm == self._own_vm and hint.free_slots > 0:
                 return hint
@@ -89,12 +89,12 @@
         self._suspicions[vm] = _Suspicion(failures, now + length)
 
     def _drop_expired(self, now: datetime.timedelta) -> None:
-        forgotten = [
+        expired = [
             vm
             for vm, suspicion in self._suspicions.items()
             if now - suspicion.until > _SUSPICION_TTL
         ]
-        for vm in forgotten:
+        for vm in expired:
             del self._suspicions[vm]
 
     def _is_suspected(self, vm: ids.VmId, now: datetime.timedelta) -> bool:
--- a/dragonflystack/forwarding/_runner.py
+++ b/dragonflystack/forwarding/_runner.py
@@ -116,7 +116,7 @@
             return
         cause = _messages.Cause.DEADLINE if owners else _messages.Cause.NO_OWNER
         reason = (
-            "too little time left to run it"
+            "too little time left to run the request"
             if owners
             else "no VM owns a backend server of the service"
         )
@@ -168,13 +168,13 @@
 
         Jitter is added so that callers don't retry at the same time.
         """
-        named = [
+        requested = [
             failure.retry_after
             for failure in (job.failures if job else ())
             if failure.retry_after is not None
         ]
-        soonest = min(named, default=self._limits.retry_after)
-        return soonest * (1 + _RETRY_AFTER_JITTER * self._rng.random())
+        shortest = min(requested, default=self._limits.retry_after)
+        return shortest * (1 + _RETRY_AFTER_JITTER * self._rng.random())
 
     def _on_answer(
         self,
@@ -191,7 +191,7 @@
             return
         self.owner_chooser.on_response(owner)
         if job.key is not None:
-            self._keys.settle_served(job.key, answer, now)
+            self._keys.record_served(job.key, answer, now)
         reply = _messages.Reply(
             outcomes.RequestOutcome.SERVED, answer, key=job.key
         )
@@ -318,10 +318,10 @@
         self, job: Job, cause: _messages.Cause, now: datetime.timedelta
     ) -> None:
         if job.possible_runs:
-            self._settle_unknown(job)
+            self._record_unknown(job)
             outcome = outcomes.RequestOutcome.UNKNOWN
         else:
-            self._settle_not_run(job, now)
+            self._record_not_run(job, now)
             outcome = outcomes.RequestOutcome.NOT_RUN
         failure = dataclasses.replace(
             job.failures[-1], retry_after=self.retry_after(job)
@@ -331,13 +331,13 @@
         )
         self._end(job, reply, now)
 
-    def _settle_unknown(self, job: Job) -> None:
+    def _record_unknown(self, job: Job) -> None:
         if job.key is not None:
-            self._keys.settle_unknown(job.key)
+            self._keys.record_unknown(job.key)
 
-    def _settle_not_run(self, job: Job, now: datetime.timedelta) -> None:
+    def _record_not_run(self, job: Job, now: datetime.timedelta) -> None:
         if job.key is not None:
-            self._keys.settle_not_run(job.key, now)
+            self._keys.record_not_run(job.key, now)
             return
         self._promise_ledger.check(
             promises.PromiseId.NOT_RUN_IS_TRUE,
--- a/dragonflystack/forwarding/tests/test_key_ledger.py
+++ b/dragonflystack/forwarding/tests/test_key_ledger.py
@@ -30,7 +30,7 @@
 def _serve(keys, key, body=b"", now=_ZERO):
     assert _admit(keys, key) is _Verdict.RUN
     keys.on_started(key, now)
-    keys.settle_served(key, _messages.Answer(200, body=body), now)
+    keys.record_served(key, _messages.Answer(200, body=body), now)
 
 
 def test_key_goes_from_fresh_to_running_to_served():
@@ -40,7 +40,7 @@
     assert _admit(keys, key) is _Verdict.JOIN
     keys.on_started(key, _ZERO)
     assert _admit(keys, key, attempt=2) is _Verdict.JOIN
-    keys.settle_served(key, _messages.Answer(200, body=b"ring"), _ZERO)
+    keys.record_served(key, _messages.Answer(200, body=b"ring"), _ZERO)
     assert _admit(keys, key, attempt=2) is _Verdict.REPEAT
     entry = keys.find(key)
     assert entry is not None and entry.answer is not None
@@ -51,7 +51,7 @@
     keys = _ledger()
     key = keys.new_key()
     assert _admit(keys, key, attempt=2) is _Verdict.RUN
-    keys.settle_not_run(key, _ZERO)
+    keys.record_not_run(key, _ZERO)
     assert _admit(keys, key, attempt=1) is _Verdict.NOT_RUN
     assert _admit(keys, key, attempt=2) is _Verdict.NOT_RUN
     assert _admit(keys, key, attempt=3) is _Verdict.RUN
@@ -65,7 +65,7 @@
     if not started:
         keys.release_unstarted(key)
     _admit(keys, key, attempt=2)
-    keys.settle_not_run(key, _ZERO)
+    keys.record_not_run(key, _ZERO)
     assert _admit(keys, key, attempt=2) is _Verdict.NOT_RUN
     assert _admit(keys, key, attempt=3) is _Verdict.RUN
 
@@ -75,7 +75,7 @@
     key = keys.new_key()
     _admit(keys, key)
     keys.on_started(key, _ZERO)
-    keys.settle_unknown(key)
+    keys.record_unknown(key)
     assert _admit(keys, key, attempt=9) is _Verdict.UNKNOWN
 
 
@@ -87,19 +87,19 @@
 
 
 @pytest.mark.parametrize(
-    ("start", "settle", "promise"),
+    ("start", "method", "promise"),
     [
-        (True, "settle_not_run", "not-run-is-true"),
+        (True, "record_not_run", "not-run-is-true"),
         (True, "on_started", "at-most-once"),
     ],
 )
-def test_state_change_that_breaks_a_promise_raises(start, settle, promise):
+def test_state_change_that_breaks_a_promise_raises(start, method, promise):
     keys = _ledger()
     key = keys.new_key()
     _admit(keys, key)
     keys.on_started(key, _ZERO)
     with pytest.raises(AssertionError, match=promise):
-        getattr(keys, settle)(key, _ZERO)
+        getattr(keys, method)(key, _ZERO)
 
 
 def _fill(keys, count):
@@ -150,7 +150,7 @@
     keys.on_started(key, _ZERO)
     _fill(keys, 3)
     assert _admit(keys, key) is _Verdict.JOIN
-    keys.settle_served(key, _messages.Answer(200), _ZERO)
+    keys.record_served(key, _messages.Answer(200), _ZERO)
     assert _admit(keys, key) is _Verdict.CLOSED
     assert (keys.size, keys.kept_bytes) == (2, 0)
 
@@ -199,20 +199,20 @@
         if running and rng.random() < 0.6:
             done = ids.RequestKey(rng.choice(sorted(running)))
             running.discard(done)
-            _settle_at_random(keys, done, may_have_run, rng, now)
+            _record_random_outcome(keys, done, may_have_run, rng, now)
         assert keys.size <= 8
         assert keys.kept_bytes <= 40
 
 
-def _settle_at_random(keys, key, may_have_run, rng, now):
+def _record_random_outcome(keys, key, may_have_run, rng, now):
     outcome = rng.randrange(3)
     if outcome == 0:
         keys.on_not_started(key)
-        keys.settle_not_run(key, now)
+        keys.record_not_run(key, now)
         return
     may_have_run.add(key)
     if outcome == 1:
-        keys.settle_unknown(key)
+        keys.record_unknown(key)
     else:
         body = b"x" * rng.randrange(30)
-        keys.settle_served(key, _messages.Answer(200, body=body), now)
+        keys.record_served(key, _messages.Answer(200, body=body), now)
