--- a/dragonflystack/forwarding/__init__.py
+++ b/dragonflystack/forwarding/__init__.py
@@ -1,15 +1,15 @@
-"""The life of a request: identity, admission, deadlines, retries.
+"""Forwards requests: idempotency keys, admission, deadlines and retries.
 
-`Engine` is the entry point. A shell, a bench or a test tells it what happened
-and carries out the actions that it returns:
+`Engine` is the entry point. It does no I/O: its user reports events and carries
+out the actions that it returns:
 
     engine = forwarding.Engine(issuer, limits, checks, rng)
     engine.on_request(request, owners, now)
-    # -> (Dispatch(owner, work),)
-    engine.on_work_result(work.id, forwarding.Answered(answer), now)
-    # -> (Finish(call, reply),)
+    # -> (Dispatch(owner, attempt),)
+    engine.on_attempt_result(attempt.id, forwarding.Answered(answer), now)
+    # -> (SendReply(call, reply),)
 
-`docs/design/requests.md` says why it decides as it does.
+`docs/design/requests.md` explains the reasons for its decisions.
 """
 
 from dragonflystack.forwarding._answer_checks import find_fault
@@ -23,9 +23,12 @@
 from dragonflystack.forwarding._messages import Action
 from dragonflystack.forwarding._messages import Answer
 from dragonflystack.forwarding._messages import Answered
+from dragonflystack.forwarding._messages import Attempt
+from dragonflystack.forwarding._messages import AttemptId
+from dragonflystack.forwarding._messages import AttemptResult
 from dragonflystack.forwarding._messages import CallId
+from dragonflystack.forwarding._messages import CancelAttempt
 from dragonflystack.forwarding._messages import CancelRelay
-from dragonflystack.forwarding._messages import CancelWork
 from dragonflystack.forwarding._messages import Cause
 from dragonflystack.forwarding._messages import ClaimHeld
 from dragonflystack.forwarding._messages import ClaimId
@@ -35,20 +38,17 @@
 from dragonflystack.forwarding._messages import CloseConnection
 from dragonflystack.forwarding._messages import Dispatch
 from dragonflystack.forwarding._messages import Failed
-from dragonflystack.forwarding._messages import Finish
 from dragonflystack.forwarding._messages import Headers
 from dragonflystack.forwarding._messages import Issuer
 from dragonflystack.forwarding._messages import OwnerHint
-from dragonflystack.forwarding._messages import Owners
+from dragonflystack.forwarding._messages import OwnerLookup
 from dragonflystack.forwarding._messages import Payload
 from dragonflystack.forwarding._messages import ReadClaim
 from dragonflystack.forwarding._messages import Refused
 from dragonflystack.forwarding._messages import Relay
 from dragonflystack.forwarding._messages import Reply
 from dragonflystack.forwarding._messages import Request
-from dragonflystack.forwarding._messages import Work
-from dragonflystack.forwarding._messages import WorkId
-from dragonflystack.forwarding._messages import WorkResult
+from dragonflystack.forwarding._messages import SendReply
 from dragonflystack.forwarding._messages import WriteClaim
 
 __all__ = [
@@ -58,7 +58,7 @@
     "Bounds",
     "CallId",
     "CancelRelay",
-    "CancelWork",
+    "CancelAttempt",
     "Cause",
     "ClaimHeld",
     "ClaimId",
@@ -70,22 +70,22 @@
     "Engine",
     "EngineState",
     "Failed",
-    "Finish",
+    "SendReply",
     "Headers",
     "IssuedKey",
     "Issuer",
     "Limits",
     "OwnerHint",
-    "Owners",
+    "OwnerLookup",
     "Payload",
     "ReadClaim",
     "Refused",
     "Relay",
     "Reply",
     "Request",
-    "Work",
-    "WorkId",
-    "WorkResult",
+    "Attempt",
+    "AttemptId",
+    "AttemptResult",
     "WriteClaim",
     "find_fault",
     "key_prefix",
