--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -1,4 +1,8 @@
-"""Steering: client blocks, target shares, the walk, look-up answers."""
+"""Assigns callers to serving regions and answers look-ups.
+
+Covers client blocks, target shares, the gradual shift of the shares in use
+towards the targets, and look-up answers.
+"""
 
 from dragonflystack.steering._addresses import Block
 from dragonflystack.steering._addresses import Family
@@ -14,8 +18,6 @@
 from dragonflystack.steering._answers import SlotsOwned
 from dragonflystack.steering._block_table import BlockTable
 from dragonflystack.steering._block_table import TableLoader
-from dragonflystack.steering._budget import PEER_AGE
-from dragonflystack.steering._budget import Budget
 from dragonflystack.steering._chunks import InvalidChunkError
 from dragonflystack.steering._chunks import decode_chunk
 from dragonflystack.steering._chunks import digest_of
@@ -38,23 +40,23 @@
 from dragonflystack.steering._shares import Shares
 from dragonflystack.steering._shares import distance
 from dragonflystack.steering._shares import gain
+from dragonflystack.steering._shift_budget import PEER_AGE
+from dragonflystack.steering._shift_budget import ShiftBudget
+from dragonflystack.steering._shifter import CellStatus
+from dragonflystack.steering._shifter import Walker
 from dragonflystack.steering._steering import Steering
-from dragonflystack.steering._summary import ALONE
+from dragonflystack.steering._summary import NO_PEERS
 from dragonflystack.steering._summary import CellSummary
 from dragonflystack.steering._summary import PeerView
 from dragonflystack.steering._summary import merge_all_cells
 from dragonflystack.steering._summary import merge_cells
 from dragonflystack.steering._targets import compute_targets
-from dragonflystack.steering._walk import CellStatus
-from dragonflystack.steering._walk import Walker
 
 __all__ = [
-    "ALONE",
     "Answer",
     "AnswerTable",
     "Block",
     "BlockTable",
-    "Budget",
     "Capacity",
     "Cell",
     "CellStatus",
@@ -71,6 +73,7 @@
     "Load",
     "Measurements",
     "NO_LOAD",
+    "NO_PEERS",
     "OwnedCapacity",
     "PEER_AGE",
     "PeerView",
@@ -80,6 +83,7 @@
     "Refusal",
     "Report",
     "Shares",
+    "ShiftBudget",
     "SlotsOwned",
     "Steering",
     "TableLoader",
--- a/dragonflystack/steering/_addresses.py
+++ b/dragonflystack/steering/_addresses.py
@@ -1,7 +1,8 @@
-"""Client addresses and blocks as integers.
+"""Represents client addresses and address blocks as integers.
 
-An IPv4 address is its 32 bits. Of an IPv6 address the upper 64 bits count,
-since no client block is smaller than a /64.
+An IPv4 address is represented by its 32 bits, an IPv6 address by its upper 64
+bits, since no client block is smaller than a /64. These are the significant
+bits of an address.
 """
 
 import dataclasses
@@ -15,50 +16,50 @@
 
 
 class Family(enum.Enum):
-    """A family of addresses."""
+    """An IP address family."""
 
     IPV4 = 4
     IPV6 = 6
 
     @property
     def bits(self) -> int:
-        """How many bits of an address count."""
+        """The number of significant bits of an address."""
         return 32 if self is Family.IPV4 else 64
 
 
 class InvalidBlockError(ValueError):
-    """A client block breaks a rule; the message names it and the rule."""
+    """A client block is invalid; the message names the block and the cause."""
 
 
 class InvalidAddressError(ValueError):
-    """A client address is not an IP address; the message quotes it."""
+    """A client address is not an IP address; the message quotes the text."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Block:
-    """A block of client addresses and its site."""
+    """A block of client addresses and the site it belongs to."""
 
     family: Family
     first: int
-    """The first address, of which `Family.bits` bits count."""
+    """The significant bits of the first address."""
 
     length: int
-    """The length of the prefix in bits."""
+    """The prefix length in bits."""
 
     site: ids.SiteId
 
     @property
     def end(self) -> int:
-        """The address after the last one."""
+        """The first address after the block."""
         return self.first + (1 << (self.family.bits - self.length))
 
     @classmethod
     def from_text(cls, prefix: str, site: int) -> "Block":
-        """Returns the block of a prefix such as `192.0.2.0/24`.
+        """Returns the block for a prefix such as `192.0.2.0/24`.
 
         Raises:
-            InvalidBlockError: if it is no prefix, has bits set beyond its
-                length, or is an IPv6 prefix longer than 64 bits.
+            InvalidBlockError: if `prefix` is not an IP prefix, has host bits
+                set, or is an IPv6 prefix longer than 64 bits.
         """
         try:
             network = ipaddress.ip_network(prefix)
@@ -76,14 +77,16 @@
 
 
 def parse_address(text: str) -> tuple[Family, int]:
-    """Returns the family of an IP address and the bits of it that count.
+    """Returns the family and the significant bits of an IP address.
+
+    An IPv4-mapped IPv6 address is treated as IPv4.
 
     Raises:
-        InvalidAddressError: if it is not an IP address.
+        InvalidAddressError: if `text` is not an IP address.
     """
     parts = text.split(".")
     if len(parts) == 4 and ":" not in text:
-        return Family.IPV4, _join_octets(text, parts)
+        return Family.IPV4, _parse_ipv4(text, parts)
     try:
         address = ipaddress.IPv6Address(text)
     except ValueError as exc:
@@ -93,7 +96,7 @@
     return Family.IPV6, int(address) >> _IPV6_SHIFT
 
 
-def _join_octets(text: str, parts: list[str]) -> int:
+def _parse_ipv4(text: str, parts: list[str]) -> int:
     first, second, third, fourth = parts
     try:
         return (
@@ -104,5 +107,5 @@
         )
     except KeyError as exc:
         raise InvalidAddressError(
-            f"client address {text!r}: {exc} is no octet"
+            f"client address {text!r}: {exc} is not a decimal octet"
         ) from exc
--- a/dragonflystack/steering/_inputs.py
+++ b/dragonflystack/steering/_inputs.py
@@ -1,4 +1,4 @@
-"""What steering decides from: the policy of the document and measurements."""
+"""The inputs of steering decisions: policy and measurements."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -10,17 +10,17 @@
 from dragonflystack.steering import _shares
 
 _BYTES_S_PER_MBIT_S = 125_000.0
-_LINK_FRACTION = 0.9  # of a link's budget that steering plans with
-_SAME_REGION_MS = 0.5
-_NO_LINK_MS = 1_000.0
+_USABLE_LINK_FRACTION = 0.9  # part of a link budget that may be planned
+_SAME_REGION_DELAY_MS = 0.5
+_NO_LINK_DELAY_MS = 1_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
-    """How much a cell's callers ask for."""
+    """The measured demand of a cell."""
 
     requests_s: float
-    """Requests a second at all VMs, refused ones included."""
+    """Requests per second at all VMs, including refused look-ups."""
 
     age: datetime.timedelta
     """How old the oldest part of the figure is."""
@@ -28,66 +28,66 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Capacity:
-    """What a region's backend servers of one service can do."""
+    """The capacity of a region's backend servers for one service."""
 
     usable_slots: int
-    """Slots of the backend servers that take new work."""
+    """Slots of the backend servers that accept new requests."""
 
     busy_slots: float
-    """Mean number of those that are in use."""
+    """The mean number of those slots that are in use."""
 
     mean_service_time: datetime.timedelta
-    """Mean time that a request holds a slot; above 0."""
+    """The mean time that a request occupies a slot; above 0."""
 
     age: datetime.timedelta
     """How old the oldest part of the figure is."""
 
     @property
     def requests_s(self) -> float:
-        """Requests a second that keep all usable slots busy."""
+        """Requests per second that keep all usable slots busy."""
         return self.usable_slots / self.mean_service_time.total_seconds()
 
 
 Direction = tuple[ids.RegionId, ids.RegionId]
-"""A link between two regions, in one direction."""
+"""One direction of a link: source and destination region."""
 
 ServiceRegion = tuple[ids.ServiceId, ids.RegionId]
-"""A service in a region that serves it."""
+"""A service and a region that serves it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Measurements:
-    """What is known of the fleet's load at one time."""
+    """The measured demand and capacity of the fleet at one time."""
 
     demand: Mapping[_shares.Cell, Demand]
-    """Demand by cell; a cell that was not measured is absent."""
+    """Demand by cell; cells without a measurement are absent."""
 
     capacity: Mapping[ServiceRegion, Capacity]
-    """Capacity by service and region; absent if it was not measured."""
+    """Capacity by service and region; absent without a measurement."""
 
     down: frozenset[ids.RegionId] = frozenset()
-    """Regions that are agreed to have failed."""
+    """Regions that are considered to have failed."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Policy:
-    """The document, arranged for steering."""
+    """The parts of the document that steering needs, indexed."""
 
     document: config.Document
 
     @classmethod
     def from_config(cls, document: config.Document) -> "Policy":
-        """Returns the policy that the document states."""
+        """Returns the policy of a document."""
         return cls(document)
 
     @functools.cached_property
     def regions(self) -> tuple[ids.RegionId, ...]:
-        """All regions, in order of id."""
+        """All regions, ordered by id."""
         return tuple(sorted(self.document.regions))
 
     @functools.cached_property
     def services(self) -> tuple[config.Service, ...]:
-        """The services; those that others yield to come first."""
+        """All services, ordered by priority (high first) and id."""
 
         def rank(service: config.Service) -> tuple[bool, str]:
             return service.priority is not config.Priority.HIGH, service.id
@@ -96,7 +96,7 @@
 
     @functools.cached_property
     def cells(self) -> tuple[_shares.Cell, ...]:
-        """All cells, those of services that others yield to first."""
+        """All cells, those of high-priority services first."""
         return tuple(
             _shares.Cell(service.id, region)
             for service in self.services
@@ -105,13 +105,13 @@
 
     @functools.cached_property
     def leaving(self) -> frozenset[ids.RegionId]:
-        """The regions that traffic is to move away from."""
+        """The regions that traffic has to leave."""
         regions = self.document.topology.regions
         return frozenset(region.id for region in regions if region.leaving)
 
     @functools.cached_property
-    def max_age(self) -> datetime.timedelta:
-        """Older measurements do not justify moving load towards a region."""
+    def max_measurement_age(self) -> datetime.timedelta:
+        """The maximum age of a measurement that allows adding load."""
         return datetime.timedelta(
             seconds=self.document.fleet.measurement_max_age_s
         )
@@ -130,40 +130,43 @@
     def one_way_ms(
         self, caller_region: ids.RegionId, region: ids.RegionId
     ) -> float:
-        """Returns the delay between two regions, in milliseconds."""
+        """Returns the one-way delay between two regions in milliseconds.
+
+        Within a region and without a link, defaults apply.
+        """
         if caller_region == region:
-            return _SAME_REGION_MS
+            return _SAME_REGION_DELAY_MS
         link = self._links.get((caller_region, region))
-        return _NO_LINK_MS if link is None else link.one_way_ms
+        return _NO_LINK_DELAY_MS if link is None else link.one_way_ms
 
     def link_bytes_s(
         self, one: ids.RegionId, other: ids.RegionId
     ) -> float | None:
-        """Returns what steering may plan for in one direction.
+        """Returns the link bandwidth that may be planned in one direction.
 
         Returns:
-            Bytes a second, or None if the document sets no budget.
+            Bytes per second, or None if the document sets no link budget.
         """
         return self._link_bytes_s.get((one, other))
 
     @functools.cached_property
     def _link_bytes_s(self) -> dict[Direction, float]:
         return {
-            direction: link.mbit_s * _BYTES_S_PER_MBIT_S * _LINK_FRACTION
+            direction: link.mbit_s * _BYTES_S_PER_MBIT_S * _USABLE_LINK_FRACTION
             for direction, link in self._links.items()
             if direction[0] != direction[1]
         }
 
     @functools.cached_property
-    def link_use(
+    def link_bytes_per_request(
         self,
     ) -> dict[
         tuple[_shares.Cell, ids.RegionId], tuple[tuple[Direction, float], ...]
     ]:
-        """What a request of a cell takes of links when a region serves it.
+        """Bytes per request and link direction, by cell and serving region.
 
-        Bytes of the request on the way there and of the answer on the way
-        back; absent where no budget stands between the two.
+        The request uses the link to the serving region, the answer the link
+        back. Absent if there is no link budget between the two regions.
         """
         use: dict[
             tuple[_shares.Cell, ids.RegionId],
@@ -172,12 +175,15 @@
         for cell in self.cells:
             service = self.document.services[cell.service]
             for region in self.regions:
-                there = cell.caller_region, region
-                if there in self._link_bytes_s:
-                    back = region, cell.caller_region
+                request_direction = cell.caller_region, region
+                if request_direction in self._link_bytes_s:
+                    answer_direction = region, cell.caller_region
                     use[cell, region] = (
-                        (there, max(1.0, service.mean_request_bytes)),
-                        (back, max(1.0, service.mean_answer_bytes)),
+                        (
+                            request_direction,
+                            max(1.0, service.mean_request_bytes),
+                        ),
+                        (answer_direction, max(1.0, service.mean_answer_bytes)),
                     )
         return use
 
@@ -185,10 +191,10 @@
     def by_distance(
         self,
     ) -> dict[_shares.Cell, tuple[tuple[ids.RegionId, ...], ...]]:
-        """For each cell its allowed regions, grouped by equal delay."""
-        return {cell: self._group(cell) for cell in self.cells}
+        """The allowed regions of each cell, grouped by delay, nearest first."""
+        return {cell: self._group_by_delay(cell) for cell in self.cells}
 
-    def _group(
+    def _group_by_delay(
         self, cell: _shares.Cell
     ) -> tuple[tuple[ids.RegionId, ...], ...]:
         groups: dict[float, list[ids.RegionId]] = {}
@@ -198,10 +204,11 @@
             groups.setdefault(delay_ms, []).append(region)
         return tuple(tuple(groups[delay_ms]) for delay_ms in sorted(groups))
 
-    def first_shares(self, cell: _shares.Cell) -> _shares.Shares:
-        """Returns the shares of a cell about which nothing is known yet.
+    def initial_shares(self, cell: _shares.Cell) -> _shares.Shares:
+        """Returns the shares of a cell without any reported shares.
 
-        All callers go to the nearest allowed region that is not leaving.
+        All callers go to the nearest allowed region that is not leaving; if
+        there is none, all are refused.
         """
         for group in self.by_distance[cell]:
             for region in group:
--- a/dragonflystack/steering/_report.py
+++ b/dragonflystack/steering/_report.py
@@ -1,9 +1,9 @@
-"""What VMs report to each other for steering, as one value and as bytes.
+"""The steering reports that VMs exchange, and their encoding.
 
-A report holds the shares in use, the demand seen and the capacity owned, of
-one VM or of several: reports of different VMs merge in any order, so that a
-relay sends on a single one. A report does not tell its age; whoever carries
-it does.
+A report contains the shares in use, the measured demand and the owned capacity
+of one or more VMs. Reports of different VMs can be merged in any order, so that
+a relay forwards a single report. A report does not contain its age; the
+transport has to track it.
 """
 
 from collections.abc import Iterable
@@ -19,35 +19,36 @@
 from dragonflystack.steering import _shares
 from dragonflystack.steering import _summary
 
-_SCALE = 10_000
-_TIME_UNIT = datetime.timedelta(microseconds=1)
-_NO_CAPACITY_TIME = datetime.timedelta(seconds=1)
+_SHARE_SCALE = 10_000
+_MIN_SERVICE_TIME = datetime.timedelta(microseconds=1)
+_DEFAULT_SERVICE_TIME = datetime.timedelta(seconds=1)
 
 _Pairs = tuple[tuple[int, int], ...]
 
 
 class InvalidReportError(ValueError):
-    """Bytes that hold no report; the message says what is wrong."""
+    """Bytes do not contain a valid report; the message states the cause."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnedCapacity:
-    """Backend servers of one service in one region, as their owners see them.
+    """The owned backend servers of one service in one region.
 
-    Each backend server has one owner, so these add up.
+    Each backend server has exactly one owner, so the values of several VMs can
+    be added.
     """
 
     usable_slots: int
-    """Slots of the backend servers that take new work."""
+    """Slots of the backend servers that accept new requests."""
 
     busy_slots: float
-    """How many of those are in use."""
+    """The number of those slots that are in use."""
 
     requests_s: float
-    """Requests a second that keep all usable slots busy."""
+    """Requests per second that keep all usable slots busy."""
 
     def merge(self, other: "OwnedCapacity") -> "OwnedCapacity":
-        """Returns both together."""
+        """Returns the sum of the two capacities."""
         return OwnedCapacity(
             self.usable_slots + other.usable_slots,
             self.busy_slots + other.busy_slots,
@@ -57,31 +58,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """What one or more VMs know for steering."""
+    """The steering report of one or more VMs."""
 
     vms: Mapping[ids.RegionId, int]
-    """How many VMs of each region it is of."""
+    """The number of reporting VMs by region."""
 
     cells: Mapping[_shares.Cell, _summary.CellSummary]
-    """Their shares."""
+    """The shares of these VMs by cell; empty if they use none yet."""
 
     load: _meters.Load
-    """What their callers ask for."""
+    """The load of their callers."""
 
     capacity: Mapping[_inputs.ServiceRegion, OwnedCapacity]
-    """What they own."""
+    """The capacity of the backend servers that they own."""
 
     def merge(self, other: "Report") -> "Report":
-        """Returns the report of the VMs of both, which must be different."""
+        """Returns the combined report of two disjoint sets of VMs."""
         return Report(
-            _count(self.vms, other.vms),
+            _add_vm_counts(self.vms, other.vms),
             _summary.merge_cells(self.cells, other.cells),
             self.load.merge(other.load),
             merge_capacity(self.capacity, other.capacity),
         )
 
 
-def _count(
+def _add_vm_counts(
     one: Mapping[ids.RegionId, int], other: Mapping[ids.RegionId, int]
 ) -> dict[ids.RegionId, int]:
     regions = sorted(one.keys() | other.keys())
@@ -89,18 +90,18 @@
 
 
 EMPTY_REPORT = Report({}, {}, _meters.NO_LOAD, {})
-"""The report of no VM."""
+"""A report of no VMs."""
 
 
 def merge_capacity(
     one: Mapping[_inputs.ServiceRegion, OwnedCapacity],
     other: Mapping[_inputs.ServiceRegion, OwnedCapacity],
 ) -> dict[_inputs.ServiceRegion, OwnedCapacity]:
-    """Returns what two disjoint sets of VMs own."""
+    """Returns the owned capacity of two disjoint sets of VMs."""
     merged = dict(one)
     for key, owned in other.items():
-        known = merged.get(key)
-        merged[key] = owned if known is None else known.merge(owned)
+        existing = merged.get(key)
+        merged[key] = owned if existing is None else existing.merge(owned)
     return merged
 
 
@@ -111,18 +112,21 @@
     age: datetime.timedelta,
     down: frozenset[ids.RegionId],
 ) -> _inputs.Measurements:
-    """Returns the measurements that the reports of the fleet amount to.
+    """Converts the merged reports of the fleet to measurements.
 
     Args:
-        load: what the callers of all VMs ask for.
-        capacity: what all VMs own.
-        cells: all cells; nobody asks for those that no VM reports.
-        age: how old its oldest part is.
-        down: regions that are agreed to have failed.
+        load: the load of the callers of all VMs.
+        capacity: the capacity that all VMs own.
+        cells: all cells; those that no VM reports have no demand.
+        age: the age of the oldest report.
+        down: regions that are considered to have failed.
     """
-    asked = load.demand()
-    demand = {cell: _inputs.Demand(asked.get(cell, 0.0), age) for cell in cells}
-    measured = {
+    demand_by_cell = load.demand()
+    demand = {
+        cell: _inputs.Demand(demand_by_cell.get(cell, 0.0), age)
+        for cell in cells
+    }
+    capacity_by_key = {
         key: _inputs.Capacity(
             owned.usable_slots,
             owned.busy_slots,
@@ -131,25 +135,25 @@
         )
         for key, owned in capacity.items()
     }
-    return _inputs.Measurements(demand, measured, down)
+    return _inputs.Measurements(demand, capacity_by_key, down)
 
 
 def _mean_service_time(owned: OwnedCapacity) -> datetime.timedelta:
     if owned.usable_slots <= 0 or owned.requests_s <= 0:
-        return _NO_CAPACITY_TIME
+        return _DEFAULT_SERVICE_TIME
     seconds = owned.usable_slots / owned.requests_s
-    return max(_TIME_UNIT, datetime.timedelta(seconds=seconds))
+    return max(_MIN_SERVICE_TIME, datetime.timedelta(seconds=seconds))
 
 
 class _Cell(msgspec.Struct, array_like=True, frozen=True):
     service: int
     region: int
-    near: int
-    near_sums: _Pairs
-    low: _Pairs
-    high: _Pairs
-    far: int
-    far_sums: _Pairs
+    converged_count: int
+    converged_sums: _Pairs
+    min_shares: _Pairs
+    max_shares: _Pairs
+    diverged_count: int
+    diverged_sums: _Pairs
     target_sums: _Pairs
 
 
@@ -174,7 +178,10 @@
 
 
 class _Message(msgspec.Struct, array_like=True, frozen=True):
-    """A report with its names as indexes, and shares in ten-thousandths."""
+    """An encoded report.
+
+    Refers to services and regions by index; shares are in ten-thousandths.
+    """
 
     vms: _Pairs
     services: tuple[ids.ServiceId, ...]
@@ -186,7 +193,7 @@
 
 
 def encode_report(report: Report) -> bytes:
-    """Returns a report as bytes, its shares rounded to ten-thousandths."""
+    """Encodes a report; shares are rounded to ten-thousandths."""
     load = report.load
     cells = report.cells.keys() | load.answered_s.keys() | load.refused_s.keys()
     services = {cell.service for cell in cells} | load.requests_s.keys()
@@ -194,13 +201,13 @@
     regions = {cell.caller_region for cell in cells}
     regions |= {region for _, region in report.capacity} | report.vms.keys()
     for summary in report.cells.values():
-        regions |= summary.near_sums.keys() | summary.far_sums.keys()
+        regions |= summary.converged_sums.keys() | summary.diverged_sums.keys()
         regions |= summary.target_sums.keys()
     return _Encoder(sorted(services), sorted(regions)).encode(report)
 
 
 class _Encoder:
-    """The indexes of names in one message."""
+    """Encodes a report with the service and region indexes of one message."""
 
     def __init__(
         self, services: list[ids.ServiceId], regions: list[ids.RegionId]
@@ -223,22 +230,22 @@
         )
         return msgspec.msgpack.encode(message)
 
-    def _place(
+    def _indexes(
         self, service: ids.ServiceId, region: ids.RegionId
     ) -> tuple[int, int]:
         return self._services[service], self._regions[region]
 
     def _cell(self, cell: _shares.Cell, summary: _summary.CellSummary) -> _Cell:
-        service, region = self._place(cell.service, cell.caller_region)
+        service, region = self._indexes(cell.service, cell.caller_region)
         return _Cell(
             service,
             region,
-            summary.near,
-            self._pairs(summary.near_sums),
-            self._pairs(summary.low),
-            self._pairs(summary.high),
-            summary.far,
-            self._pairs(summary.far_sums),
+            summary.converged_count,
+            self._pairs(summary.converged_sums),
+            self._pairs(summary.min_shares),
+            self._pairs(summary.max_shares),
+            summary.diverged_count,
+            self._pairs(summary.diverged_sums),
             self._pairs(summary.target_sums),
         )
 
@@ -246,7 +253,7 @@
         cells = load.answered_s.keys() | load.refused_s.keys()
         return tuple(
             _LookUps(
-                *self._place(cell.service, cell.caller_region),
+                *self._indexes(cell.service, cell.caller_region),
                 load.answered_s.get(cell, 0.0),
                 load.refused_s.get(cell, 0.0),
             )
@@ -256,7 +263,7 @@
     def _capacity(
         self, key: _inputs.ServiceRegion, owned: OwnedCapacity
     ) -> _Capacity:
-        service, region = self._place(*key)
+        service, region = self._indexes(*key)
         return _Capacity(
             service,
             region,
@@ -265,18 +272,18 @@
             owned.requests_s,
         )
 
-    def _pairs(self, sums: _summary.Sums) -> _Pairs:
+    def _pairs(self, sums: _summary.ShareSums) -> _Pairs:
         return tuple(
-            (self._regions[region], round(share * _SCALE))
+            (self._regions[region], round(share * _SHARE_SCALE))
             for region, share in sums.items()
         )
 
 
 def decode_report(data: bytes) -> Report:
-    """Returns the report that bytes hold.
+    """Decodes a report.
 
     Raises:
-        InvalidReportError: if they hold none.
+        InvalidReportError: if the bytes are not a valid report.
     """
     try:
         message = msgspec.msgpack.decode(data, type=_Message)
@@ -288,18 +295,18 @@
 def _decode(message: _Message) -> Report:
     services, regions = message.services, message.regions
 
-    def sums(pairs: _Pairs) -> _summary.Sums:
-        return {regions[i]: share / _SCALE for i, share in pairs}
+    def sums(pairs: _Pairs) -> _summary.ShareSums:
+        return {regions[i]: share / _SHARE_SCALE for i, share in pairs}
 
     cells = {
         _shares.Cell(services[c.service], regions[c.region]): (
             _summary.CellSummary(
-                c.near,
-                sums(c.near_sums),
-                sums(c.low),
-                sums(c.high),
-                c.far,
-                sums(c.far_sums),
+                c.converged_count,
+                sums(c.converged_sums),
+                sums(c.min_shares),
+                sums(c.max_shares),
+                c.diverged_count,
+                sums(c.diverged_sums),
                 sums(c.target_sums),
             )
         )
--- a/dragonflystack/steering/_shares.py
+++ b/dragonflystack/steering/_shares.py
@@ -1,10 +1,10 @@
-"""How the callers of one region are shared out over the serving regions.
+"""Distributes the callers of one region over the serving regions.
 
-A `Shares` gives each serving region a fraction of a cell's callers; what is
-left is refused at look-up. The distance that the shift cap bounds is the gain:
-the sum of what every region gains from one `Shares` to another. Where nothing
-is refused it is the total variation distance. A refusal is no gain, since it
-sends no work anywhere; taking refused callers back in is one.
+A `Shares` assigns each serving region a fraction of a cell's callers; the rest
+is refused at look-up. The shift cap bounds the gain from one `Shares` to
+another: the sum of the increases over all regions. Without refusals the gain
+is the total variation distance. A refusal is no gain, since it adds no load to
+any region; serving callers that were refused before is a gain.
 """
 
 from collections.abc import Iterable
@@ -18,16 +18,16 @@
 
 
 class Cell(NamedTuple):
-    """The callers of one region that ask for one service."""
+    """The callers of one region that use one service."""
 
     service: ids.ServiceId
-    """What they ask for."""
+    """The requested service."""
 
     caller_region: ids.RegionId
-    """The region nearest to them, their home."""
+    """The home region of the callers, which is nearest to them."""
 
     def __str__(self) -> str:
-        """Returns the cell as it stands in dumps and records."""
+        """Returns the notation of the cell in dumps and records."""
         return f"{self.service}@{self.caller_region}"
 
 
@@ -36,13 +36,13 @@
     """The fraction of a cell's callers that each region serves."""
 
     by_region: Mapping[ids.RegionId, float]
-    """Fractions from 0 to 1 whose sum is at most 1; absent means 0."""
+    """Fractions between 0 and 1 with a sum of at most 1; absent means 0."""
 
     def __post_init__(self) -> None:
         """Checks the fractions.
 
         Raises:
-            ValueError: names the region or the sum that is out of bounds.
+            ValueError: if a fraction or the sum is out of bounds.
         """
         for region, share in self.by_region.items():
             if not -_ROUNDING <= share <= 1 + _ROUNDING:
@@ -63,12 +63,16 @@
         return max(0.0, 1.0 - sum(self.by_region.values()))
 
     def without(self, regions: Iterable[ids.RegionId]) -> "Shares":
-        """Returns these shares with all that `regions` served refused."""
-        gone = frozenset(regions)
-        if gone.isdisjoint(self.by_region):
+        """Returns these shares with the fractions of `regions` refused."""
+        removed = frozenset(regions)
+        if removed.isdisjoint(self.by_region):
             return self
         return Shares(
-            {r: share for r, share in self.by_region.items() if r not in gone}
+            {
+                r: share
+                for r, share in self.by_region.items()
+                if r not in removed
+            }
         )
 
 
@@ -77,9 +81,9 @@
 
 
 def gain(before: Shares, after: Shares) -> float:
-    """Returns the sum of what the regions gain, 0 to 1.
+    """Returns the sum of the increases over all regions, 0 to 1.
 
-    It obeys the triangle inequality and is convex in both arguments.
+    The gain obeys the triangle inequality and is convex in both arguments.
     """
     old = before.by_region
     return sum(
@@ -89,17 +93,17 @@
 
 
 def distance(one: Shares, other: Shares) -> float:
-    """Returns the total variation distance, refusal counted as a component."""
+    """Returns the total variation distance, with refusal as a component."""
     return max(gain(one, other), gain(other, one))
 
 
-def towards(start: Shares, end: Shares, fraction: float) -> Shares:
-    """Returns the point on the straight line from `start` to `end`.
+def interpolate(start: Shares, end: Shares, fraction: float) -> Shares:
+    """Interpolates linearly between two shares.
 
     Args:
-        start: the point at fraction 0.
-        end: the point at fraction 1.
-        fraction: how far to go, 0 to 1.
+        start: the result at fraction 0.
+        end: the result at fraction 1.
+        fraction: the position between `start` and `end`; clamped to 0 to 1.
     """
     if fraction <= 0:
         return start
@@ -107,28 +111,28 @@
         return end
     shares = {}
     for region in sorted(start.by_region.keys() | end.by_region.keys()):
-        here = start.of(region)
-        share = here + fraction * (end.of(region) - here)
+        initial = start.of(region)
+        share = initial + fraction * (end.of(region) - initial)
         if share > 0:
             shares[region] = share
     return Shares(shares)
 
 
-def smoothed(before: Shares, latest: Shares, fraction: float) -> Shares:
+def smooth(before: Shares, latest: Shares, fraction: float) -> Shares:
     """Returns exponentially smoothed shares.
 
-    What the latest leaves empty, a region or the refusal, is empty at once;
-    the others take its part in proportion.
+    A component (a region or the refusal) that is zero in the latest value
+    becomes zero at once; the others absorb its fraction proportionally.
 
     Args:
-        before: the smoothed shares so far.
-        latest: the newest value.
-        fraction: the weight of the newest, 0 to 1.
+        before: the previous smoothed shares.
+        latest: the latest value.
+        fraction: the weight of the latest value, 0 to 1.
     """
-    mixed = towards(before, latest, fraction)
-    kept = {r: s for r, s in mixed.by_region.items() if latest.of(r) > 0}
+    interpolated = interpolate(before, latest, fraction)
+    kept = {r: s for r, s in interpolated.by_region.items() if latest.of(r) > 0}
     total = sum(kept.values())
     if total <= 0:
         return latest
-    served = 1.0 if latest.refused <= _ROUNDING else 1.0 - mixed.refused
+    served = 1.0 if latest.refused <= _ROUNDING else 1.0 - interpolated.refused
     return Shares({r: share * served / total for r, share in kept.items()})
--- a/dragonflystack/steering/_steering.py
+++ b/dragonflystack/steering/_steering.py
@@ -1,8 +1,8 @@
-"""The steering of one VM: what comes in, what it answers, what it tells.
+"""Steers the callers of one VM: processes reports and answers look-ups.
 
-It joins the parts of this package: reports of other VMs become a view and
-measurements, the walker moves the shares in use, and the answer table is kept
-in step with them. Call `on_tick` more often than once a second and hand the
+Combines the parts of this package: the reports of other VMs are converted to a
+view and measurements, the shifter shifts the shares in use, and the answer
+table follows them. Call `on_tick` more often than once per second and send the
 report that it returns to the other VMs.
 """
 
@@ -17,21 +17,21 @@
 from dragonflystack.steering import _addresses
 from dragonflystack.steering import _answers
 from dragonflystack.steering import _block_table
-from dragonflystack.steering import _budget
 from dragonflystack.steering import _inputs
 from dragonflystack.steering import _meters
 from dragonflystack.steering import _report
 from dragonflystack.steering import _shares
+from dragonflystack.steering import _shift_budget
+from dragonflystack.steering import _shifter
 from dragonflystack.steering import _summary
-from dragonflystack.steering import _walk
 
-_DOWN_AFTER = datetime.timedelta(seconds=5)
+_DOWN_TIMEOUT = datetime.timedelta(seconds=5)
 _NOT_READY = _answers.Refusal(datetime.timedelta(seconds=1))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Heard:
-    """The latest report from one source."""
+class _ReceivedReport:
+    """The latest report from one source, and when it was received."""
 
     report: _report.Report
     at: datetime.timedelta
@@ -48,40 +48,40 @@
         version: ids.DocumentVersion,
         ledger: promises.Ledger,
     ):
-        """Starts without shares and without other VMs.
+        """Creates the state without shares and without other VMs.
 
         Args:
             vm: this VM.
             region: its region.
             document: the document in force.
             version: its version.
-            ledger: where the checks of promises are counted.
+            ledger: counts the checks of promises.
         """
         self._vm = vm
         self._region = region
         self._document = document
         self._version = version
-        self._walker = _walk.Walker.from_config(document, ledger)
+        self._shifter = _shifter.Walker.from_config(document, ledger)
         self._meter = _meters.DemandMeter()
-        self._heard: dict[str, _Heard] = {}
-        self._region_heard_at: dict[ids.RegionId, datetime.timedelta] = {}
-        self._ever_listed: frozenset[ids.RegionId] = frozenset()
+        self._received: dict[str, _ReceivedReport] = {}
+        self._region_reported_at: dict[ids.RegionId, datetime.timedelta] = {}
+        self._ever_listed_regions: frozenset[ids.RegionId] = frozenset()
         self._vms: tuple[_answers.EntryVm, ...] = ()
         self._slots_owned: _answers.SlotsOwned = {}
         self._blocks: _block_table.BlockTable | None = None
         self._answers: _answers.AnswerTable | None = None
-        self._answered: dict[_shares.Cell, _shares.Shares] = {}
-        self._cells: dict[ids.ServiceId, dict] = {}
+        self._table_shares: dict[_shares.Cell, _shares.Shares] = {}
+        self._cells_by_region: dict[ids.ServiceId, dict] = {}
         self._index_cells()
 
     @property
     def version(self) -> ids.DocumentVersion:
-        """The version of the document in force here."""
+        """The version of the document in force at this VM."""
         return self._version
 
     @property
     def blocks(self) -> _block_table.BlockTable | None:
-        """The client blocks in force, None before the first."""
+        """The client blocks in force, or None if none were loaded yet."""
         return self._blocks
 
     @property
@@ -91,22 +91,22 @@
         needs_blocks = bool(self._document.clients.chunks)
         return self._answers is not None and (has_blocks or not needs_blocks)
 
-    def status(self) -> tuple[_walk.CellStatus, ...]:
+    def status(self) -> tuple[_shifter.CellStatus, ...]:
         """Returns the state of all cells, for the dump."""
-        return self._walker.status()
+        return self._shifter.status()
 
     def on_document(
         self, document: config.Document, version: ids.DocumentVersion
     ) -> None:
-        """Takes up another document."""
+        """Applies a new document."""
         self._document = document
         self._version = version
-        self._walker.on_document(document)
+        self._shifter.on_document(document)
         self._index_cells()
         self._answers = None
 
     def on_blocks(self, blocks: _block_table.BlockTable) -> None:
-        """Takes up another table of client blocks."""
+        """Applies a new table of client blocks."""
         self._blocks = blocks
 
     def on_vms(
@@ -114,38 +114,39 @@
         vms: Sequence[_answers.EntryVm],
         slots_owned: _answers.SlotsOwned,
     ) -> None:
-        """Takes up which VMs are listed as live and not leaving.
+        """Applies the list of VMs that are live and not leaving.
 
         Args:
-            vms: the VMs, this one included unless it is leaving.
-            slots_owned: what each of them owns.
+            vms: the VMs, including this one unless it is leaving.
+            slots_owned: the slots that each of them owns.
         """
         ordered = tuple(sorted(vms, key=lambda entry: entry.vm))
         if ordered == self._vms and slots_owned == self._slots_owned:
             return
         self._vms = ordered
-        self._ever_listed |= {entry.region for entry in ordered}
+        self._ever_listed_regions |= {entry.region for entry in ordered}
         self._slots_owned = slots_owned
         self._answers = None
 
     def on_report(
         self, source: str, report: _report.Report, now: datetime.timedelta
     ) -> None:
-        """Takes up the latest report from a source.
+        """Records the latest report from a source.
 
         Args:
-            source: who sent it, another VM or a relay; sources are disjoint.
-            report: the report, which must not contain this VM.
+            source: the sender, another VM or a relay; the reports of different
+                sources cover disjoint sets of VMs.
+            report: the report, which must not include this VM.
             now: the time on the monotonic clock.
         """
-        self._heard[source] = _Heard(report, now)
+        self._received[source] = _ReceivedReport(report, now)
         for region in report.vms:
-            self._region_heard_at[region] = now
+            self._region_reported_at[region] = now
 
     def on_request(
         self, service: ids.ServiceId, now: datetime.timedelta
     ) -> None:
-        """Counts a request of a caller, whatever becomes of it."""
+        """Counts a request of a caller, regardless of its outcome."""
         self._meter.on_request(service, now)
 
     def on_tick(
@@ -153,29 +154,31 @@
         now: datetime.timedelta,
         owned: Mapping[_inputs.ServiceRegion, _report.OwnedCapacity],
     ) -> _report.Report | None:
-        """Moves the shares by a step.
+        """Shifts the shares in use by one step.
 
         Args:
             now: the time on the monotonic clock.
             owned: the capacity of the backend servers that this VM owns.
 
         Returns:
-            What to tell the other VMs; None while it has nothing to tell,
-            after a pause.
+            The report to send to the other VMs, or None after a pause, until
+            the VM is ready again.
         """
-        self._forget(now)
+        self._drop_old_reports(now)
         own = _report.Report(
             {self._region: 1},
-            self._walker.summaries(),
+            self._shifter.summaries(),
             self._meter.load(now),
             owned,
         )
-        view = self._view(now)
-        self._walker.on_tick(now, self._measure(now, own, view), view)
+        view = self._make_view(now)
+        self._shifter.on_tick(
+            now, self._make_measurements(now, own, view), view
+        )
         self._refresh_answers()
-        if not self._walker.is_ready and not self._walker.is_starting:
+        if not self._shifter.is_ready and not self._shifter.is_starting:
             return None
-        return dataclasses.replace(own, cells=self._walker.summaries())
+        return dataclasses.replace(own, cells=self._shifter.summaries())
 
     def look_up(
         self,
@@ -186,27 +189,29 @@
         """Returns the answer for a caller.
 
         Args:
-            service: the service asked for; it must be in the document.
+            service: the requested service, which must be in the document.
             client: the client's IP address.
             now: the time on the monotonic clock.
 
         Raises:
-            InvalidAddressError: if `client` is no IP address.
+            InvalidAddressError: if `client` is not an IP address.
         """
         family, address = _addresses.parse_address(client)
         answers = self._answers
         if answers is None or not self.is_ready:
             return _NOT_READY
-        if not self._walker.is_awake(now):
+        if not self._shifter.can_answer(now):
             return _NOT_READY
-        region = self._home_of(family, address)
-        cell = self._cells[service][region]
+        region = self._home_region(family, address)
+        cell = self._cells_by_region[service][region]
         answer = answers.look_up(cell, family, address)
         refused = isinstance(answer, _answers.Refusal)
         self._meter.on_look_up(cell, refused, now)
         return answer
 
-    def _home_of(self, family: _addresses.Family, address: int) -> ids.RegionId:
+    def _home_region(
+        self, family: _addresses.Family, address: int
+    ) -> ids.RegionId:
         sites = self._document.topology.sites
         if self._blocks is None or not sites:
             return self._region
@@ -216,37 +221,39 @@
         return sites[site].region
 
     def _index_cells(self) -> None:
-        self._cells = {service: {} for service in self._document.services}
-        for cell in self._walker.policy.cells:
-            self._cells[cell.service][cell.caller_region] = cell
-
-    def _forget(self, now: datetime.timedelta) -> None:
-        oldest = now - self._walker.policy.max_age
-        self._heard = {
-            source: heard
-            for source, heard in self._heard.items()
-            if heard.at >= oldest
+        self._cells_by_region = {
+            service: {} for service in self._document.services
+        }
+        for cell in self._shifter.policy.cells:
+            self._cells_by_region[cell.service][cell.caller_region] = cell
+
+    def _drop_old_reports(self, now: datetime.timedelta) -> None:
+        oldest = now - self._shifter.policy.max_measurement_age
+        self._received = {
+            source: received
+            for source, received in self._received.items()
+            if received.at >= oldest
         }
 
-    def _view(self, now: datetime.timedelta) -> _summary.PeerView:
+    def _make_view(self, now: datetime.timedelta) -> _summary.PeerView:
         parts = []
         newest_at = datetime.timedelta()
-        count = waiting = 0
-        for heard in self._heard.values():
-            if now - heard.at > _budget.PEER_AGE:
+        reporting = starting = 0
+        for received in self._received.values():
+            if now - received.at > _shift_budget.PEER_AGE:
                 continue
-            vms = sum(heard.report.vms.values())
-            if not heard.report.cells:
-                waiting += vms
+            vms = sum(received.report.vms.values())
+            if not received.report.cells:
+                starting += vms
                 continue
-            parts.append(heard.report.cells)
-            newest_at = max(newest_at, heard.at)
-            count += vms
-        others = sum(1 for entry in self._vms if entry.vm != self._vm)
+            parts.append(received.report.cells)
+            newest_at = max(newest_at, received.at)
+            reporting += vms
+        listed = sum(1 for entry in self._vms if entry.vm != self._vm)
         cells = _summary.merge_all_cells(parts)
-        return _summary.PeerView(cells, count, others, waiting, newest_at)
+        return _summary.PeerView(cells, reporting, listed, starting, newest_at)
 
-    def _measure(
+    def _make_measurements(
         self,
         now: datetime.timedelta,
         own: _report.Report,
@@ -254,43 +261,45 @@
     ) -> _inputs.Measurements:
         load, capacity = own.load, own.capacity
         oldest_at = now
-        for heard in self._heard.values():
-            load = load.merge(heard.report.load)
-            capacity = _report.merge_capacity(capacity, heard.report.capacity)
-            oldest_at = min(oldest_at, heard.at)
+        for received in self._received.values():
+            load = load.merge(received.report.load)
+            capacity = _report.merge_capacity(
+                capacity, received.report.capacity
+            )
+            oldest_at = min(oldest_at, received.at)
         return _report.to_measurements(
             load,
             capacity,
-            self._walker.policy.cells,
+            self._shifter.policy.cells,
             now - oldest_at,
-            self._down(now, view),
+            self._down_regions(now, view),
         )
 
-    def _down(
+    def _down_regions(
         self, now: datetime.timedelta, view: _summary.PeerView
     ) -> frozenset[ids.RegionId]:
-        """Returns the regions that no VM is listed in, or was heard from.
+        """Returns the other regions that are unlisted or send no reports.
 
-        One that hears nobody at all cannot tell, and goes by the list. A
-        region that was never listed may only start later than this VM: it
-        counts as down once it is silent.
+        Without reports from any VM, only the list counts, since the cause may
+        be at this VM. A region that was never listed may just start later than
+        this VM, so it counts as down only after the same timeout.
         """
         listed = {entry.region for entry in self._vms}
         if not listed:
             return frozenset()
         down = set()
-        for region in self._walker.policy.regions:
-            heard_at = self._region_heard_at.setdefault(region, now)
-            overdue = now - heard_at > _DOWN_AFTER
-            silent = overdue and view.heard > 0
-            left = region in self._ever_listed or overdue
-            unlisted = region not in listed and left
-            if region != self._region and (silent or unlisted):
+        for region in self._shifter.policy.regions:
+            reported_at = self._region_reported_at.setdefault(region, now)
+            is_overdue = now - reported_at > _DOWN_TIMEOUT
+            is_silent = is_overdue and view.reporting_count > 0
+            has_left = region in self._ever_listed_regions or is_overdue
+            is_unlisted = region not in listed and has_left
+            if region != self._region and (is_silent or is_unlisted):
                 down.add(region)
         return frozenset(down)
 
     def _refresh_answers(self) -> None:
-        if not self._walker.is_ready or not self._vms:
+        if not self._shifter.is_ready or not self._vms:
             return
         if self._answers is None:
             self._answers = _answers.AnswerTable(
@@ -299,9 +308,9 @@
                 self._document.fleet.answer_ttl,
                 self._version,
             )
-            self._answered = {}
-        for cell, shares in self._walker.in_use().items():
-            if self._answered.get(cell) is not shares:
-                self._answered[cell] = shares
-                retry_after = self._walker.retry_after(cell)
+            self._table_shares = {}
+        for cell, shares in self._shifter.in_use().items():
+            if self._table_shares.get(cell) is not shares:
+                self._table_shares[cell] = shares
+                retry_after = self._shifter.retry_after(cell)
                 self._answers.set_shares(cell, shares, retry_after)
--- a/dragonflystack/steering/_guard.py
+++ b/dragonflystack/steering/_step_limits.py
@@ -1,59 +1,68 @@
-"""Keeps a step of the walk within what regions and links can take."""
+"""Limits steps to the free capacity of regions and links."""
 
 from collections.abc import Mapping
 
 from dragonflystack import ids
+from dragonflystack.steering import _headroom
 from dragonflystack.steering import _inputs
-from dragonflystack.steering import _room
 from dragonflystack.steering import _shares
 from dragonflystack.steering import _targets
 
 Step = tuple[_shares.Shares, _shares.Shares]
-"""A cell's shares before and after."""
+"""The shares of a cell before and after a step."""
 
 
-def loaded_room(
+def remaining_headroom(
     policy: _inputs.Policy,
     measurements: _inputs.Measurements,
-    in_use: _targets.InUse,
-) -> _room.Room:
-    """Returns what is left of regions and links under the shares in use."""
-    room = _room.Room(policy, measurements, keep_reserve=False)
+    in_use: _targets.SharesInUse,
+) -> _headroom.Headroom:
+    """Returns the headroom of regions and links under the shares in use."""
+    headroom = _headroom.Headroom(policy, measurements, keep_reserve=False)
     for cell, shares in in_use.items():
-        demand = _targets.requests_s(measurements, cell)
+        demand = _targets.demand_requests_s(measurements, cell)
         for region, share in shares.by_region.items():
-            room.take(cell, region, share * demand)
-    return room
+            headroom.allocate(cell, region, share * demand)
+    return headroom
 
 
 def limit_steps(
     policy: _inputs.Policy,
     measurements: _inputs.Measurements,
-    in_use: _targets.InUse,
+    in_use: _targets.SharesInUse,
     steps: Mapping[_shares.Cell, Step],
 ) -> dict[_shares.Cell, _shares.Shares]:
-    """Returns for each step where it may end.
+    """Returns the shares at which each step has to end.
 
-    What a step adds to regions and links fits in what the shares in use leave
-    free, whether or not the other steps free some; nothing is added to a
-    region whose measurements are old. What may not be moved stays where it is.
+    The load that all steps together add to a region or link fits into the
+    headroom under the shares in use, without counting load that other steps
+    remove. No load is added to a region with stale measurements. The part of a
+    step that does not fit stays in its present region.
+
+    Args:
+        policy: the policy in force.
+        measurements: the current measurements.
+        in_use: the shares in use of all cells.
+        steps: the requested steps, by cell.
     """
-    room = loaded_room(policy, measurements, in_use)
-    wanted = {}
+    headroom = remaining_headroom(policy, measurements, in_use)
+    requested = {}
     for cell, (before, after) in steps.items():
-        demand = _targets.requests_s(measurements, cell)
-        for region, more in _increases(before, after).items():
-            wanted[cell, region] = more * demand
-    fits = room.fitting(wanted)
+        demand = _targets.demand_requests_s(measurements, cell)
+        for region, increase in _increases(before, after).items():
+            requested[cell, region] = increase * demand
+    fractions_by_target = headroom.fitting_fractions(requested)
     ends = {}
     for cell, (before, after) in steps.items():
         known = _targets.is_demand_known(policy, measurements, cell)
         stale = _targets.stale_regions(policy, measurements, cell.service)
         fractions = {
-            region: fits[cell, region] if known and region not in stale else 0.0
+            region: fractions_by_target[cell, region]
+            if known and region not in stale
+            else 0.0
             for region in _increases(before, after)
         }
-        ends[cell] = _partly(before, after, fractions)
+        ends[cell] = _apply_fractions(before, after, fractions)
     return ends
 
 
@@ -67,7 +76,7 @@
     }
 
 
-def _partly(
+def _apply_fractions(
     before: _shares.Shares,
     after: _shares.Shares,
     fractions: Mapping[ids.RegionId, float],
@@ -76,7 +85,7 @@
         return after
     increases = _increases(before, after)
     whole = sum(increases.values()) + max(0.0, after.refused - before.refused)
-    added = {r: more * fractions[r] for r, more in increases.items()}
+    added = {r: increase * fractions[r] for r, increase in increases.items()}
     missing = sum(increases.values()) - sum(added.values())
     freed = 1 - missing / whole
     shares = {}
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -1,7 +1,7 @@
-"""What VMs tell each other of their shares, summed on the way.
+"""Mergeable summaries of the shares that VMs report to each other.
 
-Summaries merge in any order and grouping, so a relay forwards one for a whole
-failure domain and their size does not grow with the number of VMs.
+Summaries can be merged in any order and grouping, so a relay forwards a single
+one for a failure domain, and its size does not grow with the number of VMs.
 """
 
 from collections.abc import Iterable
@@ -12,133 +12,138 @@
 from dragonflystack import ids
 from dragonflystack.steering import _shares
 
-Sums = Mapping[ids.RegionId, float]
-"""Shares by region, added up over VMs."""
+ShareSums = Mapping[ids.RegionId, float]
+"""Shares by region, summed over VMs."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CellSummary:
-    """The shares of one cell at some VMs.
+    """The shares of one cell at one or more VMs.
 
-    A VM is near if its shares are close to those of the VMs it hears, and
-    far after it was out of touch.
+    A VM is converged if its shares are close to those of the VMs that it
+    receives reports from. It is diverged after a network partition, until its
+    shares are close again.
     """
 
-    near: int
-    """VMs that are near."""
+    converged_count: int
+    """The number of converged VMs."""
 
-    near_sums: Sums
-    """Sums of their shares."""
+    converged_sums: ShareSums
+    """The sums of their shares."""
 
-    low: Sums
-    """The smallest share of each region at a near VM."""
+    min_shares: ShareSums
+    """The smallest share of each region at a converged VM."""
 
-    high: Sums
-    """The largest share of each region at a near VM."""
+    max_shares: ShareSums
+    """The largest share of each region at a converged VM."""
 
-    far: int
-    """VMs that are far."""
+    diverged_count: int
+    """The number of diverged VMs."""
 
-    far_sums: Sums
-    """Sums of their shares."""
+    diverged_sums: ShareSums
+    """The sums of their shares."""
 
-    target_sums: Sums
-    """Sums of the target shares of all."""
+    target_sums: ShareSums
+    """The sums of the target shares of all VMs."""
 
     @classmethod
     def of_one(
         cls, shares: _shares.Shares, target: _shares.Shares, is_near: bool
     ) -> "CellSummary":
         """Returns the summary of a single VM."""
-        here = shares.by_region
-        nowhere: Sums = {}
+        own = shares.by_region
+        no_shares: ShareSums = {}
         if is_near:
-            return cls(1, here, here, here, 0, nowhere, target.by_region)
-        return cls(0, nowhere, nowhere, nowhere, 1, here, target.by_region)
+            return cls(1, own, own, own, 0, no_shares, target.by_region)
+        return cls(0, no_shares, no_shares, no_shares, 1, own, target.by_region)
 
     @property
     def count(self) -> int:
-        """All VMs in the summary."""
-        return self.near + self.far
+        """The number of VMs in the summary."""
+        return self.converged_count + self.diverged_count
 
     @property
     def reference(self) -> _shares.Shares:
-        """The mean shares that a newcomer starts from.
+        """The mean shares, from which a starting VM starts.
 
-        Near VMs alone count, if they are at least as many as the far ones.
+        Only converged VMs count if there are at least as many of them as
+        diverged VMs; otherwise all VMs count.
         """
-        if self.near >= self.far:
-            return _mean(self.near_sums, self.near)
-        return _mean(_add(self.near_sums, self.far_sums), self.count)
+        if self.converged_count >= self.diverged_count:
+            return _mean(self.converged_sums, self.converged_count)
+        return _mean(_add(self.converged_sums, self.diverged_sums), self.count)
 
     def mean_target(self, own: _shares.Shares) -> _shares.Shares:
-        """Returns the mean target of these VMs and one's own."""
+        """Returns the mean of the targets of these VMs and an own target."""
         return _mean(_add(self.target_sums, own.by_region), self.count + 1)
 
     def merge(self, other: "CellSummary") -> "CellSummary":
-        """Returns the summary of the VMs of both, which must be different."""
-        low, high = self.low, self.high
-        if self.near and other.near:
-            low = _least(self.low, other.low)
-            high = _most(self.high, other.high)
-        elif other.near:
-            low, high = other.low, other.high
+        """Returns the combined summary of two disjoint sets of VMs."""
+        min_shares, max_shares = self.min_shares, self.max_shares
+        if self.converged_count and other.converged_count:
+            min_shares = _min_by_region(self.min_shares, other.min_shares)
+            max_shares = _max_by_region(self.max_shares, other.max_shares)
+        elif other.converged_count:
+            min_shares, max_shares = other.min_shares, other.max_shares
         return CellSummary(
-            self.near + other.near,
-            _add(self.near_sums, other.near_sums),
-            low,
-            high,
-            self.far + other.far,
-            _add(self.far_sums, other.far_sums),
+            self.converged_count + other.converged_count,
+            _add(self.converged_sums, other.converged_sums),
+            min_shares,
+            max_shares,
+            self.diverged_count + other.diverged_count,
+            _add(self.diverged_sums, other.diverged_sums),
             _add(self.target_sums, other.target_sums),
         )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerView:
-    """What a VM has heard from the others."""
+    """The recent reports that a VM has received from other VMs."""
 
     cells: Mapping[_shares.Cell, CellSummary]
-    """The summary of all others heard, without itself."""
+    """The merged summaries of the other VMs, without the VM itself."""
 
-    heard: int
-    """How many others it covers; none heard longer ago than `PEER_AGE`."""
+    reporting_count: int
+    """The number of other VMs in `cells`.
 
-    listed: int
-    """How many others the VM list names as live."""
+    Reports older than `PEER_AGE` are excluded.
+    """
+
+    listed_count: int
+    """The number of other VMs that the VM list contains."""
 
-    waiting: int
-    """How many more were heard that use no shares yet."""
+    starting_count: int
+    """The number of further VMs that report but use no shares yet."""
 
     newest_at: datetime.timedelta
-    """When the latest part was heard, on this VM's monotonic clock."""
+    """When the latest report was received, on this VM's monotonic clock."""
 
     @property
-    def all_heard(self) -> bool:
-        """Whether no VM that is listed may be out of touch."""
-        return self.heard + self.waiting >= self.listed
+    def all_reporting(self) -> bool:
+        """Whether recent reports cover all listed VMs."""
+        return self.reporting_count + self.starting_count >= self.listed_count
 
 
-ALONE = PeerView({}, 0, 0, 0, datetime.timedelta())
-"""The view of a VM that is the whole fleet."""
+NO_PEERS = PeerView({}, 0, 0, 0, datetime.timedelta())
+"""The view of a VM without other VMs."""
 
 
 def merge_cells(
     one: Mapping[_shares.Cell, CellSummary],
     other: Mapping[_shares.Cell, CellSummary],
 ) -> dict[_shares.Cell, CellSummary]:
-    """Returns the summaries of two disjoint sets of VMs as one."""
+    """Merges the summaries of two disjoint sets of VMs."""
     merged = dict(one)
     for cell, summary in other.items():
-        known = merged.get(cell)
-        merged[cell] = summary if known is None else known.merge(summary)
+        existing = merged.get(cell)
+        merged[cell] = summary if existing is None else existing.merge(summary)
     return merged
 
 
 def merge_all_cells(
     parts: Iterable[Mapping[_shares.Cell, CellSummary]],
 ) -> dict[_shares.Cell, CellSummary]:
-    """Returns the summaries of disjoint sets of VMs as one, in one pass."""
+    """Merges the summaries of several disjoint sets of VMs in one pass."""
     by_cell: dict[_shares.Cell, list[CellSummary]] = {}
     for part in parts:
         for cell, summary in part.items():
@@ -149,58 +154,62 @@
 def _merge_all(summaries: list[CellSummary]) -> CellSummary:
     if len(summaries) == 1:
         return summaries[0]
-    near_sums: dict[ids.RegionId, float] = {}
-    far_sums: dict[ids.RegionId, float] = {}
+    converged_sums: dict[ids.RegionId, float] = {}
+    diverged_sums: dict[ids.RegionId, float] = {}
     target_sums: dict[ids.RegionId, float] = {}
-    high: dict[ids.RegionId, float] = {}
-    low: Sums | None = None
+    max_shares: dict[ids.RegionId, float] = {}
+    min_shares: ShareSums | None = None
     for summary in summaries:
         _add_to(target_sums, summary.target_sums)
-        if summary.far:
-            _add_to(far_sums, summary.far_sums)
-        if summary.near:
-            _add_to(near_sums, summary.near_sums)
-            for region, share in summary.high.items():
-                if share > high.get(region, 0.0):
-                    high[region] = share
-            low = summary.low if low is None else _least(low, summary.low)
+        if summary.diverged_count:
+            _add_to(diverged_sums, summary.diverged_sums)
+        if summary.converged_count:
+            _add_to(converged_sums, summary.converged_sums)
+            for region, share in summary.max_shares.items():
+                if share > max_shares.get(region, 0.0):
+                    max_shares[region] = share
+            min_shares = (
+                summary.min_shares
+                if min_shares is None
+                else _min_by_region(min_shares, summary.min_shares)
+            )
     return CellSummary(
-        sum(summary.near for summary in summaries),
-        near_sums,
-        low or {},
-        high,
-        sum(summary.far for summary in summaries),
-        far_sums,
+        sum(summary.converged_count for summary in summaries),
+        converged_sums,
+        min_shares or {},
+        max_shares,
+        sum(summary.diverged_count for summary in summaries),
+        diverged_sums,
         target_sums,
     )
 
 
-def _add_to(total: dict[ids.RegionId, float], sums: Sums) -> None:
+def _add_to(total: dict[ids.RegionId, float], sums: ShareSums) -> None:
     for region, share in sums.items():
         total[region] = total.get(region, 0.0) + share
 
 
-def _add(one: Sums, other: Sums) -> Sums:
-    added = dict(one)
+def _add(one: ShareSums, other: ShareSums) -> ShareSums:
+    sums = dict(one)
     for region, share in other.items():
-        added[region] = added.get(region, 0.0) + share
-    return added
+        sums[region] = sums.get(region, 0.0) + share
+    return sums
 
 
-def _least(one: Sums, other: Sums) -> Sums:
+def _min_by_region(one: ShareSums, other: ShareSums) -> ShareSums:
     return {r: min(one[r], other[r]) for r in one if r in other}
 
 
-def _most(one: Sums, other: Sums) -> Sums:
-    most = dict(one)
+def _max_by_region(one: ShareSums, other: ShareSums) -> ShareSums:
+    maxima = dict(one)
     for region, share in other.items():
-        if share > most.get(region, 0.0):
-            most[region] = share
-    return most
+        if share > maxima.get(region, 0.0):
+            maxima[region] = share
+    return maxima
 
 
-def _mean(sums: Sums, count: int) -> _shares.Shares:
-    """Returns the mean; sums that were rounded may exceed the count."""
+def _mean(sums: ShareSums, count: int) -> _shares.Shares:
+    """Returns the mean; rounded sums may exceed `count` and are scaled down."""
     if count == 0:
         return _shares.REFUSE_ALL
     scale = max(float(count), sum(sums.values()))
--- a/dragonflystack/steering/_targets.py
+++ b/dragonflystack/steering/_targets.py
@@ -1,28 +1,29 @@
-"""Target shares: where each cell's callers should go, given what is known.
-
-A pure function of its inputs, so that VMs with equal inputs walk towards the
-same target. It fills greedily: callers stay in their home region as far as
-its capacity less its reserve goes, then go to the nearest regions with room,
-equally near ones in proportion to their room, then into the reserve at home.
-What is left is refused. Services that others yield to are placed first, which
-matters on links, as those are shared by all services.
-
-Late or missing measurements never move load towards a region: its share of a
-cell can then only stay or shrink, and a cell whose demand is not known stays.
+"""Computes the target shares of each cell from policy and measurements.
+
+The targets are a pure function of the inputs, so that VMs with equal inputs
+shift towards the same targets. The assignment is greedy: callers stay in their
+home region within its capacity without the reserve, then go to the nearest
+regions with headroom (regions at equal delay in proportion to their headroom),
+then to the reserve of the nearest regions. The rest is refused. High-priority
+services are assigned first, which matters for links, since all services share
+them.
+
+Stale or missing measurements never add load to a region: its share of a cell
+then only stays or decreases. A cell without known demand keeps its shares.
 """
 
 from collections.abc import Mapping
 import dataclasses
 
 from dragonflystack import ids
+from dragonflystack.steering import _headroom
 from dragonflystack.steering import _inputs
-from dragonflystack.steering import _room
 from dragonflystack.steering import _shares
 
-_LEAST_REQUESTS_S = 1e-6
+_MIN_REQUESTS_S = 1e-6
 
-InUse = Mapping[_shares.Cell, _shares.Shares]
-"""The shares in use by cell."""
+SharesInUse = Mapping[_shares.Cell, _shares.Shares]
+"""The shares in use, by cell."""
 
 
 def stale_regions(
@@ -30,12 +31,15 @@
     measurements: _inputs.Measurements,
     service: ids.ServiceId,
 ) -> frozenset[ids.RegionId]:
-    """Returns the regions towards which nothing of a service may move."""
+    """Returns the regions without a recent capacity measurement.
+
+    No load of the service may be added to these regions.
+    """
     return frozenset(
         region
         for region in policy.regions
         if (known := measurements.capacity.get((service, region))) is None
-        or known.age > policy.max_age
+        or known.age > policy.max_measurement_age
     )
 
 
@@ -44,180 +48,204 @@
     measurements: _inputs.Measurements,
     cell: _shares.Cell,
 ) -> bool:
-    """Returns whether a cell's demand was measured lately."""
+    """Returns whether there is a recent demand measurement of a cell."""
     known = measurements.demand.get(cell)
-    return known is not None and known.age <= policy.max_age
+    return known is not None and known.age <= policy.max_measurement_age
 
 
-def requests_s(measurements: _inputs.Measurements, cell: _shares.Cell) -> float:
-    """Returns the last demand known of a cell, in requests a second."""
+def demand_requests_s(
+    measurements: _inputs.Measurements, cell: _shares.Cell
+) -> float:
+    """Returns the last known demand of a cell in requests per second."""
     known = measurements.demand.get(cell)
-    return _LEAST_REQUESTS_S if known is None else known.requests_s
+    return _MIN_REQUESTS_S if known is None else known.requests_s
 
 
 def compute_targets(
     policy: _inputs.Policy,
     measurements: _inputs.Measurements,
-    in_use: InUse,
+    in_use: SharesInUse,
 ) -> dict[_shares.Cell, _shares.Shares]:
     """Returns the target shares of every cell.
 
     Args:
         policy: the policy in force.
-        measurements: what is known of demand and capacity.
-        in_use: the shares in use, which bound what stale measurements allow;
-            a cell that is absent counts as not served.
+        measurements: the demand and capacity measurements.
+        in_use: the shares in use, which limit the targets where measurements
+            are stale; an absent cell counts as refused.
     """
-    plan = _Plan(policy, measurements, in_use)
+    assignment = _Assignment(policy, measurements, in_use)
     for service in policy.services:
         cells = [_shares.Cell(service.id, region) for region in policy.regions]
-        plan.place(service.id, cells)
-    return plan.targets
+        assignment.assign_service(service.id, cells)
+    return assignment.targets
 
 
 @dataclasses.dataclass(slots=True)
-class _Open:
-    """A cell that is being placed."""
+class _PendingCell:
+    """A cell whose demand is being assigned to regions."""
 
     cell: _shares.Cell
     demand: float
-    """Requests a second in all."""
+    """Requests per second in total."""
 
-    left: float
-    """Requests a second not placed yet."""
+    unassigned_requests_s: float
+    """Requests per second that are not assigned yet."""
 
-    placed: dict[ids.RegionId, float]
-    """Requests a second placed, by region."""
+    assigned_by_region: dict[ids.RegionId, float]
+    """Assigned requests per second, by region."""
 
 
-class _Plan:
-    """One run of the fill."""
+class _Assignment:
+    """One run of the greedy assignment."""
 
     def __init__(
         self,
         policy: _inputs.Policy,
         measurements: _inputs.Measurements,
-        in_use: InUse,
+        in_use: SharesInUse,
     ):
         self.targets: dict[_shares.Cell, _shares.Shares] = {}
         self._policy = policy
         self._measurements = measurements
         self._in_use = in_use
-        self._room = _room.Room(policy, measurements, keep_reserve=True)
-        self._whole = _room.Room(policy, measurements, keep_reserve=False)
-        self._closed = policy.leaving | measurements.down
+        self._headroom = _headroom.Headroom(
+            policy, measurements, keep_reserve=True
+        )
+        self._full_headroom = _headroom.Headroom(
+            policy, measurements, keep_reserve=False
+        )
+        self._excluded = policy.leaving | measurements.down
 
-    def place(self, service: ids.ServiceId, cells: list[_shares.Cell]) -> None:
-        """Places all cells of one service."""
+    def assign_service(
+        self, service: ids.ServiceId, cells: list[_shares.Cell]
+    ) -> None:
+        """Assigns the demand of all cells of one service."""
         stale = stale_regions(self._policy, self._measurements, service)
-        opened = []
+        pending = []
         for cell in cells:
             if is_demand_known(self._policy, self._measurements, cell):
-                opened.append(self._open(cell))
+                pending.append(self._start_cell(cell))
             else:
-                self._hold(cell)
-        self._fill_home(opened, stale)
-        self._fill_near(opened, stale)
-        self._fill_reserve(opened, stale)
-        self._keep_leaving(opened)
-        for part in opened:
+                self._keep_shares(cell)
+        self._fill_home(pending, stale)
+        self._fill_by_delay(pending, stale)
+        self._fill_reserve(pending, stale)
+        self._keep_in_leaving(pending)
+        for state in pending:
             shares = {
-                region: part.placed[region] / part.demand
-                for region in sorted(part.placed)
+                region: state.assigned_by_region[region] / state.demand
+                for region in sorted(state.assigned_by_region)
             }
-            self.targets[part.cell] = _shares.Shares(shares)
+            self.targets[state.cell] = _shares.Shares(shares)
 
-    def _open(self, cell: _shares.Cell) -> _Open:
-        demand = max(requests_s(self._measurements, cell), _LEAST_REQUESTS_S)
-        return _Open(cell, demand, demand, {})
+    def _start_cell(self, cell: _shares.Cell) -> _PendingCell:
+        demand = max(
+            demand_requests_s(self._measurements, cell), _MIN_REQUESTS_S
+        )
+        return _PendingCell(cell, demand, demand, {})
 
-    def _hold(self, cell: _shares.Cell) -> None:
-        shares = self._now(cell).without(self._measurements.down)
-        demand = requests_s(self._measurements, cell)
+    def _keep_shares(self, cell: _shares.Cell) -> None:
+        shares = self._current_shares(cell).without(self._measurements.down)
+        demand = demand_requests_s(self._measurements, cell)
         for region in sorted(shares.by_region):
-            self._charge(cell, region, shares.of(region) * demand)
+            self._allocate(cell, region, shares.of(region) * demand)
         self.targets[cell] = shares
 
     def _fill_home(
-        self, opened: list[_Open], stale: frozenset[ids.RegionId]
+        self, pending: list[_PendingCell], stale: frozenset[ids.RegionId]
     ) -> None:
-        for part in opened:
-            home = part.cell.caller_region
-            if home in self._policy.by_distance[part.cell][0]:
-                self._spread(part, (home,), stale, self._room)
+        for state in pending:
+            home = state.cell.caller_region
+            if home in self._policy.by_distance[state.cell][0]:
+                self._distribute(state, (home,), stale, self._headroom)
 
-    def _fill_near(
-        self, opened: list[_Open], stale: frozenset[ids.RegionId]
+    def _fill_by_delay(
+        self, pending: list[_PendingCell], stale: frozenset[ids.RegionId]
     ) -> None:
-        deepest = max(
-            (len(self._policy.by_distance[part.cell]) for part in opened),
+        max_groups = max(
+            (len(self._policy.by_distance[state.cell]) for state in pending),
             default=0,
         )
-        for i in range(deepest):
-            for part in opened:
-                groups = self._policy.by_distance[part.cell]
+        for i in range(max_groups):
+            for state in pending:
+                groups = self._policy.by_distance[state.cell]
                 if i < len(groups):
-                    self._spread(part, groups[i], stale, self._room)
+                    self._distribute(state, groups[i], stale, self._headroom)
 
     def _fill_reserve(
-        self, opened: list[_Open], stale: frozenset[ids.RegionId]
+        self, pending: list[_PendingCell], stale: frozenset[ids.RegionId]
     ) -> None:
-        for part in opened:
-            nearest = self._policy.by_distance[part.cell][0]
-            self._spread(part, nearest, stale, self._whole)
+        for state in pending:
+            nearest = self._policy.by_distance[state.cell][0]
+            self._distribute(state, nearest, stale, self._full_headroom)
 
-    def _keep_leaving(self, opened: list[_Open]) -> None:
-        for part in opened:
-            shares = self._now(part.cell)
+    def _keep_in_leaving(self, pending: list[_PendingCell]) -> None:
+        for state in pending:
+            shares = self._current_shares(state.cell)
             for region in sorted(self._policy.leaving):
                 if region in self._measurements.down:
                     continue
-                most = shares.of(region) * part.demand
-                self._put(part, region, min(part.left, most))
-
-    def _spread(
+                current_requests_s = shares.of(region) * state.demand
+                self._assign(
+                    state,
+                    region,
+                    min(state.unassigned_requests_s, current_requests_s),
+                )
+
+    def _distribute(
         self,
-        part: _Open,
+        state: _PendingCell,
         regions: tuple[ids.RegionId, ...],
         stale: frozenset[ids.RegionId],
-        room: _room.Room,
+        headroom: _headroom.Headroom,
     ) -> None:
-        rooms = {
-            region: self._room_for(part, region, stale, room)
+        headrooms = {
+            region: self._headroom_for(state, region, stale, headroom)
             for region in regions
-            if region not in self._closed
+            if region not in self._excluded
         }
-        total = sum(rooms.values())
-        if total <= 0 or part.left <= 0:
+        total = sum(headrooms.values())
+        if total <= 0 or state.unassigned_requests_s <= 0:
             return
-        fraction = min(1.0, part.left / total)
-        for region, fits in rooms.items():
-            self._put(part, region, fits * fraction)
+        fraction = min(1.0, state.unassigned_requests_s / total)
+        for region, region_headroom in headrooms.items():
+            self._assign(state, region, region_headroom * fraction)
 
-    def _room_for(
+    def _headroom_for(
         self,
-        part: _Open,
+        state: _PendingCell,
         region: ids.RegionId,
         stale: frozenset[ids.RegionId],
-        room: _room.Room,
+        headroom: _headroom.Headroom,
     ) -> float:
         if region not in stale:
-            return room.requests_s(part.cell, region)
-        kept = self._now(part.cell).of(region) * part.demand
-        return max(0.0, kept - part.placed.get(region, 0.0))
+            return headroom.requests_s(state.cell, region)
+        current_requests_s = (
+            self._current_shares(state.cell).of(region) * state.demand
+        )
+        return max(
+            0.0, current_requests_s - state.assigned_by_region.get(region, 0.0)
+        )
 
-    def _put(self, part: _Open, region: ids.RegionId, load: float) -> None:
-        if load <= 0:
+    def _assign(
+        self, state: _PendingCell, region: ids.RegionId, added_requests_s: float
+    ) -> None:
+        if added_requests_s <= 0:
             return
-        part.placed[region] = part.placed.get(region, 0.0) + load
-        part.left = max(0.0, part.left - load)
-        self._charge(part.cell, region, load)
+        state.assigned_by_region[region] = (
+            state.assigned_by_region.get(region, 0.0) + added_requests_s
+        )
+        state.unassigned_requests_s = max(
+            0.0, state.unassigned_requests_s - added_requests_s
+        )
+        self._allocate(state.cell, region, added_requests_s)
 
-    def _charge(
-        self, cell: _shares.Cell, region: ids.RegionId, load: float
+    def _allocate(
+        self, cell: _shares.Cell, region: ids.RegionId, added_requests_s: float
     ) -> None:
-        self._room.take(cell, region, load)
-        self._whole.take(cell, region, load)
+        self._headroom.allocate(cell, region, added_requests_s)
+        self._full_headroom.allocate(cell, region, added_requests_s)
 
-    def _now(self, cell: _shares.Cell) -> _shares.Shares:
+    def _current_shares(self, cell: _shares.Cell) -> _shares.Shares:
         return self._in_use.get(cell, _shares.REFUSE_ALL)
--- a/dragonflystack/steering/tests/documents.py
+++ b/dragonflystack/steering/tests/documents.py
@@ -1,4 +1,4 @@
-"""Small documents and measurements for the tests of steering."""
+"""Builds small documents and measurements for the steering tests."""
 
 import datetime
 import json
@@ -46,7 +46,10 @@
     mbit_s: float = 4_000.0,
     far_ms: float = 35.0,
 ) -> config.Document:
-    """Regions 35 ms apart, but for `a` and `c`, which are `far_ms` apart."""
+    """Returns a document with three regions.
+
+    The one-way delay is 35 ms, between `a` and `c` `far_ms`.
+    """
     links = ((A, B, 35.0), (A, C, far_ms), (B, C, 35.0))
     whole = {
         "fleet": {
@@ -79,16 +82,26 @@
     slots: dict[ids.RegionId, int],
     *,
     name: ids.ServiceId = GALLERY,
-    old: tuple[ids.RegionId, ...] = (),
-    old_demand: tuple[ids.RegionId, ...] = (),
+    stale: tuple[ids.RegionId, ...] = (),
+    stale_demand: tuple[ids.RegionId, ...] = (),
     down: tuple[ids.RegionId, ...] = (),
 ) -> steering.Measurements:
-    """Demand in requests a second; a slot serves 10 requests a second."""
-    fresh, late = seconds(0.5), seconds(60)
+    """Returns measurements; a slot serves 10 requests per second.
+
+    Args:
+        demand: requests per second by region of the callers.
+        slots: slots by region.
+        name: the service.
+        stale: regions whose capacity measurement is stale.
+        stale_demand: regions whose demand measurement is stale.
+        down: regions that are considered to have failed.
+    """
+    fresh_age, stale_age = seconds(0.5), seconds(60)
     return steering.Measurements(
         demand={
             steering.Cell(name, r): steering.Demand(
-                requests_s=load, age=late if r in old_demand else fresh
+                requests_s=load,
+                age=stale_age if r in stale_demand else fresh_age,
             )
             for r, load in demand.items()
         },
@@ -97,7 +110,7 @@
                 usable_slots=count,
                 busy_slots=0.0,
                 mean_service_time=seconds(0.1),
-                age=late if r in old else fresh,
+                age=stale_age if r in stale else fresh_age,
             )
             for r, count in slots.items()
         },
--- a/dragonflystack/steering/tests/fleet.py
+++ b/dragonflystack/steering/tests/fleet.py
@@ -1,9 +1,10 @@
-"""A fleet of walkers, and an oracle that sees only what callers hold.
+"""Simulates a fleet of traffic shifters, their callers and an oracle.
 
-The walkers hear each other late and with losses. Callers are groups that keep
-an answer for its time-to-live and then ask a VM again. The oracle's effective
-shares are the mean of the answers held, with nothing served by a region that
-is down; it knows nothing of the walkers' own accounts.
+The VMs exchange reports with delays and losses. Groups of callers keep an
+answer for its time-to-live and then look up again at a VM. The oracle computes
+the effective shares as the mean of the answers that callers keep, where a
+region that is down serves nothing. The oracle does not use the shift windows of
+the VMs.
 """
 
 from collections.abc import Callable
@@ -25,41 +26,41 @@
 )
 """Another version of the document, in which a region is leaving."""
 
-_GROUPS = 60
-_LOSS = 0.1
+_CALLER_GROUPS = 60
+_MESSAGE_LOSS = 0.1
 
 
 @dataclasses.dataclass
-class Node:
-    """One VM: its walker, and what it has heard."""
+class SimulatedVm:
+    """One VM: its shifter and the reports it has received."""
 
-    walker: steering.Walker
-    side: int = 0
-    """VMs on different sides do not hear each other."""
+    shifter: steering.Walker
+    partition: int = 0
+    """The network partition of the VM; reports do not cross partitions."""
 
     resumes_at_s: float = 0.0
-    """It does nothing before this time."""
+    """The VM is paused until this time."""
 
-    heard: dict[int, tuple[float, dict]] = dataclasses.field(
+    received: dict[int, tuple[float, dict]] = dataclasses.field(
         default_factory=dict
     )
     down: dict[ids.RegionId, float] = dataclasses.field(default_factory=dict)
-    """When it learns of each region that is down."""
+    """When the VM detects the failure of each region that is down."""
 
     demand_age_s: float = 0.5
 
 
 @dataclasses.dataclass
-class Group:
-    """Callers that hold the same answer."""
+class CallerGroup:
+    """Callers that keep the same answer."""
 
-    node: int = -1
+    vm: int = -1
     shares: steering.Shares = steering.Shares({})
     expires_at_s: float = -1.0
 
 
 class Fleet:
-    """Walkers, callers and the oracle."""
+    """Simulated VMs, callers and the oracle."""
 
     def __init__(self, size: int, rng: random.Random, document=None):
         self.rng = rng
@@ -68,55 +69,55 @@
         )
         self.ledger = promises.Ledger(strict=True)
         self.now_s = 0.0
-        self.nodes: dict[int, Node] = {}
+        self.vms: dict[int, SimulatedVm] = {}
         self.demand = {r: 50.0 for r in documents.REGIONS}
         self.slots = {r: 10 for r in documents.REGIONS}
         self.down: dict[ids.RegionId, float] = {}
         self.cell = documents.cell(documents.A)
-        self.groups = [Group() for _ in range(_GROUPS)]
+        self.groups = [CallerGroup() for _ in range(_CALLER_GROUPS)]
         self.effective: list[steering.Shares] = []
         self.handovers: list[float] = []
-        """Fraction of callers that changed side, by tick."""
-        self._next = 0
+        """Fraction of callers that moved to another partition, by tick."""
+        self._next_number = 0
         self._in_flight: list[tuple[float, int, int, float, dict]] = []
-        self.pick: Callable[[], int] | None = None
+        self.pick_vm: Callable[[], int] | None = None
         for _ in range(size):
             self.join()
 
     def join(self, document=None) -> int:
         """Starts a VM."""
-        walker = steering.Walker.from_config(
+        shifter = steering.Walker.from_config(
             document or self.document, self.ledger
         )
-        self.nodes[self._next] = Node(walker)
-        self._next += 1
-        return self._next - 1
+        self.vms[self._next_number] = SimulatedVm(shifter)
+        self._next_number += 1
+        return self._next_number - 1
 
-    def pause(self, node: int, for_s: float) -> None:
-        """Stops a VM for a while."""
-        self.nodes[node].resumes_at_s = self.now_s + for_s
+    def pause(self, vm: int, for_s: float) -> None:
+        """Pauses a VM for a number of seconds."""
+        self.vms[vm].resumes_at_s = self.now_s + for_s
 
     def fail_region(self, region: ids.RegionId) -> None:
-        """Takes a region down; VMs learn of it one after the other."""
+        """Takes a region down; each VM detects it after a random delay."""
         self.down[region] = self.now_s
-        for node in self.nodes.values():
-            node.down[region] = self.now_s + self.rng.uniform(0, 1.5)
+        for vm in self.vms.values():
+            vm.down[region] = self.now_s + self.rng.uniform(0, 1.5)
 
     def restore_region(self, region: ids.RegionId) -> None:
         """Brings a region back."""
         del self.down[region]
-        for node in self.nodes.values():
-            node.down.pop(region, None)
+        for vm in self.vms.values():
+            vm.down.pop(region, None)
 
     def tick(self) -> None:
-        """Lets half a second pass."""
+        """Advances the simulation by half a second."""
         self.now_s += TICK_S
         self._deliver()
-        for name, node in list(self.nodes.items()):
-            if node.resumes_at_s <= self.now_s:
-                self._step(name, node)
-        self._ask()
-        self._observe()
+        for number, vm in list(self.vms.items()):
+            if vm.resumes_at_s <= self.now_s:
+                self._step(number, vm)
+        self._renew_answers()
+        self._record_effective_shares()
 
     def _deliver(self) -> None:
         later = []
@@ -125,94 +126,94 @@
             if at_s > self.now_s:
                 later.append(message)
                 continue
-            node = self.nodes.get(target)
-            if node is None or node.resumes_at_s > self.now_s:
+            vm = self.vms.get(target)
+            if vm is None or vm.resumes_at_s > self.now_s:
                 continue
-            known = node.heard.get(source)
-            if known is None or known[0] < sent_s:
-                node.heard[source] = sent_s, cells
+            latest = vm.received.get(source)
+            if latest is None or latest[0] < sent_s:
+                vm.received[source] = sent_s, cells
         self._in_flight = later
 
-    def _step(self, name: int, node: Node) -> None:
+    def _step(self, number: int, vm: SimulatedVm) -> None:
         now = documents.seconds(self.now_s)
-        node.walker.on_tick(now, self._measure(node), self._view(name, node))
-        cells = node.walker.summaries()
-        if not cells and not node.walker.is_starting:
+        vm.shifter.on_tick(now, self._measure(vm), self._view(number, vm))
+        cells = vm.shifter.summaries()
+        if not cells and not vm.shifter.is_starting:
             return
-        for other, peer in self.nodes.items():
-            if other == name or peer.side != node.side:
+        for other, peer in self.vms.items():
+            if other == number or peer.partition != vm.partition:
                 continue
-            if self.rng.random() < _LOSS:
+            if self.rng.random() < _MESSAGE_LOSS:
                 continue
             at_s = self.now_s + self.rng.uniform(0.05, 0.4)
-            message = at_s, name, other, self.now_s, cells
+            message = at_s, number, other, self.now_s, cells
             self._in_flight.append(message)
 
-    def _view(self, name: int, node: Node) -> steering.PeerView:
+    def _view(self, number: int, vm: SimulatedVm) -> steering.PeerView:
         parts = []
-        newest_s = 0.0
-        count = waiting = 0
-        for source, (sent_s, summary) in node.heard.items():
-            if source == name or self.now_s - sent_s > MAX_AGE_S:
+        newest_at_s = 0.0
+        reporting = starting = 0
+        for source, (sent_s, summary) in vm.received.items():
+            if source == number or self.now_s - sent_s > MAX_AGE_S:
                 continue
             if not summary:
-                waiting += 1
+                starting += 1
                 continue
             parts.append(summary)
-            newest_s = max(newest_s, sent_s)
-            count += 1
+            newest_at_s = max(newest_at_s, sent_s)
+            reporting += 1
         cells = steering.merge_all_cells(parts)
         return steering.PeerView(
             cells,
-            count,
-            len(self.nodes) - 1,
-            waiting,
-            documents.seconds(newest_s),
+            reporting,
+            len(self.vms) - 1,
+            starting,
+            documents.seconds(newest_at_s),
         )
 
-    def _measure(self, node: Node) -> steering.Measurements:
-        late = node.demand_age_s > MAX_AGE_S
+    def _measure(self, vm: SimulatedVm) -> steering.Measurements:
+        is_stale = vm.demand_age_s > MAX_AGE_S
         down = [
-            r for r in self.down if node.down.get(r, self.now_s) <= self.now_s
+            r for r in self.down if vm.down.get(r, self.now_s) <= self.now_s
         ]
         return documents.measurements(
             self.demand,
             self.slots,
-            old=documents.REGIONS if late else (),
+            stale=documents.REGIONS if is_stale else (),
             down=tuple(down),
         )
 
-    def awake(self) -> set[int]:
+    def answering(self) -> set[int]:
         """Returns the VMs that answer look-ups now."""
         now = documents.seconds(self.now_s)
         return {
-            name
-            for name, node in self.nodes.items()
-            if node.resumes_at_s <= self.now_s and node.walker.is_awake(now)
+            number
+            for number, vm in self.vms.items()
+            if vm.resumes_at_s <= self.now_s and vm.shifter.can_answer(now)
         }
 
-    def _ask(self) -> None:
-        awake = self.awake()
+    def _renew_answers(self) -> None:
+        answering = self.answering()
         changed = 0
         for group in self.groups:
-            if group.expires_at_s > self.now_s or not awake:
+            if group.expires_at_s > self.now_s or not answering:
                 continue
-            before = self.nodes.get(group.node)
-            if group.node not in awake:
-                group.node = self.rng.choice(sorted(awake))
-            if self.pick is not None:
-                group.node = self.pick()
-            node = self.nodes[group.node]
-            changed += before is None or before.side != node.side
-            group.shares = node.walker.shares(self.cell)
+            before = self.vms.get(group.vm)
+            if group.vm not in answering:
+                group.vm = self.rng.choice(sorted(answering))
+            if self.pick_vm is not None:
+                group.vm = self.pick_vm()
+            vm = self.vms[group.vm]
+            changed += before is None or before.partition != vm.partition
+            group.shares = vm.shifter.shares(self.cell)
             group.expires_at_s = self.now_s + TTL_S * self.rng.uniform(0.8, 1)
         self.handovers.append(changed / len(self.groups))
 
-    def _observe(self) -> None:
+    def _record_effective_shares(self) -> None:
         total = {
             region: 0.0
             if region in self.down
-            else sum(g.shares.of(region) for g in self.groups) / _GROUPS
+            else sum(g.shares.of(region) for g in self.groups) / _CALLER_GROUPS
             for region in documents.REGIONS
         }
         self.effective.append(steering.Shares(total))
@@ -229,35 +230,39 @@
 
 
 def churn_nodes(fleet: Fleet) -> None:
-    """Lets something happen to a VM or several."""
+    """Applies a random event to one or more VMs.
+
+    A VM is removed, started or paused, several are paused, or a VM gets stale
+    measurements or another document.
+    """
     rng = fleet.rng
-    names = sorted(fleet.nodes)
-    what = rng.random()
-    if what < 0.25 and len(names) > 3:
-        del fleet.nodes[rng.choice(names)]
-    elif what < 0.5 and len(names) < 12:
+    numbers = sorted(fleet.vms)
+    draw = rng.random()
+    if draw < 0.25 and len(numbers) > 3:
+        del fleet.vms[rng.choice(numbers)]
+    elif draw < 0.5 and len(numbers) < 12:
         fleet.join(rng.choice([None, OTHER_DOCUMENT]))
-    elif what < 0.7:
-        fleet.pause(rng.choice(names), rng.choice([1.0, 3.0, 10.0, 40.0]))
-    elif what < 0.8:
-        for name in names[::2]:
-            fleet.pause(name, rng.uniform(3, 30))
-    elif what < 0.9:
-        late_s = rng.choice([0.5, 0.5, 30.0])
-        fleet.nodes[rng.choice(names)].demand_age_s = late_s
+    elif draw < 0.7:
+        fleet.pause(rng.choice(numbers), rng.choice([1.0, 3.0, 10.0, 40.0]))
+    elif draw < 0.8:
+        for number in numbers[::2]:
+            fleet.pause(number, rng.uniform(3, 30))
+    elif draw < 0.9:
+        age_s = rng.choice([0.5, 0.5, 30.0])
+        fleet.vms[rng.choice(numbers)].demand_age_s = age_s
     else:
         document = rng.choice([fleet.document, OTHER_DOCUMENT])
-        fleet.nodes[rng.choice(names)].walker.on_document(document)
+        fleet.vms[rng.choice(numbers)].shifter.on_document(document)
 
 
 def churn_load(fleet: Fleet) -> None:
-    """Changes demand or capacity, or loses a region or brings it back."""
+    """Changes demand or capacity at random, or fails or restores a region."""
     rng = fleet.rng
-    what = rng.random()
+    draw = rng.random()
     region = rng.choice([documents.A, documents.B])
-    if what < 0.3:
+    if draw < 0.3:
         fleet.slots = {r: rng.choice([4, 10, 15]) for r in documents.REGIONS}
-    elif what < 0.6:
+    elif draw < 0.6:
         fleet.demand = {
             r: rng.choice([20.0, 60.0, 90.0, 130.0]) for r in documents.REGIONS
         }
--- a/dragonflystack/steering/tests/test_answers.py
+++ b/dragonflystack/steering/tests/test_answers.py
@@ -71,7 +71,7 @@
         {},
     ],
 )
-def test_callers_are_shared_out_as_the_shares_say(shares):
+def test_callers_are_distributed_in_proportion_to_the_shares(shares):
     found = collections.Counter(_regions(shares))
     for region in documents.REGIONS:
         expected = shares.get(region, 0.0)
@@ -80,15 +80,15 @@
         assert found[None] == 0
 
 
-def test_callers_stay_as_far_as_the_shares_allow():
-    one = _regions({A: 0.7, B: 0.2, C: 0.1})
-    other = _regions({A: 0.5, B: 0.4, C: 0.1})
-    moved = [(x, y) for x, y in zip(one, other, strict=True) if x != y]
+def test_changed_shares_move_only_the_necessary_callers():
+    before = _regions({A: 0.7, B: 0.2, C: 0.1})
+    after = _regions({A: 0.5, B: 0.4, C: 0.1})
+    moved = [(x, y) for x, y in zip(before, after, strict=True) if x != y]
     assert len(moved) / len(CALLERS) < 0.2 * 1.3
     assert all(x != B and y != A for x, y in moved)
 
 
-def test_the_answer_holds_what_a_caller_needs():
+def test_answer_contains_ttl_version_and_key_prefix():
     answer = _answer(_table({A: 1.0}), 1)
     assert isinstance(answer, steering.Answer)
     assert answer.ttl == 5 * SECOND
@@ -97,7 +97,7 @@
     assert first.key_prefix == f"{first.vm}.key."
 
 
-def test_owners_come_first_by_their_slots():
+def test_first_vm_is_selected_in_proportion_to_owned_slots():
     table = _table({A: 1.0})
     first = collections.Counter(
         _answer(table, caller).ranking.vms[0].entry.vm for caller in CALLERS
@@ -107,7 +107,7 @@
 
 
 @pytest.mark.parametrize("owned", [OWNED, {}])
-def test_the_second_is_in_another_failure_domain(owned):
+def test_second_vm_is_in_another_failure_domain(owned):
     table = _table({A: 0.5, B: 0.5}, owned=owned)
     for caller in CALLERS[:500]:
         vms = _answer(table, caller).ranking.vms
@@ -115,24 +115,24 @@
         assert len({ranked.entry.vm for ranked in vms}) == len(vms)
 
 
-def test_a_region_without_vms_is_reached_through_others():
+def test_region_without_vms_is_reached_through_vms_of_other_regions():
     answer = _answer(_table({C: 1.0}), 1)
     assert answer.ranking.region == C
     assert len(answer.ranking.vms) == 3
 
 
-def test_a_refused_caller_is_told_when_to_come_back():
+def test_refused_caller_gets_the_retry_delay():
     assert _answer(_table({}), 1) == steering.Refusal(RETRY)
 
 
-def test_an_unknown_cell_is_refused():
+def test_unknown_cell_is_refused():
     table = _table({A: 1.0})
     other = documents.cell(B, documents.ORDER)
     answer = table.look_up(other, steering.Family.IPV4, 1)
     assert answer == steering.Refusal(SECOND)
 
 
-def test_a_death_moves_only_callers_of_the_dead():
+def test_removed_vm_does_not_change_the_first_vm_of_other_callers():
     before = _table({A: 1.0})
     after = _table({A: 1.0}, [vm for vm in VMS if vm.vm != "a2"])
     for caller in CALLERS[:500]:
@@ -140,6 +140,6 @@
         assert one == _answer(after, caller).ranking.vms[0].entry.vm
 
 
-def test_a_table_needs_a_vm():
+def test_table_without_vms_is_an_error():
     with pytest.raises(ValueError, match="found none"):
         _table({A: 1.0}, [])
--- a/dragonflystack/steering/tests/test_block_table.py
+++ b/dragonflystack/steering/tests/test_block_table.py
@@ -25,9 +25,9 @@
     return steering.pack_blocks(blocks)
 
 
-def _load(chunks, before=None, default=0):
+def _load(chunks, current=None, default=0):
     digests = [steering.digest_of(data) for data in chunks]
-    loader = steering.TableLoader(digests, SITES, before)
+    loader = steering.TableLoader(digests, SITES, current)
     by_digest = dict(zip(digests, chunks, strict=True))
     for digest in loader.missing:
         loader.on_chunk(digest, by_digest[digest])
@@ -59,11 +59,11 @@
         ("ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff", 8),
     ],
 )
-def test_longest_prefix_wins(text, site):
+def test_longest_prefix_determines_the_site(text, site):
     assert _site(_load(_chunks(NESTED)), text) == site
 
 
-def test_agrees_with_a_search_of_all_prefixes():
+def test_random_table_agrees_with_a_linear_search_of_all_prefixes():
     rng = random.Random(2)
     prefixes = {}
     for _ in range(300):
@@ -85,29 +85,29 @@
         assert _site(table, str(address)) == expected
 
 
-def test_an_empty_table_gives_the_default():
+def test_empty_table_returns_the_default_site():
     assert _site(_load([], default=3), "192.0.2.1") == 3
     assert _site(_load([], default=3), "2001:db8::1") == 3
 
 
-def test_a_change_replaces_only_its_chunk():
+def test_changed_block_replaces_only_its_chunk():
     rng = random.Random(3)
     base = [(f"{ipaddress.IPv4Address(i << 12)}/20", i % 7) for i in range(99)]
     many = base + [
         (f"{ipaddress.IPv4Address((1 << 30) + (i << 8))}/24", i % 7)
         for i in range(24_000)
     ]
-    one = _chunks(many)
+    chunks = _chunks(many)
     at = rng.randrange(6_000, 18_000)
     many[at] = (many[at][0], 8)
-    other = _chunks(many)
-    assert len(one) > 3
-    assert len(set(other) - set(one)) == 1
-    table = _load(one)
-    digests = [steering.digest_of(data) for data in other]
+    changed = _chunks(many)
+    assert len(chunks) > 3
+    assert len(set(changed) - set(chunks)) == 1
+    table = _load(chunks)
+    digests = [steering.digest_of(data) for data in changed]
     loader = steering.TableLoader(digests, SITES, table)
     assert len(loader.missing) == 1
-    assert _site(_load(other, table), many[at][0].partition("/")[0]) == 8
+    assert _site(_load(changed, table), many[at][0].partition("/")[0]) == 8
     assert _site(table, many[at][0].partition("/")[0]) != 8
 
 
@@ -120,12 +120,12 @@
         ("example", "'example'"),
     ],
 )
-def test_refuses_a_wrong_block(prefix, message):
+def test_invalid_block_is_rejected(prefix, message):
     with pytest.raises(steering.InvalidBlockError, match=message):
         steering.Block.from_text(prefix, 0)
 
 
-def test_refuses_a_block_with_two_sites():
+def test_block_with_two_sites_is_rejected():
     with pytest.raises(steering.InvalidBlockError, match="the sites 1 and 2"):
         _chunks([("10.0.0.0/8", 1), ("10.0.0.0/8", 2)])
 
@@ -134,7 +134,7 @@
     "text",
     ["", "1.2.3", "1.2.3.256", "1.2.3.04", "1.2.3.-4", "1.2.3.٣", "::g"],
 )
-def test_refuses_a_wrong_address(text):
+def test_invalid_address_is_rejected(text):
     with pytest.raises(steering.InvalidAddressError, match="client address"):
         steering.parse_address(text)
 
@@ -146,30 +146,35 @@
         (lambda d: b"XXXX" + d[4:], "found b'XXXX'"),
         (lambda d: d[:4] + b"\x09" + d[5:], "format 1"),
         (lambda d: d[:-1], "for 3 ranges"),
-        (lambda d: d[:12] + d[16:20] + d[12:16] + d[20:], "do not ascend"),
+        (
+            lambda d: d[:12] + d[16:20] + d[12:16] + d[20:],
+            "addresses are not in ascending order",
+        ),
         (lambda d: d[:-4] + b"\x09\x00" + d[-2:], "sites below 9, found 9"),
     ],
 )
-def test_refuses_a_wrong_chunk(change, message):
+def test_invalid_chunk_is_rejected(change, message):
     (data,) = _chunks([("10.0.0.0/8", 1)])
-    wrong = change(data)
-    digest = steering.digest_of(wrong)
+    invalid = change(data)
+    digest = steering.digest_of(invalid)
     loader = steering.TableLoader([digest], SITES)
     with pytest.raises(steering.InvalidChunkError, match=message):
-        loader.on_chunk(digest, wrong)
+        loader.on_chunk(digest, invalid)
 
 
-def test_refuses_other_bytes_than_asked_for():
+def test_chunk_with_another_digest_is_rejected_and_stays_missing():
     one, other = _chunks([("10.0.0.0/8", 1), ("2001:db8::/32", 2)])
     digest = steering.digest_of(one)
     loader = steering.TableLoader([digest], SITES)
-    with pytest.raises(steering.InvalidChunkError, match="bytes are others"):
+    with pytest.raises(
+        steering.InvalidChunkError, match="digest does not match the bytes"
+    ):
         loader.on_chunk(digest, other)
     with pytest.raises(steering.InvalidChunkError, match="missing"):
         loader.build(ids.SiteId(0))
 
 
-def test_checks_a_known_chunk_against_fewer_sites():
+def test_reused_chunk_is_checked_against_the_new_site_count():
     chunks = _chunks([("10.0.0.0/8", 5)])
     table = _load(chunks)
     digest = steering.digest_of(chunks[0])
@@ -177,7 +182,7 @@
     assert steering.TableLoader([digest], 5, table).missing == (digest,)
 
 
-def test_refuses_chunks_in_the_wrong_order():
+def test_chunks_in_the_wrong_order_are_rejected():
     many = [
         (f"{ipaddress.IPv4Address(i << 8)}/24", i % 7) for i in range(20_000)
     ]
--- a/dragonflystack/steering/tests/test_fleet.py
+++ b/dragonflystack/steering/tests/test_fleet.py
@@ -7,16 +7,18 @@
 from dragonflystack.steering.tests import fleet as fleets
 
 A, B, C = documents.REGIONS
-_BUDGET = steering.Budget.from_config(
+_BUDGET = steering.ShiftBudget.from_config(
     fleets.OTHER_DOCUMENT.services[documents.GALLERY].shift_cap,
     fleets.OTHER_DOCUMENT.fleet,
 )
-IN_TOUCH = _BUDGET.walk(all_heard=True) + _BUDGET.spread
+MAX_CONNECTED_GAIN = (
+    _BUDGET.max_shift(all_reporting=True) + _BUDGET.max_divergence
+)
 SETTLED_S = 10.0
 
 
 @pytest.mark.parametrize("seed", [1, 2, 7])
-def test_any_mix_of_vms_in_touch_stays_under_the_cap(seed):
+def test_gain_stays_below_the_cap_without_partitions(seed):
     fleet = fleets.Fleet(7, random.Random(seed))
     for i in range(240):
         fleet.tick()
@@ -24,78 +26,86 @@
             fleets.churn_nodes(fleet)
         if i % 20 == 19:
             fleets.churn_load(fleet)
-    assert 0.03 < fleet.largest_gain(SETTLED_S) <= IN_TOUCH
+    assert 0.03 < fleet.largest_gain(SETTLED_S) <= MAX_CONNECTED_GAIN
+
 
+def _run_partitioned(seed: int) -> fleets.Fleet:
+    """Runs a fleet that is split into two network partitions.
 
-def _split(seed: int) -> fleets.Fleet:
-    """Half the VMs walk away from `a`; the others measure nothing and stay."""
+    Half the VMs shift their callers away from region `a`; the others have only
+    stale measurements and keep their shares.
+    """
     fleet = fleets.Fleet(4, random.Random(seed))
     for _ in range(20):
         fleet.tick()
-    for name, node in fleet.nodes.items():
-        node.side = name % 2
-        node.demand_age_s = 30.0 * node.side
+    for number, vm in fleet.vms.items():
+        vm.partition = number % 2
+        vm.demand_age_s = 30.0 * vm.partition
     fleet.slots = {**fleet.slots, A: 0}
     for _ in range(520):
         fleet.tick()
     return fleet
 
 
-def _shares_by_side(fleet: fleets.Fleet) -> list[steering.Shares]:
+def _shares_by_partition(fleet: fleets.Fleet) -> list[steering.Shares]:
     return [
         next(
-            node.walker.shares(fleet.cell)
-            for node in fleet.nodes.values()
-            if node.side == side
+            vm.shifter.shares(fleet.cell)
+            for vm in fleet.vms.values()
+            if vm.partition == partition
         )
-        for side in (0, 1)
+        for partition in (0, 1)
     ]
 
 
-def test_vms_out_of_touch_stay_under_the_cap_while_callers_stay():
-    fleet = _split(3)
-    moved, stayed = _shares_by_side(fleet)
-    assert steering.distance(moved, stayed) > 0.9
-    for node in fleet.nodes.values():
-        node.side = 0
-        node.demand_age_s = 0.5
+def test_gain_stays_below_the_cap_when_a_partition_heals():
+    fleet = _run_partitioned(3)
+    shifted, unchanged = _shares_by_partition(fleet)
+    assert steering.distance(shifted, unchanged) > 0.9
+    for vm in fleet.vms.values():
+        vm.partition = 0
+        vm.demand_age_s = 0.5
     for _ in range(560):
         fleet.tick()
-    assert fleet.largest_gain(SETTLED_S) <= IN_TOUCH
-    end = [node.walker.shares(fleet.cell) for node in fleet.nodes.values()]
+    assert fleet.largest_gain(SETTLED_S) <= MAX_CONNECTED_GAIN
+    end = [vm.shifter.shares(fleet.cell) for vm in fleet.vms.values()]
     assert all(steering.distance(end[0], other) < 0.02 for other in end)
 
 
-def test_callers_who_change_between_vms_out_of_touch_shift_as_they_do():
-    """The counter-example that bounds the promise; see the design note."""
-    fleet = _split(5)
-    moved, stayed = _shares_by_side(fleet)
-    for name, node in list(fleet.nodes.items()):
-        if node.side == 0:
-            del fleet.nodes[name]
+def test_callers_moving_between_partitions_add_to_the_gain():
+    """Checks the counter-example that limits the promise; see the design note.
+
+    Callers of the removed VMs move to VMs of the other partition, which use
+    other shares. The gain exceeds the cap, but only by their part.
+    """
+    fleet = _run_partitioned(5)
+    shifted, unchanged = _shares_by_partition(fleet)
+    for number, vm in list(fleet.vms.items()):
+        if vm.partition == 0:
+            del fleet.vms[number]
     for _ in range(40):
         fleet.tick()
     span = round(fleets.WINDOW_S / fleets.TICK_S)
     handed_over = sum(fleet.handovers[-span:])
     found = fleet.largest_gain(SETTLED_S)
     assert found > fleets.CAP
-    apart = steering.distance(moved, stayed)
-    assert found <= IN_TOUCH + handed_over * apart
+    divergence = steering.distance(shifted, unchanged)
+    assert found <= MAX_CONNECTED_GAIN + handed_over * divergence
 
 
-def test_half_the_vms_wake_from_a_long_pause_at_once():
+def test_gain_stays_below_the_cap_when_half_the_vms_resume_together():
     fleet = fleets.Fleet(4, random.Random(2))
 
-    def pick() -> int:
-        return fleet.rng.choice(sorted(fleet.awake()))
+    def pick_vm() -> int:
+        return fleet.rng.choice(sorted(fleet.answering()))
 
-    fleet.pick = pick
+    fleet.pick_vm = pick_vm
     for _ in range(20):
         fleet.tick()
     fleet.slots = {**fleet.slots, A: 0}
-    for name in (0, 2):
-        fleet.pause(name, 150)
+    for number in (0, 2):
+        fleet.pause(number, 150)
     for _ in range(360):
         fleet.tick()
-    assert fleet.awake() == {0, 1, 2, 3}
+    assert fleet.answering() == {0, 1, 2, 3}
     assert 0.05 < fleet.largest_gain(SETTLED_S) <= fleets.CAP
--- a/dragonflystack/steering/tests/test_guard.py
+++ b/dragonflystack/steering/tests/test_step_limits.py
@@ -1,7 +1,7 @@
 import pytest
 
 from dragonflystack import steering
-from dragonflystack.steering import _guard
+from dragonflystack.steering import _step_limits
 from dragonflystack.steering.tests import documents
 
 A, B, C = documents.REGIONS
@@ -18,7 +18,7 @@
         (0, 5, 0.0),
     ],
 )
-def test_a_step_adds_nothing_to_a_full_region(
+def test_step_adds_no_load_to_a_full_region(
     demand_of_b, slots_at_a, share_at_a
 ):
     measured = documents.measurements(
@@ -27,7 +27,7 @@
     home = steering.Shares({A: 1.0})
     in_use = {documents.cell(A): home, documents.cell(B): _STAY}
     step = _STAY, steering.Shares({A: 0.5, C: 0.5})
-    ends = _guard.limit_steps(
+    ends = _step_limits.limit_steps(
         _POLICY, measured, in_use, {documents.cell(B): step}
     )
     assert ends[documents.cell(B)].of(A) == pytest.approx(share_at_a)
--- a/dragonflystack/steering/tests/test_targets.py
+++ b/dragonflystack/steering/tests/test_targets.py
@@ -20,43 +20,43 @@
     ("name", "document", "measured", "expected"),
     [
         (
-            "home holds it all",
+            "home region serves all within its capacity",
             {},
             {"demand": {A: 80, B: 10, C: 10}, "slots": {A: 10, B: 10, C: 10}},
             {A: 1.0},
         ),
         (
-            "nearest first beyond the reserve",
+            "excess beyond the reserve goes to the nearest region first",
             {"far_ms": 90.0},
             {"demand": {A: 120, B: 10, C: 10}, "slots": {A: 10, B: 10, C: 10}},
             {A: 0.75, B: 0.25},
         ),
         (
-            "equally near ones in proportion to their room",
+            "regions at equal delay share in proportion to their headroom",
             {},
             {"demand": {A: 120, B: 50, C: 70}, "slots": {A: 10, B: 10, C: 10}},
             {A: 0.75, B: 1 / 6, C: 1 / 12},
         ),
         (
-            "then the reserve at home, the rest refused",
+            "reserve at home is used last and the rest is refused",
             {},
             {"demand": {A: 200, B: 90, C: 90}, "slots": {A: 10, B: 10, C: 10}},
             {A: 0.5},
         ),
         (
-            "a leaving region empties",
+            "leaving region gets no load",
             {"leaving": (A,)},
             {"demand": {A: 40, B: 50, C: 90}, "slots": {A: 10, B: 10, C: 10}},
             {B: 1.0},
         ),
         (
-            "a leaving region keeps what fits nowhere else",
+            "leaving region keeps the load that fits nowhere else",
             {"leaving": (A,)},
             {"demand": {A: 80, B: 50, C: 90}, "slots": {A: 10, B: 10, C: 10}},
             {A: 0.5, B: 0.5},
         ),
         (
-            "a failed region serves nothing",
+            "failed region gets no load",
             {},
             {
                 "demand": {A: 80, B: 50, C: 90},
@@ -66,34 +66,36 @@
             {B: 0.5},
         ),
         (
-            "the answer's way back on a link bounds the spill",
+            "answer bandwidth of a link limits the load sent over it",
             {"mbit_s": 8.0},
             {"demand": {A: 200, B: 0, C: 0}, "slots": {A: 10, B: 10, C: 10}},
             {A: 0.5, B: 0.225, C: 0.225},
         ),
         (
-            "nothing moves towards an old measurement",
+            "region with a stale measurement gets no additional load",
             {},
             {
                 "demand": {A: 120, B: 50, C: 50},
                 "slots": {A: 10, B: 10, C: 10},
-                "old": (B,),
+                "stale": (B,),
             },
             {A: 0.75, C: 0.25},
         ),
         (
-            "a cell of unknown demand stays",
+            "cell of unknown demand keeps its shares",
             {},
             {
                 "demand": {A: 500, B: 50, C: 50},
                 "slots": {A: 10, B: 10, C: 10},
-                "old_demand": (A,),
+                "stale_demand": (A,),
             },
             {A: 1.0},
         ),
     ],
 )
-def test_target_of_callers_at_a(name, document, measured, expected):
+def test_target_shares_of_callers_in_region_a(
+    name, document, measured, expected
+):
     found = _target(
         A,
         documents.document(**document),
@@ -104,16 +106,16 @@
     assert found == pytest.approx(expected), name
 
 
-def test_old_measurement_keeps_what_is_there():
+def test_region_with_stale_measurement_keeps_its_present_share():
     measured = documents.measurements(
-        {A: 100, B: 10, C: 10}, {A: 5, B: 20, C: 20}, old=(B, C)
+        {A: 100, B: 10, C: 10}, {A: 5, B: 20, C: 20}, stale=(B, C)
     )
     in_use = HOME | {documents.cell(A): steering.Shares({A: 0.6, B: 0.4})}
     found = _target(A, documents.document(), measured, in_use)
     assert found == pytest.approx({A: 0.5, B: 0.4})
 
 
-def test_services_that_others_yield_to_take_the_link_first():
+def test_high_priority_service_is_assigned_to_a_link_first():
     order = documents.service(documents.ORDER, priority="high", allowed=(B,))
     gallery = documents.service(documents.GALLERY, allowed=(B,))
     document = documents.document(gallery, order, mbit_s=24.0)
@@ -133,7 +135,7 @@
     assert targets[documents.cell(A)].of(B) == pytest.approx(0.35)
 
 
-def test_same_inputs_give_the_same_target_in_any_order():
+def test_targets_do_not_depend_on_the_order_of_inputs():
     measured = documents.measurements(
         {A: 120, B: 95, C: 40}, {A: 10, B: 10, C: 10}
     )
