Polish the wording of the steering package

Some local names and doc comments still needed the reader to guess.

The names say what is computed and the comments name the subject.

--- a/dragonflystack/steering/_answers.py
+++ b/dragonflystack/steering/_answers.py
@@ -61,7 +61,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class Ranking:
-    """Entry VMs, most preferred first; callers share the object."""
+    """Entry VMs in order of preference; one object serves many callers."""
 
     region: ids.RegionId
     """The region that serves the requests."""
@@ -71,7 +71,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class Answer:
-    """The entry VMs for a caller's requests; callers share the object."""
+    """The answer to a look-up; one object serves many callers."""
 
     ranking: Ranking
     ttl: datetime.timedelta
@@ -83,7 +83,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
-    """No region can serve this caller at present."""
+    """The refusal of a look-up: no region can serve the caller at present."""
 
     retry_after: datetime.timedelta
     """How long the caller should wait before the next look-up."""
--- a/dragonflystack/steering/_shifter.py
+++ b/dragonflystack/steering/_shifter.py
@@ -374,7 +374,8 @@
         """Returns whether a cell's shares are close to those of other VMs.
 
         For a converged cell the bound also covers shifts that may not have been
-        reported yet; for a diverged cell it does not.
+        reported yet. For a diverged cell it does not, provided that other VMs
+        are converged.
         """
         budget = self._budgets[cell.service]
         if not state.is_near and summary.converged_count > 0:
--- a/dragonflystack/steering/_step_limits.py
+++ b/dragonflystack/steering/_step_limits.py
@@ -81,18 +81,24 @@
     after: _shares.Shares,
     fractions: Mapping[ids.RegionId, float],
 ) -> _shares.Shares:
+    """Returns the end of a step of which each increase fits only in part.
+
+    All decreases are reduced by the same factor, so that the sum is kept.
+    """
     if all(fraction >= 1 for fraction in fractions.values()):
         return after
     increases = _increases(before, after)
-    whole = sum(increases.values()) + max(0.0, after.refused - before.refused)
+    total_increase = sum(increases.values()) + max(
+        0.0, after.refused - before.refused
+    )
     added = {r: increase * fractions[r] for r, increase in increases.items()}
     missing = sum(increases.values()) - sum(added.values())
-    freed = 1 - missing / whole
+    decrease_fraction = 1 - missing / total_increase
     shares = {}
     for region in sorted(before.by_region.keys() | after.by_region.keys()):
-        here = before.of(region)
-        less = max(0.0, here - after.of(region))
-        share = here + added.get(region, 0.0) - less * freed
+        initial = before.of(region)
+        decrease = max(0.0, initial - after.of(region))
+        share = initial + added.get(region, 0.0) - decrease * decrease_fraction
         if share > 0:
             shares[region] = share
     return _shares.Shares(shares)
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -64,7 +64,7 @@
 
     @property
     def reference(self) -> _shares.Shares:
-        """The mean shares, from which a starting VM starts.
+        """The mean shares of these VMs, which a starting VM adopts.
 
         Only converged VMs count if there are at least as many of them as
         diverged VMs; otherwise all VMs count.
@@ -74,7 +74,7 @@
         return _mean(_add(self.converged_sums, self.diverged_sums), self.count)
 
     def mean_target(self, own: _shares.Shares) -> _shares.Shares:
-        """Returns the mean of the targets of these VMs and an own target."""
+        """Returns the mean of these VMs' targets and this VM's own target."""
         return _mean(_add(self.target_sums, own.by_region), self.count + 1)
 
     def merge(self, other: "CellSummary") -> "CellSummary":
@@ -101,7 +101,7 @@
     """The recent reports that a VM has received from other VMs."""
 
     cells: Mapping[_shares.Cell, CellSummary]
-    """The merged summaries of the other VMs, without the VM itself."""
+    """The merged summaries of the other VMs, by cell."""
 
     reporting_count: int
     """The number of other VMs in `cells`.
--- a/dragonflystack/steering/tests/test_shifter.py
+++ b/dragonflystack/steering/tests/test_shifter.py
@@ -207,8 +207,8 @@
     driver = Driver()
     driver.run(5, NORMAL)
     gallery = documents.service(allowed=(B, C))
-    less = documents.document(gallery, regions=(B, C))
-    driver.shifter.on_document(less)
+    smaller = documents.document(gallery, regions=(B, C))
+    driver.shifter.on_document(smaller)
     assert driver.shifter.shares(documents.cell(B)).of(B) == 1.0
     assert driver.shifter.shares(CELL) == steering.Shares({})
 
@@ -263,18 +263,18 @@
 
 
 @pytest.mark.parametrize(
-    ("stale", "moves"),
+    ("stale", "shifts"),
     [({}, True), ({"stale": (B,)}, False)] + [({"stale_demand": (A,)}, False)],
 )
 def test_shares_follow_the_mean_target_only_with_recent_measurements(
-    stale, moves
+    stale, shifts
 ):
     driver = Driver()
     driver.run(5, NORMAL)
     start = steering.Shares({A: 1.0})
     others = _view(start, target=steering.Shares({B: 1.0}))
     measured = documents.measurements(DEMAND, SLOTS, **stale)
-    assert (driver.run(5, measured, others).of(B) > 0) == moves
+    assert (driver.run(5, measured, others).of(B) > 0) == shifts
 
 
 def test_shift_is_slower_while_listed_vms_send_no_reports():
@@ -304,19 +304,21 @@
     driver = Driver()
     driver.run(5, NORMAL)
     down = documents.measurements(DEMAND, SLOTS, down=(A,))
-    late = _view(steering.Shares({A: 1.0}), target=steering.Shares({B: 1.0}))
-    assert driver.run(2, down, late).of(B) > 0
+    outdated = _view(
+        steering.Shares({A: 1.0}), target=steering.Shares({B: 1.0})
+    )
+    assert driver.run(2, down, outdated).of(B) > 0
     assert driver.shifter.status()[0].is_near
 
 
 def test_brief_loss_of_capacity_shifts_little():
     driver = Driver()
     driver.run(5, NORMAL)
-    gone = documents.measurements(DEMAND, {**SLOTS, A: 0})
-    driver.run(2 * TICK_S, gone)
+    no_capacity = documents.measurements(DEMAND, {**SLOTS, A: 0})
+    driver.run(2 * TICK_S, no_capacity)
     driver.run(30, NORMAL)
-    least = min(shares.of(A) for shares in driver.path)
-    assert least >= 1 - 2 * BUDGET.max_shift_per_s(True)
+    min_share = min(shares.of(A) for shares in driver.path)
+    assert min_share >= 1 - 2 * BUDGET.max_shift_per_s(True)
 
 
 def test_shift_is_limited_by_the_bandwidth_of_a_link():
@@ -324,8 +326,8 @@
     driver.run(5, NORMAL)
     start = steering.Shares({A: 1.0})
     others = _view(start, target=steering.Shares({B: 1.0}))
-    most = 0.9 * 0.2 * 125_000 / 20_000 / DEMAND[A]
-    assert driver.run(30, NORMAL, others).of(B) == pytest.approx(most)
+    expected = 0.9 * 0.2 * 125_000 / 20_000 / DEMAND[A]
+    assert driver.run(30, NORMAL, others).of(B) == pytest.approx(expected)
 
 
 def test_noise_in_the_measurements_shifts_little_once_settled():
