--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -17,7 +17,7 @@
 from dragonflystack.steering._answers import Refusal
 from dragonflystack.steering._answers import SlotsOwned
 from dragonflystack.steering._block_table import BlockTable
-from dragonflystack.steering._block_table import TableLoader
+from dragonflystack.steering._block_table import BlockTableLoader
 from dragonflystack.steering._chunks import InvalidChunkError
 from dragonflystack.steering._chunks import decode_chunk
 from dragonflystack.steering._chunks import digest_of
@@ -38,12 +38,12 @@
 from dragonflystack.steering._report import to_measurements
 from dragonflystack.steering._shares import Cell
 from dragonflystack.steering._shares import Shares
-from dragonflystack.steering._shares import distance
 from dragonflystack.steering._shares import gain
-from dragonflystack.steering._shift_budget import PEER_AGE
+from dragonflystack.steering._shares import total_variation
+from dragonflystack.steering._shift_budget import MAX_PEER_AGE
 from dragonflystack.steering._shift_budget import ShiftBudget
 from dragonflystack.steering._shifter import CellStatus
-from dragonflystack.steering._shifter import Walker
+from dragonflystack.steering._shifter import TrafficShifter
 from dragonflystack.steering._steering import Steering
 from dragonflystack.steering._summary import NO_PEERS
 from dragonflystack.steering._summary import CellSummary
@@ -75,7 +75,7 @@
     "NO_LOAD",
     "NO_PEERS",
     "OwnedCapacity",
-    "PEER_AGE",
+    "MAX_PEER_AGE",
     "PeerView",
     "Policy",
     "RankedVm",
@@ -86,13 +86,13 @@
     "ShiftBudget",
     "SlotsOwned",
     "Steering",
-    "TableLoader",
-    "Walker",
+    "BlockTableLoader",
+    "TrafficShifter",
     "compute_targets",
     "decode_chunk",
     "decode_report",
     "digest_of",
-    "distance",
+    "total_variation",
     "encode_report",
     "gain",
     "merge_all_cells",
--- a/dragonflystack/steering/_block_table.py
+++ b/dragonflystack/steering/_block_table.py
@@ -95,7 +95,7 @@
     )
 
 
-class TableLoader:
+class BlockTableLoader:
     """Collects the chunks of a new table, one at a time.
 
     Decoding one chunk takes well under one or two milliseconds, so an event
@@ -131,7 +131,7 @@
             dict.fromkeys(d for d in self._digests if d not in self._chunks)
         )
 
-    def on_chunk(self, digest: ids.Digest, data: bytes) -> None:
+    def add_chunk(self, digest: ids.Digest, data: bytes) -> None:
         """Decodes one chunk and adds it to the new table.
 
         Raises:
--- a/dragonflystack/steering/_inputs.py
+++ b/dragonflystack/steering/_inputs.py
@@ -188,7 +188,7 @@
         return use
 
     @functools.cached_property
-    def by_distance(
+    def regions_by_delay(
         self,
     ) -> dict[_shares.Cell, tuple[tuple[ids.RegionId, ...], ...]]:
         """The allowed regions of each cell, grouped by delay, nearest first."""
@@ -210,7 +210,7 @@
         All callers go to the nearest allowed region that is not leaving; if
         there is none, all are refused.
         """
-        for group in self.by_distance[cell]:
+        for group in self.regions_by_delay[cell]:
             for region in group:
                 if region not in self.leaving:
                     return _shares.Shares({region: 1.0})
--- a/dragonflystack/steering/_shares.py
+++ b/dragonflystack/steering/_shares.py
@@ -92,7 +92,7 @@
     )
 
 
-def distance(one: Shares, other: Shares) -> float:
+def total_variation(one: Shares, other: Shares) -> float:
     """Returns the total variation distance, with refusal as a component."""
     return max(gain(one, other), gain(other, one))
 
--- a/dragonflystack/steering/_shift_budget.py
+++ b/dragonflystack/steering/_shift_budget.py
@@ -19,7 +19,7 @@
 
 _DIVERGENCE_FRACTION = 0.15
 _HANDOVER_FRACTION = 0.15
-PEER_AGE = datetime.timedelta(seconds=2)
+MAX_PEER_AGE = datetime.timedelta(seconds=2)
 """Reports of other VMs' shares that are older than this are ignored."""
 
 MAX_TICK_DURATION = datetime.timedelta(seconds=1)
@@ -42,7 +42,7 @@
     ) -> "ShiftBudget":
         """Returns the budget of a service."""
         window = (
-            cap.window + fleet.answer_ttl + 2 * PEER_AGE + MAX_TICK_DURATION
+            cap.window + fleet.answer_ttl + 2 * MAX_PEER_AGE + MAX_TICK_DURATION
         )
         return cls(cap.fraction, window)
 
--- a/dragonflystack/steering/_shifter.py
+++ b/dragonflystack/steering/_shifter.py
@@ -48,14 +48,14 @@
     """The shares to shift to; unaffected by small variations of the target."""
 
     window: _shift_budget.ShiftWindow
-    is_near: bool = True
+    is_converged: bool = True
 
     def set_goal(self, goal: _shares.Shares) -> None:
         """Sets the goal unless it differs little from the present one.
 
         Otherwise noise in the measurements would keep the shares shifting.
         """
-        change = _shares.distance(self.goal, goal)
+        change = _shares.total_variation(self.goal, goal)
         if change > _MIN_GOAL_CHANGE or _empties_component(self.goal, goal):
             self.goal = goal
 
@@ -71,14 +71,14 @@
     target: _shares.Shares
     """The target of this VM alone."""
 
-    is_near: bool
+    is_converged: bool
     """Whether the shares are close to those that other VMs use."""
 
     goal: _shares.Shares
     """The shares that the VM shifts to."""
 
 
-class Walker:
+class TrafficShifter:
     """The shares in use at one VM, which shift towards their targets."""
 
     def __init__(self, policy: _inputs.Policy, ledger: promises.Ledger):
@@ -99,7 +99,7 @@
     @classmethod
     def from_config(
         cls, document: config.Document, ledger: promises.Ledger
-    ) -> "Walker":
+    ) -> "TrafficShifter":
         """Returns a shifter under the policy of a document."""
         return cls(_inputs.Policy.from_config(document), ledger)
 
@@ -133,7 +133,7 @@
         """
         if not self.is_ready or self._last_tick_at is None:
             return False
-        return now - self._last_tick_at <= _shift_budget.PEER_AGE
+        return now - self._last_tick_at <= _shift_budget.MAX_PEER_AGE
 
     def shares(self, cell: _shares.Cell) -> _shares.Shares:
         """Returns the shares in use; an unknown cell is refused."""
@@ -166,8 +166,8 @@
         if not self.is_ready:
             return {}
         return {
-            cell: _summary.CellSummary.of_one(
-                state.shares, state.target, state.is_near
+            cell: _summary.CellSummary.of_single_vm(
+                state.shares, state.target, state.is_converged
             )
             for cell, state in self._cell_states.items()
         }
@@ -176,7 +176,7 @@
         """Returns the state of all cells, for the dump."""
         return tuple(
             CellStatus(
-                cell, state.shares, state.target, state.is_near, state.goal
+                cell, state.shares, state.target, state.is_converged, state.goal
             )
             for cell, state in self._cell_states.items()
         )
@@ -257,7 +257,7 @@
             The elapsed time for which this tick may shift shares.
         """
         last = self._last_tick_at
-        if last is None or now - last > _shift_budget.PEER_AGE:
+        if last is None or now - last > _shift_budget.MAX_PEER_AGE:
             self._waiting_since = now
         self._last_tick_at = now
         since = self._waiting_since
@@ -282,14 +282,14 @@
         longer: if the others are only paused, it would otherwise move the fleet
         to its initial shares.
         """
-        return _shift_budget.PEER_AGE if self._cell_states else _START_WAIT
+        return _shift_budget.MAX_PEER_AGE if self._cell_states else _START_WAIT
 
     def _adopt_shares(self, view: _summary.PeerView) -> None:
         for cell, state in self._cell_states.items():
             summary = view.cells.get(cell)
             if summary is not None and summary.count > 0:
                 state.shares = self._without_unknown_regions(summary.reference)
-                state.is_near = True
+                state.is_converged = True
                 state.goal = state.shares
 
     def _add_cells(self, view: _summary.PeerView) -> None:
@@ -357,8 +357,8 @@
         reference = self._without_unknown_regions(summary.reference).without(
             down
         )
-        state.is_near = self._is_converged(cell, state, reference, summary)
-        if state.is_near:
+        state.is_converged = self._is_converged(cell, state, reference, summary)
+        if state.is_converged:
             mean = summary.mean_target(state.target)
             state.set_goal(self._without_unknown_regions(mean).without(down))
         else:
@@ -378,14 +378,14 @@
         are converged.
         """
         budget = self._budgets[cell.service]
-        if not state.is_near and summary.converged_count > 0:
+        if not state.is_converged and summary.converged_count > 0:
             return (
                 _divergence.divergence_bound(state.shares, summary)
                 <= budget.max_divergence
             )
         unreported_shift = (
             budget.max_shift_per_s(True)
-            * _shift_budget.PEER_AGE.total_seconds()
+            * _shift_budget.MAX_PEER_AGE.total_seconds()
         )
         divergence = max(
             _shares.gain(state.shares, reference),
@@ -403,7 +403,7 @@
     ) -> _shares.Shares:
         """Returns the end of this tick's step, limited by the shift budget."""
         budget = self._budgets[cell.service]
-        remaining = _shares.distance(state.shares, state.goal)
+        remaining = _shares.total_variation(state.shares, state.goal)
         if remaining <= _ROUNDING:
             return state.shares
         shifted = state.window.total(now, budget.window)
@@ -435,7 +435,7 @@
         if (
             summary is not None
             and summary.converged_count > 0
-            and state.is_near
+            and state.is_converged
         ):
             end = _divergence.limit_divergence(
                 start, end, summary, budget.max_divergence
@@ -446,7 +446,7 @@
                 <= _divergence.divergence_bound(start, summary) + 2 * _ROUNDING
             ):
                 divergence = min(divergence, budget.max_divergence)
-        shifted = _shares.distance(start, end)
+        shifted = _shares.total_variation(start, end)
         if shifted <= 0:
             return set()
         state.shares = end
--- a/dragonflystack/steering/_steering.py
+++ b/dragonflystack/steering/_steering.py
@@ -61,7 +61,7 @@
         self._region = region
         self._document = document
         self._version = version
-        self._shifter = _shifter.Walker.from_config(document, ledger)
+        self._shifter = _shifter.TrafficShifter.from_config(document, ledger)
         self._meter = _meters.DemandMeter()
         self._received: dict[str, _ReceivedReport] = {}
         self._region_reported_at: dict[ids.RegionId, datetime.timedelta] = {}
@@ -240,7 +240,7 @@
         newest_at = datetime.timedelta()
         reporting = starting = 0
         for received in self._received.values():
-            if now - received.at > _shift_budget.PEER_AGE:
+            if now - received.at > _shift_budget.MAX_PEER_AGE:
                 continue
             vms = sum(received.report.vms.values())
             if not received.report.cells:
--- a/dragonflystack/steering/_step_limits.py
+++ b/dragonflystack/steering/_step_limits.py
@@ -37,7 +37,8 @@
     The load that all steps together add to a region or link fits into the
     headroom under the shares in use, without counting load that other steps
     remove. No load is added to a region with stale measurements. The part of a
-    step that does not fit stays in its present region.
+    step that does not fit is left out, so its callers stay in their present
+    regions.
 
     Args:
         policy: the policy in force.
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -47,13 +47,13 @@
     """The sums of the target shares of all VMs."""
 
     @classmethod
-    def of_one(
-        cls, shares: _shares.Shares, target: _shares.Shares, is_near: bool
+    def of_single_vm(
+        cls, shares: _shares.Shares, target: _shares.Shares, is_converged: bool
     ) -> "CellSummary":
         """Returns the summary of a single VM."""
         own = shares.by_region
         no_shares: ShareSums = {}
-        if is_near:
+        if is_converged:
             return cls(1, own, own, own, 0, no_shares, target.by_region)
         return cls(0, no_shares, no_shares, no_shares, 1, own, target.by_region)
 
@@ -106,7 +106,7 @@
     reporting_count: int
     """The number of other VMs in `cells`.
 
-    Reports older than `PEER_AGE` are excluded.
+    Reports older than `MAX_PEER_AGE` are excluded.
     """
 
     listed_count: int
--- a/dragonflystack/steering/_targets.py
+++ b/dragonflystack/steering/_targets.py
@@ -157,19 +157,22 @@
     ) -> None:
         for state in pending:
             home = state.cell.caller_region
-            if home in self._policy.by_distance[state.cell][0]:
+            if home in self._policy.regions_by_delay[state.cell][0]:
                 self._distribute(state, (home,), stale, self._headroom)
 
     def _fill_by_delay(
         self, pending: list[_PendingCell], stale: frozenset[ids.RegionId]
     ) -> None:
         max_groups = max(
-            (len(self._policy.by_distance[state.cell]) for state in pending),
+            (
+                len(self._policy.regions_by_delay[state.cell])
+                for state in pending
+            ),
             default=0,
         )
         for i in range(max_groups):
             for state in pending:
-                groups = self._policy.by_distance[state.cell]
+                groups = self._policy.regions_by_delay[state.cell]
                 if i < len(groups):
                     self._distribute(state, groups[i], stale, self._headroom)
 
@@ -177,7 +180,7 @@
         self, pending: list[_PendingCell], stale: frozenset[ids.RegionId]
     ) -> None:
         for state in pending:
-            nearest = self._policy.by_distance[state.cell][0]
+            nearest = self._policy.regions_by_delay[state.cell][0]
             self._distribute(state, nearest, stale, self._full_headroom)
 
     def _keep_in_leaving(self, pending: list[_PendingCell]) -> None:
--- a/dragonflystack/steering/tests/fleet.py
+++ b/dragonflystack/steering/tests/fleet.py
@@ -34,7 +34,7 @@
 class SimulatedVm:
     """One VM: its shifter and the reports it has received."""
 
-    shifter: steering.Walker
+    shifter: steering.TrafficShifter
     partition: int = 0
     """The network partition of the VM; reports do not cross partitions."""
 
@@ -86,7 +86,7 @@
 
     def join(self, document=None) -> int:
         """Starts a VM."""
-        shifter = steering.Walker.from_config(
+        shifter = steering.TrafficShifter.from_config(
             document or self.document, self.ledger
         )
         self.vms[self._next_number] = SimulatedVm(shifter)
@@ -229,7 +229,7 @@
         )
 
 
-def churn_nodes(fleet: Fleet) -> None:
+def churn_vms(fleet: Fleet) -> None:
     """Applies a random event to one or more VMs.
 
     A VM is removed, started or paused, several are paused, or a VM gets stale
--- a/dragonflystack/steering/tests/test_block_table.py
+++ b/dragonflystack/steering/tests/test_block_table.py
@@ -27,10 +27,10 @@
 
 def _load(chunks, current=None, default=0):
     digests = [steering.digest_of(data) for data in chunks]
-    loader = steering.TableLoader(digests, SITES, current)
+    loader = steering.BlockTableLoader(digests, SITES, current)
     by_digest = dict(zip(digests, chunks, strict=True))
     for digest in loader.missing:
-        loader.on_chunk(digest, by_digest[digest])
+        loader.add_chunk(digest, by_digest[digest])
     return loader.build(default)
 
 
@@ -105,7 +105,7 @@
     assert len(set(changed) - set(chunks)) == 1
     table = _load(chunks)
     digests = [steering.digest_of(data) for data in changed]
-    loader = steering.TableLoader(digests, SITES, table)
+    loader = steering.BlockTableLoader(digests, SITES, table)
     assert len(loader.missing) == 1
     assert _site(_load(changed, table), many[at][0].partition("/")[0]) == 8
     assert _site(table, many[at][0].partition("/")[0]) != 8
@@ -157,19 +157,19 @@
     (data,) = _chunks([("10.0.0.0/8", 1)])
     invalid = change(data)
     digest = steering.digest_of(invalid)
-    loader = steering.TableLoader([digest], SITES)
+    loader = steering.BlockTableLoader([digest], SITES)
     with pytest.raises(steering.InvalidChunkError, match=message):
-        loader.on_chunk(digest, invalid)
+        loader.add_chunk(digest, invalid)
 
 
 def test_chunk_with_another_digest_is_rejected_and_stays_missing():
     one, other = _chunks([("10.0.0.0/8", 1), ("2001:db8::/32", 2)])
     digest = steering.digest_of(one)
-    loader = steering.TableLoader([digest], SITES)
+    loader = steering.BlockTableLoader([digest], SITES)
     with pytest.raises(
         steering.InvalidChunkError, match="digest does not match the bytes"
     ):
-        loader.on_chunk(digest, other)
+        loader.add_chunk(digest, other)
     with pytest.raises(steering.InvalidChunkError, match="missing"):
         loader.build(ids.SiteId(0))
 
@@ -178,8 +178,8 @@
     chunks = _chunks([("10.0.0.0/8", 5)])
     table = _load(chunks)
     digest = steering.digest_of(chunks[0])
-    assert not steering.TableLoader([digest], SITES, table).missing
-    assert steering.TableLoader([digest], 5, table).missing == (digest,)
+    assert not steering.BlockTableLoader([digest], SITES, table).missing
+    assert steering.BlockTableLoader([digest], 5, table).missing == (digest,)
 
 
 def test_chunks_in_the_wrong_order_are_rejected():
--- a/dragonflystack/steering/tests/test_fleet.py
+++ b/dragonflystack/steering/tests/test_fleet.py
@@ -23,7 +23,7 @@
     for i in range(240):
         fleet.tick()
         if fleet.now_s > SETTLED_S and fleet.rng.random() < 0.25:
-            fleets.churn_nodes(fleet)
+            fleets.churn_vms(fleet)
         if i % 20 == 19:
             fleets.churn_load(fleet)
     assert 0.03 < fleet.largest_gain(SETTLED_S) <= MAX_CONNECTED_GAIN
@@ -61,7 +61,7 @@
 def test_gain_stays_below_the_cap_when_a_partition_heals():
     fleet = _run_partitioned(3)
     shifted, unchanged = _shares_by_partition(fleet)
-    assert steering.distance(shifted, unchanged) > 0.9
+    assert steering.total_variation(shifted, unchanged) > 0.9
     for vm in fleet.vms.values():
         vm.partition = 0
         vm.demand_age_s = 0.5
@@ -69,7 +69,7 @@
         fleet.tick()
     assert fleet.largest_gain(SETTLED_S) <= MAX_CONNECTED_GAIN
     end = [vm.shifter.shares(fleet.cell) for vm in fleet.vms.values()]
-    assert all(steering.distance(end[0], other) < 0.02 for other in end)
+    assert all(steering.total_variation(end[0], other) < 0.02 for other in end)
 
 
 def test_callers_moving_between_partitions_add_to_the_gain():
@@ -89,7 +89,7 @@
     handed_over = sum(fleet.handovers[-span:])
     found = fleet.largest_gain(SETTLED_S)
     assert found > fleets.CAP
-    divergence = steering.distance(shifted, unchanged)
+    divergence = steering.total_variation(shifted, unchanged)
     assert found <= MAX_CONNECTED_GAIN + handed_over * divergence
 
 
--- a/dragonflystack/steering/tests/test_shifter.py
+++ b/dragonflystack/steering/tests/test_shifter.py
@@ -29,7 +29,7 @@
 
     def __init__(self, document=None):
         self.ledger = promises.Ledger(strict=True)
-        self.shifter = steering.Walker.from_config(
+        self.shifter = steering.TrafficShifter.from_config(
             document or documents.document(), self.ledger
         )
         self.now_s = 0.0
@@ -54,11 +54,11 @@
 
 def _total_shift(path):
     steps = zip(path, path[1:], strict=False)
-    return sum(steering.distance(start, end) for start, end in steps)
+    return sum(steering.total_variation(start, end) for start, end in steps)
 
 
 def _view(shares, *, reporting_count=1, newest_at_s=0.0, target=None):
-    summary = steering.CellSummary.of_one(shares, target or shares, True)
+    summary = steering.CellSummary.of_single_vm(shares, target or shares, True)
     return steering.PeerView(
         {CELL: summary},
         reporting_count,
@@ -176,10 +176,10 @@
     driver.run(5, NORMAL)
     used = steering.Shares({A: 0.2, B: 0.8})
     assert driver.run(TICK_S, HALF, _view(used)).of(A) > 0.99
-    assert not driver.shifter.status()[0].is_near
+    assert not driver.shifter.status()[0].is_converged
     end = driver.run(400, HALF, _view(used))
     assert end.of(A) < 0.25
-    assert driver.shifter.status()[0].is_near
+    assert driver.shifter.status()[0].is_converged
     assert _largest_gain(driver.path, 25) <= MAX_SHIFT
 
 
@@ -232,7 +232,7 @@
     before = driver.shifter.shares(CELL)
     driver.now_s += 1.4
     after = driver.run(TICK_S, HALF)
-    shifted = steering.distance(before, after)
+    shifted = steering.total_variation(before, after)
     assert 0 < shifted <= BUDGET.max_shift_per_s(True) * 1.0 + 1e-9
 
 
@@ -252,7 +252,7 @@
     both = documents.service(documents.ORDER), documents.service()
     driver.shifter.on_document(documents.document(*both))
     found = driver.run(TICK_S, NORMAL, _view(used))
-    assert steering.distance(found, used) < 0.01
+    assert steering.total_variation(found, used) < 0.01
 
 
 def test_small_change_of_the_target_starts_no_shift():
@@ -308,7 +308,7 @@
         steering.Shares({A: 1.0}), target=steering.Shares({B: 1.0})
     )
     assert driver.run(2, down, outdated).of(B) > 0
-    assert driver.shifter.status()[0].is_near
+    assert driver.shifter.status()[0].is_converged
 
 
 def test_brief_loss_of_capacity_shifts_little():
