--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -1,4 +1,8 @@
-"""Steering: client blocks, target shares, the walk, look-up answers."""
+"""Assigns callers to serving regions and answers look-ups.
+
+Covers client blocks, target shares, the gradual shift of the shares in use
+towards the targets, and look-up answers.
+"""
 
 from dragonflystack.steering._addresses import Block
 from dragonflystack.steering._addresses import Family
@@ -14,8 +18,6 @@
 from dragonflystack.steering._answers import SlotsOwned
 from dragonflystack.steering._block_table import BlockTable
 from dragonflystack.steering._block_table import BlockTableLoader
-from dragonflystack.steering._budget import MAX_PEER_AGE
-from dragonflystack.steering._budget import Budget
 from dragonflystack.steering._chunks import InvalidChunkError
 from dragonflystack.steering._chunks import decode_chunk
 from dragonflystack.steering._chunks import digest_of
@@ -38,23 +40,24 @@
 from dragonflystack.steering._shares import Shares
 from dragonflystack.steering._shares import gain
 from dragonflystack.steering._shares import total_variation
+from dragonflystack.steering._shift_budget import MAX_PEER_AGE
+from dragonflystack.steering._shift_budget import ShiftBudget
+from dragonflystack.steering._shifter import CellStatus
+from dragonflystack.steering._shifter import TrafficShifter
 from dragonflystack.steering._steering import Steering
-from dragonflystack.steering._summary import ALONE
+from dragonflystack.steering._summary import NO_PEERS
 from dragonflystack.steering._summary import CellSummary
 from dragonflystack.steering._summary import PeerView
 from dragonflystack.steering._summary import merge_all_cells
 from dragonflystack.steering._summary import merge_cells
 from dragonflystack.steering._targets import compute_targets
-from dragonflystack.steering._walk import CellStatus
-from dragonflystack.steering._walk import TrafficShifter
 
 __all__ = [
-    "ALONE",
     "Answer",
     "AnswerTable",
     "Block",
     "BlockTable",
-    "Budget",
+    "BlockTableLoader",
     "Capacity",
     "Cell",
     "CellStatus",
@@ -69,10 +72,11 @@
     "InvalidChunkError",
     "InvalidReportError",
     "Load",
+    "MAX_PEER_AGE",
     "Measurements",
     "NO_LOAD",
+    "NO_PEERS",
     "OwnedCapacity",
-    "MAX_PEER_AGE",
     "PeerView",
     "Policy",
     "RankedVm",
@@ -80,15 +84,14 @@
     "Refusal",
     "Report",
     "Shares",
+    "ShiftBudget",
     "SlotsOwned",
     "Steering",
-    "BlockTableLoader",
     "TrafficShifter",
     "compute_targets",
     "decode_chunk",
     "decode_report",
     "digest_of",
-    "total_variation",
     "encode_report",
     "gain",
     "merge_all_cells",
@@ -96,4 +99,5 @@
     "pack_blocks",
     "parse_address",
     "to_measurements",
+    "total_variation",
 ]
