--- a/dragonflystack/entryd/__init__.py
+++ b/dragonflystack/entryd/__init__.py
@@ -1,8 +1,7 @@
-"""The entry daemon of a platform: ports, connections and loops.
-
-An adapter hands in what is the platform's own: settings, the store, header
-names, and the apps that its callers ask.
+"""The entry daemon: its ports, connections to backend servers and loops.
 
+An adapter supplies what is specific to a platform: settings, the store, header
+names, and the ASGI apps of the readiness and directory ports.
     node = entryd.make_node(settings, dialect)
     anyio.run(entryd.run, node, platform, apps, reload_bounds)
 """
@@ -16,16 +15,16 @@
 from dragonflystack import ids
 from dragonflystack.entryd._answer_reader import AnswerLimits
 from dragonflystack.entryd._dialect import Dialect
-from dragonflystack.entryd._journal import Journal
+from dragonflystack.entryd._event_log import EventLog
 from dragonflystack.entryd._metrics import Metrics
 from dragonflystack.entryd._node import Endpoint
 from dragonflystack.entryd._node import Node
 from dragonflystack.entryd._node import Settings
-from dragonflystack.entryd._platform_port import HistoryLost
-from dragonflystack.entryd._platform_port import OperatorNews
-from dragonflystack.entryd._platform_port import Platform
-from dragonflystack.entryd._platform_port import ServerNews
-from dragonflystack.entryd._platform_port import Skipped
+from dragonflystack.entryd._platform import HistoryLost
+from dragonflystack.entryd._platform import OperatorNews
+from dragonflystack.entryd._platform import Platform
+from dragonflystack.entryd._platform import ServerNews
+from dragonflystack.entryd._platform import Skipped
 from dragonflystack.entryd._run import Apps
 from dragonflystack.entryd._run import run
 
@@ -47,7 +46,7 @@
 
 
 def make_node(cfg: Settings, dialect: Dialect) -> Node:
-    """Returns the state of a daemon that starts."""
+    """Returns the initial state of a daemon."""
     now = clock.SystemClock()
     own = entry.VmAddress(
         cfg.vm, cfg.region, cfg.domain, str(cfg.callers), str(cfg.peers)
@@ -62,5 +61,5 @@
         random.Random(os.urandom(8)),
     )
     vm.freshness.on_start(now.monotonic())
-    journal = Journal(sys.stdout.fileno(), now)
-    return Node(cfg, dialect, now, vm, journal, Metrics())
+    event_log = EventLog(sys.stdout.fileno(), now)
+    return Node(cfg, dialect, now, vm, event_log, Metrics())
--- a/dragonflystack/entryd/_answer_reader.py
+++ b/dragonflystack/entryd/_answer_reader.py
@@ -1,9 +1,11 @@
-"""Reads the answers of a backend server on one connection, within bounds.
+"""Reads a backend server's answers from one connection, within size limits.
 
-httptools parses; what it does not bound is bounded here, so that a backend
-server that sends without end costs a fixed amount of memory. A backend server
-may answer twice: the second answer then stands where the next request's is
-due. It is told by the id that it echoes, and passed over.
+httptools does the parsing but enforces no limits. The reader adds them, so that
+a backend server that sends without end uses a fixed amount of memory.
+
+A backend server may answer a request twice. The duplicate then arrives where
+the answer to the next request is expected; the reader recognizes it by the
+request id that it echoes and skips it.
 """
 
 import dataclasses
@@ -14,50 +16,54 @@
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = frozenset((204, 304))
 _DEFAULT_KEEP_ALIVE = datetime.timedelta(seconds=5)
-"""Assumed where a backend server does not say how long it keeps idle ones."""
+"""Assumed if a backend server does not announce its keep-alive timeout."""
 
 _MAX_KEEP_ALIVE_S = 3_600
 
 
 class BrokenError(Exception):
-    """The connection failed after something was written."""
+    """The connection failed after the request was written, before an answer."""
 
 
 class CorruptError(Exception):
-    """What came is no whole answer to the request."""
+    """The received bytes are not a complete, valid answer to the request."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerLimits:
-    """Bounds on what is read for one request; beyond, the answer is corrupt."""
+    """Limits on what is read for one request.
+
+    An answer that exceeds one of them is treated as corrupt.
+    """
 
     body_bytes: int = 33_554_432
-    """Largest body that is held in memory."""
+    """Maximum size of one body."""
 
     head_bytes: int = 65_536
-    """All that is not body: status lines, headers, interim answers, framing."""
+    """Maximum number of bytes outside the body: status lines, headers, interim
+    answers and framing."""
 
     framing_per_body_byte: int = 8
-    """Bytes of framing allowed for each byte of a body beside `head_bytes`; a
-    chunk of one byte takes five."""
+    """Framing bytes allowed per body byte, in addition to `head_bytes`. A chunk
+    of one byte needs five."""
 
     header_lines: int = 256
-    """Headers of one head."""
+    """Maximum number of headers and trailers of one answer."""
 
     interim_answers: int = 16
-    """Answers with a 1xx status before the final one."""
+    """Maximum number of 1xx answers before the final one."""
 
     others_answers: int = 8
-    """Answers to other requests that are passed over."""
+    """Maximum number of skipped answers to other requests."""
 
     held_bytes: int = 67_108_864
-    """Bodies of all answers that are being read by this VM."""
+    """Maximum total size of the incomplete bodies buffered by this VM."""
 
     def __post_init__(self):
-        """Checks the bounds.
+        """Validates the limits.
 
         Raises:
-            ValueError: names the bound and its value.
+            ValueError: if a limit is less than 1; names the limit and value.
         """
         for field in dataclasses.fields(self):
             value = getattr(self, field.name)
@@ -67,16 +73,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Answer:
-    """A whole answer."""
+    """A complete answer."""
 
     status: int
     headers: list[tuple[bytes, bytes]]
-    """Names as the backend server spelled them; without trailers."""
+    """Header names as the backend server spelled them; excludes trailers."""
 
     body: bytes
 
     def header(self, name: bytes) -> bytes | None:
-        """Returns the first header of that lower-case name, or None."""
+        """Returns the value of the first header with a name, or None.
+
+        Args:
+            name: the header's name in lower case.
+        """
         for key, value in self.headers:
             if key.lower() == name:
                 return value
@@ -84,215 +94,225 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Outgoing:
-    """A request as it goes over the connection."""
+class OutgoingRequest:
+    """An encoded request."""
 
     head: bytes
     body: bytes
     request_id: bytes
-    """The id that its answer has to echo; empty if none is expected."""
+    """The id that the answer must echo; empty if none is expected."""
 
     has_no_answer_body: bool = False
-    """Whether the answer has no body whatever it says (HEAD)."""
+    """Whether the answer has no body regardless of its headers (HEAD)."""
 
 
 class AnswerReader:
-    """Reads the answer to one request after the other."""
+    """Parses the answers to successive requests on one connection."""
 
     def __init__(self, id_header: bytes, limits: AnswerLimits):
         self._id_header = id_header
         self._limits = limits
         self._parser = httptools.HttpResponseParser(self)
-        self._outgoing: Outgoing | None = None
+        self._request: OutgoingRequest | None = None
         self._answer: Answer | None = None
         self._problem: str | None = None
-        self._fed_bytes = 0
+        self._received_bytes = 0
         self._body_bytes = 0
         self._interim_answers = 0
         self._others_answers = 0
         self._in_message = False
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
-        self._parts: list[bytes] = []
-        self._held_bytes = 0
-        self._lines = 0
-        self._echoed: bytes | None = None
-        self._is_framed = False
+        self._body_parts: list[bytes] = []
+        self._buffered_bytes = 0
+        self._header_count = 0
+        self._echoed_id: bytes | None = None
+        self._has_framing = False
         self._in_head = True
         self.is_reusable = True
-        """Whether another request may go over the connection."""
+        """Whether the connection may carry another request."""
 
         self.keep_alive = _DEFAULT_KEEP_ALIVE
-        """How long the backend server keeps the connection when idle."""
+        """How long the backend server keeps an idle connection open."""
 
     @property
-    def held_bytes(self) -> int:
-        """How much of a body is held now."""
-        return self._held_bytes
+    def buffered_bytes(self) -> int:
+        """The number of body bytes currently buffered."""
+        return self._buffered_bytes
 
-    def expect(self, outgoing: Outgoing) -> None:
-        """Begins to read the answer to a request that is written now."""
-        self._outgoing = outgoing
+    def expect_answer(self, request: OutgoingRequest) -> None:
+        """Prepares to read the answer to a request that is about to be sent."""
+        self._request = request
         self._answer = None
-        self._fed_bytes = 0
+        self._received_bytes = 0
         self._body_bytes = 0
         self._interim_answers = 0
         self._others_answers = 0
 
     def feed(self, data: bytes) -> Answer | None:
-        """Takes in bytes; returns the answer once it is whole.
+        """Parses received bytes; returns the answer once it is complete.
 
         Raises:
-            CorruptError: if they are no answer or exceed a bound.
+            CorruptError: if the bytes are not a valid answer or exceed a limit.
         """
-        self._fed_bytes += len(data)
+        self._received_bytes += len(data)
         problem: str | None = None
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             problem = self._problem or f"not HTTP: {exc}"
         if self._answer is not None:
-            # What follows a whole answer belongs to no request.
+            # Bytes after a complete answer belong to no request.
             self.is_reusable = self.is_reusable and problem is None
             answer, self._answer = self._answer, None
             return answer
         if problem is not None:
-            raise self._corrupt(problem)
+            raise self._corrupt_error(problem)
         self._check_framing()
         return None
 
     def finish(self, cause: Exception | None) -> Answer:
-        """Takes in the end of the connection; returns an answer that it ends.
+        """Handles the end of the connection.
 
         Args:
-            cause: what broke the connection, None if it was closed.
+            cause: the error that broke the connection; None if the backend
+                server closed it.
+
+        Returns:
+            The answer whose body is delimited by the end of the connection.
 
         Raises:
-            CorruptError: if it cut an answer short.
+            CorruptError: if the answer is incomplete.
             BrokenError: if no answer had begun.
         """
         self.is_reusable = False
-        if cause is None and self._ends_with_connection():
+        if cause is None and self._ends_at_close():
             self._end_message()
             answer, self._answer = self._answer, None
             if answer is not None:
                 return answer
         if self._in_message:
-            raise self._corrupt("the answer broke off")
+            raise self._corrupt_error("the connection ended within the answer")
         reason = "closed" if cause is None else str(cause)
         raise BrokenError(f"no answer: {reason}")
 
-    # Callbacks of the parser
+    # Callbacks of httptools.HttpResponseParser.
 
     def on_message_begin(self):
-        """Starts an answer."""
+        """Starts a new answer."""
         self._reset_message()
         self._in_message = True
-        if self._outgoing is None:
+        if self._request is None:
             self.is_reusable = False
 
     def on_header(self, name, value):
-        """Takes in a header; trailers are left out."""
-        self._lines += 1
-        if self._lines > self._limits.header_lines:
-            self._refuse(f"more than {self._limits.header_lines} headers")
+        """Records a header; trailers are counted but not kept."""
+        self._header_count += 1
+        if self._header_count > self._limits.header_lines:
+            self._abort_parsing(
+                f"more than {self._limits.header_lines} headers"
+            )
         if self._in_head:
             self._headers.append((name, value))
 
     def on_headers_complete(self):
-        """Takes in the status."""
+        """Records the status and evaluates the headers."""
         self._in_head = False
         self._status = self._parser.get_status_code()
         for name, value in self._headers:
             lower = name.lower()
             if lower in (b"content-length", b"transfer-encoding"):
-                self._is_framed = True
+                self._has_framing = True
             elif lower == self._id_header:
-                self._echoed = value
+                self._echoed_id = value
             elif lower == b"keep-alive":
                 self._read_keep_alive(value)
-        outgoing = self._outgoing
-        if outgoing is not None and outgoing.has_no_answer_body:
+        request = self._request
+        if request is not None and request.has_no_answer_body:
             self.is_reusable = False
             self._end_message()
 
     def on_body(self, body):
-        """Takes in a part of the body."""
+        """Appends a part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
-            self._refuse(f"a body of over {self._limits.body_bytes} bytes")
-        self._held_bytes += len(body)
-        self._parts.append(body)
+            self._abort_parsing(f"body exceeds {self._limits.body_bytes} bytes")
+        self._buffered_bytes += len(body)
+        self._body_parts.append(body)
 
     def on_message_complete(self):
-        """Ends an answer."""
+        """Completes an answer, or counts an interim one."""
         if self._status < _FIRST_FINAL_STATUS:
             self._in_message = False
             self._interim_answers += 1
             if self._interim_answers > self._limits.interim_answers:
                 limit = self._limits.interim_answers
-                self._refuse(f"more than {limit} interim answers")
+                self._abort_parsing(f"more than {limit} interim answers")
             return
         if not self._parser.should_keep_alive():
             self.is_reusable = False
         self._end_message()
 
-    # Its own steps
-
     def _reset_message(self) -> None:
         self._status = 0
         self._headers = []
-        self._parts = []
-        self._held_bytes = 0
-        self._lines = 0
-        self._echoed = None
-        self._is_framed = False
+        self._body_parts = []
+        self._buffered_bytes = 0
+        self._header_count = 0
+        self._echoed_id = None
+        self._has_framing = False
         self._in_head = True
 
-    def _ends_with_connection(self) -> bool:
+    def _ends_at_close(self) -> bool:
         return (
             self._in_message
             and self._status >= _FIRST_FINAL_STATUS
-            and not self._is_framed
+            and not self._has_framing
             and self._status not in _NO_BODY_STATUSES
         )
 
     def _end_message(self) -> None:
         self._in_message = False
-        outgoing = self._outgoing
-        if outgoing is None:
+        request = self._request
+        if request is None:
             self.is_reusable = False
             self._reset_message()
             return
-        echoed = self._echoed
-        expected = outgoing.request_id
+        echoed = self._echoed_id
+        expected = request.request_id
         if expected and echoed is not None and echoed != expected:
             self._others_answers += 1
             if self._others_answers > self._limits.others_answers:
                 limit = self._limits.others_answers
-                self._refuse(f"more than {limit} answers to other requests")
+                self._abort_parsing(
+                    f"more than {limit} answers to other requests"
+                )
             self._reset_message()
             return
-        self._outgoing = None
+        self._request = None
         self._answer = Answer(
-            self._status, self._headers, b"".join(self._parts)
+            self._status, self._headers, b"".join(self._body_parts)
         )
-        self._parts = []
-        self._held_bytes = 0
+        self._body_parts = []
+        self._buffered_bytes = 0
 
     def _check_framing(self) -> None:
         limits = self._limits
-        most = limits.head_bytes
-        most += limits.framing_per_body_byte * self._body_bytes
-        if self._fed_bytes - self._body_bytes > most:
-            raise self._corrupt(f"over {most} bytes beside the body")
+        allowed = limits.head_bytes
+        allowed += limits.framing_per_body_byte * self._body_bytes
+        if self._received_bytes - self._body_bytes > allowed:
+            raise self._corrupt_error(f"over {allowed} bytes outside the body")
 
-    def _refuse(self, problem: str) -> None:
-        """Ends the parsing: httptools tells only that a callback raised."""
+    def _abort_parsing(self, problem: str) -> None:
+        """Stops the parser with an error.
+
+        httptools reports only that a callback raised, so the problem is kept.
+        """
         self._problem = problem
         raise CorruptError(problem)
 
-    def _corrupt(self, problem: str) -> CorruptError:
+    def _corrupt_error(self, problem: str) -> CorruptError:
+        """Returns the error after it discards the incomplete answer."""
         self.is_reusable = False
         self._reset_message()
         return CorruptError(problem)
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_callers_port.py
@@ -1,4 +1,4 @@
-"""The callers' port: takes requests and forwards them to backend servers."""
+"""The callers' port: accepts requests and forwards them to backend servers."""
 
 import datetime
 
@@ -8,21 +8,22 @@
 from dragonflystack import ids
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _first_news
-from dragonflystack.entryd import _journal
+from dragonflystack.entryd import _exchange_runner
 from dragonflystack.entryd import _node
-from dragonflystack.entryd import _sending
+from dragonflystack.entryd import _startup_queue
 
-_TAKING_PART = 0.45
-"""Part of the grace of a planned stop in which all requests are still taken;
-the rest is for those taken last, and the users count on under half of it."""
+_ACCEPT_ALL_FRACTION = 0.45
+"""Fraction of the grace period of a planned stop during which all requests are
+accepted. The rest lets the last ones finish. The users rely on less than half
+of the grace period."""
 
-_COME_BACK = datetime.timedelta(milliseconds=50)
-"""Another VM takes the request at once."""
+_STOPPING_RETRY_AFTER = datetime.timedelta(milliseconds=50)
+"""Short because another VM can accept the request at once."""
 
 _NO_LENGTH_STATUSES = frozenset((204, 304))
-_ENDS = {
+_OUTCOME_EVENTS = {
     entry.Deliver: _events.Event.REQUEST_SERVED,
     entry.Reject: _events.Event.REQUEST_REJECTED,
     entry.Fail: _events.Event.REQUEST_FAILED,
@@ -32,18 +33,18 @@
 }
 
 
-class Front:
+class CallersApp:
     """The ASGI app of the callers' port."""
 
     def __init__(self, node: _node.Node, pool: _connections.Pool):
         self._node = node
         self._pool = pool
-        self._first_news = _first_news.FirstNews(node)
+        self._startup_queue = _startup_queue.StartupQueue(node)
 
     async def __call__(
         self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
-        """Serves one request."""
+        """Handles one request."""
         self._node.in_flight += 1
         try:
             await self._serve(scope, receive, send)
@@ -54,97 +55,102 @@
         self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         node = self._node
-        began = node.now()
+        started_at = node.now()
         catalogue = node.vm.catalogue
         limits = entry.CallerLimits() if catalogue is None else catalogue.limits
         try:
             body = await _asgi.read_body(receive, limits.max_body_bytes)
         except _asgi.CallerGoneError:
-            node.note(
+            node.log_event(
                 _events.Event.REQUEST_DROPPED,
                 reason=entry.Reason.CALLER_GONE.value,
             )
             return
         except _asgi.BodyTooLargeError:
-            node.note(
+            node.log_event(
                 _events.Event.REQUEST_REJECTED,
                 reason=entry.Reason.TOO_LARGE.value,
             )
             await _asgi.send_problem(send, 413, "body too large")
             return
-        request = self._read(scope)
+        request = self._parse_request(scope)
         exchange: entry.Exchange | None = None
-        step: entry.Step = entry.Reject(entry.Reason.STOPPING, _COME_BACK)
-        if not await self._first_news.wait(
+        step: entry.Step = entry.Reject(
+            entry.Reason.STOPPING, _STOPPING_RETRY_AFTER
+        )
+        if not await self._startup_queue.wait_for_sync(
             receive, len(body), request.time_left
         ):
             step = entry.Drop()
-        elif not self._is_too_late(request):
-            exchange, step = node.vm.open(request, node.now(), began)
+        elif not self._is_rejected_by_stop(request):
+            exchange, step = node.vm.open(request, node.now(), started_at)
         answer: _answer_reader.Answer | None = None
         if exchange is not None:
-            run = _sending.Run(
+            runner = _exchange_runner.ExchangeRunner(
                 node, self._pool, scope, receive, request, exchange, body
             )
-            step = await run.carry_out(step)
-            answer = run.answer
-        self._note_end(request, exchange, step, answer, began)
+            step = await runner.run(step)
+            answer = runner.answer
+        self._log_outcome(request, exchange, step, answer, started_at)
         await _reply(send, step, answer, scope["method"])
 
-    def _is_too_late(self, request: entry.Request) -> bool:
-        """Returns whether a planned stop leaves too little time to serve.
+    def _is_rejected_by_stop(self, request: entry.Request) -> bool:
+        """Returns whether a planned stop leaves too little time for a request.
 
-        Until the users count on its end, a VM takes what comes; later only
-        what its caller awaits no longer than the VM lives.
+        During the first part of the grace period all requests are accepted;
+        after it only those whose deadline is before the VM's exit.
         """
-        since = self._node.leaving_since
-        if since is None:
+        stop_began_at = self._node.leaving_since
+        if stop_began_at is None:
             return False
         grace = self._node.vm.bounds.grace
-        gone = self._node.now() - since
-        if gone < grace * _TAKING_PART:
+        since_stop = self._node.now() - stop_began_at
+        if since_stop < grace * _ACCEPT_ALL_FRACTION:
             return False
-        left = request.time_left
-        return left is None or gone + left > grace - _node.EXIT_BEFORE_KILL
+        time_left = request.time_left
+        return (
+            time_left is None
+            or since_stop + time_left > grace - _node.EXIT_BEFORE_KILL
+        )
 
-    def _note_end(
+    def _log_outcome(
         self,
         request: entry.Request,
         exchange: entry.Exchange | None,
         step: entry.Step,
         answer: _answer_reader.Answer | None,
-        began: datetime.timedelta,
+        started_at: datetime.timedelta,
     ) -> None:
         node = self._node
-        elapsed = node.now() - began
-        event = _ENDS[type(step)]
+        elapsed = node.now() - started_at
+        event = _OUTCOME_EVENTS[type(step)]
         status = None
         if isinstance(step, entry.Deliver) and answer is not None:
             status = answer.status
         node.metrics.time("request", elapsed, outcome=event.value)
         retry_after = getattr(step, "retry_after", None)
         reason = getattr(step, "reason", None)
-        denied = isinstance(step, entry.Unauthorized)
-        node.note(
+        is_denied = isinstance(step, entry.Unauthorized)
+        node.log_event(
             event,
             request=request.id,
-            route=_route(exchange, step),
-            customer=_customer(exchange),
+            route=_route_id(exchange, step),
+            customer=_customer_id(exchange),
             status=status,
             reason=None if reason is None else reason.value,
             sends=0 if exchange is None else len(exchange.sends),
-            took_ms=_journal.milliseconds(elapsed),
-            caller_left_ms=_journal.milliseconds(request.time_left),
-            retry_after_ms=_journal.milliseconds(retry_after),
+            took_ms=_event_log.milliseconds(elapsed),
+            caller_left_ms=_event_log.milliseconds(request.time_left),
+            retry_after_ms=_event_log.milliseconds(retry_after),
             catalogue=node.catalogue_version,
-            **({"key_digest": request.customer_key} if denied else {}),
+            **({"key_digest": request.customer_key} if is_denied else {}),
         )
 
-    def _read(self, scope: _asgi.Scope) -> entry.Request:
+    def _parse_request(self, scope: _asgi.Scope) -> entry.Request:
         dialect = self._node.dialect
         request_id = ""
         host = ""
-        left: datetime.timedelta | None = None
+        time_left: datetime.timedelta | None = None
         object_key: str | None = None
         keys: list[bytes] = []
         for name, value in scope["headers"]:
@@ -153,34 +159,34 @@
             elif name == dialect.request_id:
                 request_id = value.decode("latin-1")
             elif name == dialect.time_left_ms:
-                left = dialect.read_milliseconds(value)
+                time_left = dialect.read_milliseconds(value)
             elif name == dialect.customer_key:
                 keys.append(value)
             elif name == b"cookie" and object_key is None:
                 text = value.decode("latin-1")
-                object_key = _cookie(text, dialect.object_cookie)
+                object_key = _find_cookie(text, dialect.object_cookie)
         key = dialect.read_key(keys)
         return entry.Request(
             request_id,
             host,
             scope["path"],
             object_key,
-            left,
+            time_left,
             None if key is None else entry.digest_key(key),
         )
 
 
-def _route(
+def _route_id(
     exchange: entry.Exchange | None, step: entry.Step
 ) -> entry.RouteId | None:
-    """Returns the route of a request, if it has one."""
+    """Returns the id of the request's route, None if no route matched."""
     if isinstance(step, entry.Unauthorized):
         return step.route
     return None if exchange is None else exchange.route.id
 
 
-def _customer(exchange: entry.Exchange | None) -> ids.CustomerId | None:
-    """Returns the customer of a request, if it has one."""
+def _customer_id(exchange: entry.Exchange | None) -> ids.CustomerId | None:
+    """Returns the id of the request's customer, None if there is none."""
     if exchange is None or exchange.wanted.customer is None:
         return None
     return exchange.wanted.customer.id
@@ -192,10 +198,10 @@
     answer: _answer_reader.Answer | None,
     method: str,
 ) -> None:
-    """Gives the caller its final answer."""
+    """Sends the final answer to the caller."""
     match step:
         case entry.Deliver() if answer is not None:
-            await _deliver(send, answer, method)
+            await _send_answer(send, answer, method)
         case entry.Reject(reason, retry_after):
             seconds = f"{retry_after.total_seconds():.3f}".encode()
             headers = [(b"retry-after", seconds)]
@@ -210,14 +216,14 @@
         case entry.Unknown():
             await _asgi.send_problem(send, 404, "no such route")
         case entry.Unauthorized(reason):
-            # RFC 9110 asks for the header with each 401.
+            # RFC 9110 requires the header in each 401 answer.
             headers = [(b"www-authenticate", b"Bearer")]
             await _asgi.send_problem(
                 send, 401, "not authorized", reason.value, headers=headers
             )
 
 
-async def _deliver(
+async def _send_answer(
     send: _asgi.Send, answer: _answer_reader.Answer, method: str
 ) -> None:
     headers = list(_hop_headers.end_to_end(answer.headers))
@@ -237,7 +243,7 @@
     await send({"type": "http.response.body", "body": answer.body})
 
 
-def _cookie(text: str, name: str) -> str | None:
+def _find_cookie(text: str, name: str) -> str | None:
     for part in text.split(";"):
         key, equals, value = part.strip().partition("=")
         if equals and key == name:
--- a/dragonflystack/entryd/_connections.py
+++ b/dragonflystack/entryd/_connections.py
@@ -1,4 +1,4 @@
-"""Connections to backend servers, each carrying one request at a time."""
+"""Connections to backend servers; each carries one request at a time."""
 
 import asyncio
 import collections
@@ -13,75 +13,82 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 _USER_TIMEOUT_MS = 3_000
-"""Unacknowledged bytes for so long show that the other side is out of reach."""
+"""Bytes unacknowledged for so long mean that the peer is unreachable."""
 
 _MAX_IDLE_PER_SERVER = 8
-_KEEP_ALIVE_PART = 0.5
-"""Part of that time after which an idle connection is not used again; the
-other end may close it while a request is on its way."""
+_KEEP_ALIVE_FRACTION = 0.5
+"""Fraction of the backend server's keep-alive timeout for which an idle
+connection is reused. Later the backend server may close it while a request is
+in transit."""
 
 
 class ConnectError(Exception):
-    """No connection could be made; nothing was written."""
+    """The connection could not be established; nothing was written."""
 
 
 class Connection(asyncio.Protocol):
     """One connection to a backend server."""
 
-    def __init__(self, reader: _answer_reader.AnswerReader, held: "_Held"):
+    def __init__(
+        self, reader: _answer_reader.AnswerReader, buffers: "_ReadBuffers"
+    ):
         self._reader = reader
-        self._held = held
+        self._buffers = buffers
         self._transport: asyncio.Transport | None = None
         self._future: asyncio.Future[_answer_reader.Answer] | None = None
-        self.heard_at = datetime.timedelta()
-        """When its last answer ended, set by the pool."""
+        self.last_answer_at = datetime.timedelta()
+        """When the last answer was completed; set by the pool."""
 
     @property
     def is_reusable(self) -> bool:
-        """Whether another request may go over it."""
+        """Whether the connection may carry another request."""
         return self._reader.is_reusable
 
     @property
     def keep_alive(self) -> datetime.timedelta:
-        """How long the other end keeps it when idle."""
+        """How long the backend server keeps the connection open when idle."""
         return self._reader.keep_alive
 
     @property
-    def held_bytes(self) -> int:
-        """How much of a body it holds now."""
-        return self._reader.held_bytes
+    def buffered_bytes(self) -> int:
+        """The number of body bytes currently buffered."""
+        return self._reader.buffered_bytes
 
     def send(
-        self, outgoing: _answer_reader.Outgoing
+        self, request: _answer_reader.OutgoingRequest
     ) -> "asyncio.Future[_answer_reader.Answer]":
-        """Writes a request; the future ends with its answer or an error."""
+        """Writes a request.
+
+        Returns:
+            A future that resolves to the answer, or fails with BrokenError or
+            CorruptError.
+        """
         assert self._transport is not None
-        self._reader.expect(outgoing)
+        self._reader.expect_answer(request)
         self._future = asyncio.get_running_loop().create_future()
-        self._transport.write(outgoing.head + outgoing.body)
+        self._transport.write(request.head + request.body)
         return self._future
 
     def close(self) -> None:
-        """Closes it at once; what was not written is dropped."""
+        """Closes the connection at once and discards unwritten data."""
         self._reader.is_reusable = False
         self._future = None
-        self._held.forget(self)
+        self._buffers.remove(self)
         if self._transport is not None:
             self._transport.abort()
 
     def fail(self, exc: Exception) -> None:
-        """Closes it, and ends the request that waits on it with an error."""
+        """Closes the connection and fails the request in flight."""
         future = self._future
         self.close()
         if future is not None and not future.done():
             future.set_exception(exc)
 
-    # asyncio.Protocol
-
+    # Callbacks of asyncio.Protocol.
     def connection_made(self, transport):
         """See `asyncio.Protocol`."""
         self._transport = transport
-        _set_options(transport.get_extra_info("socket"))
+        _set_socket_options(transport.get_extra_info("socket"))
 
     def data_received(self, data):
         """See `asyncio.Protocol`."""
@@ -94,12 +101,12 @@
             self.fail(exc)
             return
         if answer is None:
-            self._held.on_growth(self)
+            self._buffers.on_growth(self)
         else:
             self._end(answer)
 
     def eof_received(self):
-        """Ends an answer whose end is the end of the connection."""
+        """Completes an answer that ends with the connection."""
         self._finish(None)
         return False
 
@@ -120,14 +127,14 @@
             self.fail(exc)
 
     def _end(self, answer: _answer_reader.Answer) -> None:
-        self._held.forget(self)
+        self._buffers.remove(self)
         future, self._future = self._future, None
         if future is not None and not future.done():
             future.set_result(answer)
 
 
-class _Held:
-    """How much of answers is held until they are whole, and the bound on it."""
+class _ReadBuffers:
+    """Limits the total size of the incomplete answers on all connections."""
 
     def __init__(self, limit_bytes: int):
         self._limit_bytes = limit_bytes
@@ -135,24 +142,28 @@
         self._total = 0
 
     def on_growth(self, conn: Connection) -> None:
-        """Counts what a connection holds; drops the largest if it is much."""
-        size = conn.held_bytes
+        """Updates a connection's buffered size.
+
+        Fails the connections with the most buffered bytes while the total
+        exceeds the limit.
+        """
+        size = conn.buffered_bytes
         self._total += size - self._sizes.get(conn, 0)
         self._sizes[conn] = size
         while self._total > self._limit_bytes:
             largest = max(self._sizes, key=self._sizes.__getitem__)
             largest.fail(
                 _answer_reader.CorruptError(
-                    f"answers being read hold over {self._limit_bytes} bytes"
+                    f"incomplete answers exceed {self._limit_bytes} bytes"
                 )
             )
 
-    def forget(self, conn: Connection) -> None:
-        """Notes that a connection holds nothing any more."""
+    def remove(self, conn: Connection) -> None:
+        """Stops counting the bytes buffered by a connection."""
         self._total -= self._sizes.pop(conn, 0)
 
 
-def _set_options(sock: socket.socket | None) -> None:
+def _set_socket_options(sock: socket.socket | None) -> None:
     if sock is None:
         return
     options = (
@@ -169,17 +180,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
-    """Where a backend server listens, and which one it is."""
+    """The address and identity of a backend server."""
 
     server: str
-    """Tells incarnations at one address apart."""
+    """Distinguishes successive backend servers at one host and port."""
 
     host: str
     port: int
 
 
 class Pool:
-    """Idle connections to backend servers, and the making of new ones."""
+    """A pool of connections to backend servers."""
 
     def __init__(
         self,
@@ -189,27 +200,32 @@
     ):
         self._id_header = id_header
         self._limits = limits
-        self._held = _Held(limits.held_bytes)
+        self._buffers = _ReadBuffers(limits.held_bytes)
         self._clock = now
         self._idle: dict[Address, collections.deque[Connection]] = {}
         self.opened = 0
-        """Connections made since the start."""
+        """The number of connections opened since the start."""
 
     def take_idle(
         self, address: Address, max_idle: datetime.timedelta
     ) -> Connection | None:
-        """Returns an idle connection used lately, None if there is none.
+        """Removes a recently used idle connection from the pool.
 
         Args:
-            address: the other end.
-            max_idle: how long ago its last answer may have ended.
+            address: the backend server.
+            max_idle: the longest time since the connection's last answer.
+
+        Returns:
+            The connection, None if there is none.
         """
         idle = self._idle.get(address)
         now = self._clock.monotonic()
         while idle:
             conn = idle.pop()
-            longest = min(max_idle, conn.keep_alive * _KEEP_ALIVE_PART)
-            if conn.is_reusable and now - conn.heard_at <= longest:
+            max_idle_time = min(
+                max_idle, conn.keep_alive * _KEEP_ALIVE_FRACTION
+            )
+            if conn.is_reusable and now - conn.last_answer_at <= max_idle_time:
                 return conn
             conn.close()
         return None
@@ -220,19 +236,19 @@
         """Opens a connection.
 
         Raises:
-            ConnectError: if that fails or takes too long.
+            ConnectError: if the attempt fails or times out.
         """
         loop = asyncio.get_running_loop()
-        making = loop.create_connection(
+        connecting = loop.create_connection(
             self._make_connection,
             address.host,
             address.port,
         )
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                _, conn = await making
+                _, conn = await connecting
         except TimeoutError as exc:
-            raise ConnectError("no connection in time") from exc
+            raise ConnectError("connect timed out") from exc
         except OSError as exc:
             raise ConnectError(str(exc)) from exc
         self.opened += 1
@@ -240,14 +256,14 @@
 
     def _make_connection(self) -> Connection:
         reader = _answer_reader.AnswerReader(self._id_header, self._limits)
-        return Connection(reader, self._held)
+        return Connection(reader, self._buffers)
 
-    def give_back(self, address: Address, conn: Connection) -> None:
-        """Keeps a connection for later, or closes it if it is no good."""
+    def release(self, address: Address, conn: Connection) -> None:
+        """Returns a connection to the pool, or closes it if not reusable."""
         if not conn.is_reusable:
             conn.close()
             return
-        conn.heard_at = self._clock.monotonic()
+        conn.last_answer_at = self._clock.monotonic()
         idle = self._idle.setdefault(address, collections.deque())
         idle.append(conn)
         if len(idle) > _MAX_IDLE_PER_SERVER:
@@ -258,14 +274,17 @@
         for conn in self._idle.pop(address, ()):
             conn.close()
 
-    def sweep(self) -> None:
-        """Closes idle connections that will not be used again."""
+    def close_expired(self) -> None:
+        """Closes idle connections that are too old for reuse."""
         now = self._clock.monotonic()
         for address, idle in tuple(self._idle.items()):
             while idle:
                 conn = idle[0]
-                longest = conn.keep_alive * _KEEP_ALIVE_PART
-                if conn.is_reusable and now - conn.heard_at <= longest:
+                max_idle_time = conn.keep_alive * _KEEP_ALIVE_FRACTION
+                if (
+                    conn.is_reusable
+                    and now - conn.last_answer_at <= max_idle_time
+                ):
                     break
                 idle.popleft().close()
             if not idle:
--- a/dragonflystack/entryd/_dialect.py
+++ b/dragonflystack/entryd/_dialect.py
@@ -1,4 +1,4 @@
-"""The names that callers and backend servers use, handed in by an adapter."""
+"""Header names and formats of a platform's callers and backend servers."""
 
 from collections.abc import Sequence
 import dataclasses
@@ -13,51 +13,56 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dialect:
-    """Header names, in lower case, and how one value is read."""
+    """Header names, in lower case, and parsers of some header values."""
 
     request_id: bytes
-    """Carries the caller's id of an attempt; backend servers echo it."""
+    """The caller's id of a request; backend servers echo it."""
 
     time_left_ms: bytes
-    """Carries how many milliseconds are left for an answer."""
+    """Milliseconds that remain until the caller's deadline."""
 
     object_cookie: str
-    """The cookie that names the object a request concerns."""
+    """The cookie that holds the key of the requested object."""
 
     signature: bytes
-    """Stands on each answer that a backend server made."""
+    """Present on each answer that a backend server itself produced."""
 
     expected_server: bytes
-    """Names the backend server that a request is meant for."""
+    """The id of the backend server that a request is addressed to."""
 
     not_run: bytes
-    """Stands on an answer to a request that was not run."""
+    """Present on the answer to a request that was not run."""
 
     load: bytes
-    """Carries a backend server's load as three numbers."""
+    """A backend server's load: requests running, requests waiting, slots."""
 
     server_id: bytes
-    """Names the backend server that answers a probe."""
+    """The id of the backend server that answers a probe."""
 
     cold_left_ms: bytes
-    """Carries how long a probed backend server stays cold."""
+    """Milliseconds for which a probed backend server stays cold."""
 
     leaving: bytes
-    """Stands on each answer of a backend server that is leaving."""
+    """Present on each answer of a backend server that is leaving."""
 
     customer_key: bytes
-    """Carries a customer's key, as a bearer token (RFC 6750)."""
+    """A customer's key as a bearer token (RFC 6750)."""
 
     customer: bytes
-    """Names the customer of a request to backend servers."""
+    """The customer's id, added to requests to backend servers."""
 
     wrong_server_status: int = 421
-    """The status of another backend server that has the address now."""
+    """Status of an answer if another backend server now has the address."""
 
     def read_key(self, values: Sequence[bytes]) -> bytes | None:
-        """Returns the key in a request's headers of that name.
+        """Returns the customer's key from a request.
 
-        None if there is not one of them, or it carries no bearer token.
+        Args:
+            values: the values of all headers named `customer_key`.
+
+        Returns:
+            The key, None unless there is exactly one header and it carries a
+            bearer token.
         """
         if len(values) != 1:
             return None
@@ -68,7 +73,7 @@
         return key
 
     def read_load(self, value: bytes) -> _servers.Load | None:
-        """Returns a report of load, None if it cannot be read."""
+        """Parses the value of `load`; returns None if it is malformed."""
         parts = value.split(b",")
         try:
             running, waiting, slots = (int(part) for part in parts)
@@ -77,7 +82,7 @@
         return _servers.Load(running, waiting, slots)
 
     def read_milliseconds(self, value: bytes) -> datetime.timedelta | None:
-        """Returns a duration, None if it cannot be read."""
+        """Parses a duration; returns None if it is malformed."""
         try:
             return datetime.timedelta(milliseconds=float(value))
         except (ValueError, OverflowError):
--- a/dragonflystack/entryd/_journal.py
+++ b/dragonflystack/entryd/_event_log.py
@@ -1,8 +1,8 @@
-"""Writes log lines to standard output: bounded, and never waiting for it.
+"""Writes log lines to standard output, rate limited and without blocking.
 
-Lines are JSON, made by eliot. Each second takes a bounded number of them, the
-routine ones within a smaller bound, and counts what it drops by kind. Lines
-wait in a bounded buffer until the reader takes them.
+Lines are JSON messages of eliot. A limit applies to the lines per second, and a
+lower one to routine lines; dropped lines are counted by kind. Lines are kept in
+a bounded buffer until the reader of standard output takes them.
 """
 
 import collections
@@ -17,51 +17,57 @@
 
 _SECOND = datetime.timedelta(seconds=1)
 MAX_LINES_PER_SECOND = 400
-"""All lines; a line is about 300 bytes."""
+"""Limit for lines of all kinds; a line has about 300 bytes."""
 
 MAX_ROUTINE_LINES_PER_SECOND = 200
-"""Lines of served requests; at twice the usual load all of them fit."""
+"""Limit for lines about sent and served requests; none are dropped at twice the
+usual load."""
 
 _MAX_BUFFER_BYTES = 262_144
-"""What waits for a reader that does not read."""
+"""Maximum size of the lines that the reader has not taken yet."""
 
 
-class Journal:
-    """The log lines of one process."""
+class EventLog:
+    """Writes the log lines of one process."""
 
     def __init__(self, fd: int, now: clock.Clock):
-        """Takes the file descriptor to write to, and the clock."""
+        """Makes the file descriptor non-blocking.
+
+        Args:
+            fd: the file descriptor to write to.
+            now: the clock.
+        """
         os.set_blocking(fd, False)
         self._fd = fd
         self._clock = now
         self._buffer: collections.deque[bytes] = collections.deque()
-        self._buffered = 0
+        self._buffered_bytes = 0
         self._lines = 0
         self._routine_lines = 0
         self._second_began = now.monotonic()
         self._dropped: collections.Counter[str] = collections.Counter()
 
     def start(self, **fields: str) -> None:
-        """Becomes the destination of eliot's messages.
+        """Registers this log as a destination of eliot.
 
         Args:
-            fields: stand on every line.
+            fields: fields to add to every line.
         """
         eliot.add_global_fields(**fields)
-        eliot.add_destinations(self._take)
+        eliot.add_destinations(self._enqueue)
 
-    def note(self, event: _events.Event, **fields: object) -> None:
-        """Logs one decision or change."""
+    def log_event(self, event: _events.Event, **fields: object) -> None:
+        """Logs one event, or counts it as dropped if a limit is reached."""
         now = self._clock.monotonic()
         if now - self._second_began >= _SECOND:
             self._begin_second(now)
-        if not self._fits(event):
+        if not self._is_within_limits(event):
             self._dropped[event.value] += 1
             return
         eliot.log_message(event.value, **fields)
 
     def flush(self) -> None:
-        """Writes what the reader takes without waiting."""
+        """Writes as much of the buffer as possible without blocking."""
         if not self._buffer:
             return
         data = b"".join(self._buffer)
@@ -70,15 +76,15 @@
         except BlockingIOError:
             return
         except OSError:
-            # Nobody reads any more, and there is nowhere to say so.
+            # The reader is gone, and there is no other place to report it.
             written = len(data)
         self._buffer.clear()
         rest = data[written:]
-        self._buffered = len(rest)
+        self._buffered_bytes = len(rest)
         if rest:
             self._buffer.append(rest)
 
-    def _fits(self, event: _events.Event) -> bool:
+    def _is_within_limits(self, event: _events.Event) -> bool:
         if event in _events.ROUTINE:
             if self._routine_lines >= MAX_ROUTINE_LINES_PER_SECOND:
                 return False
@@ -98,13 +104,13 @@
                 _events.Event.LINES_DROPPED.value, kinds=dict(dropped)
             )
 
-    def _take(self, message: dict) -> None:
+    def _enqueue(self, message: dict) -> None:
         line = msgspec.json.encode(message, enc_hook=_encode) + b"\n"
-        if self._buffered + len(line) > _MAX_BUFFER_BYTES:
+        if self._buffered_bytes + len(line) > _MAX_BUFFER_BYTES:
             self._dropped[str(message.get("message_type"))] += 1
             return
         self._buffer.append(line)
-        self._buffered += len(line)
+        self._buffered_bytes += len(line)
 
 
 def _encode(value: object) -> object:
@@ -112,7 +118,7 @@
 
 
 def milliseconds(span: datetime.timedelta | None) -> float | None:
-    """Returns a duration as a number for a log line."""
+    """Converts a duration to milliseconds, rounded to 0.1, for a log line."""
     if span is None:
         return None
     return round(span / datetime.timedelta(milliseconds=1), 1)
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -1,10 +1,10 @@
-"""What is logged: one word for each decision or change of belief."""
+"""The kinds of log events: one for each decision or change of state."""
 
 import enum
 
 
 class Event(enum.Enum):
-    """The kinds of log line; docs/OPERATIONS.md explains each."""
+    """The kind of a log line; docs/OPERATIONS.md describes each."""
 
     STARTED = "started"
     STOPPING = "stopping"
@@ -46,4 +46,4 @@
 
 
 ROUTINE = frozenset((Event.REQUEST_SENT, Event.REQUEST_SERVED))
-"""Kinds that go first when there are too many lines."""
+"""Kinds with a lower rate limit, so that they are dropped first."""
--- a/dragonflystack/entryd/_sending.py
+++ b/dragonflystack/entryd/_exchange_runner.py
@@ -1,4 +1,4 @@
-"""Carries out the steps of one exchange with backend servers."""
+"""Executes the steps of one exchange with backend servers."""
 
 import asyncio
 import dataclasses
@@ -9,31 +9,32 @@
 from dragonflystack import entry
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _node
 from dragonflystack.entryd import _server_reports
 
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=350)
-"""A connection to another region takes 70 ms; one lost packet costs 200."""
+"""Connecting to another region takes 70 ms; one lost packet adds 200 ms."""
 
 _MAX_IDLE = datetime.timedelta(seconds=4)
-"""Idle connections are used again for idempotent requests up to here."""
+"""Maximum idle time of a connection reused for an idempotent request."""
 
 _MAX_IDLE_NOT_IDEMPOTENT = datetime.timedelta(seconds=2)
-"""A request that may not be sent twice goes on a connection that answered
-just now, or on a new one."""
+"""Shorter for requests that must not be sent twice: they need a recently used
+connection or a new one."""
 
-_WATCH_AFTER_S = 0.2
-"""A caller that leaves is noticed from here on; most answers come sooner."""
+_WATCH_CALLER_AFTER_S = 0.2
+"""Wait for an answer after which a disconnect of the caller is detected; most
+answers arrive sooner."""
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _SUCCESS = range(200, 300)
 
 
 @dataclasses.dataclass(slots=True)
-class _Sending:
-    """A send under way."""
+class _Attempt:
+    """An attempt in flight."""
 
     server: entry.Server
     address: _connections.Address
@@ -41,8 +42,8 @@
     answer: "asyncio.Future[_answer_reader.Answer]"
 
 
-class Run:
-    """Carries out the steps of one exchange."""
+class ExchangeRunner:
+    """Executes the steps of one exchange."""
 
     def __init__(
         self,
@@ -61,60 +62,60 @@
         self._request = request
         self._exchange = exchange
         self._body = body
-        self._watch: asyncio.Task | None = None
+        self._caller_watch: asyncio.Task | None = None
         self._server: entry.Server | None = None
         self.answer: _answer_reader.Answer | None = None
-        """The latest whole answer."""
+        """The latest complete answer."""
 
-    async def carry_out(self, step: entry.Step) -> entry.Step:
-        """Takes steps until the last, which it returns."""
-        sending: _Sending | None = None
+    async def run(self, step: entry.Step) -> entry.Step:
+        """Executes steps until the exchange ends; returns the final step."""
+        attempt: _Attempt | None = None
         try:
             while isinstance(step, entry.Send | entry.Wait):
                 result: entry.Result | None = None
                 if isinstance(step, entry.Send):
-                    sending = None
-                    started = await self._start(step)
-                    if isinstance(started, _Sending):
-                        sending = started
+                    attempt = None
+                    outcome = await self._start_attempt(step)
+                    if isinstance(outcome, _Attempt):
+                        attempt = outcome
                     else:
-                        result = started
-                if sending is not None:
+                        result = outcome
+                if attempt is not None:
                     left = self._exchange.deadline - self._node.now()
                     patience = min(step.patience, left)
-                    result = await self._result(sending, patience)
+                    result = await self._await_result(attempt, patience)
                 assert result is not None
-                step = self._decide(result)
+                step = self._apply_result(result)
                 if (
-                    sending is not None
+                    attempt is not None
                     and isinstance(result, entry.Silent | entry.CallerGone)
                     and not isinstance(step, entry.Wait)
                 ):
-                    self._abandon(sending)
+                    self._abandon(attempt)
         except BaseException:
-            if sending is not None:
-                self._abandon(sending)
+            if attempt is not None:
+                self._abandon(attempt)
             self._exchange.on_result(entry.CallerGone(), self._node.now())
             raise
         finally:
-            if self._watch is not None:
-                self._watch.cancel()
+            if self._caller_watch is not None:
+                self._caller_watch.cancel()
         return step
 
-    def _decide(self, result: entry.Result) -> entry.Step:
+    def _apply_result(self, result: entry.Result) -> entry.Step:
         exchange = self._exchange
         server = self._server
         assert server is not None
         was_suspect = server.suspect_since is not None
         was_leaving = server.entry.leaving
-        waited_until = server.asked_wait_until
+        backoff_before = server.asked_wait_until
         step = exchange.on_result(result, self._node.now())
         if not was_suspect and server.suspect_since is not None:
-            self._note_suspect(server, result)
+            self._log_suspect(server, result)
         if server.entry.leaving and not was_leaving:
-            _server_reports.note_leaving(self._node, server, "answer")
-        if server.asked_wait_until != waited_until:
-            _server_reports.note_asked_wait(self._node, server)
+            _server_reports.log_leaving(self._node, server, "answer")
+        if server.asked_wait_until != backoff_before:
+            _server_reports.log_requested_backoff(self._node, server)
         if isinstance(result, entry.Answered) and isinstance(
             step, entry.Deliver
         ):
@@ -124,7 +125,7 @@
             if isinstance(result, entry.Silent)
             else _events.Event.SEND_FAILED
         )
-        self._node.note(
+        self._node.log_event(
             event,
             request=self._request.id,
             service=exchange.wanted.service,
@@ -135,30 +136,29 @@
         )
         return step
 
-    def _note_suspect(self, server: entry.Server, result: entry.Result) -> None:
+    def _log_suspect(self, server: entry.Server, result: entry.Result) -> None:
         heard_age = self._node.now() - server.last_heard
-        self._node.note(
+        self._node.log_event(
             _events.Event.SERVER_SUSPECT,
             server=server.entry.id,
             service=server.entry.service,
             request=self._request.id,
             why=type(result).__name__,
-            heard_age_ms=_journal.milliseconds(heard_age),
+            heard_age_ms=_event_log.milliseconds(heard_age),
         )
 
-    # One send.
-
-    async def _start(
+    # One attempt.
+    async def _start_attempt(
         self, step: entry.Send
-    ) -> "_Sending | entry.ConnectFailed | entry.Withdrawn":
+    ) -> "_Attempt | entry.ConnectFailed | entry.Withdrawn":
         server = self._server = step.server
         address = _connections.Address(
             f"{server.entry.id}/{server.entry.born}",
             server.entry.host,
             server.entry.port,
         )
-        self._note_sent(step)
-        began = self._node.now()
+        self._log_attempt(step)
+        started_at = self._node.now()
         conn = self._pool.take_idle(address, self._max_idle())
         if conn is None:
             try:
@@ -166,54 +166,55 @@
             except _connections.ConnectError as exc:
                 self._pool.close_idle(address)
                 return entry.ConnectFailed(str(exc))
-            took = self._node.now() - began
+            took = self._node.now() - started_at
             self._node.vm.dispatch.on_round_trip(server, took)
             self._node.metrics.count("connections-opened")
         now = self._node.now()
         if not self._exchange.may_write(now):
-            # The process was paused, or news came meanwhile.
-            self._pool.give_back(address, conn)
+            # While connecting, the process was paused or an update arrived.
+            self._pool.release(address, conn)
             return entry.Withdrawn()
         left = self._exchange.deadline - now
-        answer = conn.send(self._outgoing(step, left))
-        return _Sending(server, address, conn, answer)
+        answer = conn.send(self._build_request(step, left))
+        return _Attempt(server, address, conn, answer)
 
-    async def _result(
-        self, sending: _Sending, patience: datetime.timedelta
+    async def _await_result(
+        self, attempt: _Attempt, patience: datetime.timedelta
     ) -> entry.Result:
-        settled = await self._settles(sending.answer, patience)
-        if not settled:
-            if self._watch is not None and self._watch.done():
+        is_answered = await self._wait_for_answer(attempt.answer, patience)
+        if not is_answered:
+            if self._caller_watch is not None and self._caller_watch.done():
                 return entry.CallerGone()
             return entry.Silent()
         try:
-            answer = sending.answer.result()
+            answer = attempt.answer.result()
         except _answer_reader.BrokenError as exc:
             return entry.Broken(str(exc))
         except _answer_reader.CorruptError as exc:
             return entry.Broken(str(exc), corrupt=True)
-        self._pool.give_back(sending.address, sending.conn)
-        return self._judge(answer, sending.server)
+        self._pool.release(attempt.address, attempt.conn)
+        return self._classify(answer, attempt.server)
 
-    async def _settles(
+    async def _wait_for_answer(
         self,
         answer: "asyncio.Future[_answer_reader.Answer]",
         patience: datetime.timedelta,
     ) -> bool:
-        """Waits for an answer; returns whether it came.
+        """Waits for an answer; returns whether it arrived.
 
-        The caller is watched only once the wait is long, which costs a task.
+        The caller's connection is watched only during a long wait, because
+        watching needs a task.
         """
         left = max(0.0, patience.total_seconds())
-        if self._watch is None:
-            first = min(_WATCH_AFTER_S, left)
-            await asyncio.wait((answer,), timeout=first)
-            left -= first
+        if self._caller_watch is None:
+            unwatched = min(_WATCH_CALLER_AFTER_S, left)
+            await asyncio.wait((answer,), timeout=unwatched)
+            left -= unwatched
             if answer.done() or left <= 0:
                 return answer.done()
-            self._watch = asyncio.ensure_future(self._watch_caller())
+            self._caller_watch = asyncio.ensure_future(self._watch_caller())
         await asyncio.wait(
-            (answer, self._watch),
+            (answer, self._caller_watch),
             timeout=left,
             return_when=asyncio.FIRST_COMPLETED,
         )
@@ -223,16 +224,16 @@
         while (await self._receive())["type"] != "http.disconnect":
             pass
 
-    def _abandon(self, sending: _Sending) -> None:
+    def _abandon(self, attempt: _Attempt) -> None:
         """Cancels a request at its backend server by closing its connection.
 
-        Others to the same server may be silent as well.
+        Also closes the idle connections to the server, which may be dead too.
         """
-        sending.conn.close()
-        sending.answer.cancel()
-        self._pool.close_idle(sending.address)
+        attempt.conn.close()
+        attempt.answer.cancel()
+        self._pool.close_idle(attempt.address)
 
-    def _judge(
+    def _classify(
         self, answer: _answer_reader.Answer, server: entry.Server
     ) -> entry.Result:
         dialect = self._node.dialect
@@ -243,14 +244,16 @@
             not_run=answer.header(dialect.not_run) is not None,
             wrong_server=answer.status == dialect.wrong_server_status,
             load=None if load is None else dialect.read_load(load),
-            leaving=_server_reports.says_leaving(self._node, answer),
-            asked_wait=_server_reports.asked_wait(self._node, answer, server),
+            leaving=_server_reports.reports_leaving(self._node, answer),
+            asked_wait=_server_reports.requested_backoff(
+                self._node, answer, server
+            ),
         )
         if answer.status in _SUCCESS:
             if answer.header(dialect.signature) is None:
-                return entry.Broken("a success without signature", True)
+                return entry.Broken("success without a signature", True)
             if answer.header(dialect.request_id) is None:
-                return entry.Broken("an answer to no request", True)
+                return entry.Broken("success without a request id", True)
         return result
 
     def _max_idle(self) -> datetime.timedelta:
@@ -258,16 +261,16 @@
             return _MAX_IDLE
         return _MAX_IDLE_NOT_IDEMPOTENT
 
-    def _outgoing(
+    def _build_request(
         self, step: entry.Send, left: datetime.timedelta
-    ) -> _answer_reader.Outgoing:
+    ) -> _answer_reader.OutgoingRequest:
         dialect = self._node.dialect
         scope = self._scope
         method = scope["method"].encode("ascii")
-        lines = [method + b" " + _target(scope) + b" HTTP/1.1"]
-        own = self._own_headers()
+        lines = [method + b" " + _request_target(scope) + b" HTTP/1.1"]
+        reserved = self._reserved_headers()
         for name, value in _hop_headers.end_to_end(scope["headers"]):
-            if name not in own and name != b"expect":
+            if name not in reserved and name != b"expect":
                 lines.append(name + b": " + value)
         left_ms = max(1, left // _MILLISECOND)
         lines.append(dialect.time_left_ms + b": %d" % left_ms)
@@ -281,19 +284,19 @@
             lines.append(b"content-length: %d" % len(self._body))
         head = b"\r\n".join(lines) + b"\r\n\r\n"
         request_id = self._request.id.encode("latin-1")
-        return _answer_reader.Outgoing(
+        return _answer_reader.OutgoingRequest(
             head, self._body, request_id, scope["method"] == "HEAD"
         )
 
-    def _own_headers(self) -> tuple[bytes, ...]:
-        """Returns the headers in which nothing of the caller is passed on."""
+    def _reserved_headers(self) -> tuple[bytes, ...]:
+        """Returns the names of headers that are not forwarded from callers."""
         dialect = self._node.dialect
-        own = (dialect.time_left_ms, dialect.expected_server)
+        reserved = (dialect.time_left_ms, dialect.expected_server)
         if self._exchange.wanted.hides_key:
-            return (*own, dialect.customer_key, dialect.customer)
-        return own
+            return (*reserved, dialect.customer_key, dialect.customer)
+        return reserved
 
-    def _note_sent(self, step: entry.Send) -> None:
+    def _log_attempt(self, step: entry.Send) -> None:
         node = self._node
         exchange = self._exchange
         now = node.now()
@@ -305,7 +308,7 @@
             if again
             else _events.Event.REQUEST_SENT
         )
-        node.note(
+        node.log_event(
             event,
             request=self._request.id,
             route=exchange.route.id,
@@ -315,15 +318,15 @@
             object=self._request.object_key,
             known=sent.known,
             load=round(step.server.load(now), 2),
-            expected_ms=_journal.milliseconds(sent.expected),
-            left_ms=_journal.milliseconds(step.time_left),
-            entry_age_ms=_journal.milliseconds(now - step.server.learned_at),
-            heard_age_ms=_journal.milliseconds(now - step.server.last_heard),
+            expected_ms=_event_log.milliseconds(sent.expected),
+            left_ms=_event_log.milliseconds(step.time_left),
+            entry_age_ms=_event_log.milliseconds(now - step.server.learned_at),
+            heard_age_ms=_event_log.milliseconds(now - step.server.last_heard),
             catalogue=node.catalogue_version,
         )
 
 
-def _target(scope: _asgi.Scope) -> bytes:
+def _request_target(scope: _asgi.Scope) -> bytes:
     """Returns the request target as the caller sent it."""
     raw: bytes = scope.get("raw_target", b"")
     if raw.startswith(b"/"):
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -1,7 +1,7 @@
-"""Heartbeats between the VMs of a region, as datagrams.
+"""Exchanges heartbeats between the VMs of a region as UDP datagrams.
 
-The messages are encoded by msgspec: reading thrift files at start would cost
-each start of a small VM a sixth of a second of processor time.
+Messages are encoded with msgspec, because loading thrift files would add a
+sixth of a second of processor time to each start of a small VM.
 """
 
 import asyncio
@@ -16,8 +16,8 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(entry.Heartbeat)
-_GATHER_S = 0.02
-"""News that come together are told together."""
+_COALESCE_S = 0.02
+"""Delay before an early heartbeat, to send simultaneous changes together."""
 
 
 class Heartbeats(asyncio.DatagramProtocol):
@@ -26,13 +26,13 @@
     def __init__(self, node: _node.Node):
         self._node = node
         self._transport: asyncio.DatagramTransport | None = None
-        self._alive: dict[str, entry.Phase] = {}
+        self._alive_phases: dict[str, entry.Phase] = {}
 
     async def open(self) -> None:
-        """Binds the port.
+        """Binds the UDP port.
 
         Raises:
-            OSError: if the port is taken.
+            OSError: if the port is in use.
         """
         peers = self._node.settings.peers
         loop = asyncio.get_running_loop()
@@ -45,12 +45,12 @@
         self._transport = transport
 
     def datagram_received(self, data, addr):
-        """Takes in a heartbeat; malformed ones are logged and skipped."""
+        """Processes a heartbeat; malformed ones are logged and skipped."""
         node = self._node
         try:
             beat = _decoder.decode(data)
         except msgspec.MsgspecError as exc:
-            node.note(
+            node.log_event(
                 _events.Event.ENTRY_SKIPPED,
                 source="heartbeat",
                 peer=str(addr),
@@ -66,7 +66,7 @@
         if beat.answer_wanted:
             self._send(_node.Endpoint(*addr), introduce=True)
         if member is not None:
-            node.note(
+            node.log_event(
                 _events.Event.VM_HEARD,
                 peer=beat.vm,
                 phase=beat.phase.value,
@@ -74,44 +74,44 @@
             )
         node.vm.dispatch.on_sightings(beat.loads, beat.learnt, now)
         for server in node.vm.on_departures(beat.departures, now):
-            _server_reports.note_leaving(node, server, beat.vm)
+            _server_reports.log_leaving(node, server, beat.vm)
         if node.vm.freshness.on_beat(beat, now):
-            node.beat_poke.set()
+            node.heartbeat_requested.set()
         if node.vm.lacks(beat.position):
-            node.news_from = _node.Endpoint(*addr)
+            node.update_source = _node.Endpoint(*addr)
             node.news_poke.set()
 
     def error_received(self, exc):
-        """A receiver refused a datagram: nothing listens there now."""
+        """Ignores a refused datagram: nothing listens at that address now."""
 
-    def beat(self) -> None:
-        """Tells the neighbours that this VM lives."""
+    def send_all(self) -> None:
+        """Sends a heartbeat to each of this VM's receivers."""
         now = self._node.now()
         for member, is_near in self._node.vm.members.receivers(now):
             address = member.address
             try:
                 peer = _node.Endpoint.parse(address.peers)
             except ValueError as exc:
-                self._node.note(
+                self._node.log_event(
                     _events.Event.ENTRY_SKIPPED,
                     source="vm",
                     peer=address.vm,
                     reason=str(exc),
                 )
                 continue
-            asks = address.vm not in self._alive
-            self._send(peer, is_near, answer_wanted=asks, introduce=asks)
+            is_new = address.vm not in self._alive_phases
+            self._send(peer, is_near, answer_wanted=is_new, introduce=is_new)
 
     async def run(self) -> None:
-        """Sends heartbeats, for ever, at once if there is news."""
+        """Sends heartbeats periodically, and early if one is requested."""
         node = self._node
         while True:
-            self._note_silent()
-            self.beat()
-            node.beat_poke = anyio.Event()
+            self._log_silent()
+            self.send_all()
+            node.heartbeat_requested = anyio.Event()
             with anyio.move_on_after(entry.HEARTBEAT_EVERY.total_seconds()):
-                await node.beat_poke.wait()
-                await anyio.sleep(_GATHER_S)
+                await node.heartbeat_requested.wait()
+                await anyio.sleep(_COALESCE_S)
 
     def _send(
         self,
@@ -128,10 +128,10 @@
         )
         self._transport.sendto(_encoder.encode(beat), (peer.host, peer.port))
 
-    def _note_silent(self) -> None:
+    def _log_silent(self) -> None:
         node = self._node
         now = node.now()
         alive = {m.address.vm: m for m in node.vm.members.alive(now)}
-        for vm in self._alive.keys() - alive.keys():
-            node.note(_events.Event.VM_SILENT, peer=vm)
-        self._alive = {vm: m.phase for vm, m in alive.items()}
+        for vm in self._alive_phases.keys() - alive.keys():
+            node.log_event(_events.Event.VM_SILENT, peer=vm)
+        self._alive_phases = {vm: m.phase for vm, m in alive.items()}
--- a/dragonflystack/entryd/_metrics.py
+++ b/dragonflystack/entryd/_metrics.py
@@ -1,4 +1,4 @@
-"""Counters and histograms, shown in the text format that Prometheus reads."""
+"""Counters, gauges and histograms in the Prometheus text format."""
 
 import bisect
 import collections
@@ -8,7 +8,7 @@
 LATENCY_BOUNDS_S = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0,
 )  # fmt: skip
-"""Upper ends of the histogram's buckets, in seconds."""
+"""Upper bounds of the histogram buckets, in seconds."""
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -20,7 +20,7 @@
 
 
 class Metrics:
-    """The counters and histograms of one process."""
+    """The counters, gauges and histograms of one process."""
 
     def __init__(self):
         self._counts: collections.Counter[tuple[str, Labels]] = (
@@ -30,7 +30,7 @@
         self._gauges: dict[str, float] = {}
 
     def count(self, name: str, **labels: str) -> None:
-        """Adds one to a counter."""
+        """Increments a counter."""
         self._counts[name, tuple(sorted(labels.items()))] += 1
 
     def time(
@@ -50,9 +50,9 @@
         self._gauges[name] = value
 
     def render(self) -> bytes:
-        """Returns all of them as text."""
-        # Loaded when it is asked for: most processes are never scraped, and
-        # the library costs memory and time at start.
+        """Returns all metrics in the Prometheus text format."""
+        # Imported on demand: most processes are never scraped, and the library
+        # costs memory and start-up time.
         import prometheus_client
         from prometheus_client import core
         from prometheus_client import registry
@@ -72,12 +72,14 @@
         for name in names:
             rows = [(lb, v) for (n, lb), v in self._counts.items() if n == name]
             keys = [key for key, _ in rows[0][0]]
-            family = core.CounterMetricFamily(_full(name), name, labels=keys)
+            family = core.CounterMetricFamily(
+                _full_name(name), name, labels=keys
+            )
             for labels, value in rows:
                 family.add_metric([v for _, v in labels], value)
             yield family
         for name, level in sorted(self._gauges.items()):
-            yield core.GaugeMetricFamily(_full(name), name, value=level)
+            yield core.GaugeMetricFamily(_full_name(name), name, value=level)
         for name in sorted({name for name, _ in self._histograms}):
             yield self._histogram_family(core, name)
 
@@ -85,7 +87,7 @@
         rows = [(lb, h) for (n, lb), h in self._histograms.items() if n == name]
         keys = [key for key, _ in rows[0][0]]
         family = core.HistogramMetricFamily(
-            _full(name) + "_seconds", name, labels=keys
+            _full_name(name) + "_seconds", name, labels=keys
         )
         bounds = [*map(str, LATENCY_BOUNDS_S), "+Inf"]
         for labels, histogram in rows:
@@ -98,5 +100,5 @@
         return family
 
 
-def _full(name: str) -> str:
+def _full_name(name: str) -> str:
     return "dragonflystack_" + name.replace("-", "_")
--- a/dragonflystack/entryd/_metrics_port.py
+++ b/dragonflystack/entryd/_metrics_port.py
@@ -1,4 +1,4 @@
-"""The port on which collectors read metrics."""
+"""The metrics port, which Prometheus scrapes."""
 
 from dragonflystack import _asgi
 from dragonflystack.entryd import _node
--- a/dragonflystack/entryd/_node.py
+++ b/dragonflystack/entryd/_node.py
@@ -1,4 +1,4 @@
-"""What the parts of one entry daemon share."""
+"""Settings and state that the parts of one entry daemon share."""
 
 import dataclasses
 import datetime
@@ -10,18 +10,18 @@
 from dragonflystack import ids
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _dialect
+from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _metrics
 
 EXIT_BEFORE_KILL = datetime.timedelta(milliseconds=800)
-"""Requests end this long before the end of a planned stop's grace; a small VM
-takes as long to end its loops."""
+"""Requests must end this long before the end of a planned stop's grace period,
+because a small VM needs as long to end its loops."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
-    """A host and a port to listen on."""
+    """A host and a port."""
 
     host: str
     port: int
@@ -32,10 +32,10 @@
 
     @classmethod
     def parse(cls, text: str) -> "Endpoint":
-        """Returns the endpoint that `host:port` names.
+        """Parses an endpoint of the form `host:port`.
 
         Raises:
-            ValueError: if the text is not of that form.
+            ValueError: if the text does not have that form.
         """
         host, colon, port = text.rpartition(":")
         if not colon or not port.isdigit():
@@ -57,11 +57,12 @@
     readiness: Endpoint
     directory: Endpoint
     peers: Endpoint
-    """Where other VMs send heartbeats (UDP) and ask for state (TCP)."""
+    """Where other VMs send heartbeats (UDP) and request updates (TCP)."""
 
     metrics: Endpoint
     seeds: tuple[Endpoint, ...]
-    """Where some other VMs answer peers; some may be gone."""
+    """The peer endpoints of some other VMs, for a start while the store is
+    unavailable; some of them may be gone."""
 
     bounds: entry.FleetBounds
     answers: _answer_reader.AnswerLimits = _answer_reader.AnswerLimits()
@@ -69,83 +70,92 @@
 
 @dataclasses.dataclass(slots=True)
 class Node:
-    """The state of one process."""
+    """State that the parts of one daemon process share."""
 
     settings: Settings
     dialect: _dialect.Dialect
     clock: clock.Clock
     vm: entry.EntryVm
-    journal: _journal.Journal
+    event_log: _event_log.EventLog
     metrics: _metrics.Metrics
     stop_asked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     leaving_since: datetime.timedelta | None = None
-    """When a planned stop began, None before."""
+    """When a planned stop began; None before it."""
 
     in_flight: int = 0
-    """Requests of callers without an answer."""
+    """The number of callers' requests that are not answered yet."""
 
-    watch_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    """Set to have watches of the store begin anew."""
+    watch_restart_requested: anyio.Event = dataclasses.field(
+        default_factory=anyio.Event
+    )
+    """Set to restart the watches of the store."""
 
     news_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    """Set when another VM knows of news."""
+    """Set when another VM has newer rows."""
 
-    news_from: Endpoint | None = None
-    """Which one that is."""
+    update_source: Endpoint | None = None
+    """The VM that has newer rows."""
 
-    beat_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    """Set to have the neighbours told at once."""
+    heartbeat_requested: anyio.Event = dataclasses.field(
+        default_factory=anyio.Event
+    )
+    """Set to send a heartbeat early."""
 
-    registration_poke: anyio.Event = dataclasses.field(
+    registration_requested: anyio.Event = dataclasses.field(
         default_factory=anyio.Event
     )
-    """Set when what this VM wrote to the store may be gone."""
+    """Set when the store may have lost this VM's registration."""
 
-    first_news: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-    """Set once this VM knows routes and backend servers, or knows that the
-    store does not answer."""
+    initial_sync_done: anyio.Event = dataclasses.field(
+        default_factory=anyio.Event
+    )
+    """Set once this VM knows routes and backend servers, or has tried to get
+    them from other VMs because the store did not answer."""
 
     def restart_watches(self) -> None:
-        """Has watches of the store begin anew."""
-        self.watch_poke.set()
-        self.watch_poke = anyio.Event()
+        """Restarts the watches of the store."""
+        self.watch_restart_requested.set()
+        self.watch_restart_requested = anyio.Event()
 
     def on_store_era(self, era: int, source: str) -> None:
-        """Takes in the store's era; all is read and written anew if it rose.
+        """Handles the store's era; see `entry.store_version`.
+
+        A later era means that the store came back from an older copy: the
+        watches restart and this VM registers again.
 
         Args:
-            era: what was heard.
-            source: from whom.
+            era: the era that was received.
+            source: the store or the VM that sent it.
         """
         before = self.vm.store_era
         if self.vm.on_store_era(era, self.now()):
-            self.note(
+            self.log_event(
                 _events.Event.STORE_RETURNED,
                 era=era,
                 before=before,
                 source=source,
             )
             self.restart_watches()
-            self.registration_poke.set()
-            self.registration_poke = anyio.Event()
+            self.registration_requested.set()
+            self.registration_requested = anyio.Event()
 
     def now(self) -> datetime.timedelta:
-        """Returns the time."""
+        """Returns the monotonic time."""
         return self.clock.monotonic()
 
-    def note(self, event: _events.Event, **fields: object) -> None:
-        """Logs one decision or change, and counts it."""
+    def log_event(self, event: _events.Event, **fields: object) -> None:
+        """Logs and counts one event."""
         self.metrics.count("events", event=event.value)
-        self.journal.note(event, **fields)
+        self.event_log.log_event(event, **fields)
 
     def update_phase(self) -> None:
-        """Begins to serve once routes and backend servers are known."""
+        """Starts to serve once routes and backend servers are known."""
         members = self.vm.members
         if self.vm.is_informed:
-            self.first_news.set()
+            self.initial_sync_done.set()
         if members.phase is entry.Phase.STARTING and self.vm.is_informed:
             members.phase = entry.Phase.SERVING
-            self.note(_events.Event.READY_CHANGED, ready=True)
+            self.log_event(_events.Event.READY_CHANGED, ready=True)
 
     @property
     def catalogue_version(self) -> int | None:
--- a/dragonflystack/entryd/_snapshots.py
+++ b/dragonflystack/entryd/_peers_port.py
@@ -1,22 +1,25 @@
-"""The port for other VMs and operators: news of the store's rows, a dump."""
+"""The port for other VMs and operators: serves updates and a state dump."""
 
 from dragonflystack import _asgi
-from dragonflystack.entryd import _news_calls
 from dragonflystack.entryd import _node
-from dragonflystack.entryd import _told
+from dragonflystack.entryd import _update_codec
+from dragonflystack.entryd import _update_requests
 
 DUMP_PATH = "/v1/dump"
 
 
 def make_app(node: _node.Node) -> _asgi.App:
-    """Returns the ASGI app that other VMs and operators ask."""
-    packer = _told.Packer()
+    """Returns the ASGI app of the peers' port."""
+    encoder = _update_codec.UpdateEncoder()
 
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
-        if scope["path"] == _news_calls.NEWS_PATH and node.vm.is_informed:
-            await _news_calls.tell(node, packer, scope, send)
+        if (
+            scope["path"] == _update_requests.UPDATE_PATH
+            and node.vm.is_informed
+        ):
+            await _update_requests.serve_update(node, encoder, scope, send)
         elif scope["path"] == DUMP_PATH:
             await _asgi.send_json(send, dump(node))
         else:
@@ -26,7 +29,7 @@
 
 
 def dump(node: _node.Node) -> dict:
-    """Returns the whole state of the process, with ages, for operators."""
+    """Returns the state of the process for operators; times are ages."""
     vm = node.vm
     now = node.now()
     servers = [
--- a/dragonflystack/entryd/_probes.py
+++ b/dragonflystack/entryd/_probes.py
@@ -1,7 +1,8 @@
-"""Asks backend servers that fell silent whether they live.
+"""Sends health probes to suspect backend servers.
 
-Each probe costs and takes a slot, so only those are asked that get no
-requests because they refused a connection or left a request without answer.
+A backend server is suspect if it refused a connection or cold_left a request
+unanswered; it gets no requests then. Others are not probed, because a probe
+occupies a slot of the backend server.
 """
 
 import datetime
@@ -11,13 +12,13 @@
 from dragonflystack import entry
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _node
 from dragonflystack.entryd import _server_reports
 
-_EVERY = datetime.timedelta(milliseconds=700)
-_TIMEOUT = datetime.timedelta(milliseconds=600)
+_PROBE_INTERVAL = datetime.timedelta(milliseconds=700)
+_PROBE_TIMEOUT = datetime.timedelta(milliseconds=600)
 _OK = 200
 
 
@@ -29,11 +30,11 @@
         self._pool = pool
 
     async def run(self) -> None:
-        """Probes, for ever."""
+        """Probes suspect backend servers periodically, with jitter."""
         node = self._node
         while True:
-            spread = 0.75 + 0.5 * node.vm.rng.random()
-            await anyio.sleep(_EVERY.total_seconds() * spread)
+            jitter = 0.75 + 0.5 * node.vm.rng.random()
+            await anyio.sleep(_PROBE_INTERVAL.total_seconds() * jitter)
             now = node.now()
             suspects = [
                 server
@@ -49,8 +50,8 @@
         node = self._node
         node.metrics.count("probes")
         try:
-            with anyio.fail_after(_TIMEOUT.total_seconds()):
-                answer = await self._ask(server)
+            with anyio.fail_after(_PROBE_TIMEOUT.total_seconds()):
+                answer = await self._request_health(server)
         except (
             TimeoutError,
             _connections.ConnectError,
@@ -60,42 +61,51 @@
             node.metrics.count("probes-failed", why=type(exc).__name__)
             return
         now = node.now()
-        named = answer.header(node.dialect.server_id)
-        if named is not None and named.decode("latin-1") != server.entry.id:
+        answering_id = answer.header(node.dialect.server_id)
+        if (
+            answering_id is not None
+            and answering_id.decode("latin-1") != server.entry.id
+        ):
             server.gone = True
             return
-        self._take_in_report(server, answer)
-        since = server.suspect_since
-        if answer.status != _OK or since is None:
+        self._process_report(server, answer)
+        suspect_since = server.suspect_since
+        if answer.status != _OK or suspect_since is None:
             return
-        cold = answer.header(node.dialect.cold_left_ms)
-        left = None if cold is None else node.dialect.read_milliseconds(cold)
-        if left is not None and left > datetime.timedelta():
-            server.on_cold(left, now)
+        cold_header = answer.header(node.dialect.cold_left_ms)
+        cold_left = (
+            None
+            if cold_header is None
+            else node.dialect.read_milliseconds(cold_header)
+        )
+        if cold_left is not None and cold_left > datetime.timedelta():
+            server.on_cold(cold_left, now)
         server.on_heard(now)
-        node.note(
+        node.log_event(
             _events.Event.SERVER_BACK,
             server=server.entry.id,
-            suspect_ms=_journal.milliseconds(now - since),
-            cold_left_ms=_journal.milliseconds(left),
+            suspect_ms=_event_log.milliseconds(now - suspect_since),
+            cold_left_ms=_event_log.milliseconds(cold_left),
         )
 
-    def _take_in_report(
+    def _process_report(
         self, server: entry.Server, answer: _answer_reader.Answer
     ) -> None:
-        """Takes in that it leaves, or wants to be left alone."""
+        """Records that the backend server is leaving or requests a back-off."""
         node = self._node
         now = node.now()
-        if _server_reports.says_leaving(
+        if _server_reports.reports_leaving(
             node, answer
         ) and node.vm.dispatch.on_said_leaving(server, now):
-            _server_reports.note_leaving(node, server, "probe")
-        wait = _server_reports.asked_wait(node, answer, server)
+            _server_reports.log_leaving(node, server, "probe")
+        wait = _server_reports.requested_backoff(node, answer, server)
         if wait is not None:
             node.vm.dispatch.on_asked_wait(server, wait, now)
-            _server_reports.note_asked_wait(node, server)
+            _server_reports.log_requested_backoff(node, server)
 
-    async def _ask(self, server: entry.Server) -> _answer_reader.Answer:
+    async def _request_health(
+        self, server: entry.Server
+    ) -> _answer_reader.Answer:
         catalogue = self._node.vm.catalogue
         policy = None
         if catalogue is not None:
@@ -103,10 +113,12 @@
         path = "/health" if policy is None else policy.health_path
         target = server.entry
         address = _connections.Address("probe", target.host, target.port)
-        conn = await self._pool.connect(address, _TIMEOUT)
+        conn = await self._pool.connect(address, _PROBE_TIMEOUT)
         head = f"GET {path} HTTP/1.1\r\nhost: {target.host}\r\n\r\n"
         try:
-            outgoing = _answer_reader.Outgoing(head.encode("latin-1"), b"", b"")
-            return await conn.send(outgoing)
+            request = _answer_reader.OutgoingRequest(
+                head.encode("latin-1"), b"", b""
+            )
+            return await conn.send(request)
         finally:
             conn.close()
--- a/dragonflystack/entryd/_retry_after.py
+++ b/dragonflystack/entryd/_retry_after.py
@@ -1,7 +1,7 @@
-"""Reads `Retry-After` of a backend server (RFC 9110, 10.2.3).
+"""Parses the `Retry-After` header of backend servers (RFC 9110, 10.2.3).
 
-Seconds may have a fraction, which the RFC does not know. A date is counted
-from this VM's wall clock.
+Unlike in the RFC, seconds may have a fraction. The delay until a date is
+computed with this VM's wall clock.
 """
 
 import dataclasses
@@ -12,40 +12,40 @@
 
 _ZERO = datetime.timedelta()
 _MAX_SECONDS = 86_400_000.0
-"""Larger numbers count as this many, which a duration can hold."""
+"""Larger numbers are capped to this one, which fits a timedelta."""
 
 _MAX_LOGGED_CHARS = 40
 
 
 class Problem(enum.Enum):
-    """Why a value cannot be used."""
+    """Why a value is unusable."""
 
     MALFORMED = "malformed"
     """Neither a number nor a date."""
 
     NEGATIVE = "negative"
     PAST = "past"
-    """A date that is over."""
+    """A date in the past."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wait:
-    """The backend server wants no more requests for so long."""
+    """The backend server wants no requests for this duration."""
 
     duration: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unusable:
-    """The value says nothing that can be followed."""
+    """The value cannot be followed."""
 
     problem: Problem
     text: str
-    """The value's beginning."""
+    """The start of the value, for the log."""
 
 
-def read(value: bytes, now: datetime.datetime) -> Wait | Unusable:
-    """Returns what a value asks for.
+def parse(value: bytes, now: datetime.datetime) -> Wait | Unusable:
+    """Parses the value of a `Retry-After` header.
 
     Args:
         value: the header's value.
@@ -55,7 +55,7 @@
     try:
         seconds = float(text)
     except ValueError:
-        return _read_date(text, now)
+        return _parse_date(text, now)
     if math.isnan(seconds):
         return _unusable(Problem.MALFORMED, text)
     if seconds < 0:
@@ -63,7 +63,7 @@
     return Wait(datetime.timedelta(seconds=min(seconds, _MAX_SECONDS)))
 
 
-def _read_date(text: str, now: datetime.datetime) -> Wait | Unusable:
+def _parse_date(text: str, now: datetime.datetime) -> Wait | Unusable:
     try:
         until = email.utils.parsedate_to_datetime(text)
     except ValueError:
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -1,4 +1,4 @@
-"""The life of an entry daemon: start, serve, graceful shutdown."""
+"""Runs an entry daemon: start, serving and graceful shutdown."""
 
 from collections.abc import Callable
 import dataclasses
@@ -10,34 +10,34 @@
 from dragonflystack import _asgi
 from dragonflystack import _server
 from dragonflystack import entry
+from dragonflystack.entryd import _apply
+from dragonflystack.entryd import _callers_port
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _front
 from dragonflystack.entryd import _heartbeats
-from dragonflystack.entryd import _intake
-from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _metrics_port
 from dragonflystack.entryd import _node
-from dragonflystack.entryd import _peer_news
-from dragonflystack.entryd import _platform_port
+from dragonflystack.entryd import _peer_sync
+from dragonflystack.entryd import _peers_port
+from dragonflystack.entryd import _platform
 from dragonflystack.entryd import _probes
-from dragonflystack.entryd import _snapshots
-from dragonflystack.entryd import _sync
+from dragonflystack.entryd import _store_sync
 
-_TICK_S = 0.1
-"""Log lines wait this long at most, and so does what is due."""
+_PERIOD_S = 0.1
+"""Interval of the periodic work; log lines are written with this delay."""
 
-_SWEEP_EVERY = datetime.timedelta(seconds=1)
+_CLOSE_EXPIRED_EVERY = datetime.timedelta(seconds=1)
 _CLOSE_BEFORE_KILL = datetime.timedelta(milliseconds=1_600)
-"""Connections are closed this long before the end of the grace; by then
-callers have given up the answers that named this VM."""
+"""The ports close this long before the end of the grace period. By then, the
+directory answers with this VM's address have expired at the callers."""
 
 _DRAIN_POLL_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Apps:
-    """The apps of the ports that the platform's own callers ask."""
+    """The ASGI apps that the platform's adapter supplies."""
 
     readiness: _asgi.App
     directory: _asgi.App
@@ -45,7 +45,7 @@
 
 async def run(
     node: _node.Node,
-    platform: _platform_port.Platform,
+    platform: _platform.Platform,
     apps: Apps,
     reload_bounds: Callable[[], entry.FleetBounds],
 ) -> None:
@@ -54,13 +54,13 @@
     Args:
         node: the state of the process.
         platform: the platform's store.
-        apps: what the platform's own callers ask.
-        reload_bounds: reads the settings again; raises ValueError if they
-            are wrong.
+        apps: the apps of the readiness and directory ports.
+        reload_bounds: reads the settings again; raises OSError or ValueError
+            if they cannot be used.
     """
     cfg = node.settings
-    node.journal.start(vm=cfg.vm)
-    node.note(
+    node.event_log.start(vm=cfg.vm)
+    node.log_event(
         _events.Event.STARTED,
         callers=str(cfg.callers),
         region=cfg.region,
@@ -69,17 +69,17 @@
     pool = _connections.Pool(node.dialect.request_id, cfg.answers, node.clock)
     heartbeats = _heartbeats.Heartbeats(node)
     await heartbeats.open()
-    peer_news = _peer_news.PeerNews(node)
-    sync = _sync.Sync(node, platform, peer_news)
+    peer_sync = _peer_sync.PeerSync(node)
+    store_sync = _store_sync.StoreSync(node, platform, peer_sync)
     ports = _make_ports(node, pool, apps)
     async with anyio.create_task_group() as signals:
-        signals.start_soon(_follow_signals, node, reload_bounds)
-        await _serve(node, pool, heartbeats, sync, peer_news, ports)
+        signals.start_soon(_handle_signals, node, reload_bounds)
+        await _serve(node, pool, heartbeats, store_sync, peer_sync, ports)
         pool.close()
-        await peer_news.aclose()
+        await peer_sync.aclose()
         await platform.aclose()
-        node.note(_events.Event.STOPPED, in_flight=node.in_flight)
-        node.journal.flush()
+        node.log_event(_events.Event.STOPPED, in_flight=node.in_flight)
+        node.event_log.flush()
         signals.cancel_scope.cancel()
 
 
@@ -87,24 +87,24 @@
     node: _node.Node,
     pool: _connections.Pool,
     heartbeats: _heartbeats.Heartbeats,
-    sync: _sync.Sync,
-    peer_news: _peer_news.PeerNews,
+    store_sync: _store_sync.StoreSync,
+    peer_sync: _peer_sync.PeerSync,
     ports: tuple[_server.Server, ...],
 ) -> None:
-    """Serves until the node is asked to stop and has finished its requests."""
+    """Serves until a stop is requested and its grace period is over."""
     async with anyio.create_task_group() as loops:
-        loops.start_soon(_tick, node, pool, ports[0])
-        loops.start_soon(sync.run_operators)
-        loops.start_soon(sync.run_servers)
-        loops.start_soon(sync.run_registration)
-        loops.start_soon(peer_news.run)
+        loops.start_soon(_run_periodic, node, pool, ports[0])
+        loops.start_soon(store_sync.run_operators)
+        loops.start_soon(store_sync.run_servers)
+        loops.start_soon(store_sync.run_registration)
+        loops.start_soon(peer_sync.run)
         loops.start_soon(heartbeats.run)
         loops.start_soon(_probes.Prober(node, pool).run)
         async with anyio.create_task_group() as servers:
             for port in ports:
                 servers.start_soon(port.serve)
             await node.stop_asked.wait()
-            await _leave(node, heartbeats, ports)
+            await _stop_gracefully(node, heartbeats, ports)
         loops.cancel_scope.cancel()
 
 
@@ -112,50 +112,50 @@
     node: _node.Node, pool: _connections.Pool, apps: Apps
 ) -> tuple[_server.Server, ...]:
     cfg = node.settings
-    front = _asgi.close_connections_when(
-        lambda: node.is_leaving, _front.Front(node, pool)
+    callers_app = _asgi.close_connections_when(
+        lambda: node.is_leaving, _callers_port.CallersApp(node, pool)
     )
     idle = entry.CallerLimits().idle_timeout
     return (
         _server.Server.from_address(
-            front, cfg.callers.host, cfg.callers.port, keep_alive=idle
+            callers_app, cfg.callers.host, cfg.callers.port, keep_alive=idle
         ),
         *(
             _server.Server.from_address(app, port.host, port.port)
             for app, port in (
                 (apps.readiness, cfg.readiness),
                 (apps.directory, cfg.directory),
-                (_snapshots.make_app(node), cfg.peers),
+                (_peers_port.make_app(node), cfg.peers),
                 (_metrics_port.make_app(node), cfg.metrics),
             )
         ),
     )
 
 
-async def _tick(
+async def _run_periodic(
     node: _node.Node,
     pool: _connections.Pool,
-    front: _server.Server,
+    server: _server.Server,
 ) -> None:
-    """Does what is due, for ever."""
-    swept_at = node.now()
+    """Does the periodic work: timers, idle connections and log output."""
+    last_close_at = node.now()
     while True:
-        await anyio.sleep(_TICK_S)
+        await anyio.sleep(_PERIOD_S)
         now = node.now()
-        _intake.note_changes(node, node.vm.on_tick(now))
-        if now - swept_at >= _SWEEP_EVERY:
-            swept_at = now
-            pool.sweep()
+        _apply.log_server_changes(node, node.vm.on_tick(now))
+        if now - last_close_at >= _CLOSE_EXPIRED_EVERY:
+            last_close_at = now
+            pool.close_expired()
             if node.vm.catalogue is not None:
-                front.set_keep_alive(node.vm.catalogue.limits.idle_timeout)
-        node.journal.flush()
+                server.set_keep_alive(node.vm.catalogue.limits.idle_timeout)
+        node.event_log.flush()
 
 
-async def _follow_signals(
+async def _handle_signals(
     node: _node.Node, reload_bounds: Callable[[], entry.FleetBounds]
 ) -> None:
-    kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with anyio.open_signal_receiver(*kinds) as signals:
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*numbers) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
                 _reload(node, reload_bounds)
@@ -169,35 +169,39 @@
     try:
         bounds = reload_bounds()
     except (OSError, ValueError) as exc:
-        node.note(_events.Event.SETTINGS_REFUSED, reason=str(exc))
+        node.log_event(_events.Event.SETTINGS_REFUSED, reason=str(exc))
         return
     changed = bounds != node.vm.bounds
     node.vm.on_bounds(bounds)
-    node.note(_events.Event.SETTINGS_RELOADED, changed=changed)
+    node.log_event(_events.Event.SETTINGS_RELOADED, changed=changed)
 
 
-async def _leave(
+async def _stop_gracefully(
     node: _node.Node,
     heartbeats: _heartbeats.Heartbeats,
     ports: tuple[_server.Server, ...],
 ) -> None:
-    """Is no longer named, serves those who come still, then closes."""
-    began = node.now()
+    """Shuts down gracefully.
+
+    The VM announces that it is leaving, so that it is not named to callers any
+    more, serves the requests that still arrive, and then closes its ports.
+    """
+    started_at = node.now()
     grace = node.vm.bounds.grace
-    node.leaving_since = began
+    node.leaving_since = started_at
     node.vm.members.phase = entry.Phase.LEAVING
-    node.note(
+    node.log_event(
         _events.Event.STOPPING,
         in_flight=node.in_flight,
-        grace_ms=_journal.milliseconds(grace),
+        grace_ms=_event_log.milliseconds(grace),
     )
-    heartbeats.beat()
-    serve = max(datetime.timedelta(), grace - _CLOSE_BEFORE_KILL)
-    await anyio.sleep(serve.total_seconds())
+    heartbeats.send_all()
+    serve_time = max(datetime.timedelta(), grace - _CLOSE_BEFORE_KILL)
+    await anyio.sleep(serve_time.total_seconds())
     for port in ports:
         port.stop()
-    end = began + grace - _node.EXIT_BEFORE_KILL
-    while node.in_flight and node.now() < end:
+    deadline = started_at + grace - _node.EXIT_BEFORE_KILL
+    while node.in_flight and node.now() < deadline:
         await anyio.sleep(_DRAIN_POLL_S)
     for port in ports:
         port.force_exit = True
--- a/dragonflystack/entryd/_server_reports.py
+++ b/dragonflystack/entryd/_server_reports.py
@@ -1,40 +1,40 @@
-"""What an answer says of the backend server itself, beside its content."""
+"""Reads and logs what an answer reports about its backend server's state."""
 
 import datetime
 
 from dragonflystack import entry
 from dragonflystack.entryd import _answer_reader
+from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _node
 from dragonflystack.entryd import _retry_after
 
-_ASKING_STATUSES = frozenset((429, 503))
-"""With these, Retry-After tells how long to leave the backend server alone."""
+_BACKOFF_STATUSES = frozenset((429, 503))
+"""Statuses of answers whose Retry-After header requests a back-off."""
 
 
-def says_leaving(node: _node.Node, answer: _answer_reader.Answer) -> bool:
-    """Returns whether a backend server says that it is leaving."""
+def reports_leaving(node: _node.Node, answer: _answer_reader.Answer) -> bool:
+    """Returns whether an answer reports that its backend server is leaving."""
     return answer.header(node.dialect.leaving) is not None
 
 
-def asked_wait(
+def requested_backoff(
     node: _node.Node, answer: _answer_reader.Answer, server: entry.Server
 ) -> datetime.timedelta | None:
-    """Returns how long a backend server wants to be left alone, if it says.
+    """Returns the back-off that an answer requests, None if there is none.
 
-    A value that cannot be followed is logged and counted.
+    An unusable Retry-After value is logged and counted.
     """
-    if answer.status not in _ASKING_STATUSES:
+    if answer.status not in _BACKOFF_STATUSES:
         return None
     value = answer.header(b"retry-after")
     if value is None:
         return None
-    match _retry_after.read(value, node.clock.utcnow()):
+    match _retry_after.parse(value, node.clock.utcnow()):
         case _retry_after.Wait(duration):
             return duration
         case _retry_after.Unusable(problem, text):
-            node.note(
+            node.log_event(
                 _events.Event.RETRY_AFTER_SKIPPED,
                 server=server.entry.id,
                 reason=problem.value,
@@ -43,24 +43,30 @@
             return None
 
 
-def note_leaving(node: _node.Node, server: entry.Server, source: str) -> None:
-    """Logs that a backend server said it leaves, and tells the neighbours."""
-    node.note(
+def log_leaving(node: _node.Node, server: entry.Server, source: str) -> None:
+    """Logs that a backend server is leaving and requests a heartbeat.
+
+    Args:
+        node: the state of the process.
+        server: the backend server.
+        source: what reported it: an answer, a probe or another VM.
+    """
+    node.log_event(
         _events.Event.SERVER_LEAVING,
         server=server.entry.id,
         service=server.entry.service,
         in_flight=server.in_flight,
         source=source,
     )
-    node.beat_poke.set()
+    node.heartbeat_requested.set()
 
 
-def note_asked_wait(node: _node.Node, server: entry.Server) -> None:
-    """Logs until when a backend server is left alone."""
+def log_requested_backoff(node: _node.Node, server: entry.Server) -> None:
+    """Logs how much is left of the back-off that a backend server requested."""
     left = server.asked_wait_until - node.now()
-    node.note(
+    node.log_event(
         _events.Event.SERVER_ASKED_WAIT,
         server=server.entry.id,
         service=server.entry.service,
-        wait_ms=_journal.milliseconds(left),
+        wait_ms=_event_log.milliseconds(left),
     )
--- /dev/null
+++ b/dragonflystack/entryd/_update_requests.py
@@ -0,0 +1,170 @@
+"""Requests for updates of the store's rows between VMs, over HTTP.
+
+A VM that is behind requests an update from a neighbour with a later position. A
+VM that starts while the store is unavailable tries each VM it knows of.
+"""
+
+import datetime
+import urllib.parse
+
+import httpcore
+
+from dragonflystack import _asgi
+from dragonflystack import _bounded
+from dragonflystack import entry
+from dragonflystack.entryd import _event_log
+from dragonflystack.entryd import _events
+from dragonflystack.entryd import _node
+from dragonflystack.entryd import _update_codec
+
+UPDATE_PATH = "/v1/news"
+_CONNECT_TIMEOUT_S = 0.7
+"""The latency to a neighbour is half a millisecond, and others can be asked."""
+
+_READ_TIMEOUT_S = 1.5
+"""Ten VMs that each fetch 66 kB from one VM occupy its link for 1.4 s, if the
+link has 5 Mbit/s and callers use 0.4 of it."""
+
+_TIMEOUTS = {
+    "timeout": {
+        "connect": _CONNECT_TIMEOUT_S,
+        "read": _READ_TIMEOUT_S,
+        "write": _CONNECT_TIMEOUT_S,
+        "pool": _CONNECT_TIMEOUT_S,
+    }
+}
+CALL_TIMEOUT = datetime.timedelta(seconds=2)
+"""Time limit for one request."""
+
+_MAX_UPDATE_BYTES = 16_777_216
+_OK = 200
+
+
+async def serve_update(
+    node: _node.Node,
+    encoder: _update_codec.UpdateEncoder,
+    scope: _asgi.Scope,
+    send: _asgi.Send,
+) -> None:
+    """Answers a VM's request for the changes after its position."""
+    query = dict(
+        urllib.parse.parse_qsl(scope["query_string"].decode("latin-1"))
+    )
+    try:
+        position = entry.Position(
+            int(query.get("operators", 0)), int(query.get("servers", 0))
+        )
+        known_version = int(query.get("catalogue", 0))
+    except ValueError as exc:
+        await _asgi.send_problem(send, 400, "position", str(exc))
+        return
+    vms = node.vm.members.addresses() if "vms" in query else ()
+    update = _update_codec.PeerUpdate(
+        node.vm.news_since(position, known_version), vms
+    )
+    if (b"accept", _update_codec.CONTENT_TYPE) in scope["headers"]:
+        headers = [(b"content-type", _update_codec.CONTENT_TYPE)]
+        await _asgi.send_bytes(send, _OK, headers, encoder.encode(update))
+    else:
+        await _asgi.send_json(send, update)
+
+
+async def request_update(
+    node: _node.Node,
+    pool: httpcore.AsyncConnectionPool,
+    peer: _node.Endpoint,
+    with_vms: bool = False,
+) -> _update_codec.PeerUpdate | None:
+    """Requests from another VM the changes after this VM's position.
+
+    Args:
+        node: the state of the process.
+        pool: connections to other VMs.
+        peer: the other VM.
+        with_vms: whether to request the list of VMs too.
+
+    Returns:
+        The update, None if the request failed; failures are logged.
+    """
+    started_at = node.now()
+    try:
+        res = await _bounded.request(
+            pool,
+            "GET",
+            f"http://{peer}{UPDATE_PATH}?{_query(node, with_vms)}",
+            _MAX_UPDATE_BYTES,
+            CALL_TIMEOUT,
+            headers=[(b"accept", _update_codec.CONTENT_TYPE)],
+            extensions=_TIMEOUTS,
+        )
+        if res.status != _OK:
+            _log_failed(node, peer, f"status {res.status}", started_at)
+            return None
+        update = _update_codec.decode(res.content, _content_type(res))
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+        _update_codec.UpdateDecodeError,
+    ) as exc:
+        _log_failed(node, peer, f"{type(exc).__name__}: {exc}", started_at)
+        return None
+    _log_received(node, peer, update, len(res.content), started_at)
+    return update
+
+
+def _query(node: _node.Node, with_vms: bool) -> str:
+    position = node.vm.log.position
+    query = {
+        "operators": position.operators,
+        "servers": position.servers,
+        "catalogue": node.catalogue_version or 0,
+    }
+    if with_vms:
+        query["vms"] = 1
+    return urllib.parse.urlencode(query)
+
+
+def _content_type(res: httpcore.Response) -> bytes:
+    found = (v for name, v in res.headers if name.lower() == b"content-type")
+    return next(found, b"")
+
+
+def _log_failed(
+    node: _node.Node,
+    peer: _node.Endpoint,
+    reason: str,
+    started_at: datetime.timedelta,
+) -> None:
+    took = node.now() - started_at
+    node.metrics.time("news", took, outcome="failed")
+    node.log_event(
+        _events.Event.NEWS_FAILED,
+        peer=str(peer),
+        reason=reason,
+        took_ms=_event_log.milliseconds(took),
+        behind_ms=_event_log.milliseconds(node.vm.freshness.behind(node.now())),
+    )
+
+
+def _log_received(
+    node: _node.Node,
+    peer: _node.Endpoint,
+    update: _update_codec.PeerUpdate,
+    size: int,
+    started_at: datetime.timedelta,
+) -> None:
+    took = node.now() - started_at
+    node.metrics.time("news", took, outcome="taken")
+    catalogue = update.news.catalogue
+    if catalogue is not None:
+        node.log_event(
+            _events.Event.NEWS_TAKEN,
+            peer=str(peer),
+            catalogue=catalogue.version,
+            bytes=size,
+            took_ms=_event_log.milliseconds(took),
+            behind_ms=_event_log.milliseconds(
+                node.vm.freshness.behind(node.now())
+            ),
+        )
--- a/dragonflystack/entryd/tests/daemons.py
+++ b/dragonflystack/entryd/tests/daemons.py
@@ -1,4 +1,4 @@
-"""Daemons in this process, with a store and backend servers in memory."""
+"""Runs entry daemons in this process, with a fake store and backend servers."""
 
 import asyncio
 import contextlib
@@ -17,7 +17,7 @@
 from dragonflystack import ids
 from dragonflystack import outcomes
 from dragonflystack import storage
-from dragonflystack.entryd import _sending
+from dragonflystack.entryd import _exchange_runner
 
 SERVICE = ids.ServiceId("rings")
 DIALECT = entryd.Dialect(
@@ -35,29 +35,29 @@
     customer=b"x-customer",
 )
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=10)
-"""A busy machine may take longer than the daemon allows; what happens then has
-tests of its own."""
+"""Longer than the daemon's own timeout, because the test machine may be busy;
+connect timeouts have tests of their own."""
 
 HEADERS = [(b"host", b"shop.example"), (b"x-id", b"1"), (b"x-left", b"3000")]
 
 
 class Platform:
-    """A store in memory that never changes."""
+    """An in-memory store whose contents never change."""
 
     def __init__(self, backend_port: int):
         self._port = backend_port
-        self.is_out = False
+        self.is_unavailable = False
         self.era = 0
         self.reads_wait_for: anyio.Event | None = None
-        """Reads of the operators' rows are not answered before this."""
+        """If given, reads of the operators' rows wait for this event."""
 
         self.customers: tuple[entry.Customer, ...] | None = None
 
     async def read_operators(self):
         if self.reads_wait_for is not None:
             await self.reads_wait_for.wait()
-        if self.is_out:
-            return out()
+        if self.is_unavailable:
+            return unavailable()
         catalogue = make_catalogue(3, self.customers)
         return entryd.OperatorNews(5, 5, True, catalogue, frozenset())
 
@@ -66,8 +66,8 @@
         return entryd.OperatorNews(after, 0, False, None, frozenset())
 
     async def read_servers(self):
-        if self.is_out:
-            return out()
+        if self.is_unavailable:
+            return unavailable()
         server = entry.ServerEntry(
             ids.BackendServerId("s1"),
             SERVICE,
@@ -86,10 +86,10 @@
         return entryd.ServerNews(after, 0, entry.Listing((), (), False))
 
     async def register(self, address):
-        return out() if self.is_out else storage.Committed()
+        return unavailable() if self.is_unavailable else storage.Committed()
 
     async def list_vms(self):
-        return out() if self.is_out else ()
+        return unavailable() if self.is_unavailable else ()
 
     async def aclose(self):
         pass
@@ -116,7 +116,7 @@
     )
 
 
-def out():
+def unavailable():
     failure = outcomes.Failure(outcomes.Step.STORE, "platform", "out")
     return storage.Unavailable(failure)
 
@@ -146,14 +146,14 @@
     )
 
 
-class ScriptedBackend:
-    """A backend server that writes given bytes after each request."""
+class ScriptedBackendServer:
+    """A backend server that writes the next scripted bytes per request."""
 
     def __init__(self, *answers: bytes, reset_at_end: bool = False):
         self._answers = list(answers)
         self._reset_at_end = reset_at_end
         self.runs = 0
-        """Requests that reached it."""
+        """The number of requests received."""
 
         self.connections = 0
 
@@ -177,22 +177,22 @@
         writer.close()
 
 
-class Backend:
-    """A backend server that answers after a while."""
+class FakeBackendServer:
+    """A backend server that answers after a configurable delay."""
 
     def __init__(self):
         self.runs = 0
-        """Requests that reached it, without probes."""
+        """The number of requests received, without probes."""
 
         self.heads: list[bytes] = []
-        """Request lines and headers of what reached it."""
+        """Request lines and headers of the received requests."""
 
         self.delay_s = 0.0
         self.is_silent = False
-        """Whether it reads a request and never answers."""
+        """Whether requests are read but never answered."""
 
         self.closed = 0
-        """Connections that were closed while it was silent."""
+        """The number of connections closed while it was silent."""
 
     async def __call__(self, reader, writer):
         try:
@@ -214,9 +214,9 @@
             writer.close()
 
 
-def play(scenario, backend=None):
-    """Runs a daemon and a scenario with it; the daemon must end in time."""
-    backend = backend or Backend()
+def run_scenario(scenario, backend=None):
+    """Runs a scenario with a platform and a backend server, within 30 s."""
+    backend = backend or FakeBackendServer()
 
     async def run():
         server = await asyncio.start_server(backend, "127.0.0.1", 0)
@@ -228,21 +228,26 @@
     anyio.run(run)
 
 
-async def no_app(scope, receive, send):
+async def empty_app(scope, receive, send):
     await _asgi.send_bytes(send, 200, (), b"")
 
 
 def start(tasks, platform, cfg):
     node = entryd.make_node(cfg, DIALECT)
-    apps = entryd.Apps(no_app, no_app)
+    apps = entryd.Apps(empty_app, empty_app)
     tasks.start_soon(entryd.run, node, platform, apps, lambda: cfg.bounds)
     return node
 
 
 @contextlib.asynccontextmanager
-async def serving(platform, cfg=None):
-    """Gives a daemon that is ready, and its callers' pool; stops it at last."""
-    with mock.patch.object(_sending, "_CONNECT_TIMEOUT", _CONNECT_TIMEOUT):
+async def serving_daemon(platform, cfg=None):
+    """Starts a daemon and stops it at the end.
+
+    Yields a connection pool for callers and the daemon, once it is ready.
+    """
+    with mock.patch.object(
+        _exchange_runner, "_CONNECT_TIMEOUT", _CONNECT_TIMEOUT
+    ):
         async with (
             httpcore.AsyncConnectionPool() as pool,
             anyio.create_task_group() as tasks,
--- a/dragonflystack/entryd/tests/test_answer_reader.py
+++ b/dragonflystack/entryd/tests/test_answer_reader.py
@@ -1,4 +1,4 @@
-"""Answers within their bounds, and bytes that never end."""
+"""Tests the parsing of answers and its limits."""
 
 import itertools
 import tracemalloc
@@ -10,21 +10,21 @@
 from dragonflystack.entryd import _answer_reader
 
 _LIMITS = _answer_reader.AnswerLimits(body_bytes=200_000)
-_MOST_MEMORY_BYTES = 2_000_000
-"""Several times what the limits above come to; the endless answers below took
-58 to 383 MB in 1.5 s before there were limits."""
+_MAX_MEMORY_BYTES = 2_000_000
+"""Several times the sum of the limits. Without limits, the endless answers
+below used 58 to 383 MB in 1.5 s."""
 
-_OUTGOING = _answer_reader.Outgoing(b"", b"", b"1")
+_OUTGOING = _answer_reader.OutgoingRequest(b"", b"", b"1")
 _STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = _STATUS_LINE + b"transfer-encoding: chunked\r\n\r\n"
 _OK = b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 2\r\n\r\nhi"
-_OTHERS = _OK.replace(b"x-id: 1", b"x-id: 9")
+_OTHER_ANSWER = _OK.replace(b"x-id: 1", b"x-id: 9")
 _LINE = b"a: b\r\n"
 
 
 def _reader(limits=_LIMITS):
     reader = _answer_reader.AnswerReader(b"x-id", limits)
-    reader.expect(_OUTGOING)
+    reader.expect_answer(_OUTGOING)
     return reader
 
 
@@ -38,7 +38,9 @@
         pytest.param(
             b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000, id="interim answers"
         ),
-        pytest.param(b"", _OTHERS * 1_000, id="answers to others"),
+        pytest.param(
+            b"", _OTHER_ANSWER * 1_000, id="answers to other requests"
+        ),
         pytest.param(_CHUNKED + b"1;", b"b" * 65_536, id="a chunk extension"),
         pytest.param(
             _CHUNKED,
@@ -54,7 +56,7 @@
         pytest.param(b"", b"\r\n" * 30_000, id="empty lines"),
     ],
 )
-def test_bytes_without_end_are_given_up_within_bounds(start, endless):
+def test_endless_answer_is_rejected_within_limits(start, endless):
     reader = _reader()
     fed = 0
     tracemalloc.start()
@@ -67,13 +69,13 @@
     finally:
         tracemalloc.stop()
     assert not reader.is_reusable
-    assert reader.held_bytes == 0
-    assert peak_bytes < _MOST_MEMORY_BYTES
-    most = _LIMITS.head_bytes + _LIMITS.body_bytes
-    assert fed <= most * (1 + _LIMITS.framing_per_body_byte)
+    assert reader.buffered_bytes == 0
+    assert peak_bytes < _MAX_MEMORY_BYTES
+    max_bytes = _LIMITS.head_bytes + _LIMITS.body_bytes
+    assert fed <= max_bytes * (1 + _LIMITS.framing_per_body_byte)
 
 
-def test_a_body_in_chunks_of_one_byte_is_whole():
+def test_body_in_one_byte_chunks_is_read():
     reader = _reader()
     head = _STATUS_LINE + b"x-id: 1\r\ntransfer-encoding: chunked\r\n\r\n"
     assert reader.feed(head) is None
@@ -89,25 +91,25 @@
     assert answer.header(b"retry-after") is None
 
 
-def test_the_bounds_are_those_of_each_request():
+def test_limits_apply_to_each_request_separately():
     reader = _reader()
     padding = b"p: " + b"x" * 40_000 + b"\r\n"
     for _ in range(5):
-        reader.expect(_OUTGOING)
+        reader.expect_answer(_OUTGOING)
         answer = reader.feed(_OK.replace(b"x-id", padding + b"x-id"))
         assert answer is not None
 
 
 @pytest.mark.parametrize("field", ["body_bytes", "head_bytes", "held_bytes"])
-def test_a_limit_that_makes_no_sense_is_named(field):
+def test_invalid_limit_is_named_in_the_error(field):
     with pytest.raises(ValueError, match=f"{field}: 0"):
         _answer_reader.AnswerLimits(**{field: 0})
 
 
-_PIECES = strategies.sampled_from(
+_FRAGMENTS = strategies.sampled_from(
     [
         _OK,
-        _OTHERS,
+        _OTHER_ANSWER,
         _CHUNKED,
         _STATUS_LINE,
         b"HTTP/1.1 100 Continue\r\n\r\n",
@@ -125,12 +127,12 @@
 
 @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
 @hypothesis.given(
-    pieces=strategies.lists(_PIECES | strategies.binary(max_size=9)),
-    cuts=strategies.lists(strategies.integers(1, 60), min_size=1),
+    fragments=strategies.lists(_FRAGMENTS | strategies.binary(max_size=9)),
+    part_sizes=strategies.lists(strategies.integers(1, 60), min_size=1),
 )
-def test_an_answer_does_not_depend_on_how_its_bytes_are_cut(pieces, cuts):
-    data = b"".join(pieces)
-    sizes = itertools.cycle(cuts)
+def test_result_does_not_depend_on_how_bytes_are_split(fragments, part_sizes):
+    data = b"".join(fragments)
+    sizes = itertools.cycle(part_sizes)
     parts = []
     rest = data
     while rest:
@@ -141,7 +143,7 @@
 
 
 def _read(parts):
-    """Returns the first answer in the parts, or how the reading ended."""
+    """Returns the first answer in the parts, or the kind of error."""
     reader = _reader()
     try:
         for part in parts:
--- a/dragonflystack/entryd/tests/test_connections.py
+++ b/dragonflystack/entryd/tests/test_connections.py
@@ -1,4 +1,4 @@
-"""Answers of backend servers, whole and spoilt, over real sockets."""
+"""Tests connections to backend servers over real sockets."""
 
 import asyncio
 import datetime
@@ -19,8 +19,8 @@
 _UNFRAMED = b"HTTP/1.1 200 OK\r\nx-id: 1\r\n\r\nhi"
 
 
-class _Script:
-    """A server that writes given bytes after each request."""
+class _ScriptedServer:
+    """A server that writes the next scripted bytes after each request."""
 
     def __init__(self, *answers: bytes, close: bool = False, reset=False):
         self._answers = list(answers)
@@ -50,11 +50,13 @@
 
 
 def _outgoing(request_id=b"1"):
-    return _answer_reader.Outgoing(b"GET / HTTP/1.1\r\n\r\n", b"", request_id)
+    return _answer_reader.OutgoingRequest(
+        b"GET / HTTP/1.1\r\n\r\n", b"", request_id
+    )
 
 
 def _run(script, scenario):
-    """Runs a scenario with a pool and the address of the script."""
+    """Runs a scenario with a pool and the address of a scripted server."""
 
     async def run():
         server = await asyncio.start_server(script, "127.0.0.1", 0)
@@ -73,34 +75,40 @@
 @pytest.mark.parametrize(
     ("script", "error"),
     [
-        pytest.param(_Script(_OK), None, id="whole"),
-        pytest.param(_Script(_OTHER + _OK), None, id="another's first"),
-        pytest.param(_Script(_UNFRAMED, close=True), None, id="ends by close"),
+        pytest.param(_ScriptedServer(_OK), None, id="complete"),
+        pytest.param(
+            _ScriptedServer(_OTHER + _OK), None, id="other answer first"
+        ),
+        pytest.param(
+            _ScriptedServer(_UNFRAMED, close=True), None, id="ends by close"
+        ),
         pytest.param(
-            _Script(b"HTTP/1.1 100 Continue\r\n\r\n" + _OK),
+            _ScriptedServer(b"HTTP/1.1 100 Continue\r\n\r\n" + _OK),
             None,
             id="1xx first",
         ),
         pytest.param(
-            _Script(_UNFRAMED, reset=True),
+            _ScriptedServer(_UNFRAMED, reset=True),
             (_answer_reader.CorruptError, _answer_reader.BrokenError),
             id="ends by reset",
         ),
         pytest.param(
-            _Script(_OK[:-1], close=True),
+            _ScriptedServer(_OK[:-1], close=True),
             _answer_reader.CorruptError,
-            id="cut short",
+            id="truncated",
         ),
         pytest.param(
-            _Script(b"\x00garbage\r\n"),
+            _ScriptedServer(b"\x00garbage\r\n"),
             _answer_reader.CorruptError,
-            id="no HTTP",
+            id="not HTTP",
         ),
         pytest.param(
-            _Script(b"", close=True), _answer_reader.BrokenError, id="nothing"
+            _ScriptedServer(b"", close=True),
+            _answer_reader.BrokenError,
+            id="no answer",
         ),
         pytest.param(
-            _Script(
+            _ScriptedServer(
                 b"HTTP/1.1 200 OK\r\nx-id: 1\r\ncontent-length: 2000\r\n\r\n"
                 + b"x" * 2000
             ),
@@ -109,7 +117,7 @@
         ),
     ],
 )
-def test_only_a_whole_answer_of_the_request_is_taken(script, error):
+def test_only_a_complete_answer_to_the_request_is_accepted(script, error):
     async def scenario(pool, address):
         conn = await pool.connect(address, _TIMEOUT)
         if error is None:
@@ -123,14 +131,14 @@
     _run(script, scenario)
 
 
-def test_a_late_second_answer_is_passed_over_on_the_next_request():
+def test_late_duplicate_answer_is_skipped_on_the_next_request():
     late = _OK.replace(b"x-id: 1", b"x-id: 2")
-    script = _Script(_OK, _OK + late)
+    script = _ScriptedServer(_OK, _OK + late)
 
     async def scenario(pool, address):
         conn = await pool.connect(address, _TIMEOUT)
         await conn.send(_outgoing(b"1"))
-        pool.give_back(address, conn)
+        pool.release(address, conn)
         again = pool.take_idle(address, _TIMEOUT)
         assert again is conn
         answer = await again.send(_outgoing(b"2"))
@@ -139,37 +147,37 @@
     _run(script, scenario)
 
 
-def test_a_connection_that_got_bytes_unasked_is_not_used_again():
-    script = _Script(_OK + _OTHER)
+def test_connection_with_unsolicited_bytes_is_not_reused():
+    script = _ScriptedServer(_OK + _OTHER)
 
     async def scenario(pool, address):
         conn = await pool.connect(address, _TIMEOUT)
         await conn.send(_outgoing())
-        pool.give_back(address, conn)
+        pool.release(address, conn)
         assert pool.take_idle(address, _TIMEOUT) is None
 
     _run(script, scenario)
 
 
-def test_idle_connections_are_used_only_for_a_while():
-    script = _Script(
+def test_idle_connection_is_not_reused_after_keep_alive_timeout():
+    script = _ScriptedServer(
         _OK.replace(b"\r\n\r\n", b"\r\nkeep-alive: timeout=0\r\n\r\n")
     )
 
     async def scenario(pool, address):
         conn = await pool.connect(address, _TIMEOUT)
         await conn.send(_outgoing())
-        pool.give_back(address, conn)
+        pool.release(address, conn)
         await anyio.sleep(0.01)
         assert pool.take_idle(address, _TIMEOUT) is None
 
     _run(script, scenario)
 
 
-def test_a_refused_connection_is_told_apart_from_a_broken_one():
+def test_refused_connection_raises_connect_error():
     async def scenario(pool, address):
-        nowhere = _connections.Address("s", "127.0.0.1", 1)
+        closed_port = _connections.Address("s", "127.0.0.1", 1)
         with pytest.raises(_connections.ConnectError):
-            await pool.connect(nowhere, _TIMEOUT)
+            await pool.connect(closed_port, _TIMEOUT)
 
-    _run(_Script(), scenario)
+    _run(_ScriptedServer(), scenario)
--- a/dragonflystack/entryd/tests/test_keys.py
+++ b/dragonflystack/entryd/tests/test_customer_keys.py
@@ -1,4 +1,4 @@
-"""Keys of customers on the way of a request through a daemon."""
+"""Tests how a daemon checks, replaces and hides the keys of customers."""
 
 import os
 
@@ -8,8 +8,8 @@
 
 from dragonflystack import entry
 from dragonflystack import ids
-from dragonflystack.entryd import _journal
-from dragonflystack.entryd import _snapshots
+from dragonflystack.entryd import _event_log
+from dragonflystack.entryd import _peers_port
 from dragonflystack.entryd.tests import daemons
 
 _KEY = b"key-of-alice"
@@ -26,18 +26,18 @@
 
 
 def _values(head, name):
-    """Returns the values of a header in what reached a backend server."""
+    """Returns the values of a header in a request to a backend server."""
     fields = (line.partition(b": ") for line in head.split(b"\r\n")[1:])
     return [value for field, _, value in fields if field.lower() == name]
 
 
-def _play(scenario, customers=(_ALICE, _BOB)):
+def _run_scenario(scenario, customers=(_ALICE, _BOB)):
     async def run(platform, backend):
         platform.customers = customers
-        async with daemons.serving(platform) as (pool, node):
+        async with daemons.serving_daemon(platform) as (pool, node):
             await scenario(pool, node, backend)
 
-    daemons.play(run)
+    daemons.run_scenario(run)
 
 
 @pytest.mark.parametrize(
@@ -50,16 +50,16 @@
         pytest.param(
             [_BEARER, (b"X-Customer", b"bob"), (b"x-customer", b"eve")],
             b"alice",
-            id="another customer named",
+            id="other customer in header",
         ),
         pytest.param(
             [_BEARER, (b"connection", b"x-customer")],
             b"alice",
-            id="customer named as of one connection",
+            id="customer header listed in connection",
         ),
     ],
 )
-def test_a_key_becomes_the_customer_s_name(headers, customer):
+def test_key_is_replaced_by_the_customer_id(headers, customer):
     async def scenario(pool, node, backend):
         res = await daemons.get(pool, node, more=headers)
         assert res.status == 200
@@ -68,32 +68,33 @@
         assert b"authorization" not in head.lower()
         assert b"key-of-" not in head
 
-    _play(scenario)
+    _run_scenario(scenario)
 
 
 @pytest.mark.parametrize(
     "headers",
     [
         pytest.param([], id="none"),
-        pytest.param([(b"x-customer", b"alice")], id="only a name"),
+        pytest.param([(b"x-customer", b"alice")], id="only a customer id"),
         pytest.param([(b"authorization", b"")], id="empty"),
         pytest.param([(b"authorization", b"Bearer")], id="no key"),
         pytest.param([(b"authorization", _KEY)], id="no scheme"),
-        pytest.param([(b"authorization", b"Basic " + _KEY)], id="scheme"),
+        pytest.param([(b"authorization", b"Basic " + _KEY)], id="other scheme"),
         pytest.param([(b"authorization", b"Bearer alice")], id="unknown"),
         pytest.param(
-            [(b"authorization", b"Bearer " + _KEY + b" x")], id="two words"
+            [(b"authorization", b"Bearer " + _KEY + b" x")], id="two tokens"
         ),
         pytest.param(
-            [(b"authorization", b"Bearer " + _KEY + b"\xff")], id="other bytes"
+            [(b"authorization", b"Bearer " + _KEY + b"\xff")],
+            id="non-ASCII byte",
         ),
-        pytest.param([_BEARER, _BEARER], id="twice"),
+        pytest.param([_BEARER, _BEARER], id="header twice"),
         pytest.param(
             [_BEARER, (b"authorization", b"Bearer key-of-bob")], id="two keys"
         ),
     ],
 )
-def test_a_request_without_a_readable_key_in_force_gets_401(headers):
+def test_request_without_a_valid_key_gets_401(headers):
     async def scenario(pool, node, backend):
         res = await daemons.get(pool, node, more=headers)
         assert res.status == 401
@@ -101,7 +102,7 @@
         assert backend.runs == 0
         assert _KEY not in res.content
 
-    _play(scenario)
+    _run_scenario(scenario)
 
 
 @pytest.mark.parametrize(
@@ -118,7 +119,7 @@
         (b" Bearer k", None),
     ],
 )
-def test_a_key_is_read_from_one_bearer_token(value, key):
+def test_key_is_parsed_from_a_bearer_token(value, key):
     assert daemons.DIALECT.read_key([value]) == key
 
 
@@ -126,7 +127,7 @@
     "headers",
     [[], [_BEARER], [(b"x-customer", b"bob")], [(b"authorization", b"x")]],
 )
-def test_on_a_public_route_neither_key_nor_name_is_passed_on(headers):
+def test_public_route_forwards_neither_key_nor_customer(headers):
     async def scenario(pool, node, backend):
         res = await daemons.get(pool, node, path="/open/1", more=headers)
         assert res.status == 200
@@ -134,10 +135,10 @@
         assert _values(head, b"authorization") == []
         assert _values(head, b"x-customer") == []
 
-    _play(scenario)
+    _run_scenario(scenario)
 
 
-def test_without_customers_headers_go_on_as_they_came():
+def test_headers_are_forwarded_unchanged_without_customers():
     async def scenario(pool, node, backend):
         headers = [_BEARER, (b"x-customer", b"bob")]
         res = await daemons.get(pool, node, more=headers)
@@ -146,14 +147,14 @@
         assert _values(head, b"authorization") == [b"Bearer " + _KEY]
         assert _values(head, b"x-customer") == [b"bob"]
 
-    _play(scenario, customers=None)
+    _run_scenario(scenario, customers=None)
 
 
-def test_a_key_taken_away_is_refused_on_a_kept_connection():
+def test_revoked_key_is_rejected_on_an_open_connection():
     async def scenario(pool, node, backend):
         assert (await daemons.get(pool, node, more=[_BEARER])).status == 200
-        taken = _customer("alice", b"second-key")
-        node.vm.on_catalogue(daemons.make_catalogue(4, (taken, _BOB)))
+        changed_alice = _customer("alice", b"second-key")
+        node.vm.on_catalogue(daemons.make_catalogue(4, (changed_alice, _BOB)))
         assert (await daemons.get(pool, node, more=[_BEARER])).status == 401
         other = (b"authorization", b"Bearer second-key")
         assert (await daemons.get(pool, node, more=[other])).status == 200
@@ -161,33 +162,36 @@
         (conn,) = pool.connections
         assert conn.is_idle()
 
-    _play(scenario)
+    _run_scenario(scenario)
 
 
-def test_a_key_is_in_nothing_that_a_vm_tells():
-    """A log names the digest of a refused key, so that it can be found."""
+def test_keys_never_leave_the_vm():
+    """Guards against keys in logs, dumps, updates or metrics.
+
+    A log contains the digest of a rejected key, so that it can be identified.
+    """
     reader, writer = os.pipe()
 
     async def scenario(pool, node, backend):
-        journal = _journal.Journal(writer, node.clock)
-        eliot.add_destinations(journal._take)
+        event_log = _event_log.EventLog(writer, node.clock)
+        eliot.add_destinations(event_log._enqueue)
         try:
             await daemons.get(pool, node, more=[_BEARER])
             node.vm.on_catalogue(daemons.make_catalogue(4, (_BOB,)))
             await daemons.get(pool, node, more=[_BEARER])
         finally:
-            eliot.remove_destination(journal._take)
-        journal.flush()
+            eliot.remove_destination(event_log._enqueue)
+        event_log.flush()
         log = os.read(reader, 1_000_000)
         os.close(reader)
         os.close(writer)
         assert b'"customer":"alice"' in log
         assert entry.digest_key(_KEY).encode() in log
-        dump = msgspec.json.encode(_snapshots.dump(node))
+        dump = msgspec.json.encode(_peers_port.dump(node))
         news = msgspec.json.encode(node.vm.news_since(entry.Position()))
         assert b"bob" in news
-        for told in (log, dump, news, node.metrics.render()):
+        for output in (log, dump, news, node.metrics.render()):
             for key in (_KEY, b"second-key", b"key-of-bob"):
-                assert key not in told
+                assert key not in output
 
-    _play(scenario)
+    _run_scenario(scenario)
--- a/dragonflystack/entryd/tests/test_life.py
+++ b/dragonflystack/entryd/tests/test_daemon.py
@@ -1,4 +1,4 @@
-"""A daemon in this process: it serves, is asked to stop, and ends in time."""
+"""Tests a daemon in this process: start, serving and graceful shutdown."""
 
 import anyio
 import httpcore
@@ -6,7 +6,7 @@
 from dragonflystack.entryd.tests import daemons
 
 
-def test_a_request_in_flight_is_finished_by_a_planned_stop():
+def test_planned_stop_finishes_requests_in_flight():
     async def scenario(platform, backend):
         async with httpcore.AsyncConnectionPool() as pool:
             async with anyio.create_task_group() as tasks:
@@ -16,10 +16,10 @@
                 backend.delay_s = 1.0
                 answers = []
 
-                async def late():
+                async def request_late():
                     answers.append(await daemons.get(pool, node))
 
-                tasks.start_soon(late)
+                tasks.start_soon(request_late)
                 await daemons.until(lambda: backend.runs == 2)
                 began = node.now()
                 node.stop_asked.set()
@@ -30,15 +30,18 @@
             assert (b"connection", b"close") in answers[0].headers
             assert node.now() - began < node.vm.bounds.grace
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
-def test_work_for_a_caller_that_left_is_cancelled():
-    """Closing the connection tells the backend server to stop."""
+def test_request_of_a_disconnected_caller_is_cancelled():
+    """Guards against running a request whose caller has disconnected.
+
+    The daemon closes its connection, which tells the backend server to stop.
+    """
 
     async def scenario(platform, backend):
         backend.is_silent = True
-        async with daemons.serving(platform) as (_, node):
+        async with daemons.serving_daemon(platform) as (_, node):
             callers = node.settings.callers
             caller = await anyio.connect_tcp(callers.host, callers.port)
             await caller.send(
@@ -50,10 +53,10 @@
             await caller.aclose()
             await daemons.until(lambda: backend.closed == 1)
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
-def test_a_vm_that_starts_while_the_store_is_out_asks_another():
+def test_vm_started_during_store_outage_gets_state_from_another():
     async def scenario(platform, backend):
         async with (
             httpcore.AsyncConnectionPool() as pool,
@@ -61,14 +64,14 @@
         ):
             first = daemons.start(tasks, platform, daemons.settings())
             await daemons.until(lambda: first.is_ready)
-            out = daemons.Platform(0)
-            out.is_out = True
+            empty = daemons.Platform(0)
+            empty.is_unavailable = True
             cfg = daemons.settings(seeds=(first.settings.peers,))
-            second = daemons.start(tasks, out, cfg)
-            refused = None
-            while refused is None:
+            second = daemons.start(tasks, empty, cfg)
+            rejected = None
+            while rejected is None:
                 try:
-                    refused = await daemons.get(pool, second)
+                    rejected = await daemons.get(pool, second)
                 except httpcore.ConnectError:
                     await anyio.sleep(0.02)
             await daemons.until(lambda: second.is_ready)
@@ -76,29 +79,29 @@
             first.stop_asked.set()
             second.stop_asked.set()
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
-def test_a_route_that_does_not_exist_is_told():
+def test_unknown_route_gets_404():
     async def scenario(platform, backend):
-        async with daemons.serving(platform) as (pool, node):
+        async with daemons.serving_daemon(platform) as (pool, node):
             assert (await daemons.get(pool, node, "/none/")).status == 404
         assert backend.runs == 0
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
-def test_a_vm_that_ends_soon_takes_no_request_that_it_could_not_finish():
+def test_stopping_vm_rejects_requests_it_cannot_finish():
     async def scenario(platform, backend):
         cfg = daemons.settings(grace_s=6.0)
-        async with daemons.serving(platform, cfg) as (pool, node):
+        async with daemons.serving_daemon(platform, cfg) as (pool, node):
             node.stop_asked.set()
             await daemons.until(lambda: node.is_leaving)
             assert (await daemons.get(pool, node)).status == 200
             await anyio.sleep(node.vm.bounds.grace.total_seconds() / 2)
-            refused = await daemons.get(pool, node)
-            assert refused.status == 503
+            rejected = await daemons.get(pool, node)
+            assert rejected.status == 503
             assert backend.runs == 1
             assert (await daemons.get(pool, node, left_ms=500)).status == 200
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
--- a/dragonflystack/entryd/tests/test_journal.py
+++ b/dragonflystack/entryd/tests/test_event_log.py
@@ -1,4 +1,4 @@
-"""Log lines are bounded and never wait for a reader."""
+"""Tests that log lines are rate limited and never block the process."""
 
 import datetime
 import os
@@ -8,8 +8,8 @@
 import msgspec
 
 from dragonflystack import clock
+from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _journal
 
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 
@@ -25,49 +25,49 @@
     return [msgspec.json.decode(line) for line in data.splitlines()]
 
 
-def _journal_on_pipe():
+def _log_to_pipe():
     reader, writer = os.pipe()
     now = clock.ManualClock(_START)
-    journal = _journal.Journal(writer, now)
-    eliot.add_destinations(journal._take)
-    return journal, now, reader
+    event_log = _event_log.EventLog(writer, now)
+    eliot.add_destinations(event_log._enqueue)
+    return event_log, now, reader
 
 
-def _close(journal):
-    eliot.remove_destination(journal._take)
+def _close(event_log):
+    eliot.remove_destination(event_log._enqueue)
 
 
-def test_lines_beyond_the_bound_are_counted_by_kind():
-    journal, now, reader = _journal_on_pipe()
-    for i in range(_journal.MAX_ROUTINE_LINES_PER_SECOND + 25):
-        journal.note(_events.Event.REQUEST_SERVED, request=str(i))
-    journal.note(_events.Event.REQUEST_FAILED, request="failed")
+def test_lines_above_the_rate_limit_are_counted_by_kind():
+    event_log, now, reader = _log_to_pipe()
+    for i in range(_event_log.MAX_ROUTINE_LINES_PER_SECOND + 25):
+        event_log.log_event(_events.Event.REQUEST_SERVED, request=str(i))
+    event_log.log_event(_events.Event.REQUEST_FAILED, request="failed")
     now.advance(datetime.timedelta(seconds=1.5))
-    journal.note(_events.Event.STOPPING)
-    journal.flush()
+    event_log.log_event(_events.Event.STOPPING)
+    event_log.flush()
     lines = _read_lines(reader)
-    _close(journal)
+    _close(event_log)
     kinds = [line["message_type"] for line in lines]
     assert kinds.count("request-served") == (
-        _journal.MAX_ROUTINE_LINES_PER_SECOND
+        _event_log.MAX_ROUTINE_LINES_PER_SECOND
     )
     assert "request-failed" in kinds
     dropped = next(x for x in lines if x["message_type"] == "lines-dropped")
     assert dropped["kinds"] == {"request-served": 25}
 
 
-def test_a_reader_that_does_not_read_is_not_waited_for():
-    journal, now, reader = _journal_on_pipe()
+def test_stalled_reader_does_not_block_or_grow_the_buffer():
+    event_log, now, reader = _log_to_pipe()
     for _ in range(40):
         for _i in range(100):
-            journal.note(_events.Event.REQUEST_FAILED, request="x" * 200)
-        journal.flush()
+            event_log.log_event(_events.Event.REQUEST_FAILED, request="x" * 200)
+        event_log.flush()
         now.advance(datetime.timedelta(seconds=1.5))
-    _close(journal)
-    assert journal._buffered <= 262_144
+    _close(event_log)
+    assert event_log._buffered_bytes <= 262_144
 
 
-def test_every_event_is_explained_to_operators():
+def test_every_event_is_described_in_the_operations_page():
     page = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
     text = page.read_text()
     missing = [e.value for e in _events.Event if f"`{e.value}`" not in text]
--- a/dragonflystack/entryd/tests/test_incidents.py
+++ b/dragonflystack/entryd/tests/test_incidents.py
@@ -1,6 +1,6 @@
-"""Incidents that operators of similar systems told of, played on a daemon.
+"""Replays incidents reported by operators of similar systems on a daemon.
 
-The routes' requests are not idempotent unless a test says otherwise.
+Requests are not idempotent unless a test says otherwise.
 """
 
 import datetime
@@ -11,7 +11,7 @@
 
 from dragonflystack import clock
 from dragonflystack import entry
-from dragonflystack.entryd import _front
+from dragonflystack.entryd import _callers_port
 from dragonflystack.entryd.tests import daemons
 
 _HEAD = b"HTTP/1.1 200 OK\r\nx-signed: s\r\n"
@@ -26,7 +26,7 @@
 
 
 @pytest.mark.parametrize(
-    ("late", "status"),
+    ("duplicate", "status"),
     [
         pytest.param(_answer(b"1", b"first"), 200, id="echoes its id"),
         pytest.param(
@@ -34,13 +34,15 @@
         ),
     ],
 )
-def test_late_second_copy_on_a_connection_in_use_again(late, status):
-    backend = daemons.ScriptedBackend(
-        _answer(b"1", b"first"), late + _answer(b"2", b"second"), b""
+def test_late_duplicate_answer_is_not_taken_for_the_next_request(
+    duplicate, status
+):
+    backend = daemons.ScriptedBackendServer(
+        _answer(b"1", b"first"), duplicate + _answer(b"2", b"second"), b""
     )
 
     async def scenario(platform, _):
-        async with daemons.serving(platform) as (pool, node):
+        async with daemons.serving_daemon(platform) as (pool, node):
             first = await daemons.get(pool, node, request_id=b"1")
             assert first.content == b"first"
             second = await daemons.get(pool, node, request_id=b"2")
@@ -48,24 +50,27 @@
             assert b"first" not in second.content
             assert backend.connections == 1
 
-    daemons.play(scenario, backend)
+    daemons.run_scenario(scenario, backend)
 
 
-def test_planned_stop_under_load_cuts_no_accepted_request(monkeypatch):
-    """A connection that closes before its request was read cuts nothing."""
+def test_planned_stop_under_load_drops_no_accepted_request(monkeypatch):
+    """Guards against a planned stop that drops requests in flight.
+
+    A connection that closes before its request was read does not count.
+    """
     callers = 20
     statuses = []
-    taken = []
-    serve = _front.Front.__call__
+    accepted = []
+    serve = _callers_port.CallersApp.__call__
 
     async def count(self, scope, receive, send):
-        taken.append(scope)
+        accepted.append(scope)
         await serve(self, scope, receive, send)
 
-    monkeypatch.setattr(_front.Front, "__call__", count)
+    monkeypatch.setattr(_callers_port.CallersApp, "__call__", count)
 
-    async def call_on(node):
-        """Sends one request after the other until nobody answers."""
+    async def send_requests(node):
+        """Sends one request after the other until the daemon is gone."""
         async with httpcore.AsyncConnectionPool(max_connections=1) as own:
             while True:
                 try:
@@ -78,16 +83,16 @@
         backend.delay_s = 0.1
         async with (
             anyio.create_task_group() as tasks,
-            daemons.serving(platform) as (_, node),
+            daemons.serving_daemon(platform) as (_, node),
         ):
             for _ in range(callers):
-                tasks.start_soon(call_on, node)
+                tasks.start_soon(send_requests, node)
             await daemons.until(lambda: len(statuses) > callers)
         assert set(statuses) <= {200, 503}
-        assert len(statuses) == len(taken)
+        assert len(statuses) == len(accepted)
         assert statuses.count(200) == backend.runs
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
 @pytest.mark.parametrize(
@@ -97,12 +102,15 @@
         pytest.param("route", id="a withdrawn route"),
     ],
 )
-def test_what_was_withdrawn_is_not_used_again_after_a_restart(withdrawn):
-    """The store is out, and a neighbour tells the restarted VM."""
+def test_restarted_vm_does_not_use_what_was_withdrawn(withdrawn):
+    """Guards against a restarted VM that uses outdated state.
+
+    The store is unavailable, so the VM gets its state from a neighbour.
+    """
 
     async def scenario(platform, backend):
         async with (
-            daemons.serving(platform) as (pool, first),
+            daemons.serving_daemon(platform) as (pool, first),
             anyio.create_task_group() as tasks,
         ):
             if withdrawn == "server":
@@ -110,21 +118,21 @@
                 first.vm.dispatch.on_said_leaving(server, first.now())
             else:
                 first.vm.on_catalogue(entry.Catalogue(4, (), {}))
-            out = daemons.Platform(0)
-            out.is_out = True
+            empty = daemons.Platform(0)
+            empty.is_unavailable = True
             cfg = daemons.settings(seeds=(first.settings.peers,))
-            second = daemons.start(tasks, out, cfg)
+            second = daemons.start(tasks, empty, cfg)
             await daemons.until(lambda: second.is_ready)
             res = await daemons.get(pool, second)
             assert res.status == {"server": 503, "route": 404}[withdrawn]
             assert backend.runs == 0
             second.stop_asked.set()
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
 class _PausingClock(clock.SystemClock):
-    """A clock after which the process seems to have been paused."""
+    """A clock that can jump ahead, as after a pause of the process."""
 
     def __init__(self):
         self._paused = datetime.timedelta()
@@ -136,37 +144,40 @@
         return super().monotonic() + self._paused
 
 
-def test_paused_process_does_not_send_what_its_caller_gave_up():
-    """It is paused between the choice of a backend server and the send."""
+def test_expired_request_is_not_sent_after_a_process_pause():
+    """Guards against sending a request whose deadline passed during a pause.
+
+    The process is paused between the choice of a backend server and the send.
+    """
 
     async def scenario(platform, backend):
-        async with daemons.serving(platform) as (pool, node):
+        async with daemons.serving_daemon(platform) as (pool, node):
             node.clock = _PausingClock()
-            choose = node.vm.open
+            open_exchange = node.vm.open
 
-            def choose_and_pause(*args):
-                chosen = choose(*args)
+            def open_and_pause(*args):
+                opened = open_exchange(*args)
                 node.clock.pause(datetime.timedelta(seconds=5))
-                return chosen
+                return opened
 
-            node.vm.open = choose_and_pause
+            node.vm.open = open_and_pause
             res = await daemons.get(pool, node, left_ms=3000)
             assert res.status == 503
             assert backend.runs == 0
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
-def test_lost_answer_is_neither_run_again_nor_denied():
-    backend = daemons.ScriptedBackend(b"", reset_at_end=True)
+def test_lost_answer_gives_unknown_outcome_and_no_second_run():
+    backend = daemons.ScriptedBackendServer(b"", reset_at_end=True)
 
     async def scenario(platform, _):
-        async with daemons.serving(platform) as (pool, node):
+        async with daemons.serving_daemon(platform) as (pool, node):
             res = await daemons.get(pool, node)
             assert res.status == 502
             assert backend.runs == 1
 
-    daemons.play(scenario, backend)
+    daemons.run_scenario(scenario, backend)
 
 
 @pytest.mark.parametrize(
@@ -185,24 +196,24 @@
         pytest.param(_HEAD, False, id="in its head"),
     ],
 )
-def test_broken_off_answer_is_not_told_as_complete(answer, reset):
-    backend = daemons.ScriptedBackend(answer, reset_at_end=reset)
+def test_truncated_answer_is_not_passed_on(answer, reset):
+    backend = daemons.ScriptedBackendServer(answer, reset_at_end=reset)
 
     async def scenario(platform, _):
-        async with daemons.serving(platform) as (pool, node):
+        async with daemons.serving_daemon(platform) as (pool, node):
             res = await daemons.get(pool, node)
             assert res.status == 502
             assert backend.runs == 1
 
-    daemons.play(scenario, backend)
+    daemons.run_scenario(scenario, backend)
 
 
-def test_an_answer_without_length_that_ends_is_whole():
-    backend = daemons.ScriptedBackend(_HEAD + b"x-id: 1\r\n\r\nring")
+def test_answer_without_length_is_complete_at_connection_end():
+    backend = daemons.ScriptedBackendServer(_HEAD + b"x-id: 1\r\n\r\nring")
 
     async def scenario(platform, _):
-        async with daemons.serving(platform) as (pool, node):
+        async with daemons.serving_daemon(platform) as (pool, node):
             res = await daemons.get(pool, node)
             assert (res.status, res.content) == (200, b"ring")
 
-    daemons.play(scenario, backend)
+    daemons.run_scenario(scenario, backend)
--- a/dragonflystack/entryd/tests/test_first_news.py
+++ b/dragonflystack/entryd/tests/test_startup_queue.py
@@ -1,10 +1,10 @@
-"""Requests that come while a VM that starts does not know the routes yet."""
+"""Tests requests that arrive before a starting VM knows its routes."""
 
 import anyio
 import httpcore
 import pytest
 
-from dragonflystack.entryd import _first_news
+from dragonflystack.entryd import _startup_queue
 from dragonflystack.entryd.tests import daemons
 
 _REQUEST = (
@@ -13,8 +13,8 @@
 )
 
 
-async def _ask_at_start(tasks, platform):
-    """Starts a daemon; returns it and a connection with a request on it."""
+async def _send_request_at_start(tasks, platform):
+    """Starts a daemon and sends it a request; returns it and the connection."""
     node = daemons.start(tasks, platform, daemons.settings())
     callers = node.settings.callers
     while True:
@@ -27,13 +27,17 @@
     return node, conn
 
 
-def test_a_request_at_the_start_is_kept_until_the_routes_are_known():
-    """All callers come as soon as the port opens after a loss of power."""
+def test_request_during_start_waits_until_routes_are_known():
+    """Guards against rejecting all callers that reconnect after a power loss.
+
+    They send requests as soon as the port opens, before the first read of the
+    store is answered.
+    """
 
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            node, conn = await _ask_at_start(tasks, platform)
+            node, conn = await _send_request_at_start(tasks, platform)
             await anyio.sleep(0.2)
             platform.reads_wait_for.set()
             assert (await conn.receive()).startswith(b"HTTP/1.1 200")
@@ -41,31 +45,31 @@
             await conn.aclose()
             node.stop_asked.set()
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
-def test_a_request_is_rejected_at_once_when_the_store_does_not_answer():
+def test_request_is_rejected_at_once_if_the_store_is_unavailable():
     async def scenario(platform, backend):
-        platform.is_out = True
+        platform.is_unavailable = True
         async with anyio.create_task_group() as tasks:
-            node, conn = await _ask_at_start(tasks, platform)
+            node, conn = await _send_request_at_start(tasks, platform)
             began = node.now()
             answer = await conn.receive()
             assert answer.startswith(b"HTTP/1.1 503")
             assert b"retry-after" in answer
-            assert node.now() - began < _first_news._LONGEST
+            assert node.now() - began < _startup_queue._MAX_WAIT
             assert backend.runs == 0
             await conn.aclose()
             node.stop_asked.set()
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
-def test_a_caller_that_leaves_meanwhile_is_not_served():
+def test_request_of_a_disconnected_caller_is_not_sent():
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            node, conn = await _ask_at_start(tasks, platform)
+            node, conn = await _send_request_at_start(tasks, platform)
             await anyio.sleep(0.1)
             await conn.aclose()
             await daemons.until(lambda: node.in_flight == 0)
@@ -74,28 +78,28 @@
             assert backend.runs == 0
             node.stop_asked.set()
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
 @pytest.mark.parametrize(
-    ("bound", "value"), [("_MAX_REQUESTS", 0), ("_MAX_BYTES", -1)]
+    ("limit", "value"), [("_MAX_REQUESTS", 0), ("_MAX_BODY_BYTES", -1)]
 )
-def test_no_more_are_kept_than_the_bounds_allow(monkeypatch, bound, value):
-    monkeypatch.setattr(_first_news, bound, value)
+def test_request_beyond_the_queue_limits_is_rejected(monkeypatch, limit, value):
+    monkeypatch.setattr(_startup_queue, limit, value)
 
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            node, conn = await _ask_at_start(tasks, platform)
+            node, conn = await _send_request_at_start(tasks, platform)
             assert (await conn.receive()).startswith(b"HTTP/1.1 503")
             await conn.aclose()
             platform.reads_wait_for.set()
             node.stop_asked.set()
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
 
 
-def test_times_of_a_kept_request_count_from_its_arrival():
+def test_deadline_of_a_waiting_request_counts_from_its_arrival():
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         backend.is_silent = True
@@ -103,7 +107,7 @@
             httpcore.AsyncConnectionPool(),
             anyio.create_task_group() as tasks,
         ):
-            node, conn = await _ask_at_start(tasks, platform)
+            node, conn = await _send_request_at_start(tasks, platform)
             began = node.now()
             await anyio.sleep(0.5)
             platform.reads_wait_for.set()
@@ -113,4 +117,4 @@
             await conn.aclose()
             node.stop_asked.set()
 
-    daemons.play(scenario)
+    daemons.run_scenario(scenario)
