--- a/dragonflystack/entryd/__init__.py
+++ b/dragonflystack/entryd/__init__.py
@@ -14,17 +14,17 @@
 from dragonflystack import entry
 from dragonflystack import ids
 from dragonflystack.entryd._answer_reader import AnswerLimits
+from dragonflystack.entryd._daemon import Daemon
+from dragonflystack.entryd._daemon import Endpoint
+from dragonflystack.entryd._daemon import Settings
 from dragonflystack.entryd._dialect import Dialect
 from dragonflystack.entryd._event_log import EventLog
 from dragonflystack.entryd._metrics import Metrics
-from dragonflystack.entryd._node import Endpoint
-from dragonflystack.entryd._node import Node
-from dragonflystack.entryd._node import Settings
 from dragonflystack.entryd._platform import HistoryLost
-from dragonflystack.entryd._platform import OperatorNews
+from dragonflystack.entryd._platform import OperatorUpdate
 from dragonflystack.entryd._platform import Platform
-from dragonflystack.entryd._platform import ServerNews
-from dragonflystack.entryd._platform import Skipped
+from dragonflystack.entryd._platform import ServerUpdate
+from dragonflystack.entryd._platform import SkippedRow
 from dragonflystack.entryd._run import Apps
 from dragonflystack.entryd._run import run
 
@@ -34,18 +34,18 @@
     "Dialect",
     "Endpoint",
     "HistoryLost",
-    "Node",
-    "OperatorNews",
+    "Daemon",
+    "OperatorUpdate",
     "Platform",
-    "ServerNews",
+    "ServerUpdate",
     "Settings",
-    "Skipped",
-    "make_node",
+    "SkippedRow",
+    "make_daemon",
     "run",
 ]
 
 
-def make_node(cfg: Settings, dialect: Dialect) -> Node:
+def make_daemon(cfg: Settings, dialect: Dialect) -> Daemon:
     """Returns the initial state of a daemon."""
     now = clock.SystemClock()
     own = entry.VmAddress(
@@ -62,4 +62,4 @@
     )
     vm.freshness.on_start(now.monotonic())
     event_log = EventLog(sys.stdout.fileno(), now)
-    return Node(cfg, dialect, now, vm, event_log, Metrics())
+    return Daemon(cfg, dialect, now, vm, event_log, Metrics())
--- a/dragonflystack/entryd/_apply.py
+++ b/dragonflystack/entryd/_apply.py
@@ -2,31 +2,33 @@
 
 from dragonflystack import entry
 from dragonflystack import ids
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _node
 
 
-def after_update(node: _node.Node, before: entry.Position) -> None:
+def after_update(daemon: _daemon.Daemon, before: entry.Position) -> None:
     """Updates the phase; requests a heartbeat if the position advanced.
 
     Args:
-        node: the state of the process.
+        daemon: the state of the process.
         before: the position before the update was applied.
     """
-    node.update_phase()
-    if node.vm.log.position != before:
-        node.heartbeat_requested.set()
+    daemon.update_phase()
+    if daemon.vm.log.position != before:
+        daemon.heartbeat_requested.set()
 
 
 def adopt_catalogue(
-    node: _node.Node, catalogue: entry.Catalogue, source: str
+    daemon: _daemon.Daemon, catalogue: entry.Catalogue, source: str
 ) -> None:
     """Puts a catalogue in force unless the current one is as new."""
-    before = node.vm.catalogue
-    behind_ms = _event_log.milliseconds(node.vm.freshness.behind(node.now()))
-    if node.vm.on_catalogue(catalogue):
-        node.log_event(
+    before = daemon.vm.catalogue
+    behind_ms = _event_log.milliseconds(
+        daemon.vm.freshness.replication_lag(daemon.now())
+    )
+    if daemon.vm.on_catalogue(catalogue):
+        daemon.log_event(
             _events.Event.CATALOGUE_ADOPTED,
             version=catalogue.version,
             before=None if before is None else before.version,
@@ -37,19 +39,21 @@
 
 
 def set_evacuated(
-    node: _node.Node, domains: frozenset[ids.FailureDomainId], source: str
+    daemon: _daemon.Daemon, domains: frozenset[ids.FailureDomainId], source: str
 ) -> None:
     """Replaces the set of evacuated failure domains, which get no requests."""
-    if domains != node.vm.evacuated:
-        node.vm.on_evacuated(domains, node.now())
-        node.log_event(
+    if domains != daemon.vm.evacuated:
+        daemon.vm.on_evacuated(domains, daemon.now())
+        daemon.log_event(
             _events.Event.EVACUATION_CHANGED,
             domains=sorted(domains),
             source=source,
         )
 
 
-def log_server_changes(node: _node.Node, changes: entry.Changes) -> None:
+def log_server_changes(
+    daemon: _daemon.Daemon, changes: entry.ServerChanges
+) -> None:
     """Logs the backend servers that were added, are leaving or are gone."""
     for event, servers in (
         (_events.Event.SERVER_ADDED, changes.added),
@@ -57,7 +61,7 @@
         (_events.Event.SERVER_GONE, changes.gone),
     ):
         for server in servers:
-            node.log_event(
+            daemon.log_event(
                 event,
                 server=server.entry.id,
                 service=server.entry.service,
--- a/dragonflystack/entryd/_callers_port.py
+++ b/dragonflystack/entryd/_callers_port.py
@@ -8,10 +8,10 @@
 from dragonflystack import ids
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _exchange_runner
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _startup_queue
 
 _ACCEPT_ALL_FRACTION = 0.45
@@ -36,38 +36,38 @@
 class CallersApp:
     """The ASGI app of the callers' port."""
 
-    def __init__(self, node: _node.Node, pool: _connections.Pool):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon, pool: _connections.Pool):
+        self._daemon = daemon
         self._pool = pool
-        self._startup_queue = _startup_queue.StartupQueue(node)
+        self._startup_queue = _startup_queue.StartupQueue(daemon)
 
     async def __call__(
         self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         """Handles one request."""
-        self._node.in_flight += 1
+        self._daemon.in_flight += 1
         try:
             await self._serve(scope, receive, send)
         finally:
-            self._node.in_flight -= 1
+            self._daemon.in_flight -= 1
 
     async def _serve(
         self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
-        node = self._node
-        started_at = node.now()
-        catalogue = node.vm.catalogue
+        daemon = self._daemon
+        started_at = daemon.now()
+        catalogue = daemon.vm.catalogue
         limits = entry.CallerLimits() if catalogue is None else catalogue.limits
         try:
             body = await _asgi.read_body(receive, limits.max_body_bytes)
         except _asgi.CallerGoneError:
-            node.log_event(
+            daemon.log_event(
                 _events.Event.REQUEST_DROPPED,
                 reason=entry.Reason.CALLER_GONE.value,
             )
             return
         except _asgi.BodyTooLargeError:
-            node.log_event(
+            daemon.log_event(
                 _events.Event.REQUEST_REJECTED,
                 reason=entry.Reason.TOO_LARGE.value,
             )
@@ -83,11 +83,11 @@
         ):
             step = entry.Drop()
         elif not self._is_rejected_by_stop(request):
-            exchange, step = node.vm.open(request, node.now(), started_at)
+            exchange, step = daemon.vm.open(request, daemon.now(), started_at)
         answer: _answer_reader.Answer | None = None
         if exchange is not None:
             runner = _exchange_runner.ExchangeRunner(
-                node, self._pool, scope, receive, request, exchange, body
+                daemon, self._pool, scope, receive, request, exchange, body
             )
             step = await runner.run(step)
             answer = runner.answer
@@ -100,17 +100,17 @@
         During the first part of the grace period all requests are accepted;
         after it only those whose deadline is before the VM's exit.
         """
-        stop_began_at = self._node.leaving_since
+        stop_began_at = self._daemon.leaving_since
         if stop_began_at is None:
             return False
-        grace = self._node.vm.bounds.grace
-        since_stop = self._node.now() - stop_began_at
+        grace = self._daemon.vm.bounds.grace
+        since_stop = self._daemon.now() - stop_began_at
         if since_stop < grace * _ACCEPT_ALL_FRACTION:
             return False
         time_left = request.time_left
         return (
             time_left is None
-            or since_stop + time_left > grace - _node.EXIT_BEFORE_KILL
+            or since_stop + time_left > grace - _daemon.EXIT_BEFORE_KILL
         )
 
     def _log_outcome(
@@ -121,17 +121,17 @@
         answer: _answer_reader.Answer | None,
         started_at: datetime.timedelta,
     ) -> None:
-        node = self._node
-        elapsed = node.now() - started_at
+        daemon = self._daemon
+        elapsed = daemon.now() - started_at
         event = _OUTCOME_EVENTS[type(step)]
         status = None
         if isinstance(step, entry.Deliver) and answer is not None:
             status = answer.status
-        node.metrics.time("request", elapsed, outcome=event.value)
+        daemon.metrics.time("request", elapsed, outcome=event.value)
         retry_after = getattr(step, "retry_after", None)
         reason = getattr(step, "reason", None)
         is_denied = isinstance(step, entry.Unauthorized)
-        node.log_event(
+        daemon.log_event(
             event,
             request=request.id,
             route=_route_id(exchange, step),
@@ -142,12 +142,12 @@
             took_ms=_event_log.milliseconds(elapsed),
             caller_left_ms=_event_log.milliseconds(request.time_left),
             retry_after_ms=_event_log.milliseconds(retry_after),
-            catalogue=node.catalogue_version,
+            catalogue=daemon.catalogue_version,
             **({"key_digest": request.customer_key} if is_denied else {}),
         )
 
     def _parse_request(self, scope: _asgi.Scope) -> entry.Request:
-        dialect = self._node.dialect
+        dialect = self._daemon.dialect
         request_id = ""
         host = ""
         time_left: datetime.timedelta | None = None
@@ -187,9 +187,9 @@
 
 def _customer_id(exchange: entry.Exchange | None) -> ids.CustomerId | None:
     """Returns the id of the request's customer, None if there is none."""
-    if exchange is None or exchange.wanted.customer is None:
+    if exchange is None or exchange.requirements.customer is None:
         return None
-    return exchange.wanted.customer.id
+    return exchange.requirements.customer.id
 
 
 async def _reply(
--- a/dragonflystack/entryd/_node.py
+++ b/dragonflystack/entryd/_daemon.py
@@ -69,7 +69,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Node:
+class Daemon:
     """State that the parts of one daemon process share."""
 
     settings: Settings
@@ -78,7 +78,7 @@
     vm: entry.EntryVm
     event_log: _event_log.EventLog
     metrics: _metrics.Metrics
-    stop_asked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    stop_requested: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     leaving_since: datetime.timedelta | None = None
     """When a planned stop began; None before it."""
 
@@ -90,7 +90,9 @@
     )
     """Set to restart the watches of the store."""
 
-    news_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    update_available: anyio.Event = dataclasses.field(
+        default_factory=anyio.Event
+    )
     """Set when another VM has newer rows."""
 
     update_source: Endpoint | None = None
@@ -151,9 +153,9 @@
     def update_phase(self) -> None:
         """Starts to serve once routes and backend servers are known."""
         members = self.vm.members
-        if self.vm.is_informed:
+        if self.vm.has_initial_state:
             self.initial_sync_done.set()
-        if members.phase is entry.Phase.STARTING and self.vm.is_informed:
+        if members.phase is entry.Phase.STARTING and self.vm.has_initial_state:
             members.phase = entry.Phase.SERVING
             self.log_event(_events.Event.READY_CHANGED, ready=True)
 
--- a/dragonflystack/entryd/_exchange_runner.py
+++ b/dragonflystack/entryd/_exchange_runner.py
@@ -9,9 +9,9 @@
 from dragonflystack import entry
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _server_reports
 
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=350)
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        node: _node.Node,
+        daemon: _daemon.Daemon,
         pool: _connections.Pool,
         scope: _asgi.Scope,
         receive: _asgi.Receive,
@@ -55,7 +55,7 @@
         exchange: entry.Exchange,
         body: bytes,
     ):
-        self._node = node
+        self._daemon = daemon
         self._pool = pool
         self._scope = scope
         self._receive = receive
@@ -81,9 +81,9 @@
                     else:
                         result = outcome
                 if attempt is not None:
-                    left = self._exchange.deadline - self._node.now()
-                    patience = min(step.patience, left)
-                    result = await self._await_result(attempt, patience)
+                    left = self._exchange.deadline - self._daemon.now()
+                    answer_timeout = min(step.answer_timeout, left)
+                    result = await self._await_result(attempt, answer_timeout)
                 assert result is not None
                 step = self._apply_result(result)
                 if (
@@ -95,7 +95,7 @@
         except BaseException:
             if attempt is not None:
                 self._abandon(attempt)
-            self._exchange.on_result(entry.CallerGone(), self._node.now())
+            self._exchange.on_result(entry.CallerGone(), self._daemon.now())
             raise
         finally:
             if self._caller_watch is not None:
@@ -108,14 +108,14 @@
         assert server is not None
         was_suspect = server.suspect_since is not None
         was_leaving = server.entry.leaving
-        backoff_before = server.asked_wait_until
-        step = exchange.on_result(result, self._node.now())
+        backoff_before = server.backoff_until
+        step = exchange.on_result(result, self._daemon.now())
         if not was_suspect and server.suspect_since is not None:
             self._log_suspect(server, result)
         if server.entry.leaving and not was_leaving:
-            _server_reports.log_leaving(self._node, server, "answer")
-        if server.asked_wait_until != backoff_before:
-            _server_reports.log_requested_backoff(self._node, server)
+            _server_reports.log_leaving(self._daemon, server, "answer")
+        if server.backoff_until != backoff_before:
+            _server_reports.log_requested_backoff(self._daemon, server)
         if isinstance(result, entry.Answered) and isinstance(
             step, entry.Deliver
         ):
@@ -125,10 +125,10 @@
             if isinstance(result, entry.Silent)
             else _events.Event.SEND_FAILED
         )
-        self._node.log_event(
+        self._daemon.log_event(
             event,
             request=self._request.id,
-            service=exchange.wanted.service,
+            service=exchange.requirements.service,
             server=server.entry.id,
             result=type(result).__name__,
             detail=getattr(result, "reason", getattr(result, "status", None)),
@@ -137,8 +137,8 @@
         return step
 
     def _log_suspect(self, server: entry.Server, result: entry.Result) -> None:
-        heard_age = self._node.now() - server.last_heard
-        self._node.log_event(
+        heard_age = self._daemon.now() - server.last_response_at
+        self._daemon.log_event(
             _events.Event.SERVER_SUSPECT,
             server=server.entry.id,
             service=server.entry.service,
@@ -158,7 +158,7 @@
             server.entry.port,
         )
         self._log_attempt(step)
-        started_at = self._node.now()
+        started_at = self._daemon.now()
         conn = self._pool.take_idle(address, self._max_idle())
         if conn is None:
             try:
@@ -166,10 +166,10 @@
             except _connections.ConnectError as exc:
                 self._pool.close_idle(address)
                 return entry.ConnectFailed(str(exc))
-            took = self._node.now() - started_at
-            self._node.vm.dispatch.on_round_trip(server, took)
-            self._node.metrics.count("connections-opened")
-        now = self._node.now()
+            took = self._daemon.now() - started_at
+            self._daemon.vm.dispatch.on_round_trip(server, took)
+            self._daemon.metrics.count("connections-opened")
+        now = self._daemon.now()
         if not self._exchange.may_write(now):
             # While connecting, the process was paused or an update arrived.
             self._pool.release(address, conn)
@@ -179,9 +179,11 @@
         return _Attempt(server, address, conn, answer)
 
     async def _await_result(
-        self, attempt: _Attempt, patience: datetime.timedelta
+        self, attempt: _Attempt, answer_timeout: datetime.timedelta
     ) -> entry.Result:
-        is_answered = await self._wait_for_answer(attempt.answer, patience)
+        is_answered = await self._wait_for_answer(
+            attempt.answer, answer_timeout
+        )
         if not is_answered:
             if self._caller_watch is not None and self._caller_watch.done():
                 return entry.CallerGone()
@@ -198,14 +200,14 @@
     async def _wait_for_answer(
         self,
         answer: "asyncio.Future[_answer_reader.Answer]",
-        patience: datetime.timedelta,
+        answer_timeout: datetime.timedelta,
     ) -> bool:
         """Waits for an answer; returns whether it arrived.
 
         The caller's connection is watched only during a long wait, because
         watching needs a task.
         """
-        left = max(0.0, patience.total_seconds())
+        left = max(0.0, answer_timeout.total_seconds())
         if self._caller_watch is None:
             unwatched = min(_WATCH_CALLER_AFTER_S, left)
             await asyncio.wait((answer,), timeout=unwatched)
@@ -236,7 +238,7 @@
     def _classify(
         self, answer: _answer_reader.Answer, server: entry.Server
     ) -> entry.Result:
-        dialect = self._node.dialect
+        dialect = self._daemon.dialect
         self.answer = answer
         load = answer.header(dialect.load)
         result = entry.Answered(
@@ -244,9 +246,9 @@
             not_run=answer.header(dialect.not_run) is not None,
             wrong_server=answer.status == dialect.wrong_server_status,
             load=None if load is None else dialect.read_load(load),
-            leaving=_server_reports.reports_leaving(self._node, answer),
-            asked_wait=_server_reports.requested_backoff(
-                self._node, answer, server
+            leaving=_server_reports.reports_leaving(self._daemon, answer),
+            requested_backoff=_server_reports.requested_backoff(
+                self._daemon, answer, server
             ),
         )
         if answer.status in _SUCCESS:
@@ -264,7 +266,7 @@
     def _build_request(
         self, step: entry.Send, left: datetime.timedelta
     ) -> _answer_reader.OutgoingRequest:
-        dialect = self._node.dialect
+        dialect = self._daemon.dialect
         scope = self._scope
         method = scope["method"].encode("ascii")
         lines = [method + b" " + _request_target(scope) + b" HTTP/1.1"]
@@ -276,7 +278,7 @@
         lines.append(dialect.time_left_ms + b": %d" % left_ms)
         expected = step.server.entry.id.encode("latin-1")
         lines.append(dialect.expected_server + b": " + expected)
-        customer = self._exchange.wanted.customer
+        customer = self._exchange.requirements.customer
         if customer is not None:
             name = customer.id.encode("ascii")
             lines.append(dialect.customer + b": " + name)
@@ -290,29 +292,29 @@
 
     def _reserved_headers(self) -> tuple[bytes, ...]:
         """Returns the names of headers that are not forwarded from callers."""
-        dialect = self._node.dialect
+        dialect = self._daemon.dialect
         reserved = (dialect.time_left_ms, dialect.expected_server)
-        if self._exchange.wanted.hides_key:
+        if self._exchange.requirements.strips_key_headers:
             return (*reserved, dialect.customer_key, dialect.customer)
         return reserved
 
     def _log_attempt(self, step: entry.Send) -> None:
-        node = self._node
+        daemon = self._daemon
         exchange = self._exchange
-        now = node.now()
+        now = daemon.now()
         sent = exchange.sends[-1]
         again = len(exchange.sends) > 1
-        node.metrics.count("sends", again=str(again).lower())
+        daemon.metrics.count("sends", again=str(again).lower())
         event = (
             _events.Event.REQUEST_SENT_AGAIN
             if again
             else _events.Event.REQUEST_SENT
         )
-        node.log_event(
+        daemon.log_event(
             event,
             request=self._request.id,
             route=exchange.route.id,
-            service=exchange.wanted.service,
+            service=exchange.requirements.service,
             server=sent.server,
             region=step.server.region,
             object=self._request.object_key,
@@ -320,9 +322,13 @@
             load=round(step.server.load(now), 2),
             expected_ms=_event_log.milliseconds(sent.expected),
             left_ms=_event_log.milliseconds(step.time_left),
-            entry_age_ms=_event_log.milliseconds(now - step.server.learned_at),
-            heard_age_ms=_event_log.milliseconds(now - step.server.last_heard),
-            catalogue=node.catalogue_version,
+            entry_age_ms=_event_log.milliseconds(
+                now - step.server.entry_confirmed_at
+            ),
+            heard_age_ms=_event_log.milliseconds(
+                now - step.server.last_response_at
+            ),
+            catalogue=daemon.catalogue_version,
         )
 
 
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from dragonflystack import entry
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _server_reports
 
 _encoder = msgspec.msgpack.Encoder()
@@ -23,8 +23,8 @@
 class Heartbeats(asyncio.DatagramProtocol):
     """Sends and receives heartbeats."""
 
-    def __init__(self, node: _node.Node):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon):
+        self._daemon = daemon
         self._transport: asyncio.DatagramTransport | None = None
         self._alive_phases: dict[str, entry.Phase] = {}
 
@@ -34,7 +34,7 @@
         Raises:
             OSError: if the port is in use.
         """
-        peers = self._node.settings.peers
+        peers = self._daemon.settings.peers
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=(peers.host, peers.port)
@@ -46,53 +46,55 @@
 
     def datagram_received(self, data, addr):
         """Processes a heartbeat; malformed ones are logged and skipped."""
-        node = self._node
+        daemon = self._daemon
         try:
             beat = _decoder.decode(data)
         except msgspec.MsgspecError as exc:
-            node.log_event(
+            daemon.log_event(
                 _events.Event.ENTRY_SKIPPED,
                 source="heartbeat",
                 peer=str(addr),
                 reason=str(exc),
             )
             return
-        now = node.now()
+        now = daemon.now()
         try:
-            member = node.vm.members.on_heartbeat(beat, now)
+            member = daemon.vm.members.on_heartbeat(beat, now)
         except entry.UnknownVmError:
-            self._send(_node.Endpoint(*addr), answer_wanted=True)
+            self._send(_daemon.Endpoint(*addr), reply_requested=True)
             return
-        if beat.answer_wanted:
-            self._send(_node.Endpoint(*addr), introduce=True)
+        if beat.reply_requested:
+            self._send(_daemon.Endpoint(*addr), include_address=True)
         if member is not None:
-            node.log_event(
+            daemon.log_event(
                 _events.Event.VM_HEARD,
                 peer=beat.vm,
                 phase=beat.phase.value,
                 incarnation=beat.incarnation,
             )
-        node.vm.dispatch.on_sightings(beat.loads, beat.learnt, now)
-        for server in node.vm.on_departures(beat.departures, now):
-            _server_reports.log_leaving(node, server, beat.vm)
-        if node.vm.freshness.on_beat(beat, now):
-            node.heartbeat_requested.set()
-        if node.vm.lacks(beat.position):
-            node.update_source = _node.Endpoint(*addr)
-            node.news_poke.set()
+        daemon.vm.dispatch.on_observations(beat.loads, beat.cached_objects, now)
+        for server in daemon.vm.on_departures(beat.departures, now):
+            _server_reports.log_leaving(daemon, server, beat.vm)
+        if daemon.vm.freshness.on_heartbeat(beat, now):
+            daemon.heartbeat_requested.set()
+        if daemon.vm.is_behind(beat.position):
+            daemon.update_source = _daemon.Endpoint(*addr)
+            daemon.update_available.set()
 
     def error_received(self, exc):
         """Ignores a refused datagram: nothing listens at that address now."""
 
     def send_all(self) -> None:
         """Sends a heartbeat to each of this VM's receivers."""
-        now = self._node.now()
-        for member, is_near in self._node.vm.members.receivers(now):
+        now = self._daemon.now()
+        for member, is_neighbour in self._daemon.vm.members.heartbeat_targets(
+            now
+        ):
             address = member.address
             try:
-                peer = _node.Endpoint.parse(address.peers)
+                peer = _daemon.Endpoint.parse(address.peers)
             except ValueError as exc:
-                self._node.log_event(
+                self._daemon.log_event(
                     _events.Event.ENTRY_SKIPPED,
                     source="vm",
                     peer=address.vm,
@@ -100,38 +102,46 @@
                 )
                 continue
             is_new = address.vm not in self._alive_phases
-            self._send(peer, is_near, answer_wanted=is_new, introduce=is_new)
+            self._send(
+                peer,
+                is_neighbour,
+                reply_requested=is_new,
+                include_address=is_new,
+            )
 
     async def run(self) -> None:
         """Sends heartbeats periodically, and early if one is requested."""
-        node = self._node
+        daemon = self._daemon
         while True:
             self._log_silent()
             self.send_all()
-            node.heartbeat_requested = anyio.Event()
+            daemon.heartbeat_requested = anyio.Event()
             with anyio.move_on_after(entry.HEARTBEAT_EVERY.total_seconds()):
-                await node.heartbeat_requested.wait()
+                await daemon.heartbeat_requested.wait()
                 await anyio.sleep(_COALESCE_S)
 
     def _send(
         self,
-        peer: _node.Endpoint,
-        is_near: bool = True,
-        answer_wanted: bool = False,
-        introduce: bool = False,
+        peer: _daemon.Endpoint,
+        is_neighbour: bool = True,
+        reply_requested: bool = False,
+        include_address: bool = False,
     ) -> None:
         if self._transport is None:
             return
-        node = self._node
-        beat = node.vm.heartbeat(
-            node.now(), is_near, answer_wanted, introduce or answer_wanted
+        daemon = self._daemon
+        beat = daemon.vm.heartbeat(
+            daemon.now(),
+            is_neighbour,
+            reply_requested,
+            include_address or reply_requested,
         )
         self._transport.sendto(_encoder.encode(beat), (peer.host, peer.port))
 
     def _log_silent(self) -> None:
-        node = self._node
-        now = node.now()
-        alive = {m.address.vm: m for m in node.vm.members.alive(now)}
+        daemon = self._daemon
+        now = daemon.now()
+        alive = {m.address.vm: m for m in daemon.vm.members.alive(now)}
         for vm in self._alive_phases.keys() - alive.keys():
-            node.log_event(_events.Event.VM_SILENT, peer=vm)
+            daemon.log_event(_events.Event.VM_SILENT, peer=vm)
         self._alive_phases = {vm: m.phase for vm, m in alive.items()}
--- a/dragonflystack/entryd/_peer_sync.py
+++ b/dragonflystack/entryd/_peer_sync.py
@@ -7,8 +7,8 @@
 
 from dragonflystack import entry
 from dragonflystack.entryd import _apply
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _update_requests
 
 _HEDGE_AFTER = datetime.timedelta(milliseconds=500)
@@ -22,8 +22,8 @@
 class PeerSync:
     """Keeps this VM up to date with VMs that have a later position."""
 
-    def __init__(self, node: _node.Node):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon):
+        self._daemon = daemon
         self._pool = httpcore.AsyncConnectionPool(max_connections=4)
 
     async def aclose(self) -> None:
@@ -32,15 +32,15 @@
 
     async def run(self) -> None:
         """Fetches updates from VMs that announce a later position, for ever."""
-        node = self._node
+        daemon = self._daemon
         while True:
-            await node.news_poke.wait()
-            node.news_poke = anyio.Event()
-            peer = node.update_source
+            await daemon.update_available.wait()
+            daemon.update_available = anyio.Event()
+            peer = daemon.update_source
             if peer is not None and not await self._fetch_hedged(peer):
                 await anyio.sleep(_RETRY_PAUSE.total_seconds())
 
-    async def _fetch_hedged(self, peer: _node.Endpoint) -> bool:
+    async def _fetch_hedged(self, peer: _daemon.Endpoint) -> bool:
         """Fetches an update from a VM, hedged with a request to another one.
 
         The second request is sent if the first takes long, for example because
@@ -55,7 +55,7 @@
         is_fetched = False
         async with anyio.create_task_group() as tasks:
 
-            async def fetch(source: _node.Endpoint) -> None:
+            async def fetch(source: _daemon.Endpoint) -> None:
                 nonlocal is_fetched
                 if await self._fetch_and_apply(source):
                     is_fetched = True
@@ -71,60 +71,64 @@
             tasks.start_soon(fetch_from_other)
         return is_fetched
 
-    def _pick_other_ahead(self, peer: _node.Endpoint) -> _node.Endpoint | None:
-        vm = self._node.vm
+    def _pick_other_ahead(
+        self, peer: _daemon.Endpoint
+    ) -> _daemon.Endpoint | None:
+        vm = self._daemon.vm
         others = [
-            _node.Endpoint.parse(member.address.peers)
-            for member in vm.members.alive(self._node.now())
-            if member.beat is not None and vm.lacks(member.beat.position)
+            _daemon.Endpoint.parse(member.address.peers)
+            for member in vm.members.alive(self._daemon.now())
+            if member.beat is not None and vm.is_behind(member.beat.position)
         ]
         others = [other for other in others if other != peer]
         return vm.rng.choice(others) if others else None
 
     async def _fetch_and_apply(
-        self, peer: _node.Endpoint, with_vms: bool = False
+        self, peer: _daemon.Endpoint, with_vms: bool = False
     ) -> bool:
         """Fetches an update and applies it; returns whether that succeeded."""
-        node = self._node
+        daemon = self._daemon
         update = await _update_requests.request_update(
-            node, self._pool, peer, with_vms
+            daemon, self._pool, peer, with_vms
         )
         if update is None:
             return False
         news = update.news
-        node.on_store_era(entry.era_of(news.position.latest), str(peer))
-        was_informed = node.vm.is_informed
+        daemon.on_store_era(entry.era_of(news.position.latest), str(peer))
+        was_informed = daemon.vm.has_initial_state
         if update.vms:
-            node.vm.members.on_list(update.vms, of_all_regions=False)
+            daemon.vm.members.on_vm_list(update.vms, of_all_regions=False)
         if news.catalogue is not None:
-            _apply.adopt_catalogue(node, news.catalogue, str(peer))
-        before = node.vm.log.position
+            _apply.adopt_catalogue(daemon, news.catalogue, str(peer))
+        before = daemon.vm.log.position
         if news.position.operators >= before.operators:
-            _apply.set_evacuated(node, news.evacuated, str(peer))
-        _apply.log_server_changes(node, node.vm.on_news(news, node.now()))
+            _apply.set_evacuated(daemon, news.evacuated, str(peer))
+        _apply.log_server_changes(
+            daemon, daemon.vm.on_replicated_changes(news, daemon.now())
+        )
         if not was_informed:
-            node.log_event(
+            daemon.log_event(
                 _events.Event.STATE_FROM_PEER,
                 peer=str(peer),
                 servers=len(news.entries),
             )
-        _apply.after_update(node, before)
+        _apply.after_update(daemon, before)
         return True
 
     async def bootstrap_from_peers(self) -> None:
         """Fetches the state from any reachable VM, unless it is known."""
-        node = self._node
-        if node.vm.is_informed:
+        daemon = self._daemon
+        if daemon.vm.has_initial_state:
             return
         await self._try_each_peer()
-        node.initial_sync_done.set()
+        daemon.initial_sync_done.set()
 
     async def _try_each_peer(self) -> None:
-        node = self._node
-        alive = node.vm.members.alive(node.now())
-        peers = [_node.Endpoint.parse(m.address.peers) for m in alive]
-        own = node.settings.peers
-        seeds = [seed for seed in node.settings.seeds if seed != own]
+        daemon = self._daemon
+        alive = daemon.vm.members.alive(daemon.now())
+        peers = [_daemon.Endpoint.parse(m.address.peers) for m in alive]
+        own = daemon.settings.peers
+        seeds = [seed for seed in daemon.settings.seeds if seed != own]
         for peer in (*peers, *seeds):
             if await self._fetch_and_apply(peer, with_vms=True):
                 return
--- a/dragonflystack/entryd/_peers_port.py
+++ b/dragonflystack/entryd/_peers_port.py
@@ -1,14 +1,14 @@
 """The port for other VMs and operators: serves updates and a state dump."""
 
 from dragonflystack import _asgi
-from dragonflystack.entryd import _node
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _update_codec
 from dragonflystack.entryd import _update_requests
 
 DUMP_PATH = "/v1/dump"
 
 
-def make_app(node: _node.Node) -> _asgi.App:
+def make_app(daemon: _daemon.Daemon) -> _asgi.App:
     """Returns the ASGI app of the peers' port."""
     encoder = _update_codec.UpdateEncoder()
 
@@ -17,21 +17,21 @@
     ) -> None:
         if (
             scope["path"] == _update_requests.UPDATE_PATH
-            and node.vm.is_informed
+            and daemon.vm.has_initial_state
         ):
-            await _update_requests.serve_update(node, encoder, scope, send)
+            await _update_requests.serve_update(daemon, encoder, scope, send)
         elif scope["path"] == DUMP_PATH:
-            await _asgi.send_json(send, dump(node))
+            await _asgi.send_json(send, dump(daemon))
         else:
             await _asgi.send_problem(send, 404, "no such path or no news yet")
 
     return app
 
 
-def dump(node: _node.Node) -> dict:
+def dump(daemon: _daemon.Daemon) -> dict:
     """Returns the state of the process for operators; times are ages."""
-    vm = node.vm
-    now = node.now()
+    vm = daemon.vm
+    now = daemon.now()
     servers = [
         {
             "id": server.entry.id,
@@ -43,15 +43,19 @@
             "suspect": server.suspect_since is not None,
             "asked_wait_s": max(
                 0.0,
-                round((server.asked_wait_until - now).total_seconds(), 3),
+                round((server.backoff_until - now).total_seconds(), 3),
             ),
             "in_flight": server.in_flight,
             "load": round(server.load(now), 2),
             "failure_rate": round(server.failure_rate(now), 3),
-            "entry_age_s": round((now - server.learned_at).total_seconds(), 3),
-            "heard_age_s": round((now - server.last_heard).total_seconds(), 3),
+            "entry_age_s": round(
+                (now - server.entry_confirmed_at).total_seconds(), 3
+            ),
+            "heard_age_s": round(
+                (now - server.last_response_at).total_seconds(), 3
+            ),
         }
-        for server in vm.book.all()
+        for server in vm.registry.all()
     ]
     members = [
         {
@@ -62,7 +66,7 @@
             else round((now - member.heard_at).total_seconds(), 3),
             "news_age_ms": None
             if member.beat is None
-            else member.beat.news_age_ms,
+            else member.beat.store_view_age_ms,
         }
         for member in vm.members.alive(now)
     ]
@@ -75,7 +79,7 @@
         "list_age_s": None
         if read_at is None
         else round((now - read_at).total_seconds(), 3),
-        "in_flight": node.in_flight,
+        "in_flight": daemon.in_flight,
         "servers": servers,
         "members": members,
     }
--- a/dragonflystack/entryd/_platform.py
+++ b/dragonflystack/entryd/_platform.py
@@ -10,7 +10,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Skipped:
+class SkippedRow:
     """A row that could not be used."""
 
     key: str
@@ -23,7 +23,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class OperatorNews:
+class OperatorUpdate:
     """A snapshot of the operators' rows, or changes to them."""
 
     version: int
@@ -43,14 +43,14 @@
     evacuated: frozenset[ids.FailureDomainId]
     """Failure domains that operators evacuated."""
 
-    taken_back: frozenset[ids.FailureDomainId] = frozenset()
+    evacuation_ended: frozenset[ids.FailureDomainId] = frozenset()
     """Failure domains whose evacuation operators ended."""
 
-    skipped: tuple[Skipped, ...] = ()
+    skipped: tuple[SkippedRow, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ServerNews:
+class ServerUpdate:
     """A snapshot of the backend servers' rows, or changes to them."""
 
     version: int
@@ -60,7 +60,7 @@
     """The version of the latest included row, 0 if there is none."""
 
     listing: entry.Listing
-    skipped: tuple[Skipped, ...] = ()
+    skipped: tuple[SkippedRow, ...] = ()
 
 
 class Platform(Protocol):
@@ -71,12 +71,12 @@
     versions are of this era; an answer of an earlier one counts as a failed
     call."""
 
-    async def read_operators(self) -> OperatorNews | storage.Unavailable:
+    async def read_operators(self) -> OperatorUpdate | storage.Unavailable:
         """Reads all rows of operators."""
 
     async def watch_operators(
         self, after: int, wait: datetime.timedelta
-    ) -> OperatorNews | HistoryLost | storage.Unavailable:
+    ) -> OperatorUpdate | HistoryLost | storage.Unavailable:
         """Waits for changes to the rows of operators.
 
         Args:
@@ -87,12 +87,12 @@
             The changes, which are empty if there were none in time.
         """
 
-    async def read_servers(self) -> ServerNews | storage.Unavailable:
+    async def read_servers(self) -> ServerUpdate | storage.Unavailable:
         """Reads all rows of backend servers."""
 
     async def watch_servers(
         self, after: int, wait: datetime.timedelta
-    ) -> ServerNews | HistoryLost | storage.Unavailable:
+    ) -> ServerUpdate | HistoryLost | storage.Unavailable:
         """Waits for changes to backend servers' rows; see `watch_operators`."""
 
     async def register(self, address: entry.VmAddress) -> storage.WriteResult:
--- a/dragonflystack/entryd/_probes.py
+++ b/dragonflystack/entryd/_probes.py
@@ -12,9 +12,9 @@
 from dragonflystack import entry
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _server_reports
 
 _PROBE_INTERVAL = datetime.timedelta(milliseconds=700)
@@ -25,30 +25,30 @@
 class Prober:
     """Probes the backend servers that are suspect."""
 
-    def __init__(self, node: _node.Node, pool: _connections.Pool):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon, pool: _connections.Pool):
+        self._daemon = daemon
         self._pool = pool
 
     async def run(self) -> None:
         """Probes suspect backend servers periodically, with jitter."""
-        node = self._node
+        daemon = self._daemon
         while True:
-            jitter = 0.75 + 0.5 * node.vm.rng.random()
+            jitter = 0.75 + 0.5 * daemon.vm.rng.random()
             await anyio.sleep(_PROBE_INTERVAL.total_seconds() * jitter)
-            now = node.now()
+            now = daemon.now()
             suspects = [
                 server
-                for server in node.vm.book.all()
+                for server in daemon.vm.registry.all()
                 if server.suspect_since is not None
-                and server.may_get_requests(now)
+                and server.accepts_requests(now)
             ]
             async with anyio.create_task_group() as tasks:
                 for server in suspects:
                     tasks.start_soon(self._probe, server)
 
     async def _probe(self, server: entry.Server) -> None:
-        node = self._node
-        node.metrics.count("probes")
+        daemon = self._daemon
+        daemon.metrics.count("probes")
         try:
             with anyio.fail_after(_PROBE_TIMEOUT.total_seconds()):
                 answer = await self._request_health(server)
@@ -58,10 +58,10 @@
             _answer_reader.BrokenError,
             _answer_reader.CorruptError,
         ) as exc:
-            node.metrics.count("probes-failed", why=type(exc).__name__)
+            daemon.metrics.count("probes-failed", why=type(exc).__name__)
             return
-        now = node.now()
-        answering_id = answer.header(node.dialect.server_id)
+        now = daemon.now()
+        answering_id = answer.header(daemon.dialect.server_id)
         if (
             answering_id is not None
             and answering_id.decode("latin-1") != server.entry.id
@@ -72,16 +72,16 @@
         suspect_since = server.suspect_since
         if answer.status != _OK or suspect_since is None:
             return
-        cold_header = answer.header(node.dialect.cold_left_ms)
+        cold_header = answer.header(daemon.dialect.cold_left_ms)
         cold_left = (
             None
             if cold_header is None
-            else node.dialect.read_milliseconds(cold_header)
+            else daemon.dialect.read_milliseconds(cold_header)
         )
         if cold_left is not None and cold_left > datetime.timedelta():
             server.on_cold(cold_left, now)
-        server.on_heard(now)
-        node.log_event(
+        server.on_response(now)
+        daemon.log_event(
             _events.Event.SERVER_BACK,
             server=server.entry.id,
             suspect_ms=_event_log.milliseconds(now - suspect_since),
@@ -92,21 +92,21 @@
         self, server: entry.Server, answer: _answer_reader.Answer
     ) -> None:
         """Records that the backend server is leaving or requests a back-off."""
-        node = self._node
-        now = node.now()
+        daemon = self._daemon
+        now = daemon.now()
         if _server_reports.reports_leaving(
-            node, answer
-        ) and node.vm.dispatch.on_said_leaving(server, now):
-            _server_reports.log_leaving(node, server, "probe")
-        wait = _server_reports.requested_backoff(node, answer, server)
+            daemon, answer
+        ) and daemon.vm.dispatch.on_leaving_reported(server, now):
+            _server_reports.log_leaving(daemon, server, "probe")
+        wait = _server_reports.requested_backoff(daemon, answer, server)
         if wait is not None:
-            node.vm.dispatch.on_asked_wait(server, wait, now)
-            _server_reports.log_requested_backoff(node, server)
+            daemon.vm.dispatch.on_backoff_requested(server, wait, now)
+            _server_reports.log_requested_backoff(daemon, server)
 
     async def _request_health(
         self, server: entry.Server
     ) -> _answer_reader.Answer:
-        catalogue = self._node.vm.catalogue
+        catalogue = self._daemon.vm.catalogue
         policy = None
         if catalogue is not None:
             policy = catalogue.services.get(server.entry.service)
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -13,11 +13,11 @@
 from dragonflystack.entryd import _apply
 from dragonflystack.entryd import _callers_port
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _heartbeats
 from dragonflystack.entryd import _metrics_port
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _peer_sync
 from dragonflystack.entryd import _peers_port
 from dragonflystack.entryd import _platform
@@ -44,7 +44,7 @@
 
 
 async def run(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     platform: _platform.Platform,
     apps: Apps,
     reload_bounds: Callable[[], entry.FleetBounds],
@@ -52,39 +52,41 @@
     """Serves until SIGTERM or SIGINT, then shuts down gracefully.
 
     Args:
-        node: the state of the process.
+        daemon: the state of the process.
         platform: the platform's store.
         apps: the apps of the readiness and directory ports.
         reload_bounds: reads the settings again; raises OSError or ValueError
             if they cannot be used.
     """
-    cfg = node.settings
-    node.event_log.start(vm=cfg.vm)
-    node.log_event(
+    cfg = daemon.settings
+    daemon.event_log.start(vm=cfg.vm)
+    daemon.log_event(
         _events.Event.STARTED,
         callers=str(cfg.callers),
         region=cfg.region,
         domain=cfg.domain,
     )
-    pool = _connections.Pool(node.dialect.request_id, cfg.answers, node.clock)
-    heartbeats = _heartbeats.Heartbeats(node)
+    pool = _connections.Pool(
+        daemon.dialect.request_id, cfg.answers, daemon.clock
+    )
+    heartbeats = _heartbeats.Heartbeats(daemon)
     await heartbeats.open()
-    peer_sync = _peer_sync.PeerSync(node)
-    store_sync = _store_sync.StoreSync(node, platform, peer_sync)
-    ports = _make_ports(node, pool, apps)
+    peer_sync = _peer_sync.PeerSync(daemon)
+    store_sync = _store_sync.StoreSync(daemon, platform, peer_sync)
+    ports = _make_ports(daemon, pool, apps)
     async with anyio.create_task_group() as signals:
-        signals.start_soon(_handle_signals, node, reload_bounds)
-        await _serve(node, pool, heartbeats, store_sync, peer_sync, ports)
+        signals.start_soon(_handle_signals, daemon, reload_bounds)
+        await _serve(daemon, pool, heartbeats, store_sync, peer_sync, ports)
         pool.close()
         await peer_sync.aclose()
         await platform.aclose()
-        node.log_event(_events.Event.STOPPED, in_flight=node.in_flight)
-        node.event_log.flush()
+        daemon.log_event(_events.Event.STOPPED, in_flight=daemon.in_flight)
+        daemon.event_log.flush()
         signals.cancel_scope.cancel()
 
 
 async def _serve(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     pool: _connections.Pool,
     heartbeats: _heartbeats.Heartbeats,
     store_sync: _store_sync.StoreSync,
@@ -93,27 +95,27 @@
 ) -> None:
     """Serves until a stop is requested and its grace period is over."""
     async with anyio.create_task_group() as loops:
-        loops.start_soon(_run_periodic, node, pool, ports[0])
+        loops.start_soon(_run_periodic, daemon, pool, ports[0])
         loops.start_soon(store_sync.run_operators)
         loops.start_soon(store_sync.run_servers)
         loops.start_soon(store_sync.run_registration)
         loops.start_soon(peer_sync.run)
         loops.start_soon(heartbeats.run)
-        loops.start_soon(_probes.Prober(node, pool).run)
+        loops.start_soon(_probes.Prober(daemon, pool).run)
         async with anyio.create_task_group() as servers:
             for port in ports:
                 servers.start_soon(port.serve)
-            await node.stop_asked.wait()
-            await _stop_gracefully(node, heartbeats, ports)
+            await daemon.stop_requested.wait()
+            await _stop_gracefully(daemon, heartbeats, ports)
         loops.cancel_scope.cancel()
 
 
 def _make_ports(
-    node: _node.Node, pool: _connections.Pool, apps: Apps
+    daemon: _daemon.Daemon, pool: _connections.Pool, apps: Apps
 ) -> tuple[_server.Server, ...]:
-    cfg = node.settings
+    cfg = daemon.settings
     callers_app = _asgi.close_connections_when(
-        lambda: node.is_leaving, _callers_port.CallersApp(node, pool)
+        lambda: daemon.is_leaving, _callers_port.CallersApp(daemon, pool)
     )
     idle = entry.CallerLimits().idle_timeout
     return (
@@ -125,59 +127,59 @@
             for app, port in (
                 (apps.readiness, cfg.readiness),
                 (apps.directory, cfg.directory),
-                (_peers_port.make_app(node), cfg.peers),
-                (_metrics_port.make_app(node), cfg.metrics),
+                (_peers_port.make_app(daemon), cfg.peers),
+                (_metrics_port.make_app(daemon), cfg.metrics),
             )
         ),
     )
 
 
 async def _run_periodic(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     pool: _connections.Pool,
     server: _server.Server,
 ) -> None:
     """Does the periodic work: timers, idle connections and log output."""
-    last_close_at = node.now()
+    last_close_at = daemon.now()
     while True:
         await anyio.sleep(_PERIOD_S)
-        now = node.now()
-        _apply.log_server_changes(node, node.vm.on_tick(now))
+        now = daemon.now()
+        _apply.log_server_changes(daemon, daemon.vm.on_tick(now))
         if now - last_close_at >= _CLOSE_EXPIRED_EVERY:
             last_close_at = now
             pool.close_expired()
-            if node.vm.catalogue is not None:
-                server.set_keep_alive(node.vm.catalogue.limits.idle_timeout)
-        node.event_log.flush()
+            if daemon.vm.catalogue is not None:
+                server.set_keep_alive(daemon.vm.catalogue.limits.idle_timeout)
+        daemon.event_log.flush()
 
 
 async def _handle_signals(
-    node: _node.Node, reload_bounds: Callable[[], entry.FleetBounds]
+    daemon: _daemon.Daemon, reload_bounds: Callable[[], entry.FleetBounds]
 ) -> None:
     numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*numbers) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
-                _reload(node, reload_bounds)
+                _reload(daemon, reload_bounds)
             else:
-                node.stop_asked.set()
+                daemon.stop_requested.set()
 
 
 def _reload(
-    node: _node.Node, reload_bounds: Callable[[], entry.FleetBounds]
+    daemon: _daemon.Daemon, reload_bounds: Callable[[], entry.FleetBounds]
 ) -> None:
     try:
         bounds = reload_bounds()
     except (OSError, ValueError) as exc:
-        node.log_event(_events.Event.SETTINGS_REFUSED, reason=str(exc))
+        daemon.log_event(_events.Event.SETTINGS_REFUSED, reason=str(exc))
         return
-    changed = bounds != node.vm.bounds
-    node.vm.on_bounds(bounds)
-    node.log_event(_events.Event.SETTINGS_RELOADED, changed=changed)
+    changed = bounds != daemon.vm.bounds
+    daemon.vm.on_bounds(bounds)
+    daemon.log_event(_events.Event.SETTINGS_RELOADED, changed=changed)
 
 
 async def _stop_gracefully(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     heartbeats: _heartbeats.Heartbeats,
     ports: tuple[_server.Server, ...],
 ) -> None:
@@ -186,13 +188,13 @@
     The VM announces that it is leaving, so that it is not named to callers any
     more, serves the requests that still arrive, and then closes its ports.
     """
-    started_at = node.now()
-    grace = node.vm.bounds.grace
-    node.leaving_since = started_at
-    node.vm.members.phase = entry.Phase.LEAVING
-    node.log_event(
+    started_at = daemon.now()
+    grace = daemon.vm.bounds.grace
+    daemon.leaving_since = started_at
+    daemon.vm.members.phase = entry.Phase.LEAVING
+    daemon.log_event(
         _events.Event.STOPPING,
-        in_flight=node.in_flight,
+        in_flight=daemon.in_flight,
         grace_ms=_event_log.milliseconds(grace),
     )
     heartbeats.send_all()
@@ -200,8 +202,8 @@
     await anyio.sleep(serve_time.total_seconds())
     for port in ports:
         port.stop()
-    deadline = started_at + grace - _node.EXIT_BEFORE_KILL
-    while node.in_flight and node.now() < deadline:
+    deadline = started_at + grace - _daemon.EXIT_BEFORE_KILL
+    while daemon.in_flight and daemon.now() < deadline:
         await anyio.sleep(_DRAIN_POLL_S)
     for port in ports:
         port.force_exit = True
--- a/dragonflystack/entryd/_server_reports.py
+++ b/dragonflystack/entryd/_server_reports.py
@@ -4,22 +4,24 @@
 
 from dragonflystack import entry
 from dragonflystack.entryd import _answer_reader
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _retry_after
 
 _BACKOFF_STATUSES = frozenset((429, 503))
 """Statuses of answers whose Retry-After header requests a back-off."""
 
 
-def reports_leaving(node: _node.Node, answer: _answer_reader.Answer) -> bool:
+def reports_leaving(
+    daemon: _daemon.Daemon, answer: _answer_reader.Answer
+) -> bool:
     """Returns whether an answer reports that its backend server is leaving."""
-    return answer.header(node.dialect.leaving) is not None
+    return answer.header(daemon.dialect.leaving) is not None
 
 
 def requested_backoff(
-    node: _node.Node, answer: _answer_reader.Answer, server: entry.Server
+    daemon: _daemon.Daemon, answer: _answer_reader.Answer, server: entry.Server
 ) -> datetime.timedelta | None:
     """Returns the back-off that an answer requests, None if there is none.
 
@@ -30,11 +32,11 @@
     value = answer.header(b"retry-after")
     if value is None:
         return None
-    match _retry_after.parse(value, node.clock.utcnow()):
+    match _retry_after.parse(value, daemon.clock.utcnow()):
         case _retry_after.Wait(duration):
             return duration
         case _retry_after.Unusable(problem, text):
-            node.log_event(
+            daemon.log_event(
                 _events.Event.RETRY_AFTER_SKIPPED,
                 server=server.entry.id,
                 reason=problem.value,
@@ -43,28 +45,30 @@
             return None
 
 
-def log_leaving(node: _node.Node, server: entry.Server, source: str) -> None:
+def log_leaving(
+    daemon: _daemon.Daemon, server: entry.Server, source: str
+) -> None:
     """Logs that a backend server is leaving and requests a heartbeat.
 
     Args:
-        node: the state of the process.
+        daemon: the state of the process.
         server: the backend server.
         source: what reported it: an answer, a probe or another VM.
     """
-    node.log_event(
+    daemon.log_event(
         _events.Event.SERVER_LEAVING,
         server=server.entry.id,
         service=server.entry.service,
         in_flight=server.in_flight,
         source=source,
     )
-    node.heartbeat_requested.set()
+    daemon.heartbeat_requested.set()
 
 
-def log_requested_backoff(node: _node.Node, server: entry.Server) -> None:
+def log_requested_backoff(daemon: _daemon.Daemon, server: entry.Server) -> None:
     """Logs how much is left of the back-off that a backend server requested."""
-    left = server.asked_wait_until - node.now()
-    node.log_event(
+    left = server.backoff_until - daemon.now()
+    daemon.log_event(
         _events.Event.SERVER_ASKED_WAIT,
         server=server.entry.id,
         service=server.entry.service,
--- a/dragonflystack/entryd/_startup_queue.py
+++ b/dragonflystack/entryd/_startup_queue.py
@@ -12,7 +12,7 @@
 import anyio
 
 from dragonflystack import _asgi
-from dragonflystack.entryd import _node
+from dragonflystack.entryd import _daemon
 
 _MAX_WAIT = datetime.timedelta(seconds=1)
 """A small VM knows its routes within 0.7 s of its start."""
@@ -29,8 +29,8 @@
 class StartupQueue:
     """Holds requests until the VM knows routes and backend servers."""
 
-    def __init__(self, node: _node.Node):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon):
+        self._daemon = daemon
         self._waiting_requests = 0
         self._waiting_bytes = 0
 
@@ -53,10 +53,10 @@
         Returns:
             False if the caller disconnected while waiting.
         """
-        node = self._node
+        daemon = self._daemon
         if (
-            node.vm.is_informed
-            or node.vm.discovery.is_store_away
+            daemon.vm.has_initial_state
+            or daemon.vm.discovery.is_store_unavailable
             or self._waiting_requests >= _MAX_REQUESTS
             or self._waiting_bytes + body_bytes > _MAX_BODY_BYTES
         ):
@@ -87,6 +87,6 @@
                     tasks.cancel_scope.cancel()
 
                 tasks.start_soon(watch_caller)
-                await self._node.initial_sync_done.wait()
+                await self._daemon.initial_sync_done.wait()
                 tasks.cancel_scope.cancel()
         return is_connected
--- a/dragonflystack/entryd/_store_sync.py
+++ b/dragonflystack/entryd/_store_sync.py
@@ -15,9 +15,9 @@
 from dragonflystack import entry
 from dragonflystack import storage
 from dragonflystack.entryd import _apply
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _peer_sync
 from dragonflystack.entryd import _platform
 
@@ -52,27 +52,27 @@
 class _CallTracker:
     """Logs outages of one kind of store call and computes the back-off."""
 
-    def __init__(self, node: _node.Node, call: str):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon, call: str):
+        self._daemon = daemon
         self._call = call
         self._failing_since: datetime.timedelta | None = None
         self._backoff = _INITIAL_BACKOFF
 
     def on_failure(self, failure: storage.Unavailable) -> float:
         """Records a failed call; returns the back-off in seconds."""
-        node = self._node
-        node.metrics.count("store-failures", call=self._call)
+        daemon = self._daemon
+        daemon.metrics.count("store-failures", call=self._call)
         if self._failing_since is None:
-            self._failing_since = node.now()
-            node.log_event(
+            self._failing_since = daemon.now()
+            daemon.log_event(
                 _events.Event.DEPENDENCY_LOST,
                 dependency=_STORE,
                 call=self._call,
                 reason=str(failure.failure),
             )
-        limit = node.vm.freshness.store_retry_limit
+        limit = daemon.vm.freshness.max_store_retry_delay
         pause, self._backoff = self._backoff, min(2 * self._backoff, limit)
-        jitter = 0.75 + 0.5 * node.vm.rng.random()
+        jitter = 0.75 + 0.5 * daemon.vm.rng.random()
         return pause.total_seconds() * jitter
 
     def on_success(self) -> bool:
@@ -80,9 +80,9 @@
         self._backoff = _INITIAL_BACKOFF
         if self._failing_since is None:
             return False
-        outage = self._node.now() - self._failing_since
+        outage = self._daemon.now() - self._failing_since
         self._failing_since = None
-        self._node.log_event(
+        self._daemon.log_event(
             _events.Event.DEPENDENCY_REGAINED,
             dependency=_STORE,
             call=self._call,
@@ -96,11 +96,11 @@
 
     def __init__(
         self,
-        node: _node.Node,
+        daemon: _daemon.Daemon,
         platform: _platform.Platform,
         peer_sync: _peer_sync.PeerSync,
     ):
-        self._node = node
+        self._daemon = daemon
         self._platform = platform
         self._peer_sync = peer_sync
 
@@ -109,7 +109,7 @@
         """Watches the operators' rows while this VM is a watcher, for ever."""
         await self._follow_table(
             entry.Table.OPERATORS,
-            self._node.vm.freshness.should_watch_operators,
+            self._daemon.vm.freshness.should_watch_operators,
             self._platform.read_operators,
             self._platform.watch_operators,
             self._on_operators,
@@ -120,7 +120,7 @@
         """Watches the rows of backend servers likewise."""
         await self._follow_table(
             entry.Table.SERVERS,
-            self._node.vm.freshness.should_watch,
+            self._daemon.vm.freshness.should_watch,
             self._platform.read_servers,
             self._platform.watch_servers,
             self._on_servers,
@@ -146,17 +146,17 @@
             apply: applies what was read.
             pause: the pause before each watch.
         """
-        node = self._node
-        tracker = _CallTracker(node, table.value)
+        daemon = self._daemon
+        tracker = _CallTracker(daemon, table.value)
         version: int | None = None
         needs_reread = False
         while True:
-            if not should_watch(node.now()):
+            if not should_watch(daemon.now()):
                 version = None
-                node.vm.freshness.on_watch(table, False, node.now())
+                daemon.vm.freshness.on_watch(table, False, daemon.now())
                 await anyio.sleep(_WATCHER_POLL_S)
                 continue
-            if needs_reread and node.vm.is_settled(node.now()):
+            if needs_reread and daemon.vm.is_store_repopulated(daemon.now()):
                 # What the store had lost has been rewritten by now.
                 version = None
                 needs_reread = False
@@ -165,22 +165,22 @@
             else:
                 await anyio.sleep(pause.total_seconds())
                 news = await self._watch(watch, version)
-            node.on_store_era(self._platform.era, _STORE)
-            needs_reread |= not node.vm.is_settled(node.now())
+            daemon.on_store_era(self._platform.era, _STORE)
+            needs_reread |= not daemon.vm.is_store_repopulated(daemon.now())
             if isinstance(news, storage.Unavailable):
                 version = None
-                node.vm.freshness.on_watch(table, False, node.now())
-                node.vm.discovery.on_store_away()
+                daemon.vm.freshness.on_watch(table, False, daemon.now())
+                daemon.vm.discovery.on_store_unavailable()
                 await self._peer_sync.bootstrap_from_peers()
                 await anyio.sleep(tracker.on_failure(news))
             elif isinstance(news, _platform.HistoryLost):
-                node.log_event(_events.Event.HISTORY_LOST, table=table.value)
+                daemon.log_event(_events.Event.HISTORY_LOST, table=table.value)
                 version = None
             elif news is not None:
                 if tracker.on_success():
                     # Other watches may be waiting on a dead connection.
-                    node.restart_watches()
-                node.vm.freshness.on_watch(table, True, node.now())
+                    daemon.restart_watches()
+                daemon.vm.freshness.on_watch(table, True, daemon.now())
                 version = news.version
                 self._log_skipped(table.value, news.skipped)
                 apply(news)
@@ -191,12 +191,12 @@
         version: int,
     ) -> object:
         """Watches a table; returns None if the watch must be restarted."""
-        node = self._node
-        restart_requested = node.watch_restart_requested
+        daemon = self._daemon
+        restart_requested = daemon.watch_restart_requested
         wait = _WATCH_WAIT
-        if node.vm.discovery.needs_confirmation:
+        if daemon.vm.discovery.needs_confirmation:
             wait = _CONFIRMATION_WAIT
-        elif not node.vm.is_settled(node.now()):
+        elif not daemon.vm.is_store_repopulated(daemon.now()):
             wait = _SETTLING_WAIT
         news: object = None
         async with anyio.create_task_group() as tasks:
@@ -210,67 +210,71 @@
             tasks.cancel_scope.cancel()
         return news
 
-    def _on_operators(self, news: _platform.OperatorNews) -> None:
-        node = self._node
+    def _on_operators(self, news: _platform.OperatorUpdate) -> None:
+        daemon = self._daemon
         evacuated = news.evacuated
         if not news.whole:
-            evacuated = (node.vm.evacuated | evacuated) - news.taken_back
+            evacuated = (
+                daemon.vm.evacuated | evacuated
+            ) - news.evacuation_ended
         position = news.position
-        if news.whole and evacuated != node.vm.evacuated:
+        if news.whole and evacuated != daemon.vm.evacuated:
             # A deleted row has no version in a snapshot.
             position = news.version
         if news.catalogue is not None:
-            _apply.adopt_catalogue(node, news.catalogue, _STORE)
-        _apply.set_evacuated(node, evacuated, _STORE)
-        before = node.vm.log.position
-        node.vm.log.on_operators(position)
-        node.vm.freshness.on_operators_read(news.version)
-        _apply.after_update(node, before)
-
-    def _on_servers(self, news: _platform.ServerNews) -> None:
-        node = self._node
-        before = node.vm.log.position
-        changes = node.vm.on_listing(news.listing, news.position, node.now())
-        _apply.log_server_changes(node, changes)
-        _apply.after_update(node, before)
+            _apply.adopt_catalogue(daemon, news.catalogue, _STORE)
+        _apply.set_evacuated(daemon, evacuated, _STORE)
+        before = daemon.vm.log.position
+        daemon.vm.log.on_operators(position)
+        daemon.vm.freshness.on_operators_read(news.version)
+        _apply.after_update(daemon, before)
+
+    def _on_servers(self, news: _platform.ServerUpdate) -> None:
+        daemon = self._daemon
+        before = daemon.vm.log.position
+        changes = daemon.vm.on_listing(
+            news.listing, news.position, daemon.now()
+        )
+        _apply.log_server_changes(daemon, changes)
+        _apply.after_update(daemon, before)
 
     # Registration.
     async def run_registration(self) -> None:
         """Registers this VM and reads the list of VMs periodically."""
-        node = self._node
-        tracker = _CallTracker(node, "vms")
+        daemon = self._daemon
+        tracker = _CallTracker(daemon, "vms")
         registered_era: int | None = None
         while True:
-            registration_requested = node.registration_requested
+            registration_requested = daemon.registration_requested
             if registered_era is None or registered_era < self._latest_era():
-                result = await self._platform.register(node.vm.members.own)
-                node.on_store_era(self._platform.era, _STORE)
+                result = await self._platform.register(daemon.vm.members.own)
+                daemon.on_store_era(self._platform.era, _STORE)
                 if isinstance(result, storage.Committed):
                     registered_era = self._platform.era
-                    node.log_event(_events.Event.VM_REGISTERED)
+                    daemon.log_event(_events.Event.VM_REGISTERED)
                 else:
                     await self._peer_sync.bootstrap_from_peers()
                     await anyio.sleep(_registration_backoff_s(tracker, result))
             vms = await self._platform.list_vms()
-            node.on_store_era(self._platform.era, _STORE)
+            daemon.on_store_era(self._platform.era, _STORE)
             if isinstance(vms, storage.Unavailable):
                 await anyio.sleep(tracker.on_failure(vms))
                 continue
             tracker.on_success()
-            node.vm.members.on_list(vms)
-            node.heartbeat_requested.set()
+            daemon.vm.members.on_vm_list(vms)
+            daemon.heartbeat_requested.set()
             if registered_era == self._latest_era():
                 with anyio.move_on_after(_LIST_VMS_EVERY.total_seconds()):
                     await registration_requested.wait()
 
     def _latest_era(self) -> int:
-        return max(self._platform.era, self._node.vm.store_era or 0)
+        return max(self._platform.era, self._daemon.vm.store_era or 0)
 
     def _log_skipped(
-        self, source: str, skipped: tuple[_platform.Skipped, ...]
+        self, source: str, skipped: tuple[_platform.SkippedRow, ...]
     ) -> None:
         for row in skipped:
-            self._node.log_event(
+            self._daemon.log_event(
                 _events.Event.ENTRY_SKIPPED,
                 source=source,
                 key=row.key,
--- a/dragonflystack/entryd/_update_codec.py
+++ b/dragonflystack/entryd/_update_codec.py
@@ -31,7 +31,7 @@
 class PeerUpdate:
     """The answer to a VM that requests an update."""
 
-    news: entry.News
+    news: entry.ReplicatedChanges
     vms: tuple[entry.VmAddress, ...]
     """The known VMs of the region; empty unless they were requested."""
 
@@ -96,7 +96,7 @@
         if content_type != CONTENT_TYPE:
             return msgspec.json.decode(data, type=PeerUpdate)
         body = msgspec.msgpack.decode(data, type=_CompressedUpdate)
-        news = _decompress(body.news, entry.News)
+        news = _decompress(body.news, entry.ReplicatedChanges)
         if body.catalogue is not None:
             catalogue = _decompress(body.catalogue, entry.Catalogue)
             news = msgspec.structs.replace(news, catalogue=catalogue)
--- a/dragonflystack/entryd/_update_requests.py
+++ b/dragonflystack/entryd/_update_requests.py
@@ -12,9 +12,9 @@
 from dragonflystack import _asgi
 from dragonflystack import _bounded
 from dragonflystack import entry
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _update_codec
 
 UPDATE_PATH = "/v1/news"
@@ -41,7 +41,7 @@
 
 
 async def serve_update(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     encoder: _update_codec.UpdateEncoder,
     scope: _asgi.Scope,
     send: _asgi.Send,
@@ -58,9 +58,9 @@
     except ValueError as exc:
         await _asgi.send_problem(send, 400, "position", str(exc))
         return
-    vms = node.vm.members.addresses() if "vms" in query else ()
+    vms = daemon.vm.members.addresses() if "vms" in query else ()
     update = _update_codec.PeerUpdate(
-        node.vm.news_since(position, known_version), vms
+        daemon.vm.changes_since(position, known_version), vms
     )
     if (b"accept", _update_codec.CONTENT_TYPE) in scope["headers"]:
         headers = [(b"content-type", _update_codec.CONTENT_TYPE)]
@@ -70,15 +70,15 @@
 
 
 async def request_update(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     pool: httpcore.AsyncConnectionPool,
-    peer: _node.Endpoint,
+    peer: _daemon.Endpoint,
     with_vms: bool = False,
 ) -> _update_codec.PeerUpdate | None:
     """Requests from another VM the changes after this VM's position.
 
     Args:
-        node: the state of the process.
+        daemon: the state of the process.
         pool: connections to other VMs.
         peer: the other VM.
         with_vms: whether to request the list of VMs too.
@@ -86,19 +86,19 @@
     Returns:
         The update, None if the request failed; failures are logged.
     """
-    started_at = node.now()
+    started_at = daemon.now()
     try:
         res = await _bounded.request(
             pool,
             "GET",
-            f"http://{peer}{UPDATE_PATH}?{_query(node, with_vms)}",
+            f"http://{peer}{UPDATE_PATH}?{_query(daemon, with_vms)}",
             _MAX_UPDATE_BYTES,
             CALL_TIMEOUT,
             headers=[(b"accept", _update_codec.CONTENT_TYPE)],
             extensions=_TIMEOUTS,
         )
         if res.status != _OK:
-            _log_failed(node, peer, f"status {res.status}", started_at)
+            _log_failed(daemon, peer, f"status {res.status}", started_at)
             return None
         update = _update_codec.decode(res.content, _content_type(res))
     except (
@@ -107,18 +107,18 @@
         httpcore.TimeoutException,
         _update_codec.UpdateDecodeError,
     ) as exc:
-        _log_failed(node, peer, f"{type(exc).__name__}: {exc}", started_at)
+        _log_failed(daemon, peer, f"{type(exc).__name__}: {exc}", started_at)
         return None
-    _log_received(node, peer, update, len(res.content), started_at)
+    _log_received(daemon, peer, update, len(res.content), started_at)
     return update
 
 
-def _query(node: _node.Node, with_vms: bool) -> str:
-    position = node.vm.log.position
+def _query(daemon: _daemon.Daemon, with_vms: bool) -> str:
+    position = daemon.vm.log.position
     query = {
         "operators": position.operators,
         "servers": position.servers,
-        "catalogue": node.catalogue_version or 0,
+        "catalogue": daemon.catalogue_version or 0,
     }
     if with_vms:
         query["vms"] = 1
@@ -131,40 +131,42 @@
 
 
 def _log_failed(
-    node: _node.Node,
-    peer: _node.Endpoint,
+    daemon: _daemon.Daemon,
+    peer: _daemon.Endpoint,
     reason: str,
     started_at: datetime.timedelta,
 ) -> None:
-    took = node.now() - started_at
-    node.metrics.time("news", took, outcome="failed")
-    node.log_event(
+    took = daemon.now() - started_at
+    daemon.metrics.time("news", took, outcome="failed")
+    daemon.log_event(
         _events.Event.NEWS_FAILED,
         peer=str(peer),
         reason=reason,
         took_ms=_event_log.milliseconds(took),
-        behind_ms=_event_log.milliseconds(node.vm.freshness.behind(node.now())),
+        behind_ms=_event_log.milliseconds(
+            daemon.vm.freshness.replication_lag(daemon.now())
+        ),
     )
 
 
 def _log_received(
-    node: _node.Node,
-    peer: _node.Endpoint,
+    daemon: _daemon.Daemon,
+    peer: _daemon.Endpoint,
     update: _update_codec.PeerUpdate,
     size: int,
     started_at: datetime.timedelta,
 ) -> None:
-    took = node.now() - started_at
-    node.metrics.time("news", took, outcome="taken")
+    took = daemon.now() - started_at
+    daemon.metrics.time("news", took, outcome="taken")
     catalogue = update.news.catalogue
     if catalogue is not None:
-        node.log_event(
+        daemon.log_event(
             _events.Event.NEWS_TAKEN,
             peer=str(peer),
             catalogue=catalogue.version,
             bytes=size,
             took_ms=_event_log.milliseconds(took),
             behind_ms=_event_log.milliseconds(
-                node.vm.freshness.behind(node.now())
+                daemon.vm.freshness.replication_lag(daemon.now())
             ),
         )
--- a/dragonflystack/entryd/tests/test_customer_keys.py
+++ b/dragonflystack/entryd/tests/test_customer_keys.py
@@ -34,8 +34,8 @@
 def _run_scenario(scenario, customers=(_ALICE, _BOB)):
     async def run(platform, backend):
         platform.customers = customers
-        async with daemons.serving_daemon(platform) as (pool, node):
-            await scenario(pool, node, backend)
+        async with daemons.serving_daemon(platform) as (pool, daemon):
+            await scenario(pool, daemon, backend)
 
     daemons.run_scenario(run)
 
@@ -60,8 +60,8 @@
     ],
 )
 def test_key_is_replaced_by_the_customer_id(headers, customer):
-    async def scenario(pool, node, backend):
-        res = await daemons.get(pool, node, more=headers)
+    async def scenario(pool, daemon, backend):
+        res = await daemons.get(pool, daemon, more=headers)
         assert res.status == 200
         (head,) = backend.heads
         assert _values(head, b"x-customer") == [customer]
@@ -95,8 +95,8 @@
     ],
 )
 def test_request_without_a_valid_key_gets_401(headers):
-    async def scenario(pool, node, backend):
-        res = await daemons.get(pool, node, more=headers)
+    async def scenario(pool, daemon, backend):
+        res = await daemons.get(pool, daemon, more=headers)
         assert res.status == 401
         assert (b"www-authenticate", b"Bearer") in res.headers
         assert backend.runs == 0
@@ -128,8 +128,8 @@
     [[], [_BEARER], [(b"x-customer", b"bob")], [(b"authorization", b"x")]],
 )
 def test_public_route_forwards_neither_key_nor_customer(headers):
-    async def scenario(pool, node, backend):
-        res = await daemons.get(pool, node, path="/open/1", more=headers)
+    async def scenario(pool, daemon, backend):
+        res = await daemons.get(pool, daemon, path="/open/1", more=headers)
         assert res.status == 200
         (head,) = backend.heads
         assert _values(head, b"authorization") == []
@@ -139,9 +139,9 @@
 
 
 def test_headers_are_forwarded_unchanged_without_customers():
-    async def scenario(pool, node, backend):
+    async def scenario(pool, daemon, backend):
         headers = [_BEARER, (b"x-customer", b"bob")]
-        res = await daemons.get(pool, node, more=headers)
+        res = await daemons.get(pool, daemon, more=headers)
         assert res.status == 200
         (head,) = backend.heads
         assert _values(head, b"authorization") == [b"Bearer " + _KEY]
@@ -151,13 +151,13 @@
 
 
 def test_revoked_key_is_rejected_on_an_open_connection():
-    async def scenario(pool, node, backend):
-        assert (await daemons.get(pool, node, more=[_BEARER])).status == 200
+    async def scenario(pool, daemon, backend):
+        assert (await daemons.get(pool, daemon, more=[_BEARER])).status == 200
         changed_alice = _customer("alice", b"second-key")
-        node.vm.on_catalogue(daemons.make_catalogue(4, (changed_alice, _BOB)))
-        assert (await daemons.get(pool, node, more=[_BEARER])).status == 401
+        daemon.vm.on_catalogue(daemons.make_catalogue(4, (changed_alice, _BOB)))
+        assert (await daemons.get(pool, daemon, more=[_BEARER])).status == 401
         other = (b"authorization", b"Bearer second-key")
-        assert (await daemons.get(pool, node, more=[other])).status == 200
+        assert (await daemons.get(pool, daemon, more=[other])).status == 200
         assert backend.runs == 2
         (conn,) = pool.connections
         assert conn.is_idle()
@@ -172,13 +172,13 @@
     """
     reader, writer = os.pipe()
 
-    async def scenario(pool, node, backend):
-        event_log = _event_log.EventLog(writer, node.clock)
+    async def scenario(pool, daemon, backend):
+        event_log = _event_log.EventLog(writer, daemon.clock)
         eliot.add_destinations(event_log._enqueue)
         try:
-            await daemons.get(pool, node, more=[_BEARER])
-            node.vm.on_catalogue(daemons.make_catalogue(4, (_BOB,)))
-            await daemons.get(pool, node, more=[_BEARER])
+            await daemons.get(pool, daemon, more=[_BEARER])
+            daemon.vm.on_catalogue(daemons.make_catalogue(4, (_BOB,)))
+            await daemons.get(pool, daemon, more=[_BEARER])
         finally:
             eliot.remove_destination(event_log._enqueue)
         event_log.flush()
@@ -187,10 +187,10 @@
         os.close(writer)
         assert b'"customer":"alice"' in log
         assert entry.digest_key(_KEY).encode() in log
-        dump = msgspec.json.encode(_peers_port.dump(node))
-        news = msgspec.json.encode(node.vm.news_since(entry.Position()))
+        dump = msgspec.json.encode(_peers_port.dump(daemon))
+        news = msgspec.json.encode(daemon.vm.changes_since(entry.Position()))
         assert b"bob" in news
-        for output in (log, dump, news, node.metrics.render()):
+        for output in (log, dump, news, daemon.metrics.render()):
             for key in (_KEY, b"second-key", b"key-of-bob"):
                 assert key not in output
 
--- a/dragonflystack/entryd/tests/test_incidents.py
+++ b/dragonflystack/entryd/tests/test_incidents.py
@@ -42,10 +42,10 @@
     )
 
     async def scenario(platform, _):
-        async with daemons.serving_daemon(platform) as (pool, node):
-            first = await daemons.get(pool, node, request_id=b"1")
+        async with daemons.serving_daemon(platform) as (pool, daemon):
+            first = await daemons.get(pool, daemon, request_id=b"1")
             assert first.content == b"first"
-            second = await daemons.get(pool, node, request_id=b"2")
+            second = await daemons.get(pool, daemon, request_id=b"2")
             assert second.status == status
             assert b"first" not in second.content
             assert backend.connections == 1
@@ -69,12 +69,12 @@
 
     monkeypatch.setattr(_callers_port.CallersApp, "__call__", count)
 
-    async def send_requests(node):
+    async def send_requests(daemon):
         """Sends one request after the other until the daemon is gone."""
         async with httpcore.AsyncConnectionPool(max_connections=1) as own:
             while True:
                 try:
-                    res = await daemons.get(own, node)
+                    res = await daemons.get(own, daemon)
                 except (httpcore.NetworkError, httpcore.ProtocolError):
                     return
                 statuses.append(res.status)
@@ -83,10 +83,10 @@
         backend.delay_s = 0.1
         async with (
             anyio.create_task_group() as tasks,
-            daemons.serving_daemon(platform) as (_, node),
+            daemons.serving_daemon(platform) as (_, daemon),
         ):
             for _ in range(callers):
-                tasks.start_soon(send_requests, node)
+                tasks.start_soon(send_requests, daemon)
             await daemons.until(lambda: len(statuses) > callers)
         assert set(statuses) <= {200, 503}
         assert len(statuses) == len(accepted)
@@ -114,8 +114,8 @@
             anyio.create_task_group() as tasks,
         ):
             if withdrawn == "server":
-                server = next(iter(first.vm.book.all()))
-                first.vm.dispatch.on_said_leaving(server, first.now())
+                server = next(iter(first.vm.registry.all()))
+                first.vm.dispatch.on_leaving_reported(server, first.now())
             else:
                 first.vm.on_catalogue(entry.Catalogue(4, (), {}))
             empty = daemons.Platform(0)
@@ -126,7 +126,7 @@
             res = await daemons.get(pool, second)
             assert res.status == {"server": 503, "route": 404}[withdrawn]
             assert backend.runs == 0
-            second.stop_asked.set()
+            second.stop_requested.set()
 
     daemons.run_scenario(scenario)
 
@@ -151,17 +151,17 @@
     """
 
     async def scenario(platform, backend):
-        async with daemons.serving_daemon(platform) as (pool, node):
-            node.clock = _PausingClock()
-            open_exchange = node.vm.open
+        async with daemons.serving_daemon(platform) as (pool, daemon):
+            daemon.clock = _PausingClock()
+            open_exchange = daemon.vm.open
 
             def open_and_pause(*args):
                 opened = open_exchange(*args)
-                node.clock.pause(datetime.timedelta(seconds=5))
+                daemon.clock.pause(datetime.timedelta(seconds=5))
                 return opened
 
-            node.vm.open = open_and_pause
-            res = await daemons.get(pool, node, left_ms=3000)
+            daemon.vm.open = open_and_pause
+            res = await daemons.get(pool, daemon, left_ms=3000)
             assert res.status == 503
             assert backend.runs == 0
 
@@ -172,8 +172,8 @@
     backend = daemons.ScriptedBackendServer(b"", reset_at_end=True)
 
     async def scenario(platform, _):
-        async with daemons.serving_daemon(platform) as (pool, node):
-            res = await daemons.get(pool, node)
+        async with daemons.serving_daemon(platform) as (pool, daemon):
+            res = await daemons.get(pool, daemon)
             assert res.status == 502
             assert backend.runs == 1
 
@@ -200,8 +200,8 @@
     backend = daemons.ScriptedBackendServer(answer, reset_at_end=reset)
 
     async def scenario(platform, _):
-        async with daemons.serving_daemon(platform) as (pool, node):
-            res = await daemons.get(pool, node)
+        async with daemons.serving_daemon(platform) as (pool, daemon):
+            res = await daemons.get(pool, daemon)
             assert res.status == 502
             assert backend.runs == 1
 
@@ -212,8 +212,8 @@
     backend = daemons.ScriptedBackendServer(_HEAD + b"x-id: 1\r\n\r\nring")
 
     async def scenario(platform, _):
-        async with daemons.serving_daemon(platform) as (pool, node):
-            res = await daemons.get(pool, node)
+        async with daemons.serving_daemon(platform) as (pool, daemon):
+            res = await daemons.get(pool, daemon)
             assert (res.status, res.content) == (200, b"ring")
 
     daemons.run_scenario(scenario, backend)
--- a/dragonflystack/entryd/tests/test_startup_queue.py
+++ b/dragonflystack/entryd/tests/test_startup_queue.py
@@ -15,8 +15,8 @@
 
 async def _send_request_at_start(tasks, platform):
     """Starts a daemon and sends it a request; returns it and the connection."""
-    node = daemons.start(tasks, platform, daemons.settings())
-    callers = node.settings.callers
+    daemon = daemons.start(tasks, platform, daemons.settings())
+    callers = daemon.settings.callers
     while True:
         try:
             conn = await anyio.connect_tcp(callers.host, callers.port)
@@ -24,7 +24,7 @@
         except OSError:
             await anyio.sleep(0.01)
     await conn.send(_REQUEST)
-    return node, conn
+    return daemon, conn
 
 
 def test_request_during_start_waits_until_routes_are_known():
@@ -37,13 +37,13 @@
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            node, conn = await _send_request_at_start(tasks, platform)
+            daemon, conn = await _send_request_at_start(tasks, platform)
             await anyio.sleep(0.2)
             platform.reads_wait_for.set()
             assert (await conn.receive()).startswith(b"HTTP/1.1 200")
             assert backend.runs == 1
             await conn.aclose()
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.run_scenario(scenario)
 
@@ -52,15 +52,15 @@
     async def scenario(platform, backend):
         platform.is_unavailable = True
         async with anyio.create_task_group() as tasks:
-            node, conn = await _send_request_at_start(tasks, platform)
-            began = node.now()
+            daemon, conn = await _send_request_at_start(tasks, platform)
+            began = daemon.now()
             answer = await conn.receive()
             assert answer.startswith(b"HTTP/1.1 503")
             assert b"retry-after" in answer
-            assert node.now() - began < _startup_queue._MAX_WAIT
+            assert daemon.now() - began < _startup_queue._MAX_WAIT
             assert backend.runs == 0
             await conn.aclose()
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.run_scenario(scenario)
 
@@ -69,14 +69,14 @@
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            node, conn = await _send_request_at_start(tasks, platform)
+            daemon, conn = await _send_request_at_start(tasks, platform)
             await anyio.sleep(0.1)
             await conn.aclose()
-            await daemons.until(lambda: node.in_flight == 0)
+            await daemons.until(lambda: daemon.in_flight == 0)
             platform.reads_wait_for.set()
-            await daemons.until(lambda: node.is_ready)
+            await daemons.until(lambda: daemon.is_ready)
             assert backend.runs == 0
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.run_scenario(scenario)
 
@@ -90,11 +90,11 @@
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            node, conn = await _send_request_at_start(tasks, platform)
+            daemon, conn = await _send_request_at_start(tasks, platform)
             assert (await conn.receive()).startswith(b"HTTP/1.1 503")
             await conn.aclose()
             platform.reads_wait_for.set()
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.run_scenario(scenario)
 
@@ -107,14 +107,14 @@
             httpcore.AsyncConnectionPool(),
             anyio.create_task_group() as tasks,
         ):
-            node, conn = await _send_request_at_start(tasks, platform)
-            began = node.now()
+            daemon, conn = await _send_request_at_start(tasks, platform)
+            began = daemon.now()
             await anyio.sleep(0.5)
             platform.reads_wait_for.set()
             assert (await conn.receive()).startswith(b"HTTP/1.1 504")
-            waited = (node.now() - began).total_seconds()
+            waited = (daemon.now() - began).total_seconds()
             assert waited < 6.4
             await conn.aclose()
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.run_scenario(scenario)
--- a/dragonflystack/entryd/tests/test_update_codec.py
+++ b/dragonflystack/entryd/tests/test_update_codec.py
@@ -19,7 +19,7 @@
     vm.dispatch.on_evacuated(
         frozenset({ids.FailureDomainId("a1")}), builders.ms(0)
     )
-    news = vm.news_since(entry.Position())
+    news = vm.changes_since(entry.Position())
     return _update_codec.PeerUpdate(news, vm.members.addresses())
 
 
--- a/dragonflystack/entryd/tests/test_update_requests.py
+++ b/dragonflystack/entryd/tests/test_update_requests.py
@@ -8,7 +8,7 @@
 import pytest
 
 from dragonflystack import entryd
-from dragonflystack.entryd import _node
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _peer_sync
 from dragonflystack.entryd import _update_codec
 from dragonflystack.entryd import _update_requests
@@ -22,12 +22,12 @@
 
 def _make_outdated_vm(neighbour):
     """Returns a VM, not started, that knows of a neighbour with newer rows."""
-    node = entryd.make_node(daemons.settings(), daemons.DIALECT)
-    now = node.now()
-    beat = neighbour.vm.heartbeat(neighbour.now(), introduce=True)
-    node.vm.members.on_heartbeat(beat, now)
-    assert node.vm.lacks(beat.position)
-    return node
+    daemon = entryd.make_daemon(daemons.settings(), daemons.DIALECT)
+    now = daemon.now()
+    beat = neighbour.vm.heartbeat(neighbour.now(), include_address=True)
+    daemon.vm.members.on_heartbeat(beat, now)
+    assert daemon.vm.is_behind(beat.position)
+    return daemon
 
 
 # Guards against a VM that stays behind because the neighbour that it asked does
@@ -35,13 +35,13 @@
 def test_slow_request_is_hedged_with_another_vm():
     async def scenario(platform, _):
         silent = await asyncio.start_server(_never_answer, "127.0.0.1", 0)
-        peer = _node.Endpoint(*silent.sockets[0].getsockname())
+        peer = _daemon.Endpoint(*silent.sockets[0].getsockname())
         async with daemons.serving_daemon(platform) as (_, neighbour):
-            node = _make_outdated_vm(neighbour)
-            peer_sync = _peer_sync.PeerSync(node)
+            daemon = _make_outdated_vm(neighbour)
+            peer_sync = _peer_sync.PeerSync(daemon)
             assert await peer_sync._fetch_hedged(peer)
-            assert node.vm.is_informed
-            assert node.catalogue_version == 3
+            assert daemon.vm.has_initial_state
+            assert daemon.catalogue_version == 3
             await peer_sync.aclose()
         silent.close()
 
@@ -51,9 +51,9 @@
 def test_fetch_fails_if_no_vm_answers():
     async def scenario(platform, _):
         silent = await asyncio.start_server(_never_answer, "127.0.0.1", 0)
-        peer = _node.Endpoint(*silent.sockets[0].getsockname())
-        node = entryd.make_node(daemons.settings(), daemons.DIALECT)
-        peer_sync = _peer_sync.PeerSync(node)
+        peer = _daemon.Endpoint(*silent.sockets[0].getsockname())
+        daemon = entryd.make_daemon(daemons.settings(), daemons.DIALECT)
+        peer_sync = _peer_sync.PeerSync(daemon)
         assert not await peer_sync._fetch_hedged(peer)
         await peer_sync.aclose()
         silent.close()
@@ -66,8 +66,10 @@
     """A VM of the previous version does not accept the compressed format."""
 
     async def scenario(platform, _):
-        async with daemons.serving_daemon(platform) as (pool, node):
-            url = f"http://{node.settings.peers}{_update_requests.UPDATE_PATH}"
+        async with daemons.serving_daemon(platform) as (pool, daemon):
+            url = (
+                f"http://{daemon.settings.peers}{_update_requests.UPDATE_PATH}"
+            )
             accept = _update_codec.CONTENT_TYPE if accepts else b"*/*"
             res = await pool.request("GET", url, headers=[(b"accept", accept)])
             if accepts:
@@ -76,7 +78,7 @@
                 update = msgspec.json.decode(
                     res.content, type=_update_codec.PeerUpdate
                 )
-            assert update.news.catalogue == node.vm.catalogue
+            assert update.news.catalogue == daemon.vm.catalogue
 
     daemons.run_scenario(scenario)
 
@@ -91,12 +93,13 @@
             anyio.create_task_group() as tasks,
         ):
             empty = daemons.start(tasks, platform, daemons.settings())
-            node = entryd.make_node(daemons.settings(), daemons.DIALECT)
+            daemon = entryd.make_daemon(daemons.settings(), daemons.DIALECT)
             peer = empty.settings.peers
             await daemons.until(lambda: empty.initial_sync_done.is_set())
             assert (
-                await _update_requests.request_update(node, pool, peer) is None
+                await _update_requests.request_update(daemon, pool, peer)
+                is None
             )
-            empty.stop_asked.set()
+            empty.stop_requested.set()
 
     daemons.run_scenario(scenario)
