Name the entry daemon's replication as the joint terms do

The lead's joint table calls the exchange of the store's rows between VMs replication; entryd still said update, news and told.

Rename the codec, the HTTP calls and the client of the replication, and use the joint terms in comments. The keys on the wire stay.

--- a/dragonflystack/entryd/_daemon.py
+++ b/dragonflystack/entryd/_daemon.py
@@ -57,7 +57,7 @@
     readiness: Endpoint
     directory: Endpoint
     peers: Endpoint
-    """Where other VMs send heartbeats (UDP) and request updates (TCP)."""
+    """Where other VMs send heartbeats (UDP) and request changes (TCP)."""
 
     metrics: Endpoint
     seeds: tuple[Endpoint, ...]
@@ -122,7 +122,7 @@
     def on_store_era(self, era: int, source: str) -> None:
         """Handles the store's era; see `entry.store_version`.
 
-        A later era means that the store came back from an older copy: the
+        A later era means that the store was restored from an older copy: the
         watches restart and this VM registers again.
 
         Args:
--- a/dragonflystack/entryd/_exchange_runner.py
+++ b/dragonflystack/entryd/_exchange_runner.py
@@ -171,7 +171,7 @@
             self._daemon.metrics.count("connections-opened")
         now = self._daemon.now()
         if not self._exchange.may_write(now):
-            # While connecting, the process was paused or an update arrived.
+            # While connecting, the process was paused or the state changed.
             self._pool.release(address, conn)
             return entry.Withdrawn()
         left = self._exchange.deadline - now
--- a/dragonflystack/entryd/_peers_port.py
+++ b/dragonflystack/entryd/_peers_port.py
@@ -1,25 +1,25 @@
-"""The port for other VMs and operators: serves updates and a state dump."""
+"""The port for other VMs and operators: replication and a state dump."""
 
 from dragonflystack import _asgi
 from dragonflystack.entryd import _daemon
-from dragonflystack.entryd import _update_codec
-from dragonflystack.entryd import _update_requests
+from dragonflystack.entryd import _replication_calls
+from dragonflystack.entryd import _replication_codec
 
 DUMP_PATH = "/v1/dump"
 
 
 def make_app(daemon: _daemon.Daemon) -> _asgi.App:
     """Returns the ASGI app of the peers' port."""
-    encoder = _update_codec.UpdateEncoder()
+    encoder = _replication_codec.ReplicationEncoder()
 
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         if (
-            scope["path"] == _update_requests.UPDATE_PATH
+            scope["path"] == _replication_calls.REPLICATION_PATH
             and daemon.vm.has_initial_state
         ):
-            await _update_requests.serve_update(daemon, encoder, scope, send)
+            await _replication_calls.serve_changes(daemon, encoder, scope, send)
         elif scope["path"] == DUMP_PATH:
             await _asgi.send_json(send, dump(daemon))
         else:
--- a/dragonflystack/entryd/_update_requests.py
+++ b/dragonflystack/entryd/_replication_calls.py
@@ -1,7 +1,7 @@
-"""Requests for updates of the store's rows between VMs, over HTTP.
+"""Replication of the store's rows between VMs, over HTTP.
 
-A VM that is behind requests an update from a neighbour with a later position. A
-VM that starts while the store is unavailable tries each VM it knows of.
+A VM that is behind requests the changes from a neighbour with a later position.
+A VM that starts while the store is unavailable tries each VM it knows of.
 """
 
 import datetime
@@ -15,9 +15,9 @@
 from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _update_codec
+from dragonflystack.entryd import _replication_codec
 
-UPDATE_PATH = "/v1/news"
+REPLICATION_PATH = "/v1/news"
 _CONNECT_TIMEOUT_S = 0.7
 """The latency to a neighbour is half a millisecond, and others can be asked."""
 
@@ -36,13 +36,13 @@
 CALL_TIMEOUT = datetime.timedelta(seconds=2)
 """Time limit for one request."""
 
-_MAX_UPDATE_BYTES = 16_777_216
+_MAX_RESPONSE_BYTES = 16_777_216
 _OK = 200
 
 
-async def serve_update(
+async def serve_changes(
     daemon: _daemon.Daemon,
-    encoder: _update_codec.UpdateEncoder,
+    encoder: _replication_codec.ReplicationEncoder,
     scope: _asgi.Scope,
     send: _asgi.Send,
 ) -> None:
@@ -59,22 +59,22 @@
         await _asgi.send_problem(send, 400, "position", str(exc))
         return
     vms = daemon.vm.members.addresses() if "vms" in query else ()
-    update = _update_codec.PeerUpdate(
+    response = _replication_codec.ReplicationResponse(
         daemon.vm.changes_since(position, known_version), vms
     )
-    if (b"accept", _update_codec.CONTENT_TYPE) in scope["headers"]:
-        headers = [(b"content-type", _update_codec.CONTENT_TYPE)]
-        await _asgi.send_bytes(send, _OK, headers, encoder.encode(update))
+    if (b"accept", _replication_codec.CONTENT_TYPE) in scope["headers"]:
+        headers = [(b"content-type", _replication_codec.CONTENT_TYPE)]
+        await _asgi.send_bytes(send, _OK, headers, encoder.encode(response))
     else:
-        await _asgi.send_json(send, update)
+        await _asgi.send_json(send, response)
 
 
-async def request_update(
+async def request_changes(
     daemon: _daemon.Daemon,
     pool: httpcore.AsyncConnectionPool,
     peer: _daemon.Endpoint,
     with_vms: bool = False,
-) -> _update_codec.PeerUpdate | None:
+) -> _replication_codec.ReplicationResponse | None:
     """Requests from another VM the changes after this VM's position.
 
     Args:
@@ -84,33 +84,33 @@
         with_vms: whether to request the list of VMs too.
 
     Returns:
-        The update, None if the request failed; failures are logged.
+        The response, None if the request failed; failures are logged.
     """
     started_at = daemon.now()
     try:
         res = await _bounded.request(
             pool,
             "GET",
-            f"http://{peer}{UPDATE_PATH}?{_query(daemon, with_vms)}",
-            _MAX_UPDATE_BYTES,
+            f"http://{peer}{REPLICATION_PATH}?{_query(daemon, with_vms)}",
+            _MAX_RESPONSE_BYTES,
             CALL_TIMEOUT,
-            headers=[(b"accept", _update_codec.CONTENT_TYPE)],
+            headers=[(b"accept", _replication_codec.CONTENT_TYPE)],
             extensions=_TIMEOUTS,
         )
         if res.status != _OK:
             _log_failed(daemon, peer, f"status {res.status}", started_at)
             return None
-        update = _update_codec.decode(res.content, _content_type(res))
+        response = _replication_codec.decode(res.content, _content_type(res))
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
         httpcore.TimeoutException,
-        _update_codec.UpdateDecodeError,
+        _replication_codec.ReplicationDecodeError,
     ) as exc:
         _log_failed(daemon, peer, f"{type(exc).__name__}: {exc}", started_at)
         return None
-    _log_received(daemon, peer, update, len(res.content), started_at)
-    return update
+    _log_received(daemon, peer, response, len(res.content), started_at)
+    return response
 
 
 def _query(daemon: _daemon.Daemon, with_vms: bool) -> str:
@@ -152,13 +152,13 @@
 def _log_received(
     daemon: _daemon.Daemon,
     peer: _daemon.Endpoint,
-    update: _update_codec.PeerUpdate,
+    response: _replication_codec.ReplicationResponse,
     size: int,
     started_at: datetime.timedelta,
 ) -> None:
     took = daemon.now() - started_at
     daemon.metrics.time("news", took, outcome="taken")
-    catalogue = update.news.catalogue
+    catalogue = response.news.catalogue
     if catalogue is not None:
         daemon.log_event(
             _events.Event.NEWS_TAKEN,
--- a/dragonflystack/entryd/_peer_sync.py
+++ b/dragonflystack/entryd/_replication_client.py
@@ -1,4 +1,4 @@
-"""Fetches updates of the store's rows from other VMs and applies them."""
+"""Fetches replicated changes from other VMs and applies them."""
 
 import datetime
 
@@ -9,17 +9,17 @@
 from dragonflystack.entryd import _apply
 from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _update_requests
+from dragonflystack.entryd import _replication_calls
 
 _HEDGE_AFTER = datetime.timedelta(milliseconds=500)
-"""Most updates arrive within a tenth of this time. A VM that is behind rejects
-requests after 0.6 of the bound on changes."""
+"""Most responses arrive within a tenth of this time. A VM with outdated rows
+rejects requests after 0.6 of the bound on changes."""
 
 _RETRY_PAUSE = datetime.timedelta(milliseconds=200)
 """Neighbours with a later position announce it at least twice a second."""
 
 
-class PeerSync:
+class ReplicationClient:
     """Keeps this VM up to date with VMs that have a later position."""
 
     def __init__(self, daemon: _daemon.Daemon):
@@ -31,7 +31,7 @@
         await self._pool.aclose()
 
     async def run(self) -> None:
-        """Fetches updates from VMs that announce a later position, for ever."""
+        """Fetches changes whenever another VM announces a later position."""
         daemon = self._daemon
         while True:
             await daemon.update_available.wait()
@@ -41,7 +41,7 @@
                 await anyio.sleep(_RETRY_PAUSE.total_seconds())
 
     async def _fetch_hedged(self, peer: _daemon.Endpoint) -> bool:
-        """Fetches an update from a VM, hedged with a request to another one.
+        """Fetches changes from a VM, hedged with a request to another one.
 
         The second request is sent if the first takes long, for example because
         its connection is dead or a link is full.
@@ -50,7 +50,7 @@
             peer: the VM to ask first.
 
         Returns:
-            Whether an update was applied.
+            Whether changes were applied.
         """
         is_fetched = False
         async with anyio.create_task_group() as tasks:
@@ -86,31 +86,31 @@
     async def _fetch_and_apply(
         self, peer: _daemon.Endpoint, with_vms: bool = False
     ) -> bool:
-        """Fetches an update and applies it; returns whether that succeeded."""
+        """Fetches and applies changes; returns whether that succeeded."""
         daemon = self._daemon
-        update = await _update_requests.request_update(
+        response = await _replication_calls.request_changes(
             daemon, self._pool, peer, with_vms
         )
-        if update is None:
+        if response is None:
             return False
-        news = update.news
-        daemon.on_store_era(entry.era_of(news.position.latest), str(peer))
-        was_informed = daemon.vm.has_initial_state
-        if update.vms:
-            daemon.vm.members.on_vm_list(update.vms, of_all_regions=False)
-        if news.catalogue is not None:
-            _apply.adopt_catalogue(daemon, news.catalogue, str(peer))
+        changes = response.news
+        daemon.on_store_era(entry.era_of(changes.position.latest), str(peer))
+        had_state = daemon.vm.has_initial_state
+        if response.vms:
+            daemon.vm.members.on_vm_list(response.vms, of_all_regions=False)
+        if changes.catalogue is not None:
+            _apply.adopt_catalogue(daemon, changes.catalogue, str(peer))
         before = daemon.vm.log.position
-        if news.position.operators >= before.operators:
-            _apply.set_evacuated(daemon, news.evacuated, str(peer))
+        if changes.position.operators >= before.operators:
+            _apply.set_evacuated(daemon, changes.evacuated, str(peer))
         _apply.log_server_changes(
-            daemon, daemon.vm.on_replicated_changes(news, daemon.now())
+            daemon, daemon.vm.on_replicated_changes(changes, daemon.now())
         )
-        if not was_informed:
+        if not had_state:
             daemon.log_event(
                 _events.Event.STATE_FROM_PEER,
                 peer=str(peer),
-                servers=len(news.entries),
+                servers=len(changes.entries),
             )
         _apply.after_update(daemon, before)
         return True
--- a/dragonflystack/entryd/_update_codec.py
+++ b/dragonflystack/entryd/_replication_codec.py
@@ -1,4 +1,4 @@
-"""Encodes updates of the store's rows for other VMs.
+"""Encodes the replicated changes that one VM sends to another.
 
 The format is MessagePack, compressed with zlib: 1,450 routes take 0.29 MB, and
 40 to 70 kB compressed. Links between VMs may have only 5 Mbit/s. When many VMs
@@ -23,21 +23,23 @@
 """Limit for the decompressed size of each part."""
 
 
-class UpdateDecodeError(ValueError):
-    """An update from another VM cannot be decoded."""
+class ReplicationDecodeError(ValueError):
+    """The response of another VM cannot be decoded."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PeerUpdate:
-    """The answer to a VM that requests an update."""
+class ReplicationResponse:
+    """The response to a VM that requests the changes after its position."""
 
     news: entry.ReplicatedChanges
+    """The changes; in JSON, the field has this name."""
+
     vms: tuple[entry.VmAddress, ...]
     """The known VMs of the region; empty unless they were requested."""
 
 
-class _CompressedUpdate(msgspec.Struct, frozen=True, array_like=True):
-    news: bytes
+class _CompressedResponse(msgspec.Struct, frozen=True, array_like=True):
+    changes: bytes
     """Everything but the catalogue, compressed."""
 
     catalogue: bytes | None
@@ -51,24 +53,24 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
-class UpdateEncoder:
-    """Encodes updates; caches the latest catalogue in compressed form."""
+class ReplicationEncoder:
+    """Encodes responses; caches the latest catalogue in compressed form."""
 
     def __init__(self):
         self._version: int | None = None
         self._catalogue = b""
 
-    def encode(self, update: PeerUpdate) -> bytes:
-        """Returns the encoded form of an update; see `decode`."""
-        catalogue = update.news.catalogue
-        news = msgspec.structs.replace(update.news, catalogue=None)
+    def encode(self, response: ReplicationResponse) -> bytes:
+        """Returns the encoded form of a response; see `decode`."""
+        catalogue = response.news.catalogue
+        changes = msgspec.structs.replace(response.news, catalogue=None)
         return _encoder.encode(
-            _CompressedUpdate(
-                _compress(news),
+            _CompressedResponse(
+                _compress(changes),
                 None
                 if catalogue is None
                 else self._compressed_catalogue(catalogue),
-                update.vms,
+                response.vms,
             )
         )
 
@@ -79,30 +81,32 @@
         return self._catalogue
 
 
-def decode(data: bytes, content_type: bytes = CONTENT_TYPE) -> PeerUpdate:
-    """Decodes an update from another VM.
+def decode(
+    data: bytes, content_type: bytes = CONTENT_TYPE
+) -> ReplicationResponse:
+    """Decodes the response of another VM.
 
     While a fleet is upgraded, VMs of the previous version send JSON.
 
     Args:
-        data: the encoded update.
+        data: the encoded response.
         content_type: its content type; any other than `CONTENT_TYPE` means
             JSON.
 
     Raises:
-        UpdateDecodeError: if it cannot be decoded.
+        ReplicationDecodeError: if it cannot be decoded.
     """
     try:
         if content_type != CONTENT_TYPE:
-            return msgspec.json.decode(data, type=PeerUpdate)
-        body = msgspec.msgpack.decode(data, type=_CompressedUpdate)
-        news = _decompress(body.news, entry.ReplicatedChanges)
+            return msgspec.json.decode(data, type=ReplicationResponse)
+        body = msgspec.msgpack.decode(data, type=_CompressedResponse)
+        changes = _decompress(body.changes, entry.ReplicatedChanges)
         if body.catalogue is not None:
             catalogue = _decompress(body.catalogue, entry.Catalogue)
-            news = msgspec.structs.replace(news, catalogue=catalogue)
+            changes = msgspec.structs.replace(changes, catalogue=catalogue)
     except (msgspec.MsgspecError, zlib.error) as exc:
-        raise UpdateDecodeError(f"update: {exc}") from exc
-    return PeerUpdate(news, body.vms)
+        raise ReplicationDecodeError(f"replication response: {exc}") from exc
+    return ReplicationResponse(changes, body.vms)
 
 
 def _compress(value: object) -> bytes:
@@ -113,7 +117,7 @@
     decompressor = zlib.decompressobj()
     unpacked = decompressor.decompress(data, _MAX_DECOMPRESSED_BYTES)
     if not decompressor.eof:
-        raise UpdateDecodeError(
+        raise ReplicationDecodeError(
             f"{kind.__name__}: truncated, "
             f"or over {_MAX_DECOMPRESSED_BYTES} bytes"
         )
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -18,10 +18,10 @@
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _heartbeats
 from dragonflystack.entryd import _metrics_port
-from dragonflystack.entryd import _peer_sync
 from dragonflystack.entryd import _peers_port
 from dragonflystack.entryd import _platform
 from dragonflystack.entryd import _probes
+from dragonflystack.entryd import _replication_client
 from dragonflystack.entryd import _store_sync
 
 _PERIOD_S = 0.1
@@ -71,14 +71,16 @@
     )
     heartbeats = _heartbeats.Heartbeats(daemon)
     await heartbeats.open()
-    peer_sync = _peer_sync.PeerSync(daemon)
-    store_sync = _store_sync.StoreSync(daemon, platform, peer_sync)
+    replication_client = _replication_client.ReplicationClient(daemon)
+    store_sync = _store_sync.StoreSync(daemon, platform, replication_client)
     ports = _make_ports(daemon, pool, apps)
     async with anyio.create_task_group() as signals:
         signals.start_soon(_handle_signals, daemon, reload_bounds)
-        await _serve(daemon, pool, heartbeats, store_sync, peer_sync, ports)
+        await _serve(
+            daemon, pool, heartbeats, store_sync, replication_client, ports
+        )
         pool.close()
-        await peer_sync.aclose()
+        await replication_client.aclose()
         await platform.aclose()
         daemon.log_event(_events.Event.STOPPED, in_flight=daemon.in_flight)
         daemon.event_log.flush()
@@ -90,7 +92,7 @@
     pool: _connections.Pool,
     heartbeats: _heartbeats.Heartbeats,
     store_sync: _store_sync.StoreSync,
-    peer_sync: _peer_sync.PeerSync,
+    replication_client: _replication_client.ReplicationClient,
     ports: tuple[_server.Server, ...],
 ) -> None:
     """Serves until a stop is requested and its grace period is over."""
@@ -99,7 +101,7 @@
         loops.start_soon(store_sync.run_operators)
         loops.start_soon(store_sync.run_servers)
         loops.start_soon(store_sync.run_registration)
-        loops.start_soon(peer_sync.run)
+        loops.start_soon(replication_client.run)
         loops.start_soon(heartbeats.run)
         loops.start_soon(_probes.Prober(daemon, pool).run)
         async with anyio.create_task_group() as servers:
--- a/dragonflystack/entryd/_store_sync.py
+++ b/dragonflystack/entryd/_store_sync.py
@@ -18,8 +18,8 @@
 from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _peer_sync
 from dragonflystack.entryd import _platform
+from dragonflystack.entryd import _replication_client
 
 _SERVER_WATCH_PAUSE = datetime.timedelta(milliseconds=400)
 """Pause before each watch of the backend servers. A leaving backend server is
@@ -35,8 +35,8 @@
 only needs to show that the store answers."""
 
 _SETTLING_WAIT = datetime.timedelta(milliseconds=500)
-"""Shorter wait after the store came back from an older copy, so that it is read
-again soon after operators and backend servers rewrote what it had lost."""
+"""Shorter wait after the store was restored from an older copy, so that it is
+read again soon after operators and backend servers rewrote what it had lost."""
 
 _INITIAL_BACKOFF = datetime.timedelta(milliseconds=200)
 _LIST_VMS_EVERY = datetime.timedelta(seconds=60)
@@ -98,15 +98,15 @@
         self,
         daemon: _daemon.Daemon,
         platform: _platform.Platform,
-        peer_sync: _peer_sync.PeerSync,
+        replication_client: _replication_client.ReplicationClient,
     ):
         self._daemon = daemon
         self._platform = platform
-        self._peer_sync = peer_sync
+        self._replication_client = replication_client
 
     # Operators and backend servers.
     async def run_operators(self) -> None:
-        """Watches the operators' rows while this VM is a watcher, for ever."""
+        """Watches the operators' rows whenever this VM should."""
         await self._follow_table(
             entry.Table.OPERATORS,
             self._daemon.vm.freshness.should_watch_operators,
@@ -117,7 +117,7 @@
         )
 
     async def run_servers(self) -> None:
-        """Watches the rows of backend servers likewise."""
+        """Watches the rows of backend servers whenever this VM should."""
         await self._follow_table(
             entry.Table.SERVERS,
             self._daemon.vm.freshness.should_watch,
@@ -136,7 +136,7 @@
         apply: Callable[[_Update], None],
         pause: datetime.timedelta,
     ) -> None:
-        """Reads a table and then watches it, for ever.
+        """Reads and then watches a table whenever this VM should.
 
         Args:
             table: the table.
@@ -161,29 +161,29 @@
                 version = None
                 needs_reread = False
             if version is None:
-                news = await read()
+                update = await read()
             else:
                 await anyio.sleep(pause.total_seconds())
-                news = await self._watch(watch, version)
+                update = await self._watch(watch, version)
             daemon.on_store_era(self._platform.era, _STORE)
             needs_reread |= not daemon.vm.is_store_repopulated(daemon.now())
-            if isinstance(news, storage.Unavailable):
+            if isinstance(update, storage.Unavailable):
                 version = None
                 daemon.vm.freshness.on_watch(table, False, daemon.now())
                 daemon.vm.discovery.on_store_unavailable()
-                await self._peer_sync.bootstrap_from_peers()
-                await anyio.sleep(tracker.on_failure(news))
-            elif isinstance(news, _platform.HistoryLost):
+                await self._replication_client.bootstrap_from_peers()
+                await anyio.sleep(tracker.on_failure(update))
+            elif isinstance(update, _platform.HistoryLost):
                 daemon.log_event(_events.Event.HISTORY_LOST, table=table.value)
                 version = None
-            elif news is not None:
+            elif update is not None:
                 if tracker.on_success():
                     # Other watches may be waiting on a dead connection.
                     daemon.restart_watches()
                 daemon.vm.freshness.on_watch(table, True, daemon.now())
-                version = news.version
-                self._log_skipped(table.value, news.skipped)
-                apply(news)
+                version = update.version
+                self._log_skipped(table.value, update.skipped)
+                apply(update)
 
     async def _watch(
         self,
@@ -198,7 +198,7 @@
             wait = _CONFIRMATION_WAIT
         elif not daemon.vm.is_store_repopulated(daemon.now()):
             wait = _SETTLING_WAIT
-        news: object = None
+        update: object = None
         async with anyio.create_task_group() as tasks:
 
             async def stop_on_restart() -> None:
@@ -206,34 +206,34 @@
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(stop_on_restart)
-            news = await watch(version, wait)
+            update = await watch(version, wait)
             tasks.cancel_scope.cancel()
-        return news
+        return update
 
-    def _on_operators(self, news: _platform.OperatorUpdate) -> None:
+    def _on_operators(self, update: _platform.OperatorUpdate) -> None:
         daemon = self._daemon
-        evacuated = news.evacuated
-        if not news.whole:
+        evacuated = update.evacuated
+        if not update.whole:
             evacuated = (
                 daemon.vm.evacuated | evacuated
-            ) - news.evacuation_ended
-        position = news.position
-        if news.whole and evacuated != daemon.vm.evacuated:
+            ) - update.evacuation_ended
+        position = update.position
+        if update.whole and evacuated != daemon.vm.evacuated:
             # A deleted row has no version in a snapshot.
-            position = news.version
-        if news.catalogue is not None:
-            _apply.adopt_catalogue(daemon, news.catalogue, _STORE)
+            position = update.version
+        if update.catalogue is not None:
+            _apply.adopt_catalogue(daemon, update.catalogue, _STORE)
         _apply.set_evacuated(daemon, evacuated, _STORE)
         before = daemon.vm.log.position
         daemon.vm.log.on_operators(position)
-        daemon.vm.freshness.on_operators_read(news.version)
+        daemon.vm.freshness.on_operators_read(update.version)
         _apply.after_update(daemon, before)
 
-    def _on_servers(self, news: _platform.ServerUpdate) -> None:
+    def _on_servers(self, update: _platform.ServerUpdate) -> None:
         daemon = self._daemon
         before = daemon.vm.log.position
         changes = daemon.vm.on_listing(
-            news.listing, news.position, daemon.now()
+            update.listing, update.position, daemon.now()
         )
         _apply.log_server_changes(daemon, changes)
         _apply.after_update(daemon, before)
@@ -253,7 +253,7 @@
                     registered_era = self._platform.era
                     daemon.log_event(_events.Event.VM_REGISTERED)
                 else:
-                    await self._peer_sync.bootstrap_from_peers()
+                    await self._replication_client.bootstrap_from_peers()
                     await anyio.sleep(_registration_backoff_s(tracker, result))
             vms = await self._platform.list_vms()
             daemon.on_store_era(self._platform.era, _STORE)
--- a/dragonflystack/entryd/tests/test_customer_keys.py
+++ b/dragonflystack/entryd/tests/test_customer_keys.py
@@ -166,7 +166,7 @@
 
 
 def test_keys_never_leave_the_vm():
-    """Guards against keys in logs, dumps, updates or metrics.
+    """Guards against keys in logs, dumps, replicated changes or metrics.
 
     A log contains the digest of a rejected key, so that it can be identified.
     """
@@ -188,9 +188,9 @@
         assert b'"customer":"alice"' in log
         assert entry.digest_key(_KEY).encode() in log
         dump = msgspec.json.encode(_peers_port.dump(daemon))
-        news = msgspec.json.encode(daemon.vm.changes_since(entry.Position()))
-        assert b"bob" in news
-        for output in (log, dump, news, daemon.metrics.render()):
+        changes = msgspec.json.encode(daemon.vm.changes_since(entry.Position()))
+        assert b"bob" in changes
+        for output in (log, dump, changes, daemon.metrics.render()):
             for key in (_KEY, b"second-key", b"key-of-bob"):
                 assert key not in output
 
--- a/dragonflystack/entryd/tests/test_update_requests.py
+++ b/dragonflystack/entryd/tests/test_replication_calls.py
@@ -1,4 +1,4 @@
-"""Tests requests for updates between VMs."""
+"""Tests the replication of changes between VMs."""
 
 import asyncio
 
@@ -9,9 +9,9 @@
 
 from dragonflystack import entryd
 from dragonflystack.entryd import _daemon
-from dragonflystack.entryd import _peer_sync
-from dragonflystack.entryd import _update_codec
-from dragonflystack.entryd import _update_requests
+from dragonflystack.entryd import _replication_calls
+from dragonflystack.entryd import _replication_client
+from dragonflystack.entryd import _replication_codec
 from dragonflystack.entryd.tests import daemons
 
 
@@ -20,8 +20,8 @@
     writer.close()
 
 
-def _make_outdated_vm(neighbour):
-    """Returns a VM, not started, that knows of a neighbour with newer rows."""
+def _make_outdated_daemon(neighbour):
+    """Returns a daemon, not started, that knows of a VM with newer rows."""
     daemon = entryd.make_daemon(daemons.settings(), daemons.DIALECT)
     now = daemon.now()
     beat = neighbour.vm.heartbeat(neighbour.now(), include_address=True)
@@ -37,12 +37,12 @@
         silent = await asyncio.start_server(_never_answer, "127.0.0.1", 0)
         peer = _daemon.Endpoint(*silent.sockets[0].getsockname())
         async with daemons.serving_daemon(platform) as (_, neighbour):
-            daemon = _make_outdated_vm(neighbour)
-            peer_sync = _peer_sync.PeerSync(daemon)
-            assert await peer_sync._fetch_hedged(peer)
+            daemon = _make_outdated_daemon(neighbour)
+            replication_client = _replication_client.ReplicationClient(daemon)
+            assert await replication_client._fetch_hedged(peer)
             assert daemon.vm.has_initial_state
             assert daemon.catalogue_version == 3
-            await peer_sync.aclose()
+            await replication_client.aclose()
         silent.close()
 
     daemons.run_scenario(scenario)
@@ -53,32 +53,30 @@
         silent = await asyncio.start_server(_never_answer, "127.0.0.1", 0)
         peer = _daemon.Endpoint(*silent.sockets[0].getsockname())
         daemon = entryd.make_daemon(daemons.settings(), daemons.DIALECT)
-        peer_sync = _peer_sync.PeerSync(daemon)
-        assert not await peer_sync._fetch_hedged(peer)
-        await peer_sync.aclose()
+        replication_client = _replication_client.ReplicationClient(daemon)
+        assert not await replication_client._fetch_hedged(peer)
+        await replication_client.aclose()
         silent.close()
 
     daemons.run_scenario(scenario)
 
 
 @pytest.mark.parametrize("accepts", [True, False])
-def test_update_has_the_requested_content_type(accepts):
+def test_response_has_the_requested_content_type(accepts):
     """A VM of the previous version does not accept the compressed format."""
 
     async def scenario(platform, _):
         async with daemons.serving_daemon(platform) as (pool, daemon):
-            url = (
-                f"http://{daemon.settings.peers}{_update_requests.UPDATE_PATH}"
-            )
-            accept = _update_codec.CONTENT_TYPE if accepts else b"*/*"
+            url = f"http://{daemon.settings.peers}{_replication_calls.REPLICATION_PATH}"
+            accept = _replication_codec.CONTENT_TYPE if accepts else b"*/*"
             res = await pool.request("GET", url, headers=[(b"accept", accept)])
             if accepts:
-                update = _update_codec.decode(res.content)
+                response = _replication_codec.decode(res.content)
             else:
-                update = msgspec.json.decode(
-                    res.content, type=_update_codec.PeerUpdate
+                response = msgspec.json.decode(
+                    res.content, type=_replication_codec.ReplicationResponse
                 )
-            assert update.news.catalogue == daemon.vm.catalogue
+            assert response.news.catalogue == daemon.vm.catalogue
 
     daemons.run_scenario(scenario)
 
@@ -97,7 +95,7 @@
             peer = empty.settings.peers
             await daemons.until(lambda: empty.initial_sync_done.is_set())
             assert (
-                await _update_requests.request_update(daemon, pool, peer)
+                await _replication_calls.request_changes(daemon, pool, peer)
                 is None
             )
             empty.stop_requested.set()
--- a/dragonflystack/entryd/tests/test_update_propagation.py
+++ b/dragonflystack/entryd/tests/test_replication_spread.py
@@ -20,8 +20,8 @@
 from dragonflystack.entry.tests import builders
 from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _peers_port
-from dragonflystack.entryd import _update_codec
-from dragonflystack.entryd import _update_requests
+from dragonflystack.entryd import _replication_calls
+from dragonflystack.entryd import _replication_codec
 
 _STEP_S = 0.01
 _ROW_BYTES = 640_000
@@ -88,9 +88,9 @@
     async def ask():
         daemon = cast(_daemon.Daemon, types.SimpleNamespace(vm=vm))
         scope = {
-            "path": _update_requests.UPDATE_PATH,
+            "path": _replication_calls.REPLICATION_PATH,
             "query_string": query,
-            "headers": [(b"accept", _update_codec.CONTENT_TYPE)],
+            "headers": [(b"accept", _replication_codec.CONTENT_TYPE)],
         }
         await _peers_port.make_app(daemon)(scope, receive, send)
 
@@ -136,7 +136,7 @@
 
 
 class _SpreadSimulation:
-    """Simulates how one update spreads over the links of a region."""
+    """Simulates how one change spreads over the links of a region."""
 
     def __init__(self, vms, links, answer_bytes, row_bytes):
         self._vms = vms
@@ -152,7 +152,7 @@
         self._retry_at: dict[str, float] = {}
 
     def run(self, until_s):
-        """Runs the simulation; returns when each VM received the update."""
+        """Runs the simulation; returns when each VM received the change."""
         now_s = 0.0
         next_beat = 0
         while now_s < until_s and len(self.received_s) < len(self._vms):
@@ -191,13 +191,13 @@
                 self._send_heartbeats((receiver,), now_s)
 
     def _has_timed_out(self, transfer, now_s):
-        timeout_s = _update_requests.CALL_TIMEOUT.total_seconds()
+        timeout_s = _replication_calls.CALL_TIMEOUT.total_seconds()
         return (
             transfer.sender is not None and now_s - transfer.began_s > timeout_s
         )
 
     def _send_heartbeats(self, senders, now_s):
-        """Sends heartbeats of up-to-date VMs; receivers request the update."""
+        """Sends heartbeats of current VMs; outdated VMs request the change."""
         now = datetime.timedelta(seconds=2 + now_s)
         for sender in senders:
             for member, _ in self._vms[sender].members.heartbeat_targets(now):
