Finish the wording of the entry daemon

A few comments and local names of dragonflystack/entryd still used old terms, and benchmarks/_ablate.py quoted a renamed line.

Use the joint terms and follow the rename in the quoted line.

--- a/benchmarks/_ablate.py
+++ b/benchmarks/_ablate.py
@@ -94,7 +94,7 @@
         _WATCHERS,
         Edit(
             "dragonflystack/entryd/_heartbeats.py",
-            "            node.news_poke.set()",
+            "            daemon.update_available.set()",
             "            pass",
         ),
     ),
--- a/dragonflystack/entryd/__init__.py
+++ b/dragonflystack/entryd/__init__.py
@@ -2,8 +2,9 @@
 
 An adapter supplies what is specific to a platform: settings, the store, header
 names, and the ASGI apps of the readiness and directory ports.
-    node = entryd.make_node(settings, dialect)
-    anyio.run(entryd.run, node, platform, apps, reload_bounds)
+
+    daemon = entryd.make_daemon(settings, dialect)
+    anyio.run(entryd.run, daemon, platform, apps, reload_bounds)
 """
 
 import os
--- a/dragonflystack/entryd/_connections.py
+++ b/dragonflystack/entryd/_connections.py
@@ -85,6 +85,7 @@
             future.set_exception(exc)
 
     # Callbacks of asyncio.Protocol.
+
     def connection_made(self, transport):
         """See `asyncio.Protocol`."""
         self._transport = transport
--- a/dragonflystack/entryd/_dialect.py
+++ b/dragonflystack/entryd/_dialect.py
@@ -16,7 +16,7 @@
     """Header names, in lower case, and parsers of some header values."""
 
     request_id: bytes
-    """The caller's id of a request; backend servers echo it."""
+    """The id of the caller's attempt; backend servers echo it."""
 
     time_left_ms: bytes
     """Milliseconds that remain until the caller's deadline."""
--- a/dragonflystack/entryd/_exchange_runner.py
+++ b/dragonflystack/entryd/_exchange_runner.py
@@ -148,6 +148,7 @@
         )
 
     # One attempt.
+
     async def _start_attempt(
         self, step: entry.Send
     ) -> "_Attempt | entry.ConnectFailed | entry.Withdrawn":
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -48,7 +48,7 @@
         """Processes a heartbeat; malformed ones are logged and skipped."""
         daemon = self._daemon
         try:
-            beat = _decoder.decode(data)
+            heartbeat = _decoder.decode(data)
         except msgspec.MsgspecError as exc:
             daemon.log_event(
                 _events.Event.ENTRY_SKIPPED,
@@ -59,25 +59,27 @@
             return
         now = daemon.now()
         try:
-            member = daemon.vm.members.on_heartbeat(beat, now)
+            member = daemon.vm.members.on_heartbeat(heartbeat, now)
         except entry.UnknownVmError:
             self._send(_daemon.Endpoint(*addr), reply_requested=True)
             return
-        if beat.reply_requested:
+        if heartbeat.reply_requested:
             self._send(_daemon.Endpoint(*addr), include_address=True)
         if member is not None:
             daemon.log_event(
                 _events.Event.VM_HEARD,
-                peer=beat.vm,
-                phase=beat.phase.value,
-                incarnation=beat.incarnation,
+                peer=heartbeat.vm,
+                phase=heartbeat.phase.value,
+                incarnation=heartbeat.incarnation,
             )
-        daemon.vm.dispatch.on_observations(beat.loads, beat.cached_objects, now)
-        for server in daemon.vm.on_departures(beat.departures, now):
-            _server_reports.log_leaving(daemon, server, beat.vm)
-        if daemon.vm.freshness.on_heartbeat(beat, now):
+        daemon.vm.dispatch.on_observations(
+            heartbeat.loads, heartbeat.cached_objects, now
+        )
+        for server in daemon.vm.on_departures(heartbeat.departures, now):
+            _server_reports.log_leaving(daemon, server, heartbeat.vm)
+        if daemon.vm.freshness.on_heartbeat(heartbeat, now):
             daemon.heartbeat_requested.set()
-        if daemon.vm.is_behind(beat.position):
+        if daemon.vm.is_behind(heartbeat.position):
             daemon.update_source = _daemon.Endpoint(*addr)
             daemon.update_available.set()
 
@@ -130,13 +132,15 @@
         if self._transport is None:
             return
         daemon = self._daemon
-        beat = daemon.vm.heartbeat(
+        heartbeat = daemon.vm.heartbeat(
             daemon.now(),
             is_neighbour,
             reply_requested,
             include_address or reply_requested,
         )
-        self._transport.sendto(_encoder.encode(beat), (peer.host, peer.port))
+        self._transport.sendto(
+            _encoder.encode(heartbeat), (peer.host, peer.port)
+        )
 
     def _log_silent(self) -> None:
         daemon = self._daemon
--- a/dragonflystack/entryd/_probes.py
+++ b/dragonflystack/entryd/_probes.py
@@ -1,6 +1,6 @@
 """Sends health probes to suspect backend servers.
 
-A backend server is suspect if it refused a connection or cold_left a request
+A backend server is suspect if it refused a connection or left a request
 unanswered; it gets no requests then. Others are not probed, because a probe
 occupies a slot of the backend server.
 """
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -25,7 +25,7 @@
 from dragonflystack.entryd import _store_sync
 
 _PERIOD_S = 0.1
-"""Interval of the periodic work; log lines are written with this delay."""
+"""Interval of the periodic work, and the longest delay of a log line."""
 
 _CLOSE_EXPIRED_EVERY = datetime.timedelta(seconds=1)
 _CLOSE_BEFORE_KILL = datetime.timedelta(milliseconds=1_600)
@@ -95,7 +95,7 @@
     replication_client: _replication_client.ReplicationClient,
     ports: tuple[_server.Server, ...],
 ) -> None:
-    """Serves until a stop is requested and its grace period is over."""
+    """Serves until a stop is requested, then shuts down gracefully."""
     async with anyio.create_task_group() as loops:
         loops.start_soon(_run_periodic, daemon, pool, ports[0])
         loops.start_soon(store_sync.run_operators)
--- a/dragonflystack/entryd/_startup_queue.py
+++ b/dragonflystack/entryd/_startup_queue.py
@@ -1,7 +1,7 @@
 """Holds requests that arrive before a starting VM knows its routes.
 
 Callers that know a VM from before its restart connect as soon as its port
-opens. The first read of the store usually takes some hundredths of a second,
+opens. The first read of the store takes some hundredths of a second,
 so requests that arrive in the meantime are held rather than rejected. Once a
 read has failed, the remaining time is unknown and requests are rejected at
 once.
--- a/dragonflystack/entryd/_store_sync.py
+++ b/dragonflystack/entryd/_store_sync.py
@@ -34,7 +34,7 @@
 """Shorter wait while the removal of many entries is unconfirmed; the watch then
 only needs to show that the store answers."""
 
-_SETTLING_WAIT = datetime.timedelta(milliseconds=500)
+_REPOPULATION_WAIT = datetime.timedelta(milliseconds=500)
 """Shorter wait after the store was restored from an older copy, so that it is
 read again soon after operators and backend servers rewrote what it had lost."""
 
@@ -105,6 +105,7 @@
         self._replication_client = replication_client
 
     # Operators and backend servers.
+
     async def run_operators(self) -> None:
         """Watches the operators' rows whenever this VM should."""
         await self._follow_table(
@@ -197,7 +198,7 @@
         if daemon.vm.discovery.needs_confirmation:
             wait = _CONFIRMATION_WAIT
         elif not daemon.vm.is_store_repopulated(daemon.now()):
-            wait = _SETTLING_WAIT
+            wait = _REPOPULATION_WAIT
         update: object = None
         async with anyio.create_task_group() as tasks:
 
@@ -239,6 +240,7 @@
         _apply.after_update(daemon, before)
 
     # Registration.
+
     async def run_registration(self) -> None:
         """Registers this VM and reads the list of VMs periodically."""
         daemon = self._daemon
--- a/dragonflystack/entryd/tests/test_replication_calls.py
+++ b/dragonflystack/entryd/tests/test_replication_calls.py
@@ -24,9 +24,9 @@
     """Returns a daemon, not started, that knows of a VM with newer rows."""
     daemon = entryd.make_daemon(daemons.settings(), daemons.DIALECT)
     now = daemon.now()
-    beat = neighbour.vm.heartbeat(neighbour.now(), include_address=True)
-    daemon.vm.members.on_heartbeat(beat, now)
-    assert daemon.vm.is_behind(beat.position)
+    heartbeat = neighbour.vm.heartbeat(neighbour.now(), include_address=True)
+    daemon.vm.members.on_heartbeat(heartbeat, now)
+    assert daemon.vm.is_behind(heartbeat.position)
     return daemon
 
 
--- a/dragonflystack/entryd/tests/test_replication_spread.py
+++ b/dragonflystack/entryd/tests/test_replication_spread.py
@@ -1,4 +1,4 @@
-"""Simulates how updates simulation over the links of a region.
+"""Simulates how changes spread over the links of a region.
 
 A large catalogue and a complete list of backend servers must reach all VMs
 within the bounds.
@@ -113,11 +113,11 @@
             for member, is_neighbour in vm.members.heartbeat_targets(
                 builders.ms(500 * i)
             ):
-                beat = vm.heartbeat(
+                heartbeat = vm.heartbeat(
                     builders.ms(500 * i), is_neighbour, include_address=True
                 )
                 other = vms[member.address.vm].members
-                other.on_heartbeat(beat, builders.ms(500 * i))
+                other.on_heartbeat(heartbeat, builders.ms(500 * i))
     free = 1 - _CALLERS_FRACTION
     links = {
         vm: mbps * 1e6 / 8 * free
@@ -154,10 +154,10 @@
     def run(self, until_s):
         """Runs the simulation; returns when each VM received the change."""
         now_s = 0.0
-        next_beat = 0
+        next_heartbeat = 0
         while now_s < until_s and len(self.received_s) < len(self._vms):
-            if now_s >= next_beat * 0.5:
-                next_beat += 1
+            if now_s >= next_heartbeat * 0.5:
+                next_heartbeat += 1
                 self._send_heartbeats(tuple(self.received_s), now_s)
             self._advance(now_s)
             now_s += _STEP_S
