--- a/dragonflystack/entryd/__init__.py
+++ b/dragonflystack/entryd/__init__.py
@@ -1,10 +1,10 @@
-"""The entry daemon of a platform: ports, connections and loops.
+"""The entry daemon: its ports, connections to backend servers and loops.
 
-An adapter hands in what is the platform's own: settings, the store, header
-names, and the apps that its callers ask.
+An adapter supplies what is specific to a platform: settings, the store, header
+names, and the ASGI apps of the readiness and directory ports.
 
-    node = entryd.make_node(settings, dialect)
-    anyio.run(entryd.run, node, platform, apps, reload_bounds)
+    daemon = entryd.make_daemon(settings, dialect)
+    anyio.run(entryd.run, daemon, platform, apps, reload_bounds)
 """
 
 import os
@@ -19,13 +19,13 @@
 from dragonflystack.entryd._daemon import Endpoint
 from dragonflystack.entryd._daemon import Settings
 from dragonflystack.entryd._dialect import Dialect
-from dragonflystack.entryd._journal import Journal
+from dragonflystack.entryd._event_log import EventLog
 from dragonflystack.entryd._metrics import Metrics
-from dragonflystack.entryd._platform_port import HistoryLost
-from dragonflystack.entryd._platform_port import OperatorUpdate
-from dragonflystack.entryd._platform_port import Platform
-from dragonflystack.entryd._platform_port import ServerUpdate
-from dragonflystack.entryd._platform_port import SkippedRow
+from dragonflystack.entryd._platform import HistoryLost
+from dragonflystack.entryd._platform import OperatorUpdate
+from dragonflystack.entryd._platform import Platform
+from dragonflystack.entryd._platform import ServerUpdate
+from dragonflystack.entryd._platform import SkippedRow
 from dragonflystack.entryd._run import Apps
 from dragonflystack.entryd._run import run
 
@@ -47,7 +47,7 @@
 
 
 def make_daemon(cfg: Settings, dialect: Dialect) -> Daemon:
-    """Returns the state of a daemon that starts."""
+    """Returns the initial state of a daemon."""
     now = clock.SystemClock()
     own = entry.VmAddress(
         cfg.vm, cfg.region, cfg.domain, str(cfg.callers), str(cfg.peers)
@@ -62,5 +62,5 @@
         random.Random(os.urandom(8)),
     )
     vm.freshness.on_start(now.monotonic())
-    journal = Journal(sys.stdout.fileno(), now)
-    return Daemon(cfg, dialect, now, vm, journal, Metrics())
+    event_log = EventLog(sys.stdout.fileno(), now)
+    return Daemon(cfg, dialect, now, vm, event_log, Metrics())
--- a/dragonflystack/entryd/_intake.py
+++ b/dragonflystack/entryd/_apply.py
@@ -1,29 +1,34 @@
-"""Takes in what the store or another VM says, and logs what it changed."""
+"""Applies updates from the store or another VM and logs what changed."""
 
 from dragonflystack import entry
 from dragonflystack import ids
 from dragonflystack.entryd import _daemon
+from dragonflystack.entryd import _event_log
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _journal
 
 
-def after_news(daemon: _daemon.Daemon, before: entry.Position) -> None:
-    """Tells the neighbours at once if this VM knows more than before."""
+def after_update(daemon: _daemon.Daemon, before: entry.Position) -> None:
+    """Updates the phase; requests a heartbeat if the position advanced.
+
+    Args:
+        daemon: the state of the process.
+        before: the position before the update was applied.
+    """
     daemon.update_phase()
     if daemon.vm.log.position != before:
-        daemon.beat_poke.set()
+        daemon.heartbeat_requested.set()
 
 
-def adopt(
+def adopt_catalogue(
     daemon: _daemon.Daemon, catalogue: entry.Catalogue, source: str
 ) -> None:
-    """Puts a catalogue in force, unless it is older than the present one."""
+    """Puts a catalogue in force unless the current one is as new."""
     before = daemon.vm.catalogue
-    behind_ms = _journal.milliseconds(
+    behind_ms = _event_log.milliseconds(
         daemon.vm.freshness.replication_lag(daemon.now())
     )
     if daemon.vm.on_catalogue(catalogue):
-        daemon.note(
+        daemon.log_event(
             _events.Event.CATALOGUE_ADOPTED,
             version=catalogue.version,
             before=None if before is None else before.version,
@@ -33,33 +38,35 @@
         )
 
 
-def evacuate(
+def set_evacuated(
     daemon: _daemon.Daemon, domains: frozenset[ids.FailureDomainId], source: str
 ) -> None:
-    """Takes in which failure domains are to get no requests."""
+    """Replaces the set of evacuated failure domains, which get no requests."""
     if domains != daemon.vm.evacuated:
         daemon.vm.on_evacuated(domains, daemon.now())
-        daemon.note(
+        daemon.log_event(
             _events.Event.EVACUATION_CHANGED,
             domains=sorted(domains),
             source=source,
         )
 
 
-def note_changes(daemon: _daemon.Daemon, changes: entry.ServerChanges) -> None:
-    """Logs what changed among the backend servers."""
+def log_server_changes(
+    daemon: _daemon.Daemon, changes: entry.ServerChanges
+) -> None:
+    """Logs the backend servers that were added, are leaving or are gone."""
     for event, servers in (
         (_events.Event.SERVER_ADDED, changes.added),
         (_events.Event.SERVER_LEAVING, changes.leaving),
         (_events.Event.SERVER_GONE, changes.gone),
     ):
         for server in servers:
-            daemon.note(
+            daemon.log_event(
                 event,
                 server=server.entry.id,
                 service=server.entry.service,
                 address=f"{server.entry.host}:{server.entry.port}",
                 domain=server.entry.domain,
-                cold_left_ms=_journal.milliseconds(server.entry.cold_left),
+                cold_left_ms=_event_log.milliseconds(server.entry.cold_left),
                 in_flight=server.in_flight,
             )
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -1,7 +1,7 @@
-"""Heartbeats between the VMs of a region, as datagrams.
+"""Exchanges heartbeats between the VMs of a region as UDP datagrams.
 
-The messages are encoded by msgspec: reading thrift files at start would cost
-each start of a small VM a sixth of a second of processor time.
+Messages are encoded with msgspec, because loading thrift files would add a
+sixth of a second of processor time to each start of a small VM.
 """
 
 import asyncio
@@ -16,8 +16,8 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(entry.Heartbeat)
-_GATHER_S = 0.02
-"""News that come together are told together."""
+_COALESCE_S = 0.02
+"""Delay before an early heartbeat, to send simultaneous changes together."""
 
 
 class Heartbeats(asyncio.DatagramProtocol):
@@ -26,13 +26,13 @@
     def __init__(self, daemon: _daemon.Daemon):
         self._daemon = daemon
         self._transport: asyncio.DatagramTransport | None = None
-        self._alive: dict[str, entry.Phase] = {}
+        self._alive_phases: dict[str, entry.Phase] = {}
 
     async def open(self) -> None:
-        """Binds the port.
+        """Binds the UDP port.
 
         Raises:
-            OSError: if the port is taken.
+            OSError: if the port is in use.
         """
         peers = self._daemon.settings.peers
         loop = asyncio.get_running_loop()
@@ -45,12 +45,12 @@
         self._transport = transport
 
     def datagram_received(self, data, addr):
-        """Takes in a heartbeat; malformed ones are logged and skipped."""
+        """Processes a heartbeat; malformed ones are logged and skipped."""
         daemon = self._daemon
         try:
-            beat = _decoder.decode(data)
+            heartbeat = _decoder.decode(data)
         except msgspec.MsgspecError as exc:
-            daemon.note(
+            daemon.log_event(
                 _events.Event.ENTRY_SKIPPED,
                 source="heartbeat",
                 peer=str(addr),
@@ -59,33 +59,35 @@
             return
         now = daemon.now()
         try:
-            member = daemon.vm.members.on_heartbeat(beat, now)
+            member = daemon.vm.members.on_heartbeat(heartbeat, now)
         except entry.UnknownVmError:
             self._send(_daemon.Endpoint(*addr), reply_requested=True)
             return
-        if beat.reply_requested:
+        if heartbeat.reply_requested:
             self._send(_daemon.Endpoint(*addr), include_address=True)
         if member is not None:
-            daemon.note(
+            daemon.log_event(
                 _events.Event.VM_HEARD,
-                peer=beat.vm,
-                phase=beat.phase.value,
-                incarnation=beat.incarnation,
+                peer=heartbeat.vm,
+                phase=heartbeat.phase.value,
+                incarnation=heartbeat.incarnation,
             )
-        daemon.vm.dispatch.on_observations(beat.loads, beat.cached_objects, now)
-        for server in daemon.vm.on_departures(beat.departures, now):
-            _server_reports.note_leaving(daemon, server, beat.vm)
-        if daemon.vm.freshness.on_heartbeat(beat, now):
-            daemon.beat_poke.set()
-        if daemon.vm.is_behind(beat.position):
-            daemon.news_from = _daemon.Endpoint(*addr)
+        daemon.vm.dispatch.on_observations(
+            heartbeat.loads, heartbeat.cached_objects, now
+        )
+        for server in daemon.vm.on_departures(heartbeat.departures, now):
+            _server_reports.log_leaving(daemon, server, heartbeat.vm)
+        if daemon.vm.freshness.on_heartbeat(heartbeat, now):
+            daemon.heartbeat_requested.set()
+        if daemon.vm.is_behind(heartbeat.position):
+            daemon.update_source = _daemon.Endpoint(*addr)
             daemon.update_available.set()
 
     def error_received(self, exc):
-        """A receiver refused a datagram: nothing listens there now."""
+        """Ignores a refused datagram: nothing listens at that address now."""
 
-    def beat(self) -> None:
-        """Tells the neighbours that this VM lives."""
+    def send_all(self) -> None:
+        """Sends a heartbeat to each of this VM's receivers."""
         now = self._daemon.now()
         for member, is_neighbour in self._daemon.vm.members.heartbeat_targets(
             now
@@ -94,28 +96,31 @@
             try:
                 peer = _daemon.Endpoint.parse(address.peers)
             except ValueError as exc:
-                self._daemon.note(
+                self._daemon.log_event(
                     _events.Event.ENTRY_SKIPPED,
                     source="vm",
                     peer=address.vm,
                     reason=str(exc),
                 )
                 continue
-            asks = address.vm not in self._alive
+            is_new = address.vm not in self._alive_phases
             self._send(
-                peer, is_neighbour, reply_requested=asks, include_address=asks
+                peer,
+                is_neighbour,
+                reply_requested=is_new,
+                include_address=is_new,
             )
 
     async def run(self) -> None:
-        """Sends heartbeats, for ever, at once if there is news."""
+        """Sends heartbeats periodically, and early if one is requested."""
         daemon = self._daemon
         while True:
-            self._note_silent()
-            self.beat()
-            daemon.beat_poke = anyio.Event()
+            self._log_silent()
+            self.send_all()
+            daemon.heartbeat_requested = anyio.Event()
             with anyio.move_on_after(entry.HEARTBEAT_EVERY.total_seconds()):
-                await daemon.beat_poke.wait()
-                await anyio.sleep(_GATHER_S)
+                await daemon.heartbeat_requested.wait()
+                await anyio.sleep(_COALESCE_S)
 
     def _send(
         self,
@@ -127,18 +132,20 @@
         if self._transport is None:
             return
         daemon = self._daemon
-        beat = daemon.vm.heartbeat(
+        heartbeat = daemon.vm.heartbeat(
             daemon.now(),
             is_neighbour,
             reply_requested,
             include_address or reply_requested,
         )
-        self._transport.sendto(_encoder.encode(beat), (peer.host, peer.port))
+        self._transport.sendto(
+            _encoder.encode(heartbeat), (peer.host, peer.port)
+        )
 
-    def _note_silent(self) -> None:
+    def _log_silent(self) -> None:
         daemon = self._daemon
         now = daemon.now()
         alive = {m.address.vm: m for m in daemon.vm.members.alive(now)}
-        for vm in self._alive.keys() - alive.keys():
-            daemon.note(_events.Event.VM_SILENT, peer=vm)
-        self._alive = {vm: m.phase for vm, m in alive.items()}
+        for vm in self._alive_phases.keys() - alive.keys():
+            daemon.log_event(_events.Event.VM_SILENT, peer=vm)
+        self._alive_phases = {vm: m.phase for vm, m in alive.items()}
--- a/dragonflystack/entryd/_snapshots.py
+++ b/dragonflystack/entryd/_peers_port.py
@@ -1,25 +1,25 @@
-"""The port for other VMs and operators: news of the store's rows, a dump."""
+"""The port for other VMs and operators: replication and a state dump."""
 
 from dragonflystack import _asgi
 from dragonflystack.entryd import _daemon
-from dragonflystack.entryd import _news_calls
-from dragonflystack.entryd import _told
+from dragonflystack.entryd import _replication_calls
+from dragonflystack.entryd import _replication_codec
 
 DUMP_PATH = "/v1/dump"
 
 
 def make_app(daemon: _daemon.Daemon) -> _asgi.App:
-    """Returns the ASGI app that other VMs and operators ask."""
-    packer = _told.Packer()
+    """Returns the ASGI app of the peers' port."""
+    encoder = _replication_codec.ReplicationEncoder()
 
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         if (
-            scope["path"] == _news_calls.NEWS_PATH
+            scope["path"] == _replication_calls.REPLICATION_PATH
             and daemon.vm.has_initial_state
         ):
-            await _news_calls.tell(daemon, packer, scope, send)
+            await _replication_calls.serve_changes(daemon, encoder, scope, send)
         elif scope["path"] == DUMP_PATH:
             await _asgi.send_json(send, dump(daemon))
         else:
@@ -29,7 +29,7 @@
 
 
 def dump(daemon: _daemon.Daemon) -> dict:
-    """Returns the whole state of the process, with ages, for operators."""
+    """Returns the state of the process for operators; times are ages."""
     vm = daemon.vm
     now = daemon.now()
     servers = [
--- a/dragonflystack/entryd/_platform_port.py
+++ b/dragonflystack/entryd/_platform.py
@@ -1,4 +1,4 @@
-"""What the daemon asks of the platform, in the product's own types."""
+"""The interface to the platform's store, in platform-independent types."""
 
 import dataclasses
 import datetime
@@ -11,7 +11,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SkippedRow:
-    """A row that names nothing to use."""
+    """A row that could not be used."""
 
     key: str
     reason: str
@@ -19,77 +19,89 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HistoryLost:
-    """The changes asked for are no longer kept; read everything again."""
+    """The store no longer keeps the requested changes; read the whole table."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OperatorUpdate:
-    """What operators wrote."""
+    """A snapshot of the operators' rows, or changes to them."""
 
     version: int
-    """Of the store (see `entry.store_version`); ask for changes after it."""
+    """The store's version (see `entry.store_version`) up to which changes are
+    included; the next watch asks for changes after it."""
 
     position: int
-    """Of the latest row among these, the least of the era if there is none."""
+    """The version of the latest included row, or the lowest version of the era
+    if there is none."""
 
     whole: bool
-    """Whether this is all that is in force, not only changes."""
+    """Whether this is a snapshot of all rows rather than changes."""
 
     catalogue: entry.Catalogue | None
+    """The catalogue, None if no usable one is included."""
+
     evacuated: frozenset[ids.FailureDomainId]
+    """Failure domains that operators evacuated."""
+
     evacuation_ended: frozenset[ids.FailureDomainId] = frozenset()
+    """Failure domains whose evacuation operators ended."""
+
     skipped: tuple[SkippedRow, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerUpdate:
-    """What backend servers wrote."""
+    """A snapshot of the backend servers' rows, or changes to them."""
 
     version: int
-    """Of the store; ask for changes after it."""
+    """The store's version up to which changes are included."""
 
     position: int
-    """Of the latest row among these, 0 if there is none."""
+    """The version of the latest included row, 0 if there is none."""
 
     listing: entry.Listing
     skipped: tuple[SkippedRow, ...] = ()
 
 
 class Platform(Protocol):
-    """The platform's store as the daemon uses it."""
+    """The platform's store."""
 
     era: int
-    """The latest era that an answer told; see `entry.store_version`. Versions
-    are of this era, and an answer of an earlier one is as good as none."""
+    """The latest era in the store's answers; see `entry.store_version`. All
+    versions are of this era; an answer of an earlier one counts as a failed
+    call."""
 
     async def read_operators(self) -> OperatorUpdate | storage.Unavailable:
-        """Returns all that operators wrote."""
+        """Reads all rows of operators."""
 
     async def watch_operators(
         self, after: int, wait: datetime.timedelta
     ) -> OperatorUpdate | HistoryLost | storage.Unavailable:
-        """Returns what operators change, as soon as they do.
+        """Waits for changes to the rows of operators.
 
         Args:
             after: the version of the store up to which changes are known.
             wait: how long to wait for a change.
+
+        Returns:
+            The changes, which are empty if there were none in time.
         """
 
     async def read_servers(self) -> ServerUpdate | storage.Unavailable:
-        """Returns all that backend servers wrote."""
+        """Reads all rows of backend servers."""
 
     async def watch_servers(
         self, after: int, wait: datetime.timedelta
     ) -> ServerUpdate | HistoryLost | storage.Unavailable:
-        """Returns what backend servers change; see `watch_operators`."""
+        """Waits for changes to backend servers' rows; see `watch_operators`."""
 
     async def register(self, address: entry.VmAddress) -> storage.WriteResult:
-        """Puts this VM on the list of entry VMs."""
+        """Writes this VM's address to the list of entry VMs."""
 
     async def list_vms(
         self,
     ) -> tuple[entry.VmAddress, ...] | storage.Unavailable:
-        """Returns the entry VMs that registered, some of which are gone."""
+        """Returns the registered entry VMs; some of them may be gone."""
 
     async def aclose(self) -> None:
-        """Closes the connections."""
+        """Closes the connections to the store."""
--- /dev/null
+++ b/dragonflystack/entryd/_replication_client.py
@@ -0,0 +1,134 @@
+"""Fetches replicated changes from other VMs and applies them."""
+
+import datetime
+
+import anyio
+import httpcore
+
+from dragonflystack import entry
+from dragonflystack.entryd import _apply
+from dragonflystack.entryd import _daemon
+from dragonflystack.entryd import _events
+from dragonflystack.entryd import _replication_calls
+
+_HEDGE_AFTER = datetime.timedelta(milliseconds=500)
+"""Most responses arrive within a tenth of this time. A VM with outdated rows
+rejects requests after 0.6 of the bound on changes."""
+
+_RETRY_PAUSE = datetime.timedelta(milliseconds=200)
+"""Neighbours with a later position announce it at least twice a second."""
+
+
+class ReplicationClient:
+    """Keeps this VM up to date with VMs that have a later position."""
+
+    def __init__(self, daemon: _daemon.Daemon):
+        self._daemon = daemon
+        self._pool = httpcore.AsyncConnectionPool(max_connections=4)
+
+    async def aclose(self) -> None:
+        """Closes the connections to other VMs."""
+        await self._pool.aclose()
+
+    async def run(self) -> None:
+        """Fetches changes whenever another VM announces a later position."""
+        daemon = self._daemon
+        while True:
+            await daemon.update_available.wait()
+            daemon.update_available = anyio.Event()
+            peer = daemon.update_source
+            if peer is not None and not await self._fetch_hedged(peer):
+                await anyio.sleep(_RETRY_PAUSE.total_seconds())
+
+    async def _fetch_hedged(self, peer: _daemon.Endpoint) -> bool:
+        """Fetches changes from a VM, hedged with a request to another one.
+
+        The second request is sent if the first takes long, for example because
+        its connection is dead or a link is full.
+
+        Args:
+            peer: the VM to ask first.
+
+        Returns:
+            Whether changes were applied.
+        """
+        is_fetched = False
+        async with anyio.create_task_group() as tasks:
+
+            async def fetch(source: _daemon.Endpoint) -> None:
+                nonlocal is_fetched
+                if await self._fetch_and_apply(source):
+                    is_fetched = True
+                    tasks.cancel_scope.cancel()
+
+            async def fetch_from_other() -> None:
+                await anyio.sleep(_HEDGE_AFTER.total_seconds())
+                other = self._pick_other_ahead(peer)
+                if other is not None:
+                    await fetch(other)
+
+            tasks.start_soon(fetch, peer)
+            tasks.start_soon(fetch_from_other)
+        return is_fetched
+
+    def _pick_other_ahead(
+        self, peer: _daemon.Endpoint
+    ) -> _daemon.Endpoint | None:
+        vm = self._daemon.vm
+        others = [
+            _daemon.Endpoint.parse(member.address.peers)
+            for member in vm.members.alive(self._daemon.now())
+            if member.beat is not None and vm.is_behind(member.beat.position)
+        ]
+        others = [other for other in others if other != peer]
+        return vm.rng.choice(others) if others else None
+
+    async def _fetch_and_apply(
+        self, peer: _daemon.Endpoint, with_vms: bool = False
+    ) -> bool:
+        """Fetches and applies changes; returns whether that succeeded."""
+        daemon = self._daemon
+        response = await _replication_calls.request_changes(
+            daemon, self._pool, peer, with_vms
+        )
+        if response is None:
+            return False
+        changes = response.news
+        daemon.on_store_era(entry.era_of(changes.position.latest), str(peer))
+        had_state = daemon.vm.has_initial_state
+        if response.vms:
+            daemon.vm.members.on_vm_list(response.vms, of_all_regions=False)
+        if changes.catalogue is not None:
+            _apply.adopt_catalogue(daemon, changes.catalogue, str(peer))
+        before = daemon.vm.log.position
+        if changes.position.operators >= before.operators:
+            _apply.set_evacuated(daemon, changes.evacuated, str(peer))
+        _apply.log_server_changes(
+            daemon, daemon.vm.on_replicated_changes(changes, daemon.now())
+        )
+        if not had_state:
+            daemon.log_event(
+                _events.Event.STATE_FROM_PEER,
+                peer=str(peer),
+                servers=len(changes.entries),
+            )
+        _apply.after_update(daemon, before)
+        return True
+
+    async def bootstrap_from_peers(self) -> None:
+        """Fetches the state from any reachable VM, unless it is known."""
+        daemon = self._daemon
+        if daemon.vm.has_initial_state:
+            return
+        await self._try_each_peer()
+        daemon.initial_sync_done.set()
+
+    async def _try_each_peer(self) -> None:
+        daemon = self._daemon
+        alive = daemon.vm.members.alive(daemon.now())
+        peers = [_daemon.Endpoint.parse(m.address.peers) for m in alive]
+        own = daemon.settings.peers
+        seeds = [seed for seed in daemon.settings.seeds if seed != own]
+        for peer in (*peers, *seeds):
+            if await self._fetch_and_apply(peer, with_vms=True):
+                return
