--- a/benchmarks/_ablate.py
+++ b/benchmarks/_ablate.py
@@ -53,7 +53,7 @@
 _NEWS = "dragonflystack/entry/_news.py"
 _WATCHERS = Edit(
     _NEWS,
-    "    return max(_LEAST_WATCHERS, math.ceil(vms * _WATCHING_PART))",
+    "    return max(_MIN_WATCHERS, math.ceil(vms * _WATCHER_FRACTION))",
     "    return vms",
 )
 
--- a/dragonflystack/entry/_access.py
+++ b/dragonflystack/entry/_access.py
@@ -1,8 +1,8 @@
-"""Whether a request may be served, by the catalogue in force, and as whose.
+"""Authorizes requests against the catalogue in force.
 
-A request on a route that is not public needs a key of a customer where the
-catalogue names customers. The regions of the route and of the customer both
-bind.
+If the catalogue lists customers, a request on a route that is not public needs
+the key of one of them. A request may be served only in regions that both its
+route and its customer allow.
 """
 
 import dataclasses
@@ -15,31 +15,32 @@
 from dragonflystack.entry import _routes
 
 _NO_REGION_RETRY_AFTER = datetime.timedelta(seconds=5)
-"""Only another catalogue helps, which takes up to that long to be in force."""
+"""Only a new catalogue can help; it takes up to this long to be in force."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Access:
-    """What the catalogue in force allows a request."""
+    """The terms on which the catalogue in force allows a request."""
 
     route: _catalogue.Route
     regions: frozenset[ids.RegionId]
-    """The only regions that may serve it; any if empty."""
+    """The regions that may serve the request; empty allows any region."""
 
     customer: _customers.Customer | None = None
-    """Whose request it is; None on public routes and without customers."""
+    """The customer that the key identifies. None on public routes, and if the
+    catalogue lists no customers."""
 
     hides_key: bool = False
-    """Whether the headers of the key and of the customer are the VM's own: what
-    the caller sent in them is not passed on."""
+    """Whether the headers for the key and the customer are reserved for the VM:
+    values that the caller sent in them are not forwarded."""
 
 
 Denial = _messages.Unknown | _messages.Unauthorized | _messages.Reject
-"""Why a request may not be served."""
+"""The reason why a request may not be served."""
 
 
 class AccessRules:
-    """The routes and the customers of one catalogue."""
+    """Authorizes requests by the routes and customers of one catalogue."""
 
     def __init__(
         self, catalogue: _catalogue.Catalogue, routes: _routes.RouteTable
@@ -50,7 +51,7 @@
             self._customers = _customers.CustomerTable(catalogue.customers)
 
     def resolve(self, request: _messages.Request) -> Access | Denial:
-        """Returns what a request is allowed, or why it may not be served."""
+        """Returns the access that a request has, or why it is denied."""
         route = self._routes.find(request.host, request.path)
         if route is None:
             return _messages.Unknown()
--- a/dragonflystack/entry/_catalogue.py
+++ b/dragonflystack/entry/_catalogue.py
@@ -1,4 +1,4 @@
-"""What operators ask for: routes, services and limits, in one version."""
+"""The operators' configuration: one version of routes, services and limits."""
 
 import dataclasses
 import datetime
@@ -8,67 +8,68 @@
 from dragonflystack.entry import _customers
 
 RouteId = NewType("RouteId", str)
-"""A route, as named by the operators; unique in a catalogue."""
+"""The operators' name of a route; unique in a catalogue."""
 
 
 class InvalidCatalogueError(ValueError):
-    """The catalogue is wrong; the message names the part and the value."""
+    """A catalogue is invalid; the message names the part and the value."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Destination:
-    """One service that a route sends requests to."""
+    """A service to which a route sends requests."""
 
     service: ids.ServiceId
     weight: float
-    """Its part of the route's requests, in proportion to the others."""
+    """Share of the route's requests, relative to the other weights."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
-    """Where the requests of one host and path prefix go, and how."""
+    """Where and how requests for one host and path prefix are sent."""
 
     id: RouteId
     host: str
     prefix: str
-    """Begins and ends with a slash."""
+    """The path prefix; begins and ends with a slash."""
 
     destinations: tuple[Destination, ...]
     idempotent: bool
-    """Whether its requests may run more than once."""
+    """Whether requests of the route may run more than once."""
 
     target_latency: datetime.timedelta
     """An answer within this time is worth most to the caller."""
 
     timeout: datetime.timedelta | None = None
-    """The longest time that a request is kept waiting."""
+    """The longest time that a caller waits for an answer; None for no limit of
+    the route."""
 
     max_attempts: int = 1
     """The most backend servers to which one request is sent."""
 
     priority: int = 0
-    """Its rank; 0 comes first."""
+    """Priority of the requests; 0 is the highest."""
 
     regions: frozenset[ids.RegionId] = frozenset()
-    """The only regions that may serve it; any if empty."""
+    """The regions that may serve the requests; empty allows any region."""
 
     sticky: bool = False
     """Whether a backend server is faster for an object it handled before."""
 
     public: bool = False
-    """Whether it needs no key where the catalogue names customers."""
+    """Whether requests need no key even if the catalogue lists customers."""
 
     def leads_to(self, service: ids.ServiceId) -> bool:
-        """Returns whether some of its requests go to a service."""
+        """Returns whether the route sends any requests to a service."""
         return any(
             d.service == service and d.weight > 0 for d in self.destinations
         )
 
     def __post_init__(self):
-        """Checks the values.
+        """Validates the fields.
 
         Raises:
-            InvalidCatalogueError: if one is outside its range.
+            InvalidCatalogueError: if a value is outside its range.
         """
         where = f'route "{self.id}"'
         if not (self.prefix.startswith("/") and self.prefix.endswith("/")):
@@ -87,15 +88,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServicePolicy:
-    """What operators say of a service's backend servers."""
+    """The operators' settings for the backend servers of a service."""
 
     id: ids.ServiceId
     health_path: str
     max_connections: int
-    """Connections that each backend server takes from all callers."""
+    """The most connections that each backend server accepts, over all
+    callers."""
 
     cold_rate: float
-    """Requests a second that a cold backend server bears."""
+    """Requests a second that a cold backend server can handle."""
 
     cold_period: datetime.timedelta
     """How long a backend server stays cold after its start."""
@@ -103,7 +105,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What one caller may send and how long it may take."""
+    """Limits on the size and the duration of a caller's requests."""
 
     max_head_bytes: int = 16_384
     max_body_bytes: int = 67_108_864
@@ -113,22 +115,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Catalogue:
-    """One version of all that operators ask for."""
+    """One version of the operators' configuration."""
 
     version: int
-    """Grows with each change, not always by one."""
+    """Increases with each change, not always by one."""
 
     routes: tuple[Route, ...]
     services: dict[ids.ServiceId, ServicePolicy]
     limits: CallerLimits = CallerLimits()
     customers: tuple[_customers.Customer, ...] | None = None
-    """Those whose requests are served; None if requests need no key."""
+    """The customers whose requests are served; None if no request needs a
+    key."""
 
     def __post_init__(self):
-        """Checks that services exist, and that keys tell customers apart.
+        """Checks that services exist and that customers have unique keys.
 
         Raises:
-            InvalidCatalogueError: if a route leads to an unknown service.
+            InvalidCatalogueError: if a route refers to an unknown service.
             _customers.InvalidCustomerError: if two customers share a name or a
                 key.
         """
--- a/dragonflystack/entry/_customers.py
+++ b/dragonflystack/entry/_customers.py
@@ -1,4 +1,4 @@
-"""Customers, and the keys that tell whose request it is."""
+"""Customers, and the keys that identify them."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -9,20 +9,21 @@
 from dragonflystack import ids
 
 KeyDigest = NewType("KeyDigest", str)
-"""The lower-case hexadecimal digest of a key; keys themselves are not kept."""
+"""The lower-case hexadecimal digest of a key; keys themselves are not
+stored."""
 
 _DIGEST_BYTES = 16
 """128 bits: finding a key for a digest takes 2^128 tries."""
 
 
 class InvalidCustomerError(ValueError):
-    """A customer is wrong; the message names it, the value and its range."""
+    """A customer is invalid; the message names it, the value and its range."""
 
 
 def digest_key(key: bytes) -> KeyDigest:
-    """Returns the digest under which a key is kept and looked up."""
-    made = hashlib.blake2b(key, digest_size=_DIGEST_BYTES)
-    return KeyDigest(made.hexdigest())
+    """Returns the digest under which a key is stored and looked up."""
+    digest = hashlib.blake2b(key, digest_size=_DIGEST_BYTES)
+    return KeyDigest(digest.hexdigest())
 
 
 _EMPTY_KEY = digest_key(b"")
@@ -30,29 +31,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Customer:
-    """One customer of the operators, whose callers show one of its keys."""
+    """A customer of the operators; its callers send one of its keys."""
 
     id: ids.CustomerId
     keys: tuple[KeyDigest, ...]
-    """Any of them names the customer; none may if it is empty."""
+    """Digests of the customer's keys, any of which is valid; if empty, no
+    request can be the customer's."""
 
     priority: int | None = None
-    """Goes before that of the route; 0 comes first, None leaves the route's."""
+    """Overrides the priority of the route; 0 is the highest. None keeps the
+    priority of the route."""
 
     rate: float = 0.0
-    """Requests a second, over all VMs; 0 for no limit."""
+    """Allowed requests a second, over all VMs; 0 for no limit."""
 
     burst: float = 0.0
-    """Requests beyond the rate."""
+    """Requests allowed in excess of the rate."""
 
     regions: frozenset[ids.RegionId] = frozenset()
-    """The only regions that may serve its requests; any if empty."""
+    """The regions that may serve the requests; empty allows any region."""
 
     def __post_init__(self):
-        """Checks the values.
+        """Validates the fields.
 
         Raises:
-            InvalidCustomerError: if one is outside its range.
+            InvalidCustomerError: if a value is outside its range.
         """
         where = f"customer {self.id!r}"
         if not _is_header_value(self.id):
@@ -74,15 +77,16 @@
 
 
 class CustomerTable:
-    """The customers of one catalogue by their keys.
+    """Finds a customer of one catalogue by its key.
 
-    A look-up is one look-up in a dict of digests, however many there are. The
-    dict compares a digest only with one of the same hash, which differs in each
-    process, so its time tells a caller nothing of the keys in use.
+    A look-up is one look-up in a dict of digests, whatever the number of keys.
+    The dict compares a digest only with digests of the same hash. Hashes of
+    strings are randomized in each process, so the time of a look-up reveals
+    nothing about the keys in use.
     """
 
     def __init__(self, customers: Iterable[Customer]):
-        """Checks that names and keys are unique, and makes the table.
+        """Builds the table; checks that names and keys are unique.
 
         Raises:
             InvalidCustomerError: if two customers share a name or a key.
@@ -105,11 +109,11 @@
                     )
 
     def find(self, key: KeyDigest) -> Customer | None:
-        """Returns the customer that holds a key."""
+        """Returns the customer that holds a key, None if there is none."""
         return self._by_key.get(key)
 
 
 def _is_header_value(text: str) -> bool:
-    """Returns whether backend servers can be told the text in a header."""
+    """Returns whether a text can be sent to backend servers in a header."""
     is_plain = text.isascii() and text.isprintable()
     return bool(text) and is_plain and text == text.strip()
--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -1,13 +1,15 @@
-"""Follows the list of registered backend servers through outages of the store.
+"""Tracks the registered backend servers, also across outages of the store.
 
 An entry that disappears means that its backend server left, unless the store
-was away: then entries may have lapsed and come back shortly after its return.
-A VM need not have seen the outage. Where half of a service or more disappears
-at once without notice, an outage is likelier than so many failures.
-
-The store may also come back from an older copy. Then entries are missing that
-were written since, and others are back whose backend servers have left: the
-first have time to be written again, the second do not count until they are.
+was unavailable: then entries may have expired, and are written again shortly
+after the store's return. A VM may not notice the outage itself. If half of a
+service or more disappears at once without being announced as leaving, an outage
+is more likely than that many failures.
+
+The store may also be restored from an older copy. Then entries written since
+the copy are missing: they are kept for a grace time in which they can be
+written again. Entries of backend servers that have left are back: they are
+ignored until they are written again.
 """
 
 import collections
@@ -21,58 +23,63 @@
 from dragonflystack.entry import _store_versions
 
 LAPSE_GRACE = datetime.timedelta(seconds=2)
-"""How long after the store's return an entry may be missing, by the users."""
+"""How long an entry may be missing after the store's return, as the users
+specified."""
 
-_MAX_REMOVED = 1_024
-"""Removed entries that are remembered; other VMs learn of a removal within
+_MAX_REMOVALS = 1_024
+"""The most removals that are remembered; other VMs learn of a removal within
 seconds."""
 
-_MASS_REMOVAL_PART = 0.5
-"""Part of a service's entries whose removal at once needs confirmation."""
+_MASS_REMOVAL_FRACTION = 0.5
+"""The removal of this fraction of a service's entries at once needs
+confirmation."""
 
-_LEAST_MASS_REMOVAL = 2
-"""The loss of a single backend server is ordinary."""
+_MIN_MASS_REMOVAL = 2
+"""The fewest entries whose removal needs confirmation; the loss of a single
+backend server is ordinary."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """What was read of the list of backend servers."""
+    """The result of reading the list of backend servers."""
 
     entries: tuple[_servers.ServerEntry, ...]
     removed: tuple[ids.BackendServerId, ...]
     whole: bool
-    """Whether it names all that are registered, not only changes."""
+    """Whether the listing is a snapshot of all entries, not only changes."""
 
     version: int = 0
-    """The store's version up to which it tells all."""
+    """The store version up to which the listing is complete."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """What a listing changed."""
+    """The changes that a listing made to the known backend servers."""
 
     added: tuple[_servers.Server, ...] = ()
     leaving: tuple[_servers.Server, ...] = ()
     gone: tuple[_servers.Server, ...] = ()
     removed: tuple[ids.BackendServerId, ...] = ()
-    """The ids that are known to be gone now, also of backend servers that this
-    VM did not know: others may."""
+    """The ids of entries that are now known to be gone, including those that
+    this VM did not know, since other VMs may know them."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Removal:
-    """What was known of an entry when it was known to be gone."""
+    """An entry that was removed, as it was last known."""
 
     version: int
-    """The store's version at that time, or of its row in an older copy."""
+    """The store version of the removal, or of the entry's row if an older copy
+    of the store brought it back."""
 
     born: int = 0
     sequence: int | None = None
-    """Of the row in an older copy, None if there was none."""
+    """The sequence of the row that an older copy brought back, None if there
+    was none."""
 
 
 class Discovery:
-    """Applies listings to the book of backend servers."""
+    """Applies listings to the registry of backend servers."""
 
     def __init__(
         self,
@@ -80,46 +87,54 @@
         departures: _departures.Departures,
         confirm_after: datetime.timedelta,
     ):
-        """Takes what it keeps, and how long removals of many are open."""
+        """Initializes the discovery.
+
+        Args:
+            book: the registry to which listings are applied.
+            departures: backend servers that reported that they are leaving.
+            confirm_after: how long the removal of many entries at once stays
+                unconfirmed.
+        """
         self._book = book
         self._departures = departures
         self.confirm_after = confirm_after
-        """Less than the users' bound for backend servers that left."""
+        """Must be less than the users' bound on requests to backend servers
+        that left."""
 
-        self._was_away = False
+        self._is_unavailable = False
         self._grace_until: datetime.timedelta | None = None
         self._is_unconfirmed = False
-        """Whether a removal of many entries waits for the store to answer
-        again."""
+        """Whether the removal of many entries is pending until the store
+        answers again."""
 
         self._missing: dict[ids.BackendServerId, int] = {}
-        """The store's version at which each entry was found missing."""
+        """The store version at which each entry was found missing."""
 
         self._removals: collections.OrderedDict[
             ids.BackendServerId, _Removal
         ] = collections.OrderedDict()
         self._era = 0
-        self._returned_until = datetime.timedelta()
-        """Until when entries are written again after the store came back from
-        an older copy."""
+        self._rewrite_grace_until = datetime.timedelta()
+        """Until when entries may be written again after the store was restored
+        from an older copy."""
 
         self.read_at: datetime.timedelta | None = None
-        """When the list was last read, None before the first time."""
+        """When the list was last read, None before the first read."""
 
     def on_store_away(self) -> None:
-        """Notes that the list could not be read."""
-        self._was_away = True
+        """Records that the list could not be read."""
+        self._is_unavailable = True
 
     def on_store_era(self, era: int) -> None:
-        """Takes in the store's era; listings of earlier ones are too late."""
+        """Sets the store's era; listings of earlier eras are ignored."""
         self._era = era
 
     def on_store_returned(self, now: datetime.timedelta) -> None:
-        """Notes that the store came back from an older copy."""
-        self._was_away = False
+        """Starts the grace time after a restore from an older copy."""
+        self._is_unavailable = False
         self._is_unconfirmed = False
-        self._returned_until = now + LAPSE_GRACE
-        self._grace_until = self._returned_until
+        self._rewrite_grace_until = now + LAPSE_GRACE
+        self._grace_until = self._rewrite_grace_until
 
     def on_listing(
         self,
@@ -127,13 +142,13 @@
         now: datetime.timedelta,
         from_store: bool = True,
     ) -> Changes:
-        """Takes in what was read.
+        """Applies a listing; returns the changes that it made.
 
         Args:
-            listing: what was read.
-            now: the time.
-            from_store: whether this VM read it from the store; what another
-                VM passes on as gone was confirmed there.
+            listing: the listing.
+            now: the current time.
+            from_store: whether this VM read it from the store. Removals in a
+                listing from another VM were confirmed by that VM.
         """
         if _store_versions.era_of(listing.version) < self._era:
             return Changes()
@@ -156,36 +171,39 @@
             if entry.leaving and not was_leaving:
                 leaving.append(server)
         lost = self._find_lost(listing)
-        if from_store or now < self._returned_until:
-            lost = self._confirmed(listing, lost, now)
+        if from_store or now < self._rewrite_grace_until:
+            lost = self._filter_confirmed(listing, lost, now)
         gone = self._drop(dict.fromkeys(lost, listing.version))
         return Changes(tuple(added), tuple(leaving), gone, tuple(lost))
 
     @property
     def is_store_away(self) -> bool:
         """Whether the latest read of the list failed."""
-        return self._was_away
+        return self._is_unavailable
 
     @property
     def needs_confirmation(self) -> bool:
-        """Whether the store should be asked again, to see what is gone."""
+        """Whether the store should be read again to confirm removals."""
         return self._is_unconfirmed
 
     def _on_store_answer(self, now: datetime.timedelta) -> None:
-        if self._was_away:
-            self._was_away = False
+        if self._is_unavailable:
+            self._is_unavailable = False
             self._is_unconfirmed = False
             self._grace_until = now + LAPSE_GRACE
         elif self._grace_until is not None and now >= self._grace_until:
             self._is_unconfirmed = False
 
-    def _confirmed(
+    def _filter_confirmed(
         self,
         listing: Listing,
         lost: set[ids.BackendServerId],
         now: datetime.timedelta,
     ) -> set[ids.BackendServerId]:
-        """Returns those of the lost entries that did not merely lapse."""
+        """Returns the lost entries that did not merely expire.
+
+        The others are kept as missing until the end of the grace time.
+        """
         if self._is_mass_removal(lost):
             if self._grace_until is None:
                 self._is_unconfirmed = True
@@ -194,13 +212,17 @@
             return set()
         if self._grace_until is None:
             return lost
-        # An entry seen to go now did not lapse while the store was away.
+        # A removal that the store reports now happened after the outage, so the
+        # entry did not expire during it.
         removed = lost.intersection(listing.removed)
         self._missing |= dict.fromkeys(lost - removed, listing.version)
         return removed
 
     def _is_mass_removal(self, lost: set[ids.BackendServerId]) -> bool:
-        """Returns whether so many go unannounced that they may have lapsed."""
+        """Returns whether so many entries disappeared that they may be expired.
+
+        Backend servers that were announced as leaving do not count.
+        """
         known = collections.Counter(s.entry.service for s in self._book.all())
         unannounced = collections.Counter(
             server.entry.service
@@ -208,19 +230,20 @@
             if server is not None and not server.entry.leaving
         )
         return any(
-            number >= _LEAST_MASS_REMOVAL
-            and number >= known[service] * _MASS_REMOVAL_PART
-            for service, number in unannounced.items()
+            count >= _MIN_MASS_REMOVAL
+            and count >= known[service] * _MASS_REMOVAL_FRACTION
+            for service, count in unannounced.items()
         )
 
     def on_tick(self, now: datetime.timedelta) -> Changes:
-        """Drops what is still missing after the grace.
+        """Drops entries that are still missing after the grace time.
 
-        While the store is away or does not answer, entries cannot come back.
+        Nothing is dropped while the store is unavailable, since entries cannot
+        be written again meanwhile.
         """
         if self._grace_until is None or now < self._grace_until:
             return Changes()
-        if self._was_away or self._is_unconfirmed:
+        if self._is_unavailable or self._is_unconfirmed:
             return Changes()
         self._grace_until = None
         self._is_unconfirmed = False
@@ -228,11 +251,11 @@
         return Changes(gone=self._drop(missing), removed=tuple(missing))
 
     def _is_outdated(self, entry: _servers.ServerEntry) -> bool:
-        """Returns whether it was written before its backend server was gone.
+        """Returns whether an entry was written before it was removed.
 
-        Another VM may pass on an entry whose removal it does not know yet, and
-        an older copy of the store has it still. There a row shows a backend
-        server that lives once it is written again.
+        Another VM may forward an entry whose removal it does not know yet, and
+        an older copy of the store may still have the entry. A row of such a
+        copy is evidence of a live backend server only once it is written again.
         """
         removal = self._removals.get(entry.id)
         if removal is None or not entry.row_version:
@@ -250,15 +273,15 @@
         return entry.row_version <= removal.version
 
     def _is_gone(self, server_id: ids.BackendServerId, version: int) -> bool:
-        """Returns whether an entry that a reading lacks is gone.
+        """Returns whether an entry that a listing lacks is gone.
 
-        Other VMs may have told of one that was written after the reading.
+        It is not if other VMs reported an entry written after the listing.
         """
         server = self._book.get(server_id)
         return server is None or server.entry.row_version <= version
 
     def _find_lost(self, listing: Listing) -> set[ids.BackendServerId]:
-        """Returns the entries that a reading names as removed or lacks."""
+        """Returns the entries that a listing reports as removed or lacks."""
         lost = set(listing.removed)
         if listing.whole:
             present = {entry.id for entry in listing.entries}
@@ -272,7 +295,14 @@
     def _drop(
         self, missing: Mapping[ids.BackendServerId, int]
     ) -> tuple[_servers.Server, ...]:
-        """Forgets entries, each known to be gone at a version of the store."""
+        """Drops entries.
+
+        Args:
+            missing: the store version at which each entry was gone.
+
+        Returns:
+            The dropped backend servers that this VM knew.
+        """
         dropped = []
         for server_id, version in missing.items():
             server = self._book.on_gone(server_id)
@@ -293,5 +323,5 @@
             born = server.entry.born
         latest = version if before is None else max(before.version, version)
         self._removals[server_id] = _Removal(latest, born)
-        if len(self._removals) > _MAX_REMOVED:
+        if len(self._removals) > _MAX_REMOVALS:
             self._removals.popitem(last=False)
--- a/dragonflystack/entry/_freshness.py
+++ b/dragonflystack/entry/_freshness.py
@@ -1,7 +1,8 @@
-"""How far behind the store's rows a VM may be, and who watches the store.
+"""Tracks how far a VM's copy of the store's rows may lag behind the store.
 
-A VM's own watches tell it of changes, or a neighbour whose watches work. That
-others know more than it does it hears sooner than it can have the rows.
+A VM learns of changes from its own watches of the store, or from a neighbour
+whose watches work. It is informed that newer rows exist before it can receive
+the rows themselves. The lag decides whether the VM watches the store itself.
 """
 
 import datetime
@@ -15,92 +16,99 @@
 
 
 class Freshness:
-    """What one VM knows of the age of its rows."""
+    """The age of one VM's copy of the store's rows, as far as it knows."""
 
     def __init__(self, members: _members.Members, log: _news.NewsLog):
         self._members = members
         self._log = log
-        self._lag = _lag.Lag()
+        self._lag = _lag.ReplicationLag()
         self._watched: set[_news.Table] = set()
-        """The tables that this VM watches itself."""
+        """The tables that this VM's own watches cover at present."""
 
-        self._news_at = _ZERO
+        self._view_fresh_at = _ZERO
 
     def on_start(self, now: datetime.timedelta) -> None:
-        """Gives other VMs time to tell what they know."""
-        self._news_at = now
+        """Starts the grace time in which other VMs may report their state."""
+        self._view_fresh_at = now
 
     def on_watch(
         self, table: _news.Table, works: bool, now: datetime.timedelta
     ) -> None:
-        """Notes whether this VM's own watch of a table works."""
+        """Records whether this VM's own watch of a table works."""
         if works:
             self._watched.add(table)
         else:
             self._watched.discard(table)
-        if self._watches:
-            self._news_at = now
+        if self._watches_all_tables:
+            self._view_fresh_at = now
 
     @property
-    def _watches(self) -> bool:
+    def _watches_all_tables(self) -> bool:
         return len(self._watched) == len(_news.Table)
 
     def on_operators_read(self, version: int) -> None:
-        """Notes up to which version of the store it read operators' rows."""
+        """Records the store version up to which operators' rows were read."""
         self._lag.on_read(version)
 
     def news_age(self, now: datetime.timedelta) -> datetime.timedelta:
-        """Returns how long ago a VM with a working watch was heard of."""
-        if self._watches:
+        """Returns the time since the last contact with a working watch.
+
+        The contact may be indirect, over heartbeats of other VMs. Zero if this
+        VM's own watches work.
+        """
+        if self._watches_all_tables:
             return _ZERO
-        ages = [now - self._news_at]
+        ages = [now - self._view_fresh_at]
         for member in self._members.alive(now):
             if member.beat is not None and member.heard_at is not None:
                 age = member.beat.news_age_ms * _MILLISECOND
                 ages.append(age + (now - member.heard_at))
         return max(_ZERO, min(ages))
 
-    def word(self, now: datetime.timedelta) -> _lag.Word | None:
-        """Returns what to tell others of rows that this VM lacks."""
+    def word(self, now: datetime.timedelta) -> _lag.VersionAnnouncement | None:
+        """Returns the announcement of newer rows to pass on to other VMs.
+
+        None if this VM knows of no newer rows.
+        """
         return self._lag.word(self._log.position.operators, now)
 
     def on_beat(
         self, beat: _members.Heartbeat, now: datetime.timedelta
     ) -> bool:
-        """Takes in which operators' rows another VM has, or heard of.
+        """Records which operators' rows the sender has or knows to exist.
 
         Returns:
-            Whether this VM hears of rows that it lacks for the first time.
+            Whether this VM learns for the first time of rows that it lacks.
         """
         known = self._log.position.operators
-        is_new = self._lag.on_word(
-            _lag.Word(beat.position.operators, 0, 0), known, now
+        is_new = self._lag.on_announcement(
+            _lag.VersionAnnouncement(beat.position.operators, 0, 0), known, now
         )
         if beat.heard is not None:
-            is_new |= self._lag.on_word(beat.heard, known, now)
+            is_new |= self._lag.on_announcement(beat.heard, known, now)
         return is_new
 
     def behind(self, now: datetime.timedelta) -> datetime.timedelta:
-        """Returns for how long others have had rows that this VM lacks."""
-        return self._lag.age(self._log.position.operators, now)
+        """Returns for how long other VMs have had rows that this VM lacks."""
+        return self._lag.duration(self._log.position.operators, now)
 
     def should_watch(self, now: datetime.timedelta) -> bool:
-        """Returns whether this VM is to watch the store itself."""
+        """Returns whether this VM should watch the store itself."""
         if self.news_age(now) > _news.STALE_AFTER:
             return True
         members = self._members
-        if not members.is_listed:
+        if not members.has_vm_list:
             return False
         return _news.is_watcher(members.own.vm, members.listed())
 
     def should_watch_operators(self, now: datetime.timedelta) -> bool:
-        """Returns whether this VM is to watch the operators' rows itself."""
+        """Returns whether this VM should watch the operators' rows itself."""
         if self.behind(now) > _news.STALE_AFTER:
             return True
         return self.should_watch(now)
 
     @property
     def store_retry_limit(self) -> datetime.timedelta:
-        """The longest pause between calls to a store that is out."""
+        """The longest delay between calls to a store that is unavailable."""
         members = self._members
-        return _news.retry_limit(members.own.vm, members.listed())
+        return _news.max_retry_delay(members.own.vm, members.listed())
--- a/dragonflystack/entry/_lag.py
+++ b/dragonflystack/entry/_lag.py
@@ -1,9 +1,10 @@
-"""How long this VM has known of operators' rows that it does not have.
+"""Measures for how long this VM has lacked operators' rows that others have.
 
-The word that there are newer rows is passed on at once from VM to VM; the rows
-themselves may take long on a full link. A word counts while some VM that has
-the rows was heard lately, by whoever passes it on: rows that no VM has any more
-keep nobody from serving.
+The announcement that newer rows exist is forwarded from VM to VM at once; the
+rows themselves may take long on a saturated link. An announcement is valid only
+if a VM that has the rows sent a heartbeat recently, to this VM or to one that
+forwards the announcement: rows that no VM has any more must not stop VMs from
+serving.
 """
 
 import dataclasses
@@ -14,101 +15,112 @@
 _ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
-CONFIRMED_FOR = datetime.timedelta(seconds=2)
-"""Four heartbeats: word of a VM that has the rows is passed on with the next
-heartbeat of each VM on the way."""
+CONFIRMATION_TTL = datetime.timedelta(seconds=2)
+"""How long an announcement is valid after its last confirmation: four
+heartbeats, since each VM on the way forwards it with its next heartbeat."""
 
-_REMEMBERED_FOR = datetime.timedelta(seconds=10)
-"""A word that is confirmed again after a pause counts from its first time."""
+_RETENTION = datetime.timedelta(seconds=10)
+"""How long an announcement is kept after its last confirmation. If it is
+confirmed again within this time, the lag counts from the first announcement."""
 
 
-class Word(msgspec.Struct, frozen=True, array_like=True):
-    """What a VM heard of rows that it may lack."""
+class VersionAnnouncement(msgspec.Struct, frozen=True, array_like=True):
+    """Announces that operators' rows up to a newer position exist."""
 
     position: int
     first_heard_ms: int
-    """How long ago the first VM that passed it on heard of it."""
+    """How long ago the first VM that forwarded the announcement got it."""
 
     confirmed_ms: int
-    """How long ago a VM that has the rows was heard."""
+    """How long ago a heartbeat of a VM that has the rows was received."""
 
 
 @dataclasses.dataclass(slots=True)
-class _Heard:
+class _Announced:
     first: datetime.timedelta
     confirmed: datetime.timedelta
 
 
-class Lag:
-    """Positions beyond the own one that were heard of."""
+class ReplicationLag:
+    """The announced positions that are ahead of this VM's own position."""
 
     def __init__(self):
-        self._heard: dict[int, _Heard] = {}
-        self._read = 0
+        self._announced: dict[int, _Announced] = {}
+        self._read_position = 0
 
     def on_read(self, position: int) -> None:
-        """Notes that the store was read up to a position."""
-        self._read = max(self._read, position)
+        """Records that the store was read up to a position."""
+        self._read_position = max(self._read_position, position)
 
-    def on_word(self, word: Word, known: int, now: datetime.timedelta) -> bool:
-        """Takes in a position that another VM has, or heard of.
+    def on_announcement(
+        self, word: VersionAnnouncement, known: int, now: datetime.timedelta
+    ) -> bool:
+        """Handles the announcement of a position.
 
         Args:
-            word: the position.
-            known: up to where this VM knows the operators' rows.
-            now: the time.
+            word: the announcement.
+            known: the position up to which this VM has the operators' rows.
+            now: the current time.
 
         Returns:
-            Whether this VM lacks the rows and hears of them for the first time.
+            Whether this VM lacks the rows and learns of them for the first
+            time.
         """
-        self._forget(known, now)
+        self._prune(known, now)
         position = word.position
         confirmed = now - word.confirmed_ms * _MILLISECOND
-        if position <= max(known, self._read):
+        if position <= max(known, self._read_position):
             return False
-        if now - confirmed > CONFIRMED_FOR:
+        if now - confirmed > CONFIRMATION_TTL:
             return False
         first = now - word.first_heard_ms * _MILLISECOND
-        heard = self._heard.get(position)
+        heard = self._announced.get(position)
         if heard is None:
-            self._heard[position] = _Heard(first, confirmed)
+            self._announced[position] = _Announced(first, confirmed)
             return True
         heard.first = min(heard.first, first)
         heard.confirmed = max(heard.confirmed, confirmed)
         return False
 
-    def word(self, known: int, now: datetime.timedelta) -> Word | None:
-        """Returns the latest position to pass on, None if there is none."""
-        lacking = self._lacking(known, now)
+    def word(
+        self, known: int, now: datetime.timedelta
+    ) -> VersionAnnouncement | None:
+        """Returns the announcement of the latest position to forward.
+
+        None if this VM lacks no rows that it knows of.
+        """
+        lacking = self._missing(known, now)
         if not lacking:
             return None
         position = max(lacking)
         heard = lacking[position]
-        return Word(
+        return VersionAnnouncement(
             position,
             round((now - heard.first) / _MILLISECOND),
             round((now - heard.confirmed) / _MILLISECOND),
         )
 
-    def age(self, known: int, now: datetime.timedelta) -> datetime.timedelta:
-        """Returns for how long this VM has been behind; zero if it is not."""
-        lacking = self._lacking(known, now).values()
+    def duration(
+        self, known: int, now: datetime.timedelta
+    ) -> datetime.timedelta:
+        """Returns for how long this VM has lagged; zero if it does not."""
+        lacking = self._missing(known, now).values()
         return now - min(h.first for h in lacking) if lacking else _ZERO
 
-    def _lacking(
+    def _missing(
         self, known: int, now: datetime.timedelta
-    ) -> dict[int, _Heard]:
-        """Returns the confirmed positions whose rows this VM lacks."""
-        least = max(known, self._read)
+    ) -> dict[int, _Announced]:
+        """Returns the announcements that are valid and ahead of this VM."""
+        least = max(known, self._read_position)
         return {
             position: heard
-            for position, heard in self._heard.items()
-            if position > least and now - heard.confirmed <= CONFIRMED_FOR
+            for position, heard in self._announced.items()
+            if position > least and now - heard.confirmed <= CONFIRMATION_TTL
         }
 
-    def _forget(self, known: int, now: datetime.timedelta) -> None:
-        least = max(known, self._read)
-        for position, heard in tuple(self._heard.items()):
-            old = now - heard.confirmed > _REMEMBERED_FOR
+    def _prune(self, known: int, now: datetime.timedelta) -> None:
+        least = max(known, self._read_position)
+        for position, heard in tuple(self._announced.items()):
+            old = now - heard.confirmed > _RETENTION
             if position <= least or old:
-                del self._heard[position]
+                del self._announced[position]
--- a/dragonflystack/entry/_members.py
+++ b/dragonflystack/entry/_members.py
@@ -1,11 +1,11 @@
-"""Which entry VMs of the own region live, heard from themselves.
-
-The VMs of a region stand on a ring, ordered by hash. Twice a second every VM
-tells its nearest neighbours on either side that it lives, so that what a VM
-sends does not grow with the region; a small region is a full mesh. A VM that
-was not heard for a while is passed over and no longer named to callers. A VM
-that wakes from a pause heard nobody; it gives the others time before it drops
-them.
+"""Tracks which entry VMs of the same region are alive, by heartbeats.
+
+The VMs of a region form a ring, ordered by hash. Twice a second each VM sends a
+heartbeat to its nearest neighbours on either side, so that the traffic of a VM
+does not grow with the region; a small region is a full mesh. A VM whose
+heartbeats stop is skipped in the ring and its address is no longer given to
+callers. A VM that was paused has received no heartbeats; it gives the other VMs
+time to send some before it considers them dead.
 """
 
 from collections.abc import Iterable
@@ -23,37 +23,40 @@
 from dragonflystack.entry import _sightings
 
 HEARTBEAT_EVERY = datetime.timedelta(milliseconds=500)
-"""Callers lose a second on a VM without power; datagrams get lost too."""
+"""The interval of heartbeats; a caller loses a second on a VM that lost power,
+and datagrams may get lost."""
 
 SILENT_AFTER = datetime.timedelta(milliseconds=1_800)
-"""Three heartbeats lost in a row."""
+"""A VM is considered dead after this time without a heartbeat: three in a row
+were lost."""
 
 FORGET_AFTER = datetime.timedelta(seconds=30)
-"""How long a silent VM is still told that this one lives."""
+"""How long heartbeats are still sent to a VM that sends none."""
 
 _PAUSED_AFTER = 2 * HEARTBEAT_EVERY
-"""A tick later than this shows a pause of this VM."""
+"""A longer time between two ticks shows that this VM was paused."""
 
-_REACH = 4
-"""Neighbours on either side; a whole failure domain may be lost at once."""
+_NEIGHBOURS_PER_SIDE = 4
+"""Neighbours on either side of the ring; several, as a whole failure domain may
+be lost at once."""
 
-_ASK_FOR = datetime.timedelta(seconds=2)
-"""How long a neighbour that was never heard is waited for."""
+_FIRST_HEARTBEAT_TIMEOUT = datetime.timedelta(seconds=2)
+"""How long a VM counts as a neighbour while its first heartbeat is awaited."""
 
-_REMIND_EVERY = 4
-"""Silent neighbours get every so many-th heartbeat, to find those that are
-back in reach."""
+_SILENT_PROBE_EVERY = 4
+"""Silent neighbours get one of this many heartbeats, to find those that are
+reachable again."""
 
-_MAX_NAMED = 64
-"""Callers take no more addresses from one answer."""
+_MAX_ADDRESSES = 64
+"""Callers use no more addresses of one answer than this."""
 
 
 class UnknownVmError(ValueError):
-    """A heartbeat came from a VM that was never heard of."""
+    """A heartbeat came from an unknown VM that did not send its address."""
 
 
 class Phase(enum.Enum):
-    """Where a VM stands in its life."""
+    """The lifecycle phase of a VM."""
 
     STARTING = "starting"
     SERVING = "serving"
@@ -61,7 +64,7 @@
 
 
 class VmAddress(msgspec.Struct, frozen=True):
-    """Where a VM is and how it is reached."""
+    """The location and the addresses of a VM."""
 
     vm: ids.VmId
     region: ids.RegionId
@@ -74,47 +77,49 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
-    """What a VM tells its neighbours."""
+    """The message that a VM sends to its neighbours."""
 
     vm: ids.VmId
     incarnation: ids.Incarnation
     phase: Phase
     position: _news.Position
-    """Up to where it knows the store's rows."""
+    """The store versions up to which the sender has the rows."""
 
     news_age_ms: int
-    """How long ago a VM with a working watch of the store was heard of."""
+    """Time since the sender's last contact, direct or indirect, with a working
+    watch of the store."""
 
     shares: tuple[int, ...]
-    """The shares of the regions that serve its callers, in thousandths, in
-    order of the regions' names."""
+    """The shares of the sender's requests that each region serves, in
+    thousandths, in order of the regions' names."""
 
     wanted: tuple[int, ...]
-    """Where load alone would have its requests, likewise."""
+    """The shares that the sender would choose by load alone, in the same
+    form."""
 
     is_near: bool
-    """Whether the receiver is one of the sender's neighbours, which then wants
-    to hear of it regularly."""
+    """Whether the receiver is one of the sender's neighbours, from which the
+    sender expects regular heartbeats."""
 
     answer_wanted: bool = False
-    """Whether the sender would like to hear of the receiver at once."""
+    """Whether the receiver should send a heartbeat in reply at once."""
 
     address: VmAddress | None = None
-    """Where the sender is, for receivers that may not know."""
+    """The sender's address, for receivers that may not know it."""
 
     departures: tuple[_departures.Departure, ...] = ()
-    """Backend servers of which the sender just learnt that they are leaving,
-    other than from the store."""
+    """Backend servers that are leaving, as the sender learnt recently from a
+    source other than the store."""
 
     loads: tuple[_sightings.LoadSighting, ...] = ()
-    """What backend servers said of their load to the sender."""
+    """Loads that backend servers reported to the sender."""
 
     learnt: tuple[_sightings.LearntSighting, ...] = ()
-    """Objects that backend servers came to know, seen by the sender or told
-    to it."""
+    """Objects that backend servers cached, as observed by the sender or
+    reported to it."""
 
-    heard: _lag.Word | None = None
-    """The latest operators' rows that the sender heard of and lacks."""
+    heard: _lag.VersionAnnouncement | None = None
+    """Announces the latest operators' rows that the sender lacks."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -125,63 +130,67 @@
     incarnation: ids.Incarnation | None
     phase: Phase
     heard_at: datetime.timedelta | None
-    """When it was last heard, None if never."""
+    """When its last heartbeat was received, None if there was none."""
 
-    asked_at: datetime.timedelta | None = None
-    """Since when it is told of this VM without being heard."""
+    unanswered_since: datetime.timedelta | None = None
+    """Since when heartbeats are sent to it without one being received."""
 
-    wants_mine: bool = False
+    expects_heartbeats: bool = False
     """Whether it counts this VM among its neighbours."""
 
     beat: Heartbeat | None = None
-    """The latest heartbeat."""
+    """Its latest heartbeat."""
 
 
 class Members:
-    """The VMs of the own region as this VM sees them."""
+    """The VMs of the same region, as this VM knows them."""
 
     def __init__(self, own: VmAddress, incarnation: ids.Incarnation):
         self.own = own
         self.incarnation = incarnation
         self._members: dict[ids.VmId, Member] = {}
         self._ring_cache: list[ids.VmId] | None = None
-        self._beats = 0
+        self._heartbeat_rounds = 0
         self._ticked_at: datetime.timedelta | None = None
-        self._trust_until = datetime.timedelta()
+        self._pause_grace_until = datetime.timedelta()
         self.phase = Phase.STARTING
         self.fleet_size: int | None = None
-        """VMs in all regions as last listed, None before."""
+        """The number of VMs in all regions by the last list, None before."""
 
-        self.is_listed = False
-        """Whether a list of VMs was read."""
+        self.has_vm_list = False
+        """Whether a list of VMs was received."""
 
     def on_list(
         self, addresses: Iterable[VmAddress], of_all_regions: bool = True
     ) -> None:
-        """Takes in a list of VMs, some of which may be gone.
+        """Adds listed VMs to the members; some of them may be gone.
 
         Args:
-            addresses: the VMs.
-            of_all_regions: whether they are the whole fleet.
+            addresses: the addresses of the VMs.
+            of_all_regions: whether the list contains the whole fleet.
         """
         listed = list(addresses)
         if of_all_regions:
             self.fleet_size = max(self.fleet_size or 1, len(listed))
-        self.is_listed = True
+        self.has_vm_list = True
         for address in listed:
-            self._meet(address)
+            self._add_member(address)
 
     def on_heartbeat(
         self, beat: Heartbeat, now: datetime.timedelta
     ) -> Member | None:
-        """Takes in a heartbeat; returns the member if it was not alive.
+        """Handles a received heartbeat.
+
+        Returns:
+            The member if it was not alive before or if its incarnation or phase
+            changed, else None.
 
         Raises:
-            UnknownVmError: if the sender is not known and does not say where
-                it is.
+            UnknownVmError: if the sender is unknown and did not send its
+                address.
         """
         if beat.address is not None:
-            self._meet(beat.address)
+            self._add_member(beat.address)
         member = self._members.get(beat.vm)
         if member is None:
             if beat.address is None and beat.vm != self.own.vm:
@@ -197,73 +206,89 @@
         member.incarnation = beat.incarnation
         member.phase = beat.phase
         member.heard_at = now
-        member.asked_at = None
-        member.wants_mine = beat.is_near
+        member.unanswered_since = None
+        member.expects_heartbeats = beat.is_near
         member.beat = beat
         return member if changed or not was_alive else None
 
     def on_tick(self, now: datetime.timedelta) -> None:
-        """Notes that time went by; call it with every own heartbeat."""
+        """Detects pauses of this VM and forgets silent members.
+
+        To be called with every heartbeat that this VM sends.
+        """
         before = self._ticked_at
         self._ticked_at = now
         if before is not None and now - before > _PAUSED_AFTER:
-            self._trust_until = now + SILENT_AFTER
+            self._pause_grace_until = now + SILENT_AFTER
         for vm, member in tuple(self._members.items()):
-            asked = member.asked_at
-            if asked is not None and now - asked > FORGET_AFTER:
+            unanswered_since = member.unanswered_since
+            if (
+                unanswered_since is not None
+                and now - unanswered_since > FORGET_AFTER
+            ):
                 del self._members[vm]
                 self._ring_cache = None
 
     def receivers(
         self, now: datetime.timedelta
     ) -> tuple[tuple[Member, bool], ...]:
-        """Returns who is to hear of this VM, and whether it is a neighbour."""
-        self._beats += 1
-        reminds = self._beats % _REMIND_EVERY == 0
+        """Returns the members to send a heartbeat to.
+
+        Each comes with whether it is a neighbour of this VM.
+        """
+        self._heartbeat_rounds += 1
+        probes_silent = self._heartbeat_rounds % _SILENT_PROBE_EVERY == 0
         near: dict[ids.VmId, Member] = {}
         silent: dict[ids.VmId, Member] = {}
         for direction in (1, -1):
-            self._walk(direction, now, near, silent)
+            self._collect_neighbours(direction, now, near, silent)
         for vm, member in self._members.items():
             if vm not in near and vm not in silent:
-                member.asked_at = None
-            elif member.asked_at is None:
-                member.asked_at = now
+                member.unanswered_since = None
+            elif member.unanswered_since is None:
+                member.unanswered_since = now
         found = [(member, True) for member in near.values()]
-        if reminds:
+        if probes_silent:
             found.extend((m, True) for v, m in silent.items() if v not in near)
         found.extend(
             (member, False)
             for vm, member in self._members.items()
-            if member.wants_mine
+            if member.expects_heartbeats
             and vm not in near
             and self._is_alive(member, now)
         )
         return tuple(found)
 
-    def _walk(
+    def _collect_neighbours(
         self,
         direction: int,
         now: datetime.timedelta,
         near: dict[ids.VmId, Member],
         silent: dict[ids.VmId, Member],
     ) -> None:
-        """Finds the nearest members on one side."""
+        """Adds the nearest members in one direction of the ring.
+
+        Args:
+            direction: 1 or -1.
+            now: the current time.
+            near: receives the neighbours, which are alive or new.
+            silent: receives the silent members between them.
+        """
         ring = self._ring()
         start = ring.index(self.own.vm)
         found = 0
         for step in range(1, len(ring)):
             vm = ring[(start + direction * step) % len(ring)]
             member = self._members[vm]
-            asked = member.asked_at
+            unanswered_since = member.unanswered_since
             if (
                 self._is_alive(member, now)
-                or asked is None
-                or now - asked < _ASK_FOR
+                or unanswered_since is None
+                or now - unanswered_since < _FIRST_HEARTBEAT_TIMEOUT
             ):
                 near[vm] = member
                 found += 1
-                if found == _REACH:
+                if found == _NEIGHBOURS_PER_SIDE:
                     return
             else:
                 silent[vm] = member
@@ -275,21 +300,21 @@
         return self._ring_cache
 
     def listed(self) -> tuple[ids.VmId, ...]:
-        """Returns the VMs of the region not known to be gone, in order."""
+        """Returns the ids of the region's VMs not known to be gone, sorted."""
         return tuple(sorted((self.own.vm, *self._members)))
 
     def addresses(self) -> tuple[VmAddress, ...]:
-        """Returns where the known VMs are."""
+        """Returns the addresses of the known VMs, including this one."""
         return (self.own, *(m.address for m in self._members.values()))
 
     def alive(self, now: datetime.timedelta) -> tuple[Member, ...]:
-        """Returns the other VMs that are heard."""
+        """Returns the other VMs that are alive."""
         return tuple(
             m for m in self._members.values() if self._is_alive(m, now)
         )
 
     def named(self, now: datetime.timedelta) -> tuple[str, ...]:
-        """Returns the callers' addresses of the VMs that serve."""
+        """Returns the addresses for callers of the VMs that serve."""
         named = [
             m.address.callers
             for m in self.alive(now)
@@ -297,9 +322,9 @@
         ]
         if self.phase is Phase.SERVING:
             named.append(self.own.callers)
-        return tuple(sorted(named)[:_MAX_NAMED])
+        return tuple(sorted(named)[:_MAX_ADDRESSES])
 
-    def _meet(self, address: VmAddress) -> None:
+    def _add_member(self, address: VmAddress) -> None:
         if address.vm == self.own.vm or address.region != self.own.region:
             return
         if address.vm not in self._members:
@@ -311,4 +336,4 @@
         if member.heard_at is None:
             return False
         silent = now - member.heard_at > SILENT_AFTER
-        return not silent or now < self._trust_until
+        return not silent or now < self._pause_grace_until
--- a/dragonflystack/entry/_news.py
+++ b/dragonflystack/entry/_news.py
@@ -1,9 +1,9 @@
-"""What a VM passes on of the store's rows, and which VMs read the store.
+"""Replicates the store's rows between VMs, and selects the store's watchers.
 
-A call to the store is dear, and all VMs of a region need the same rows. A few
-VMs watch the store; the others take what is new from a neighbour that has it.
-A position is the store's version (see `_store_versions`) of the latest row that
-said anything new, so two VMs that know the same are at the same position.
+Calls to the store are expensive, and all VMs of a region need the same rows. A
+few VMs watch the store; the others fetch changes from a neighbour that has
+them. A position is the store version (see `_store_versions`) of the latest row
+that changed anything, so two VMs with the same rows have the same position.
 """
 
 import collections
@@ -19,61 +19,65 @@
 from dragonflystack.entry import _servers
 
 _MAX_LOGGED = 256
-"""Changes kept for VMs that are behind; one farther behind takes all."""
+"""Changes kept for VMs that lag behind; a VM that needs older ones gets a
+snapshot of all entries."""
 
-_LEAST_WATCHERS = 8
-"""In a region of today every VM watches: a VM cut off from its neighbours has
-to know a change within its bound, and would first have to miss them."""
+_MIN_WATCHERS = 8
+"""The fewest watchers in a region; all VMs of a region of today's size watch. A
+VM that is cut off from its neighbours must still apply a change in time, and
+one that does not watch would first have to notice that they are silent."""
 
-_WATCHING_PART = 0.12
-"""Part of a region's VMs that watch the store: enough that some are left when
-half of all VMs are killed at once."""
+_WATCHER_FRACTION = 0.12
+"""Fraction of a region's VMs that watch the store: enough that some are left
+when half of all VMs are killed at once."""
 
 STALE_AFTER = datetime.timedelta(seconds=1.5)
-"""A VM that heard of no VM with a working watch for so long watches itself;
-with the read that follows it knows a change within the users' 2.5 s."""
+"""A VM without contact to a working watch for this long watches the store
+itself; together with the read that follows, it learns of a change within the
+2.5 s that the users demand."""
 
 
-_RETRY_LIMIT = datetime.timedelta(milliseconds=600)
-"""Longest pause of a watcher between calls to a store that is out: its return
-is noticed well within the 4 s after which bounds hold again."""
+_MAX_RETRY_DELAY = datetime.timedelta(milliseconds=600)
+"""The longest delay of a watcher between calls to an unavailable store: it
+notices the return of the store well within the 4 s after which bounds hold
+again."""
 
 
 class Table(enum.Enum):
-    """What VMs watch of the store."""
+    """The tables of the store that VMs watch."""
 
     OPERATORS = "operators"
     SERVERS = "servers"
 
 
 class Position(msgspec.Struct, frozen=True, array_like=True, order=True):
-    """Up to where a VM knows the store's rows."""
+    """The store versions up to which a VM has the rows of each table."""
 
     operators: int = 0
     servers: int = 0
 
     @property
     def latest(self) -> int:
-        """The later of the two, which tells the store's era."""
+        """The later of the two versions; it holds the store's current era."""
         return max(self.operators, self.servers)
 
 
 class News(msgspec.Struct, frozen=True):
-    """What one VM tells another that is behind."""
+    """Changes that one VM sends to another that lags behind."""
 
     position: Position
     catalogue: _catalogue.Catalogue | None
-    """The catalogue in force, None if the other knows it."""
+    """The catalogue in force, None if the receiver has it."""
 
     evacuated: frozenset[ids.FailureDomainId]
     entries: tuple[_servers.ServerEntry, ...]
     gone: tuple[ids.BackendServerId, ...]
     whole: bool
-    """Whether the entries are all there are."""
+    """Whether the entries are a snapshot of all registered backend servers."""
 
 
 class NewsLog:
-    """What this VM learnt of the store's rows, for others."""
+    """The position of this VM and recent changes, for other VMs to fetch."""
 
     def __init__(self):
         self.position = Position()
@@ -83,7 +87,7 @@
         self._complete_since = 0
 
     def on_operators(self, position: int) -> None:
-        """Notes that the operators' rows are known up to a position."""
+        """Records the position up to which the operators' rows are known."""
         before = self.position
         self.position = Position(
             max(before.operators, position), before.servers
@@ -96,7 +100,14 @@
         gone: tuple[ids.BackendServerId, ...],
         whole: bool,
     ) -> None:
-        """Notes what changed among the entries of backend servers."""
+        """Records changes of the entries of backend servers.
+
+        Args:
+            position: the store version up to which the entries are known.
+            entries: the entries that were added or changed.
+            gone: the backend servers whose entries are gone.
+            whole: whether `entries` is a snapshot, which replaces the log.
+        """
         before = self.position
         self.position = Position(
             before.operators, max(before.servers, position)
@@ -119,13 +130,13 @@
         evacuated: frozenset[ids.FailureDomainId],
         registered: tuple[_servers.ServerEntry, ...],
     ) -> News:
-        """Returns what a VM at a position does not know.
+        """Returns the changes after a position.
 
         Args:
-            position: up to where it knows the rows.
-            catalogue: the catalogue in force here.
-            known_version: the version of the catalogue in force there, 0 for
-                none.
+            position: the position of the VM that receives the changes.
+            catalogue: the catalogue in force at this VM.
+            known_version: the version of the catalogue in force at the
+                receiver, 0 for none.
             evacuated: the failure domains that are evacuated.
             registered: all registered backend servers.
         """
@@ -151,29 +162,32 @@
 
 
 def is_watcher(own: ids.VmId, vms: tuple[ids.VmId, ...]) -> bool:
-    """Returns whether a VM is one of those that watch the store.
+    """Returns whether a VM is one of the watchers of the store.
 
     Args:
         own: the VM.
         vms: the VMs of its region that are not known to be gone.
     """
-    return own in _ranking.rank("store", vms, str)[: _watchers(len(vms))]
+    return own in _ranking.rank("store", vms, str)[: _watcher_count(len(vms))]
 
 
-def retry_limit(own: ids.VmId, vms: tuple[ids.VmId, ...]) -> datetime.timedelta:
-    """Returns the longest pause between calls to a store that is out.
+def max_retry_delay(
+    own: ids.VmId, vms: tuple[ids.VmId, ...]
+) -> datetime.timedelta:
+    """Returns the longest delay between calls to an unavailable store.
 
-    Without news all VMs watch; those that are not watchers call less often, so
-    that all of them together make no more calls than the watchers do.
+    Without a working watch all VMs watch the store; those that are not watchers
+    call less often, so that together they make no more calls than the watchers
+    do.
 
     Args:
         own: the VM.
         vms: the VMs of its region that are not known to be gone.
     """
     if is_watcher(own, vms):
-        return _RETRY_LIMIT
-    return _RETRY_LIMIT * (len(vms) / _watchers(len(vms)))
+        return _MAX_RETRY_DELAY
+    return _MAX_RETRY_DELAY * (len(vms) / _watcher_count(len(vms)))
 
 
-def _watchers(vms: int) -> int:
-    return max(_LEAST_WATCHERS, math.ceil(vms * _WATCHING_PART))
+def _watcher_count(vms: int) -> int:
+    return max(_MIN_WATCHERS, math.ceil(vms * _WATCHER_FRACTION))
--- a/dragonflystack/entry/_quotas.py
+++ b/dragonflystack/entry/_quotas.py
@@ -1,13 +1,14 @@
-"""Keeps the callers of a customer within its limit, over all VMs.
+"""Enforces the limits of customers over all VMs.
 
-A VM admits a request with a token: one of a shard that it owns, one that it
-was given ahead, or one for which it asks the owner of a shard. Whoever can't
-reach an owner admits nothing that has a limit.
+A VM needs a token to admit a request: a token of a shard that it owns, one that
+it obtained in advance, or one that it requests from the owner of a shard. A VM
+that cannot reach an owner admits no request of a customer with a limit.
 
     step = quotas.admit(customer, now)
     while isinstance(step, AskOwner):
-        answer = ...  # of step.peers to step.message, None after step.patience
-        step = quotas.on_answer(step, answer, now)
+        # Send step.message to step.peers; None after step.timeout.
+        response = ...
+        step = quotas.on_token_response(step, response, now)
 
 See docs/design/quotas.md.
 """
@@ -27,125 +28,133 @@
 _ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
-_NEAR_PATIENCE = datetime.timedelta(milliseconds=60)
-"""An owner in the region answers within 3 ms unless it is busy."""
+_NEAR_TIMEOUT = datetime.timedelta(milliseconds=60)
+"""An owner in the same region responds within 3 ms unless it is busy."""
 
-_FAR_PATIENCE = datetime.timedelta(milliseconds=160)
-"""One in another region takes 70 ms."""
+_FAR_TIMEOUT = datetime.timedelta(milliseconds=160)
+"""An owner in another region responds after 70 ms."""
 
-_MAX_ASKS = 4
-"""Owners that are asked for one request."""
+_MAX_OWNERS_ASKED = 4
+"""The most owners that are asked for the token of one request."""
 
-_ASK_WITHIN = datetime.timedelta(milliseconds=120)
-"""No further owner is asked after this: a refusal should come soon."""
+_MAX_ASKING_TIME = datetime.timedelta(milliseconds=120)
+"""No further owner is asked after this time, so that rejections are fast."""
 
 _SUSPECT_FOR = datetime.timedelta(milliseconds=500)
-"""How long an owner that gave no answer is passed over."""
+"""How long an owner is skipped after it did not respond."""
 
-_MAX_WANTED = 16
-"""Tokens that are asked for at once."""
+_MAX_TOKENS_REQUESTED = 16
+"""The most tokens requested at once."""
 
-_LEAST_RETRY_AFTER = datetime.timedelta(milliseconds=100)
-_RETRY_AFTER_SPREAD = 0.25
-"""Callers that are sent away together come back over this part of the wait."""
+_MIN_RETRY_AFTER = datetime.timedelta(milliseconds=100)
+_RETRY_AFTER_JITTER = 0.25
+"""Retries of rejected callers are spread over this fraction of the wait, so
+that they do not come at once."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
-    """The request is within the limit."""
+    """The request is within the customer's limit."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OverQuota:
-    """The request is beyond the limit."""
+    """The request exceeds the customer's limit."""
 
     retry_after: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unreachable:
-    """No VM that counts for the customer answers; nothing may be admitted."""
+    """No owner of the customer's shards responds; nothing may be admitted."""
 
     retry_after: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskOwner:
-    """Ask another VM, and pass its answer on to `Quotas.on_answer`."""
+    """Send a token request, and pass the result to `Quotas.on_token_response`.
+
+    The fields other than `peers`, `message` and `timeout` are the state of the
+    admission for the next step.
+    """
 
     owner: ids.VmId
     peers: str
-    """Host and port where it is asked."""
+    """Host and port of the owner."""
 
-    message: _quota_shards.QuotaAsk
-    patience: datetime.timedelta
-    """There is no answer if none came after this."""
+    message: _quota_shards.TokenRequest
+    timeout: datetime.timedelta
+    """How long to wait for the response."""
 
     asked_at: datetime.timedelta
-    began: datetime.timedelta
-    """When the request was to be admitted first."""
+    started_at: datetime.timedelta
+    """When the admission of the caller's request began."""
 
-    tried: tuple[_quota_owners.Place, ...]
-    """The places asked for this request, this one included."""
+    tried: tuple[_quota_owners.PositionIndex, ...]
+    """The shards asked so far for the caller's request, including this one."""
 
-    fits_in: datetime.timedelta | None
-    """The shortest wait that an owner told so far."""
+    token_wait: datetime.timedelta | None
+    """The shortest wait for a token that an owner stated so far."""
 
 
 Step = Admitted | OverQuota | Unreachable | AskOwner
 
 
 @dataclasses.dataclass(slots=True)
-class _Use:
-    """What one VM knows of a customer with a limit."""
+class _CustomerState:
+    """One VM's state for a customer with a limit."""
 
-    shards: tuple[_quota_owners.Place, ...]
-    stock: collections.deque[tuple[datetime.timedelta, int]]
-    """Tokens got ahead: until when they may be used, and how many."""
+    shards: tuple[_quota_owners.PositionIndex, ...]
+    prefetched: collections.deque[tuple[datetime.timedelta, int]]
+    """Tokens obtained in advance: until when they may be used, and how many."""
 
     empty: _quota_empty.EmptyShards
     """Shards of other VMs that have no token."""
 
-    slot: int = 0
+    interval: int = 0
     requests: int = 0
-    """Requests in the slot of time, each as long as tokens are lent."""
+    """Requests in the current interval; an interval lasts `TOKEN_TTL`."""
 
-    requests_before: int = 0
-    """Requests in the slot before."""
+    requests_in_last_interval: int = 0
+    """Requests in the interval before the current one."""
 
-    ahead_until: datetime.timedelta = _ZERO
-    """Until when tokens that were asked for ahead may come."""
+    prefetch_until: datetime.timedelta = _ZERO
+    """Until when a response with tokens in advance is pending; only one such
+    request is sent at a time."""
 
     def on_request(self, now: datetime.timedelta) -> None:
-        """Counts a request of a caller."""
-        slot = now // _quota_shards.LENT_FOR
-        if slot != self.slot:
-            before = self.requests if slot == self.slot + 1 else 0
-            self.requests_before = before
-            self.slot = slot
+        """Counts a caller's request."""
+        interval = now // _quota_shards.TOKEN_TTL
+        if interval != self.interval:
+            previous = self.requests if interval == self.interval + 1 else 0
+            self.requests_in_last_interval = previous
+            self.interval = interval
             self.requests = 0
         self.requests += 1
 
-    def known(
+    def filter_known(
         self, empty: tuple[_quota_shards.EmptyShard, ...]
     ) -> tuple[_quota_shards.EmptyShard, ...]:
-        """Returns those that are shards of this customer."""
-        return tuple(shard for shard in empty if shard.place in self.shards)
+        """Returns the empty shards that belong to this customer."""
+        return tuple(
+            shard for shard in empty if shard.position_index in self.shards
+        )
 
     def take(self, now: datetime.timedelta) -> bool:
-        """Takes a token got ahead, if there is one."""
-        while self.stock and self.stock[0][0] < now:
-            self.stock.popleft()
-        if not self.stock:
+        """Takes a token obtained in advance; returns whether there was one."""
+        while self.prefetched and self.prefetched[0][0] < now:
+            self.prefetched.popleft()
+        if not self.prefetched:
             return False
-        until, tokens = self.stock.popleft()
+        until, tokens = self.prefetched.popleft()
         if tokens > 1:
-            self.stock.appendleft((until, tokens - 1))
+            self.prefetched.appendleft((until, tokens - 1))
         return True
 
 
 class Quotas:
-    """The limits of all customers, as one VM keeps them."""
+    """Admits or rejects requests of all customers at one VM."""
 
     def __init__(
         self,
@@ -153,22 +162,22 @@
         region: ids.RegionId,
         bounds: _settings.FleetBounds,
         rng: random.Random,
-        tenure: _quota_owners.Tenure | None = None,
+        ownership: _quota_owners.Ownership | None = None,
     ):
         self._own = own
         self._region = region
         self._rng = rng
-        self._tenure = tenure or _quota_owners.Tenure(own)
-        self._shards = _quota_shards.QuotaShards(self._tenure, bounds)
+        self._ownership = ownership or _quota_owners.Ownership(own)
+        self._shards = _quota_shards.QuotaShards(self._ownership, bounds)
         self._limits: dict[ids.CustomerId, _quota_shards.QuotaLimit] = {}
-        self._uses: dict[ids.CustomerId, _Use] = {}
+        self._states: dict[ids.CustomerId, _CustomerState] = {}
         self._suspect_until: dict[ids.VmId, datetime.timedelta] = {}
-        self._asks = 0
+        self._token_requests = 0
 
-    # What it learns.
+    # Updates of configuration and owners.
 
     def on_bounds(self, bounds: _settings.FleetBounds) -> None:
-        """Takes in bounds that changed."""
+        """Applies changed bounds."""
         self._shards.on_bounds(bounds)
 
     def on_limits(
@@ -176,10 +185,10 @@
         limits: Mapping[ids.CustomerId, _quota_shards.QuotaLimit],
         now: datetime.timedelta,
     ) -> None:
-        """Takes in the limits in force, without customers that have none."""
+        """Applies the limits in force; customers without a limit are absent."""
         self._limits = dict(limits)
         self._shards.on_limits(limits, now)
-        self._uses = {c: u for c, u in self._uses.items() if c in limits}
+        self._states = {c: s for c, s in self._states.items() if c in limits}
 
     def on_owners(
         self,
@@ -187,187 +196,212 @@
         read_at: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Takes in who counts; see `_quota_owners.Tenure.on_table`."""
-        if self._tenure.on_table(table, read_at, now):
-            self._uses.clear()
+        """Updates the table of owners.
+
+        See `_quota_owners.Ownership.on_table`.
+        """
+        if self._ownership.on_table(table, read_at, now):
+            self._states.clear()
             self._suspect_until.clear()
 
     @property
     def owners(self) -> _quota_owners.OwnerTable | None:
-        """Who counts, None before it is known."""
-        return self._tenure.table
+        """The table of shard owners, None until it is known."""
+        return self._ownership.table
 
-    # Other VMs.
+    # Token requests of other VMs.
 
-    def on_ask(
-        self, ask: _quota_shards.QuotaAsk, now: datetime.timedelta
-    ) -> _quota_shards.QuotaAnswer:
-        """Answers another VM.
+    def on_token_request(
+        self, request: _quota_shards.TokenRequest, now: datetime.timedelta
+    ) -> _quota_shards.TokenResponse:
+        """Answers a token request of another VM.
 
-        VMs that have the same customer's callers ask the same owners near
-        them, which so learn and tell which shards elsewhere are empty.
+        VMs that serve callers of the same customer ask the same nearby owners,
+        which thereby collect and spread which other shards are empty.
         """
-        use = None
-        if ask.customer in self._limits:
-            use = self._use(ask.customer)
-        if use is None:
-            return self._shards.on_ask(ask, (), now)
-        use.empty.on_ask(use.known(ask.empty), now)
-        return self._shards.on_ask(ask, use.empty.to_answer(now), now)
+        state = None
+        if request.customer in self._limits:
+            state = self._state_of(request.customer)
+        if state is None:
+            return self._shards.on_token_request(request, (), now)
+        state.empty.on_token_request(state.filter_known(request.empty), now)
+        return self._shards.on_token_request(
+            request, state.empty.for_token_response(now), now
+        )
 
-    # Requests.
+    # Requests of callers.
 
     def admit(self, customer: ids.CustomerId, now: datetime.timedelta) -> Step:
-        """Returns whether a request is admitted, or whom to ask."""
+        """Admits or rejects a request, or returns which owner to ask."""
         if customer not in self._limits:
             return Admitted()
-        use = self._use(customer)
-        if use is None:
+        state = self._state_of(customer)
+        if state is None:
             return self._unreachable()
-        use.on_request(now)
-        if use.take(now):
+        state.on_request(now)
+        if state.take(now):
             return Admitted()
-        for place in use.shards:
-            if self._shards.take(customer, place, 1, now):
+        for position_index in state.shards:
+            if self._shards.take(customer, position_index, 1, now):
                 return Admitted()
-        return self._ask(customer, use, None, now)
+        return self._ask_next_owner(customer, state, None, now)
 
-    def on_answer(
+    def on_token_response(
         self,
         ask: AskOwner,
-        answer: _quota_shards.QuotaAnswer | None,
+        response: _quota_shards.TokenResponse | None,
         now: datetime.timedelta,
     ) -> Step:
-        """Takes in an owner's answer; returns what to do next.
+        """Handles an owner's response; returns the next step.
 
         Args:
-            ask: what was asked.
-            answer: the answer, None if there was none in time.
-            now: the time.
+            ask: the step that sent the token request.
+            response: the response, None if there was none in time.
+            now: the current time.
         """
         customer = ask.message.customer
         if customer not in self._limits:
             return Admitted()
-        use = self._use(customer)
-        if use is None:
+        state = self._state_of(customer)
+        if state is None:
             return self._unreachable()
-        usable_until = ask.asked_at + _quota_shards.LENT_FOR
-        if answer is None or not answer.is_owner:
+        usable_until = ask.asked_at + _quota_shards.TOKEN_TTL
+        if response is None or not response.is_owner:
             self._suspect_until[ask.owner] = now + _SUSPECT_FOR
-        elif not answer.granted:
-            empty = use.known(answer.empty)
-            use.empty.on_answer(ask.message.place, empty, now)
-            fits_in = answer.fits_ms * _MILLISECOND
-            if ask.fits_in is not None:
-                fits_in = min(fits_in, ask.fits_in)
-            ask = dataclasses.replace(ask, fits_in=fits_in)
+        elif not response.granted:
+            empty = state.filter_known(response.empty)
+            state.empty.on_token_response(
+                ask.message.position_index, empty, now
+            )
+            token_wait = response.token_wait_ms * _MILLISECOND
+            if ask.token_wait is not None:
+                token_wait = min(token_wait, ask.token_wait)
+            ask = dataclasses.replace(ask, token_wait=token_wait)
         elif now <= usable_until:
-            if answer.granted > 1:
-                use.stock.append((usable_until, answer.granted - 1))
+            if response.granted > 1:
+                state.prefetched.append((usable_until, response.granted - 1))
             return Admitted()
-        return self._ask(customer, use, ask, now)
-
-    def _use(self, customer: ids.CustomerId) -> _Use | None:
-        """Returns what is known of a customer, None without a table."""
-        use = self._uses.get(customer)
-        if use is None and self._tenure.table is not None:
-            shards = self._tenure.shards(customer)
-            use = _Use(shards, collections.deque(), _quota_empty.EmptyShards())
-            self._uses[customer] = use
-        return use
-
-    def _ask(
+        return self._ask_next_owner(customer, state, ask, now)
+
+    def _state_of(self, customer: ids.CustomerId) -> _CustomerState | None:
+        """Returns a customer's state, None if the owners are not known."""
+        state = self._states.get(customer)
+        if state is None and self._ownership.table is not None:
+            shards = self._ownership.shards(customer)
+            state = _CustomerState(
+                shards, collections.deque(), _quota_empty.EmptyShards()
+            )
+            self._states[customer] = state
+        return state
+
+    def _ask_next_owner(
         self,
         customer: ids.CustomerId,
-        use: _Use,
-        before: AskOwner | None,
+        state: _CustomerState,
+        previous: AskOwner | None,
         now: datetime.timedelta,
     ) -> Step:
-        """Asks the next owner, or gives up."""
-        tried = () if before is None else before.tried
-        began = now if before is None else before.began
-        fits_in = None if before is None else before.fits_in
-        place = self._next_place(use, tried, now)
-        table = self._tenure.table
+        """Asks the next owner, or rejects the request if none is left."""
+        tried = () if previous is None else previous.tried
+        started_at = now if previous is None else previous.started_at
+        token_wait = None if previous is None else previous.token_wait
+        position_index = self._choose_shard(state, tried, now)
+        table = self._ownership.table
         if (
-            place is None
+            position_index is None
             or table is None
-            or len(tried) >= _MAX_ASKS
-            or now - began > _ASK_WITHIN
+            or len(tried) >= _MAX_OWNERS_ASKED
+            or now - started_at > _MAX_ASKING_TIME
         ):
-            return self._refuse(customer, use, fits_in, now)
-        position = table.positions[place]
+            return self._reject(customer, state, token_wait, now)
+        position = table.positions[position_index]
         near = position.region == self._region
-        patience = _NEAR_PATIENCE if near else _FAR_PATIENCE
-        self._asks += 1
+        timeout = _NEAR_TIMEOUT if near else _FAR_TIMEOUT
+        self._token_requests += 1
         wanted = 1
-        if now >= use.ahead_until:
-            wanted = min(_MAX_WANTED, max(1, use.requests_before))
+        if now >= state.prefetch_until:
+            wanted = min(
+                _MAX_TOKENS_REQUESTED, max(1, state.requests_in_last_interval)
+            )
             if wanted > 1:
-                use.ahead_until = now + patience
+                state.prefetch_until = now + timeout
         return AskOwner(
             position.owner,
             position.peers,
-            _quota_shards.QuotaAsk(
-                self._asks, customer, place, wanted, use.empty.to_ask(now)
+            _quota_shards.TokenRequest(
+                self._token_requests,
+                customer,
+                position_index,
+                wanted,
+                state.empty.for_token_request(now),
             ),
-            patience,
+            timeout,
             now,
-            began,
-            (*tried, place),
-            fits_in,
+            started_at,
+            (*tried, position_index),
+            token_wait,
         )
 
-    def _next_place(
+    def _choose_shard(
         self,
-        use: _Use,
-        tried: tuple[_quota_owners.Place, ...],
+        state: _CustomerState,
+        tried: tuple[_quota_owners.PositionIndex, ...],
         now: datetime.timedelta,
-    ) -> _quota_owners.Place | None:
-        """Returns the shard to ask for a token, near ones first."""
-        table = self._tenure.table
+    ) -> _quota_owners.PositionIndex | None:
+        """Returns the shard to ask for a token, None if there is none left.
+
+        Shards in this VM's region come first.
+        """
+        table = self._ownership.table
         assert table is not None
-        near: list[_quota_owners.Place] = []
-        far: list[_quota_owners.Place] = []
-        for place in use.shards:
-            position = table.positions[place]
+        near: list[_quota_owners.PositionIndex] = []
+        far: list[_quota_owners.PositionIndex] = []
+        for position_index in state.shards:
+            position = table.positions[position_index]
             if (
-                place in tried
+                position_index in tried
                 or position.owner == self._own
-                or use.empty.empty_for(place, now)
+                or state.empty.empty_for(position_index, now)
                 or now < self._suspect_until.get(position.owner, _ZERO)
             ):
                 continue
-            (near if position.region == self._region else far).append(place)
-        choice = near or far
-        return self._rng.choice(choice) if choice else None
+            (near if position.region == self._region else far).append(
+                position_index
+            )
+        candidates = near or far
+        return self._rng.choice(candidates) if candidates else None
 
-    def _refuse(
+    def _reject(
         self,
         customer: ids.CustomerId,
-        use: _Use,
-        fits_in: datetime.timedelta | None,
+        state: _CustomerState,
+        token_wait: datetime.timedelta | None,
         now: datetime.timedelta,
     ) -> Step:
-        """Sends a request away, until a token is there."""
-        wait = use.empty.shortest(now) if fits_in is None else fits_in
+        """Rejects a request, with the time until a token is expected."""
+        wait = (
+            state.empty.shortest_wait(now) if token_wait is None else token_wait
+        )
         if wait is None:
-            wait = self._own_wait(customer, use, now)
+            wait = self._own_shards_wait(customer, state, now)
         if wait is None:
             return self._unreachable()
         return OverQuota(self._retry_after(wait))
 
-    def _own_wait(
+    def _own_shards_wait(
         self,
         customer: ids.CustomerId,
-        use: _Use,
+        state: _CustomerState,
         now: datetime.timedelta,
     ) -> datetime.timedelta | None:
-        """Returns how long the shards of this VM are empty, if it has any."""
+        """Returns how long until a shard of this VM has a token.
+
+        None if this VM owns no shard of the customer.
+        """
         waits = [
-            self._shards.empty_for(customer, place, now)
-            for place in use.shards
-            if self._tenure.acts_since(place, now) is not None
+            self._shards.empty_for(customer, position_index, now)
+            for position_index in state.shards
+            if self._ownership.owner_since(position_index, now) is not None
         ]
         return min(waits, default=None)
 
@@ -375,5 +409,5 @@
         return Unreachable(self._retry_after(_SUSPECT_FOR))
 
     def _retry_after(self, wait: datetime.timedelta) -> datetime.timedelta:
-        least = max(_LEAST_RETRY_AFTER, wait)
-        return least * (1 + _RETRY_AFTER_SPREAD * self._rng.random())
+        min_wait = max(_MIN_RETRY_AFTER, wait)
+        return min_wait * (1 + _RETRY_AFTER_JITTER * self._rng.random())
--- a/dragonflystack/entry/_routes.py
+++ b/dragonflystack/entry/_routes.py
@@ -1,4 +1,4 @@
-"""Finds the route of a request and the service it goes to."""
+"""Finds the route of a request and the service that handles it."""
 
 import dataclasses
 import random
@@ -6,13 +6,13 @@
 from dragonflystack import ids
 from dragonflystack.entry import _catalogue
 
-_PHASES = 1_000
-"""Places in the sequence of a split at which a VM may begin; more than weights
-in percent need to come round."""
+_MAX_START_OFFSET = 1_000
+"""Positions of the round-robin sequence at which a VM may start; more than the
+length of the sequence if weights are in percent."""
 
 
 @dataclasses.dataclass(slots=True)
-class _Split:
+class _WeightedRoundRobin:
     """Smooth weighted round robin over a route's destinations.
 
     Source: the algorithm that nginx introduced for its upstream weights; the
@@ -40,7 +40,7 @@
 
 
 class RouteTable:
-    """The routes of one catalogue."""
+    """Looks up the routes of one catalogue."""
 
     def __init__(self, catalogue: _catalogue.Catalogue, rng: random.Random):
         self._rng = rng
@@ -51,31 +51,31 @@
             host: sorted(routes, key=lambda r: -len(r.prefix))
             for host, routes in by_host.items()
         }
-        self._splits: dict[_catalogue.RouteId, _Split] = {}
+        self._splits: dict[_catalogue.RouteId, _WeightedRoundRobin] = {}
 
     def find(self, host: str, path: str) -> _catalogue.Route | None:
-        """Returns the route with the longest prefix that begins the path."""
+        """Returns the route with the longest matching prefix, None if none."""
         for route in self._by_host.get(host, ()):
             if path.startswith(route.prefix):
                 return route
         return None
 
     def pick_service(self, route: _catalogue.Route) -> ids.ServiceId:
-        """Returns the service for one request, in proportion to weights."""
+        """Returns the service for one request, in proportion to the weights."""
         if len(route.destinations) == 1:
             return route.destinations[0].service
         split = self._splits.get(route.id)
         if split is None:
-            split = self._splits[route.id] = self._begin_split(route)
+            split = self._splits[route.id] = self._make_split(route)
         return split.next(route)
 
-    def _begin_split(self, route: _catalogue.Route) -> _Split:
-        """Returns a split at a random place of its sequence.
+    def _make_split(self, route: _catalogue.Route) -> _WeightedRoundRobin:
+        """Returns a round robin that starts at a random position.
 
-        Else the first requests of all VMs would go to the same service, and a
-        VM of a large fleet sees few between two catalogues.
+        Otherwise the first requests of all VMs would go to the same service,
+        and a VM of a large fleet gets few requests between two catalogues.
         """
-        split = _Split()
-        for _ in range(self._rng.randrange(_PHASES)):
+        split = _WeightedRoundRobin()
+        for _ in range(self._rng.randrange(_MAX_START_OFFSET)):
             split.next(route)
         return split
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -1,4 +1,4 @@
-"""The bounds and rates that one entry VM decides by."""
+"""Bounds of the fleet and settings for the choice of a backend server."""
 
 import dataclasses
 import datetime
@@ -10,117 +10,118 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetBounds:
-    """Bounds that hold for all entry VMs together; the operators' terms."""
+    """Bounds that all entry VMs together must keep, as operators set them."""
 
     retry_ratio: float = 0.2
-    """Repeated sends per request of a service, within `retry_window`."""
+    """Retries allowed per request of a service, within `retry_window`."""
 
     retry_extra: float = 100.0
-    """Repeated sends allowed beyond that ratio, within `retry_window`."""
+    """Retries allowed in excess of that ratio, within `retry_window`."""
 
     retry_window: datetime.timedelta = _ms(10_000)
 
     cold_factor: float = 1.5
-    """A cold backend server may get its cold rate times this a second."""
+    """A cold backend server may get its cold rate times this factor."""
 
     cold_margin: float = 5.0
-    """Requests a second that it may get beyond that."""
+    """Requests a second that it may get in excess of that."""
 
     max_shift: float = 0.15
-    """Part of a region's requests that may change region in 2 s."""
+    """Fraction of a region's requests that may change region within 2 s."""
 
     apply: datetime.timedelta = _ms(2_500)
-    """From the store's acknowledgement of a change until every VM decides by
-    it."""
+    """The time from the store's acknowledgement of a change until every VM
+    applies it."""
 
     drain: datetime.timedelta = _ms(2_500)
-    """How long a leaving backend server still takes requests."""
+    """How long a leaving backend server still accepts requests."""
 
     grace: datetime.timedelta = _ms(6_000)
-    """From SIGTERM until the process is killed."""
+    """The time from SIGTERM until the process is killed."""
 
     quota_window: datetime.timedelta = _ms(5_000)
-    """Any span of this length counts for the limits of customers."""
+    """The limit of a customer holds in any period of this length."""
 
     quota_overrun: float = 0.0
-    """Part by which a customer's limit may be exceeded within a window."""
+    """Fraction by which a customer's limit may be exceeded within a window."""
 
     quota_margin: float = 0.0
-    """Requests within a window beyond that."""
+    """Requests allowed within a window in excess of that."""
 
     max_answer_ttl: datetime.timedelta = _ms(5_000)
-    """Callers keep no answer of the directory for longer than this."""
+    """Callers cache an answer of the directory for no longer than this."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChoiceSettings:
-    """How a backend server is chosen for a request."""
+    """Parameters for choosing a backend server for a request."""
 
     warm_part: float = 0.45
-    """Assumed time of work on a known object over that on a new one, until
-    both were measured."""
+    """Assumed ratio of the processing time for a cached object to that for a
+    new one, until both were measured."""
 
     objects_kept: int = 40
-    """Objects that a backend server is assumed to remember."""
+    """The number of objects that a backend server is assumed to cache."""
 
     object_ranks: int = 2
-    """Backend servers of the own region that get requests on one object; more
-    of them remember fewer objects each."""
+    """The number of backend servers in the VM's own region that get requests
+    for one object; with more of them, each caches fewer distinct objects."""
 
     hot_part: float = 0.25
-    """Requests on one object may fill this part of a backend server's share of
-    the requests before another one gets them as well."""
+    """Requests for one object may fill this fraction of a backend server's
+    share of the requests before another backend server gets some as well."""
 
     warmup_penalty: float = 2.0
-    """Cost of sending an object to a backend server that is not warm for it, in
-    units of the work that this adds: its slot is taken from others."""
+    """Cost of sending a request to a backend server that has not cached its
+    object, in units of the added processing time, which occupies a slot that
+    other requests could use."""
 
     remote_penalty: datetime.timedelta = _ms(40)
-    """Delay that a nearer backend server may cost; bytes between regions are
-    paid for."""
+    """Delay that is accepted to stay with a nearer backend server; traffic
+    between regions costs money."""
 
     others_half_life: datetime.timedelta = _ms(300)
-    """How fast a report of load goes back to its long-run mean."""
+    """Half-life with which a reported load returns to its long-run mean."""
 
     load_trusted: datetime.timedelta = _ms(600)
-    """How long a report of load stands for itself; after that the waits that
-    requests met in the region count as well."""
+    """How long a reported load is used alone; after that, the queue waits
+    observed in the region are considered as well."""
 
     failure_weight: float = 0.3
     """Weight of the latest result in a backend server's failure rate."""
 
     failure_half_life: datetime.timedelta = _ms(2_000)
-    """How fast a failure rate fades while nothing is sent."""
+    """Half-life of a failure rate while no requests are sent."""
 
     failure_penalty: float = 3.0
-    """Cost of a sure failure, in target latencies."""
+    """Cost of a certain failure, in target latencies."""
 
     queue_slots: float = 3.0
     """A backend server is full at this many requests per slot."""
 
     late_wait_part: float = 0.6
-    """A request that would be late is sent only where it waits less than this
-    part of its target latency."""
+    """A request that would be late is sent only to a backend server where it
+    waits less than this fraction of its target latency."""
 
     max_asked_wait: datetime.timedelta = _ms(300_000)
-    """Longest time that a backend server is left alone when it asks for that;
-    one that asks for longer by mistake is not lost for good."""
+    """The longest back-off that a backend server can request; one that requests
+    a longer one by mistake is not lost permanently."""
 
     asked_wait_spread: datetime.timedelta = _ms(500)
-    """VMs go back to a backend server that asked to be left alone over up to
-    this time, so that they do not come as one."""
+    """Jitter that is added to a requested back-off, so that VMs do not return
+    to the backend server all at once."""
 
     silence_factor: float = 3.0
     """A request is overdue after this many times its expected time."""
 
     cold_owners: int = 2
-    """Entry VMs that may send to one cold backend server."""
+    """The number of entry VMs that may send to one cold backend server."""
 
     cold_share: float = 0.3
-    """Part of a cold backend server's bound that each of them uses."""
+    """Fraction of a cold backend server's bound that each of them uses."""
 
     retry_part: float = 0.6
-    """Part of the fleet's retry budget that is dealt out to the VMs."""
+    """Fraction of the fleet's retry budget that is divided among the VMs."""
 
     remote_round_trip: datetime.timedelta = _ms(70)
-    """Assumed round trip to another region until one was measured."""
+    """Assumed round-trip time to another region until one was measured."""
--- a/dragonflystack/entry/_store_versions.py
+++ b/dragonflystack/entry/_store_versions.py
@@ -1,18 +1,18 @@
-"""Versions of the platform's store, in one number that orders them.
+"""Encodes versions of the platform's store as single, ordered numbers.
 
-The store counts its writes. It may come back from an older copy of itself;
-then it gives numbers out again, and its era is one higher. A later era is
-newer than any number of an earlier one, so the era makes the upper bits.
+The store numbers its writes. If it is restored from an older copy, it assigns
+numbers again, and its era increases by one. Any version of a later era is newer
+than every version of an earlier one, so the era makes up the upper bits.
 """
 
 _NUMBER_BITS = 48
-"""A million writes a second for nine years."""
+"""Enough for a million writes a second for nine years."""
 
 _NUMBER_MASK = (1 << _NUMBER_BITS) - 1
 
 
 def store_version(era: int, number: int) -> int:
-    """Returns the version with a number that was given out in an era."""
+    """Returns the version for a number that the store assigned in an era."""
     return (era << _NUMBER_BITS) | number
 
 
@@ -22,5 +22,5 @@
 
 
 def number_of(version: int) -> int:
-    """Returns the number that the store itself gave to a version."""
+    """Returns the number that the store itself assigned to a version."""
     return version & _NUMBER_MASK
--- a/dragonflystack/entry/tests/quota_fleet.py
+++ b/dragonflystack/entry/tests/quota_fleet.py
@@ -1,7 +1,8 @@
-"""A fleet of VMs that keep the limits of customers, in simulated time.
+"""Simulates a fleet of VMs that enforce the limit of a customer.
 
-VMs die, start, pause and are cut off; datagrams are lost, late and doubled.
-Each VM has a clock of its own. What was admitted is noted by customer.
+VMs die, start, pause and are partitioned; datagrams are lost, delayed and
+duplicated. Each VM has its own clock. The fleet records the times at which
+requests were admitted and rejected.
 """
 
 import collections
@@ -21,24 +22,25 @@
 
 CUSTOMER = ids.CustomerId("guild")
 NEAR_MS = (0.2, 3.0)
-"""One way within a region, with the time until a busy VM reads it."""
+"""One-way delay within a region, including the time until a busy VM reads the
+datagram."""
 
 FAR_MS = (35.0, 38.0)
-KEEP_FOR = builders.ms(4_000)
-WAIT_FOR = builders.ms(4_400)
-"""Times of the program in the length of a test."""
+OWNERSHIP_TTL = builders.ms(4_000)
+TAKEOVER_DELAY = builders.ms(4_400)
+"""Values in place of those of `_quota_owners`, short enough for a test."""
 
 
 @dataclasses.dataclass
 class Vm:
     address: entry.VmAddress
     clock_ms: float
-    """What its clock showed at the start of the simulation."""
+    """The time of its clock at the start of the simulation."""
 
     quotas: _quotas.Quotas | None = None
     run: int = 0
-    cut: int = 0
-    """VMs with the same number reach each other."""
+    partition: int = 0
+    """Its network partition; VMs reach each other only within a partition."""
 
     paused_until: float = 0.0
     reads_table: bool = True
@@ -67,17 +69,17 @@
         limit: _quota_shards.QuotaLimit,
         seed: int,
         loss: float = 0.0,
-        keep_for: datetime.timedelta = _quota_owners.KEEP_FOR,
-        wait_for: datetime.timedelta = _quota_owners.WAIT_FOR,
+        ownership_ttl: datetime.timedelta = _quota_owners.OWNERSHIP_TTL,
+        takeover_delay: datetime.timedelta = _quota_owners.TAKEOVER_DELAY,
     ):
         self.rng = random.Random(seed)
         self.bounds = bounds
         self.limit = limit
         self.loss = loss
-        self.keep_for = keep_for
-        self.wait_for = wait_for
+        self.ownership_ttl = ownership_ttl
+        self.takeover_delay = takeover_delay
         self.now = 0.0
-        self.table = _quota_owners.found_owners(vms)
+        self.table = _quota_owners.first_owner_table(vms)
         self.vms = {
             a.vm: Vm(a, self.rng.uniform(0, 1e6), limit=limit) for a in vms
         }
@@ -89,11 +91,11 @@
         self.waits: list[float] = []
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
-        self._waiting: set[int] = set()
+        self._pending: set[int] = set()
         for vm in self.vms:
             self.start(vm)
 
-    # What happens to the fleet.
+    # Scheduling and faults.
 
     def at(self, when: float, do: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when, next(self._order), do))
@@ -115,15 +117,15 @@
         self.read_table(name)
 
     def make(self, vm: Vm) -> _quotas.Quotas:
-        tenure = _quota_owners.Tenure(
-            vm.address.vm, self.keep_for, self.wait_for
+        ownership = _quota_owners.Ownership(
+            vm.address.vm, self.ownership_ttl, self.takeover_delay
         )
         return _quotas.Quotas(
             vm.address.vm,
             vm.address.region,
             self.bounds,
             random.Random(self.rng.random()),
-            tenure,
+            ownership,
         )
 
     def die(self, name: ids.VmId) -> None:
@@ -132,8 +134,8 @@
     def pause(self, name: ids.VmId, for_ms: float) -> None:
         self.vms[name].paused_until = self.now + for_ms
 
-    def cut(self, name: ids.VmId, side: int) -> None:
-        self.vms[name].cut = side
+    def partition(self, name: ids.VmId, side: int) -> None:
+        self.vms[name].partition = side
 
     def read_table(self, name: ids.VmId) -> None:
         vm = self.vms[name]
@@ -151,59 +153,65 @@
         address = self.vms[successor].address
         self.table = _quota_owners.replace_owner(self.table, gone, address)
 
-    # Requests.
+    # Requests and datagrams.
 
     def request(self, name: ids.VmId) -> None:
         vm = self.vms[name]
-        if self._postponed(vm, lambda: self.request(name)):
+        if self._postpone_if_paused(vm, lambda: self.request(name)):
             return
         if vm.quotas is not None:
             step = vm.quotas.admit(CUSTOMER, self._clock(vm))
-            self._do(vm, step, self.now)
+            self._handle_step(vm, step, self.now)
 
-    def _do(self, vm: Vm, step: _quotas.Step, began: float) -> None:
+    def _handle_step(
+        self, vm: Vm, step: _quotas.Step, started_at: float
+    ) -> None:
         match step:
             case _quotas.Admitted():
                 self.admitted.append(self.now)
-                self.waits.append(self.now - began)
+                self.waits.append(self.now - started_at)
             case _quotas.OverQuota(retry_after):
                 self.refused.append(self.now)
                 self.retry_afters.append(retry_after / builders.ms(1))
-                self.waits.append(self.now - began)
+                self.waits.append(self.now - started_at)
             case _quotas.Unreachable():
                 self.unreachable.append(self.now)
             case _quotas.AskOwner():
-                self._ask(vm, step, began)
+                self._ask_next_owner(vm, step, started_at)
 
-    def _ask(self, vm: Vm, ask: _quotas.AskOwner, began: float) -> None:
+    def _ask_next_owner(
+        self, vm: Vm, ask: _quotas.AskOwner, started_at: float
+    ) -> None:
         self.asks += 1
         number = next(self._order)
-        self._waiting.add(number)
+        self._pending.add(number)
         run = vm.run
         owner = self.vms[ask.owner]
 
-        def on_answer(answer: _quota_shards.QuotaAnswer | None) -> None:
-            if self._postponed(vm, lambda: on_answer(answer)):
+        def on_token_response(
+            answer: _quota_shards.TokenResponse | None,
+        ) -> None:
+            if self._postpone_if_paused(vm, lambda: on_token_response(answer)):
                 return
-            if number not in self._waiting or vm.run != run:
+            if number not in self._pending or vm.run != run:
                 return
-            self._waiting.discard(number)
+            self._pending.discard(number)
             if vm.quotas is not None:
                 now = self._clock(vm)
-                step = vm.quotas.on_answer(ask, answer, now)
-                self._do(vm, step, began)
+                step = vm.quotas.on_token_response(ask, answer, now)
+                self._handle_step(vm, step, started_at)
 
-        def on_ask() -> None:
-            if self._postponed(owner, on_ask):
+        def on_token_request() -> None:
+            if self._postpone_if_paused(owner, on_token_request):
                 return
             if owner.quotas is not None:
                 now = self._clock(owner)
-                answer = owner.quotas.on_ask(ask.message, now)
-                self._deliver(owner, vm, lambda: on_answer(answer))
+                answer = owner.quotas.on_token_request(ask.message, now)
+                self._deliver(owner, vm, lambda: on_token_response(answer))
 
-        self._deliver(vm, owner, on_ask)
-        patience = ask.patience / builders.ms(1)
-        self.at(self.now + patience, lambda: on_answer(None))
+        self._deliver(vm, owner, on_token_request)
+        timeout = ask.timeout / builders.ms(1)
+        self.at(self.now + timeout, lambda: on_token_response(None))
 
     def _deliver(self, source: Vm, target: Vm, do: Callable[[], None]) -> None:
         near = source.address.region == target.address.region
@@ -213,13 +221,13 @@
                 (0, 1, 2), (self.loss, 1 - 2 * self.loss, self.loss)
             )[0]
         for _ in range(copies):
-            if source.cut == target.cut:
+            if source.partition == target.partition:
                 delay = self.rng.uniform(*(NEAR_MS if near else FAR_MS))
                 if self.rng.random() < self.loss:
                     delay *= 20
                 self.at(self.now + delay, do)
 
-    def _postponed(self, vm: Vm, do: Callable[[], None]) -> bool:
+    def _postpone_if_paused(self, vm: Vm, do: Callable[[], None]) -> bool:
         if vm.paused_until <= self.now:
             return False
         self.at(vm.paused_until, do)
@@ -230,7 +238,7 @@
 
 
 def most_within(times: list[float], window_ms: float) -> int:
-    """Returns the most events in any window of that length."""
+    """Returns the most events in any window of the given length."""
     most = 0
     recent: collections.deque[float] = collections.deque()
     for at in sorted(times):
--- a/dragonflystack/entry/tests/test_lag.py
+++ b/dragonflystack/entry/tests/test_lag.py
@@ -10,27 +10,27 @@
 
 
 def _hear(lag, position, at_ms, known=3, first_ms=0, confirmed_ms=0):
-    word = _lag.Word(position, first_ms, confirmed_ms)
-    return lag.on_word(word, known, builders.ms(at_ms))
+    word = _lag.VersionAnnouncement(position, first_ms, confirmed_ms)
+    return lag.on_announcement(word, known, builders.ms(at_ms))
 
 
 def test_the_lag_counts_from_the_first_word_of_the_oldest_missing_position():
-    lag = _lag.Lag()
-    assert lag.age(3, _ZERO) == _ZERO
+    lag = _lag.ReplicationLag()
+    assert lag.duration(3, _ZERO) == _ZERO
     assert _hear(lag, 5, 100)
     assert not _hear(lag, 5, 600)
     assert _hear(lag, 8, 900)
-    assert lag.age(3, builders.ms(1000)) == builders.ms(900)
-    assert lag.age(5, builders.ms(1000)) == builders.ms(100)
-    assert lag.age(8, builders.ms(1000)) == _ZERO
+    assert lag.duration(3, builders.ms(1000)) == builders.ms(900)
+    assert lag.duration(5, builders.ms(1000)) == builders.ms(100)
+    assert lag.duration(8, builders.ms(1000)) == _ZERO
 
 
 def test_a_word_that_was_passed_on_counts_from_the_first_vm():
-    lag = _lag.Lag()
+    lag = _lag.ReplicationLag()
     assert _hear(lag, 5, 1000, first_ms=300, confirmed_ms=200)
-    assert lag.age(3, builders.ms(1100)) == builders.ms(400)
+    assert lag.duration(3, builders.ms(1100)) == builders.ms(400)
     passed_on = lag.word(3, builders.ms(1100))
-    assert passed_on == _lag.Word(5, 400, 300)
+    assert passed_on == _lag.VersionAnnouncement(5, 400, 300)
 
 
 @pytest.mark.parametrize(
@@ -43,33 +43,33 @@
     ],
 )
 def test_what_is_known_or_too_old_is_no_word(position, confirmed_ms, is_new):
-    lag = _lag.Lag()
+    lag = _lag.ReplicationLag()
     lag.on_read(4)
     heard = _hear(lag, position, 5_000, confirmed_ms=confirmed_ms)
     assert heard is is_new
 
 
 def test_rows_that_no_living_vm_has_are_no_lag():
-    lag = _lag.Lag()
+    lag = _lag.ReplicationLag()
     _hear(lag, 5, 0)
     _hear(lag, 5, 900)
-    assert lag.age(3, builders.ms(2900)) == builders.ms(2900)
-    assert lag.age(3, builders.ms(2901)) == _ZERO
+    assert lag.duration(3, builders.ms(2900)) == builders.ms(2900)
+    assert lag.duration(3, builders.ms(2901)) == _ZERO
     assert lag.word(3, builders.ms(2901)) is None
     assert not _hear(lag, 5, 4000)
-    assert lag.age(3, builders.ms(4000)) == builders.ms(4000)
+    assert lag.duration(3, builders.ms(4000)) == builders.ms(4000)
 
 
 def test_two_vms_do_not_keep_a_word_alive_between_them():
-    first, second = _lag.Lag(), _lag.Lag()
+    first, second = _lag.ReplicationLag(), _lag.ReplicationLag()
     _hear(first, 5, 0)
     for at in range(0, 6000, 500):
         for teller, hearer in ((first, second), (second, first)):
             word = teller.word(3, builders.ms(at))
             if word is not None:
-                hearer.on_word(word, 3, builders.ms(at))
-    assert first.age(3, builders.ms(2001)) == _ZERO
-    assert second.age(3, builders.ms(2001)) == _ZERO
+                hearer.on_announcement(word, 3, builders.ms(at))
+    assert first.duration(3, builders.ms(2001)) == _ZERO
+    assert second.duration(3, builders.ms(2001)) == _ZERO
 
 
 def _tell(receiver, sender, now):
--- a/dragonflystack/entry/tests/test_news.py
+++ b/dragonflystack/entry/tests/test_news.py
@@ -83,7 +83,7 @@
 @pytest.mark.parametrize("size", [5, 8, 47, 140])
 def test_a_store_that_is_out_is_called_no_more_often_in_a_large_region(size):
     vms = tuple(ids.VmId(f"vm-{i}") for i in range(size))
-    limits = [_news.retry_limit(vm, vms) / builders.ms(1000) for vm in vms]
+    limits = [_news.max_retry_delay(vm, vms) / builders.ms(1000) for vm in vms]
     watchers = [vm for vm in vms if _news.is_watcher(vm, vms)]
     calls_s = sum(1 / limit for limit in limits)
     assert calls_s <= 2 * len(watchers) / 0.6
