Reword the tests of the entry VM's limits and replication

Cause: names such as test_what_is_known_or_too_old_is_no_word do not say which condition is tested and what is expected.

Two names of parameters in test_customers follow their arguments.

--- a/dragonflystack/entry/tests/test_access.py
+++ b/dragonflystack/entry/tests/test_access.py
@@ -1,4 +1,4 @@
-"""Whose request it is, and whether the catalogue in force lets it be served."""
+"""Tests which requests are authorized, and for which customer."""
 
 import pytest
 
@@ -34,7 +34,7 @@
     ("key", "customer"),
     [("key-a1", _ALICE), ("key-a2", _ALICE), ("key-b1", _BOB)],
 )
-def test_a_request_is_its_key_s_customer_s(key, customer):
+def test_key_identifies_the_customer(key, customer):
     exchange, step = _vm(_ALICE, _BOB).open(_request(key), builders.ms(1))
     assert isinstance(step, entry.Send)
     assert exchange is not None
@@ -51,16 +51,14 @@
     ],
 )
 @pytest.mark.parametrize("customers", [(_ALICE, _BOB), ()])
-def test_a_request_without_a_key_in_force_is_unauthorized(
-    key, reason, customers
-):
+def test_request_without_a_valid_key_is_unauthorized(key, reason, customers):
     exchange, step = _vm(*customers).open(_request(key), builders.ms(1))
     assert exchange is None
     assert step == entry.Unauthorized(reason, _PRIVATE.id)
 
 
 @pytest.mark.parametrize("key", [None, "key-a1", "key-c"])
-def test_a_public_route_needs_no_key_and_names_no_customer(key):
+def test_public_route_needs_no_key_and_sets_no_customer(key):
     request = _request(key, path="/open/x")
     exchange, step = _vm(_ALICE).open(request, builders.ms(1))
     assert isinstance(step, entry.Send)
@@ -70,7 +68,7 @@
 
 
 @pytest.mark.parametrize("key", [None, "key-a1"])
-def test_without_customers_keys_are_left_alone(key):
+def test_without_customers_key_headers_are_forwarded(key):
     vm = builders.entry_vm(builders.server("s1"), routes=(_PRIVATE,))
     exchange, step = vm.open(_request(key), builders.ms(1))
     assert isinstance(step, entry.Send)
@@ -78,18 +76,18 @@
     assert not exchange.wanted.hides_key
 
 
-def test_an_unknown_route_is_unknown_whatever_the_key():
+def test_unknown_route_is_reported_before_a_missing_key():
     _, step = _vm(_ALICE).open(_request(None, path="/x"), builders.ms(1))
     assert step == entry.Unknown()
 
 
-def test_a_key_counts_from_the_catalogue_that_brings_it_to_the_one_without():
+def test_key_is_valid_until_a_newer_catalogue_lacks_it():
     vm = _vm(_ALICE)
     request = _request("key-a2")
     assert isinstance(vm.access(request, builders.ms(0)), entry.Access)
     without = builders.customer("alice", "key-a1")
-    taken = builders.catalogue(_PRIVATE, version=2, customers=(without,))
-    vm.on_catalogue(taken)
+    changed = builders.catalogue(_PRIVATE, version=2, customers=(without,))
+    vm.on_catalogue(changed)
     denied = entry.Unauthorized(entry.Reason.UNKNOWN_KEY, _PRIVATE.id)
     assert vm.access(request, builders.ms(0)) == denied
     older = builders.catalogue(_PRIVATE, version=1, customers=(_ALICE,))
@@ -97,7 +95,7 @@
     assert vm.access(request, builders.ms(0)) == denied
 
 
-def test_a_vm_without_news_rejects_rather_than_denies():
+def test_vm_without_a_server_list_rejects_rather_than_denies():
     vm = builders.entry_vm(customers=(_ALICE,))
     vm.discovery.read_at = None
     step = vm.access(_request(None), builders.ms(0))
@@ -115,7 +113,7 @@
         (("b",), ("a", "b"), {"b"}),
     ],
 )
-def test_the_regions_of_route_and_customer_both_bind(
+def test_regions_of_route_and_customer_both_apply(
     of_route, of_customer, served
 ):
     route = builders.route(regions=_regions(*of_route))
@@ -131,7 +129,7 @@
     assert "b" in regions or len(served) > 1
 
 
-def test_a_request_that_no_region_may_serve_is_rejected_at_once():
+def test_request_without_an_allowed_region_is_rejected_at_once():
     route = builders.route(regions=_regions("a"))
     customer = builders.customer("c", "k", regions=_regions("b"))
     vm = _vm(customer, routes=(route,))
@@ -151,14 +149,14 @@
         pytest.param(entry.Broken("reset"), entry.Fail, id="may have run"),
     ],
 )
-def test_a_key_taken_away_meanwhile_ends_a_request(result, last):
+def test_removing_the_key_ends_a_request_in_progress(result, last):
     vm = _vm(_ALICE)
     exchange, step = vm.open(_request("key-a2"), builders.ms(10))
     assert exchange is not None
     assert isinstance(step, entry.Send)
     assert exchange.may_write(builders.ms(20))
     without = builders.customer("alice", "key-a1")
-    taken = builders.catalogue(_PRIVATE, version=2, customers=(without,))
-    vm.on_catalogue(taken)
+    changed = builders.catalogue(_PRIVATE, version=2, customers=(without,))
+    vm.on_catalogue(changed)
     assert not exchange.may_write(builders.ms(30))
     assert isinstance(exchange.on_result(result, builders.ms(40)), last)
--- a/dragonflystack/entry/tests/test_catalogue_changes.py
+++ b/dragonflystack/entry/tests/test_catalogue_changes.py
@@ -1,4 +1,4 @@
-"""A request follows the catalogue that is in force when it is sent."""
+"""Tests that requests in progress follow changes of the catalogue."""
 
 import pytest
 
@@ -7,13 +7,13 @@
 from dragonflystack.entry.tests import builders
 
 _OTHER = ids.ServiceId("other")
-_AT_HOME = frozenset({ids.RegionId("a")})
+_REGION_A = frozenset({ids.RegionId("a")})
 _BROKEN = entry.Broken("reset")
 _SILENT = entry.Silent()
 
 
 def _vm(*routes):
-    """Returns a VM of region a that knows backend servers in a and b."""
+    """Returns a VM of region a with backend servers in regions a and b."""
     entries = [
         builders.server(f"{domain}-{service}", domain, service=service)
         for domain in ("a1", "a2", "b1", "b2")
@@ -38,10 +38,10 @@
     vm.on_catalogue(builders.catalogue(*routes, version=2))
 
 
-# Guards against a repeated send by the route of an older catalogue, which sent
-# requests out of their homes (HOME) and to services of before (CONFIG).
+# Guards against a retry that follows the route of an older catalogue: it sent
+# requests outside of their regions (HOME) and to former services (CONFIG).
 @pytest.mark.parametrize("result", [_BROKEN, _SILENT, entry.Withdrawn()])
-def test_a_repeat_keeps_to_the_homes_in_force(result):
+def test_retry_stays_in_the_regions_in_force(result):
     vm = _vm(_route())
     exchange, step = _open(vm)
     home = ids.RegionId("a" if step.server.region == "b" else "b")
@@ -52,7 +52,7 @@
 
 
 @pytest.mark.parametrize("result", [_BROKEN, _SILENT, entry.Withdrawn()])
-def test_a_repeat_goes_to_the_service_in_force(result):
+def test_retry_goes_to_the_service_in_force(result):
     vm = _vm(_route())
     exchange, _ = _open(vm)
     _put_in_force(vm, _route(destinations=(entry.Destination(_OTHER, 1.0),)))
@@ -61,7 +61,7 @@
     assert step.server.entry.service == _OTHER
 
 
-def test_a_repeat_stays_at_its_service_while_the_route_leads_there():
+def test_retry_keeps_its_service_while_the_route_sends_there():
     vm = _vm(_route())
     exchange, _ = _open(vm)
     split = (
@@ -85,26 +85,26 @@
         ),
     ],
 )
-def test_a_request_ends_when_its_route_is_removed(result, last):
+def test_request_ends_when_its_route_is_removed(result, last):
     vm = _vm(_route())
     exchange, _ = _open(vm)
     _put_in_force(vm, _route(prefix="/elsewhere/"))
     assert exchange.on_result(result, builders.ms(600)) == last
 
 
-def test_a_longer_prefix_that_was_added_takes_the_request_over():
+def test_added_route_with_a_longer_prefix_applies_to_the_request():
     vm = _vm(_route())
     exchange, _ = _open(vm, path="/r/x/y")
     nested = builders.route(
-        id=entry.RouteId("nested"), prefix="/r/x/", regions=_AT_HOME
+        id=entry.RouteId("nested"), prefix="/r/x/", regions=_REGION_A
     )
     _put_in_force(vm, _route(), nested)
     exchange.on_result(entry.Withdrawn(), builders.ms(100))
     assert exchange.route == nested
 
 
-# Guards against a send that was decided before a change and written after it:
-# a connection to another region takes as long as a change needs to arrive.
+# Guards against an attempt that is decided before a change and written after
+# it: a connection to another region takes as long as a change needs to arrive.
 @pytest.mark.parametrize(
     ("change", "may_write"),
     [
@@ -147,14 +147,14 @@
         ),
     ],
 )
-def test_what_was_decided_is_checked_before_it_is_written(change, may_write):
+def test_decision_is_checked_before_the_request_is_written(change, may_write):
     vm = _vm(_route())
     exchange, step = _open(vm)
     change(vm, step.server)
     assert exchange.may_write(builders.ms(100)) is may_write
 
 
-def test_nothing_is_written_after_the_deadline():
+def test_nothing_may_be_written_after_the_deadline():
     vm = _vm(_route())
     exchange, _ = _open(vm)
     assert exchange.may_write(builders.ms(5009))
@@ -170,11 +170,11 @@
 ]
 
 
-# Guards against a second run of a request that may run once, as a route that
-# allows repeats took over from one that does not, or the other way round.
+# Guards against running a request twice that may run only once, when a route
+# that allows retries replaces one that does not, or the other way round.
 @pytest.mark.parametrize("result", _MAY_HAVE_RUN)
 @pytest.mark.parametrize("before", [True, False])
-def test_what_may_have_run_is_sent_again_only_if_both_routes_allow(
+def test_request_that_may_have_run_is_retried_only_if_both_routes_allow(
     before, result
 ):
     vm = _vm(_route(idempotent=before))
@@ -186,7 +186,7 @@
 
 
 @pytest.mark.parametrize("result", _MAY_HAVE_RUN)
-def test_the_attempts_of_the_route_in_force_bind(result):
+def test_max_attempts_of_the_route_in_force_apply(result):
     vm = _vm(_route())
     exchange, _ = _open(vm)
     _put_in_force(vm, builders.route(timeout=builders.ms(5000), max_attempts=1))
--- a/dragonflystack/entry/tests/test_customers.py
+++ b/dragonflystack/entry/tests/test_customers.py
@@ -1,4 +1,4 @@
-"""Customers are told apart by their keys, whatever their number."""
+"""Tests the look-up of customers by key and the validation of customers."""
 
 import math
 
@@ -13,7 +13,7 @@
 _KEYS_EACH = 4
 
 
-def _many():
+def _many_customers():
     return tuple(
         builders.customer(
             f"c{number}", *(f"k{number}-{place}" for place in range(_KEYS_EACH))
@@ -23,7 +23,7 @@
 
 
 class _CountedDigest(str):
-    """A digest that counts how often it is hashed and compared."""
+    """A digest that counts its hash and comparison operations."""
 
     hashed = 0
     compared = 0
@@ -38,29 +38,29 @@
 
 
 @pytest.mark.parametrize(
-    ("key", "holder"), [("k700-3", "c700"), ("k1000-0", None)]
+    ("key", "expected_id"), [("k700-3", "c700"), ("k1000-0", None)]
 )
-def test_a_look_up_among_many_keys_is_one_hash(key, holder):
-    table = _customers.CustomerTable(_many())
+def test_look_up_among_many_keys_hashes_once(key, expected_id):
+    table = _customers.CustomerTable(_many_customers())
 
     class Counted(_CountedDigest):
         pass
 
     digest = Counted(entry.digest_key(key.encode()))
     found = table.find(entry.KeyDigest(digest))
-    assert (None if found is None else found.id) == holder
+    assert (None if found is None else found.id) == expected_id
     assert Counted.hashed == 1
     assert Counted.compared <= 1
 
 
-def test_each_of_a_customers_keys_names_it():
-    table = _customers.CustomerTable(_many())
-    for customer in _many():
+def test_each_key_of_a_customer_finds_it():
+    table = _customers.CustomerTable(_many_customers())
+    for customer in _many_customers():
         assert {table.find(key) for key in customer.keys} == {customer}
 
 
 @pytest.mark.parametrize(
-    ("make", "words"),
+    ("make", "message"),
     [
         pytest.param(
             lambda: builders.customer(""), "customer '': expected", id="no name"
@@ -112,25 +112,25 @@
         ),
     ],
 )
-def test_wrong_customers_are_refused_without_telling_keys(make, words):
-    with pytest.raises(entry.InvalidCustomerError, match=words) as caught:
+def test_invalid_customer_errors_do_not_contain_keys(make, message):
+    with pytest.raises(entry.InvalidCustomerError, match=message) as caught:
         make()
     assert "secret" not in str(caught.value)
 
 
-def test_a_key_may_stand_twice_with_its_customer():
+def test_customer_may_list_a_key_twice():
     customer = builders.customer("a", "k", "k")
     assert builders.catalogue(customers=(customer,)).customers == (customer,)
 
 
-def test_a_catalogue_holds_digests_and_no_keys():
+def test_catalogue_contains_digests_instead_of_keys():
     catalogue = builders.catalogue(customers=(builders.customer("a", "hush"),))
     assert "hush" not in repr(catalogue)
     assert b"hush" not in msgspec.json.encode(catalogue)
 
 
-def test_a_catalogue_with_many_customers_comes_back_as_it_was():
-    catalogue = builders.catalogue(customers=_many())
+def test_catalogue_with_many_customers_round_trips():
+    catalogue = builders.catalogue(customers=_many_customers())
     for codec in (msgspec.json, msgspec.msgpack):
         data = codec.encode(catalogue)
         assert codec.decode(data, type=entry.Catalogue) == catalogue
--- a/dragonflystack/entry/tests/test_lag.py
+++ b/dragonflystack/entry/tests/test_lag.py
@@ -1,4 +1,4 @@
-"""How long a VM has been behind the operators' rows, as far as it knows."""
+"""Tests the lag of a VM behind announced operators' rows."""
 
 import pytest
 
@@ -9,25 +9,25 @@
 _ZERO = builders.ms(0)
 
 
-def _hear(lag, position, at_ms, known=3, first_ms=0, confirmed_ms=0):
+def _announce(lag, position, at_ms, known=3, first_ms=0, confirmed_ms=0):
     word = _lag.VersionAnnouncement(position, first_ms, confirmed_ms)
     return lag.on_announcement(word, known, builders.ms(at_ms))
 
 
-def test_the_lag_counts_from_the_first_word_of_the_oldest_missing_position():
+def test_lag_starts_at_the_first_announcement_of_the_oldest_missing_position():
     lag = _lag.ReplicationLag()
     assert lag.duration(3, _ZERO) == _ZERO
-    assert _hear(lag, 5, 100)
-    assert not _hear(lag, 5, 600)
-    assert _hear(lag, 8, 900)
+    assert _announce(lag, 5, 100)
+    assert not _announce(lag, 5, 600)
+    assert _announce(lag, 8, 900)
     assert lag.duration(3, builders.ms(1000)) == builders.ms(900)
     assert lag.duration(5, builders.ms(1000)) == builders.ms(100)
     assert lag.duration(8, builders.ms(1000)) == _ZERO
 
 
-def test_a_word_that_was_passed_on_counts_from_the_first_vm():
+def test_lag_of_a_forwarded_announcement_starts_at_the_first_vm():
     lag = _lag.ReplicationLag()
-    assert _hear(lag, 5, 1000, first_ms=300, confirmed_ms=200)
+    assert _announce(lag, 5, 1000, first_ms=300, confirmed_ms=200)
     assert lag.duration(3, builders.ms(1100)) == builders.ms(400)
     passed_on = lag.word(3, builders.ms(1100))
     assert passed_on == _lag.VersionAnnouncement(5, 400, 300)
@@ -42,69 +42,74 @@
         pytest.param(5, 2_001, False, id="too old"),
     ],
 )
-def test_what_is_known_or_too_old_is_no_word(position, confirmed_ms, is_new):
+def test_known_or_expired_announcements_are_ignored(
+    position, confirmed_ms, is_new
+):
     lag = _lag.ReplicationLag()
     lag.on_read(4)
-    heard = _hear(lag, position, 5_000, confirmed_ms=confirmed_ms)
-    assert heard is is_new
+    result = _announce(lag, position, 5_000, confirmed_ms=confirmed_ms)
+    assert result is is_new
 
 
-def test_rows_that_no_living_vm_has_are_no_lag():
+def test_lag_ends_when_no_vm_alive_has_the_rows():
     lag = _lag.ReplicationLag()
-    _hear(lag, 5, 0)
-    _hear(lag, 5, 900)
+    _announce(lag, 5, 0)
+    _announce(lag, 5, 900)
     assert lag.duration(3, builders.ms(2900)) == builders.ms(2900)
     assert lag.duration(3, builders.ms(2901)) == _ZERO
     assert lag.word(3, builders.ms(2901)) is None
-    assert not _hear(lag, 5, 4000)
+    assert not _announce(lag, 5, 4000)
     assert lag.duration(3, builders.ms(4000)) == builders.ms(4000)
 
 
-def test_two_vms_do_not_keep_a_word_alive_between_them():
+def test_two_vms_do_not_keep_an_announcement_alive():
     first, second = _lag.ReplicationLag(), _lag.ReplicationLag()
-    _hear(first, 5, 0)
+    _announce(first, 5, 0)
     for at in range(0, 6000, 500):
-        for teller, hearer in ((first, second), (second, first)):
-            word = teller.word(3, builders.ms(at))
+        for sender, receiver in ((first, second), (second, first)):
+            word = sender.word(3, builders.ms(at))
             if word is not None:
-                hearer.on_announcement(word, 3, builders.ms(at))
+                receiver.on_announcement(word, 3, builders.ms(at))
     assert first.duration(3, builders.ms(2001)) == _ZERO
     assert second.duration(3, builders.ms(2001)) == _ZERO
 
 
-def _tell(receiver, sender, now):
+def _send_heartbeat(receiver, sender, now):
     beat = sender.heartbeat(now, introduce=True)
     receiver.members.on_heartbeat(beat, now)
     return receiver.freshness.on_beat(beat, now)
 
 
-# Guards against a VM that serves by old routes as none of its neighbours has
-# the new ones yet: word of them must not spread as slowly as they do.
-def test_word_of_newer_rows_passes_a_vm_that_lacks_them():
+# Guards against a VM that serves by old routes because none of its neighbours
+# has the new ones yet: announcements must spread faster than the rows.
+def test_announcement_is_forwarded_by_a_vm_without_the_rows():
     ahead, middle, far = (builders.entry_vm(vm=f"vm-{i}") for i in range(3))
     ahead.log.on_operators(9)
     for i in range(6):
         now = builders.ms(500 * i)
-        is_new = _tell(middle, ahead, now), _tell(far, middle, now)
+        is_new = (
+            _send_heartbeat(middle, ahead, now),
+            _send_heartbeat(far, middle, now),
+        )
         assert is_new == (i == 0, i == 0)
     assert middle.freshness.behind(builders.ms(2500)) == builders.ms(2500)
     assert far.freshness.behind(builders.ms(2500)) == builders.ms(2500)
 
 
-def test_a_vm_that_read_the_store_later_is_not_behind():
-    """Its position is that of the latest row that is left."""
+def test_vm_that_read_a_later_store_version_has_no_lag():
+    """The VM's position is that of the latest row that still exists."""
     vm = builders.entry_vm()
     other = builders.entry_vm(vm="vm-2")
     other.log.on_operators(150)
-    _tell(vm, other, _ZERO)
+    _send_heartbeat(vm, other, _ZERO)
     assert vm.freshness.behind(builders.ms(500)) == builders.ms(500)
     vm.log.on_operators(100)
     vm.freshness.on_operators_read(500)
-    _tell(vm, other, builders.ms(500))
+    _send_heartbeat(vm, other, builders.ms(500))
     assert vm.freshness.behind(builders.ms(600)) == _ZERO
 
 
-def test_a_vm_lacks_what_another_knows():
+def test_vm_is_behind_any_newer_position():
     vm = builders.entry_vm()
     own = vm.log.position
     assert not vm.lacks(own)
--- a/dragonflystack/entry/tests/test_members.py
+++ b/dragonflystack/entry/tests/test_members.py
@@ -1,4 +1,4 @@
-"""Which entry VMs are named to callers."""
+"""Tests which entry VMs are considered alive and given to callers."""
 
 from dragonflystack import entry
 from dragonflystack import ids
@@ -6,14 +6,14 @@
 from dragonflystack.entry.tests import builders
 
 
-def _members_of(vm="vm-1"):
+def _make_members(vm="vm-1"):
     members = entry.Members(builders.address(vm), ids.Incarnation(vm))
     members.phase = entry.Phase.SERVING
     return members
 
 
-def _beat(vm, phase=entry.Phase.SERVING):
-    other = _members_of(vm)
+def _heartbeat(vm, phase=entry.Phase.SERVING):
+    other = _make_members(vm)
     other.phase = phase
     return entry.Heartbeat(
         other.own.vm,
@@ -28,47 +28,47 @@
     )
 
 
-def test_a_vm_is_named_while_it_is_heard():
-    members = _members_of()
-    members.on_heartbeat(_beat("vm-2"), builders.ms(0))
+def test_vm_is_given_to_callers_while_it_sends_heartbeats():
+    members = _make_members()
+    members.on_heartbeat(_heartbeat("vm-2"), builders.ms(0))
     assert members.named(builders.ms(1000)) == ("vm-1:80", "vm-2:80")
     silent = builders.ms(100) + _members.SILENT_AFTER
     assert members.named(silent) == ("vm-1:80",)
 
 
-def test_a_vm_that_leaves_or_starts_is_not_named():
-    members = _members_of()
+def test_leaving_or_starting_vm_is_not_given_to_callers():
+    members = _make_members()
     for phase in (entry.Phase.LEAVING, entry.Phase.STARTING):
-        members.on_heartbeat(_beat("vm-2", phase), builders.ms(0))
+        members.on_heartbeat(_heartbeat("vm-2", phase), builders.ms(0))
         assert members.named(builders.ms(10)) == ("vm-1:80",)
 
 
-def test_a_vm_that_leaves_still_names_others():
-    members = _members_of()
-    members.on_heartbeat(_beat("vm-2"), builders.ms(0))
+def test_leaving_vm_gives_other_vms_to_callers():
+    members = _make_members()
+    members.on_heartbeat(_heartbeat("vm-2"), builders.ms(0))
     members.phase = entry.Phase.LEAVING
     assert members.named(builders.ms(10)) == ("vm-2:80",)
 
 
-def test_a_vm_that_was_paused_does_not_take_the_others_for_dead():
-    members = _members_of()
-    members.on_heartbeat(_beat("vm-2"), builders.ms(0))
+def test_paused_vm_does_not_consider_the_others_dead():
+    members = _make_members()
+    members.on_heartbeat(_heartbeat("vm-2"), builders.ms(0))
     members.on_tick(builders.ms(100))
     members.on_tick(builders.ms(9000))
     assert members.named(builders.ms(9000)) == ("vm-1:80", "vm-2:80")
     assert members.named(builders.ms(11_500)) == ("vm-1:80",)
 
 
-def test_only_vms_of_the_own_region_are_kept():
-    members = _members_of()
+def test_only_vms_of_the_same_region_become_members():
+    members = _make_members()
     listed = (builders.address("vm-2"), builders.address("vm-3", "b"))
     members.on_list(listed)
     assert [a.vm for a in members.addresses()] == ["vm-1", "vm-2"]
     assert members.fleet_size == 2
 
 
-def test_a_vm_that_is_never_heard_is_forgotten():
-    members = _members_of()
+def test_vm_without_any_heartbeat_is_forgotten():
+    members = _make_members()
     members.on_list((builders.address("vm-2"),))
     members.receivers(builders.ms(10))
     members.on_tick(builders.ms(20) + _members.FORGET_AFTER)
--- a/dragonflystack/entry/tests/test_news.py
+++ b/dragonflystack/entry/tests/test_news.py
@@ -1,4 +1,4 @@
-"""News of the store reach every VM of a region, and few VMs read it."""
+"""Tests that changes of the store reach all VMs while few VMs read it."""
 
 import pytest
 
@@ -9,7 +9,7 @@
 
 
 def _region(size):
-    """Returns VMs that have read the list of them all."""
+    """Returns the VMs of a region, each with the list of all of them."""
     addresses = [builders.address(f"vm-{i:03}") for i in range(size)]
     vms = {}
     for address in addresses:
@@ -19,8 +19,8 @@
     return vms
 
 
-def _beat(vms, now, dead=()):
-    """Every VM tells its neighbours once; returns the messages sent."""
+def _run_heartbeat_round(vms, now, dead=()):
+    """Sends one round of heartbeats; returns the number of messages."""
     sent = 0
     for name, vm in vms.items():
         if name in dead:
@@ -42,7 +42,7 @@
 
 
 @pytest.mark.parametrize("size", [1, 2, 3, 6, 47, 140])
-def test_few_vms_watch_whatever_the_size(size):
+def test_few_vms_watch_in_a_region_of_any_size(size):
     vms = _region(size)
     for vm in vms.values():
         vm.freshness.on_start(builders.ms(0))
@@ -53,20 +53,23 @@
 
 
 @pytest.mark.parametrize("size", [6, 47, 140])
-def test_news_reach_all_and_messages_do_not_grow_with_the_region(size):
+def test_changes_reach_all_vms_with_bounded_messages_per_vm(size):
     vms = _region(size)
     first = next(iter(vms.values()))
     for round_number in range(3):
-        _beat(vms, builders.ms(500 * round_number))
+        _run_heartbeat_round(vms, builders.ms(500 * round_number))
     added = builders.server("new")
     listing = entry.Listing((added,), (), whole=False)
     first.on_listing(listing, 7, builders.ms(1600))
-    sent = [_beat(vms, builders.ms(2000 + 500 * i)) for i in range(20)]
+    sent = [
+        _run_heartbeat_round(vms, builders.ms(2000 + 500 * i))
+        for i in range(20)
+    ]
     assert all(vm.book.get(ids.BackendServerId("new")) for vm in vms.values())
     assert max(sent) <= size * min(size - 1, 10)
 
 
-def test_a_vm_that_hears_of_no_watch_watches_itself():
+def test_vm_without_contact_to_a_watcher_watches_the_store():
     vms = _region(30)
     bound = builders.ms(2500)
     read = builders.ms(500)
@@ -81,7 +84,7 @@
 
 
 @pytest.mark.parametrize("size", [5, 8, 47, 140])
-def test_a_store_that_is_out_is_called_no_more_often_in_a_large_region(size):
+def test_calls_to_an_unavailable_store_do_not_grow_with_the_region(size):
     vms = tuple(ids.VmId(f"vm-{i}") for i in range(size))
     limits = [_news.max_retry_delay(vm, vms) / builders.ms(1000) for vm in vms]
     watchers = [vm for vm in vms if _news.is_watcher(vm, vms)]
@@ -90,13 +93,13 @@
     assert max(limits) < 6
 
 
-def test_neighbours_that_die_are_passed_over():
+def test_dead_neighbours_are_skipped():
     vms = _region(40)
     for i in range(4):
-        _beat(vms, builders.ms(500 * i))
+        _run_heartbeat_round(vms, builders.ms(500 * i))
     dead = set(list(vms)[:20])
     for i in range(4, 20):
-        _beat(vms, builders.ms(500 * i), dead)
+        _run_heartbeat_round(vms, builders.ms(500 * i), dead)
     now = builders.ms(500 * 19)
     for name, vm in vms.items():
         if name not in dead:
@@ -105,7 +108,7 @@
             assert len(named) >= 5
 
 
-def test_one_far_behind_takes_everything():
+def test_vm_far_behind_gets_a_snapshot():
     log = _news.NewsLog()
     for version in range(1, 600):
         entries = (builders.server(f"s{version}"),)
@@ -116,7 +119,7 @@
     assert not near.whole and len(near.entries) == 9
 
 
-def test_a_server_that_came_and_went_is_told_as_gone():
+def test_server_that_was_added_and_removed_is_reported_as_gone():
     log = _news.NewsLog()
     log.on_servers(1, (builders.server("s"),), (), whole=False)
     log.on_servers(2, (), (ids.BackendServerId("s"),), whole=False)
@@ -125,15 +128,15 @@
 
 
 @pytest.mark.parametrize("from_store", [True, False])
-def test_a_removal_is_passed_on_by_a_vm_that_did_not_know_the_entry(from_store):
-    """Others may know it, and hear of its removal from this VM alone."""
+def test_removal_of_an_unknown_entry_is_forwarded(from_store):
+    """Other VMs may know the entry, and learn of its removal only from here."""
     vm = builders.entry_vm(builders.server("s1"))
     gone = entry.Listing((), (ids.BackendServerId("s2"),), whole=False)
     vm.on_listing(gone, 7, builders.ms(10), from_store)
     assert vm.news_since(_news.Position(0, 6)).gone == ("s2",)
 
 
-def test_a_removal_that_is_not_confirmed_is_not_passed_on():
+def test_unconfirmed_removal_is_not_forwarded():
     servers = [builders.server(f"s{i}") for i in range(4)]
     vm = builders.entry_vm(*servers)
     lost = (*(s.id for s in servers[:2]), ids.BackendServerId("unknown"))
--- a/dragonflystack/entry/tests/test_outdated.py
+++ b/dragonflystack/entry/tests/test_outdated.py
@@ -1,4 +1,4 @@
-"""A VM that knows that its routes are old does not decide by them for long."""
+"""Tests that a VM does not serve for long by routes it knows to be outdated."""
 
 import pytest
 
@@ -6,7 +6,7 @@
 from dragonflystack.entry.tests import builders
 
 _BOUND = builders.ms(3000)
-_LAST = _BOUND * 0.6
+_MAX_LAG = _BOUND * 0.6
 _ROUTE = builders.route(timeout=builders.ms(9000), max_attempts=9)
 
 
@@ -18,8 +18,8 @@
     return vm
 
 
-def _ahead(vm, now):
-    """Has a neighbour tell that it knows more of the operators' rows."""
+def _announce_newer_rows(vm, now):
+    """Delivers a heartbeat of a neighbour that has newer operators' rows."""
     other = builders.entry_vm(vm="vm-2")
     other.log.on_operators(vm.log.position.operators + 5)
     beat = other.heartbeat(now, introduce=True)
@@ -32,35 +32,36 @@
     return vm.open(request, now)
 
 
-# Guards against requests served by routes that are known to be outdated, as in
-# incident inc1 (HOME): their transfer took longer than the bound on changes.
+# Guards against serving requests by routes that are known to be outdated, as in
+# incident inc1 (HOME): the transfer of the new routes took longer than the
+# bound on changes.
 def test_requests_are_rejected_once_newer_routes_are_overdue():
     vm = _vm()
     for i in range(8):
-        _ahead(vm, builders.ms(500 * i))
+        _announce_newer_rows(vm, builders.ms(500 * i))
         vm.on_tick(builders.ms(500 * i))
-    _, step = _open(vm, _LAST)
+    _, step = _open(vm, _MAX_LAG)
     assert isinstance(step, entry.Send)
-    exchange, step = _open(vm, _LAST + builders.ms(1))
+    exchange, step = _open(vm, _MAX_LAG + builders.ms(1))
     assert exchange is None
     assert isinstance(step, entry.Reject)
     assert step.reason is entry.Reason.OUTDATED
 
 
-def test_requests_are_taken_again_once_the_routes_are_there():
+def test_requests_are_accepted_again_once_the_routes_arrive():
     vm = _vm()
-    _ahead(vm, builders.ms(0))
-    _ahead(vm, builders.ms(1500))
-    late = _LAST + builders.ms(500)
+    _announce_newer_rows(vm, builders.ms(0))
+    _announce_newer_rows(vm, builders.ms(1500))
+    late = _MAX_LAG + builders.ms(500)
     assert vm.is_outdated(late)
     vm.log.on_operators(vm.log.position.operators + 5)
     _, step = _open(vm, late)
     assert isinstance(step, entry.Send)
 
 
-def test_a_neighbour_that_fell_silent_keeps_no_vm_from_serving():
+def test_announcement_of_a_silent_neighbour_expires():
     vm = _vm()
-    _ahead(vm, builders.ms(0))
+    _announce_newer_rows(vm, builders.ms(0))
     _, step = _open(vm, builders.ms(2001))
     assert isinstance(step, entry.Send)
 
@@ -77,16 +78,16 @@
         pytest.param(entry.Silent(), entry.Wait, id="silent"),
     ],
 )
-def test_nothing_is_sent_again_while_newer_routes_are_overdue(result, last):
+def test_nothing_is_retried_while_newer_routes_are_overdue(result, last):
     vm = _vm()
     exchange, _ = _open(vm, builders.ms(10))
-    _ahead(vm, builders.ms(20))
-    late = builders.ms(20) + _LAST + builders.ms(1)
+    _announce_newer_rows(vm, builders.ms(20))
+    late = builders.ms(20) + _MAX_LAG + builders.ms(1)
     assert not exchange.may_write(late)
     assert isinstance(exchange.on_result(result, late), last)
 
 
-def test_a_vm_that_stays_behind_reads_the_operators_rows_itself():
+def test_lagging_vm_watches_the_operators_rows_itself():
     addresses = [builders.address(f"vm-{i}") for i in range(60)]
     vms = [builders.entry_vm(vm=address.vm) for address in addresses]
     for vm in vms:
@@ -94,10 +95,10 @@
     vm, neighbour = [
         v for v in vms if not v.freshness.should_watch(builders.ms(1))
     ][:2]
-    _ahead(vm, builders.ms(0))
+    _announce_newer_rows(vm, builders.ms(0))
     for at in (builders.ms(1400), builders.ms(1600)):
         builders.watch(neighbour, at)
-        _ahead(vm, at)
+        _announce_newer_rows(vm, at)
         beat = neighbour.heartbeat(at, introduce=True)
         vm.members.on_heartbeat(beat, at)
         assert vm.freshness.news_age(at) == builders.ms(0)
--- a/dragonflystack/entry/tests/test_routes.py
+++ b/dragonflystack/entry/tests/test_routes.py
@@ -1,4 +1,4 @@
-"""Which service a request goes to, and the regions that may serve it."""
+"""Tests the choice of a request's service and the regions of its route."""
 
 import collections
 import random
@@ -29,7 +29,7 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_a_vm_keeps_to_the_weights_at_any_time(seed):
+def test_vm_keeps_to_the_weights_at_any_time(seed):
     total = sum(_WEIGHTS.values())
     counts: collections.Counter[str] = collections.Counter()
     for number, service in enumerate(_picks(500, seed), start=1):
@@ -40,17 +40,18 @@
 
 @pytest.mark.parametrize("each", [1, 2, 3])
 def test_many_vms_with_few_requests_each_keep_to_the_weights(each):
-    """A new catalogue comes every few seconds, and fleets are large."""
+    """Catalogues change every few seconds, so each VM of a large fleet gets few
+    requests per catalogue."""
     counts = collections.Counter(
         service for seed in range(1_000) for service in _picks(each, seed)
     )
     for name, weight in _WEIGHTS.items():
-        part = counts[ids.ServiceId(name)] / counts.total()
-        assert part == pytest.approx(weight / 100, abs=0.04)
+        fraction = counts[ids.ServiceId(name)] / counts.total()
+        assert fraction == pytest.approx(weight / 100, abs=0.04)
 
 
 @pytest.mark.parametrize("region", ["a", "b"])
-def test_a_route_with_regions_is_served_there_only(region):
+def test_route_with_regions_is_served_only_there(region):
     domains = {"s1": "a1", "s2": "a2", "s3": "b1"}
     entries = [builders.server(s, domain) for s, domain in domains.items()]
     route = builders.route(regions=frozenset({ids.RegionId(region)}))
@@ -63,7 +64,7 @@
             assert isinstance(step, entry.Reject)
 
 
-def test_a_route_whose_regions_have_no_backend_server_is_rejected_at_once():
+def test_route_without_backend_servers_in_its_regions_is_rejected_at_once():
     route = builders.route(regions=frozenset({ids.RegionId("b")}))
     vm = builders.entry_vm(builders.server("s1", "a1"), routes=(route,))
     _, step = vm.open(builders.request(), builders.ms(1))
