--- a/dragonflystack/entry/_access.py
+++ b/dragonflystack/entry/_access.py
@@ -30,7 +30,7 @@
     """The customer that the key identifies. None on public routes, and if the
     catalogue lists no customers."""
 
-    hides_key: bool = False
+    strips_key_headers: bool = False
     """Whether the headers for the key and the customer are reserved for the VM:
     values that the caller sent in them are not forwarded."""
 
@@ -58,7 +58,7 @@
         if self._customers is None:
             return Access(route, route.regions)
         if route.public:
-            return Access(route, route.regions, hides_key=True)
+            return Access(route, route.regions, strips_key_headers=True)
         if request.customer_key is None:
             return _messages.Unauthorized(_messages.Reason.NO_KEY, route.id)
         customer = self._customers.find(request.customer_key)
@@ -73,4 +73,4 @@
                 return _messages.Reject(
                     _messages.Reason.NO_REGION, _NO_REGION_RETRY_AFTER
                 )
-        return Access(route, regions, customer, hides_key=True)
+        return Access(route, regions, customer, strips_key_headers=True)
--- a/dragonflystack/entry/_catalogue.py
+++ b/dragonflystack/entry/_catalogue.py
@@ -59,7 +59,7 @@
     public: bool = False
     """Whether requests need no key even if the catalogue lists customers."""
 
-    def leads_to(self, service: ids.ServiceId) -> bool:
+    def sends_to(self, service: ids.ServiceId) -> bool:
         """Returns whether the route sends any requests to a service."""
         return any(
             d.service == service and d.weight > 0 for d in self.destinations
--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -16,13 +16,13 @@
 from dragonflystack import ids
 from dragonflystack.entry import _catalogue
 from dragonflystack.entry import _customers
+from dragonflystack.entry import _observations
 from dragonflystack.entry import _popularity
+from dragonflystack.entry import _processing_times
+from dragonflystack.entry import _queue_waits
 from dragonflystack.entry import _ranking
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
-from dragonflystack.entry import _sightings
-from dragonflystack.entry import _waits
-from dragonflystack.entry import _work_times
 
 _ZERO = datetime.timedelta()
 _REMOTE_RANKS = 3
@@ -38,7 +38,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Wanted:
+class Requirements:
     """What a request needs of its backend server."""
 
     route: _catalogue.Route
@@ -52,7 +52,7 @@
     customer: _customers.Customer | None = None
     """Whose request it is; see `_access.Access`."""
 
-    hides_key: bool = False
+    strips_key_headers: bool = False
     """See `_access.Access`."""
 
 
@@ -89,16 +89,16 @@
     def __init__(
         self,
         region: ids.RegionId,
-        book: _servers.ServerBook,
-        times: _work_times.WorkTimes,
+        registry: _servers.ServerRegistry,
+        times: _processing_times.ProcessingTimes,
         settings: _settings.ChoiceSettings,
     ):
         self._region = region
-        self._book = book
+        self._book = registry
         self._times = times
         self._settings = settings
         self._round_trips: dict[ids.RegionId, datetime.timedelta] = {}
-        self._waits = _waits.Waits()
+        self._queue_waits = _queue_waits.QueueWaits()
         self._popularity = _popularity.Popularity()
         self._rankings: dict[
             tuple[ids.ServiceId, str], dict[ids.RegionId, list[_servers.Server]]
@@ -119,13 +119,15 @@
         """Returns the way to a region and back."""
         if region == self._region:
             return _ZERO
-        default = self._settings.remote_round_trip
+        default = self._settings.assumed_remote_round_trip
         return self._round_trips.get(region, default)
 
-    def on_request(self, wanted: Wanted) -> None:
+    def on_request(self, requirements: Requirements) -> None:
         """Counts a request of a caller."""
-        if wanted.object_key is not None:
-            self._popularity.on_request(wanted.service, wanted.object_key)
+        if requirements.object_key is not None:
+            self._popularity.on_request(
+                requirements.service, requirements.object_key
+            )
 
     def on_work(
         self,
@@ -142,7 +144,7 @@
         if work > _ZERO:
             self._times.on_measured(route, service, work, candidate.is_guess)
         wait = there - self._times.likely(route, service, there)
-        self._waits.on_wait(service, server.region, wait, now)
+        self._queue_waits.on_wait(service, server.region, wait, now)
 
     def on_overdue(
         self,
@@ -157,11 +159,13 @@
         server = candidate.server
         there = elapsed - self.round_trip(server.region)
         wait = there - candidate.likely_work / 2
-        self._waits.on_wait(server.entry.service, server.region, wait, now)
+        self._queue_waits.on_wait(
+            server.entry.service, server.region, wait, now
+        )
 
     def weigh(
         self,
-        wanted: Wanted,
+        requirements: Requirements,
         may_use: Callable[[_servers.Server], bool],
         now: datetime.timedelta,
         tried: Container[ids.BackendServerId] = (),
@@ -169,16 +173,16 @@
         """Returns the backend servers that may serve, cheapest first.
 
         Args:
-            wanted: what is asked for.
+            requirements: what is asked for.
             may_use: tells which backend servers may get requests now.
             now: the time.
             tried: those that are passed over, as it was sent there already.
         """
         candidates: list[Candidate] = []
-        for region, servers in self._ranked(wanted).items():
-            if wanted.regions and region not in wanted.regions:
+        for region, servers in self._ranked(requirements).items():
+            if requirements.regions and region not in requirements.regions:
                 continue
-            ranks = self._ranks(wanted, region, len(servers))
+            ranks = self._ranks(requirements, region, len(servers))
             first = True
             for server in servers:
                 if ranks == 0:
@@ -189,14 +193,16 @@
                     first = False
                     continue
                 ranks -= 1
-                candidate = self._candidate(wanted, server, first, now)
+                candidate = self._candidate(requirements, server, first, now)
                 first = False
                 if candidate is not None:
                     candidates.append(candidate)
         candidates.sort(key=_cost)
         return candidates
 
-    def _ranks(self, wanted: Wanted, region: ids.RegionId, servers: int) -> int:
+    def _ranks(
+        self, requirements: Requirements, region: ids.RegionId, servers: int
+    ) -> int:
         """Returns how many backend servers of a region are looked at.
 
         A backend server remembers a bounded number of objects, so each object
@@ -204,29 +210,31 @@
         it would fill a good part of one.
         """
         near = region == self._region
-        if wanted.route.sticky and wanted.object_key is not None:
+        if requirements.route.sticky and requirements.object_key is not None:
             if not near:
                 return 1
-            part = self._popularity.part(wanted.service, wanted.object_key)
-            more = int(part * servers / self._settings.hot_part)
-            return self._settings.object_ranks + more
+            part = self._popularity.part(
+                requirements.service, requirements.object_key
+            )
+            more = int(part * servers / self._settings.hot_object_fraction)
+            return self._settings.servers_per_object + more
         return servers if near else _REMOTE_RANKS
 
     def _candidate(
         self,
-        wanted: Wanted,
+        requirements: Requirements,
         server: _servers.Server,
         first: bool,
         now: datetime.timedelta,
     ) -> Candidate | None:
-        route = wanted.route
+        route = requirements.route
         slots = max(1, server.entry.slots)
         load = server.load(now)
-        if load >= slots * self._settings.queue_slots:
+        if load >= slots * self._settings.max_requests_per_slot:
             return None
-        known, is_guess = self._known(wanted, server, first)
-        work_known = self._times.expect(route, wanted.service, True)
-        work_new = self._times.expect(route, wanted.service, False)
+        known, is_guess = self._known(requirements, server, first)
+        work_known = self._times.expect(route, requirements.service, True)
+        work_new = self._times.expect(route, requirements.service, False)
         work = work_known * known + work_new * (1 - known)
         likely = work_known if known > _LIKELY else work_new
         if server.is_cold(now):
@@ -235,10 +243,12 @@
         ahead = load + 1 - slots
         wait = _ZERO
         if ahead > 0:
-            per_slot = self._times.per_slot(route, wanted.service)
+            per_slot = self._times.per_slot(route, requirements.service)
             wait = per_slot * (ahead / slots)
-        if now - server.load_known_at > self._settings.load_trusted:
-            seen = self._waits.expect(wanted.service, server.region, now)
+        if now - server.load_known_at > self._settings.load_report_max_age:
+            seen = self._queue_waits.expect(
+                requirements.service, server.region, now
+            )
             wait = max(wait, seen)
         way = self.round_trip(server.region)
         expected = way + wait + work
@@ -257,32 +267,32 @@
         )
 
     def _known(
-        self, wanted: Wanted, server: _servers.Server, first: bool
+        self, requirements: Requirements, server: _servers.Server, first: bool
     ) -> tuple[float, bool]:
         """Returns how likely a backend server knows the object.
 
         Other VMs send an object to its first choice as well.
         """
-        if not wanted.route.sticky or wanted.object_key is None:
+        if not requirements.route.sticky or requirements.object_key is None:
             return 0.0, False
-        if server.knows(_sightings.hash_object(wanted.object_key)):
+        if server.knows(_observations.hash_object(requirements.object_key)):
             return 1.0, False
         if not first:
             return 0.0, False
-        return 1.0 - self._times.new_part(wanted.route), True
+        return 1.0 - self._times.new_part(requirements.route), True
 
     def _ranked(
-        self, wanted: Wanted
+        self, requirements: Requirements
     ) -> dict[ids.RegionId, list[_servers.Server]]:
         if self._revision != self._book.revision:
             self._rankings.clear()
             self._revision = self._book.revision
-        key = wanted.object_key or ""
-        cache_key = (wanted.service, key)
+        key = requirements.object_key or ""
+        cache_key = (requirements.service, key)
         ranked = self._rankings.get(cache_key)
         if ranked is None:
             ranked = {}
-            servers = self._book.of_service(wanted.service)
+            servers = self._book.of_service(requirements.service)
             for server in _ranking.rank(key, servers, _name):
                 ranked.setdefault(server.region, []).append(server)
             if len(self._rankings) >= _MAX_CACHED_RANKINGS:
--- a/dragonflystack/entry/_context.py
+++ b/dragonflystack/entry/_context.py
@@ -18,8 +18,8 @@
     rng: random.Random
 
     @property
-    def late_wait_part(self) -> float:
-        """See `ChoiceSettings.late_wait_part`."""
+    def late_wait_fraction(self) -> float:
+        """See `ChoiceSettings.late_wait_fraction`."""
 
     def spent_before(
         self, route: _catalogue.Route, request: _messages.Request
@@ -28,28 +28,28 @@
 
     def weigh(
         self,
-        wanted: _choice.Wanted,
+        requirements: _choice.Requirements,
         now: datetime.timedelta,
         tried: Container[ids.BackendServerId],
     ) -> list[_choice.Candidate]:
         """Returns the backend servers that may be used, cheapest first.
 
         Args:
-            wanted: what is asked for.
+            requirements: what is asked for.
             now: the time.
             tried: those that are passed over, as it was sent there already.
         """
 
     def place(
         self,
-        wanted: _choice.Wanted,
+        requirements: _choice.Requirements,
         candidates: list[_choice.Candidate],
         now: datetime.timedelta,
     ) -> _choice.Candidate:
         """Returns the one that serves, as the shares of regions allow.
 
         Args:
-            wanted: what is asked for.
+            requirements: what is asked for.
             candidates: one or more, cheapest first.
             now: the time.
         """
@@ -71,14 +71,14 @@
         """Returns when an answer that has not come shows trouble."""
 
     def free_in(
-        self, wanted: _choice.Wanted, now: datetime.timedelta
+        self, requirements: _choice.Requirements, now: datetime.timedelta
     ) -> datetime.timedelta | None:
         """Returns when the first backend server may be used again.
 
         None unless all that may serve the request asked to be left alone.
         """
 
-    def on_said_leaving(
+    def on_leaving_reported(
         self, server: _servers.Server, now: datetime.timedelta
     ) -> bool:
         """Notes that a backend server says it leaves.
@@ -87,7 +87,7 @@
             Whether that is news.
         """
 
-    def on_asked_wait(
+    def on_backoff_requested(
         self,
         server: _servers.Server,
         wait: datetime.timedelta,
@@ -110,7 +110,7 @@
 
     def on_work(
         self,
-        wanted: _choice.Wanted,
+        requirements: _choice.Requirements,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
--- a/dragonflystack/entry/_departures.py
+++ b/dragonflystack/entry/_departures.py
@@ -41,9 +41,9 @@
         self._by_server: collections.OrderedDict[
             ids.BackendServerId, Departure
         ] = collections.OrderedDict()
-        self._news: collections.deque[tuple[datetime.timedelta, Departure]] = (
-            collections.deque(maxlen=_MAX_TOLD)
-        )
+        self._replication: collections.deque[
+            tuple[datetime.timedelta, Departure]
+        ] = collections.deque(maxlen=_MAX_TOLD)
 
     def note(self, departure: Departure, now: datetime.timedelta) -> bool:
         """Remembers a departure, to be told on if it was not known.
@@ -53,7 +53,7 @@
         """
         if not self.remember(departure):
             return False
-        self._news.append((now, departure))
+        self._replication.append((now, departure))
         return True
 
     def remember(self, departure: Departure) -> bool:
@@ -78,4 +78,4 @@
 
     def recent(self, now: datetime.timedelta) -> tuple[Departure, ...]:
         """Returns those that were learnt just now, to tell the neighbours."""
-        return tuple(d for at, d in self._news if now - at <= _TELL_FOR)
+        return tuple(d for at, d in self._replication if now - at <= _TELL_FOR)
--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -22,7 +22,7 @@
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _store_versions
 
-LAPSE_GRACE = datetime.timedelta(seconds=2)
+REREGISTRATION_GRACE = datetime.timedelta(seconds=2)
 """How long an entry may be missing after the store's return, as the users
 specified."""
 
@@ -53,7 +53,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
+class ServerChanges:
     """The changes that a listing made to the known backend servers."""
 
     added: tuple[_servers.Server, ...] = ()
@@ -83,19 +83,19 @@
 
     def __init__(
         self,
-        book: _servers.ServerBook,
+        registry: _servers.ServerRegistry,
         departures: _departures.Departures,
         confirm_after: datetime.timedelta,
     ):
         """Initializes the discovery.
 
         Args:
-            book: the registry to which listings are applied.
+            registry: the registry to which listings are applied.
             departures: backend servers that reported that they are leaving.
             confirm_after: how long the removal of many entries at once stays
                 unconfirmed.
         """
-        self._book = book
+        self._book = registry
         self._departures = departures
         self.confirm_after = confirm_after
         """Must be less than the users' bound on requests to backend servers
@@ -121,7 +121,7 @@
         self.read_at: datetime.timedelta | None = None
         """When the list was last read, None before the first read."""
 
-    def on_store_away(self) -> None:
+    def on_store_unavailable(self) -> None:
         """Records that the list could not be read."""
         self._is_unavailable = True
 
@@ -129,11 +129,11 @@
         """Sets the store's era; listings of earlier eras are ignored."""
         self._era = era
 
-    def on_store_returned(self, now: datetime.timedelta) -> None:
+    def on_store_restored(self, now: datetime.timedelta) -> None:
         """Starts the grace time after a restore from an older copy."""
         self._is_unavailable = False
         self._is_unconfirmed = False
-        self._rewrite_grace_until = now + LAPSE_GRACE
+        self._rewrite_grace_until = now + REREGISTRATION_GRACE
         self._grace_until = self._rewrite_grace_until
 
     def on_listing(
@@ -141,7 +141,7 @@
         listing: Listing,
         now: datetime.timedelta,
         from_store: bool = True,
-    ) -> Changes:
+    ) -> ServerChanges:
         """Applies a listing; returns the changes that it made.
 
         Args:
@@ -151,7 +151,7 @@
                 listing from another VM were confirmed by that VM.
         """
         if _store_versions.era_of(listing.version) < self._era:
-            return Changes()
+            return ServerChanges()
         if from_store:
             self._on_store_answer(now)
         self.read_at = now
@@ -174,10 +174,10 @@
         if from_store or now < self._rewrite_grace_until:
             lost = self._filter_confirmed(listing, lost, now)
         gone = self._drop(dict.fromkeys(lost, listing.version))
-        return Changes(tuple(added), tuple(leaving), gone, tuple(lost))
+        return ServerChanges(tuple(added), tuple(leaving), gone, tuple(lost))
 
     @property
-    def is_store_away(self) -> bool:
+    def is_store_unavailable(self) -> bool:
         """Whether the latest read of the list failed."""
         return self._is_unavailable
 
@@ -190,7 +190,7 @@
         if self._is_unavailable:
             self._is_unavailable = False
             self._is_unconfirmed = False
-            self._grace_until = now + LAPSE_GRACE
+            self._grace_until = now + REREGISTRATION_GRACE
         elif self._grace_until is not None and now >= self._grace_until:
             self._is_unconfirmed = False
 
@@ -235,20 +235,20 @@
             for service, count in unannounced.items()
         )
 
-    def on_tick(self, now: datetime.timedelta) -> Changes:
+    def on_tick(self, now: datetime.timedelta) -> ServerChanges:
         """Drops entries that are still missing after the grace time.
 
         Nothing is dropped while the store is unavailable, since entries cannot
         be written again meanwhile.
         """
         if self._grace_until is None or now < self._grace_until:
-            return Changes()
+            return ServerChanges()
         if self._is_unavailable or self._is_unconfirmed:
-            return Changes()
+            return ServerChanges()
         self._grace_until = None
         self._is_unconfirmed = False
         missing, self._missing = self._missing, {}
-        return Changes(gone=self._drop(missing), removed=tuple(missing))
+        return ServerChanges(gone=self._drop(missing), removed=tuple(missing))
 
     def _is_outdated(self, entry: _servers.ServerEntry) -> bool:
         """Returns whether an entry was written before it was removed.
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -48,7 +48,8 @@
 
 
 Resolve = Callable[
-    [_choice.Wanted, datetime.timedelta], _choice.Wanted | _access.Denial
+    [_choice.Requirements, datetime.timedelta],
+    _choice.Requirements | _access.Denial,
 ]
 """Returns what a request needs under the catalogue in force, given what it
 needed before and the time, or why it may not be sent."""
@@ -61,12 +62,12 @@
         self,
         context: _context.Context,
         request: _messages.Request,
-        wanted: _choice.Wanted,
+        requirements: _choice.Requirements,
         resolve: Resolve,
         now: datetime.timedelta,
     ):
         self.request = request
-        self.wanted = wanted
+        self.requirements = requirements
         """What it needs of its backend server, as last resolved."""
 
         self.began = now
@@ -81,8 +82,8 @@
         self._is_idempotent = True
         """Whether every route that it followed says so."""
 
-        self._on_wanted(wanted)
-        self.sends: list[_messages.Sent] = []
+        self._on_wanted(requirements)
+        self.sends: list[_messages.SendRecord] = []
         self.may_have_run = False
         """Whether a backend server may have run it."""
 
@@ -100,7 +101,7 @@
     @property
     def route(self) -> _catalogue.Route:
         """The route that it follows, as last resolved."""
-        return self.wanted.route
+        return self.requirements.route
 
     def begin(self, now: datetime.timedelta) -> _messages.Step:
         """Returns the first step."""
@@ -123,28 +124,31 @@
         if self._denial(now) is not None or now >= self.deadline:
             return False
         server = current.server
-        wanted = self.wanted
+        requirements = self.requirements
         return (
-            server.entry.service == wanted.service
-            and (not wanted.regions or server.region in wanted.regions)
+            server.entry.service == requirements.service
+            and (
+                not requirements.regions
+                or server.region in requirements.regions
+            )
             and self._context.may_write(server, now)
         )
 
     def _denial(self, now: datetime.timedelta) -> _access.Denial | None:
         """Follows the catalogue in force; returns why it cannot, if so."""
-        wanted = self._resolve(self.wanted, now)
-        if not isinstance(wanted, _choice.Wanted):
-            return wanted
-        if wanted is not self.wanted:
-            self._on_wanted(wanted)
+        requirements = self._resolve(self.requirements, now)
+        if not isinstance(requirements, _choice.Requirements):
+            return requirements
+        if requirements is not self.requirements:
+            self._on_wanted(requirements)
         return None
 
-    def _on_wanted(self, wanted: _choice.Wanted) -> None:
-        self.wanted = wanted
-        self._is_idempotent &= wanted.route.idempotent
+    def _on_wanted(self, requirements: _choice.Requirements) -> None:
+        self.requirements = requirements
+        self._is_idempotent &= requirements.route.idempotent
         self.deadline = self._caller_leaves
-        if wanted.route.timeout is not None:
-            latest = self.began + wanted.route.timeout
+        if requirements.route.timeout is not None:
+            latest = self.began + requirements.route.timeout
             self.deadline = min(self.deadline, latest)
 
     def _note(self, step: _messages.Step) -> _messages.Step:
@@ -176,16 +180,18 @@
     ) -> _messages.Step:
         candidate = self._release()
         server = candidate.server
-        server.on_heard(now)
+        server.on_response(now)
         if answer.load is not None:
             self._context.on_load(server, answer.load, now)
         if answer.wrong_server:
             server.gone = True
             return self._again(_messages.Reason.NO_SERVER, now)
         if answer.leaving:
-            self._context.on_said_leaving(server, now)
-        if answer.asked_wait is not None:
-            self._context.on_asked_wait(server, answer.asked_wait, now)
+            self._context.on_leaving_reported(server, now)
+        if answer.requested_backoff is not None:
+            self._context.on_backoff_requested(
+                server, answer.requested_backoff, now
+            )
         if answer.not_run:
             self._on_shed(server, answer, now)
             return self._again(_messages.Reason.FULL, now)
@@ -198,7 +204,7 @@
                 return step
         if not failed:
             self._context.on_work(
-                self.wanted, candidate, now - self._sent_at, now
+                self.requirements, candidate, now - self._sent_at, now
             )
         return _messages.Deliver()
 
@@ -239,11 +245,11 @@
         if now >= self.deadline:
             self._release()
             self._context.on_overdue(current, now - self._sent_at, now)
-            if current.server.last_heard < self._sent_at:
+            if current.server.last_response_at < self._sent_at:
                 current.server.on_suspect(now)
             self.may_have_run = True
             return _messages.Fail(_messages.Reason.TIMEOUT, timed_out=True)
-        if current.server.last_heard >= self._sent_at:
+        if current.server.last_response_at >= self._sent_at:
             return self._wait(now)
         current.server.on_suspect(now)
         current.server.on_result(True, now)
@@ -283,7 +289,7 @@
     def _may_send_more(self, now: datetime.timedelta) -> bool:
         if self._reached >= self.route.max_attempts or now >= self.deadline:
             return False
-        return self._context.may_resend(self.wanted.service, now)
+        return self._context.may_resend(self.requirements.service, now)
 
     def _send(self, now: datetime.timedelta) -> _messages.Step:
         denial = self._denial(now)
@@ -294,7 +300,7 @@
             return self._give_up(self._why, now)
         best = candidates[0]
         if not self.sends:
-            best = self._context.place(self.wanted, candidates, now)
+            best = self._context.place(self.requirements, candidates, now)
         why = self._why_not(best, now)
         if why is None:
             return self._start(best, now)
@@ -330,18 +336,18 @@
         before = self._context.spent_before(self.route, self.request)
         if before + (now - self.began) + best.expected <= target:
             return False
-        return best.wait > target * self._context.late_wait_part
+        return best.wait > target * self._context.late_wait_fraction
 
     def _candidates(self, now: datetime.timedelta) -> list[_choice.Candidate]:
         """Returns the backend servers that may be used, cheapest first."""
         weigh = self._context.weigh
         candidates = [
             candidate
-            for candidate in weigh(self.wanted, now, ())
+            for candidate in weigh(self.requirements, now, ())
             if candidate.server.entry.id not in self._tried
         ]
         if not candidates and self._tried:
-            candidates = weigh(self.wanted, now, self._tried)
+            candidates = weigh(self.requirements, now, self._tried)
         return candidates
 
     def _start(
@@ -355,7 +361,7 @@
         server.on_start()
         self._context.on_sent(candidate, now)
         self.sends.append(
-            _messages.Sent(
+            _messages.SendRecord(
                 server.entry.id,
                 now,
                 candidate.expected,
@@ -363,11 +369,11 @@
             )
         )
         left = self.deadline - now
-        patience = max(
+        answer_timeout = max(
             self.route.target_latency * _PATIENCE_TARGETS,
             self._context.overdue_after(candidate),
         )
-        return _messages.Send(server, left, min(patience, left))
+        return _messages.Send(server, left, min(answer_timeout, left))
 
     def _release(self) -> _choice.Candidate:
         current = self._current
@@ -385,7 +391,7 @@
         if self.may_have_run:
             return _messages.Fail(why, timed_out=now >= self.deadline)
         if best is None:
-            free_in = self._context.free_in(self.wanted, now)
+            free_in = self._context.free_in(self.requirements, now)
             if free_in is not None:
                 return _messages.Reject(
                     _messages.Reason.ASKED_TO_WAIT, self._retry_after(free_in)
--- a/dragonflystack/entry/_freshness.py
+++ b/dragonflystack/entry/_freshness.py
@@ -7,9 +7,9 @@
 
 import datetime
 
-from dragonflystack.entry import _lag
 from dragonflystack.entry import _members
-from dragonflystack.entry import _news
+from dragonflystack.entry import _replication
+from dragonflystack.entry import _replication_lag
 
 _ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -18,11 +18,13 @@
 class Freshness:
     """The age of one VM's copy of the store's rows, as far as it knows."""
 
-    def __init__(self, members: _members.Members, log: _news.NewsLog):
+    def __init__(
+        self, members: _members.Members, log: _replication.ReplicationLog
+    ):
         self._members = members
         self._log = log
-        self._lag = _lag.ReplicationLag()
-        self._watched: set[_news.Table] = set()
+        self._replication_lag = _replication_lag.ReplicationLag()
+        self._watched: set[_replication.Table] = set()
         """The tables that this VM's own watches cover at present."""
 
         self._view_fresh_at = _ZERO
@@ -32,7 +34,7 @@
         self._view_fresh_at = now
 
     def on_watch(
-        self, table: _news.Table, works: bool, now: datetime.timedelta
+        self, table: _replication.Table, works: bool, now: datetime.timedelta
     ) -> None:
         """Records whether this VM's own watch of a table works."""
         if works:
@@ -44,13 +46,13 @@
 
     @property
     def _watches_all_tables(self) -> bool:
-        return len(self._watched) == len(_news.Table)
+        return len(self._watched) == len(_replication.Table)
 
     def on_operators_read(self, version: int) -> None:
         """Records the store version up to which operators' rows were read."""
-        self._lag.on_read(version)
+        self._replication_lag.on_read(version)
 
-    def news_age(self, now: datetime.timedelta) -> datetime.timedelta:
+    def store_view_age(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns the time since the last contact with a working watch.
 
         The contact may be indirect, over heartbeats of other VMs. Zero if this
@@ -61,18 +63,22 @@
         ages = [now - self._view_fresh_at]
         for member in self._members.alive(now):
             if member.beat is not None and member.heard_at is not None:
-                age = member.beat.news_age_ms * _MILLISECOND
+                age = member.beat.store_view_age_ms * _MILLISECOND
                 ages.append(age + (now - member.heard_at))
         return max(_ZERO, min(ages))
 
-    def word(self, now: datetime.timedelta) -> _lag.VersionAnnouncement | None:
+    def announcement(
+        self, now: datetime.timedelta
+    ) -> _replication_lag.VersionAnnouncement | None:
         """Returns the announcement of newer rows to pass on to other VMs.
 
         None if this VM knows of no newer rows.
         """
-        return self._lag.word(self._log.position.operators, now)
+        return self._replication_lag.announcement(
+            self._log.position.operators, now
+        )
 
-    def on_beat(
+    def on_heartbeat(
         self, beat: _members.Heartbeat, now: datetime.timedelta
     ) -> bool:
         """Records which operators' rows the sender has or knows to exist.
@@ -81,34 +87,40 @@
             Whether this VM learns for the first time of rows that it lacks.
         """
         known = self._log.position.operators
-        is_new = self._lag.on_announcement(
-            _lag.VersionAnnouncement(beat.position.operators, 0, 0), known, now
+        is_new = self._replication_lag.on_announcement(
+            _replication_lag.VersionAnnouncement(beat.position.operators, 0, 0),
+            known,
+            now,
         )
         if beat.heard is not None:
-            is_new |= self._lag.on_announcement(beat.heard, known, now)
+            is_new |= self._replication_lag.on_announcement(
+                beat.heard, known, now
+            )
         return is_new
 
-    def behind(self, now: datetime.timedelta) -> datetime.timedelta:
+    def replication_lag(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns for how long other VMs have had rows that this VM lacks."""
-        return self._lag.duration(self._log.position.operators, now)
+        return self._replication_lag.duration(self._log.position.operators, now)
 
     def should_watch(self, now: datetime.timedelta) -> bool:
         """Returns whether this VM should watch the store itself."""
-        if self.news_age(now) > _news.STALE_AFTER:
+        if self.store_view_age(now) > _replication.STALE_AFTER:
             return True
         members = self._members
         if not members.has_vm_list:
             return False
-        return _news.is_watcher(members.own.vm, members.listed())
+        return _replication.is_store_watcher(
+            members.own.vm, members.known_vms()
+        )
 
     def should_watch_operators(self, now: datetime.timedelta) -> bool:
         """Returns whether this VM should watch the operators' rows itself."""
-        if self.behind(now) > _news.STALE_AFTER:
+        if self.replication_lag(now) > _replication.STALE_AFTER:
             return True
         return self.should_watch(now)
 
     @property
-    def store_retry_limit(self) -> datetime.timedelta:
+    def max_store_retry_delay(self) -> datetime.timedelta:
         """The longest delay between calls to a store that is unavailable."""
         members = self._members
-        return _news.max_retry_delay(members.own.vm, members.listed())
+        return _replication.max_retry_delay(members.own.vm, members.known_vms())
--- a/dragonflystack/entry/_members.py
+++ b/dragonflystack/entry/_members.py
@@ -17,10 +17,10 @@
 
 from dragonflystack import ids
 from dragonflystack.entry import _departures
-from dragonflystack.entry import _lag
-from dragonflystack.entry import _news
+from dragonflystack.entry import _observations
 from dragonflystack.entry import _ranking
-from dragonflystack.entry import _sightings
+from dragonflystack.entry import _replication
+from dragonflystack.entry import _replication_lag
 
 HEARTBEAT_EVERY = datetime.timedelta(milliseconds=500)
 """The interval of heartbeats; a caller loses a second on a VM that lost power,
@@ -82,10 +82,10 @@
     vm: ids.VmId
     incarnation: ids.Incarnation
     phase: Phase
-    position: _news.Position
+    position: _replication.Position
     """The store versions up to which the sender has the rows."""
 
-    news_age_ms: int
+    store_view_age_ms: int
     """Time since the sender's last contact, direct or indirect, with a working
     watch of the store."""
 
@@ -97,11 +97,11 @@
     """The shares that the sender would choose by load alone, in the same
     form."""
 
-    is_near: bool
+    is_neighbour: bool
     """Whether the receiver is one of the sender's neighbours, from which the
     sender expects regular heartbeats."""
 
-    answer_wanted: bool = False
+    reply_requested: bool = False
     """Whether the receiver should send a heartbeat in reply at once."""
 
     address: VmAddress | None = None
@@ -111,14 +111,14 @@
     """Backend servers that are leaving, as the sender learnt recently from a
     source other than the store."""
 
-    loads: tuple[_sightings.LoadSighting, ...] = ()
+    loads: tuple[_observations.LoadObservation, ...] = ()
     """Loads that backend servers reported to the sender."""
 
-    learnt: tuple[_sightings.LearntSighting, ...] = ()
+    cached_objects: tuple[_observations.CachedObjectObservation, ...] = ()
     """Objects that backend servers cached, as observed by the sender or
     reported to it."""
 
-    heard: _lag.VersionAnnouncement | None = None
+    heard: _replication_lag.VersionAnnouncement | None = None
     """Announces the latest operators' rows that the sender lacks."""
 
 
@@ -160,7 +160,7 @@
         self.has_vm_list = False
         """Whether a list of VMs was received."""
 
-    def on_list(
+    def on_vm_list(
         self, addresses: Iterable[VmAddress], of_all_regions: bool = True
     ) -> None:
         """Adds listed VMs to the members; some of them may be gone.
@@ -169,11 +169,11 @@
             addresses: the addresses of the VMs.
             of_all_regions: whether the list contains the whole fleet.
         """
-        listed = list(addresses)
+        known_vms = list(addresses)
         if of_all_regions:
-            self.fleet_size = max(self.fleet_size or 1, len(listed))
+            self.fleet_size = max(self.fleet_size or 1, len(known_vms))
         self.has_vm_list = True
-        for address in listed:
+        for address in known_vms:
             self._add_member(address)
 
     def on_heartbeat(
@@ -207,7 +207,7 @@
         member.phase = beat.phase
         member.heard_at = now
         member.unanswered_since = None
-        member.expects_heartbeats = beat.is_near
+        member.expects_heartbeats = beat.is_neighbour
         member.beat = beat
         return member if changed or not was_alive else None
 
@@ -229,7 +229,7 @@
                 del self._members[vm]
                 self._ring_cache = None
 
-    def receivers(
+    def heartbeat_targets(
         self, now: datetime.timedelta
     ) -> tuple[tuple[Member, bool], ...]:
         """Returns the members to send a heartbeat to.
@@ -299,7 +299,7 @@
             self._ring_cache = _ranking.rank("ring", vms, str)
         return self._ring_cache
 
-    def listed(self) -> tuple[ids.VmId, ...]:
+    def known_vms(self) -> tuple[ids.VmId, ...]:
         """Returns the ids of the region's VMs not known to be gone, sorted."""
         return tuple(sorted((self.own.vm, *self._members)))
 
@@ -313,16 +313,16 @@
             m for m in self._members.values() if self._is_alive(m, now)
         )
 
-    def named(self, now: datetime.timedelta) -> tuple[str, ...]:
+    def serving_addresses(self, now: datetime.timedelta) -> tuple[str, ...]:
         """Returns the addresses for callers of the VMs that serve."""
-        named = [
+        serving_addresses = [
             m.address.callers
             for m in self.alive(now)
             if m.phase is Phase.SERVING
         ]
         if self.phase is Phase.SERVING:
-            named.append(self.own.callers)
-        return tuple(sorted(named)[:_MAX_ADDRESSES])
+            serving_addresses.append(self.own.callers)
+        return tuple(sorted(serving_addresses)[:_MAX_ADDRESSES])
 
     def _add_member(self, address: VmAddress) -> None:
         if address.vm == self.own.vm or address.region != self.own.region:
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -95,7 +95,7 @@
     leaving: bool = False
     """Whether the backend server says that it is leaving."""
 
-    asked_wait: datetime.timedelta | None = None
+    requested_backoff: datetime.timedelta | None = None
     """How long the backend server wants no more requests, None if it does not
     say."""
 
@@ -143,7 +143,7 @@
     time_left: datetime.timedelta
     """How long the backend server may work on it."""
 
-    patience: datetime.timedelta
+    answer_timeout: datetime.timedelta
     """Report `Silent` if there is no answer after this."""
 
 
@@ -151,7 +151,7 @@
 class Wait:
     """Go on waiting for the latest send."""
 
-    patience: datetime.timedelta
+    answer_timeout: datetime.timedelta
     """Report `Silent` again if there is no answer after this."""
 
 
@@ -199,7 +199,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Sent:
+class SendRecord:
     """One send of a request, for logs and metrics."""
 
     server: ids.BackendServerId
--- a/dragonflystack/entry/_sightings.py
+++ b/dragonflystack/entry/_observations.py
@@ -25,7 +25,7 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class LoadSighting(msgspec.Struct, frozen=True, array_like=True):
+class LoadObservation(msgspec.Struct, frozen=True, array_like=True):
     """What a backend server said of its load."""
 
     server: ids.BackendServerId
@@ -36,7 +36,7 @@
     """How long before the heartbeat it said so."""
 
 
-class LearntSighting(msgspec.Struct, frozen=True, array_like=True):
+class CachedObjectObservation(msgspec.Struct, frozen=True, array_like=True):
     """A backend server that came to know an object."""
 
     server: ids.BackendServerId
@@ -53,7 +53,7 @@
     return xxhash.xxh32_intdigest(key.encode())
 
 
-class Sightings:
+class Observations:
     """What one VM has to tell."""
 
     def __init__(self):
@@ -61,7 +61,7 @@
             ids.BackendServerId, tuple[int, datetime.timedelta]
         ] = {}
         self._learnt: collections.deque[
-            tuple[datetime.timedelta, LearntSighting]
+            tuple[datetime.timedelta, CachedObjectObservation]
         ] = collections.deque(maxlen=_MAX_LEARNT)
 
     def on_load(
@@ -76,23 +76,25 @@
         if len(self._loads) > _MAX_LOADS:
             del self._loads[next(iter(self._loads))]
 
-    def on_learnt(
+    def on_object_cached(
         self,
         server: ids.BackendServerId,
         object_hash: int,
         now: datetime.timedelta,
     ) -> None:
         """Takes in that a backend server came to know an object."""
-        self._learnt.append((now, LearntSighting(server, object_hash)))
+        self._learnt.append((now, CachedObjectObservation(server, object_hash)))
 
-    def loads(self, now: datetime.timedelta) -> tuple[LoadSighting, ...]:
+    def loads(self, now: datetime.timedelta) -> tuple[LoadObservation, ...]:
         """Returns the latest loads that were seen."""
         return tuple(
-            LoadSighting(server, requests, round((now - at) / _MILLISECOND))
+            LoadObservation(server, requests, round((now - at) / _MILLISECOND))
             for server, (requests, at) in self._loads.items()
             if now - at <= _TELL_FOR
         )
 
-    def learnt(self, now: datetime.timedelta) -> tuple[LearntSighting, ...]:
+    def cached_objects(
+        self, now: datetime.timedelta
+    ) -> tuple[CachedObjectObservation, ...]:
         """Returns what backend servers came to know just now."""
         return tuple(s for at, s in self._learnt if now - at <= _TELL_FOR)
--- a/dragonflystack/entry/_work_times.py
+++ b/dragonflystack/entry/_processing_times.py
@@ -54,22 +54,22 @@
     first_choices: int = 0
     """Measurements that this part comes from."""
 
-    def add(self, work: datetime.timedelta, warm_part: float) -> bool:
+    def add(self, work: datetime.timedelta, warm_time_ratio: float) -> bool:
         """Takes in a measurement; returns whether the object was new."""
         product = self.known.value.total_seconds()
         product *= self.new.value.total_seconds()
         if work.total_seconds() > math.sqrt(product):
             self.new.add(work)
             if not self.known.count:
-                self.known.value = self.new.value * warm_part
+                self.known.value = self.new.value * warm_time_ratio
             return True
         self.known.add(work)
         if not self.new.count:
-            self.new.value = self.known.value / warm_part
+            self.new.value = self.known.value / warm_time_ratio
         return False
 
 
-class WorkTimes:
+class ProcessingTimes:
     """The mean work of each route and each service."""
 
     def __init__(self, settings: _settings.ChoiceSettings):
@@ -136,13 +136,13 @@
                 choice, and this VM had not sent it the object before.
         """
         means = self._routes.get(route.id)
-        warm_part = self._warm_part(route)
+        warm_time_ratio = self._warm_part(route)
         if means is None:
             new = max(work, route.target_latency)
-            means = _Means(_Mean(new * warm_part), _Mean(new))
+            means = _Means(_Mean(new * warm_time_ratio), _Mean(new))
             self._routes[route.id] = means
-        if warm_part < 1:
-            was_new = means.add(work, warm_part)
+        if warm_time_ratio < 1:
+            was_new = means.add(work, warm_time_ratio)
             if is_first_choice:
                 means.first_choices += 1
                 step = float(was_new) - means.new_part
@@ -155,4 +155,4 @@
         mean.add(work)
 
     def _warm_part(self, route: _catalogue.Route) -> float:
-        return self._settings.warm_part if route.sticky else 1.0
+        return self._settings.warm_time_ratio if route.sticky else 1.0
--- a/dragonflystack/entry/_waits.py
+++ b/dragonflystack/entry/_queue_waits.py
@@ -22,7 +22,7 @@
     at: datetime.timedelta
 
 
-class Waits:
+class QueueWaits:
     """The waits of one VM's requests."""
 
     def __init__(self):
--- a/dragonflystack/entry/_quotas.py
+++ b/dragonflystack/entry/_quotas.py
@@ -6,7 +6,7 @@
 
     step = quotas.admit(customer, now)
     while isinstance(step, AskOwner):
-        # Send step.message to step.peers; None after step.timeout.
+        # Send step.message to step.peers; None after answer_timeout.
         response = ...
         step = quotas.on_token_response(step, response, now)
 
@@ -75,8 +75,8 @@
 class AskOwner:
     """Send a token request, and pass the result to `Quotas.on_token_response`.
 
-    The fields other than `peers`, `message` and `timeout` are the state of the
-    admission for the next step.
+    The fields other than `peers`, `message` and `answer_timeout` are the state of
+    the admission for the next step.
     """
 
     owner: ids.VmId
@@ -84,7 +84,7 @@
     """Host and port of the owner."""
 
     message: _quota_shards.TokenRequest
-    timeout: datetime.timedelta
+    answer_timeout: datetime.timedelta
     """How long to wait for the response."""
 
     asked_at: datetime.timedelta
@@ -316,7 +316,7 @@
             return self._reject(customer, state, token_wait, now)
         position = table.positions[position_index]
         near = position.region == self._region
-        timeout = _NEAR_TIMEOUT if near else _FAR_TIMEOUT
+        answer_timeout = _NEAR_TIMEOUT if near else _FAR_TIMEOUT
         self._token_requests += 1
         wanted = 1
         if now >= state.prefetch_until:
@@ -324,7 +324,7 @@
                 _MAX_TOKENS_REQUESTED, max(1, state.requests_in_last_interval)
             )
             if wanted > 1:
-                state.prefetch_until = now + timeout
+                state.prefetch_until = now + answer_timeout
         return AskOwner(
             position.owner,
             position.peers,
@@ -335,7 +335,7 @@
                 wanted,
                 state.empty.for_token_request(now),
             ),
-            timeout,
+            answer_timeout,
             now,
             started_at,
             (*tried, position_index),
--- a/dragonflystack/entry/_news.py
+++ b/dragonflystack/entry/_replication.py
@@ -62,7 +62,7 @@
         return max(self.operators, self.servers)
 
 
-class News(msgspec.Struct, frozen=True):
+class ReplicatedChanges(msgspec.Struct, frozen=True):
     """Changes that one VM sends to another that lags behind."""
 
     position: Position
@@ -76,7 +76,7 @@
     """Whether the entries are a snapshot of all registered backend servers."""
 
 
-class NewsLog:
+class ReplicationLog:
     """The position of this VM and recent changes, for other VMs to fetch."""
 
     def __init__(self):
@@ -129,7 +129,7 @@
         known_version: int,
         evacuated: frozenset[ids.FailureDomainId],
         registered: tuple[_servers.ServerEntry, ...],
-    ) -> News:
+    ) -> ReplicatedChanges:
         """Returns the changes after a position.
 
         Args:
@@ -151,7 +151,7 @@
                 latest[change] = None
         entries = tuple(e for e in latest.values() if e is not None)
         gone = tuple(s for s, e in latest.items() if e is None)
-        return News(
+        return ReplicatedChanges(
             self.position,
             catalogue if is_newer else None,
             evacuated,
@@ -161,7 +161,7 @@
         )
 
 
-def is_watcher(own: ids.VmId, vms: tuple[ids.VmId, ...]) -> bool:
+def is_store_watcher(own: ids.VmId, vms: tuple[ids.VmId, ...]) -> bool:
     """Returns whether a VM is one of the watchers of the store.
 
     Args:
@@ -184,7 +184,7 @@
         own: the VM.
         vms: the VMs of its region that are not known to be gone.
     """
-    if is_watcher(own, vms):
+    if is_store_watcher(own, vms):
         return _MAX_RETRY_DELAY
     return _MAX_RETRY_DELAY * (len(vms) / _watcher_count(len(vms)))
 
--- a/dragonflystack/entry/_lag.py
+++ b/dragonflystack/entry/_replication_lag.py
@@ -53,12 +53,15 @@
         self._read_position = max(self._read_position, position)
 
     def on_announcement(
-        self, word: VersionAnnouncement, known: int, now: datetime.timedelta
+        self,
+        announcement: VersionAnnouncement,
+        known: int,
+        now: datetime.timedelta,
     ) -> bool:
         """Handles the announcement of a position.
 
         Args:
-            word: the announcement.
+            announcement: the announcement.
             known: the position up to which this VM has the operators' rows.
             now: the current time.
 
@@ -67,13 +70,13 @@
             time.
         """
         self._prune(known, now)
-        position = word.position
-        confirmed = now - word.confirmed_ms * _MILLISECOND
+        position = announcement.position
+        confirmed = now - announcement.confirmed_ms * _MILLISECOND
         if position <= max(known, self._read_position):
             return False
         if now - confirmed > CONFIRMATION_TTL:
             return False
-        first = now - word.first_heard_ms * _MILLISECOND
+        first = now - announcement.first_heard_ms * _MILLISECOND
         heard = self._announced.get(position)
         if heard is None:
             self._announced[position] = _Announced(first, confirmed)
@@ -82,7 +85,7 @@
         heard.confirmed = max(heard.confirmed, confirmed)
         return False
 
-    def word(
+    def announcement(
         self, known: int, now: datetime.timedelta
     ) -> VersionAnnouncement | None:
         """Returns the announcement of the latest position to forward.
--- a/dragonflystack/entry/_servers.py
+++ b/dragonflystack/entry/_servers.py
@@ -78,7 +78,7 @@
         self.added_at = now
         """When it was first heard of."""
 
-        self.learned_at = now
+        self.entry_confirmed_at = now
         """When the entry was last read or confirmed."""
 
         self.in_flight = 0
@@ -88,13 +88,13 @@
         self.suspect_since: datetime.timedelta | None = None
         """Since when it gets no requests until it answers a probe."""
 
-        self.last_heard = now
+        self.last_response_at = now
         """When it last answered anything."""
 
         self.gone = False
         """Whether it is no longer registered, or its address was reused."""
 
-        self.asked_wait_until = _ZERO
+        self.backoff_until = _ZERO
         """Until when it asked to be left alone."""
 
         self._settings = settings
@@ -111,7 +111,7 @@
     def on_entry(self, entry: ServerEntry, now: datetime.timedelta) -> None:
         """Takes in its latest entry."""
         self.entry = entry
-        self.learned_at = now
+        self.entry_confirmed_at = now
         self.gone = False
         if entry.cold_left > _ZERO:
             self.on_cold(entry.cold_left, now)
@@ -127,9 +127,9 @@
         """Returns whether new requests may be sent to it at all."""
         return not (self.gone or self.entry.leaving)
 
-    def may_get_requests(self, now: datetime.timedelta) -> bool:
+    def accepts_requests(self, now: datetime.timedelta) -> bool:
         """Returns whether requests may be written to it now."""
-        return self.may_serve() and now >= self.asked_wait_until
+        return self.may_serve() and now >= self.backoff_until
 
     def is_cold(self, now: datetime.timedelta) -> bool:
         """Returns whether it bears few requests yet."""
@@ -144,7 +144,7 @@
         """Returns the requests expected at it, from all VMs."""
         mean = self._others_mean
         others = mean + (self._others - mean) * self._decay(
-            now - self._others_at, self._settings.others_half_life
+            now - self._others_at, self._settings.load_report_half_life
         )
         return self.in_flight + max(0.0, others)
 
@@ -164,12 +164,12 @@
         """Notes a request sent to it."""
         self.in_flight += 1
 
-    def on_learnt(self, object_hash: int) -> bool:
+    def on_object_cached(self, object_hash: int) -> bool:
         """Notes that it worked on an object; returns whether that is news."""
         is_new = object_hash not in self._known
         self._known[object_hash] = None
         self._known.move_to_end(object_hash)
-        if len(self._known) > self._settings.objects_kept:
+        if len(self._known) > self._settings.assumed_cached_objects:
             self._known.popitem(last=False)
         return is_new
 
@@ -195,18 +195,18 @@
         self._failure_rate = rate + weight * (float(failed) - rate)
         self._failed_at = now
 
-    def on_heard(self, now: datetime.timedelta) -> None:
+    def on_response(self, now: datetime.timedelta) -> None:
         """Notes a sign of life."""
-        self.last_heard = now
+        self.last_response_at = now
         self.suspect_since = None
 
-    def on_asked_wait(
+    def on_backoff_requested(
         self, wait: datetime.timedelta, now: datetime.timedelta
     ) -> None:
         """Leaves it alone for a while, as it asked."""
-        self.asked_wait_until = max(self.asked_wait_until, now + wait)
+        self.backoff_until = max(self.backoff_until, now + wait)
 
-    def on_said_leaving(self) -> None:
+    def on_leaving_reported(self) -> None:
         """Takes its word that it is leaving."""
         self.entry = dataclasses.replace(self.entry, leaving=True)
 
@@ -220,7 +220,7 @@
         return 0.5 ** (age / half_life)
 
 
-class ServerBook:
+class ServerRegistry:
     """All backend servers that this VM knows, by service."""
 
     def __init__(
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -29,7 +29,7 @@
     max_shift: float = 0.15
     """Fraction of a region's requests that may change region within 2 s."""
 
-    apply: datetime.timedelta = _ms(2_500)
+    apply_time: datetime.timedelta = _ms(2_500)
     """The time from the store's acknowledgement of a change until every VM
     applies it."""
 
@@ -56,18 +56,18 @@
 class ChoiceSettings:
     """Parameters for choosing a backend server for a request."""
 
-    warm_part: float = 0.45
+    warm_time_ratio: float = 0.45
     """Assumed ratio of the processing time for a cached object to that for a
     new one, until both were measured."""
 
-    objects_kept: int = 40
+    assumed_cached_objects: int = 40
     """The number of objects that a backend server is assumed to cache."""
 
-    object_ranks: int = 2
+    servers_per_object: int = 2
     """The number of backend servers in the VM's own region that get requests
     for one object; with more of them, each caches fewer distinct objects."""
 
-    hot_part: float = 0.25
+    hot_object_fraction: float = 0.25
     """Requests for one object may fill this fraction of a backend server's
     share of the requests before another backend server gets some as well."""
 
@@ -80,10 +80,10 @@
     """Delay that is accepted to stay with a nearer backend server; traffic
     between regions costs money."""
 
-    others_half_life: datetime.timedelta = _ms(300)
+    load_report_half_life: datetime.timedelta = _ms(300)
     """Half-life with which a reported load returns to its long-run mean."""
 
-    load_trusted: datetime.timedelta = _ms(600)
+    load_report_max_age: datetime.timedelta = _ms(600)
     """How long a reported load is used alone; after that, the queue waits
     observed in the region are considered as well."""
 
@@ -96,32 +96,32 @@
     failure_penalty: float = 3.0
     """Cost of a certain failure, in target latencies."""
 
-    queue_slots: float = 3.0
+    max_requests_per_slot: float = 3.0
     """A backend server is full at this many requests per slot."""
 
-    late_wait_part: float = 0.6
+    late_wait_fraction: float = 0.6
     """A request that would be late is sent only to a backend server where it
     waits less than this fraction of its target latency."""
 
-    max_asked_wait: datetime.timedelta = _ms(300_000)
+    max_server_backoff: datetime.timedelta = _ms(300_000)
     """The longest back-off that a backend server can request; one that requests
     a longer one by mistake is not lost permanently."""
 
-    asked_wait_spread: datetime.timedelta = _ms(500)
+    server_backoff_jitter: datetime.timedelta = _ms(500)
     """Jitter that is added to a requested back-off, so that VMs do not return
     to the backend server all at once."""
 
-    silence_factor: float = 3.0
+    overdue_factor: float = 3.0
     """A request is overdue after this many times its expected time."""
 
-    cold_owners: int = 2
+    vms_per_cold_server: int = 2
     """The number of entry VMs that may send to one cold backend server."""
 
-    cold_share: float = 0.3
+    cold_rate_fraction: float = 0.3
     """Fraction of a cold backend server's bound that each of them uses."""
 
-    retry_part: float = 0.6
+    retry_budget_fraction: float = 0.6
     """Fraction of the fleet's retry budget that is divided among the VMs."""
 
-    remote_round_trip: datetime.timedelta = _ms(70)
+    assumed_remote_round_trip: datetime.timedelta = _ms(70)
     """Assumed round-trip time to another region until one was measured."""
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -14,7 +14,7 @@
 from dragonflystack.entry import _freshness
 from dragonflystack.entry import _members
 from dragonflystack.entry import _messages
-from dragonflystack.entry import _news
+from dragonflystack.entry import _replication
 from dragonflystack.entry import _routes
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
@@ -54,13 +54,13 @@
         self.members = members
         self.bounds = bounds
         self.rng = rng
-        self.book = _servers.ServerBook(regions, settings)
+        self.registry = _servers.ServerRegistry(regions, settings)
         departures = _departures.Departures()
         self.discovery = _discovery.Discovery(
-            self.book, departures, bounds.drain * _CONFIRM_PART
+            self.registry, departures, bounds.drain * _CONFIRM_PART
         )
         self.dispatch = _dispatch.Dispatch(
-            members, self.book, departures, regions, bounds, settings, rng
+            members, self.registry, departures, regions, bounds, settings, rng
         )
         """Where requests go."""
 
@@ -68,7 +68,7 @@
         self.store_era: int | None = None
         """The store's era as far as known, None before it was heard of."""
 
-        self.log = _news.NewsLog()
+        self.log = _replication.ReplicationLog()
         self.freshness = _freshness.Freshness(members, self.log)
         """How far behind the store's rows it may be."""
 
@@ -122,11 +122,11 @@
         self.discovery.on_store_era(era)
         if before is None:
             return False
-        self.discovery.on_store_returned(now)
-        self._settled_at = now + _discovery.LAPSE_GRACE
+        self.discovery.on_store_restored(now)
+        self._settled_at = now + _discovery.REREGISTRATION_GRACE
         return True
 
-    def is_settled(self, now: datetime.timedelta) -> bool:
+    def is_store_repopulated(self, now: datetime.timedelta) -> bool:
         """Returns whether all had time to write again what the store lost."""
         return now >= self._settled_at
 
@@ -145,7 +145,7 @@
         An older copy of the store lacks evacuations, and has some that were
         taken back; until operators have written theirs again nothing changes.
         """
-        if self.is_settled(now):
+        if self.is_store_repopulated(now):
             self.dispatch.on_evacuated(domains, now)
 
     def on_listing(
@@ -154,7 +154,7 @@
         position: int,
         now: datetime.timedelta,
         from_store: bool = True,
-    ) -> _discovery.Changes:
+    ) -> _discovery.ServerChanges:
         """Takes in what was read of the list of backend servers.
 
         Args:
@@ -178,7 +178,7 @@
         """See `_dispatch.Dispatch.on_departures`."""
         return self.dispatch.on_departures(departures, now)
 
-    def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
+    def on_tick(self, now: datetime.timedelta) -> _discovery.ServerChanges:
         """Does what is due."""
         self.members.on_tick(now)
         self.dispatch.on_tick(now)
@@ -192,17 +192,17 @@
     def heartbeat(
         self,
         now: datetime.timedelta,
-        is_near: bool = True,
-        answer_wanted: bool = False,
-        introduce: bool = False,
+        is_neighbour: bool = True,
+        reply_requested: bool = False,
+        include_address: bool = False,
     ) -> _members.Heartbeat:
         """Returns what to tell another VM of the region now.
 
         Args:
             now: the time.
-            is_near: whether that VM is a neighbour.
-            answer_wanted: whether it is to answer at once.
-            introduce: whether it may not know where this VM is.
+            is_neighbour: whether that VM is a neighbour.
+            reply_requested: whether it is to answer at once.
+            include_address: whether it may not know where this VM is.
         """
         members = self.members
         shares = self.dispatch.shares
@@ -211,21 +211,21 @@
             members.incarnation,
             members.phase,
             self.log.position,
-            round(self.freshness.news_age(now) / _MILLISECOND),
+            round(self.freshness.store_view_age(now) / _MILLISECOND),
             _shares.to_thousandths(shares.shares, self._regions),
             _shares.to_thousandths(shares.wanted, self._regions),
-            is_near,
-            answer_wanted,
-            members.own if introduce else None,
+            is_neighbour,
+            reply_requested,
+            members.own if include_address else None,
             self.dispatch.departures.recent(now),
-            self.dispatch.sightings.loads(now),
-            self.dispatch.sightings.learnt(now),
-            self.freshness.word(now),
+            self.dispatch.observations.loads(now),
+            self.dispatch.observations.cached_objects(now),
+            self.freshness.announcement(now),
         )
 
     # News of the store, from it or from other VMs.
 
-    def lacks(self, position: _news.Position) -> bool:
+    def is_behind(self, position: _replication.Position) -> bool:
         """Returns whether a VM at a position knows more than this one."""
         own = self.log.position
         return (
@@ -234,11 +234,14 @@
 
     def is_outdated(self, now: datetime.timedelta) -> bool:
         """Returns whether its routes are too old to decide by them."""
-        return self.freshness.behind(now) > self.bounds.apply * _OUTDATED_PART
+        return (
+            self.freshness.replication_lag(now)
+            > self.bounds.apply_time * _OUTDATED_PART
+        )
 
-    def news_since(
-        self, position: _news.Position, known_version: int = 0
-    ) -> _news.News:
+    def changes_since(
+        self, position: _replication.Position, known_version: int = 0
+    ) -> _replication.ReplicatedChanges:
         """Returns what a VM at a position does not know.
 
         Args:
@@ -250,12 +253,12 @@
             self.catalogue,
             known_version,
             self.evacuated,
-            tuple(server.entry for server in self.book.all()),
+            tuple(server.entry for server in self.registry.all()),
         )
 
-    def on_news(
-        self, news: _news.News, now: datetime.timedelta
-    ) -> _discovery.Changes:
+    def on_replicated_changes(
+        self, news: _replication.ReplicatedChanges, now: datetime.timedelta
+    ) -> _discovery.ServerChanges:
         """Takes in another VM's news of backend servers, and its position."""
         self.log.on_operators(news.position.operators)
         version = news.position.servers
@@ -265,7 +268,7 @@
         return self.on_listing(listing, version, now, from_store=False)
 
     @property
-    def is_informed(self) -> bool:
+    def has_initial_state(self) -> bool:
         """Whether it knows routes and backend servers."""
         return self.catalogue is not None and (
             self.discovery.read_at is not None
@@ -280,7 +283,7 @@
 
         It changes nothing, so it may be asked again before each send.
         """
-        if self._rules is None or not self.is_informed:
+        if self._rules is None or not self.has_initial_state:
             wait = _NO_NEWS_RETRY_AFTER
             return _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
         if self.is_outdated(now):
@@ -305,7 +308,7 @@
             Its exchange, if there is one, and the first step.
         """
         wanted = self._resolve(request, None, now)
-        if not isinstance(wanted, _choice.Wanted):
+        if not isinstance(wanted, _choice.Requirements):
             return None, wanted
         self.dispatch.on_request(wanted, now)
         exchange = _exchange.Exchange(
@@ -322,13 +325,13 @@
         resolved_by = self._rules
 
         def resolve(
-            before: _choice.Wanted, now: datetime.timedelta
-        ) -> _choice.Wanted | _access.Denial:
+            before: _choice.Requirements, now: datetime.timedelta
+        ) -> _choice.Requirements | _access.Denial:
             nonlocal resolved_by
             if resolved_by is self._rules and not self.is_outdated(now):
                 return before
             wanted = self._resolve(request, before, now)
-            if isinstance(wanted, _choice.Wanted):
+            if isinstance(wanted, _choice.Requirements):
                 resolved_by = self._rules
             return wanted
 
@@ -337,9 +340,9 @@
     def _resolve(
         self,
         request: _messages.Request,
-        before: _choice.Wanted | None,
+        before: _choice.Requirements | None,
         now: datetime.timedelta,
-    ) -> _choice.Wanted | _access.Denial:
+    ) -> _choice.Requirements | _access.Denial:
         """Returns what a request needs under the catalogue in force.
 
         It stays with its service while its route leads there.
@@ -349,15 +352,15 @@
             return access
         assert self._routes is not None
         route = access.route
-        if before is not None and route.leads_to(before.service):
+        if before is not None and route.sends_to(before.service):
             service = before.service
         else:
             service = self._routes.pick_service(route)
-        return _choice.Wanted(
+        return _choice.Requirements(
             route,
             service,
             request.object_key,
             access.regions,
             access.customer,
-            access.hides_key,
+            access.strips_key_headers,
         )
--- a/dragonflystack/entry/tests/loads.py
+++ b/dragonflystack/entry/tests/loads.py
@@ -51,7 +51,7 @@
     objects: int = 50
     """Objects that the callers of each region ask for."""
 
-    hot_part: float = 0.0
+    hot_object_fraction: float = 0.0
     """Part of the requests that concern one and the same object."""
 
     kept: int = 52
@@ -70,7 +70,7 @@
     seed: int = 1
 
 
-def draw(seed: int) -> Load:
+def random_load(seed: int) -> Load:
     """Returns a load of some shape: regions, room, work and objects vary."""
     rng = random.Random(seed)
     names = "abcde"[: rng.randint(2, 5)]
@@ -224,7 +224,7 @@
         self.tally = Tally()
         self.vms = self._make_vms(settings)
 
-    def play(self) -> Tally:
+    def simulate(self) -> Tally:
         """Plays the load and returns how its requests ended."""
         for region in self._load.servers:
             self._at(0.0, self._arrive, region)
@@ -302,7 +302,7 @@
                 vms.setdefault(region, []).append(vm)
         fleet = [vm for group in vms.values() for vm in group]
         for vm in fleet:
-            vm.members.on_list([other.members.own for other in fleet])
+            vm.members.on_vm_list([other.members.own for other in fleet])
         return vms
 
     def _lose(self, now: float) -> None:
@@ -317,11 +317,11 @@
             by_id = {vm.members.own.vm: vm for vm in group}
             for vm in group:
                 beat = vm.heartbeat(_ms(now))
-                for member, _ in vm.members.receivers(_ms(now)):
+                for member, _ in vm.members.heartbeat_targets(_ms(now)):
                     other = by_id[member.address.vm]
                     other.members.on_heartbeat(beat, _ms(now))
-                    other.dispatch.on_sightings(
-                        beat.loads, beat.learnt, _ms(now)
+                    other.dispatch.on_observations(
+                        beat.loads, beat.cached_objects, _ms(now)
                     )
             for vm in group:
                 vm.on_tick(_ms(now))
@@ -334,7 +334,10 @@
             gap = self._rng.expovariate(rate) * 1000
             self._at(now + gap, self._arrive, region)
             self.tally.asked += 1
-            is_hot = load.hot_part and self._rng.random() < load.hot_part
+            is_hot = (
+                load.hot_object_fraction
+                and self._rng.random() < load.hot_object_fraction
+            )
             number = 0 if is_hot else self._rng.randrange(load.objects)
             key = f"{region}/{number}"
             reached = now + _WAY_TO_CALLER_MS
@@ -360,11 +363,13 @@
                 way = self._way_ms(region, name)
                 send = len(exchange.sends)
                 self._at(now + way, self._reach, name, call, send)
-                patience = step.patience / _ms(1)
-                self._at(now + patience, self._silence, call, send)
-            case entry.Wait(patience):
+                answer_timeout = step.answer_timeout / _ms(1)
+                self._at(now + answer_timeout, self._silence, call, send)
+            case entry.Wait(answer_timeout):
                 send = len(exchange.sends)
-                self._at(now + patience / _ms(1), self._silence, call, send)
+                self._at(
+                    now + answer_timeout / _ms(1), self._silence, call, send
+                )
             case entry.Deliver():
                 latency = now + _WAY_TO_CALLER_MS - began
                 if latency <= self._load.target_ms:
@@ -451,9 +456,9 @@
         self._result(now, call, send, entry.Silent())
 
 
-def play(load: Load, **changes: Any) -> Tally:
+def simulate(load: Load, **changes: Any) -> Tally:
     """Plays a load with settings of the choice changed as named."""
-    return World(load, entry.ChoiceSettings(**changes)).play()
+    return World(load, entry.ChoiceSettings(**changes)).simulate()
 
 
 def _ms(milliseconds: float) -> datetime.timedelta:
--- a/dragonflystack/entry/tests/quota_fleet.py
+++ b/dragonflystack/entry/tests/quota_fleet.py
@@ -210,8 +210,8 @@
                 self._deliver(owner, vm, lambda: on_token_response(answer))
 
         self._deliver(vm, owner, on_token_request)
-        timeout = ask.timeout / builders.ms(1)
-        self.at(self.now + timeout, lambda: on_token_response(None))
+        answer_timeout = ask.answer_timeout / builders.ms(1)
+        self.at(self.now + answer_timeout, lambda: on_token_response(None))
 
     def _deliver(self, source: Vm, target: Vm, do: Callable[[], None]) -> None:
         near = source.address.region == target.address.region
--- a/dragonflystack/entry/tests/test_access.py
+++ b/dragonflystack/entry/tests/test_access.py
@@ -38,8 +38,8 @@
     exchange, step = _vm(_ALICE, _BOB).open(_request(key), builders.ms(1))
     assert isinstance(step, entry.Send)
     assert exchange is not None
-    assert exchange.wanted.customer == customer
-    assert exchange.wanted.hides_key
+    assert exchange.requirements.customer == customer
+    assert exchange.requirements.strips_key_headers
 
 
 @pytest.mark.parametrize(
@@ -63,8 +63,8 @@
     exchange, step = _vm(_ALICE).open(request, builders.ms(1))
     assert isinstance(step, entry.Send)
     assert exchange is not None
-    assert exchange.wanted.customer is None
-    assert exchange.wanted.hides_key
+    assert exchange.requirements.customer is None
+    assert exchange.requirements.strips_key_headers
 
 
 @pytest.mark.parametrize("key", [None, "key-a1"])
@@ -73,7 +73,7 @@
     exchange, step = vm.open(_request(key), builders.ms(1))
     assert isinstance(step, entry.Send)
     assert exchange is not None
-    assert not exchange.wanted.hides_key
+    assert not exchange.requirements.strips_key_headers
 
 
 def test_unknown_route_is_reported_before_a_missing_key():
--- a/dragonflystack/entry/tests/test_catalogue_changes.py
+++ b/dragonflystack/entry/tests/test_catalogue_changes.py
@@ -143,7 +143,7 @@
             id="evacuated",
         ),
         pytest.param(
-            lambda vm, s: s.on_said_leaving(), False, id="server leaving"
+            lambda vm, s: s.on_leaving_reported(), False, id="server leaving"
         ),
     ],
 )
--- a/dragonflystack/entry/tests/test_lag.py
+++ b/dragonflystack/entry/tests/test_replication_lag.py
@@ -3,19 +3,21 @@
 import pytest
 
 from dragonflystack import entry
-from dragonflystack.entry import _lag
+from dragonflystack.entry import _replication_lag
 from dragonflystack.entry.tests import builders
 
 _ZERO = builders.ms(0)
 
 
 def _announce(lag, position, at_ms, known=3, first_ms=0, confirmed_ms=0):
-    word = _lag.VersionAnnouncement(position, first_ms, confirmed_ms)
-    return lag.on_announcement(word, known, builders.ms(at_ms))
+    announcement = _replication_lag.VersionAnnouncement(
+        position, first_ms, confirmed_ms
+    )
+    return lag.on_announcement(announcement, known, builders.ms(at_ms))
 
 
 def test_lag_starts_at_the_first_announcement_of_the_oldest_missing_position():
-    lag = _lag.ReplicationLag()
+    lag = _replication_lag.ReplicationLag()
     assert lag.duration(3, _ZERO) == _ZERO
     assert _announce(lag, 5, 100)
     assert not _announce(lag, 5, 600)
@@ -26,11 +28,11 @@
 
 
 def test_lag_of_a_forwarded_announcement_starts_at_the_first_vm():
-    lag = _lag.ReplicationLag()
+    lag = _replication_lag.ReplicationLag()
     assert _announce(lag, 5, 1000, first_ms=300, confirmed_ms=200)
     assert lag.duration(3, builders.ms(1100)) == builders.ms(400)
-    passed_on = lag.word(3, builders.ms(1100))
-    assert passed_on == _lag.VersionAnnouncement(5, 400, 300)
+    passed_on = lag.announcement(3, builders.ms(1100))
+    assert passed_on == _replication_lag.VersionAnnouncement(5, 400, 300)
 
 
 @pytest.mark.parametrize(
@@ -45,39 +47,42 @@
 def test_known_or_expired_announcements_are_ignored(
     position, confirmed_ms, is_new
 ):
-    lag = _lag.ReplicationLag()
+    lag = _replication_lag.ReplicationLag()
     lag.on_read(4)
     result = _announce(lag, position, 5_000, confirmed_ms=confirmed_ms)
     assert result is is_new
 
 
 def test_lag_ends_when_no_vm_alive_has_the_rows():
-    lag = _lag.ReplicationLag()
+    lag = _replication_lag.ReplicationLag()
     _announce(lag, 5, 0)
     _announce(lag, 5, 900)
     assert lag.duration(3, builders.ms(2900)) == builders.ms(2900)
     assert lag.duration(3, builders.ms(2901)) == _ZERO
-    assert lag.word(3, builders.ms(2901)) is None
+    assert lag.announcement(3, builders.ms(2901)) is None
     assert not _announce(lag, 5, 4000)
     assert lag.duration(3, builders.ms(4000)) == builders.ms(4000)
 
 
 def test_two_vms_do_not_keep_an_announcement_alive():
-    first, second = _lag.ReplicationLag(), _lag.ReplicationLag()
+    first, second = (
+        _replication_lag.ReplicationLag(),
+        _replication_lag.ReplicationLag(),
+    )
     _announce(first, 5, 0)
     for at in range(0, 6000, 500):
         for sender, receiver in ((first, second), (second, first)):
-            word = sender.word(3, builders.ms(at))
-            if word is not None:
-                receiver.on_announcement(word, 3, builders.ms(at))
+            announcement = sender.announcement(3, builders.ms(at))
+            if announcement is not None:
+                receiver.on_announcement(announcement, 3, builders.ms(at))
     assert first.duration(3, builders.ms(2001)) == _ZERO
     assert second.duration(3, builders.ms(2001)) == _ZERO
 
 
 def _send_heartbeat(receiver, sender, now):
-    beat = sender.heartbeat(now, introduce=True)
+    beat = sender.heartbeat(now, include_address=True)
     receiver.members.on_heartbeat(beat, now)
-    return receiver.freshness.on_beat(beat, now)
+    return receiver.freshness.on_heartbeat(beat, now)
 
 
 # Guards against a VM that serves by old routes because none of its neighbours
@@ -92,8 +97,10 @@
             _send_heartbeat(far, middle, now),
         )
         assert is_new == (i == 0, i == 0)
-    assert middle.freshness.behind(builders.ms(2500)) == builders.ms(2500)
-    assert far.freshness.behind(builders.ms(2500)) == builders.ms(2500)
+    assert middle.freshness.replication_lag(builders.ms(2500)) == builders.ms(
+        2500
+    )
+    assert far.freshness.replication_lag(builders.ms(2500)) == builders.ms(2500)
 
 
 def test_vm_that_read_a_later_store_version_has_no_lag():
@@ -102,16 +109,16 @@
     other = builders.entry_vm(vm="vm-2")
     other.log.on_operators(150)
     _send_heartbeat(vm, other, _ZERO)
-    assert vm.freshness.behind(builders.ms(500)) == builders.ms(500)
+    assert vm.freshness.replication_lag(builders.ms(500)) == builders.ms(500)
     vm.log.on_operators(100)
     vm.freshness.on_operators_read(500)
     _send_heartbeat(vm, other, builders.ms(500))
-    assert vm.freshness.behind(builders.ms(600)) == _ZERO
+    assert vm.freshness.replication_lag(builders.ms(600)) == _ZERO
 
 
 def test_vm_is_behind_any_newer_position():
     vm = builders.entry_vm()
     own = vm.log.position
-    assert not vm.lacks(own)
-    assert vm.lacks(entry.Position(0, own.servers + 1))
-    assert vm.lacks(entry.Position(own.operators + 1, 0))
+    assert not vm.is_behind(own)
+    assert vm.is_behind(entry.Position(0, own.servers + 1))
+    assert vm.is_behind(entry.Position(own.operators + 1, 0))
--- a/dragonflystack/entry/tests/test_store_returned.py
+++ b/dragonflystack/entry/tests/test_store_returned.py
@@ -40,7 +40,7 @@
 
 
 def _may_serve(vm, name):
-    server = vm.book.get(ids.BackendServerId(name))
+    server = vm.registry.get(ids.BackendServerId(name))
     return server is not None and server.may_serve()
 
 
@@ -132,8 +132,8 @@
     _restore_store(vm, _row("s0", 5, era=2), _row("s1", 6, era=2))
     late = _listing(_row("s0", 5), number=70, removed=["s1"])
     changes = _read(vm, late, 5_200)
-    assert changes == entry.Changes()
-    assert vm.on_tick(builders.ms(_SETTLED_MS)) == entry.Changes()
+    assert changes == entry.ServerChanges()
+    assert vm.on_tick(builders.ms(_SETTLED_MS)) == entry.ServerChanges()
     assert _may_serve(vm, "s1")
 
 
@@ -150,8 +150,8 @@
     _restore_store(vm, _row("s0", 5, era=2))
     vm.on_evacuated(frozenset(copy), builders.ms(_RESTORE_MS))
     assert vm.evacuated == before
-    assert not vm.is_settled(builders.ms(_RESTORE_MS))
-    assert vm.is_settled(builders.ms(_SETTLED_MS))
+    assert not vm.is_store_repopulated(builders.ms(_RESTORE_MS))
+    assert vm.is_store_repopulated(builders.ms(_SETTLED_MS))
     vm.on_evacuated(frozenset(copy), builders.ms(_SETTLED_MS))
     assert vm.evacuated == copy
 
@@ -170,9 +170,9 @@
     now = builders.ms(at_ms)
     if sender.log.position <= receiver.log.position:
         return False
-    news = sender.news_since(receiver.log.position)
+    news = sender.changes_since(receiver.log.position)
     receiver.on_store_era(entry.era_of(news.position.latest), now)
-    receiver.on_news(news, now)
+    receiver.on_replicated_changes(news, now)
     return True
 
 
@@ -195,5 +195,5 @@
     starting_vm = builders.entry_vm()
     assert _send_changes(new, starting_vm, 5_500)
     late = _listing(_row("s9", 60), number=70)
-    assert _read(starting_vm, late, 5_600) == entry.Changes()
+    assert _read(starting_vm, late, 5_600) == entry.ServerChanges()
     assert _may_serve(starting_vm, "s0") and not _may_serve(starting_vm, "s9")
