Bring the limits' and replication's local names to the joint terms

Change: they say heartbeat, announcement, changes and registry; the heartbeat's positional field `heard` is `announcement`.

--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -95,7 +95,7 @@
             confirm_after: how long the removal of many entries at once stays
                 unconfirmed.
         """
-        self._book = registry
+        self._registry = registry
         self._departures = departures
         self.confirm_after = confirm_after
         """Must be less than the users' bound on requests to backend servers
@@ -163,9 +163,9 @@
             if self._departures.includes(entry):
                 entry = dataclasses.replace(entry, leaving=True)
             self._missing.pop(entry.id, None)
-            before = self._book.get(entry.id)
+            before = self._registry.get(entry.id)
             was_leaving = before is not None and before.entry.leaving
-            server, is_new = self._book.on_entry(entry, now)
+            server, is_new = self._registry.on_entry(entry, now)
             if is_new:
                 added.append(server)
             if entry.leaving and not was_leaving:
@@ -219,14 +219,16 @@
         return removed
 
     def _is_mass_removal(self, lost: set[ids.BackendServerId]) -> bool:
-        """Returns whether so many entries disappeared that they may be expired.
+        """Returns whether so many entries are lost that they may have expired.
 
         Backend servers that were announced as leaving do not count.
         """
-        known = collections.Counter(s.entry.service for s in self._book.all())
+        known = collections.Counter(
+            s.entry.service for s in self._registry.all()
+        )
         unannounced = collections.Counter(
             server.entry.service
-            for server in map(self._book.get, lost)
+            for server in map(self._registry.get, lost)
             if server is not None and not server.entry.leaving
         )
         return any(
@@ -277,7 +279,7 @@
 
         It is not if other VMs reported an entry written after the listing.
         """
-        server = self._book.get(server_id)
+        server = self._registry.get(server_id)
         return server is None or server.entry.row_version <= version
 
     def _find_lost(self, listing: Listing) -> set[ids.BackendServerId]:
@@ -285,7 +287,7 @@
         lost = set(listing.removed)
         if listing.whole:
             present = {entry.id for entry in listing.entries}
-            lost |= {s.entry.id for s in self._book.all()} - present
+            lost |= {s.entry.id for s in self._registry.all()} - present
         return {
             server_id
             for server_id in lost
@@ -305,7 +307,7 @@
         """
         dropped = []
         for server_id, version in missing.items():
-            server = self._book.on_gone(server_id)
+            server = self._registry.on_gone(server_id)
             self._remember_removal(server_id, version, server)
             if server is not None:
                 dropped.append(server)
--- a/dragonflystack/entry/_freshness.py
+++ b/dragonflystack/entry/_freshness.py
@@ -23,7 +23,7 @@
     ):
         self._members = members
         self._log = log
-        self._replication_lag = _replication_lag.ReplicationLag()
+        self._lag = _replication_lag.ReplicationLag()
         self._watched: set[_replication.Table] = set()
         """The tables that this VM's own watches cover at present."""
 
@@ -50,7 +50,7 @@
 
     def on_operators_read(self, version: int) -> None:
         """Records the store version up to which operators' rows were read."""
-        self._replication_lag.on_read(version)
+        self._lag.on_read(version)
 
     def store_view_age(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns the time since the last contact with a working watch.
@@ -74,12 +74,10 @@
 
         None if this VM knows of no newer rows.
         """
-        return self._replication_lag.announcement(
-            self._log.position.operators, now
-        )
+        return self._lag.announcement(self._log.position.operators, now)
 
     def on_heartbeat(
-        self, beat: _members.Heartbeat, now: datetime.timedelta
+        self, heartbeat: _members.Heartbeat, now: datetime.timedelta
     ) -> bool:
         """Records which operators' rows the sender has or knows to exist.
 
@@ -87,20 +85,22 @@
             Whether this VM learns for the first time of rows that it lacks.
         """
         known = self._log.position.operators
-        is_new = self._replication_lag.on_announcement(
-            _replication_lag.VersionAnnouncement(beat.position.operators, 0, 0),
+        is_new = self._lag.on_announcement(
+            _replication_lag.VersionAnnouncement(
+                heartbeat.position.operators, 0, 0
+            ),
             known,
             now,
         )
-        if beat.heard is not None:
-            is_new |= self._replication_lag.on_announcement(
-                beat.heard, known, now
+        if heartbeat.announcement is not None:
+            is_new |= self._lag.on_announcement(
+                heartbeat.announcement, known, now
             )
         return is_new
 
     def replication_lag(self, now: datetime.timedelta) -> datetime.timedelta:
         """Returns for how long other VMs have had rows that this VM lacks."""
-        return self._replication_lag.duration(self._log.position.operators, now)
+        return self._lag.duration(self._log.position.operators, now)
 
     def should_watch(self, now: datetime.timedelta) -> bool:
         """Returns whether this VM should watch the store itself."""
--- a/dragonflystack/entry/_members.py
+++ b/dragonflystack/entry/_members.py
@@ -118,7 +118,7 @@
     """Objects that backend servers cached, as observed by the sender or
     reported to it."""
 
-    heard: _replication_lag.VersionAnnouncement | None = None
+    announcement: _replication_lag.VersionAnnouncement | None = None
     """Announces the latest operators' rows that the sender lacks."""
 
 
@@ -169,15 +169,15 @@
             addresses: the addresses of the VMs.
             of_all_regions: whether the list contains the whole fleet.
         """
-        known_vms = list(addresses)
+        listed = list(addresses)
         if of_all_regions:
-            self.fleet_size = max(self.fleet_size or 1, len(known_vms))
+            self.fleet_size = max(self.fleet_size or 1, len(listed))
         self.has_vm_list = True
-        for address in known_vms:
+        for address in listed:
             self._add_member(address)
 
     def on_heartbeat(
-        self, beat: Heartbeat, now: datetime.timedelta
+        self, heartbeat: Heartbeat, now: datetime.timedelta
     ) -> Member | None:
         """Handles a received heartbeat.
 
@@ -189,26 +189,26 @@
             UnknownVmError: if the sender is unknown and did not send its
                 address.
         """
-        if beat.address is not None:
-            self._add_member(beat.address)
-        member = self._members.get(beat.vm)
+        if heartbeat.address is not None:
+            self._add_member(heartbeat.address)
+        member = self._members.get(heartbeat.vm)
         if member is None:
-            if beat.address is None and beat.vm != self.own.vm:
-                raise UnknownVmError(beat.vm)
+            if heartbeat.address is None and heartbeat.vm != self.own.vm:
+                raise UnknownVmError(heartbeat.vm)
             return None
         was_alive = self._is_alive(member, now)
         changed = (
-            member.incarnation != beat.incarnation
-            or member.phase is not beat.phase
+            member.incarnation != heartbeat.incarnation
+            or member.phase is not heartbeat.phase
         )
-        if beat.address is not None:
-            member.address = beat.address
-        member.incarnation = beat.incarnation
-        member.phase = beat.phase
+        if heartbeat.address is not None:
+            member.address = heartbeat.address
+        member.incarnation = heartbeat.incarnation
+        member.phase = heartbeat.phase
         member.heard_at = now
         member.unanswered_since = None
-        member.expects_heartbeats = beat.is_neighbour
-        member.beat = beat
+        member.expects_heartbeats = heartbeat.is_neighbour
+        member.beat = heartbeat
         return member if changed or not was_alive else None
 
     def on_tick(self, now: datetime.timedelta) -> None:
@@ -247,17 +247,19 @@
                 member.unanswered_since = None
             elif member.unanswered_since is None:
                 member.unanswered_since = now
-        found = [(member, True) for member in near.values()]
+        targets = [(member, True) for member in near.values()]
         if probes_silent:
-            found.extend((m, True) for v, m in silent.items() if v not in near)
-        found.extend(
+            targets.extend(
+                (m, True) for v, m in silent.items() if v not in near
+            )
+        targets.extend(
             (member, False)
             for vm, member in self._members.items()
             if member.expects_heartbeats
             and vm not in near
             and self._is_alive(member, now)
         )
-        return tuple(found)
+        return tuple(targets)
 
     def _collect_neighbours(
         self,
@@ -315,14 +317,14 @@
 
     def serving_addresses(self, now: datetime.timedelta) -> tuple[str, ...]:
         """Returns the addresses for callers of the VMs that serve."""
-        serving_addresses = [
+        addresses = [
             m.address.callers
             for m in self.alive(now)
             if m.phase is Phase.SERVING
         ]
         if self.phase is Phase.SERVING:
-            serving_addresses.append(self.own.callers)
-        return tuple(sorted(serving_addresses)[:_MAX_ADDRESSES])
+            addresses.append(self.own.callers)
+        return tuple(sorted(addresses)[:_MAX_ADDRESSES])
 
     def _add_member(self, address: VmAddress) -> None:
         if address.vm == self.own.vm or address.region != self.own.region:
--- a/dragonflystack/entry/_quota_empty.py
+++ b/dragonflystack/entry/_quota_empty.py
@@ -26,7 +26,8 @@
     """The owner of the shard."""
 
     ASKER = "asker"
-    """A VM that requested tokens from this one; the shard's owner told it."""
+    """A VM that requested tokens from this one; it learnt it from the shard's
+    owner."""
 
     OTHER_OWNER = "other-owner"
     """The owner of another shard."""
--- a/dragonflystack/entry/_quotas.py
+++ b/dragonflystack/entry/_quotas.py
@@ -75,8 +75,8 @@
 class AskOwner:
     """Send a token request, and pass the result to `Quotas.on_token_response`.
 
-    The fields other than `peers`, `message` and `answer_timeout` are the state of
-    the admission for the next step.
+    The fields other than `peers`, `message` and `answer_timeout` keep the state
+    of the admission for the next step.
     """
 
     owner: ids.VmId
--- a/dragonflystack/entry/_replication_lag.py
+++ b/dragonflystack/entry/_replication_lag.py
@@ -37,6 +37,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _Announced:
+    """When a position was first announced, and when last confirmed."""
+
     first: datetime.timedelta
     confirmed: datetime.timedelta
 
@@ -77,12 +79,12 @@
         if now - confirmed > CONFIRMATION_TTL:
             return False
         first = now - announcement.first_heard_ms * _MILLISECOND
-        heard = self._announced.get(position)
-        if heard is None:
+        announced = self._announced.get(position)
+        if announced is None:
             self._announced[position] = _Announced(first, confirmed)
             return True
-        heard.first = min(heard.first, first)
-        heard.confirmed = max(heard.confirmed, confirmed)
+        announced.first = min(announced.first, first)
+        announced.confirmed = max(announced.confirmed, confirmed)
         return False
 
     def announcement(
@@ -92,23 +94,23 @@
 
         None if this VM lacks no rows that it knows of.
         """
-        lacking = self._missing(known, now)
-        if not lacking:
+        missing = self._missing(known, now)
+        if not missing:
             return None
-        position = max(lacking)
-        heard = lacking[position]
+        position = max(missing)
+        announced = missing[position]
         return VersionAnnouncement(
             position,
-            round((now - heard.first) / _MILLISECOND),
-            round((now - heard.confirmed) / _MILLISECOND),
+            round((now - announced.first) / _MILLISECOND),
+            round((now - announced.confirmed) / _MILLISECOND),
         )
 
     def duration(
         self, known: int, now: datetime.timedelta
     ) -> datetime.timedelta:
         """Returns for how long this VM has lagged; zero if it does not."""
-        lacking = self._missing(known, now).values()
-        return now - min(h.first for h in lacking) if lacking else _ZERO
+        missing = self._missing(known, now).values()
+        return now - min(a.first for a in missing) if missing else _ZERO
 
     def _missing(
         self, known: int, now: datetime.timedelta
@@ -116,14 +118,15 @@
         """Returns the announcements that are valid and ahead of this VM."""
         least = max(known, self._read_position)
         return {
-            position: heard
-            for position, heard in self._announced.items()
-            if position > least and now - heard.confirmed <= CONFIRMATION_TTL
+            position: announced
+            for position, announced in self._announced.items()
+            if position > least
+            and now - announced.confirmed <= CONFIRMATION_TTL
         }
 
     def _prune(self, known: int, now: datetime.timedelta) -> None:
         least = max(known, self._read_position)
-        for position, heard in tuple(self._announced.items()):
-            old = now - heard.confirmed > _RETENTION
+        for position, announced in tuple(self._announced.items()):
+            old = now - announced.confirmed > _RETENTION
             if position <= least or old:
                 del self._announced[position]
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -138,8 +138,8 @@
     discovery.on_listing(removal, builders.ms(10))
     assert _known_ids(registry) == {"s2"}
     reported = builders.server("s1", sequence=9, row_version=row_version)
-    news = entry.Listing((reported,), (), False, 30)
-    discovery.on_listing(news, builders.ms(20), False)
+    listing = entry.Listing((reported,), (), False, 30)
+    discovery.on_listing(listing, builders.ms(20), False)
     assert ("s1" in _known_ids(registry)) is known
 
 
--- a/dragonflystack/entry/tests/test_outdated.py
+++ b/dragonflystack/entry/tests/test_outdated.py
@@ -22,9 +22,9 @@
     """Delivers a heartbeat of a neighbour that has newer operators' rows."""
     other = builders.entry_vm(vm="vm-2")
     other.log.on_operators(vm.log.position.operators + 5)
-    beat = other.heartbeat(now, include_address=True)
-    vm.members.on_heartbeat(beat, now)
-    vm.freshness.on_heartbeat(beat, now)
+    heartbeat = other.heartbeat(now, include_address=True)
+    vm.members.on_heartbeat(heartbeat, now)
+    vm.freshness.on_heartbeat(heartbeat, now)
 
 
 def _open(vm, now):
@@ -99,8 +99,8 @@
     for at in (builders.ms(1400), builders.ms(1600)):
         builders.watch(neighbour, at)
         _announce_newer_rows(vm, at)
-        beat = neighbour.heartbeat(at, include_address=True)
-        vm.members.on_heartbeat(beat, at)
+        heartbeat = neighbour.heartbeat(at, include_address=True)
+        vm.members.on_heartbeat(heartbeat, at)
         assert vm.freshness.store_view_age(at) == builders.ms(0)
     assert not vm.freshness.should_watch_operators(builders.ms(1400))
     assert vm.freshness.should_watch_operators(builders.ms(1600))
--- a/dragonflystack/entry/tests/test_quotas.py
+++ b/dragonflystack/entry/tests/test_quotas.py
@@ -83,7 +83,7 @@
                     at, functools.partial(self._fleet.read_table, name)
                 )
                 at += 1000
-        faults_by_kind = (
+        fault_methods = (
             self._restart,
             self._restart,
             self._partition,
@@ -93,7 +93,7 @@
             self._restart_half,
         )
         for _ in range(faults):
-            self._rng.choice(faults_by_kind)(self._rng.uniform(0, self._length))
+            self._rng.choice(fault_methods)(self._rng.uniform(0, self._length))
 
     def change_limit(self, limit: _quota_shards.QuotaLimit) -> None:
         at = self._rng.uniform(0, self._length / 2)
@@ -540,7 +540,7 @@
 
 
 def test_owner_forwards_empty_shards_to_other_vms():
-    """A VM that asks an owner learns what another VM told that owner."""
+    """A VM that asks an owner learns what another VM reported to that owner."""
     owner = _make_quotas(_OWNERS[0])
     position_indexes = owner.owners.place_shards(quota_fleet.CUSTOMER)
     own = next(
--- a/dragonflystack/entry/tests/test_replication.py
+++ b/dragonflystack/entry/tests/test_replication.py
@@ -30,11 +30,11 @@
             receiver = member.address.vm
             if receiver in dead:
                 continue
-            beat = vm.heartbeat(now, is_neighbour, include_address=True)
-            vms[receiver].members.on_heartbeat(beat, now)
-            if beat.position > vms[receiver].log.position:
-                news = vm.changes_since(vms[receiver].log.position)
-                vms[receiver].on_replicated_changes(news, now)
+            heartbeat = vm.heartbeat(now, is_neighbour, include_address=True)
+            vms[receiver].members.on_heartbeat(heartbeat, now)
+            if heartbeat.position > vms[receiver].log.position:
+                changes = vm.changes_since(vms[receiver].log.position)
+                vms[receiver].on_replicated_changes(changes, now)
     for name, vm in vms.items():
         if name not in dead:
             vm.on_tick(now)
@@ -130,8 +130,8 @@
     log = _replication.ReplicationLog()
     log.on_servers(1, (builders.server("s"),), (), whole=False)
     log.on_servers(2, (), (ids.BackendServerId("s"),), whole=False)
-    news = log.since(_replication.Position(), None, 0, frozenset(), ())
-    assert news.entries == () and news.gone == ("s",)
+    changes = log.since(_replication.Position(), None, 0, frozenset(), ())
+    assert changes.entries == () and changes.gone == ("s",)
 
 
 @pytest.mark.parametrize("from_store", [True, False])
--- a/dragonflystack/entry/tests/test_replication_lag.py
+++ b/dragonflystack/entry/tests/test_replication_lag.py
@@ -80,9 +80,9 @@
 
 
 def _send_heartbeat(receiver, sender, now):
-    beat = sender.heartbeat(now, include_address=True)
-    receiver.members.on_heartbeat(beat, now)
-    return receiver.freshness.on_heartbeat(beat, now)
+    heartbeat = sender.heartbeat(now, include_address=True)
+    receiver.members.on_heartbeat(heartbeat, now)
+    return receiver.freshness.on_heartbeat(heartbeat, now)
 
 
 # Guards against a VM that serves by old routes because none of its neighbours
--- a/dragonflystack/entry/tests/test_store_returned.py
+++ b/dragonflystack/entry/tests/test_store_returned.py
@@ -47,7 +47,7 @@
 @pytest.mark.parametrize(
     ("eras", "rises"),
     [
-        pytest.param((1,), [False], id="first heard of"),
+        pytest.param((1,), [False], id="first known"),
         pytest.param((1, 1), [False, False], id="the same"),
         pytest.param((1, 2), [False, True], id="returned"),
         pytest.param((2, 1, 2), [False, False, False], id="a late answer"),
@@ -170,9 +170,9 @@
     now = builders.ms(at_ms)
     if sender.log.position <= receiver.log.position:
         return False
-    news = sender.changes_since(receiver.log.position)
-    receiver.on_store_era(entry.era_of(news.position.latest), now)
-    receiver.on_replicated_changes(news, now)
+    changes = sender.changes_since(receiver.log.position)
+    receiver.on_store_era(entry.era_of(changes.position.latest), now)
+    receiver.on_replicated_changes(changes, now)
     return True
 
 
