--- a/dragonflystack/entry/__init__.py
+++ b/dragonflystack/entry/__init__.py
@@ -1,18 +1,18 @@
-"""The decisions of an entry VM that serves callers of a platform.
+"""Routing decisions of an entry VM that serves callers of a platform.
 
-`EntryVm` is the entry point. A shell, a bench or a test tells it what happened
-and does what it answers:
+`EntryVm` is the entry point. An I/O shell, a benchmark or a test reports events
+to it and carries out the steps it returns:
 
     vm = entry.EntryVm(members, regions, bounds, settings, rng)
     vm.on_catalogue(catalogue)
     vm.on_listing(listing, position, now)
     exchange, step = vm.open(request, now)
-    # -> Send(server, time_left, patience)
+    # -> Send(server, time_left, answer_timeout)
     exchange.on_result(entry.Answered(200), now)
     # -> Deliver()
 
-Nothing in this package does I/O or reads a clock: an instant is the time since
-the origin of the process's monotonic clock, passed in as `now`.
+This package does no I/O and reads no clock. Instants are passed in as `now`,
+measured from the origin of the process's monotonic clock.
 """
 
 from dragonflystack.entry._access import Access
--- a/dragonflystack/entry/_budgets.py
+++ b/dragonflystack/entry/_budgets.py
@@ -1,10 +1,10 @@
-"""This VM's part of the repeats that the fleet may send to each service.
+"""This VM's part of the fleet's retry budget for each service.
 
-The operators bound the repeats of all VMs within a window by a share of the
-requests of that window and a number beyond it. Each VM keeps to the share for
-its own requests, and to its even part of the number, which may be less than
-one: it then repeats only what the share allows. The sum over any number of VMs
-keeps the bound.
+The operators limit the retries of all VMs within a window to a ratio of the
+requests in that window plus a fixed number. Each VM applies the ratio to its
+own requests and takes an equal part of the fixed number. That part may be less
+than one, in which case the VM retries only as the ratio allows. The retries of
+any number of VMs together stay within the limit.
 """
 
 import datetime
@@ -12,21 +12,21 @@
 from dragonflystack import ids
 from dragonflystack.entry import _settings
 
-_LEAST_FLEET = 8
-"""The fleet is taken to be at least this big."""
+_MIN_FLEET_SIZE = 8
+"""Assumed minimum number of VMs in the fleet."""
 
 _SLOTS = 20
-"""Parts into which a window is divided for counting."""
+"""Number of counting slots per window."""
 
 
 class _Counts:
-    """How many events there were lately, by slots of a window."""
+    """Counts recent events in the slots of a sliding window."""
 
     def __init__(self):
         self._by_slot: dict[int, int] = {}
 
     def add(self, slot: int) -> None:
-        """Counts an event."""
+        """Counts one event in a slot."""
         if slot not in self._by_slot:
             oldest = slot - _SLOTS
             self._by_slot = {
@@ -35,40 +35,44 @@
         self._by_slot[slot] = self._by_slot.get(slot, 0) + 1
 
     def since(self, slot: int) -> int:
-        """Returns how many events there were from a slot on."""
+        """Returns the number of events in a slot and those after it."""
         return sum(n for s, n in self._by_slot.items() if s >= slot)
 
 
 class RetryBudget:
-    """The repeats of one VM to one service."""
+    """Limits the retries of one VM to one service."""
 
     def __init__(self, ratio: float, extra: float, window: datetime.timedelta):
         self._ratio = ratio
         self._slot = window / _SLOTS
         self.extra = extra
-        """Repeats within a window beyond the share of the requests."""
+        """Retries allowed within a window in addition to the ratio."""
 
         self._requests = _Counts()
-        self._repeats = _Counts()
+        self._retries = _Counts()
 
     def on_request(self, now: datetime.timedelta) -> None:
-        """Counts a request of a caller."""
+        """Counts a new request of a caller."""
         self._requests.add(now // self._slot)
 
     def take(self, now: datetime.timedelta) -> bool:
-        """Counts a repeat if one is allowed; returns whether it is."""
+        """Takes one retry out of the budget; returns whether one was left."""
         slot = now // self._slot
-        # Requests of less than a window allow for the repeats of more than one.
+        # Slots are counted whole. Requests are summed over slightly less than a
+        # window and retries over slightly more, so the limit always holds.
         allowed = self._ratio * self._requests.since(slot - _SLOTS + 1)
         allowed += self.extra
-        if self._repeats.since(slot - _SLOTS) + 1 > allowed:
+        if self._retries.since(slot - _SLOTS) + 1 > allowed:
             return False
-        self._repeats.add(slot)
+        self._retries.add(slot)
         return True
 
 
 class RetryBudgets:
-    """One budget a service; their extra part follows the size of the fleet."""
+    """Retry budgets of one VM, one for each service.
+
+    The fixed number of retries of each budget shrinks as the fleet grows.
+    """
 
     def __init__(
         self,
@@ -77,12 +81,12 @@
         fleet_size: int,
     ):
         self._bounds = bounds
-        self._part = settings.retry_part
+        self._fraction = settings.retry_part
         self._fleet_size = fleet_size
         self._by_service: dict[ids.ServiceId, RetryBudget] = {}
 
     def on_fleet(self, size: int) -> None:
-        """Takes in how many VMs there are."""
+        """Updates the number of VMs in the fleet."""
         if size == self._fleet_size:
             return
         self._fleet_size = size
@@ -93,7 +97,7 @@
         """Returns the budget of a service."""
         budget = self._by_service.get(service)
         if budget is None:
-            ratio = self._bounds.retry_ratio * self._part
+            ratio = self._bounds.retry_ratio * self._fraction
             budget = RetryBudget(
                 ratio, self._extra(), self._bounds.retry_window
             )
@@ -101,6 +105,6 @@
         return budget
 
     def _extra(self) -> float:
-        """Returns this VM's part of the repeats beyond the share."""
-        fleet = max(_LEAST_FLEET, self._fleet_size)
-        return self._bounds.retry_extra * self._part / fleet
+        """Returns this VM's part of the fixed number of retries."""
+        fleet = max(_MIN_FLEET_SIZE, self._fleet_size)
+        return self._bounds.retry_extra * self._fraction / fleet
--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -1,11 +1,11 @@
-"""Which backend server gets a request: the one with the least expected cost.
-
-The cost of a backend server is the expected time until its answer (way, wait
-for a slot, work) and penalties for another region and for recent failures.
-Work is much shorter where the object is known, so objects are ranked over the
-backend servers, the same on every VM: the first in rank is taken to know the
-object, and only the first of each region gets requests on it, or the first few
-if it is asked for very often.
+"""Ranks the backend servers for a request by expected cost.
+
+The cost of a backend server is its expected latency (network round trip, wait
+for a slot, processing) plus penalties for another region and for recent
+failures. Processing is much faster where the object is cached. Each object
+therefore ranks the backend servers by a hash, the same on every VM. The first
+one is assumed to have the object cached. Only the first one of each region gets
+requests for the object, or the first few if the object is requested very often.
 """
 
 from collections.abc import Callable
@@ -26,31 +26,32 @@
 
 _ZERO = datetime.timedelta()
 _REMOTE_RANKS = 3
-"""Backend servers of another region that are looked at for a request that
-names no object."""
+"""Backend servers of each other region that are considered for a request
+without an object."""
 
 _MAX_CACHED_RANKINGS = 4_096
-_LIKELY = 0.5
-"""More likely than not."""
+_LIKELY_HIT = 0.5
+"""Above this probability, the object is assumed to be cached."""
 
 _COLD_FACTOR = 2.0
-"""Work at a cold backend server over that at others; the users' figure."""
+"""Processing time on a cold backend server relative to a warm one, as given by
+the users."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wanted:
-    """What a request needs of its backend server."""
+    """Requirements of a request on the backend server that serves it."""
 
     route: _catalogue.Route
     service: ids.ServiceId
     object_key: str | None
-    """Names the object it concerns, None if it names none."""
+    """Key of the requested object, None if the request names none."""
 
     regions: frozenset[ids.RegionId]
-    """The only regions that may serve it; any if empty."""
+    """Regions that may serve the request; empty if all may."""
 
     customer: _customers.Customer | None = None
-    """Whose request it is; see `_access.Access`."""
+    """Customer who sent the request; see `_access.Access`."""
 
     hides_key: bool = False
     """See `_access.Access`."""
@@ -58,33 +59,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
-    """A backend server weighed for a request."""
+    """A backend server and its estimated cost for a request."""
 
     server: _servers.Server
-    known: float
-    """How likely it knows the object, 0 to 1."""
+    hit_probability: float
+    """Probability that it has the object cached, 0 to 1."""
 
-    is_guess: bool
-    """Whether that is only because the object is placed there."""
+    is_assumed: bool
+    """Whether `hit_probability` only follows from the object's hash ranking."""
 
     wait: datetime.timedelta
     """Expected wait for a slot."""
 
-    work: datetime.timedelta
-    """Expected time of its work."""
+    processing_time: datetime.timedelta
+    """Expected (mean) processing time."""
 
-    likely_work: datetime.timedelta
-    """The work that more than half of such requests take."""
+    likely_processing_time: datetime.timedelta
+    """Processing time in the likelier case, cached or not."""
 
-    expected: datetime.timedelta
-    """Expected time until its answer is here."""
+    expected_latency: datetime.timedelta
+    """Expected time until this VM has the answer."""
 
     cost: datetime.timedelta
-    """Expected time and penalties; the least is chosen."""
+    """Expected latency plus penalties; the lowest cost is chosen."""
 
 
 class Chooser:
-    """Weighs backend servers for one VM."""
+    """Ranks backend servers for the requests of one VM."""
 
     def __init__(
         self,
@@ -108,7 +109,11 @@
     def on_round_trip(
         self, region: ids.RegionId, round_trip: datetime.timedelta
     ) -> None:
-        """Takes in how long a connection to a region took to open."""
+        """Updates the round trip to a region from a connection's set-up time.
+
+        A shorter time replaces the estimate at once; a longer one raises it
+        slowly.
+        """
         before = self._round_trips.get(region)
         if before is None or round_trip < before:
             self._round_trips[region] = round_trip
@@ -116,32 +121,41 @@
             self._round_trips[region] = before + (round_trip - before) * 0.05
 
     def round_trip(self, region: ids.RegionId) -> datetime.timedelta:
-        """Returns the way to a region and back."""
+        """Returns the estimated round trip to a region, 0 for the own one."""
         if region == self._region:
             return _ZERO
         default = self._settings.remote_round_trip
         return self._round_trips.get(region, default)
 
     def on_request(self, wanted: Wanted) -> None:
-        """Counts a request of a caller."""
+        """Counts a new request of a caller for the object's popularity."""
         if wanted.object_key is not None:
             self._popularity.on_request(wanted.service, wanted.object_key)
 
-    def on_work(
+    def on_completed(
         self,
         route: _catalogue.Route,
         candidate: Candidate,
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Takes in how long a send took until its answer."""
+        """Updates processing times and waits from an attempt that completed.
+
+        Args:
+            route: the request's route.
+            candidate: the backend server that answered.
+            elapsed: the time from the send to the answer.
+            now: the time.
+        """
         server = candidate.server
         service = server.entry.service
-        there = elapsed - self.round_trip(server.region)
-        work = there - candidate.wait
-        if work > _ZERO:
-            self._times.on_measured(route, service, work, candidate.is_guess)
-        wait = there - self._times.likely(route, service, there)
+        at_server = elapsed - self.round_trip(server.region)
+        processing_time = at_server - candidate.wait
+        if processing_time > _ZERO:
+            self._times.on_measured(
+                route, service, processing_time, candidate.is_assumed
+            )
+        wait = at_server - self._times.likely_within(route, service, at_server)
         self._waits.on_wait(service, server.region, wait, now)
 
     def on_overdue(
@@ -150,29 +164,35 @@
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Takes in how long a send had no answer when its time was over.
+        """Updates waits from an attempt without an answer at its deadline.
 
-        It may have been at work; half of that is taken to be left.
+        The request may have been in processing by then. It is assumed to have
+        had half of its processing time.
+
+        Args:
+            candidate: the backend server that did not answer.
+            elapsed: the time since the send.
+            now: the time.
         """
         server = candidate.server
-        there = elapsed - self.round_trip(server.region)
-        wait = there - candidate.likely_work / 2
+        at_server = elapsed - self.round_trip(server.region)
+        wait = at_server - candidate.likely_processing_time / 2
         self._waits.on_wait(server.entry.service, server.region, wait, now)
 
-    def weigh(
+    def rank_candidates(
         self,
         wanted: Wanted,
         may_use: Callable[[_servers.Server], bool],
         now: datetime.timedelta,
         tried: Container[ids.BackendServerId] = (),
     ) -> list[Candidate]:
-        """Returns the backend servers that may serve, cheapest first.
+        """Returns the backend servers that may serve a request, cheapest first.
 
         Args:
-            wanted: what is asked for.
-            may_use: tells which backend servers may get requests now.
+            wanted: the request's requirements.
+            may_use: returns whether a backend server may get requests now.
             now: the time.
-            tried: those that are passed over, as it was sent there already.
+            tried: backend servers to skip because they got the request before.
         """
         candidates: list[Candidate] = []
         for region, servers in self._ranked(wanted).items():
@@ -197,20 +217,20 @@
         return candidates
 
     def _ranks(self, wanted: Wanted, region: ids.RegionId, servers: int) -> int:
-        """Returns how many backend servers of a region are looked at.
+        """Returns how many backend servers of a region are considered.
 
-        A backend server remembers a bounded number of objects, so each object
-        is kept to one in a region, or to more if it is asked for so often that
-        it would fill a good part of one.
+        A backend server caches a limited number of objects. Requests for an
+        object therefore go to few backend servers of a region, and to more only
+        if they would fill a large part of one backend server's capacity.
         """
-        near = region == self._region
+        is_own = region == self._region
         if wanted.route.sticky and wanted.object_key is not None:
-            if not near:
+            if not is_own:
                 return 1
-            part = self._popularity.part(wanted.service, wanted.object_key)
-            more = int(part * servers / self._settings.hot_part)
+            share = self._popularity.share(wanted.service, wanted.object_key)
+            more = int(share * servers / self._settings.hot_part)
             return self._settings.object_ranks + more
-        return servers if near else _REMOTE_RANKS
+        return servers if is_own else _REMOTE_RANKS
 
     def _candidate(
         self,
@@ -224,14 +244,20 @@
         load = server.load(now)
         if load >= slots * self._settings.queue_slots:
             return None
-        known, is_guess = self._known(wanted, server, first)
-        work_known = self._times.expect(route, wanted.service, True)
-        work_new = self._times.expect(route, wanted.service, False)
-        work = work_known * known + work_new * (1 - known)
-        likely = work_known if known > _LIKELY else work_new
+        hit_probability, is_assumed = self._hit_probability(
+            wanted, server, first
+        )
+        cached_time = self._times.expect(route, wanted.service, True)
+        uncached_time = self._times.expect(route, wanted.service, False)
+        processing_time = cached_time * hit_probability + uncached_time * (
+            1 - hit_probability
+        )
+        likely_time = (
+            cached_time if hit_probability > _LIKELY_HIT else uncached_time
+        )
         if server.is_cold(now):
-            work *= _COLD_FACTOR
-            likely *= _COLD_FACTOR
+            processing_time *= _COLD_FACTOR
+            likely_time *= _COLD_FACTOR
         ahead = load + 1 - slots
         wait = _ZERO
         if ahead > 0:
@@ -240,11 +266,13 @@
         if now - server.load_known_at > self._settings.load_trusted:
             seen = self._waits.expect(wanted.service, server.region, now)
             wait = max(wait, seen)
-        way = self.round_trip(server.region)
-        expected = way + wait + work
-        cost = expected
+        round_trip = self.round_trip(server.region)
+        expected_latency = round_trip + wait + processing_time
+        cost = expected_latency
         if not first or server.region != self._region:
-            cost += (work - work_known) * self._settings.warmup_penalty
+            cost += (
+                processing_time - cached_time
+            ) * self._settings.warmup_penalty
         if server.region != self._region:
             cost += self._settings.remote_penalty
         rate = server.failure_rate(now)
@@ -253,23 +281,34 @@
                 rate * self._settings.failure_penalty
             )
         return Candidate(
-            server, known, is_guess, wait, work, likely, expected, cost
+            server,
+            hit_probability,
+            is_assumed,
+            wait,
+            processing_time,
+            likely_time,
+            expected_latency,
+            cost,
         )
 
-    def _known(
+    def _hit_probability(
         self, wanted: Wanted, server: _servers.Server, first: bool
     ) -> tuple[float, bool]:
-        """Returns how likely a backend server knows the object.
+        """Returns the probability that a backend server has the object cached.
+
+        The first backend server in the object's ranking may have it from
+        requests of other VMs, which use the same ranking.
 
-        Other VMs send an object to its first choice as well.
+        Returns:
+            The probability, and whether it only follows from the ranking.
         """
         if not wanted.route.sticky or wanted.object_key is None:
             return 0.0, False
-        if server.knows(_sightings.hash_object(wanted.object_key)):
+        if server.has_cached(_sightings.hash_object(wanted.object_key)):
             return 1.0, False
         if not first:
             return 0.0, False
-        return 1.0 - self._times.new_part(wanted.route), True
+        return 1.0 - self._times.miss_rate(wanted.route), True
 
     def _ranked(
         self, wanted: Wanted
--- a/dragonflystack/entry/_cold.py
+++ b/dragonflystack/entry/_cold.py
@@ -1,9 +1,9 @@
-"""Keeps a cold backend server within its bound, without agreement.
+"""Limits requests to cold backend servers without coordination between VMs.
 
-The bound holds for all VMs together. Each cold backend server is dealt to a
-few VMs of its region by rank; only they send to it, each at most its part of
-the bound in any second. While VMs disagree about who is alive, some more may
-think it theirs; the parts leave room for one.
+The limit holds for all VMs together. A hash ranking assigns each cold backend
+server to a few VMs of its region. Only these send to it, each at most its share
+of the limit in any second. While VMs disagree about which VMs are alive, one
+more VM may consider itself assigned; the shares leave room for it.
 """
 
 import collections
@@ -16,11 +16,11 @@
 from dragonflystack.entry import _settings
 
 _WINDOW = datetime.timedelta(seconds=1)
-"""The users bound requests to a cold backend server by the second."""
+"""The users limit requests to a cold backend server per second."""
 
 
 class ColdPacer:
-    """The requests that this VM sent to cold backend servers lately."""
+    """Limits the rate of this VM's requests to cold backend servers."""
 
     def __init__(
         self,
@@ -37,13 +37,13 @@
             ids.BackendServerId, collections.deque[datetime.timedelta]
         ] = {}
         self._vms: tuple[ids.VmId, ...] = (vm,)
-        self._owners: dict[ids.BackendServerId, bool] = {}
+        self._owned: dict[ids.BackendServerId, bool] = {}
 
     def on_vms(self, vms: tuple[ids.VmId, ...]) -> None:
-        """Takes in the live VMs of the own region, this one included."""
+        """Updates the live VMs of the own region, this one included."""
         if vms != self._vms:
             self._vms = vms
-            self._owners.clear()
+            self._owned.clear()
 
     def may_send(
         self,
@@ -51,7 +51,13 @@
         policy: _catalogue.ServicePolicy,
         now: datetime.timedelta,
     ) -> bool:
-        """Returns whether this VM may send one more request to it now."""
+        """Returns whether this VM may send one more request to it now.
+
+        Args:
+            server: a cold backend server.
+            policy: the policy of its service, with the rate for cold servers.
+            now: the time.
+        """
         if server.region != self._region or not self._owns(server.entry.id):
             return False
         sent = self._sent.get(server.entry.id)
@@ -62,14 +68,14 @@
         return len(sent) < self._allowance(policy)
 
     def on_sent(self, server: _servers.Server, now: datetime.timedelta) -> None:
-        """Notes a request sent to a cold backend server."""
+        """Counts a request that was sent to a cold backend server."""
         sent = self._sent.setdefault(server.entry.id, collections.deque())
         sent.append(now)
 
     def forget(self, server_id: ids.BackendServerId) -> None:
-        """Drops what is known of a backend server that is gone."""
+        """Drops the state of a backend server that is gone."""
         self._sent.pop(server_id, None)
-        self._owners.pop(server_id, None)
+        self._owned.pop(server_id, None)
 
     def _allowance(self, policy: _catalogue.ServicePolicy) -> int:
         bound = policy.cold_rate * self._bounds.cold_factor
@@ -77,9 +83,9 @@
         return int(bound * self._settings.cold_share)
 
     def _owns(self, server_id: ids.BackendServerId) -> bool:
-        owns = self._owners.get(server_id)
+        owns = self._owned.get(server_id)
         if owns is None:
             ranked = _ranking.rank(server_id, self._vms, str)
             owns = self._vm in ranked[: self._settings.cold_owners]
-            self._owners[server_id] = owns
+            self._owned[server_id] = owns
         return owns
--- a/dragonflystack/entry/_context.py
+++ b/dragonflystack/entry/_context.py
@@ -1,4 +1,4 @@
-"""What the exchange of one request asks of its VM, and tells it."""
+"""Interface between the exchange of one request and its VM."""
 
 from collections.abc import Container
 import datetime
@@ -13,7 +13,7 @@
 
 
 class Context(Protocol):
-    """What an exchange asks of its VM."""
+    """Operations of the VM that an exchange uses."""
 
     rng: random.Random
 
@@ -21,12 +21,12 @@
     def late_wait_part(self) -> float:
         """See `ChoiceSettings.late_wait_part`."""
 
-    def spent_before(
+    def waited_before_arrival(
         self, route: _catalogue.Route, request: _messages.Request
     ) -> datetime.timedelta:
-        """Returns how long the caller had waited when the request came."""
+        """Returns how long the caller had waited when the request arrived."""
 
-    def weigh(
+    def rank_candidates(
         self,
         wanted: _choice.Wanted,
         now: datetime.timedelta,
@@ -35,22 +35,22 @@
         """Returns the backend servers that may be used, cheapest first.
 
         Args:
-            wanted: what is asked for.
+            wanted: the request's requirements.
             now: the time.
-            tried: those that are passed over, as it was sent there already.
+            tried: backend servers to skip because they got the request before.
         """
 
-    def place(
+    def choose_candidate(
         self,
         wanted: _choice.Wanted,
         candidates: list[_choice.Candidate],
         now: datetime.timedelta,
     ) -> _choice.Candidate:
-        """Returns the one that serves, as the shares of regions allow.
+        """Returns the candidate to use, within the shares of the regions.
 
         Args:
-            wanted: what is asked for.
-            candidates: one or more, cheapest first.
+            wanted: the request's requirements.
+            candidates: at least one candidate, cheapest first.
             now: the time.
         """
 
@@ -59,32 +59,37 @@
     ) -> bool:
         """Returns whether a request may be written to a backend server now."""
 
-    def on_loss(self, now: datetime.timedelta) -> None:
-        """Notes that a backend server was lost."""
+    def on_server_loss(self, now: datetime.timedelta) -> None:
+        """Records that a backend server became unreachable."""
 
-    def may_resend(
+    def take_retry(
         self, service: ids.ServiceId, now: datetime.timedelta
     ) -> bool:
-        """Takes one repeat out of the retry budget, if there is one."""
+        """Takes one retry out of the budget; returns whether one was left."""
 
     def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
-        """Returns when an answer that has not come shows trouble."""
+        """Returns the time after which a missing answer is a sign of failure.
 
-    def free_in(
+        The time counts from the send.
+        """
+
+    def available_in(
         self, wanted: _choice.Wanted, now: datetime.timedelta
     ) -> datetime.timedelta | None:
-        """Returns when the first backend server may be used again.
+        """Returns the time until a backend server accepts requests again.
 
-        None unless all that may serve the request asked to be left alone.
+        Returns:
+            The shortest time, or None unless all backend servers that may serve
+            the request asked VMs to wait.
         """
 
     def on_said_leaving(
         self, server: _servers.Server, now: datetime.timedelta
     ) -> bool:
-        """Notes that a backend server says it leaves.
+        """Records that a backend server reported that it is leaving.
 
         Returns:
-            Whether that is news.
+            Whether it stops getting new requests because of this report.
         """
 
     def on_asked_wait(
@@ -93,12 +98,18 @@
         wait: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Notes that a backend server wants no requests for a while."""
+        """Records that a backend server asked VMs to send nothing for a time.
+
+        Args:
+            server: the backend server.
+            wait: the time that it asked for.
+            now: the time.
+        """
 
     def on_sent(
         self, candidate: _choice.Candidate, now: datetime.timedelta
     ) -> None:
-        """Notes a send."""
+        """Records that a request is sent to a candidate."""
 
     def on_load(
         self,
@@ -106,18 +117,19 @@
         load: _servers.Load,
         now: datetime.timedelta,
     ) -> None:
-        """Notes what a backend server says of its load."""
+        """Records the load that a backend server reported."""
 
-    def on_work(
+    def on_completed(
         self,
         wanted: _choice.Wanted,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Notes how long a send took until the answer to work that was done.
+        """Records the duration of an attempt that completed.
 
-        Work that was cut off or turned away teaches a backend server nothing.
+        Not called for attempts that failed, were rejected or were cut off: the
+        backend server does not cache the object then.
         """
 
     def on_overdue(
@@ -126,4 +138,4 @@
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Notes how long a send had no answer when its time was over."""
+        """Records the duration of an attempt that got no answer in time."""
--- a/dragonflystack/entry/_departures.py
+++ b/dragonflystack/entry/_departures.py
@@ -1,8 +1,8 @@
-"""Backend servers that said in an answer that they are leaving.
+"""Backend servers that reported in an answer that they are leaving.
 
-The store's rows say so too, but may be out of reach, old, or lapse and come
-back. What a backend server said itself holds until a later incarnation of it
-is heard of.
+The store's rows say so too, but may be unreachable, stale, or expire and come
+back. A backend server's own report therefore holds until a later incarnation of
+it is known.
 """
 
 import collections
@@ -16,15 +16,15 @@
 _MAX_REMEMBERED = 1_024
 """Far more than leave at the same time."""
 
-_TELL_FOR = datetime.timedelta(seconds=1)
-"""Two heartbeats, as datagrams get lost."""
+_ANNOUNCE_FOR = datetime.timedelta(seconds=1)
+"""Time for two heartbeats, because datagrams get lost."""
 
-_MAX_TOLD = 16
-"""Departures in one heartbeat, which is to fit into one packet."""
+_MAX_PER_HEARTBEAT = 16
+"""Departures in one heartbeat; a heartbeat has to fit into one packet."""
 
 
 class Departure(msgspec.Struct, frozen=True, array_like=True):
-    """One incarnation of a backend server that is leaving."""
+    """Identifies an incarnation of a backend server that is leaving."""
 
     server: ids.BackendServerId
     born: int
@@ -35,29 +35,29 @@
 
 
 class Departures:
-    """The departures that this VM read in answers or was told of."""
+    """Departures that this VM read in answers or received from other VMs."""
 
     def __init__(self):
         self._by_server: collections.OrderedDict[
             ids.BackendServerId, Departure
         ] = collections.OrderedDict()
-        self._news: collections.deque[tuple[datetime.timedelta, Departure]] = (
-            collections.deque(maxlen=_MAX_TOLD)
-        )
+        self._recent: collections.deque[
+            tuple[datetime.timedelta, Departure]
+        ] = collections.deque(maxlen=_MAX_PER_HEARTBEAT)
 
-    def note(self, departure: Departure, now: datetime.timedelta) -> bool:
-        """Remembers a departure, to be told on if it was not known.
+    def announce(self, departure: Departure, now: datetime.timedelta) -> bool:
+        """Records a departure; a new one goes into the next heartbeats.
 
         Returns:
-            Whether it was not known.
+            Whether the departure is new.
         """
-        if not self.remember(departure):
+        if not self.add(departure):
             return False
-        self._news.append((now, departure))
+        self._recent.append((now, departure))
         return True
 
-    def remember(self, departure: Departure) -> bool:
-        """Remembers a departure; returns whether it was not known."""
+    def add(self, departure: Departure) -> bool:
+        """Records a departure for this VM only; returns whether it is new."""
         known = self._by_server.get(departure.server)
         if known is not None and known.born >= departure.born:
             return False
@@ -68,14 +68,17 @@
         return True
 
     def includes(self, entry: _servers.ServerEntry) -> bool:
-        """Returns whether an entry is of an incarnation that is leaving."""
-        left = self._by_server.get(entry.id)
-        if left is None:
+        """Returns whether an entry belongs to an incarnation that is leaving.
+
+        Without start times, a lower sequence number means a new incarnation.
+        """
+        departure = self._by_server.get(entry.id)
+        if departure is None:
             return False
-        if left.born or entry.born:
-            return entry.born <= left.born
-        return entry.sequence >= left.sequence
+        if departure.born or entry.born:
+            return entry.born <= departure.born
+        return entry.sequence >= departure.sequence
 
     def recent(self, now: datetime.timedelta) -> tuple[Departure, ...]:
-        """Returns those that were learnt just now, to tell the neighbours."""
-        return tuple(d for at, d in self._news if now - at <= _TELL_FOR)
+        """Returns the latest departures, to be sent in heartbeats."""
+        return tuple(d for at, d in self._recent if now - at <= _ANNOUNCE_FOR)
--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -1,6 +1,8 @@
-"""Where the requests of one VM may go, and what its sends teach it.
+"""Selects the backend servers for the requests of one VM.
 
-Implements what an exchange asks of its VM: see `_context.Context`.
+`Dispatch` combines the ranking of backend servers with the limits on retries,
+on cold backend servers and on shifts between regions. It implements
+`_context.Context` for exchanges and learns from their results.
 """
 
 from collections.abc import Container
@@ -30,7 +32,7 @@
 
 
 class Dispatch:
-    """The choice of backend servers, with its bounds, for one VM."""
+    """Selects backend servers for one VM, within the operators' limits."""
 
     def __init__(
         self,
@@ -45,10 +47,10 @@
         self.rng = rng
         self.departures = departures
         self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
-        """The failure domains that get no requests."""
+        """Failure domains that get no requests."""
 
         self.sightings = _sightings.Sightings()
-        """What other VMs are told of backend servers."""
+        """Observations of backend servers that this VM sends to other VMs."""
 
         self.shares = _shares.RegionShares(members.own.region, bounds.max_shift)
         self._members = members
@@ -57,23 +59,26 @@
         self._bounds = bounds
         self._settings = settings
         self._services: Mapping[ids.ServiceId, _catalogue.ServicePolicy] = {}
-        self._most_left: dict[_catalogue.RouteId, datetime.timedelta] = {}
+        self._max_time_left: dict[_catalogue.RouteId, datetime.timedelta] = {}
         self._chooser = _choice.Chooser(
             members.own.region, book, _work_times.WorkTimes(settings), settings
         )
         self._cold = self._make_pacer()
         self._budgets = self._make_budgets()
 
-    # What it learns.
+    # State updates.
 
     def on_services(
         self, services: Mapping[ids.ServiceId, _catalogue.ServicePolicy]
     ) -> None:
-        """Takes in the services of the catalogue in force."""
+        """Updates the services to those of the catalogue in force."""
         self._services = services
 
     def on_bounds(self, bounds: _settings.FleetBounds) -> None:
-        """Takes in bounds that changed."""
+        """Applies changed bounds.
+
+        The counts of retries and of requests to cold backend servers restart.
+        """
         self._bounds = bounds
         self._cold = self._make_pacer()
         self._budgets = self._make_budgets()
@@ -83,13 +88,14 @@
         domains: frozenset[ids.FailureDomainId],
         now: datetime.timedelta,
     ) -> None:
-        """Takes in the failure domains that are to get no requests.
+        """Updates the failure domains that get no requests.
 
-        Backend servers of a domain that is taken back may be cold.
+        The backend servers of a domain whose evacuation ended count as cold for
+        their service's cold period.
         """
         back = self.evacuated - domains
         if domains - self.evacuated:
-            self.shares.on_loss(now)
+            self.shares.on_server_loss(now)
         self.evacuated = domains
         for server in self._book.all():
             policy = self._services.get(server.entry.service)
@@ -99,16 +105,16 @@
     def on_changes(
         self, changes: _discovery.Changes, now: datetime.timedelta
     ) -> None:
-        """Takes in what changed among the backend servers."""
+        """Updates limits and shares for changes of the backend servers."""
         for server in changes.gone:
             self._cold.forget(server.entry.id)
         if changes.leaving or changes.gone:
-            self.shares.on_loss(now)
+            self.shares.on_server_loss(now)
         if changes.added:
-            self.shares.on_room(self._book.slots_by_region())
+            self.shares.on_capacity(self._book.slots_by_region())
 
     def on_tick(self, now: datetime.timedelta) -> None:
-        """Takes in what other VMs of the region told."""
+        """Applies what the heartbeats of the region's other VMs reported."""
         listed = self._members.listed()
         self._cold.on_vms(listed)
         self._budgets.on_fleet(self._fleet_size())
@@ -128,13 +134,18 @@
     def on_round_trip(
         self, server: _servers.Server, round_trip: datetime.timedelta
     ) -> None:
-        """Takes in how long a connection took to open."""
+        """Updates the round trip to a backend server's region.
+
+        Args:
+            server: the backend server.
+            round_trip: the time in which a connection to it opened.
+        """
         self._chooser.on_round_trip(server.region, round_trip)
 
     def on_request(
         self, wanted: _choice.Wanted, now: datetime.timedelta
     ) -> None:
-        """Counts a request of a caller."""
+        """Counts a new request of a caller."""
         self._budgets.of(wanted.service).on_request(now)
         self._chooser.on_request(wanted)
 
@@ -143,18 +154,19 @@
         departures: tuple[_departures.Departure, ...],
         now: datetime.timedelta,
     ) -> tuple[_servers.Server, ...]:
-        """Takes in backend servers that said they leave.
+        """Records backend servers that reported that they are leaving.
 
         Args:
-            departures: what was read in answers, here or by another VM.
+            departures: read in answers, by this VM or by another one.
             now: the time.
 
         Returns:
-            Those that get no new requests from now on and got some before.
+            The backend servers that get no new requests from now on and could
+            get some before.
         """
         leaving = []
         for departure in departures:
-            if not self.departures.note(departure, now):
+            if not self.departures.announce(departure, now):
                 continue
             server = self._book.get(departure.server)
             if (
@@ -165,7 +177,7 @@
                 server.on_said_leaving()
                 leaving.append(server)
         if leaving:
-            self.shares.on_loss(now)
+            self.shares.on_server_loss(now)
         return tuple(leaving)
 
     def on_sightings(
@@ -174,12 +186,12 @@
         learnt: Iterable[_sightings.LearntSighting],
         now: datetime.timedelta,
     ) -> None:
-        """Takes in what another VM saw of backend servers."""
+        """Applies another VM's observations of backend servers."""
         for load in loads:
             server = self._book.get(load.server)
             at = now - load.age_ms * _MILLISECOND
             if server is not None and at > server.load_known_at:
-                server.on_requests(load.requests, at)
+                server.on_request_count(load.requests, at)
         for sighting in learnt:
             server = self._book.get(sighting.server)
             if server is not None:
@@ -194,31 +206,33 @@
         if server.on_learnt(object_hash):
             self.sightings.on_learnt(server.entry.id, object_hash, now)
 
-    # What an exchange asks; see `_context.Context`.
+    # Operations for exchanges; see `_context.Context`.
 
-    def weigh(
+    def rank_candidates(
         self,
         wanted: _choice.Wanted,
         now: datetime.timedelta,
         tried: Container[ids.BackendServerId],
     ) -> list[_choice.Candidate]:
-        """See `_context.Context.weigh`."""
+        """See `_context.Context.rank_candidates`."""
         may_use = functools.partial(self._may_use, now=now)
-        return self._chooser.weigh(wanted, may_use, now, tried)
+        return self._chooser.rank_candidates(wanted, may_use, now, tried)
 
-    def place(
+    def choose_candidate(
         self,
         wanted: _choice.Wanted,
         candidates: list[_choice.Candidate],
         now: datetime.timedelta,
     ) -> _choice.Candidate:
-        """See `_context.Context.place`."""
+        """See `_context.Context.choose_candidate`."""
         usable = {candidate.server.region for candidate in candidates}
         preferred = candidates[0].server.region
         key = wanted.object_key if wanted.route.sticky else None
         target = wanted.route.target_latency
-        in_time = {c.server.region for c in candidates if c.expected <= target}
-        region = self.shares.place(key, preferred, usable, now, in_time)
+        in_time = {
+            c.server.region for c in candidates if c.expected_latency <= target
+        }
+        region = self.shares.choose_region(key, preferred, usable, now, in_time)
         return next(c for c in candidates if c.server.region == region)
 
     def may_write(
@@ -230,45 +244,45 @@
             and server.entry.domain not in self.evacuated
         )
 
-    def on_loss(self, now: datetime.timedelta) -> None:
-        """See `_context.Context.on_loss`."""
-        self.shares.on_loss(now)
+    def on_server_loss(self, now: datetime.timedelta) -> None:
+        """See `_context.Context.on_server_loss`."""
+        self.shares.on_server_loss(now)
 
     @property
     def late_wait_part(self) -> float:
         """See `_context.Context.late_wait_part`."""
         return self._settings.late_wait_part
 
-    def spent_before(
+    def waited_before_arrival(
         self, route: _catalogue.Route, request: _messages.Request
     ) -> datetime.timedelta:
-        """See `_context.Context.spent_before`.
+        """See `_context.Context.waited_before_arrival`.
 
-        All first attempts on a route come with about the same time left; one
-        that comes with less has been waiting.
+        The first attempts of all callers on a route arrive with about the same
+        time left. A request that has less time left has waited before.
         """
         left = request.time_left
         if left is None:
             return _ZERO
-        most = max(left, self._most_left.get(route.id, _ZERO))
-        self._most_left[route.id] = most
+        most = max(left, self._max_time_left.get(route.id, _ZERO))
+        self._max_time_left[route.id] = most
         return most - left
 
-    def may_resend(
+    def take_retry(
         self, service: ids.ServiceId, now: datetime.timedelta
     ) -> bool:
-        """See `_context.Context.may_resend`."""
+        """See `_context.Context.take_retry`."""
         return self._budgets.of(service).take(now)
 
     def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
         """See `_context.Context.overdue_after`."""
-        return candidate.expected * self._settings.silence_factor
+        return candidate.expected_latency * self._settings.silence_factor
 
-    def free_in(
+    def available_in(
         self, wanted: _choice.Wanted, now: datetime.timedelta
     ) -> datetime.timedelta | None:
-        """See `_context.Context.free_in`."""
-        frees = [
+        """See `_context.Context.available_in`."""
+        available_at = [
             server.asked_wait_until
             for server in self._book.of_service(wanted.service)
             if server.may_serve()
@@ -276,7 +290,7 @@
             and server.entry.domain not in self.evacuated
             and (not wanted.regions or server.region in wanted.regions)
         ]
-        first = min(frees, default=now)
+        first = min(available_at, default=now)
         return first - now if first > now else None
 
     def on_asked_wait(
@@ -310,15 +324,15 @@
             server.entry.id, load.running + load.waiting, now
         )
 
-    def on_work(
+    def on_completed(
         self,
         wanted: _choice.Wanted,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """See `_context.Context.on_work`."""
-        self._chooser.on_work(wanted.route, candidate, elapsed, now)
+        """See `_context.Context.on_completed`."""
+        self._chooser.on_completed(wanted.route, candidate, elapsed, now)
         if wanted.route.sticky and wanted.object_key is not None:
             object_hash = _sightings.hash_object(wanted.object_key)
             self._on_learnt(candidate.server, object_hash, now)
@@ -339,8 +353,9 @@
         entry = server.entry
         departure = _departures.Departure(entry.id, entry.born, entry.sequence)
         if entry.leaving:
-            # Other VMs hear it from the store, whose row may yet change.
-            self.departures.remember(departure)
+            # Other VMs learn it from the store. It is recorded here because the
+            # store's row may change back.
+            self.departures.add(departure)
             return False
         return bool(self.on_departures((departure,), now))
 
@@ -350,10 +365,10 @@
         )
 
     def _fleet_size(self) -> int:
-        """Returns how many VMs there are.
+        """Returns the number of VMs in the fleet.
 
-        Until they are listed, each region is taken to be as large as the own
-        one.
+        Until all of them are listed, each region is assumed to have as many VMs
+        as the own one.
         """
         listed = self._members.fleet_size
         if listed is not None:
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -1,10 +1,10 @@
-"""The life of one request: sends, one after the other, until it is settled.
+"""Handles one request: attempts in sequence until its outcome is settled.
 
-Each send goes by the catalogue that is in force when it is written. A request
-that is not idempotent is sent again only while it is known that no earlier send
-ran. Others may be sent again when a send broke off, stayed silent
-or failed. A send that follows one that reached a backend server comes out of
-the retry budget. What cannot be served is told at once.
+Each attempt follows the catalogue that is in force when the request is written.
+A request that is not idempotent is retried only while no earlier attempt can
+have run. An idempotent request may be retried when an attempt broke off, timed
+out or failed. A retry after an attempt that reached a backend server is taken
+out of the retry budget. A request that cannot be served is rejected at once.
 """
 
 from collections.abc import Callable
@@ -21,41 +21,43 @@
 _ZERO = datetime.timedelta()
 _FIRST_SERVER_ERROR = 500
 _MAX_CONNECT_TRIES = 3
-"""Backend servers tried in vain before a request is refused; each costs the
-caller time."""
+"""Failed connection attempts after which a request is rejected; each one costs
+the caller time."""
 
 _DEFAULT_TIME_LEFT = datetime.timedelta(seconds=30)
-"""For callers that do not say how long they wait."""
+"""Used for callers that do not state how long they wait."""
 
-_LEAST_RETRY_AFTER = datetime.timedelta(milliseconds=50)
-_RETRY_AFTER_PART = 0.22
-"""Part of the caller's time after which it may come back; with the spread it
-comes to a third, which callers wait at the most."""
+_MIN_RETRY_AFTER = datetime.timedelta(milliseconds=50)
+_RETRY_AFTER_FRACTION = 0.22
+"""Fraction of the caller's remaining time that is named as Retry-After. With
+the spread it is at most a third, the longest that callers wait."""
 
 _RETRY_AFTER_SPREAD = 0.5
-"""Returns are spread over this part of the time named, so that callers do not
-come back as one."""
+"""Jitter as a fraction of Retry-After, so that callers do not all return at the
+same time."""
 
-_WORK_SPREAD = 1.2
-"""Nearly all requests take less than this many times the mean work."""
+_MAX_TIME_FACTOR = 1.2
+"""Nearly all requests take less than this many times the mean processing
+time."""
 
-_LEAST_WORK_PART = 0.25
-"""An idle backend server is tried if this part of the mean work fits."""
+_MIN_TIME_FRACTION = 0.25
+"""An idle backend server is tried if this fraction of the mean processing time
+fits into the time left."""
 
-_PATIENCE_TARGETS = 2.0
-"""An answer is not missed before this many target latencies: a backend server
-that is still cold, or has a queue, is not silent."""
+_MIN_TIMEOUT_TARGETS = 2.0
+"""Minimum time to wait for an answer, in target latencies. A backend server
+that is still cold or has a queue must not count as silent."""
 
 
 Resolve = Callable[
     [_choice.Wanted, datetime.timedelta], _choice.Wanted | _access.Denial
 ]
-"""Returns what a request needs under the catalogue in force, given what it
-needed before and the time, or why it may not be sent."""
+"""Returns the requirements of a request under the catalogue in force, or the
+reason why it may not be sent, given its earlier requirements and the time."""
 
 
 class Exchange:
-    """One request of a caller, from its arrival to its outcome."""
+    """Handles one request of a caller, from its arrival to its outcome."""
 
     def __init__(
         self,
@@ -67,56 +69,59 @@
     ):
         self.request = request
         self.wanted = wanted
-        """What it needs of its backend server, as last resolved."""
+        """Requirements on the backend server, as last resolved."""
 
         self.began = now
         left = request.time_left
-        self._caller_leaves = now + (
+        self._caller_deadline = now + (
             _DEFAULT_TIME_LEFT if left is None else left
         )
-        self.deadline = self._caller_leaves
-        """When the final answer is due."""
+        self.deadline = self._caller_deadline
+        """Deadline of the final answer: the caller's or the route's, whichever
+        is earlier."""
 
         self._resolve = resolve
         self._is_idempotent = True
-        """Whether every route that it followed says so."""
+        """Whether every route that the request followed is idempotent."""
 
         self._on_wanted(wanted)
         self.sends: list[_messages.Sent] = []
         self.may_have_run = False
-        """Whether a backend server may have run it."""
+        """Whether a backend server may have run the request."""
 
         self.has_ended = False
-        """Whether its outcome is settled."""
+        """Whether the outcome is settled."""
 
         self._context = context
         self._tried: set[ids.BackendServerId] = set()
-        self._reached = 0
+        self._attempts = 0
+        """Attempts so far, without those that could not be written."""
         self._connect_tries = 0
         self._current: _choice.Candidate | None = None
         self._sent_at = now
-        self._why = _messages.Reason.NO_SERVER
+        self._reason = _messages.Reason.NO_SERVER
+        """Reason to give if no backend server is left for a retry."""
 
     @property
     def route(self) -> _catalogue.Route:
-        """The route that it follows, as last resolved."""
+        """The route that the request follows, as last resolved."""
         return self.wanted.route
 
     def begin(self, now: datetime.timedelta) -> _messages.Step:
         """Returns the first step."""
-        return self._note(self._send(now))
+        return self._record_end(self._send(now))
 
     def on_result(
         self, result: _messages.Result, now: datetime.timedelta
     ) -> _messages.Step:
-        """Takes in how the latest send went; returns what to do next."""
-        return self._note(self._decide(result, now))
+        """Handles the result of the latest attempt; returns the next step."""
+        return self._record_end(self._decide(result, now))
 
     def may_write(self, now: datetime.timedelta) -> bool:
-        """Returns whether the latest send may still be written.
+        """Returns whether the request of the latest attempt may be written.
 
-        A connection takes time, in which its route, evacuations and what is
-        known of the backend server may change.
+        While the connection is set up, the route, the evacuations and the state
+        of the backend server may change.
         """
         current = self._current
         assert current is not None
@@ -131,7 +136,11 @@
         )
 
     def _denial(self, now: datetime.timedelta) -> _access.Denial | None:
-        """Follows the catalogue in force; returns why it cannot, if so."""
+        """Updates the requirements to the catalogue in force.
+
+        Returns:
+            Why the request may not be sent, None if it may.
+        """
         wanted = self._resolve(self.wanted, now)
         if not isinstance(wanted, _choice.Wanted):
             return wanted
@@ -142,12 +151,12 @@
     def _on_wanted(self, wanted: _choice.Wanted) -> None:
         self.wanted = wanted
         self._is_idempotent &= wanted.route.idempotent
-        self.deadline = self._caller_leaves
+        self.deadline = self._caller_deadline
         if wanted.route.timeout is not None:
             latest = self.began + wanted.route.timeout
             self.deadline = min(self.deadline, latest)
 
-    def _note(self, step: _messages.Step) -> _messages.Step:
+    def _record_end(self, step: _messages.Step) -> _messages.Step:
         self.has_ended = not isinstance(step, _messages.Send | _messages.Wait)
         return step
 
@@ -159,7 +168,7 @@
                 return self._on_answered(result, now)
             case _messages.Withdrawn():
                 self._release()
-                self._reached -= 1
+                self._attempts -= 1
                 return self._send(now)
             case _messages.ConnectFailed():
                 return self._on_connect_failed(now)
@@ -181,34 +190,34 @@
             self._context.on_load(server, answer.load, now)
         if answer.wrong_server:
             server.gone = True
-            return self._again(_messages.Reason.NO_SERVER, now)
+            return self._retry(_messages.Reason.NO_SERVER, now)
         if answer.leaving:
             self._context.on_said_leaving(server, now)
         if answer.asked_wait is not None:
             self._context.on_asked_wait(server, answer.asked_wait, now)
         if answer.not_run:
-            self._on_shed(server, answer, now)
-            return self._again(_messages.Reason.FULL, now)
+            self._on_not_run(server, answer, now)
+            return self._retry(_messages.Reason.FULL, now)
         self.may_have_run = True
         failed = answer.status >= _FIRST_SERVER_ERROR
         server.on_result(failed, now)
-        if failed and self._may_repeat(now):
+        if failed and self._take_retry(now):
             step = self._send(now)
             if isinstance(step, _messages.Send):
                 return step
         if not failed:
-            self._context.on_work(
+            self._context.on_completed(
                 self.wanted, candidate, now - self._sent_at, now
             )
         return _messages.Deliver()
 
-    def _on_shed(
+    def _on_not_run(
         self,
         server: _servers.Server,
         answer: _messages.Answered,
         now: datetime.timedelta,
     ) -> None:
-        """Takes a refusal as a report of a full queue."""
+        """Assumes a full queue if a rejection comes without a load report."""
         if answer.load is None:
             slots = max(1, server.entry.slots)
             server.on_load(_servers.Load(slots, 3 * slots, slots), now)
@@ -217,8 +226,8 @@
         server = self._release().server
         server.on_suspect(now)
         server.on_result(True, now)
-        self._context.on_loss(now)
-        self._reached -= 1
+        self._context.on_server_loss(now)
+        self._attempts -= 1
         self._connect_tries += 1
         if self._connect_tries >= _MAX_CONNECT_TRIES:
             return self._give_up(_messages.Reason.NO_SERVER, now)
@@ -230,8 +239,10 @@
         server = self._release().server
         server.on_result(True, now)
         self.may_have_run = True
-        why = _messages.Reason.CORRUPT if corrupt else _messages.Reason.BROKEN
-        return self._again(why, now)
+        reason = (
+            _messages.Reason.CORRUPT if corrupt else _messages.Reason.BROKEN
+        )
+        return self._retry(reason, now)
 
     def _on_silent(self, now: datetime.timedelta) -> _messages.Step:
         current = self._current
@@ -248,42 +259,49 @@
         current.server.on_suspect(now)
         current.server.on_result(True, now)
         self.may_have_run = True
-        if self._may_repeat(now):
+        if self._take_retry(now):
             candidates = self._candidates(now)
-            if candidates and candidates[0].expected <= self.deadline - now:
+            if (
+                candidates
+                and candidates[0].expected_latency <= self.deadline - now
+            ):
                 self._release()
                 return self._start(candidates[0], now)
         return self._wait(now)
 
     def _wait(self, now: datetime.timedelta) -> _messages.Step:
-        """Goes on waiting for the latest send."""
+        """Returns the step that waits for the answer until the deadline."""
         left = self.deadline - now
         return _messages.Wait(max(_ZERO, left))
 
-    def _again(
-        self, why: _messages.Reason, now: datetime.timedelta
+    def _retry(
+        self, reason: _messages.Reason, now: datetime.timedelta
     ) -> _messages.Step:
-        """Sends again if that is safe and allowed, else gives up."""
+        """Retries if that is safe and allowed, else ends with the reason."""
         denial = self._denial(now)
         if denial is not None:
             return self._on_denied(denial)
-        if not self._may_repeat(now):
-            return self._give_up(why, now)
-        self._why = why
+        if not self._take_retry(now):
+            return self._give_up(reason, now)
+        self._reason = reason
         return self._send(now)
 
-    def _may_repeat(self, now: datetime.timedelta) -> bool:
-        """Returns whether it may be sent again; takes it out of the budget."""
+    def _take_retry(self, now: datetime.timedelta) -> bool:
+        """Takes a retry out of the budget if one is safe and allowed.
+
+        Returns:
+            Whether the request may be retried.
+        """
         if self._denial(now) is not None:
             return False
         if self.may_have_run and not self._is_idempotent:
             return False
-        return self._may_send_more(now)
+        return self._take_from_budget(now)
 
-    def _may_send_more(self, now: datetime.timedelta) -> bool:
-        if self._reached >= self.route.max_attempts or now >= self.deadline:
+    def _take_from_budget(self, now: datetime.timedelta) -> bool:
+        if self._attempts >= self.route.max_attempts or now >= self.deadline:
             return False
-        return self._context.may_resend(self.wanted.service, now)
+        return self._context.take_retry(self.wanted.service, now)
 
     def _send(self, now: datetime.timedelta) -> _messages.Step:
         denial = self._denial(now)
@@ -291,57 +309,61 @@
             return self._on_denied(denial)
         candidates = self._candidates(now)
         if not candidates:
-            return self._give_up(self._why, now)
+            return self._give_up(self._reason, now)
         best = candidates[0]
         if not self.sends:
-            best = self._context.place(self.wanted, candidates, now)
-        why = self._why_not(best, now)
-        if why is None:
+            best = self._context.choose_candidate(self.wanted, candidates, now)
+        reason = self._rejection_reason(best, now)
+        if reason is None:
             return self._start(best, now)
-        return self._give_up(why, now, best)
+        return self._give_up(reason, now, best)
 
     def _on_denied(self, denial: _access.Denial) -> _messages.Step:
         if not self.may_have_run:
             return denial
-        why = _messages.Reason.ROUTE_REMOVED
+        reason = _messages.Reason.ROUTE_REMOVED
         if not isinstance(denial, _messages.Unknown):
-            why = denial.reason
-        return _messages.Fail(why, timed_out=False)
+            reason = denial.reason
+        return _messages.Fail(reason, timed_out=False)
 
-    def _why_not(
+    def _rejection_reason(
         self, candidate: _choice.Candidate, now: datetime.timedelta
     ) -> _messages.Reason | None:
-        """Returns why a backend server should not get the request, if so."""
+        """Returns why a candidate must not get the request, None if it may."""
         if not _is_in_time(candidate, self.deadline - now):
             return _messages.Reason.TOO_LATE
-        if self._holds_up_others(candidate, now):
+        if self._delays_others(candidate, now):
             return _messages.Reason.FULL
         return None
 
-    def _holds_up_others(
+    def _delays_others(
         self, best: _choice.Candidate, now: datetime.timedelta
     ) -> bool:
-        """Returns whether it would come late, and others late because of it.
+        """Returns whether the request would miss its target and delay others.
 
-        Where much waits, each request that is late already keeps a slot from
-        one that could be in time.
+        In a long queue, a request that misses its target latency anyway takes a
+        slot from one that could still meet it.
         """
         target = self.route.target_latency
-        before = self._context.spent_before(self.route, self.request)
-        if before + (now - self.began) + best.expected <= target:
+        before = self._context.waited_before_arrival(self.route, self.request)
+        if before + (now - self.began) + best.expected_latency <= target:
             return False
         return best.wait > target * self._context.late_wait_part
 
     def _candidates(self, now: datetime.timedelta) -> list[_choice.Candidate]:
-        """Returns the backend servers that may be used, cheapest first."""
-        weigh = self._context.weigh
+        """Returns the backend servers that may be used, cheapest first.
+
+        The backend servers that got the request before are left out. Only if
+        that leaves none, lower ranks of each region are considered.
+        """
+        rank_candidates = self._context.rank_candidates
         candidates = [
             candidate
-            for candidate in weigh(self.wanted, now, ())
+            for candidate in rank_candidates(self.wanted, now, ())
             if candidate.server.entry.id not in self._tried
         ]
         if not candidates and self._tried:
-            candidates = weigh(self.wanted, now, self._tried)
+            candidates = rank_candidates(self.wanted, now, self._tried)
         return candidates
 
     def _start(
@@ -350,7 +372,7 @@
         server = candidate.server
         self._current = candidate
         self._tried.add(server.entry.id)
-        self._reached += 1
+        self._attempts += 1
         self._sent_at = now
         server.on_start()
         self._context.on_sent(candidate, now)
@@ -358,16 +380,16 @@
             _messages.Sent(
                 server.entry.id,
                 now,
-                candidate.expected,
-                round(candidate.known, 2),
+                candidate.expected_latency,
+                round(candidate.hit_probability, 2),
             )
         )
         left = self.deadline - now
-        patience = max(
-            self.route.target_latency * _PATIENCE_TARGETS,
+        answer_timeout = max(
+            self.route.target_latency * _MIN_TIMEOUT_TARGETS,
             self._context.overdue_after(candidate),
         )
-        return _messages.Send(server, left, min(patience, left))
+        return _messages.Send(server, left, min(answer_timeout, left))
 
     def _release(self) -> _choice.Candidate:
         current = self._current
@@ -378,36 +400,51 @@
 
     def _give_up(
         self,
-        why: _messages.Reason,
+        reason: _messages.Reason,
         now: datetime.timedelta,
         best: _choice.Candidate | None = None,
     ) -> _messages.Step:
+        """Returns the step that ends the request without an answer.
+
+        Args:
+            reason: why it was not served.
+            now: the time.
+            best: the candidate that was considered, None if there was none.
+        """
         if self.may_have_run:
-            return _messages.Fail(why, timed_out=now >= self.deadline)
+            return _messages.Fail(reason, timed_out=now >= self.deadline)
         if best is None:
-            free_in = self._context.free_in(self.wanted, now)
-            if free_in is not None:
+            available_in = self._context.available_in(self.wanted, now)
+            if available_in is not None:
                 return _messages.Reject(
-                    _messages.Reason.ASKED_TO_WAIT, self._retry_after(free_in)
+                    _messages.Reason.ASKED_TO_WAIT,
+                    self._retry_after(available_in),
                 )
-        wait = _LEAST_RETRY_AFTER if best is None else best.wait
-        left = self._caller_leaves - now
-        wait = max(wait, left * _RETRY_AFTER_PART)
-        return _messages.Reject(why, self._retry_after(wait))
+        wait = _MIN_RETRY_AFTER if best is None else best.wait
+        left = self._caller_deadline - now
+        wait = max(wait, left * _RETRY_AFTER_FRACTION)
+        return _messages.Reject(reason, self._retry_after(wait))
 
     def _retry_after(self, wait: datetime.timedelta) -> datetime.timedelta:
-        least = max(_LEAST_RETRY_AFTER, wait)
+        least = max(_MIN_RETRY_AFTER, wait)
         return least * (1 + _RETRY_AFTER_SPREAD * self._context.rng.random())
 
 
 def _is_in_time(candidate: _choice.Candidate, left: datetime.timedelta) -> bool:
-    """Returns whether an answer can come in the time left.
+    """Returns whether an answer is possible in the time left.
 
-    Where nothing waits, only a small part of the mean work has to fit: some
-    requests take much less than the mean, and a mean that is too long would
-    never be corrected if nothing were sent.
+    Without a queue, only a small fraction of the mean processing time has to
+    fit. Some requests take much less than the mean, and a mean that is too long
+    would never be corrected if nothing were sent.
     """
-    before = candidate.expected - candidate.work
+    before_processing = candidate.expected_latency - candidate.processing_time
     if candidate.wait > _ZERO:
-        return before + candidate.likely_work * _WORK_SPREAD <= left
-    return before + candidate.work * _LEAST_WORK_PART <= left
+        return (
+            before_processing
+            + candidate.likely_processing_time * _MAX_TIME_FACTOR
+            <= left
+        )
+    return (
+        before_processing + candidate.processing_time * _MIN_TIME_FRACTION
+        <= left
+    )
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -1,4 +1,4 @@
-"""What goes into and comes out of the decisions on one request."""
+"""Requests, results of attempts, and the steps that an exchange returns."""
 
 import dataclasses
 import datetime
@@ -14,47 +14,47 @@
     """Why a request was not served."""
 
     NO_CATALOGUE = "no-catalogue"
-    """This VM knows no routes yet."""
+    """This VM has no catalogue yet, so it knows no routes."""
 
     OUTDATED = "outdated"
-    """Other VMs have had newer routes for so long that this one may not decide
-    by its own."""
+    """This VM has had older routes than other VMs for too long to use them."""
 
     NO_SERVER = "no-server"
     """No backend server of the service may be used now."""
 
     FULL = "full"
-    """Every backend server that may be used has too much waiting."""
+    """The queue of every backend server that may be used is too long."""
 
     TOO_LATE = "too-late"
-    """No backend server could answer before the caller leaves."""
+    """No backend server could answer before the deadline."""
 
     ASKED_TO_WAIT = "asked-to-wait"
-    """Every backend server that may be used asked to be left alone."""
+    """Every backend server that may be used asked VMs to wait."""
 
     TIMEOUT = "timeout"
-    """The route's or the caller's time is over while it may be running."""
+    """The route's or the caller's deadline passed; the request may still be
+    running."""
 
     BROKEN = "broken"
-    """The connection failed after it was sent; it may have run."""
+    """The connection failed after the request was sent; it may have run."""
 
     CORRUPT = "corrupt"
-    """What came back was no whole answer to it."""
+    """The response was not a complete answer to the request."""
 
     ROUTE_REMOVED = "route-removed"
-    """Its route was removed after it was sent to a backend server."""
+    """The route was removed after the request was sent to a backend server."""
 
     NO_KEY = "no-key"
-    """Its route needs a customer's key, and none can be read in it."""
+    """The route needs a customer's key, and the request has no readable one."""
 
     UNKNOWN_KEY = "unknown-key"
-    """Its key is no customer's in the catalogue in force."""
+    """The key belongs to no customer in the catalogue in force."""
 
     NO_REGION = "no-region"
-    """No region may serve both its route and its customer."""
+    """No region may serve both the route and the customer."""
 
     STOPPING = "stopping"
-    """This VM ends before it could have an answer."""
+    """This VM stops before it could have an answer."""
 
     CALLER_GONE = "caller-gone"
     TOO_LARGE = "too-large"
@@ -62,7 +62,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """What is known of a request when it is decided on."""
+    """The properties of a caller's request that routing depends on."""
 
     id: str
     """The caller's id of this attempt."""
@@ -70,60 +70,60 @@
     host: str
     path: str
     object_key: str | None
-    """Names the object it concerns, None if it names none."""
+    """Key of the requested object, None if the request names none."""
 
     time_left: datetime.timedelta | None
-    """How long the caller waits, None if it does not say."""
+    """How long the caller waits, None if it does not state it."""
 
     customer_key: _customers.KeyDigest | None = None
-    """The digest of the key it shows, None if it shows none that can be
-    read."""
+    """Digest of the customer's key, None if the request has no readable
+    key."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
-    """The whole answer came, for this request."""
+    """The complete answer to the request arrived."""
 
     status: int
     not_run: bool = False
-    """Whether the backend server states that it did not run it."""
+    """Whether the backend server states that it did not run the request."""
 
     wrong_server: bool = False
     """Whether another backend server has the address now."""
 
     load: _servers.Load | None = None
     leaving: bool = False
-    """Whether the backend server says that it is leaving."""
+    """Whether the backend server states that it is leaving."""
 
     asked_wait: datetime.timedelta | None = None
-    """How long the backend server wants no more requests, None if it does not
-    say."""
+    """How long the backend server asks VMs to send nothing (Retry-After), None
+    if it does not."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdrawn:
-    """Nothing was written: the backend server may not get the request now."""
+    """Nothing was written: the backend server must not get the request now."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectFailed:
-    """No connection could be made; not a byte of the request was written."""
+    """No connection could be opened; no byte of the request was written."""
 
     reason: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Broken:
-    """The connection failed, or what came was no answer to the request."""
+    """The connection failed, or the response was no answer to the request."""
 
     reason: str
     corrupt: bool = False
-    """Whether something came that is no whole answer."""
+    """Whether a response arrived that is not a complete answer."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Silent:
-    """No answer came in the time that the send was given."""
+    """No answer arrived within the timeout of the latest `Send` or `Wait`."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,7 +132,7 @@
 
 
 Result = Answered | Withdrawn | ConnectFailed | Broken | Silent | CallerGone
-"""How one send ended."""
+"""Result of one attempt."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,28 +141,28 @@
 
     server: _servers.Server
     time_left: datetime.timedelta
-    """How long the backend server may work on it."""
+    """How long the backend server may process the request."""
 
     patience: datetime.timedelta
-    """Report `Silent` if there is no answer after this."""
+    """Time after which a missing answer is reported as `Silent`."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wait:
-    """Go on waiting for the latest send."""
+    """Continue to wait for the answer to the latest attempt."""
 
     patience: datetime.timedelta
-    """Report `Silent` again if there is no answer after this."""
+    """Time after which a missing answer is reported as `Silent` again."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deliver:
-    """Return the backend server's answer as it came."""
+    """Return the backend server's answer unchanged."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reject:
-    """Tell the caller that it was not run and never will be."""
+    """Tell the caller that the request was not run and never will be."""
 
     reason: Reason
     retry_after: datetime.timedelta
@@ -170,7 +170,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Fail:
-    """Tell the caller that it may have run."""
+    """Tell the caller that the request may have run."""
 
     reason: Reason
     timed_out: bool
@@ -191,19 +191,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Drop:
-    """Nobody waits for an answer."""
+    """End the request without an answer: the caller is gone."""
 
 
 Step = Send | Wait | Deliver | Reject | Fail | Unknown | Unauthorized | Drop
-"""What to do next for a request."""
+"""Next step for a request."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sent:
-    """One send of a request, for logs and metrics."""
+    """One attempt of a request, for logs and metrics."""
 
     server: ids.BackendServerId
     at: datetime.timedelta
     expected: datetime.timedelta
+    """Expected time until the answer."""
+
     known: float
-    """How likely the backend server knows the object, 0 to 1."""
+    """Probability that the backend server has the object cached, 0 to 1."""
--- a/dragonflystack/entry/_popularity.py
+++ b/dragonflystack/entry/_popularity.py
@@ -1,6 +1,7 @@
-"""How much of the requests for a service concerns one object.
+"""Estimates which share of a service's requests concerns one object.
 
-Each VM sees a sample of the requests of its region, so its own counts do.
+Each VM receives a sample of its region's requests, so it needs only its own
+counts.
 """
 
 import collections
@@ -8,24 +9,25 @@
 from dragonflystack import ids
 
 _MAX_COUNTED = 256
-"""Requests after which older ones count half; a VM sees a few a second."""
+"""Requests of a service after which all counts are halved; a VM gets a few
+requests a second."""
 
-_CHANCE = 2
-"""Requests that an object may meet in a small sample by chance."""
+_CHANCE_REQUESTS = 2
+"""Requests that an object may get in a small sample by chance."""
 
-_LEAST_COUNTED = 20
-"""A sample is taken to be at least this large."""
+_MIN_COUNTED = 20
+"""Minimum sample size, to keep small samples from giving large shares."""
 
 
 class Popularity:
-    """The objects that this VM was lately asked for."""
+    """Counts the recent requests of this VM by object."""
 
     def __init__(self):
         self._counts: dict[ids.ServiceId, collections.Counter[str]] = {}
         self._totals: collections.Counter[ids.ServiceId] = collections.Counter()
 
     def on_request(self, service: ids.ServiceId, key: str) -> None:
-        """Takes in a request that concerns an object."""
+        """Counts a request that concerns an object."""
         counts = self._counts.setdefault(service, collections.Counter())
         counts[key] += 1
         self._totals[service] += 1
@@ -34,10 +36,14 @@
             self._counts[service] = collections.Counter(halved)
             self._totals[service] = _MAX_COUNTED // 2
 
-    def part(self, service: ids.ServiceId, key: str) -> float:
-        """Returns the part of a service's requests that concern an object."""
+    def share(self, service: ids.ServiceId, key: str) -> float:
+        """Returns the share of a service's requests that concern an object.
+
+        Returns:
+            0 to 1, a low estimate: requests that may be chance do not count.
+        """
         counts = self._counts.get(service)
         if counts is None:
             return 0.0
-        sure = max(0, counts[key] - _CHANCE)
-        return sure / max(_LEAST_COUNTED, self._totals[service])
+        significant = max(0, counts[key] - _CHANCE_REQUESTS)
+        return significant / max(_MIN_COUNTED, self._totals[service])
--- a/dragonflystack/entry/_ranking.py
+++ b/dragonflystack/entry/_ranking.py
@@ -1,4 +1,4 @@
-"""Ranks members for a key, the same on every VM without agreement.
+"""Ranks members for a key, the same on every VM without coordination.
 
 Source: David G. Thaler and Chinya V. Ravishankar, "Using Name-Based Mappings
 to Increase Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998 (highest
@@ -17,11 +17,11 @@
 def rank(
     key: str, members: Iterable[_Member], name: Callable[[_Member], str]
 ) -> list[_Member]:
-    """Returns the members, the one that the key prefers first.
+    """Returns the members in descending order of their weight for a key.
 
     Args:
-        key: what is to be placed.
-        members: where it may be placed.
+        key: identifies the object to assign.
+        members: members that it may be assigned to.
         name: returns a member's stable name.
     """
     return sorted(
--- a/dragonflystack/entry/_servers.py
+++ b/dragonflystack/entry/_servers.py
@@ -1,4 +1,4 @@
-"""What one entry VM believes of the backend servers, and since when."""
+"""One entry VM's view of the backend servers: health, load, cached objects."""
 
 import collections
 from collections.abc import Iterable
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerEntry:
-    """A backend server as it registered itself."""
+    """A backend server's registration in the store."""
 
     id: ids.BackendServerId
     service: ids.ServiceId
@@ -22,24 +22,23 @@
     domain: ids.FailureDomainId
     slots: int
     leaving: bool
-    """Whether it asked for no new work."""
+    """Whether the backend server asked for no new requests."""
 
     cold_left: datetime.timedelta
     """How much longer it was cold when it wrote the entry."""
 
     born: int = 0
-    """Unix millisecond of its start, 0 if it does not say; another value is
-    another incarnation."""
+    """Start time as a Unix timestamp in milliseconds, 0 if unknown. Identifies
+    the incarnation."""
 
     sequence: int = 0
     """Grows with each write of one incarnation."""
 
     row_version: int = 0
-    """The store's version of the row (see `_store_versions`), 0 if it is not
-    known."""
+    """The store's version of the row (see `_store_versions`), 0 if unknown."""
 
     def is_older_than(self, other: "ServerEntry") -> bool:
-        """Returns whether it was written before another of the same id.
+        """Returns whether it was written before another entry of the same id.
 
         A write whose answer was lost may take effect after later ones.
         """
@@ -48,7 +47,10 @@
         return bool(self.born) and self.sequence < other.sequence
 
     def is_same_incarnation(self, other: "ServerEntry") -> bool:
-        """Returns whether another entry of the same id is of the same run."""
+        """Returns whether it has the incarnation of another entry of its id.
+
+        Without start times, a lower sequence number means a new incarnation.
+        """
         if self.born or other.born:
             return self.born == other.born
         return self.sequence >= other.sequence
@@ -56,7 +58,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """What a backend server reports of itself with an answer."""
+    """Load that a backend server reports with an answer."""
 
     running: int
     waiting: int
@@ -64,7 +66,7 @@
 
 
 class Server:
-    """One incarnation of a backend server."""
+    """State of one incarnation of a backend server, as one VM knows it."""
 
     def __init__(
         self,
@@ -76,7 +78,7 @@
         self.entry = entry
         self.region = region
         self.added_at = now
-        """When it was first heard of."""
+        """When this VM first read an entry of it."""
 
         self.learned_at = now
         """When the entry was last read or confirmed."""
@@ -86,30 +88,35 @@
 
         self.cold_until = _ZERO
         self.suspect_since: datetime.timedelta | None = None
-        """Since when it gets no requests until it answers a probe."""
+        """When it became suspect, None if it is not. A suspect backend server
+        gets no requests until it responds to a probe."""
 
         self.last_heard = now
-        """When it last answered anything."""
+        """When it last responded to a request or probe."""
 
         self.gone = False
         """Whether it is no longer registered, or its address was reused."""
 
         self.asked_wait_until = _ZERO
-        """Until when it asked to be left alone."""
+        """When it may get requests again after it asked VMs to wait."""
 
         self._settings = settings
         self._failure_rate = 0.0
-        self._failed_at = now
-        self._others = 0.0
-        self._others_mean = 0.0
-        self._others_at = now
-        self._known: collections.OrderedDict[int, None] = (
+        self._failure_rate_at = now
+        self._other_load = 0.0
+        """Requests of other VMs at the latest report."""
+
+        self._mean_other_load = 0.0
+        self._load_reported_at = now
+        self._cached_objects: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
+        """Hashes of the objects that it has cached, least recent first."""
+
         self.on_entry(entry, now)
 
     def on_entry(self, entry: ServerEntry, now: datetime.timedelta) -> None:
-        """Takes in its latest entry."""
+        """Replaces the entry by a later one of the same incarnation."""
         self.entry = entry
         self.learned_at = now
         self.gone = False
@@ -119,99 +126,110 @@
     def on_cold(
         self, left: datetime.timedelta, now: datetime.timedelta
     ) -> None:
-        """Notes that it is cold and remembers no object."""
+        """Marks it as cold for a time and its cache as empty."""
         self.cold_until = max(self.cold_until, now + left)
-        self._known.clear()
+        self._cached_objects.clear()
 
     def may_serve(self) -> bool:
-        """Returns whether new requests may be sent to it at all."""
+        """Returns whether it is registered and not leaving."""
         return not (self.gone or self.entry.leaving)
 
     def may_get_requests(self, now: datetime.timedelta) -> bool:
-        """Returns whether requests may be written to it now."""
+        """Returns whether requests may be written to it now.
+
+        False while it is leaving, gone, or asks VMs to wait.
+        """
         return self.may_serve() and now >= self.asked_wait_until
 
     def is_cold(self, now: datetime.timedelta) -> bool:
-        """Returns whether it bears few requests yet."""
+        """Returns whether it is cold, so that it can take only few requests."""
         return now < self.cold_until
 
     @property
     def load_known_at(self) -> datetime.timedelta:
-        """When this VM last heard of its load."""
-        return self._others_at
+        """When the latest known load report was made."""
+        return self._load_reported_at
 
     def load(self, now: datetime.timedelta) -> float:
-        """Returns the requests expected at it, from all VMs."""
-        mean = self._others_mean
-        others = mean + (self._others - mean) * self._decay(
-            now - self._others_at, self._settings.others_half_life
+        """Returns the expected number of requests of all VMs at it.
+
+        The reported requests of other VMs decay towards their mean over time.
+        """
+        mean = self._mean_other_load
+        other_load = mean + (self._other_load - mean) * self._decay(
+            now - self._load_reported_at, self._settings.others_half_life
         )
-        return self.in_flight + max(0.0, others)
+        return self.in_flight + max(0.0, other_load)
 
     def failure_rate(self, now: datetime.timedelta) -> float:
-        """Returns the weighted part of recent results that were failures."""
+        """Returns the weighted fraction of recent results that are failures."""
         if self._failure_rate < 0.01:
             return 0.0
         return self._failure_rate * self._decay(
-            now - self._failed_at, self._settings.failure_half_life
+            now - self._failure_rate_at, self._settings.failure_half_life
         )
 
-    def knows(self, object_hash: int) -> bool:
-        """Returns whether it worked on an object lately, for any VM."""
-        return object_hash in self._known
+    def has_cached(self, object_hash: int) -> bool:
+        """Returns whether it processed an object recently, for any VM."""
+        return object_hash in self._cached_objects
 
     def on_start(self) -> None:
-        """Notes a request sent to it."""
+        """Counts a request of this VM as in flight."""
         self.in_flight += 1
 
     def on_learnt(self, object_hash: int) -> bool:
-        """Notes that it worked on an object; returns whether that is news."""
-        is_new = object_hash not in self._known
-        self._known[object_hash] = None
-        self._known.move_to_end(object_hash)
-        if len(self._known) > self._settings.objects_kept:
-            self._known.popitem(last=False)
+        """Records that it processed an object; returns whether it is new."""
+        is_new = object_hash not in self._cached_objects
+        self._cached_objects[object_hash] = None
+        self._cached_objects.move_to_end(object_hash)
+        if len(self._cached_objects) > self._settings.objects_kept:
+            self._cached_objects.popitem(last=False)
         return is_new
 
     def on_end(self) -> None:
-        """Notes that a request has its result."""
+        """Counts a request of this VM as no longer in flight."""
         self.in_flight -= 1
 
     def on_load(self, load: Load, now: datetime.timedelta) -> None:
-        """Takes in a report that came with an answer."""
-        self.on_requests(load.running + load.waiting, now)
+        """Updates the load from a report that came with an answer."""
+        self.on_request_count(load.running + load.waiting, now)
+
+    def on_request_count(self, number: int, now: datetime.timedelta) -> None:
+        """Updates the load.
 
-    def on_requests(self, number: int, now: datetime.timedelta) -> None:
-        """Takes in how many requests it had, of all VMs, at an instant."""
-        others = max(0, number - self.in_flight)
-        self._others = float(others)
-        self._others_mean += 0.1 * (others - self._others_mean)
-        self._others_at = now
+        Args:
+            number: requests of all VMs that were running or waiting at it.
+            now: when it had that many.
+        """
+        other_load = max(0, number - self.in_flight)
+        self._other_load = float(other_load)
+        self._mean_other_load += 0.1 * (other_load - self._mean_other_load)
+        self._load_reported_at = now
 
     def on_result(self, failed: bool, now: datetime.timedelta) -> None:
-        """Weighs a result into the failure rate."""
+        """Updates the failure rate, a moving average, with a result."""
         rate = self.failure_rate(now)
         weight = self._settings.failure_weight
         self._failure_rate = rate + weight * (float(failed) - rate)
-        self._failed_at = now
+        self._failure_rate_at = now
 
     def on_heard(self, now: datetime.timedelta) -> None:
-        """Notes a sign of life."""
+        """Records a response, after which it is no longer suspect."""
         self.last_heard = now
         self.suspect_since = None
 
     def on_asked_wait(
         self, wait: datetime.timedelta, now: datetime.timedelta
     ) -> None:
-        """Leaves it alone for a while, as it asked."""
+        """Stops requests to it for the time that it asked for."""
         self.asked_wait_until = max(self.asked_wait_until, now + wait)
 
     def on_said_leaving(self) -> None:
-        """Takes its word that it is leaving."""
+        """Marks it as leaving, as it reported itself."""
         self.entry = dataclasses.replace(self.entry, leaving=True)
 
     def on_suspect(self, now: datetime.timedelta) -> None:
-        """Keeps requests away until it answers a probe."""
+        """Stops requests to it until it responds to a probe."""
         if self.suspect_since is None:
             self.suspect_since = now
 
@@ -221,7 +239,7 @@
 
 
 class ServerBook:
-    """All backend servers that this VM knows, by service."""
+    """Registry of the backend servers that one VM knows, by service."""
 
     def __init__(
         self,
@@ -236,7 +254,7 @@
         """Grows whenever the set of backend servers changes."""
 
     def get(self, server_id: ids.BackendServerId) -> Server | None:
-        """Returns the backend server of that id, None if it is unknown."""
+        """Returns the backend server with an id, None if it is unknown."""
         return self._servers.get(server_id)
 
     def of_service(self, service: ids.ServiceId) -> tuple[Server, ...]:
@@ -248,7 +266,7 @@
         return self._servers.values()
 
     def slots_by_region(self) -> dict[ids.RegionId, int]:
-        """Returns how many slots the backend servers of each region have."""
+        """Returns the total slots of the backend servers of each region."""
         slots: dict[ids.RegionId, int] = {}
         for server in self._servers.values():
             before = slots.get(server.region, 0)
@@ -258,7 +276,13 @@
     def on_entry(
         self, entry: ServerEntry, now: datetime.timedelta
     ) -> tuple[Server, bool]:
-        """Takes in an entry; returns its server and whether it is new."""
+        """Adds or updates the backend server of an entry.
+
+        An entry that is older than the known one changes nothing.
+
+        Returns:
+            The backend server, and whether it is a new incarnation.
+        """
         region = self._regions.get(entry.domain, ids.RegionId(""))
         server = self._servers.get(entry.id)
         if server is not None and entry.is_older_than(server.entry):
@@ -281,7 +305,7 @@
         return server, True
 
     def on_gone(self, server_id: ids.BackendServerId) -> Server | None:
-        """Forgets a backend server; returns it if it was known."""
+        """Removes a backend server; returns it, or None if it was unknown."""
         server = self._servers.pop(server_id, None)
         if server is not None:
             server.gone = True
--- a/dragonflystack/entry/_shares.py
+++ b/dragonflystack/entry/_shares.py
@@ -1,12 +1,13 @@
-"""Keeps the part of requests that change region under the operators' cap.
-
-Load alone would move requests between regions as fast as queues grow. The
-shares of the regions in use follow what load asks for, over all VMs of the
-region, at a bounded pace. Objects are dealt to regions by their hash in
-proportion to the shares, so that few objects move and each is known in one
-place; each VM also keeps the count of its requests near the shares. A region
-that cannot serve at all is passed over at once, and for a while after a loss
-one that would answer late as well: the cap speaks of ordinary days.
+"""Limits how fast requests shift between regions to the operators' cap.
+
+If only load decided, requests would shift between regions as fast as queues
+grow. Each VM therefore has a share for each region. The shares follow the
+shares that load asks for, averaged over the VMs of the own region, at a limited
+speed. Objects are assigned to regions by their hash in proportion to the
+shares, so that few objects move and each is cached in one region. Each VM also
+keeps its request counts near the shares. A region that cannot serve at all is
+skipped at once. For a time after a loss of backend servers, a region that would
+answer late is skipped as well, because the cap is meant for normal operation.
 """
 
 from collections.abc import Collection
@@ -20,37 +21,39 @@
 
 from dragonflystack import ids
 
-_PACE_PART = 0.2
-"""Part of the cap by which shares move a second; the cap holds between two
-windows of 2 s, and half of it is left for chance."""
+_CHANGE_RATE_FRACTION = 0.2
+"""Fraction of the cap by which shares may change per second. The cap applies to
+two consecutive windows of 2 s; half of it is left for random variation."""
 
 _WANTED_WEIGHT = 1 / 16
-"""Weight of the latest request in what load asks for."""
+"""Weight of the latest request in the wanted shares."""
 
-_LEAST_LEEWAY = 1.0
-"""Requests by which a region may always be ahead of its share or behind it."""
+_MIN_LEEWAY = 1.0
+"""Minimum number of requests by which a region may deviate from its share."""
 
 _LEEWAY_PART = 0.12
-"""Part of the cap, in standard deviations, that leeway may use.
+"""Factor of the leeway L, the number of requests by which a region may deviate
+from its share.
 
-A VM's count wanders within its leeway L. From one window to the next that
-moves 1.4 L requests (standard deviation), 1.4 L sqrt(V) for the V VMs of a
-region. Three of these are to stay within half of the cap on the V N requests
-that the region has in a window: L <= 0.12 cap sqrt(V) N.
+A VM's count varies within its leeway L. From one window to the next, this
+changes the count by 1.4 L requests (standard deviation), or 1.4 L sqrt(V) for
+the V VMs of a region. Three standard deviations have to stay within half of the
+cap on the region's V N requests in a window: L <= 0.12 cap sqrt(V) N.
 """
 
 _WINDOW = datetime.timedelta(seconds=2)
-"""The cap compares windows of this length."""
+"""Length of the windows that the cap compares."""
 
 _RATE_WINDOW = datetime.timedelta(milliseconds=500)
 _RATE_WEIGHT = 0.25
-"""Weight of the latest such window in this VM's rate of requests."""
+"""Weight of the latest such window in this VM's request rate."""
 
-_LIFTED = datetime.timedelta(seconds=5)
-"""How long requests may leave their region after a loss."""
+_CAP_LIFTED_FOR = datetime.timedelta(seconds=5)
+"""Time after a loss of backend servers in which the cap does not apply."""
 
 _MAX_STEP = datetime.timedelta(milliseconds=500)
-"""A pause of this VM or of its callers makes up for no more than this."""
+"""Longest time for which one step changes the shares, also after a pause of
+this VM or of its callers."""
 
 _HASHES = 2**32
 
@@ -58,11 +61,11 @@
 
 
 class RegionShares:
-    """The shares of the regions that serve one VM's callers."""
+    """Shares of the regions that serve the requests of one VM's callers."""
 
     def __init__(self, own: ids.RegionId, max_shift: float):
         self._own = own
-        self._pace = max_shift * _PACE_PART
+        self._max_change_per_s = max_shift * _CHANGE_RATE_FRACTION
         self._max_shift = max_shift
         self._vms = 1
         self._rate = _Rate()
@@ -71,7 +74,9 @@
         self._peers_wanted: tuple[Mapping[ids.RegionId, float], ...] = ()
         self._credits: Shares = {}
         self._moved_at: datetime.timedelta | None = None
-        self._lifted_until = datetime.timedelta()
+        """When the shares were last adjusted, None before the first request."""
+
+        self._cap_lifted_until = datetime.timedelta()
 
     @property
     def shares(self) -> Shares:
@@ -80,14 +85,15 @@
 
     @property
     def wanted(self) -> Shares:
-        """Where load alone would have this VM's requests of late."""
+        """The shares that load alone would give this VM's recent requests."""
         return dict(self._wanted)
 
-    def on_room(self, slots: Mapping[ids.RegionId, int]) -> None:
-        """Takes in how many slots each region has, until the first request.
+    def on_capacity(self, slots: Mapping[ids.RegionId, int]) -> None:
+        """Sets the initial shares by the slots of each region.
 
-        A region with less room than callers then begins with the part that it
-        can serve if all regions have as many callers, and some more.
+        Has no effect after the first request. A region with less than the mean
+        number of slots starts with the share that it can serve if all regions
+        have equally many callers.
         """
         if self._moved_at is not None or not sum(slots.values()):
             return
@@ -99,7 +105,10 @@
         shares: Iterable[Mapping[ids.RegionId, float]],
         wanted: Iterable[Mapping[ids.RegionId, float]],
     ) -> None:
-        """Takes in the shares and the wishes of other VMs of the region."""
+        """Updates the shares that other VMs of the region use and want.
+
+        Before its first request, this VM adopts the mean of the used shares.
+        """
         self._peers_wanted = tuple(wanted)
         peers = tuple(shares)
         if self._moved_at is None and peers:
@@ -107,14 +116,14 @@
             self._wanted = dict(self._shares)
 
     def on_vms(self, number: int) -> None:
-        """Takes in how many VMs the own region has."""
+        """Updates the number of VMs in the own region."""
         self._vms = max(1, number)
 
-    def on_loss(self, now: datetime.timedelta) -> None:
-        """Notes that backend servers were lost or are leaving."""
-        self._lifted_until = now + _LIFTED
+    def on_server_loss(self, now: datetime.timedelta) -> None:
+        """Lifts the cap for a time after backend servers were lost or leave."""
+        self._cap_lifted_until = now + _CAP_LIFTED_FOR
 
-    def place(
+    def choose_region(
         self,
         object_key: str | None,
         preferred: ids.RegionId,
@@ -125,32 +134,32 @@
         """Returns the region that gets the next request.
 
         Args:
-            object_key: the object it concerns, if any.
-            preferred: where load alone would send it.
-            usable: the regions that can serve it; `preferred` is one.
+            object_key: key of the requested object, None if there is none.
+            preferred: the region that load alone would choose.
+            usable: the regions that can serve the request, with `preferred`.
             now: the time.
             in_time: those of them that would answer in time, None for all.
         """
         self._rate.on_request(now)
-        self._want(preferred)
-        self._move(now)
+        self._update_wanted(preferred)
+        self._update_shares(now)
         credits = self._credits
         for region, share in self._shares.items():
             credits[region] = credits.get(region, 0.0) + share
         chosen = preferred
         if object_key is not None:
             chosen = self._region_of(object_key)
-        behind = max(usable, key=lambda r: (credits.get(r, 0.0), r))
+        furthest_behind = max(usable, key=lambda r: (credits.get(r, 0.0), r))
         leeway = self._leeway()
         if (
             chosen not in usable
-            or credits.get(behind, 0.0) >= 1.0 + leeway
+            or credits.get(furthest_behind, 0.0) >= 1.0 + leeway
             or credits.get(chosen, 0.0) < 1.0 - leeway
         ):
-            chosen = behind
-        quick = usable if in_time is None else in_time
-        is_lifted = now < self._lifted_until
-        if is_lifted and chosen not in quick and preferred in quick:
+            chosen = furthest_behind
+        timely = usable if in_time is None else in_time
+        is_cap_lifted = now < self._cap_lifted_until
+        if is_cap_lifted and chosen not in timely and preferred in timely:
             chosen = preferred
         credits[chosen] = credits.get(chosen, 0.0) - 1.0
         limit = 2 * leeway
@@ -159,12 +168,12 @@
         return chosen
 
     def _leeway(self) -> float:
-        """Returns by how many requests a region may be off its share."""
+        """Returns by how many requests a region may deviate from its share."""
         part = _LEEWAY_PART * self._max_shift * math.sqrt(self._vms)
-        return max(_LEAST_LEEWAY, part * self._rate.per(_WINDOW))
+        return max(_MIN_LEEWAY, part * self._rate.per(_WINDOW))
 
     def _region_of(self, object_key: str) -> ids.RegionId:
-        """Returns the region to which an object is dealt."""
+        """Returns the region that an object is assigned to by its hash."""
         point = xxhash.xxh32_intdigest(object_key.encode()) / _HASHES
         others = sorted(r for r in self._shares if r != self._own)
         for region in (self._own, *others):
@@ -173,30 +182,31 @@
                 return region
         return self._own
 
-    def _want(self, preferred: ids.RegionId) -> None:
+    def _update_wanted(self, preferred: ids.RegionId) -> None:
         wanted = self._wanted
         for region in wanted:
             wanted[region] *= 1 - _WANTED_WEIGHT
         wanted[preferred] = wanted.get(preferred, 0.0) + _WANTED_WEIGHT
 
-    def _move(self, now: datetime.timedelta) -> None:
-        """Moves the shares towards what load asks for."""
+    def _update_shares(self, now: datetime.timedelta) -> None:
+        """Moves the shares towards the wanted ones, at the allowed speed."""
         before = now if self._moved_at is None else self._moved_at
         self._moved_at = now
         goal = _mean((self._wanted, *self._peers_wanted))
         regions = goal.keys() | self._shares.keys()
         gaps = {r: goal.get(r, 0.0) - self._shares.get(r, 0.0) for r in regions}
-        apart = sum(gap for gap in gaps.values() if gap > 0)
+        distance = sum(gap for gap in gaps.values() if gap > 0)
         elapsed = min(now - before, _MAX_STEP)
-        step = self._pace * elapsed.total_seconds()
-        part = 1.0 if apart <= step else step / apart
+        step = self._max_change_per_s * elapsed.total_seconds()
+        fraction = 1.0 if distance <= step else step / distance
         self._shares = {
-            r: self._shares.get(r, 0.0) + gap * part for r, gap in gaps.items()
+            r: self._shares.get(r, 0.0) + gap * fraction
+            for r, gap in gaps.items()
         }
 
 
 class _Rate:
-    """How many requests this VM gets, of late."""
+    """Moving average of the rate of this VM's requests."""
 
     def __init__(self):
         self._began: datetime.timedelta | None = None
@@ -218,40 +228,45 @@
         self._count = 0
 
     def per(self, window: datetime.timedelta) -> float:
-        """Returns the requests within a window; 0 before the first is over."""
+        """Returns the mean number of requests within a window.
+
+        It is 0 until the first window was measured.
+        """
         return (self._mean or 0.0) * (window / _RATE_WINDOW)
 
 
 def _fitting_shares(
     own: ids.RegionId, slots: Mapping[ids.RegionId, int]
 ) -> Shares:
-    """Returns shares that fit the room if all regions have as many callers.
+    """Returns shares that fit the slots if all regions have as many callers.
 
-    What does not fit at home goes where room is left beside the callers there.
+    Requests beyond the own region's slots go to regions with slots to spare.
     """
-    even = sum(slots.values()) / len(slots)
-    home = min(1.0, slots.get(own, 0) / even)
-    spare = {r: max(0.0, n - even) for r, n in slots.items() if r != own}
-    room = sum(spare.values())
-    if not room:
+    mean = sum(slots.values()) / len(slots)
+    own_share = min(1.0, slots.get(own, 0) / mean)
+    spare = {r: max(0.0, n - mean) for r, n in slots.items() if r != own}
+    all_spare = sum(spare.values())
+    if not all_spare:
         return {own: 1.0}
-    shares = {region: (1 - home) * n / room for region, n in spare.items()}
-    return shares | {own: home}
+    shares = {
+        region: (1 - own_share) * n / all_spare for region, n in spare.items()
+    }
+    return shares | {own: own_share}
 
 
 def to_thousandths(
     shares: Mapping[ids.RegionId, float], regions: Sequence[ids.RegionId]
 ) -> tuple[int, ...]:
-    """Returns shares as they go over the wire, in the order of the regions."""
+    """Encodes shares for a heartbeat, in the order of the regions."""
     return tuple(round(1000 * shares.get(region, 0.0)) for region in regions)
 
 
 def from_thousandths(
-    parts: Sequence[int], regions: Sequence[ids.RegionId]
+    thousandths: Sequence[int], regions: Sequence[ids.RegionId]
 ) -> Shares:
-    """Returns the shares that `to_thousandths` was given, rounded."""
-    pairs = zip(regions, parts, strict=False)
-    return {region: part / 1000 for region, part in pairs}
+    """Decodes shares from a heartbeat; they are rounded to thousandths."""
+    pairs = zip(regions, thousandths, strict=False)
+    return {region: number / 1000 for region, number in pairs}
 
 
 def _mean(all_shares: Collection[Mapping[ids.RegionId, float]]) -> Shares:
--- a/dragonflystack/entry/_sightings.py
+++ b/dragonflystack/entry/_sightings.py
@@ -1,9 +1,10 @@
-"""What a VM sees of backend servers, told to its neighbours in heartbeats.
+"""Observations of backend servers that VMs share in heartbeats.
 
-One VM of many hears of a backend server seldom, while all of its region send
-there. So each tells what it read in answers: how many requests a backend
-server has, and which objects it has come to know. Objects are told on, so that
-a large region hears of them as well; loads are not, as they soon are old.
+In a large fleet, one VM gets few answers of a backend server, although all VMs
+of the region send to it. Each VM therefore shares what it read in answers: how
+many requests a backend server has, and which objects it newly cached. Objects
+are forwarded by the VMs that receive them, so that they spread through a large
+region. Loads are not forwarded because they are soon outdated.
 """
 
 import collections
@@ -16,28 +17,28 @@
 
 _MAX_LOADS = 24
 _MAX_LEARNT = 48
-"""Sightings in one heartbeat: 1.3 kB, which fit into one packet."""
+"""Limits on one heartbeat: 1.3 kB, which fit into one packet."""
 
-_TELL_FOR = datetime.timedelta(milliseconds=600)
-"""Little more than the pause between two heartbeats. What a lost datagram does
-not tell costs a wrong guess at most."""
+_SHARE_FOR = datetime.timedelta(milliseconds=600)
+"""Slightly longer than the interval between two heartbeats. Observations in a
+lost datagram are not repeated; the loss costs at most a wrong estimate."""
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
 class LoadSighting(msgspec.Struct, frozen=True, array_like=True):
-    """What a backend server said of its load."""
+    """Load that a backend server reported in an answer."""
 
     server: ids.BackendServerId
     requests: int
-    """Running and waiting there, of all VMs."""
+    """Requests of all VMs that were running or waiting at it."""
 
     age_ms: int
-    """How long before the heartbeat it said so."""
+    """Age of the report when the heartbeat was sent."""
 
 
 class LearntSighting(msgspec.Struct, frozen=True, array_like=True):
-    """A backend server that came to know an object."""
+    """A backend server and an object that it newly cached."""
 
     server: ids.BackendServerId
     object_hash: int
@@ -45,16 +46,16 @@
 
 
 def hash_object(key: str) -> int:
-    """Returns 32 bits that stand for an object's key.
+    """Returns a 32-bit hash of an object's key.
 
-    Two objects of one backend server with the same hash are so rare that a
-    wrong guess at the work, which is all that follows, does not matter.
+    Two objects of one backend server rarely have the same hash, and a collision
+    only makes the estimated processing time wrong.
     """
     return xxhash.xxh32_intdigest(key.encode())
 
 
 class Sightings:
-    """What one VM has to tell."""
+    """Recent observations of one VM."""
 
     def __init__(self):
         self._loads: dict[
@@ -70,7 +71,7 @@
         requests: int,
         now: datetime.timedelta,
     ) -> None:
-        """Takes in what a backend server said of its load."""
+        """Records the number of requests that a backend server reported."""
         self._loads.pop(server, None)
         self._loads[server] = (requests, now)
         if len(self._loads) > _MAX_LOADS:
@@ -82,17 +83,17 @@
         object_hash: int,
         now: datetime.timedelta,
     ) -> None:
-        """Takes in that a backend server came to know an object."""
+        """Records that a backend server newly cached an object."""
         self._learnt.append((now, LearntSighting(server, object_hash)))
 
     def loads(self, now: datetime.timedelta) -> tuple[LoadSighting, ...]:
-        """Returns the latest loads that were seen."""
+        """Returns the recent loads, to be sent in a heartbeat."""
         return tuple(
             LoadSighting(server, requests, round((now - at) / _MILLISECOND))
             for server, (requests, at) in self._loads.items()
-            if now - at <= _TELL_FOR
+            if now - at <= _SHARE_FOR
         )
 
     def learnt(self, now: datetime.timedelta) -> tuple[LearntSighting, ...]:
-        """Returns what backend servers came to know just now."""
-        return tuple(s for at, s in self._learnt if now - at <= _TELL_FOR)
+        """Returns the recently cached objects, to be sent in a heartbeat."""
+        return tuple(s for at, s in self._learnt if now - at <= _SHARE_FOR)
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -1,4 +1,4 @@
-"""The decisions of one entry VM, apart from all input and output."""
+"""State and routing decisions of one entry VM, without any I/O."""
 
 import datetime
 import random
@@ -22,26 +22,27 @@
 
 _ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
-_NO_NEWS_RETRY_AFTER = datetime.timedelta(milliseconds=500)
-"""The store did not answer, and a VM that starts asks it again after 0.2 to
-0.6 s."""
+_NO_CATALOGUE_RETRY_AFTER = datetime.timedelta(milliseconds=500)
+"""Retry-After while this VM has no catalogue. A VM that starts while the store
+does not answer asks the store again after 0.2 to 0.6 s."""
 
-_OUTDATED_PART = 0.6
-"""Part of the bound on changes for which a VM decides by routes that it knows
-to be old; the rest is for the first VMs to read a change and to tell it."""
+_OUTDATED_FRACTION = 0.6
+"""Fraction of `FleetBounds.apply` for which a VM uses routes that it knows to
+be outdated. The rest is the time in which the first VMs read a change and
+announce it."""
 
 _OUTDATED_RETRY_AFTER = datetime.timedelta(milliseconds=50)
-"""Another VM takes the request at once. Spread over as much again, so that
-callers do not come back as one."""
+"""Short, because another VM can serve the request at once. Jitter of up to the
+same time is added so that callers do not all return together."""
 
-_CONFIRM_PART = 0.4
-"""Part of the drain bound for which the removal of many entries at once is
-unconfirmed; the rest is for the store to answer again and for the news to
-reach other VMs."""
+_CONFIRM_FRACTION = 0.4
+"""Fraction of `FleetBounds.drain` for which the removal of many entries at once
+stays unconfirmed. The rest is the time in which the store answers again and the
+change reaches other VMs."""
 
 
 class EntryVm:
-    """What one VM believes and how it decides on requests."""
+    """One VM's view of the fleet, and its decisions on requests."""
 
     def __init__(
         self,
@@ -57,42 +58,39 @@
         self.book = _servers.ServerBook(regions, settings)
         departures = _departures.Departures()
         self.discovery = _discovery.Discovery(
-            self.book, departures, bounds.drain * _CONFIRM_PART
+            self.book, departures, bounds.drain * _CONFIRM_FRACTION
         )
         self.dispatch = _dispatch.Dispatch(
             members, self.book, departures, regions, bounds, settings, rng
         )
-        """Where requests go."""
+        """Selects the backend servers for requests."""
 
         self.catalogue: _catalogue.Catalogue | None = None
         self.store_era: int | None = None
-        """The store's era as far as known, None before it was heard of."""
+        """The store's latest known era, None if unknown."""
 
         self.log = _news.NewsLog()
         self.freshness = _freshness.Freshness(members, self.log)
-        """How far behind the store's rows it may be."""
+        """Tracks how far this VM is behind the store's rows."""
 
-        self._settled_at = _ZERO
-        """When operators and backend servers have written again what the store
-        lost; until then evacuations stay as they are."""
+        self._repopulated_at = _ZERO
+        """When operators and backend servers will have rewritten the rows that
+        the store lost. Evacuations do not change until then."""
 
         self._regions = tuple(sorted(set(regions.values())))
         self._routes: _routes.RouteTable | None = None
         self._rules: _access.AccessRules | None = None
 
-    # What it learns.
+    # State updates.
 
     def on_catalogue(self, catalogue: _catalogue.Catalogue) -> bool:
-        """Puts a catalogue in force unless it is older than the present one.
+        """Puts a catalogue in force if it is newer than the current one.
 
         Returns:
-            Whether it is in force now and was not before.
+            Whether the catalogue was put in force.
         """
-        now_in_force = self.catalogue
-        if (
-            now_in_force is not None
-            and catalogue.version <= now_in_force.version
-        ):
+        current = self.catalogue
+        if current is not None and catalogue.version <= current.version:
             return False
         self.catalogue = catalogue
         self._routes = _routes.RouteTable(catalogue, self.rng)
@@ -101,19 +99,19 @@
         return True
 
     def on_bounds(self, bounds: _settings.FleetBounds) -> None:
-        """Takes in bounds that changed."""
+        """Applies the operators' bounds if they changed."""
         if bounds == self.bounds:
             return
         self.bounds = bounds
-        self.discovery.confirm_after = bounds.drain * _CONFIRM_PART
+        self.discovery.confirm_after = bounds.drain * _CONFIRM_FRACTION
         self.dispatch.on_bounds(bounds)
 
     def on_store_era(self, era: int, now: datetime.timedelta) -> bool:
-        """Takes in the store's era, from an answer or from another VM.
+        """Updates the store's era, from an answer or from another VM.
 
         Returns:
-            Whether the store came back from an older copy since it was last
-            heard of.
+            Whether the era is newer than a known one, which means that the
+            store was restored from an older copy.
         """
         before = self.store_era
         if before is not None and era <= before:
@@ -123,16 +121,19 @@
         if before is None:
             return False
         self.discovery.on_store_returned(now)
-        self._settled_at = now + _discovery.LAPSE_GRACE
+        self._repopulated_at = now + _discovery.LAPSE_GRACE
         return True
 
     def is_settled(self, now: datetime.timedelta) -> bool:
-        """Returns whether all had time to write again what the store lost."""
-        return now >= self._settled_at
+        """Returns whether lost rows had time to be rewritten to the store.
+
+        True unless the store was restored from an older copy recently.
+        """
+        return now >= self._repopulated_at
 
     @property
     def evacuated(self) -> frozenset[ids.FailureDomainId]:
-        """The failure domains that get no requests."""
+        """Failure domains that get no requests."""
         return self.dispatch.evacuated
 
     def on_evacuated(
@@ -142,8 +143,9 @@
     ) -> None:
         """See `_dispatch.Dispatch.on_evacuated`.
 
-        An older copy of the store lacks evacuations, and has some that were
-        taken back; until operators have written theirs again nothing changes.
+        An older copy of the store misses recent evacuations and has some that
+        ended since. Evacuations therefore do not change until operators had
+        time to rewrite theirs.
         """
         if self.is_settled(now):
             self.dispatch.on_evacuated(domains, now)
@@ -155,13 +157,17 @@
         now: datetime.timedelta,
         from_store: bool = True,
     ) -> _discovery.Changes:
-        """Takes in what was read of the list of backend servers.
+        """Applies a listing of backend servers.
 
         Args:
-            listing: what was read.
-            position: the store's version of the latest of its rows.
+            listing: all backend servers or the changed ones.
+            position: the store's version of the listing's latest row.
             now: the time.
-            from_store: whether this VM read it itself.
+            from_store: whether this VM read the listing from the store, rather
+                than received it from another VM.
+
+        Returns:
+            The changes among the backend servers.
         """
         changes = self.discovery.on_listing(listing, now, from_store)
         self.log.on_servers(
@@ -179,7 +185,11 @@
         return self.dispatch.on_departures(departures, now)
 
     def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
-        """Does what is due."""
+        """Performs the periodic updates of peers, shares and server entries.
+
+        Returns:
+            The changes among the backend servers.
+        """
         self.members.on_tick(now)
         self.dispatch.on_tick(now)
         changes = self.discovery.on_tick(now)
@@ -196,13 +206,14 @@
         answer_wanted: bool = False,
         introduce: bool = False,
     ) -> _members.Heartbeat:
-        """Returns what to tell another VM of the region now.
+        """Returns a heartbeat for another VM of the region.
 
         Args:
             now: the time.
-            is_near: whether that VM is a neighbour.
-            answer_wanted: whether it is to answer at once.
-            introduce: whether it may not know where this VM is.
+            is_near: whether the receiver is a neighbour in the ring.
+            answer_wanted: whether the receiver should answer at once.
+            introduce: whether to include this VM's address, for a receiver that
+                may not know it.
         """
         members = self.members
         shares = self.dispatch.shares
@@ -223,27 +234,29 @@
             self.freshness.word(now),
         )
 
-    # News of the store, from it or from other VMs.
+    # Replication of the store's rows between VMs.
 
     def lacks(self, position: _news.Position) -> bool:
-        """Returns whether a VM at a position knows more than this one."""
+        """Returns whether a position has rows that this VM does not have."""
         own = self.log.position
         return (
             position.operators > own.operators or position.servers > own.servers
         )
 
     def is_outdated(self, now: datetime.timedelta) -> bool:
-        """Returns whether its routes are too old to decide by them."""
-        return self.freshness.behind(now) > self.bounds.apply * _OUTDATED_PART
+        """Returns whether this VM's routes are too old to be used."""
+        return (
+            self.freshness.behind(now) > self.bounds.apply * _OUTDATED_FRACTION
+        )
 
     def news_since(
         self, position: _news.Position, known_version: int = 0
     ) -> _news.News:
-        """Returns what a VM at a position does not know.
+        """Returns the changes that a VM at a position does not have.
 
         Args:
-            position: up to where it knows the store's rows.
-            known_version: its catalogue's version, 0 for none.
+            position: up to where the VM has the store's rows.
+            known_version: the VM's catalogue version, 0 for none.
         """
         return self.log.since(
             position,
@@ -256,7 +269,7 @@
     def on_news(
         self, news: _news.News, now: datetime.timedelta
     ) -> _discovery.Changes:
-        """Takes in another VM's news of backend servers, and its position."""
+        """Applies another VM's changes of backend servers, and its position."""
         self.log.on_operators(news.position.operators)
         version = news.position.servers
         listing = _discovery.Listing(
@@ -266,7 +279,7 @@
 
     @property
     def is_informed(self) -> bool:
-        """Whether it knows routes and backend servers."""
+        """Whether this VM has a catalogue and has read the backend servers."""
         return self.catalogue is not None and (
             self.discovery.read_at is not None
         )
@@ -276,12 +289,12 @@
     def access(
         self, request: _messages.Request, now: datetime.timedelta
     ) -> _access.Access | _access.Denial:
-        """Returns what the catalogue in force allows a request.
+        """Returns what the catalogue in force allows for a request.
 
-        It changes nothing, so it may be asked again before each send.
+        Has no side effects, so it may be called again before each attempt.
         """
         if self._rules is None or not self.is_informed:
-            wait = _NO_NEWS_RETRY_AFTER
+            wait = _NO_CATALOGUE_RETRY_AFTER
             return _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
         if self.is_outdated(now):
             wait = _OUTDATED_RETRY_AFTER * (1 + self.rng.random())
@@ -294,15 +307,17 @@
         now: datetime.timedelta,
         arrived: datetime.timedelta | None = None,
     ) -> tuple[_exchange.Exchange | None, _messages.Step]:
-        """Takes a request.
+        """Starts to handle a request.
 
         Args:
-            request: what the caller sent.
+            request: the caller's request.
             now: the time.
-            arrived: when it came, None for just now; its times count from then.
+            arrived: when the request arrived, None for `now`. Its deadlines
+                count from then.
 
         Returns:
-            Its exchange, if there is one, and the first step.
+            The exchange, None if the request may not be sent, and the first
+            step.
         """
         wanted = self._resolve(request, None, now)
         if not isinstance(wanted, _choice.Wanted):
@@ -318,7 +333,7 @@
         return exchange, exchange.begin(now)
 
     def _make_resolver(self, request: _messages.Request) -> _exchange.Resolve:
-        """Returns what an exchange resolves its request with."""
+        """Returns the function that resolves a request for its exchange."""
         resolved_by = self._rules
 
         def resolve(
@@ -340,9 +355,9 @@
         before: _choice.Wanted | None,
         now: datetime.timedelta,
     ) -> _choice.Wanted | _access.Denial:
-        """Returns what a request needs under the catalogue in force.
+        """Returns the requirements of a request under the catalogue in force.
 
-        It stays with its service while its route leads there.
+        A request keeps its service as long as its route leads to it.
         """
         access = self.access(request, now)
         if not isinstance(access, _access.Access):
--- a/dragonflystack/entry/_waits.py
+++ b/dragonflystack/entry/_waits.py
@@ -1,9 +1,9 @@
-"""How long requests waited for a slot lately, by service and region.
+"""Estimates the current wait for a slot, by service and region.
 
-One VM hears of a backend server's queue only with its own answers, which may
-be seconds apart. The queues of a service in one region are about as long, as
-all VMs send where they take the wait to be short. So the waits that this VM's
-requests met there stand in for what it was not told.
+A VM learns the length of a backend server's queue only with an answer, and
+answers may be seconds apart. The queues of a service in one region are about
+equally long, because all VMs prefer the shortest expected wait. The waits of
+this VM's own requests in the region therefore stand in for missing reports.
 """
 
 import dataclasses
@@ -13,20 +13,23 @@
 
 _ZERO = datetime.timedelta()
 _WEIGHT = 0.3
-"""Weight of the latest wait; one VM sees about one a second."""
+"""Weight of the latest wait in the moving average; a VM gets about one a
+second."""
 
 
 @dataclasses.dataclass(slots=True)
-class _Seen:
+class _Estimate:
     wait: datetime.timedelta
     at: datetime.timedelta
 
 
 class Waits:
-    """The waits of one VM's requests."""
+    """Moving averages of the waits of one VM's requests."""
 
     def __init__(self):
-        self._seen: dict[tuple[ids.ServiceId, ids.RegionId], _Seen] = {}
+        self._estimates: dict[
+            tuple[ids.ServiceId, ids.RegionId], _Estimate
+        ] = {}
 
     def on_wait(
         self,
@@ -35,13 +38,13 @@
         wait: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Takes in how long a request waited at a backend server."""
+        """Updates the estimate with the wait of one request."""
         key = (service, region)
-        seen = self._seen.get(key)
+        estimate = self._estimates.get(key)
         before = self.expect(service, region, now)
-        weight = 1.0 if seen is None else _WEIGHT
+        weight = 1.0 if estimate is None else _WEIGHT
         mean = before + (max(_ZERO, wait) - before) * weight
-        self._seen[key] = _Seen(mean, now)
+        self._estimates[key] = _Estimate(mean, now)
 
     def expect(
         self,
@@ -51,10 +54,10 @@
     ) -> datetime.timedelta:
         """Returns how long a request would wait now.
 
-        A queue that gets nothing new is gone after the wait that it made;
-        half of that is assumed.
+        A queue without new requests shrinks as fast as time passes. The
+        estimate shrinks at half that speed.
         """
-        seen = self._seen.get((service, region))
-        if seen is None or seen.wait <= _ZERO:
+        estimate = self._estimates.get((service, region))
+        if estimate is None or estimate.wait <= _ZERO:
             return _ZERO
-        return max(_ZERO, seen.wait - (now - seen.at) / 2)
+        return max(_ZERO, estimate.wait - (now - estimate.at) / 2)
--- a/dragonflystack/entry/_work_times.py
+++ b/dragonflystack/entry/_work_times.py
@@ -1,10 +1,10 @@
-"""How long requests take at a backend server, measured.
+"""Measures the processing time of requests at backend servers.
 
-Each route has two means: for an object that the backend server knows and for
-a new one. Which of them a measurement belongs to is told by its length, since
-what a backend server knows is only guessed. The mean of a service tells how
-fast its slots come free; it also stands in for routes that were not measured
-yet.
+Each route has two means: for objects that the backend server has cached and for
+uncached ones. The length of a measurement decides which mean it belongs to,
+because it is not known for certain what a backend server has cached. The mean
+of a service gives the rate at which its slots become free. It is also used for
+routes without measurements.
 """
 
 import dataclasses
@@ -16,104 +16,120 @@
 from dragonflystack.entry import _settings
 
 _WEIGHT = 0.05
-"""Least weight of the latest measurement; about twenty count."""
+"""Minimum weight of the latest measurement; about the last twenty count."""
 
-_NEW_PART_WEIGHT = 0.1
-"""Least weight of the latest request; each object is asked for about once a
-second, so at the start of a day the part falls within seconds."""
+_MISS_RATE_WEIGHT = 0.1
+"""Minimum weight of the latest request. Each object is requested about once a
+second, so the initial miss rate of 1 falls within seconds."""
 
-_MOST_STEP = 4.0
-"""One measurement counts at most as this many times the mean."""
+_MAX_MEAN_MULTIPLE = 4.0
+"""Measurements are capped at this multiple of the mean."""
 
 
 @dataclasses.dataclass(slots=True)
 class _Mean:
-    """A mean that the first measurements move fast."""
+    """A moving average that adapts quickly to the first measurements."""
 
     value: datetime.timedelta
     count: int = 0
-    """Measurements; 0 while the value is only assumed."""
+    """Number of measurements; 0 while the value is only assumed."""
 
-    def add(self, work: datetime.timedelta) -> None:
-        """Takes in a measurement."""
+    def add(self, processing_time: datetime.timedelta) -> None:
+        """Updates the mean with a measurement."""
         self.count += 1
-        step = min(work, self.value * _MOST_STEP) - self.value
+        step = (
+            min(processing_time, self.value * _MAX_MEAN_MULTIPLE) - self.value
+        )
         self.value += step * max(_WEIGHT, 1 / self.count)
 
 
 @dataclasses.dataclass(slots=True)
-class _Means:
-    """What was measured of one route."""
+class _RouteTimes:
+    """Processing times of one route."""
 
-    known: _Mean
-    new: _Mean
-    new_part: float = 1.0
-    """Part of the requests that met a backend server new to their object,
-    though it was the object's first choice."""
+    cached: _Mean
+    uncached: _Mean
+    miss_rate: float = 1.0
+    """Fraction of requests whose object was not cached at the first backend
+    server of the object's ranking."""
 
     first_choices: int = 0
-    """Measurements that this part comes from."""
-
-    def add(self, work: datetime.timedelta, warm_part: float) -> bool:
-        """Takes in a measurement; returns whether the object was new."""
-        product = self.known.value.total_seconds()
-        product *= self.new.value.total_seconds()
-        if work.total_seconds() > math.sqrt(product):
-            self.new.add(work)
-            if not self.known.count:
-                self.known.value = self.new.value * warm_part
+    """Measurements that the miss rate is based on."""
+
+    def add(
+        self, processing_time: datetime.timedelta, warm_part: float
+    ) -> bool:
+        """Updates the nearer mean; returns whether the object was uncached.
+
+        Args:
+            processing_time: the measured processing time.
+            warm_part: ratio of the two means while one was not measured.
+        """
+        product = self.cached.value.total_seconds()
+        product *= self.uncached.value.total_seconds()
+        if processing_time.total_seconds() > math.sqrt(product):
+            self.uncached.add(processing_time)
+            if not self.cached.count:
+                self.cached.value = self.uncached.value * warm_part
             return True
-        self.known.add(work)
-        if not self.new.count:
-            self.new.value = self.known.value / warm_part
+        self.cached.add(processing_time)
+        if not self.uncached.count:
+            self.uncached.value = self.cached.value / warm_part
         return False
 
 
 class WorkTimes:
-    """The mean work of each route and each service."""
+    """Mean processing times of each route and each service."""
 
     def __init__(self, settings: _settings.ChoiceSettings):
         self._settings = settings
-        self._routes: dict[_catalogue.RouteId, _Means] = {}
+        self._routes: dict[_catalogue.RouteId, _RouteTimes] = {}
         self._services: dict[ids.ServiceId, _Mean] = {}
 
     def expect(
-        self, route: _catalogue.Route, service: ids.ServiceId, known: bool
+        self, route: _catalogue.Route, service: ids.ServiceId, cached: bool
     ) -> datetime.timedelta:
-        """Returns the expected work of a request.
+        """Returns the expected processing time of a request.
 
         Args:
-            route: its route.
-            service: the service it goes to.
-            known: whether the backend server is thought to know its object.
+            route: the request's route.
+            service: the service that it is sent to.
+            cached: whether the backend server has the object cached.
         """
-        means = self._routes.get(route.id)
-        if means is None:
+        times = self._routes.get(route.id)
+        if times is None:
             mean = self._services.get(service)
-            new = route.target_latency if mean is None else mean.value
-            return new * self._warm_part(route) if known else new
-        return means.known.value if known else means.new.value
+            uncached = route.target_latency if mean is None else mean.value
+            return uncached * self._warm_part(route) if cached else uncached
+        return times.cached.value if cached else times.uncached.value
 
-    def likely(
+    def likely_within(
         self,
         route: _catalogue.Route,
         service: ids.ServiceId,
         elapsed: datetime.timedelta,
     ) -> datetime.timedelta:
-        """Returns how much of the time at a backend server was work."""
-        known = self.expect(route, service, True)
-        new = self.expect(route, service, False)
-        return new if elapsed >= new else min(elapsed, known)
+        """Returns the likely processing time within a time at a backend server.
 
-    def new_part(self, route: _catalogue.Route) -> float:
-        """Returns the part of a route's objects that first choices lack."""
-        means = self._routes.get(route.id)
-        return 1.0 if means is None else means.new_part
+        The rest of that time was spent in the queue.
+        """
+        cached = self.expect(route, service, True)
+        uncached = self.expect(route, service, False)
+        return uncached if elapsed >= uncached else min(elapsed, cached)
+
+    def miss_rate(self, route: _catalogue.Route) -> float:
+        """Returns how often the first server in a ranking lacks the object.
+
+        Returns:
+            A fraction of the route's requests; 1 without measurements.
+        """
+        times = self._routes.get(route.id)
+        return 1.0 if times is None else times.miss_rate
 
     def per_slot(
         self, route: _catalogue.Route, service: ids.ServiceId
     ) -> datetime.timedelta:
-        """Returns how long a slot of the service is taken on the mean."""
+        """Returns the mean time for which a request occupies a slot."""
         mean = self._services.get(service)
         if mean is None:
             return self.expect(route, service, False)
@@ -123,36 +139,36 @@
         self,
         route: _catalogue.Route,
         service: ids.ServiceId,
-        work: datetime.timedelta,
+        processing_time: datetime.timedelta,
         is_first_choice: bool,
     ) -> None:
-        """Takes in how long a request took at its backend server.
+        """Updates the means with the processing time of a request.
 
         Args:
-            route: its route.
-            service: the service it went to.
-            work: how long it took.
-            is_first_choice: whether that backend server is the object's first
-                choice, and this VM had not sent it the object before.
+            route: the request's route.
+            service: the service that it was sent to.
+            processing_time: the measured processing time.
+            is_first_choice: whether the backend server is the first one in the
+                object's ranking and was not known to have the object cached.
         """
-        means = self._routes.get(route.id)
+        times = self._routes.get(route.id)
         warm_part = self._warm_part(route)
-        if means is None:
-            new = max(work, route.target_latency)
-            means = _Means(_Mean(new * warm_part), _Mean(new))
-            self._routes[route.id] = means
+        if times is None:
+            uncached = max(processing_time, route.target_latency)
+            times = _RouteTimes(_Mean(uncached * warm_part), _Mean(uncached))
+            self._routes[route.id] = times
         if warm_part < 1:
-            was_new = means.add(work, warm_part)
+            was_uncached = times.add(processing_time, warm_part)
             if is_first_choice:
-                means.first_choices += 1
-                step = float(was_new) - means.new_part
-                weight = 1 / (1 + means.first_choices)
-                means.new_part += step * max(_NEW_PART_WEIGHT, weight)
+                times.first_choices += 1
+                step = float(was_uncached) - times.miss_rate
+                weight = 1 / (1 + times.first_choices)
+                times.miss_rate += step * max(_MISS_RATE_WEIGHT, weight)
         else:
-            means.new.add(work)
-            means.known.value = means.new.value
-        mean = self._services.setdefault(service, _Mean(work))
-        mean.add(work)
+            times.uncached.add(processing_time)
+            times.cached.value = times.uncached.value
+        mean = self._services.setdefault(service, _Mean(processing_time))
+        mean.add(processing_time)
 
     def _warm_part(self, route: _catalogue.Route) -> float:
         return self._settings.warm_part if route.sticky else 1.0
--- a/dragonflystack/entry/tests/builders.py
+++ b/dragonflystack/entry/tests/builders.py
@@ -1,4 +1,4 @@
-"""Small builders for the tests of the decisions."""
+"""Builders of objects for the tests of routing decisions."""
 
 import datetime
 import random
@@ -17,12 +17,18 @@
 
 
 def ms(milliseconds: float) -> datetime.timedelta:
-    """Returns a duration."""
+    """Returns a duration in milliseconds."""
     return datetime.timedelta(milliseconds=milliseconds)
 
 
 def server(name: str, domain: str = "a1", **changes) -> entry.ServerEntry:
-    """Returns an entry; the address is made of the name."""
+    """Returns the entry of a backend server.
+
+    Args:
+        name: its id.
+        domain: its failure domain.
+        **changes: other fields that differ from the defaults.
+    """
     fields: dict[str, Any] = {
         "id": ids.BackendServerId(name),
         "service": SERVICE,
@@ -39,7 +45,7 @@
 
 
 def route(**changes) -> entry.Route:
-    """Returns a route to the service."""
+    """Returns a route to `SERVICE`, with the given fields changed."""
     fields: dict[str, Any] = {
         "id": entry.RouteId("r"),
         "host": "shop.example",
@@ -55,7 +61,7 @@
 
 
 def customer(name: str, *keys: str, **changes) -> entry.Customer:
-    """Returns a customer with the keys, or one named after it."""
+    """Returns a customer with the keys, by default one key with its name."""
     digests = tuple(
         entry.digest_key(key.encode()) for key in keys or (f"key-{name}",)
     )
@@ -67,7 +73,7 @@
     version: int = 1,
     customers: tuple[entry.Customer, ...] | None = None,
 ) -> entry.Catalogue:
-    """Returns a catalogue with the routes; all their services exist."""
+    """Returns a catalogue with the routes and their services."""
     routes = routes or (route(),)
     names = {d.service for r in routes for d in r.destinations} | {SERVICE}
     services = {
@@ -97,7 +103,7 @@
     now: datetime.timedelta | None = None,
     customers: tuple[entry.Customer, ...] | None = None,
 ) -> entry.EntryVm:
-    """Returns an entry VM that serves and knows the servers."""
+    """Returns a serving entry VM with a catalogue and the backend servers."""
     made = entry.EntryVm(
         entry.Members(address(vm, region), ids.Incarnation(vm + "-1")),
         REGIONS,
@@ -113,7 +119,7 @@
 
 
 def request(key: str | None = "1", **changes) -> entry.Request:
-    """Returns a request of the route."""
+    """Returns a request on the default route, with the given fields changed."""
     fields: dict[str, Any] = {
         "id": "q1",
         "host": "shop.example",
@@ -125,6 +131,6 @@
 
 
 def watch(vm: entry.EntryVm, now: datetime.timedelta) -> None:
-    """Has the VM's own watches of the store work."""
+    """Makes the VM's watches of the store report success."""
     for table in entry.Table:
         vm.freshness.on_watch(table, True, now)
--- a/dragonflystack/entry/tests/loads.py
+++ b/dragonflystack/entry/tests/loads.py
@@ -1,8 +1,8 @@
-"""Plays loads against the real decisions, with simple backend servers.
+"""Simulates loads on real entry VMs, with simplified backend servers.
 
-A discrete-event run in simulated time: callers ask the VMs of their region,
-VMs decide, backend servers have slots, a short queue and a memory of objects.
-Nothing here does I/O or depends on the machine.
+A discrete-event simulation: callers send requests to the VMs of their region,
+and VMs choose among backend servers that have slots, a short queue and a cache
+of objects. The simulation does no I/O and does not depend on the machine.
 """
 
 import collections
@@ -18,26 +18,31 @@
 from dragonflystack import entry
 from dragonflystack import ids
 
-_WAY_TO_CALLER_MS = 8.0
-_BETWEEN_REGIONS_MS = 35.0
-_BEAT_MS = 500.0
-_KNOWN_PART = 0.3
-"""Work on a known object over that on a new one."""
+_CALLER_DELAY_MS = 8.0
+"""One-way network delay between a caller and a VM."""
+
+_REMOTE_DELAY_MS = 35.0
+"""One-way network delay between a VM and a backend server of another region."""
+
+_HEARTBEAT_INTERVAL_MS = 500.0
+_CACHED_TIME_FRACTION = 0.3
+"""Processing time of a cached object relative to an uncached one."""
 
 _SLOW_FACTOR = 5.0
 _SHIFT_WINDOW_MS = 2_000.0
-"""The users' bound on shifts compares windows of this length."""
+"""Length of the windows that the users' limit on shifts compares."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """One kind of request and the backend servers of its service."""
+    """Load of one service, with its backend servers and the entry VMs."""
 
     servers: dict[str, int]
     """Backend servers in each region."""
 
     per_second: Callable[[str, float], float]
-    """Requests a second of the callers of a region at a second."""
+    """Returns the request rate of a region's callers, given the region and the
+    time in seconds."""
 
     vms: int = 5
     """Entry VMs in each region."""
@@ -46,24 +51,25 @@
     target_ms: float = 250.0
     deadline_ms: float = 1200.0
     timeout_ms: float | None = None
-    """What the operators allow a request, None for the caller's own time."""
+    """Timeout of the route, None to use the caller's deadline."""
 
     objects: int = 50
-    """Objects that the callers of each region ask for."""
+    """Different objects that the callers of each region request."""
 
     hot_part: float = 0.0
-    """Part of the requests that concern one and the same object."""
+    """Fraction of the requests that concern a single hot object."""
 
     kept: int = 52
-    """Objects that a backend server remembers."""
+    """Objects that a backend server can cache."""
 
     slots: int = 3
     queue: int = 9
     slow: int = 0
-    """Backend servers in each region that take five times as long."""
+    """Slow backend servers in each region, which take five times as long."""
 
     loss_at_s: float | None = None
-    """When the last region's first backend server leaves, None if none does."""
+    """When the last region's first backend server is removed, None for
+    never."""
 
     seconds: float = 20.0
     retries: int = 1
@@ -71,7 +77,10 @@
 
 
 def draw(seed: int) -> Load:
-    """Returns a load of some shape: regions, room, work and objects vary."""
+    """Returns a random load.
+
+    Regions, capacity, processing time, deadlines and objects vary.
+    """
     rng = random.Random(seed)
     names = "abcde"[: rng.randint(2, 5)]
     servers = {name: rng.randint(2, 8) for name in names}
@@ -80,14 +89,14 @@
     target_ms = work_ms * rng.uniform(0.4, 2.0)
     deadline_ms = max(target_ms, work_ms) * rng.uniform(4, 6)
     has_timeout = rng.random() < 0.5
-    room = sum(servers.values()) * slots / (work_ms / 1000)
-    per_second = room * rng.uniform(0.6, 1.6) / len(names)
-    swing = rng.uniform(0.0, 0.6)
-    turns = {name: rng.random() for name in names}
+    capacity = sum(servers.values()) * slots / (work_ms / 1000)
+    per_second = capacity * rng.uniform(0.6, 1.6) / len(names)
+    amplitude = rng.uniform(0.0, 0.6)
+    phases = {name: rng.random() for name in names}
 
     def rate(region: str, second: float) -> float:
-        turn = 2 * math.pi * (second / 36 + turns[region])
-        return per_second * (1 + swing * math.sin(turn))
+        angle = 2 * math.pi * (second / 36 + phases[region])
+        return per_second * (1 + amplitude * math.sin(angle))
 
     return Load(
         servers,
@@ -108,69 +117,74 @@
 
 @dataclasses.dataclass(slots=True)
 class Tally:
-    """How the requests of one run ended."""
+    """Counts the outcomes of the requests of one simulation."""
 
     asked: int = 0
     in_target: int = 0
     late: int = 0
     refused: int = 0
     failed: int = 0
-    """Attempts that ended without an answer."""
+    """Caller attempts that ended neither answered nor rejected."""
 
     refused_again: int = 0
-    """Of the refused ones, those that had come back."""
+    """Rejected requests that the caller had retried."""
 
     regions: collections.Counter[tuple[str, str]] = dataclasses.field(
         default_factory=collections.Counter
     )
-    """Runs by region of the caller and of the backend server."""
+    """Runs at backend servers, by region of the caller and of the server."""
 
     runs: list[tuple[float, str, str]] = dataclasses.field(default_factory=list)
-    """When each run began, in ms, and those two regions."""
+    """Start of each run, in ms, with the same two regions."""
 
     def largest_shift(self, region: str, from_ms: float = 0.0) -> float:
-        """Returns the most that changed region from one 2 s to the next.
+        """Returns the largest shift between two consecutive windows of 2 s.
 
         Args:
-            region: where the callers are.
-            from_ms: when to begin.
+            region: the region of the callers.
+            from_ms: the start of the first window.
+
+        Returns:
+            The fraction of the region's requests that changed region.
         """
         times = [(at, to) for at, frm, to in self.runs if frm == region]
         end_ms = max(at for at, _ in times)
-        most = 0.0
+        largest = 0.0
         start_ms = from_ms
         while start_ms + 2 * _SHIFT_WINDOW_MS <= end_ms:
-            parts = [
-                _parts(times, start_ms + i * _SHIFT_WINDOW_MS) for i in (0, 1)
+            shares = [
+                _shares(times, start_ms + i * _SHIFT_WINDOW_MS) for i in (0, 1)
             ]
-            apart = sum(
-                abs(parts[0].get(to, 0.0) - parts[1].get(to, 0.0))
-                for to in parts[0].keys() | parts[1].keys()
+            difference = sum(
+                abs(shares[0].get(to, 0.0) - shares[1].get(to, 0.0))
+                for to in shares[0].keys() | shares[1].keys()
             )
-            most = max(most, apart / 2)
+            largest = max(largest, difference / 2)
             start_ms += _SHIFT_WINDOW_MS / 4
-        return most
+        return largest
 
     @property
     def in_target_part(self) -> float:
-        """The part answered within the target latency."""
+        """The fraction of requests answered within the target latency."""
         return self.in_target / self.asked
 
     @property
     def served_part(self) -> float:
-        """The part answered at all."""
+        """The fraction of requests answered at all."""
         return (self.in_target + self.late) / self.asked
 
     @property
     def credit(self) -> float:
-        """What callers got: 1 in time, a fifth late, a loss if sent away
-        twice, each over the number of requests."""
+        """Mean score of a request: 1 if answered within the target latency, 0.2
+        if answered later, -0.3 if rejected twice."""
         gained = self.in_target + 0.2 * self.late - 0.3 * self.refused_again
         return gained / self.asked
 
 
-def _parts(times: list[tuple[float, str]], start_ms: float) -> dict[str, float]:
-    """Returns the part of the runs of one window in each region."""
+def _shares(
+    times: list[tuple[float, str]], start_ms: float
+) -> dict[str, float]:
+    """Returns each region's share of the runs of one window."""
     end_ms = start_ms + _SHIFT_WINDOW_MS
     inside = [to for at, to in times if start_ms <= at < end_ms]
     counts = collections.Counter(inside)
@@ -178,41 +192,44 @@
 
 
 class _Backend:
-    """A backend server with slots, a queue and a memory of objects."""
+    """A backend server with slots, a queue and a cache of objects."""
 
     def __init__(self, load: Load, is_slow: bool):
         self._load = load
         self._factor = _SLOW_FACTOR if is_slow else 1.0
         self.running = 0
         self.waiting: collections.deque = collections.deque()
-        self._known: collections.OrderedDict[str, None] = (
+        self._cached: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
 
     def is_full(self) -> bool:
-        """Whether it refuses the next request."""
+        """Whether its queue is full, so that it rejects the next request."""
         return len(self.waiting) >= self._load.queue
 
     def work_ms(self, key: str, rng: random.Random) -> float:
-        """Returns how long it works on an object."""
-        known = key in self._known
-        mean = self._load.work_ms * (_KNOWN_PART if known else 1.0)
+        """Returns a random processing time for an object."""
+        cached = key in self._cached
+        mean = self._load.work_ms * (_CACHED_TIME_FRACTION if cached else 1.0)
         return mean * self._factor * rng.uniform(0.8, 1.2)
 
-    def learn(self, key: str) -> None:
-        """Remembers an object; work that is cut off teaches nothing."""
-        self._known[key] = None
-        self._known.move_to_end(key)
-        if len(self._known) > self._load.kept:
-            self._known.popitem(last=False)
+    def cache(self, key: str) -> None:
+        """Caches an object, evicting the least recent one if needed.
+
+        Only requests that are processed to the end cache their object.
+        """
+        self._cached[key] = None
+        self._cached.move_to_end(key)
+        if len(self._cached) > self._load.kept:
+            self._cached.popitem(last=False)
 
     def report(self) -> entry.Load:
-        """Returns what it says of its load."""
+        """Returns its load report."""
         return entry.Load(self.running, len(self.waiting), self._load.slots)
 
 
 class World:
-    """One run."""
+    """One simulation: entry VMs, backend servers and pending events."""
 
     def __init__(self, load: Load, settings: entry.ChoiceSettings):
         self._load = load
@@ -225,7 +242,7 @@
         self.vms = self._make_vms(settings)
 
     def play(self) -> Tally:
-        """Plays the load and returns how its requests ended."""
+        """Runs the simulation and returns the outcomes of the requests."""
         for region in self._load.servers:
             self._at(0.0, self._arrive, region)
         self._at(0.0, self._beat)
@@ -325,7 +342,7 @@
                     )
             for vm in group:
                 vm.on_tick(_ms(now))
-        self._at(now + _BEAT_MS, self._beat)
+        self._at(now + _HEARTBEAT_INTERVAL_MS, self._beat)
 
     def _arrive(self, now: float, region: str) -> None:
         load = self._load
@@ -337,7 +354,7 @@
             is_hot = load.hot_part and self._rng.random() < load.hot_part
             number = 0 if is_hot else self._rng.randrange(load.objects)
             key = f"{region}/{number}"
-            reached = now + _WAY_TO_CALLER_MS
+            reached = now + _CALLER_DELAY_MS
             self._at(reached, self._ask, region, key, now, 0)
 
     def _ask(
@@ -357,16 +374,16 @@
         match step:
             case entry.Send(server):
                 name = server.entry.id
-                way = self._way_ms(region, name)
+                delay = self._delay_ms(region, name)
                 send = len(exchange.sends)
-                self._at(now + way, self._reach, name, call, send)
+                self._at(now + delay, self._reach, name, call, send)
                 patience = step.patience / _ms(1)
                 self._at(now + patience, self._silence, call, send)
             case entry.Wait(patience):
                 send = len(exchange.sends)
                 self._at(now + patience / _ms(1), self._silence, call, send)
             case entry.Deliver():
-                latency = now + _WAY_TO_CALLER_MS - began
+                latency = now + _CALLER_DELAY_MS - began
                 if latency <= self._load.target_ms:
                     self.tally.in_target += 1
                 elif latency <= self._load.deadline_ms:
@@ -374,9 +391,9 @@
             case entry.Reject(_, retry_after):
                 left = began + self._load.deadline_ms - now
                 wait = min(retry_after / _ms(1), left / 3)
-                again = now + 2 * _WAY_TO_CALLER_MS + wait
+                retry_at = now + 2 * _CALLER_DELAY_MS + wait
                 if tries < self._load.retries and left > 0:
-                    self._at(again, self._ask, region, key, began, tries + 1)
+                    self._at(retry_at, self._ask, region, key, began, tries + 1)
                     return
                 self.tally.refused += 1
                 self.tally.refused_again += tries > 0
@@ -384,13 +401,14 @@
                 self.tally.failed += 1
                 left = began + self._load.deadline_ms - now
                 if tries < self._load.retries and left > 0:
-                    again = now + 2 * _WAY_TO_CALLER_MS
-                    self._at(again, self._ask, region, key, began, tries + 1)
+                    retry_at = now + 2 * _CALLER_DELAY_MS
+                    self._at(retry_at, self._ask, region, key, began, tries + 1)
                     return
                 self.tally.refused += 1
 
-    def _way_ms(self, region: str, name: str) -> float:
-        return 0.5 if self._region_of[name] == region else _BETWEEN_REGIONS_MS
+    def _delay_ms(self, region: str, name: str) -> float:
+        """Returns the one-way delay from a region's VMs to a backend server."""
+        return 0.5 if self._region_of[name] == region else _REMOTE_DELAY_MS
 
     def _reach(self, now: float, name: str, call: tuple, send: int) -> None:
         backend = self._backends[name]
@@ -413,9 +431,9 @@
             backend.running += 1
             self.tally.regions[region, self._region_of[name]] += 1
             self.tally.runs.append((now, region, self._region_of[name]))
-            took = backend.work_ms(key, self._rng)
+            work_ms = backend.work_ms(key, self._rng)
             left = exchange.deadline / _ms(1) - now
-            self._at(now + min(took, left), self._done, name, call, send)
+            self._at(now + min(work_ms, left), self._done, name, call, send)
 
     def _done(self, now: float, name: str, call: tuple, send: int) -> None:
         backend = self._backends[name]
@@ -423,7 +441,7 @@
         is_over = _ms(now) >= call[1].deadline
         status = 504 if is_over else 200
         if not is_over:
-            backend.learn(call[3])
+            backend.cache(call[3])
         answer = entry.Answered(status, load=backend.report())
         self._answer(now, name, call, send, answer)
         self._serve(now, name)
@@ -436,8 +454,8 @@
         send: int,
         answer: entry.Answered,
     ) -> None:
-        way = self._way_ms(call[2], name)
-        self._at(now + way, self._result, call, send, answer)
+        delay = self._delay_ms(call[2], name)
+        self._at(now + delay, self._result, call, send, answer)
 
     def _result(
         self, now: float, call: tuple, send: int, result: entry.Result
@@ -452,7 +470,7 @@
 
 
 def play(load: Load, **changes: Any) -> Tally:
-    """Plays a load with settings of the choice changed as named."""
+    """Simulates a load with the given settings changed."""
     return World(load, entry.ChoiceSettings(**changes)).play()
 
 
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -212,10 +212,10 @@
     book = _servers.ServerBook(builders.REGIONS, entry.ChoiceSettings())
     first, _ = book.on_entry(builders.server("s", born=1), builders.ms(0))
     first.on_learnt(7)
-    assert first.knows(7)
+    assert first.has_cached(7)
     first.on_suspect(builders.ms(1))
     second, is_new = book.on_entry(builders.server("s", born=2), builders.ms(2))
     assert is_new and first.gone
     assert second.in_flight == 0
     assert second.suspect_since is None
-    assert not second.knows(7)
+    assert not second.has_cached(7)
--- a/dragonflystack/entry/tests/test_popularity.py
+++ b/dragonflystack/entry/tests/test_popularity.py
@@ -25,7 +25,7 @@
     ],
 )
 def test_the_part_of_an_object(keys, low, high):
-    assert low <= _after(*keys).part(builders.SERVICE, "a") <= high
+    assert low <= _after(*keys).share(builders.SERVICE, "a") <= high
 
 
 def test_counts_stay_bounded():
@@ -42,4 +42,4 @@
         while isinstance(step, entry.Send):
             step = exchange.on_result(entry.Broken("reset"), now)
     popularity = vm.dispatch._chooser._popularity
-    assert popularity.part(builders.SERVICE, "0") == 0.0
+    assert popularity.share(builders.SERVICE, "0") == 0.0
--- a/dragonflystack/entry/tests/test_shares.py
+++ b/dragonflystack/entry/tests/test_shares.py
@@ -28,7 +28,7 @@
         at = builders.ms(1000 * i / _RATE)
         for vm in vms:
             wants = preferred(i)
-            region = vm.place(key(i), wants, (_A, _B, _C), at, in_time)
+            region = vm.choose_region(key(i), wants, (_A, _B, _C), at, in_time)
             ran.append((i / _RATE, region))
     return ran
 
@@ -78,7 +78,7 @@
 def test_a_loss_moves_requests_at_once():
     vm = _shares.RegionShares(_A, _CAP)
     _run([vm], 2, lambda i: _A)
-    vm.on_loss(builders.ms(2000))
+    vm.on_server_loss(builders.ms(2000))
     ran = _run([vm], 2, lambda i: _B, start=2, in_time=(_B,))
     assert {region for _, region in ran} == {_B}
 
@@ -86,7 +86,7 @@
 def test_a_loss_moves_nothing_from_where_it_is_answered_in_time():
     vm = _shares.RegionShares(_A, _CAP)
     _run([vm], 2, lambda i: _A)
-    vm.on_loss(builders.ms(2000))
+    vm.on_server_loss(builders.ms(2000))
     ran = _run([vm], 2, lambda i: _B, start=2, in_time=(_A, _B))
     moved = sum(1 for _, region in ran if region == _B)
     assert moved <= _CAP * len(ran)
@@ -94,5 +94,7 @@
 
 def test_a_region_that_cannot_serve_gets_nothing():
     vm = _shares.RegionShares(_A, _CAP)
-    placed = {vm.place(None, _B, (_B,), builders.ms(i)) for i in range(50)}
+    placed = {
+        vm.choose_region(None, _B, (_B,), builders.ms(i)) for i in range(50)
+    }
     assert placed == {_B}
--- a/dragonflystack/entry/tests/test_sightings.py
+++ b/dragonflystack/entry/tests/test_sightings.py
@@ -53,7 +53,7 @@
     _tell(first, second, 100)
     _tell(second, third, 600)
     for vm in (second, third):
-        assert vm.book.get(server).knows(_sightings.hash_object(key))
+        assert vm.book.get(server).has_cached(_sightings.hash_object(key))
 
 
 @pytest.mark.parametrize(
@@ -70,7 +70,7 @@
     assert isinstance(step, entry.Send)
     exchange.on_result(result, builders.ms(60))
     key = _sightings.hash_object(exchange.wanted.object_key)
-    assert not step.server.knows(key)
+    assert not step.server.has_cached(key)
 
 
 def test_what_is_old_is_told_no_more():
--- a/dragonflystack/entry/tests/test_work_times.py
+++ b/dragonflystack/entry/tests/test_work_times.py
@@ -42,9 +42,9 @@
 
 def test_first_choices_are_new_to_objects_until_measured_otherwise():
     times, route = _measured()
-    assert times.new_part(route) == 1.0
+    assert times.miss_rate(route) == 1.0
     times, route = _measured(_NEW, *[_KNOWN] * 20)
-    assert times.new_part(route) < 0.2
+    assert times.miss_rate(route) < 0.2
 
 
 def test_a_wait_that_was_met_fades_with_time():
