--- a/benchmarks/_ablate.py
+++ b/benchmarks/_ablate.py
@@ -50,7 +50,7 @@
 _CHOICE = "dragonflystack/entry/_choice.py"
 _DISPATCH = "dragonflystack/entry/_dispatch.py"
 _SETTINGS = "dragonflystack/entry/_settings.py"
-_NEWS = "dragonflystack/entry/_news.py"
+_NEWS = "dragonflystack/entry/_replication.py"
 _WATCHERS = Edit(
     _NEWS,
     "    return max(_LEAST_WATCHERS, math.ceil(vms * _WATCHING_PART))",
@@ -94,7 +94,7 @@
         _WATCHERS,
         Edit(
             "dragonflystack/entryd/_heartbeats.py",
-            "            node.news_poke.set()",
+            "            daemon.update_available.set()",
             "            pass",
         ),
     ),
--- a/benchmarks/_routing_pool.py
+++ b/benchmarks/_routing_pool.py
@@ -36,7 +36,7 @@
         self._world = region.world
         self._vm = vm
         self._service = service
-        self._placements: dict[backends.WorkId, _Placement] = {}
+        self._placements: dict[backends.AttemptId, _Placement] = {}
         self._ids = itertools.count()
         self._tick_at: float | None = None
         self._pool = backends.BackendPool.from_config(
@@ -57,10 +57,10 @@
         self._place(_Placement(request, reply, frozenset(), 1))
 
     def _place(self, placement: _Placement) -> None:
-        work_id = backends.WorkId(f"{self._vm.id}/{next(self._ids)}")
-        self._placements[work_id] = placement
-        work = backends.Work(
-            id=work_id,
+        attempt_id = backends.AttemptId(f"{self._vm.id}/{next(self._ids)}")
+        self._placements[attempt_id] = placement
+        work = backends.Attempt(
+            id=attempt_id,
             deadline=datetime.timedelta(seconds=placement.request.deadline),
             idempotent=True,
             avoid=placement.avoid,
@@ -73,10 +73,10 @@
                 case backends.Start():
                     self._send(action)
                 case backends.Refuse():
-                    placement = self._placements.pop(action.work_id)
+                    placement = self._placements.pop(action.attempt_id)
                     placement.reply(world.NOT_RUN)
-                case backends.CancelWork():
-                    found = self._placements.pop(action.work_id, None)
+                case backends.CancelAttempt():
+                    found = self._placements.pop(action.attempt_id, None)
                     if found is not None:
                         found.reply(world.UNKNOWN)
                 case backends.CloseConnection():
@@ -102,8 +102,8 @@
     def _on_done(self, start: backends.Start, run: bool) -> None:
         result = backends.Answered() if run else backends.Shed()
         instant = self._world.instant
-        actions = self._pool.on_result(start.work_id, result, instant)
-        placement = self._placements.pop(start.work_id, None)
+        actions = self._pool.on_result(start.attempt_id, result, instant)
+        placement = self._placements.pop(start.attempt_id, None)
         self._carry_out(actions)
         if placement is None:
             return
--- a/benchmarks/_soak_fakes.py
+++ b/benchmarks/_soak_fakes.py
@@ -109,7 +109,7 @@
     """How one exchange with a backend server ended."""
 
     for_pool: backends.Result
-    for_taker: forwarding.WorkResult
+    for_engine: forwarding.AttemptResult
 
 
 Report = Callable[[ExchangeEnd], None]
@@ -134,11 +134,11 @@
         self._running: set[str] = set()
         self.is_up = True
 
-    def cancel(self, work: forwarding.Work) -> None:
+    def cancel(self, work: forwarding.Attempt) -> None:
         """Stops running a work."""
         self._running.discard(work.id)
 
-    def send(self, work: forwarding.Work, report: Report) -> None:
+    def send(self, work: forwarding.Attempt, report: Report) -> None:
         """Takes a work; the report may come late or never."""
         after = self._schedule.after
         if not self.is_up or self._rng.random() < _CONNECT_FAILED:
@@ -152,7 +152,7 @@
         else:
             after(0.001, lambda: self._run(work, report))
 
-    def _run(self, work: forwarding.Work, report: Report) -> None:
+    def _run(self, work: forwarding.Attempt, report: Report) -> None:
         if not self.is_up:
             self._schedule.after(0.01, lambda: report(self._cut()))
             return
@@ -166,14 +166,14 @@
         seconds = self._rng.expovariate(1 / 0.02)
         self._schedule.after(seconds, lambda: self._end(work, report))
 
-    def _end(self, work: forwarding.Work, report: Report) -> None:
+    def _end(self, work: forwarding.Attempt, report: Report) -> None:
         self._running.discard(work.id)
         if not self.is_up or self._rng.random() < _CUT_AFTER_RUN:
             report(self._cut())
         elif self._rng.random() >= _SILENT_AFTER_RUN:
             report(self._answer(work))
 
-    def _answer(self, work: forwarding.Work) -> ExchangeEnd:
+    def _answer(self, work: forwarding.Attempt) -> ExchangeEnd:
         body = _soak_oracle.expected_body(work.payload.target)
         echoed: str = work.id
         length = len(body)
--- a/benchmarks/_soak_steering.py
+++ b/benchmarks/_soak_steering.py
@@ -57,7 +57,7 @@
         if fleet.now_s <= _SETTLED_S:
             continue
         if fleet.rng.random() < _NODE_FAULT:
-            fleets.churn_nodes(fleet)
+            fleets.churn_vms(fleet)
         if i % _LOAD_CHANGE_EVERY == 0:
             fleets.churn_load(fleet)
     shares = [sorted(e.by_region.items()) for e in fleet.effective]
--- a/benchmarks/_soak_vm.py
+++ b/benchmarks/_soak_vm.py
@@ -22,7 +22,7 @@
         max_entries=40,
         open_slices=4,
         max_answer_bytes=800,
-        answer_kept=datetime.timedelta(seconds=3),
+        answer_ttl=datetime.timedelta(seconds=3),
     ),
 )
 _CORRUPTED_ON_THE_WAY = 0.005
@@ -89,8 +89,10 @@
             )
             for service, owned in self._services
         }
-        self._works: dict[str, forwarding.Work] = {}
-        self._origins: dict[str, Callable[[forwarding.WorkResult], None]] = {}
+        self._works: dict[str, forwarding.Attempt] = {}
+        self._origins: dict[
+            str, Callable[[forwarding.AttemptResult], None]
+        ] = {}
         self._owner_of: dict[str, ids.VmId] = {}
         self.inbound: list[PeerCall] = []
         self._armed: datetime.timedelta | None = None
@@ -136,7 +138,7 @@
     def on_request(
         self,
         request: forwarding.Request,
-        owners: forwarding.Owners,
+        owners: forwarding.OwnerLookup,
         report: Callable[[forwarding.Reply], None],
     ) -> None:
         """Takes a request of a caller or of a relaying VM."""
@@ -151,15 +153,15 @@
 
     def on_work(
         self,
-        work: forwarding.Work,
-        report: Callable[[forwarding.WorkResult], None],
+        work: forwarding.Attempt,
+        report: Callable[[forwarding.AttemptResult], None],
     ) -> None:
         """Takes a work for the backend servers that this VM owns."""
         now = self._schedule.instant
         self._works[work.id] = work
         self._origins[work.id] = report
-        asked = backends.Work(
-            backends.WorkId(work.id),
+        asked = backends.Attempt(
+            backends.AttemptId(work.id),
             now + work.time_left,
             work.idempotent,
             work.priority,
@@ -172,7 +174,7 @@
         """Takes note that the taker does not wait for a work any more."""
         self._origins.pop(work, None)
         actions = self._pools[service].on_cancel(
-            backends.WorkId(work), self._schedule.instant
+            backends.AttemptId(work), self._schedule.instant
         )
         self._do_pool(service, actions)
 
@@ -190,14 +192,14 @@
         """Does what the engine wants done."""
         for action in actions:
             match action:
-                case forwarding.Finish(call, reply):
+                case forwarding.SendReply(call, reply):
                     report = self.callers.pop(call, None)
                     if report is not None:
                         report(reply)
                 case forwarding.Dispatch(owner, work):
                     self._dispatch(owner, work)
-                case forwarding.CancelWork(_, work_id):
-                    self._cancel(work_id)
+                case forwarding.CancelAttempt(_, attempt_id):
+                    self._cancel(attempt_id)
                 case forwarding.Relay():
                     self._network.relay(self, action)
                 case forwarding.CancelRelay(call):
@@ -219,7 +221,7 @@
 
         return self.guard(report)
 
-    def _dispatch(self, owner: ids.VmId, work: forwarding.Work) -> None:
+    def _dispatch(self, owner: ids.VmId, work: forwarding.Attempt) -> None:
         self._works[work.id] = work
         self._owner_of[work.id] = owner
         report = self.guard(functools.partial(self._on_work_result, work.id))
@@ -230,7 +232,7 @@
             self._network.send_work(self, owner, work, report)
 
     def _on_work_result(
-        self, work: forwarding.WorkId, result: forwarding.WorkResult
+        self, work: forwarding.AttemptId, result: forwarding.AttemptResult
     ) -> None:
         now = self._schedule.instant
         if (
@@ -239,9 +241,9 @@
         ):
             cut = dataclasses.replace(result.answer, body=b"cut")
             result = forwarding.Answered(cut)
-        self.carry_out(self.engine.on_work_result(work, result, now))
+        self.carry_out(self.engine.on_attempt_result(work, result, now))
 
-    def _cancel(self, work: forwarding.WorkId) -> None:
+    def _cancel(self, work: forwarding.AttemptId) -> None:
         owner = self._owner_of[work]
         service = self._works[work].service
         if owner == self.vm:
@@ -254,28 +256,28 @@
     ) -> None:
         for action in actions:
             match action:
-                case backends.Start(work_id, server, _, _):
+                case backends.Start(attempt_id, server, _, _):
                     report = self.guard(
-                        functools.partial(self._on_exchange_end, work_id)
+                        functools.partial(self._on_exchange_end, attempt_id)
                     )
-                    self._servers[server].send(self._works[work_id], report)
-                case backends.Refuse(work_id, failure):
-                    self._report(work_id, forwarding.Refused(failure))
-                case backends.CancelWork(work_id, server, _, failure):
-                    self._servers[server].cancel(self._works[work_id])
+                    self._servers[server].send(self._works[attempt_id], report)
+                case backends.Refuse(attempt_id, failure):
+                    self._report(attempt_id, forwarding.Refused(failure))
+                case backends.CancelAttempt(attempt_id, server, _, failure):
+                    self._servers[server].cancel(self._works[attempt_id])
                     failed = forwarding.Failed(failure, True, server)
-                    self._report(work_id, failed)
+                    self._report(attempt_id, failed)
         self._arm()
 
     def _on_exchange_end(self, work: str, end: _soak_fakes.ExchangeEnd) -> None:
         service = self._works[work].service
         actions = self._pools[service].on_result(
-            backends.WorkId(work), end.for_pool, self._schedule.instant
+            backends.AttemptId(work), end.for_pool, self._schedule.instant
         )
         self._do_pool(service, actions)
-        self._report(work, end.for_taker)
+        self._report(work, end.for_engine)
 
-    def _report(self, work: str, result: forwarding.WorkResult) -> None:
+    def _report(self, work: str, result: forwarding.AttemptResult) -> None:
         report = self._origins.pop(work, None)
         if report is not None:
             report(result)
@@ -324,8 +326,8 @@
         self,
         taker: SoakVm,
         owner: ids.VmId,
-        work: forwarding.Work,
-        report: Callable[[forwarding.WorkResult], None],
+        work: forwarding.Attempt,
+        report: Callable[[forwarding.AttemptResult], None],
     ) -> None:
         """Has an owner run a work."""
 
@@ -344,7 +346,7 @@
         taker: SoakVm,
         owner: ids.VmId,
         service: ids.ServiceId,
-        work: forwarding.WorkId,
+        work: forwarding.AttemptId,
     ) -> None:
         """Tells an owner that nobody waits; it may never learn of it."""
         target = self.vms[owner]
--- a/benchmarks/_steer_policies.py
+++ b/benchmarks/_steer_policies.py
@@ -20,7 +20,7 @@
     for cell in world.policy.cells:
         allowed = (
             region
-            for group in world.policy.by_distance[cell]
+            for group in world.policy.regions_by_delay[cell]
             for region in group
             if region not in closed
         )
@@ -39,7 +39,7 @@
     for cell in world.policy.cells:
         rates = {
             region: measured.capacity[cell.service, region].requests_s
-            for group in world.policy.by_distance[cell]
+            for group in world.policy.regions_by_delay[cell]
             for region in group
             if region not in closed
         }
@@ -59,7 +59,8 @@
         self._rng = rng
         self.ledger = promises.Ledger(strict=True)
         self._walkers = [
-            steering.Walker(world.policy, self.ledger) for _ in range(size)
+            steering.TrafficShifter(world.policy, self.ledger)
+            for _ in range(size)
         ]
         self._document = world.document
         self._heard: list[dict[int, tuple[float, dict]]] = [
@@ -89,7 +90,7 @@
         newest_s = 0.0
         count = waiting = 0
         for at_s, part in self._heard[i].values():
-            if world.now_s - at_s > steering.PEER_AGE.total_seconds():
+            if world.now_s - at_s > steering.MAX_PEER_AGE.total_seconds():
                 continue
             if not part:
                 waiting += 1
--- a/benchmarks/ablation.py
+++ b/benchmarks/ablation.py
@@ -17,9 +17,9 @@
 
 from benchmarks import figures
 from dragonflystack.entry import _exchange
+from dragonflystack.entry import _observations
+from dragonflystack.entry import _queue_waits
 from dragonflystack.entry import _shares
-from dragonflystack.entry import _sightings
-from dragonflystack.entry import _waits
 from dragonflystack.entry.tests import loads
 
 DESCRIPTION = "the choice of backend servers with each mechanism off"
@@ -40,17 +40,17 @@
 
 _OFF: dict[str, _Off] = {
     "loads told": lambda: mock.patch.object(
-        _sightings.Sightings, "loads", _nothing
+        _observations.Observations, "loads", _nothing
     ),
     "objects told": lambda: mock.patch.object(
-        _sightings.Sightings, "learnt", _nothing
+        _observations.Observations, "cached_objects", _nothing
     ),
     "shares that fit": lambda: mock.patch.object(
         _shares, "_fitting_shares", _at_home
     ),
     "leeway": lambda: mock.patch.object(_shares, "_LEEWAY_PART", 0.0),
     "waits met": lambda: mock.patch.object(
-        _waits.Waits, "expect", lambda *_: datetime.timedelta()
+        _queue_waits.QueueWaits, "expect", lambda *_: datetime.timedelta()
     ),
     "too late": lambda: mock.patch.object(
         _exchange, "_is_in_time", lambda *_: True
@@ -62,19 +62,21 @@
 """Mechanisms that are switched off by a patch."""
 
 _SETTINGS: dict[str, dict[str, Any]] = {
-    "ranks": {"object_ranks": 12},
+    "ranks": {"servers_per_object": 12},
     "warm-up cost": {"warmup_penalty": 0.0},
-    "full": {"late_wait_part": 1e9},
-    "hot objects": {"hot_part": math.inf},
+    "full": {"late_wait_fraction": 1e9},
+    "hot objects": {"hot_object_fraction": math.inf},
     "remote penalty": {"remote_penalty": datetime.timedelta()},
-    "fading reports": {"others_half_life": datetime.timedelta(hours=1)},
+    "fading reports": {"load_report_half_life": datetime.timedelta(hours=1)},
 }
 """Mechanisms that are switched off by a setting."""
 
 
 def run(seed: int) -> list[figures.Figure]:
     """Returns the credit with all mechanisms, and what each of them adds."""
-    drawn = [loads.draw(seed * _LOADS + number) for number in range(_LOADS)]
+    drawn = [
+        loads.random_load(seed * _LOADS + number) for number in range(_LOADS)
+    ]
     whole = _credit(drawn)
     found = [figures.Figure("credit with all", whole, "a request")]
     for name, off in _OFF.items():
@@ -88,4 +90,6 @@
 
 
 def _credit(drawn: list[loads.Load], **changes: Any) -> float:
-    return statistics.mean(loads.play(load, **changes).credit for load in drawn)
+    return statistics.mean(
+        loads.simulate(load, **changes).credit for load in drawn
+    )
--- a/benchmarks/lookup.py
+++ b/benchmarks/lookup.py
@@ -85,10 +85,10 @@
     """Returns the table, the time of all chunks and of the slowest, in s."""
     digests = [steering.digest_of(data) for data in chunks]
     whole = slowest = 0.0
-    loader = steering.TableLoader(digests, _SITES)
+    loader = steering.BlockTableLoader(digests, _SITES)
     for digest, data in zip(digests, chunks, strict=True):
         start = time.perf_counter()
-        loader.on_chunk(digest, data)
+        loader.add_chunk(digest, data)
         took = time.perf_counter() - start
         whole += took
         slowest = max(slowest, took)
--- a/benchmarks/steer.py
+++ b/benchmarks/steer.py
@@ -189,7 +189,7 @@
     last = 0
     for cell, end in path[-1].items():
         for i, shares in enumerate(path):
-            if steering.distance(shares[cell], end) > _SETTLED:
+            if steering.total_variation(shares[cell], end) > _SETTLED:
                 last = max(last, i + 1)
     return last * _steer_world.TICK_S
 
--- a/benchmarks/steer_tick.py
+++ b/benchmarks/steer_tick.py
@@ -67,7 +67,7 @@
         near = policy.regions[(i + 1) % len(policy.regions)]
         shares = steering.Shares({cell.caller_region: 0.95, near: 0.05})
         target = steering.Shares({cell.caller_region: 0.6, near: 0.4})
-        cells[cell] = steering.CellSummary.of_one(shares, target, True)
+        cells[cell] = steering.CellSummary.of_single_vm(shares, target, True)
     asked = dict.fromkeys(policy.cells, _REQUESTS_S / sources)
     owned = steering.OwnedCapacity(50, 30, _HOME_RATE)
     capacity = {(service.id, region): owned for service in policy.services}
--- a/dragonflystack/backends/__init__.py
+++ b/dragonflystack/backends/__init__.py
@@ -15,14 +15,14 @@
 
 Each handler returns the actions to carry out, in order. A work gets either
 `Refuse`, which is final and means that it was not run, or `Start`, at once or
-later. After `Start`, report one result with `on_result`, unless `CancelWork`
+later. After `Start`, report one result with `on_result`, unless `CancelAttempt`
 came first: then a result may follow, and it only frees the slot. The pool
-never tries again by itself: a retry is a new `Work` with a new id that names
+never tries again by itself: a retry is a new `Attempt` with a new id that names
 the backend servers already tried in `avoid`, under the taker's retry budget.
 
 Whether a result leaves the request not run or unknown is the taker's to tell:
 `Shed` and `ConnectFailed` are not run; `BrokenAfterWrite`, `Silent`, `Corrupt`
-and `CancelWork` are unknown.
+and `CancelAttempt` are unknown.
 
 Call `on_tick` at `next_wake_up(now)` at the latest, and `on_connection_lost`
 when an idle connection was closed by the other end or sent bytes unasked.
@@ -30,9 +30,11 @@
 
 from dragonflystack.backends._messages import Action
 from dragonflystack.backends._messages import Answered
+from dragonflystack.backends._messages import Attempt
+from dragonflystack.backends._messages import AttemptId
 from dragonflystack.backends._messages import BrokenAfterWrite
+from dragonflystack.backends._messages import CancelAttempt
 from dragonflystack.backends._messages import Cancelled
-from dragonflystack.backends._messages import CancelWork
 from dragonflystack.backends._messages import CloseConnection
 from dragonflystack.backends._messages import ConnectFailed
 from dragonflystack.backends._messages import ConnectionId
@@ -44,8 +46,6 @@
 from dragonflystack.backends._messages import Shed
 from dragonflystack.backends._messages import Silent
 from dragonflystack.backends._messages import Start
-from dragonflystack.backends._messages import Work
-from dragonflystack.backends._messages import WorkId
 from dragonflystack.backends._pool import BackendPool
 from dragonflystack.backends._settings import PoolSettings
 from dragonflystack.backends._shards import DEFAULT_SHARD_SIZE
@@ -62,7 +62,7 @@
     "Answered",
     "BackendPool",
     "BrokenAfterWrite",
-    "CancelWork",
+    "CancelAttempt",
     "Cancelled",
     "CloseConnection",
     "ConnectFailed",
@@ -79,8 +79,8 @@
     "Shed",
     "Silent",
     "Start",
-    "Work",
-    "WorkId",
+    "Attempt",
+    "AttemptId",
     "owner_of",
     "owners_ranked",
     "shards_of",
--- a/dragonflystack/backends/_choice.py
+++ b/dragonflystack/backends/_choice.py
@@ -15,7 +15,7 @@
 
 def choose(
     servers: Collection[_server.Server],
-    work: _messages.Work,
+    work: _messages.Attempt,
     now: datetime.timedelta,
 ) -> _server.Server | None:
     """Returns the backend server that gets the work, None if none can.
--- a/dragonflystack/backends/_due.py
+++ b/dragonflystack/backends/_due.py
@@ -13,23 +13,25 @@
     """A heap of instants; whoever takes one out checks that it still holds."""
 
     def __init__(self):
-        self._heap: list[tuple[datetime.timedelta, int, _messages.WorkId]] = []
+        self._heap: list[
+            tuple[datetime.timedelta, int, _messages.AttemptId]
+        ] = []
         self._sequence = itertools.count()
 
     def arm(
-        self, instant: datetime.timedelta, work_id: _messages.WorkId
+        self, instant: datetime.timedelta, attempt_id: _messages.AttemptId
     ) -> None:
         """Notes that a work is due at an instant."""
-        entry = (instant, next(self._sequence), work_id)
+        entry = (instant, next(self._sequence), attempt_id)
         heapq.heappush(self._heap, entry)
 
-    def pop_due(self, now: datetime.timedelta) -> Iterator[_messages.WorkId]:
+    def pop_due(self, now: datetime.timedelta) -> Iterator[_messages.AttemptId]:
         """Takes out and yields the works due by now, soonest first."""
         while self._heap and self._heap[0][0] <= now:
             yield heapq.heappop(self._heap)[2]
 
     def next(
-        self, holds: Callable[[_messages.WorkId], bool]
+        self, holds: Callable[[_messages.AttemptId], bool]
     ) -> datetime.timedelta | None:
         """Returns the soonest instant that still holds, None if none does."""
         while self._heap and not holds(self._heap[0][2]):
--- a/dragonflystack/backends/_messages.py
+++ b/dragonflystack/backends/_messages.py
@@ -8,7 +8,7 @@
 from dragonflystack import ids
 from dragonflystack import outcomes
 
-WorkId = NewType("WorkId", str)
+AttemptId = NewType("AttemptId", str)
 """One placement of one request; a retry is a new placement with a new id."""
 
 ConnectionId = NewType("ConnectionId", int)
@@ -16,10 +16,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Work:
+class Attempt:
     """One request that asks for a backend server."""
 
-    id: WorkId
+    id: AttemptId
     """Unique among all placements of the pool."""
 
     deadline: datetime.timedelta
@@ -109,7 +109,7 @@
 class Start:
     """Send the work on this connection now."""
 
-    work_id: WorkId
+    attempt_id: AttemptId
     """The work to send."""
 
     backend_server: ids.BackendServerId
@@ -126,7 +126,7 @@
 class Refuse:
     """The work is given up before it was started: it was not run."""
 
-    work_id: WorkId
+    attempt_id: AttemptId
     """The work given up."""
 
     failure: outcomes.Failure
@@ -134,14 +134,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CancelWork:
+class CancelAttempt:
     """Stop waiting for a started work and cancel it at the backend server.
 
     Whether it ran is unknown. The slot stays taken until a result comes or
     the backend server must have dropped it by its deadline.
     """
 
-    work_id: WorkId
+    attempt_id: AttemptId
     """The work to stop."""
 
     backend_server: ids.BackendServerId
@@ -165,7 +165,7 @@
     """Its other end."""
 
 
-Action = Start | Refuse | CancelWork | CloseConnection
+Action = Start | Refuse | CancelAttempt | CloseConnection
 """What the caller of a pool has to do, in the order given."""
 
 
--- a/dragonflystack/backends/_pool.py
+++ b/dragonflystack/backends/_pool.py
@@ -114,7 +114,7 @@
         return tuple(actions)
 
     def on_request(
-        self, work: _messages.Work, now: datetime.timedelta
+        self, work: _messages.Attempt, now: datetime.timedelta
     ) -> tuple[_messages.Action, ...]:
         """Starts a work, lets it wait, or refuses it at once.
 
@@ -142,13 +142,13 @@
 
     def on_result(
         self,
-        work_id: _messages.WorkId,
+        attempt_id: _messages.AttemptId,
         result: _messages.Result,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
         """Takes in how a started work ended; unknown ids are ignored."""
         actions: list[_messages.Action] = []
-        server = self._started.on_result(work_id, result, now, actions)
+        server = self._started.on_result(attempt_id, result, now, actions)
         if server is None:
             return ()
         self._tidy_server(server, now, actions)
@@ -156,13 +156,13 @@
         return tuple(actions)
 
     def on_cancel(
-        self, work_id: _messages.WorkId, now: datetime.timedelta
+        self, attempt_id: _messages.AttemptId, now: datetime.timedelta
     ) -> tuple[_messages.Action, ...]:
         """Drops a work whose caller is gone."""
-        if self._queue.remove(work_id) is not None:
+        if self._queue.remove(attempt_id) is not None:
             return ()
         actions: list[_messages.Action] = []
-        self._started.on_cancel(work_id, now, actions)
+        self._started.on_cancel(attempt_id, now, actions)
         return tuple(actions)
 
     def on_connection_lost(
@@ -180,8 +180,8 @@
     def on_tick(self, now: datetime.timedelta) -> tuple[_messages.Action, ...]:
         """Gives up what is overdue, closes idle connections, starts work."""
         actions: list[_messages.Action] = []
-        for work_id in self._give_up.pop_due(now):
-            queued = self._queue.remove(work_id)
+        for attempt_id in self._give_up.pop_due(now):
+            queued = self._queue.remove(attempt_id)
             if queued is not None:
                 reason = "no slot came free in the time expected"
                 actions.append(self._refuse(queued.work, reason, now))
@@ -243,7 +243,7 @@
         return slots, free
 
     def _refuse(
-        self, work: _messages.Work, reason: str, now: datetime.timedelta
+        self, work: _messages.Attempt, reason: str, now: datetime.timedelta
     ) -> _messages.Refuse:
         failure = outcomes.Failure(
             step=outcomes.Step.ADMISSION,
--- a/dragonflystack/backends/_queue.py
+++ b/dragonflystack/backends/_queue.py
@@ -11,7 +11,7 @@
 class Queued:
     """One work that waits."""
 
-    work: _messages.Work
+    work: _messages.Attempt
     """The work."""
 
     give_up_at: datetime.timedelta
@@ -23,14 +23,14 @@
 
     def __init__(self):
         self._by_priority: dict[
-            config.Priority, dict[_messages.WorkId, Queued]
+            config.Priority, dict[_messages.AttemptId, Queued]
         ] = {config.Priority.HIGH: {}, config.Priority.NORMAL: {}}
 
     def __len__(self) -> int:
         return sum(len(queue) for queue in self._by_priority.values())
 
-    def __contains__(self, work_id: _messages.WorkId) -> bool:
-        return any(work_id in queue for queue in self._by_priority.values())
+    def __contains__(self, attempt_id: _messages.AttemptId) -> bool:
+        return any(attempt_id in queue for queue in self._by_priority.values())
 
     def ahead_of(self, priority: config.Priority) -> int:
         """Returns how many a newcomer of this priority would wait for."""
@@ -42,10 +42,10 @@
         queue = self._by_priority[queued.work.priority]
         queue[queued.work.id] = queued
 
-    def remove(self, work_id: _messages.WorkId) -> Queued | None:
+    def remove(self, attempt_id: _messages.AttemptId) -> Queued | None:
         """Takes out and returns a work, None if it does not wait."""
         for queue in self._by_priority.values():
-            found = queue.pop(work_id, None)
+            found = queue.pop(attempt_id, None)
             if found is not None:
                 return found
         return None
--- a/dragonflystack/backends/_running.py
+++ b/dragonflystack/backends/_running.py
@@ -11,7 +11,7 @@
 class Running:
     """One work that was started and may still hold its slot."""
 
-    work: _messages.Work
+    work: _messages.Attempt
     """The work."""
 
     server: _server.Server
--- a/dragonflystack/backends/_started.py
+++ b/dragonflystack/backends/_started.py
@@ -36,15 +36,15 @@
         self._times = times
         self._settings = settings
         self._ledger = ledger
-        self._running: dict[_messages.WorkId, _running.Running] = {}
+        self._running: dict[_messages.AttemptId, _running.Running] = {}
         self._due = _due.DueTimes()
         self._connection_ids = itertools.count(1)
 
     def __len__(self) -> int:
         return len(self._running)
 
-    def __contains__(self, work_id: _messages.WorkId) -> bool:
-        return work_id in self._running
+    def __contains__(self, attempt_id: _messages.AttemptId) -> bool:
+        return attempt_id in self._running
 
     def next_due(self) -> datetime.timedelta | None:
         """Returns when `on_tick` is due, None if nothing is awaited."""
@@ -52,7 +52,7 @@
 
     def start(
         self,
-        work: _messages.Work,
+        work: _messages.Attempt,
         server: _server.Server,
         now: datetime.timedelta,
         actions: list[_messages.Action],
@@ -74,13 +74,13 @@
 
     def on_result(
         self,
-        work_id: _messages.WorkId,
+        attempt_id: _messages.AttemptId,
         result: _messages.Result,
         now: datetime.timedelta,
         actions: list[_messages.Action],
     ) -> _server.Server | None:
         """Takes in how a work ended; returns where it ran, None if unknown."""
-        running = self._running.get(work_id)
+        running = self._running.get(attempt_id)
         if running is None:
             return None
         if running.given_up:
@@ -91,12 +91,12 @@
 
     def on_cancel(
         self,
-        work_id: _messages.WorkId,
+        attempt_id: _messages.AttemptId,
         now: datetime.timedelta,
         actions: list[_messages.Action],
     ) -> None:
         """Gives up a work whose caller is gone; unknown ids are ignored."""
-        running = self._running.get(work_id)
+        running = self._running.get(attempt_id)
         if running is None or running.given_up:
             return
         if now - running.started >= self._silence:
@@ -107,8 +107,8 @@
         self, now: datetime.timedelta, actions: list[_messages.Action]
     ) -> None:
         """Gives up works without an answer, frees slots that are certain."""
-        for work_id in self._due.pop_due(now):
-            running = self._running.get(work_id)
+        for attempt_id in self._due.pop_due(now):
+            running = self._running.get(attempt_id)
             if running is None or running.due > now:
                 continue
             if running.given_up:
@@ -145,7 +145,7 @@
 
     def _connect(
         self,
-        work: _messages.Work,
+        work: _messages.Attempt,
         server: _server.Server,
         now: datetime.timedelta,
         actions: list[_messages.Action],
@@ -264,7 +264,7 @@
             step=outcomes.Step.RECEIVE, peer=server.config.id, reason=reason
         )
         actions.append(
-            _messages.CancelWork(
+            _messages.CancelAttempt(
                 running.work.id, server.config.id, running.connection, failure
             )
         )
--- a/dragonflystack/backends/tests/builders.py
+++ b/dragonflystack/backends/tests/builders.py
@@ -97,8 +97,8 @@
 
     def work(self, deadline_ms=2_000, idempotent=True, **fields):
         self._next_id += 1
-        return backends.Work(
-            backends.WorkId(f"w{self._next_id}"),
+        return backends.Attempt(
+            backends.AttemptId(f"w{self._next_id}"),
             self.now + ms(deadline_ms),
             idempotent,
             **fields,
@@ -114,7 +114,7 @@
 
     def result(self, start, result, after_ms=0):
         self.now += ms(after_ms)
-        return self.pool.on_result(start.work_id, result, self.now)
+        return self.pool.on_result(start.attempt_id, result, self.now)
 
     def tick(self, after_ms=0):
         self.now += ms(after_ms)
--- a/dragonflystack/backends/tests/test_pool.py
+++ b/dragonflystack/backends/tests/test_pool.py
@@ -94,8 +94,8 @@
     def test_the_slot_of_abandoned_work_stays_taken_until_its_deadline(self):
         bench = _bench(1)
         started = _fill(bench, 3, idempotent=False, deadline_ms=1_000)
-        gone = bench.pool.on_cancel(started[0].work_id, bench.now)
-        assert builders.kinds(gone) == ["CancelWork", "CloseConnection"]
+        gone = bench.pool.on_cancel(started[0].attempt_id, bench.now)
+        assert builders.kinds(gone) == ["CancelAttempt", "CloseConnection"]
         assert bench.state(0).in_use == 3
         for start in started[1:]:
             bench.result(start, backends.Answered(), after_ms=20)
@@ -106,7 +106,7 @@
     def test_a_confirmed_cancellation_frees_the_slot(self):
         bench = _bench(1)
         start = bench.start()
-        bench.pool.on_cancel(start.work_id, bench.now)
+        bench.pool.on_cancel(start.attempt_id, bench.now)
         bench.result(start, backends.Cancelled())
         assert bench.state(0).in_use == 0
 
@@ -156,7 +156,7 @@
         assert due - bench.now < builders.ms(200)
         (refusal,) = bench.pool.on_tick(due)
         assert isinstance(refusal, backends.Refuse)
-        assert refusal.work_id == work.id
+        assert refusal.attempt_id == work.id
 
     def test_queued_work_that_became_too_late_is_not_started(self):
         """Slots came free, but later than was estimated."""
@@ -166,7 +166,7 @@
         assert bench.pool.on_request(work, bench.now) == ()
         (refusal,) = bench.result(started[0], backends.Answered(), after_ms=60)
         assert isinstance(refusal, backends.Refuse)
-        assert refusal.work_id == work.id
+        assert refusal.attempt_id == work.id
 
     def test_one_extreme_time_hardly_changes_the_estimate(self):
         bench = _bench()
@@ -206,7 +206,7 @@
         high = bench.work(priority=_HIGH)
         bench.pool.on_request(high, bench.now)
         (start,) = bench.result(started[0], backends.Answered(), after_ms=20)
-        assert start.work_id == high.id
+        assert start.attempt_id == high.id
 
     def test_high_priority_displaces_normal_when_the_queue_is_full(self):
         bench = _bench(1)
@@ -215,7 +215,7 @@
         high = bench.work(priority=_HIGH)
         (refusal,) = bench.pool.on_request(high, bench.now)
         assert isinstance(refusal, backends.Refuse)
-        assert refusal.work_id != high.id
+        assert refusal.attempt_id != high.id
 
 
 class TestConnections:
@@ -291,7 +291,7 @@
         actions = bench.tick()
         closed = [a for a in actions if isinstance(a, backends.CloseConnection)]
         assert len(closed) == 3
-        assert "CancelWork" in builders.kinds(actions)
+        assert "CancelAttempt" in builders.kinds(actions)
         assert bench.state(0).connections == 0
 
     def test_connections_stay_below_the_limit(self):
@@ -449,12 +449,12 @@
         bench = _bench(1)
         start = bench.start(idempotent=False)
         bench.now += builders.ms(after_ms)
-        bench.pool.on_cancel(start.work_id, bench.now)
+        bench.pool.on_cancel(start.attempt_id, bench.now)
         assert (bench.state(0).failure_rate > 0) == failed
 
     @pytest.mark.parametrize(
         ("deadline_ms", "expected"),
-        [(60_000, []), (2_000, ["CancelWork", "CloseConnection"] * 6)],
+        [(60_000, []), (2_000, ["CancelAttempt", "CloseConnection"] * 6)],
     )
     def test_a_pause_of_this_vm_is_no_failure_of_backend_servers(
         self, deadline_ms, expected
@@ -475,7 +475,7 @@
         assert bench.tick(after_ms=3_000) == ()
         due = bench.pool.next_wake_up(bench.now)
         assert due is not None
-        assert "CancelWork" in builders.kinds(bench.pool.on_tick(due))
+        assert "CancelAttempt" in builders.kinds(bench.pool.on_tick(due))
 
     def test_work_goes_where_it_was_not_tried(self):
         bench = _bench(2)
--- a/dragonflystack/backends/tests/test_random_runs.py
+++ b/dragonflystack/backends/tests/test_random_runs.py
@@ -71,12 +71,12 @@
                 case backends.Start():
                     self._started(action)
                 case backends.Refuse():
-                    work = self.waiting.pop(action.work_id)
+                    work = self.waiting.pop(action.attempt_id)
                     assert action.failure.retry_after is not None
                     assert action.failure.retry_after >= builders.ms(0)
                     self.outcomes.append((work.id, "refused"))
-                case backends.CancelWork():
-                    start, work = self.running.pop(action.work_id)
+                case backends.CancelAttempt():
+                    start, work = self.running.pop(action.attempt_id)
                     self.abandoned[work.id] = (start, work)
                     self.outcomes.append((work.id, "given up"))
                 case backends.CloseConnection():
@@ -84,7 +84,7 @@
                     self.busy.pop(action.connection, None)
 
     def _started(self, start):
-        work = self.waiting.pop(start.work_id)
+        work = self.waiting.pop(start.attempt_id)
         assert start.connection not in self.closed
         assert start.connection not in self.busy
         self.busy[start.connection] = work.id
@@ -103,20 +103,20 @@
     def _result(self):
         if not self.running:
             return
-        work_id = self.random.choice(list(self.running))
+        attempt_id = self.random.choice(list(self.running))
         result = self.random.choices(list(_RESULTS), list(_RESULTS.values()))[0]
-        start, work = self.running.pop(work_id)
+        start, work = self.running.pop(attempt_id)
         if not isinstance(result, _ENDS_FOR_CERTAIN):
-            self.running[work_id] = (start, work)
+            self.running[attempt_id] = (start, work)
         self.busy.pop(start.connection)
         self._carry_out(
-            self.bench.pool.on_result(work_id, result, self.bench.now)
+            self.bench.pool.on_result(attempt_id, result, self.bench.now)
         )
 
     def _late_result(self):
         if not self.abandoned:
             return
-        work_id = self.random.choice(list(self.abandoned))
+        attempt_id = self.random.choice(list(self.abandoned))
         results: list[backends.Result] = [
             backends.Cancelled(),
             backends.Answered(),
@@ -124,18 +124,18 @@
         ]
         result = self.random.choice(results)
         if isinstance(result, _ENDS_FOR_CERTAIN):
-            del self.abandoned[work_id]
+            del self.abandoned[attempt_id]
         self._carry_out(
-            self.bench.pool.on_result(work_id, result, self.bench.now)
+            self.bench.pool.on_result(attempt_id, result, self.bench.now)
         )
 
     def _cancel(self):
         known = [*self.waiting, *self.running]
         if not known:
             return
-        work_id = self.random.choice(known)
-        self.waiting.pop(work_id, None)
-        self._carry_out(self.bench.pool.on_cancel(work_id, self.bench.now))
+        attempt_id = self.random.choice(known)
+        self.waiting.pop(attempt_id, None)
+        self._carry_out(self.bench.pool.on_cancel(attempt_id, self.bench.now))
 
     def _tick(self):
         self._carry_out(self.bench.tick())
@@ -165,9 +165,9 @@
 
     def _drop_expired(self):
         """A backend server drops work whose deadline has passed."""
-        for work_id, (_, work) in list(self.abandoned.items()):
+        for attempt_id, (_, work) in list(self.abandoned.items()):
             if work.deadline <= self.bench.now:
-                del self.abandoned[work_id]
+                del self.abandoned[attempt_id]
 
     def _check(self):
         in_use: dict[ids.BackendServerId, int] = {}
--- a/dragonflystack/daemon/_forwarding.py
+++ b/dragonflystack/daemon/_forwarding.py
@@ -186,14 +186,14 @@
         return waiting.reply
 
     async def run_work(
-        self, work: forwarding.Work, gone: Callable[[], object]
-    ) -> forwarding.WorkResult | None:
+        self, work: forwarding.Attempt, gone: Callable[[], object]
+    ) -> forwarding.AttemptResult | None:
         """Runs a work for another VM; returns None if that VM left."""
         self._follow_ownership()
         done = anyio.Event()
-        results: list[forwarding.WorkResult] = []
+        results: list[forwarding.AttemptResult] = []
 
-        def report(result: forwarding.WorkResult) -> None:
+        def report(result: forwarding.AttemptResult) -> None:
             results.append(result)
             done.set()
 
@@ -267,7 +267,7 @@
         wake_ups = (self._engine.next_wake_up(), self._pools.next_wake_up())
         return min(w for w in (*wake_ups, latest) if w is not None)
 
-    def _submit(self, work: forwarding.Work, report: _pools.Report) -> None:
+    def _submit(self, work: forwarding.Attempt, report: _pools.Report) -> None:
         """Has an own pool run a work; the pools are then looked at often."""
         self._pools.submit(work, report)
         if self._pools.works == 1:
@@ -283,15 +283,15 @@
     def _do(self, actions: Iterable[forwarding.Action]) -> None:
         for action in actions:
             match action:
-                case forwarding.Finish(call, reply):
+                case forwarding.SendReply(call, reply):
                     waiting = self._waiting.get(call)
                     if waiting is not None:
                         waiting.reply = reply
                         waiting.done.set()
                 case forwarding.Dispatch(owner, work):
                     self._dispatch(owner, work)
-                case forwarding.CancelWork(owner, work_id):
-                    self._cancel(owner, work_id)
+                case forwarding.CancelAttempt(owner, attempt_id):
+                    self._cancel(owner, attempt_id)
                 case forwarding.Relay(call, _, _, _):
                     self._start(_relay_name(call), self._relay, action)
                 case forwarding.CancelRelay(call):
@@ -302,23 +302,23 @@
                     self._tasks.start_soon(self._read_claim, action)
         self._poke_if_due()
 
-    def _dispatch(self, owner: ids.VmId, work: forwarding.Work) -> None:
+    def _dispatch(self, owner: ids.VmId, work: forwarding.Attempt) -> None:
         if owner == self._node.vm:
             report = functools.partial(self._on_result, work.id)
             self._submit(work, report)
         else:
             self._start(work.id, self._work_at_peer, owner, work)
 
-    def _cancel(self, owner: ids.VmId, work: forwarding.WorkId) -> None:
+    def _cancel(self, owner: ids.VmId, work: forwarding.AttemptId) -> None:
         if owner == self._node.vm:
             self._pools.cancel(work)
         else:
             self._stop(work)
 
     def _on_result(
-        self, work: forwarding.WorkId, result: forwarding.WorkResult
+        self, work: forwarding.AttemptId, result: forwarding.AttemptResult
     ) -> None:
-        self._do(self._engine.on_work_result(work, result, self._now()))
+        self._do(self._engine.on_attempt_result(work, result, self._now()))
 
     def _start(self, name: str, run: Callable, *args: object) -> None:
         """Runs something that may be stopped by its name."""
@@ -339,7 +339,7 @@
         del self._scopes[name]
 
     async def _work_at_peer(
-        self, owner: ids.VmId, work: forwarding.Work
+        self, owner: ids.VmId, work: forwarding.Attempt
     ) -> None:
         self._on_result(work.id, await self._peers.work(owner, work))
 
--- a/dragonflystack/daemon/_forwarding_codec.py
+++ b/dragonflystack/daemon/_forwarding_codec.py
@@ -19,7 +19,7 @@
 _BROKEN = "broken"
 
 
-def encode_work(work: forwarding.Work) -> bytes:
+def encode_work(work: forwarding.Attempt) -> bytes:
     """Returns the bytes of a work."""
     return utils.serialize(
         _IDL.Work(
@@ -35,7 +35,7 @@
     )
 
 
-def decode_work(data: bytes) -> forwarding.Work:
+def decode_work(data: bytes) -> forwarding.Attempt:
     """Returns the work that the bytes hold.
 
     Raises:
@@ -44,12 +44,12 @@
     return _thrift_codec.decode(_IDL.Work(), data, _read_work)
 
 
-def encode_result(result: forwarding.WorkResult) -> bytes:
+def encode_result(result: forwarding.AttemptResult) -> bytes:
     """Returns the bytes of what became of a work."""
     return utils.serialize(_result(result))
 
 
-def decode_result(data: bytes) -> forwarding.WorkResult:
+def decode_result(data: bytes) -> forwarding.AttemptResult:
     """Returns what became of a work.
 
     Raises:
@@ -139,9 +139,9 @@
     return forwarding.Payload(raw.method, raw.target, headers, raw.body)
 
 
-def _read_work(raw: Any) -> forwarding.Work:
-    return forwarding.Work(
-        forwarding.WorkId(raw.id),
+def _read_work(raw: Any) -> forwarding.Attempt:
+    return forwarding.Attempt(
+        forwarding.AttemptId(raw.id),
         ids.ServiceId(raw.service_id),
         raw.idempotent,
         config.Priority(raw.priority),
@@ -183,7 +183,7 @@
     )
 
 
-def _result(result: forwarding.WorkResult) -> Any:
+def _result(result: forwarding.AttemptResult) -> Any:
     match result:
         case forwarding.Answered(answer):
             return _IDL.WorkResult(_ANSWERED, _answer(answer))
@@ -194,7 +194,7 @@
             return _IDL.WorkResult(kind, None, _failure(failure), server)
 
 
-def _read_result(raw: Any) -> forwarding.WorkResult:
+def _read_result(raw: Any) -> forwarding.AttemptResult:
     if raw.kind == _ANSWERED:
         return forwarding.Answered(_read_answer(raw.answer))
     failure = _read_failure(raw.failure)
--- a/dragonflystack/daemon/_node.py
+++ b/dragonflystack/daemon/_node.py
@@ -53,7 +53,7 @@
     document: config.Document | None = None
     version: ids.DocumentVersion = ids.DocumentVersion(0)
     members: dict[ids.VmId, Member] = dataclasses.field(default_factory=dict)
-    stop_asked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    stop_requested: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     """Set by a signal or an operator: the VM is to leave and stop."""
 
     leaving: bool = False
--- a/dragonflystack/daemon/_operators.py
+++ b/dragonflystack/daemon/_operators.py
@@ -108,7 +108,7 @@
         await _asgi.send_problem(send, 401, "no such team token")
         return
     eliot.log_message("drain_asked", team=team)
-    node.stop_asked.set()
+    node.stop_requested.set()
     await _asgi.send_json(send, {"vm": node.vm, "leaving": True}, 202)
 
 
--- a/dragonflystack/daemon/_peers.py
+++ b/dragonflystack/daemon/_peers.py
@@ -64,8 +64,8 @@
         ] = {}
 
     async def work(
-        self, owner: ids.VmId, work: forwarding.Work
-    ) -> forwarding.WorkResult:
+        self, owner: ids.VmId, work: forwarding.Attempt
+    ) -> forwarding.AttemptResult:
         """Has the owner run a work."""
         result = await self._call(
             owner,
--- a/dragonflystack/daemon/_pools.py
+++ b/dragonflystack/daemon/_pools.py
@@ -23,13 +23,13 @@
 _FIRST_SERVER_ERROR = 500
 _SWEEP = datetime.timedelta(milliseconds=250)
 
-Report = Callable[[forwarding.WorkResult], None]
+Report = Callable[[forwarding.AttemptResult], None]
 _ConnKey = tuple[ids.ServiceId, backends.ConnectionId]
 
 
 @dataclasses.dataclass(slots=True)
 class _Running:
-    work: forwarding.Work
+    work: forwarding.Attempt
     report: Report | None
     """Who wants the result, None once it is given."""
 
@@ -116,7 +116,7 @@
                 service, self._pools[service].on_health(server, report, now)
             )
 
-    def submit(self, work: forwarding.Work, report: Report) -> None:
+    def submit(self, work: forwarding.Attempt, report: Report) -> None:
         """Runs a work; the report comes once, perhaps before this returns."""
         pool = self._pools.get(work.service)
         if pool is None or work.id in self._running:
@@ -128,8 +128,8 @@
         now = self._clock.monotonic()
         self._running[work.id] = _Running(work, report)
         self._busy[work.service] += 1
-        asked = backends.Work(
-            backends.WorkId(work.id),
+        asked = backends.Attempt(
+            backends.AttemptId(work.id),
             now + work.time_left,
             work.idempotent,
             work.priority,
@@ -137,18 +137,18 @@
         )
         self._do(work.service, pool.on_request(asked, now))
 
-    def cancel(self, work_id: str) -> None:
+    def cancel(self, attempt_id: str) -> None:
         """Stops a work that nobody waits for."""
-        running = self._running.get(work_id)
+        running = self._running.get(attempt_id)
         if running is None:
             return
         running.report = None
         service = running.work.service
         now = self._clock.monotonic()
         pool = self._pools[service]
-        self._do(service, pool.on_cancel(backends.WorkId(work_id), now))
+        self._do(service, pool.on_cancel(backends.AttemptId(attempt_id), now))
         if running.scope is None:
-            self._forget(work_id)
+            self._forget(attempt_id)
 
     def tick(self) -> None:
         """Does what is due in the pools and drops closed connections."""
@@ -185,29 +185,31 @@
             match action:
                 case backends.Start():
                     self._start(service, action)
-                case backends.Refuse(work_id, failure):
-                    self._report(work_id, forwarding.Refused(failure))
-                    self._forget(work_id)
-                case backends.CancelWork():
+                case backends.Refuse(attempt_id, failure):
+                    self._report(attempt_id, forwarding.Refused(failure))
+                    self._forget(attempt_id)
+                case backends.CancelAttempt():
                     self._stop(action)
                 case backends.CloseConnection(conn_id, _):
                     conn = self._connections.pop((service, conn_id), None)
                     if conn is not None:
                         self._tasks.start_soon(conn.http.aclose)
 
-    def _forget(self, work_id: str) -> None:
-        running = self._running.pop(work_id, None)
+    def _forget(self, attempt_id: str) -> None:
+        running = self._running.pop(attempt_id, None)
         if running is not None:
             self._busy[running.work.service] -= 1
 
-    def _report(self, work_id: str, result: forwarding.WorkResult) -> None:
-        running = self._running.get(work_id)
+    def _report(
+        self, attempt_id: str, result: forwarding.AttemptResult
+    ) -> None:
+        running = self._running.get(attempt_id)
         if running is not None and running.report is not None:
             report, running.report = running.report, None
             report(result)
 
     def _start(self, service: ids.ServiceId, action: backends.Start) -> None:
-        running = self._running[action.work_id]
+        running = self._running[action.attempt_id]
         server = self._servers[action.backend_server]
         key = (service, action.connection)
         conn = self._connections.get(key)
@@ -220,10 +222,10 @@
         running.scope = anyio.CancelScope()
         self._tasks.start_soon(self._run, running, server, conn)
 
-    def _stop(self, action: backends.CancelWork) -> None:
-        running = self._running.get(action.work_id)
+    def _stop(self, action: backends.CancelAttempt) -> None:
+        running = self._running.get(action.attempt_id)
         failed = forwarding.Failed(action.failure, True, action.backend_server)
-        self._report(action.work_id, failed)
+        self._report(action.attempt_id, failed)
         if running is not None and running.scope is not None:
             running.scope.cancel()
 
@@ -237,7 +239,7 @@
         scope = running.scope
         assert scope is not None
         call = _call(work, server)
-        end: tuple[backends.Result, forwarding.WorkResult] | None = None
+        end: tuple[backends.Result, forwarding.AttemptResult] | None = None
         with scope:
             end = await _carry_out(
                 work, server, conn.http, call, self._max_body_bytes()
@@ -246,13 +248,13 @@
         self._forget(work.id)
         if end is None:
             return
-        for_pool, for_taker = end
+        for_pool, for_engine = end
         now = self._clock.monotonic()
         pool = self._pools[work.service]
-        actions = pool.on_result(backends.WorkId(work.id), for_pool, now)
+        actions = pool.on_result(backends.AttemptId(work.id), for_pool, now)
         self._do(work.service, actions)
         if running.report is not None:
-            running.report(for_taker)
+            running.report(for_engine)
 
 
 def _open(server: config.BackendServer) -> httpcore.AsyncHTTPConnection:
@@ -261,7 +263,7 @@
 
 
 def _call(
-    work: forwarding.Work, server: config.BackendServer
+    work: forwarding.Attempt, server: config.BackendServer
 ) -> _exchange.Call:
     left_ms = max(1, work.time_left // datetime.timedelta(milliseconds=1))
     headers = [
@@ -281,12 +283,12 @@
 
 
 async def _carry_out(
-    work: forwarding.Work,
+    work: forwarding.Attempt,
     server: config.BackendServer,
     conn: httpcore.AsyncHTTPConnection,
     call: _exchange.Call,
     limit_bytes: int,
-) -> tuple[backends.Result, forwarding.WorkResult]:
+) -> tuple[backends.Result, forwarding.AttemptResult]:
     try:
         answer = await _exchange.exchange(conn, call, limit_bytes)
     except _exchange.UNSENT_ERRORS as exc:
@@ -304,11 +306,11 @@
 
 
 def _judge(
-    work: forwarding.Work,
+    work: forwarding.Attempt,
     server: config.BackendServer,
     conn: httpcore.AsyncHTTPConnection,
     answer: forwarding.Answer,
-) -> tuple[backends.Result, forwarding.WorkResult]:
+) -> tuple[backends.Result, forwarding.AttemptResult]:
     fault = forwarding.find_fault(answer, work.id, server.id)
     if fault is not None:
         failed = forwarding.Failed(fault, True, server.id)
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -80,7 +80,7 @@
                 )
                 _start_loops(loops, node, forwarder)
                 eliot.log_message("daemon_started", callers=str(cfg.callers))
-                await node.stop_asked.wait()
+                await node.stop_requested.wait()
                 await _leave(node, forwarder, configuration)
                 for port in ports:
                     port.stop()
@@ -150,7 +150,7 @@
 async def _stop_on_signal(node: _node.Node) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            node.stop_asked.set()
+            node.stop_requested.set()
 
 
 async def _leave(
--- a/dragonflystack/daemon/_steering.py
+++ b/dragonflystack/daemon/_steering.py
@@ -142,7 +142,7 @@
 async def _load_blocks(
     node: _node.Node, document: config.Document, into: steering.Steering
 ) -> bool:
-    loader = steering.TableLoader(
+    loader = steering.BlockTableLoader(
         document.clients.chunks, len(document.topology.sites), into.blocks
     )
     try:
@@ -150,7 +150,7 @@
             data = await node.platform.get(digest)
             if not isinstance(data, bytes):
                 return False
-            loader.on_chunk(digest, data)
+            loader.add_chunk(digest, data)
             await anyio.sleep(0)
         into.on_blocks(loader.build(document.clients.default_site))
     except steering.InvalidChunkError as exc:
@@ -172,7 +172,7 @@
             "refused": status.shares.refused,
             "target": dict(status.target.by_region),
             "goal": dict(status.goal.by_region),
-            "near": status.is_near,
+            "near": status.is_converged,
         }
         for status in node.steering_state.status()
     ]
--- a/dragonflystack/daemon/tests/test_forwarding_codec.py
+++ b/dragonflystack/daemon/tests/test_forwarding_codec.py
@@ -22,8 +22,8 @@
 @pytest.mark.parametrize("key", [None, ids.RequestKey("vm.i.0.k")])
 @pytest.mark.parametrize("priority", list(config.Priority))
 def test_a_work_comes_back_as_it_was(key, priority):
-    work = forwarding.Work(
-        forwarding.WorkId("vm.i:1"),
+    work = forwarding.Attempt(
+        forwarding.AttemptId("vm.i:1"),
         ids.ServiceId("order"),
         key is None,
         priority,
--- a/dragonflystack/entry/__init__.py
+++ b/dragonflystack/entry/__init__.py
@@ -25,15 +25,15 @@
 from dragonflystack.entry._catalogue import RouteId
 from dragonflystack.entry._catalogue import ServicePolicy
 from dragonflystack.entry._choice import Candidate
-from dragonflystack.entry._choice import Wanted
+from dragonflystack.entry._choice import Requirements
 from dragonflystack.entry._customers import Customer
 from dragonflystack.entry._customers import InvalidCustomerError
 from dragonflystack.entry._customers import KeyDigest
 from dragonflystack.entry._customers import digest_key
 from dragonflystack.entry._departures import Departure
-from dragonflystack.entry._discovery import LAPSE_GRACE
-from dragonflystack.entry._discovery import Changes
+from dragonflystack.entry._discovery import REREGISTRATION_GRACE
 from dragonflystack.entry._discovery import Listing
+from dragonflystack.entry._discovery import ServerChanges
 from dragonflystack.entry._exchange import Exchange
 from dragonflystack.entry._members import HEARTBEAT_EVERY
 from dragonflystack.entry._members import Heartbeat
@@ -54,16 +54,16 @@
 from dragonflystack.entry._messages import Request
 from dragonflystack.entry._messages import Result
 from dragonflystack.entry._messages import Send
-from dragonflystack.entry._messages import Sent
+from dragonflystack.entry._messages import SendRecord
 from dragonflystack.entry._messages import Silent
 from dragonflystack.entry._messages import Step
 from dragonflystack.entry._messages import Unauthorized
 from dragonflystack.entry._messages import Unknown
 from dragonflystack.entry._messages import Wait
 from dragonflystack.entry._messages import Withdrawn
-from dragonflystack.entry._news import News
-from dragonflystack.entry._news import Position
-from dragonflystack.entry._news import Table
+from dragonflystack.entry._replication import Position
+from dragonflystack.entry._replication import ReplicatedChanges
+from dragonflystack.entry._replication import Table
 from dragonflystack.entry._servers import Load
 from dragonflystack.entry._servers import Server
 from dragonflystack.entry._servers import ServerEntry
@@ -83,7 +83,7 @@
     "CallerLimits",
     "Candidate",
     "Catalogue",
-    "Changes",
+    "ServerChanges",
     "ChoiceSettings",
     "ConnectFailed",
     "Customer",
@@ -101,11 +101,11 @@
     "InvalidCustomerError",
     "KeyDigest",
     "Listing",
-    "LAPSE_GRACE",
+    "REREGISTRATION_GRACE",
     "Load",
     "Member",
     "Members",
-    "News",
+    "ReplicatedChanges",
     "Phase",
     "Position",
     "Reason",
@@ -115,7 +115,7 @@
     "Route",
     "RouteId",
     "Send",
-    "Sent",
+    "SendRecord",
     "Server",
     "ServerEntry",
     "ServicePolicy",
@@ -127,7 +127,7 @@
     "UnknownVmError",
     "VmAddress",
     "Wait",
-    "Wanted",
+    "Requirements",
     "Withdrawn",
     "digest_key",
     "era_of",
--- a/dragonflystack/entry/_access.py
+++ b/dragonflystack/entry/_access.py
@@ -29,7 +29,7 @@
     customer: _customers.Customer | None = None
     """Whose request it is; None on public routes and without customers."""
 
-    hides_key: bool = False
+    strips_key_headers: bool = False
     """Whether the headers of the key and of the customer are the VM's own: what
     the caller sent in them is not passed on."""
 
@@ -57,7 +57,7 @@
         if self._customers is None:
             return Access(route, route.regions)
         if route.public:
-            return Access(route, route.regions, hides_key=True)
+            return Access(route, route.regions, strips_key_headers=True)
         if request.customer_key is None:
             return _messages.Unauthorized(_messages.Reason.NO_KEY, route.id)
         customer = self._customers.find(request.customer_key)
@@ -72,4 +72,4 @@
                 return _messages.Reject(
                     _messages.Reason.NO_REGION, _NO_REGION_RETRY_AFTER
                 )
-        return Access(route, regions, customer, hides_key=True)
+        return Access(route, regions, customer, strips_key_headers=True)
--- a/dragonflystack/entry/_budgets.py
+++ b/dragonflystack/entry/_budgets.py
@@ -81,7 +81,7 @@
         fleet_size: int,
     ):
         self._bounds = bounds
-        self._fraction = settings.retry_part
+        self._fraction = settings.retry_budget_fraction
         self._fleet_size = fleet_size
         self._by_service: dict[ids.ServiceId, RetryBudget] = {}
 
--- a/dragonflystack/entry/_catalogue.py
+++ b/dragonflystack/entry/_catalogue.py
@@ -58,7 +58,7 @@
     public: bool = False
     """Whether it needs no key where the catalogue names customers."""
 
-    def leads_to(self, service: ids.ServiceId) -> bool:
+    def sends_to(self, service: ids.ServiceId) -> bool:
         """Returns whether some of its requests go to a service."""
         return any(
             d.service == service and d.weight > 0 for d in self.destinations
--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -16,13 +16,13 @@
 from dragonflystack import ids
 from dragonflystack.entry import _catalogue
 from dragonflystack.entry import _customers
+from dragonflystack.entry import _observations
 from dragonflystack.entry import _popularity
+from dragonflystack.entry import _processing_times
+from dragonflystack.entry import _queue_waits
 from dragonflystack.entry import _ranking
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
-from dragonflystack.entry import _sightings
-from dragonflystack.entry import _waits
-from dragonflystack.entry import _work_times
 
 _ZERO = datetime.timedelta()
 _REMOTE_RANKS = 3
@@ -39,7 +39,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Wanted:
+class Requirements:
     """Requirements of a request on the backend server that serves it."""
 
     route: _catalogue.Route
@@ -53,7 +53,7 @@
     customer: _customers.Customer | None = None
     """Customer who sent the request; see `_access.Access`."""
 
-    hides_key: bool = False
+    strips_key_headers: bool = False
     """See `_access.Access`."""
 
 
@@ -90,16 +90,16 @@
     def __init__(
         self,
         region: ids.RegionId,
-        book: _servers.ServerBook,
-        times: _work_times.WorkTimes,
+        registry: _servers.ServerRegistry,
+        times: _processing_times.ProcessingTimes,
         settings: _settings.ChoiceSettings,
     ):
         self._region = region
-        self._book = book
+        self._book = registry
         self._times = times
         self._settings = settings
         self._round_trips: dict[ids.RegionId, datetime.timedelta] = {}
-        self._waits = _waits.Waits()
+        self._queue_waits = _queue_waits.QueueWaits()
         self._popularity = _popularity.Popularity()
         self._rankings: dict[
             tuple[ids.ServiceId, str], dict[ids.RegionId, list[_servers.Server]]
@@ -124,13 +124,15 @@
         """Returns the estimated round trip to a region, 0 for the own one."""
         if region == self._region:
             return _ZERO
-        default = self._settings.remote_round_trip
+        default = self._settings.assumed_remote_round_trip
         return self._round_trips.get(region, default)
 
-    def on_request(self, wanted: Wanted) -> None:
+    def on_request(self, requirements: Requirements) -> None:
         """Counts a new request of a caller for the object's popularity."""
-        if wanted.object_key is not None:
-            self._popularity.on_request(wanted.service, wanted.object_key)
+        if requirements.object_key is not None:
+            self._popularity.on_request(
+                requirements.service, requirements.object_key
+            )
 
     def on_completed(
         self,
@@ -156,7 +158,7 @@
                 route, service, processing_time, candidate.is_assumed
             )
         wait = at_server - self._times.likely_within(route, service, at_server)
-        self._waits.on_wait(service, server.region, wait, now)
+        self._queue_waits.on_wait(service, server.region, wait, now)
 
     def on_overdue(
         self,
@@ -177,11 +179,13 @@
         server = candidate.server
         at_server = elapsed - self.round_trip(server.region)
         wait = at_server - candidate.likely_processing_time / 2
-        self._waits.on_wait(server.entry.service, server.region, wait, now)
+        self._queue_waits.on_wait(
+            server.entry.service, server.region, wait, now
+        )
 
     def rank_candidates(
         self,
-        wanted: Wanted,
+        requirements: Requirements,
         may_use: Callable[[_servers.Server], bool],
         now: datetime.timedelta,
         tried: Container[ids.BackendServerId] = (),
@@ -189,16 +193,16 @@
         """Returns the backend servers that may serve a request, cheapest first.
 
         Args:
-            wanted: the request's requirements.
+            requirements: the request's requirements.
             may_use: returns whether a backend server may get requests now.
             now: the time.
             tried: backend servers to skip because they got the request before.
         """
         candidates: list[Candidate] = []
-        for region, servers in self._ranked(wanted).items():
-            if wanted.regions and region not in wanted.regions:
+        for region, servers in self._ranked(requirements).items():
+            if requirements.regions and region not in requirements.regions:
                 continue
-            ranks = self._ranks(wanted, region, len(servers))
+            ranks = self._ranks(requirements, region, len(servers))
             first = True
             for server in servers:
                 if ranks == 0:
@@ -209,14 +213,16 @@
                     first = False
                     continue
                 ranks -= 1
-                candidate = self._candidate(wanted, server, first, now)
+                candidate = self._candidate(requirements, server, first, now)
                 first = False
                 if candidate is not None:
                     candidates.append(candidate)
         candidates.sort(key=_cost)
         return candidates
 
-    def _ranks(self, wanted: Wanted, region: ids.RegionId, servers: int) -> int:
+    def _ranks(
+        self, requirements: Requirements, region: ids.RegionId, servers: int
+    ) -> int:
         """Returns how many backend servers of a region are considered.
 
         A backend server caches a limited number of objects. Requests for an
@@ -224,31 +230,33 @@
         if they would fill a large part of one backend server's capacity.
         """
         is_own = region == self._region
-        if wanted.route.sticky and wanted.object_key is not None:
+        if requirements.route.sticky and requirements.object_key is not None:
             if not is_own:
                 return 1
-            share = self._popularity.share(wanted.service, wanted.object_key)
-            more = int(share * servers / self._settings.hot_part)
-            return self._settings.object_ranks + more
+            share = self._popularity.share(
+                requirements.service, requirements.object_key
+            )
+            more = int(share * servers / self._settings.hot_object_fraction)
+            return self._settings.servers_per_object + more
         return servers if is_own else _REMOTE_RANKS
 
     def _candidate(
         self,
-        wanted: Wanted,
+        requirements: Requirements,
         server: _servers.Server,
         first: bool,
         now: datetime.timedelta,
     ) -> Candidate | None:
-        route = wanted.route
+        route = requirements.route
         slots = max(1, server.entry.slots)
         load = server.load(now)
-        if load >= slots * self._settings.queue_slots:
+        if load >= slots * self._settings.max_requests_per_slot:
             return None
         hit_probability, is_assumed = self._hit_probability(
-            wanted, server, first
+            requirements, server, first
         )
-        cached_time = self._times.expect(route, wanted.service, True)
-        uncached_time = self._times.expect(route, wanted.service, False)
+        cached_time = self._times.expect(route, requirements.service, True)
+        uncached_time = self._times.expect(route, requirements.service, False)
         processing_time = cached_time * hit_probability + uncached_time * (
             1 - hit_probability
         )
@@ -261,10 +269,12 @@
         ahead = load + 1 - slots
         wait = _ZERO
         if ahead > 0:
-            per_slot = self._times.per_slot(route, wanted.service)
+            per_slot = self._times.per_slot(route, requirements.service)
             wait = per_slot * (ahead / slots)
-        if now - server.load_known_at > self._settings.load_trusted:
-            seen = self._waits.expect(wanted.service, server.region, now)
+        if now - server.load_known_at > self._settings.load_report_max_age:
+            seen = self._queue_waits.expect(
+                requirements.service, server.region, now
+            )
             wait = max(wait, seen)
         round_trip = self.round_trip(server.region)
         expected_latency = round_trip + wait + processing_time
@@ -292,7 +302,7 @@
         )
 
     def _hit_probability(
-        self, wanted: Wanted, server: _servers.Server, first: bool
+        self, requirements: Requirements, server: _servers.Server, first: bool
     ) -> tuple[float, bool]:
         """Returns the probability that a backend server has the object cached.
 
@@ -302,26 +312,28 @@
         Returns:
             The probability, and whether it only follows from the ranking.
         """
-        if not wanted.route.sticky or wanted.object_key is None:
+        if not requirements.route.sticky or requirements.object_key is None:
             return 0.0, False
-        if server.has_cached(_sightings.hash_object(wanted.object_key)):
+        if server.has_cached(
+            _observations.hash_object(requirements.object_key)
+        ):
             return 1.0, False
         if not first:
             return 0.0, False
-        return 1.0 - self._times.miss_rate(wanted.route), True
+        return 1.0 - self._times.miss_rate(requirements.route), True
 
     def _ranked(
-        self, wanted: Wanted
+        self, requirements: Requirements
     ) -> dict[ids.RegionId, list[_servers.Server]]:
         if self._revision != self._book.revision:
             self._rankings.clear()
             self._revision = self._book.revision
-        key = wanted.object_key or ""
-        cache_key = (wanted.service, key)
+        key = requirements.object_key or ""
+        cache_key = (requirements.service, key)
         ranked = self._rankings.get(cache_key)
         if ranked is None:
             ranked = {}
-            servers = self._book.of_service(wanted.service)
+            servers = self._book.of_service(requirements.service)
             for server in _ranking.rank(key, servers, _name):
                 ranked.setdefault(server.region, []).append(server)
             if len(self._rankings) >= _MAX_CACHED_RANKINGS:
--- a/dragonflystack/entry/_cold.py
+++ b/dragonflystack/entry/_cold.py
@@ -80,12 +80,12 @@
     def _allowance(self, policy: _catalogue.ServicePolicy) -> int:
         bound = policy.cold_rate * self._bounds.cold_factor
         bound += self._bounds.cold_margin
-        return int(bound * self._settings.cold_share)
+        return int(bound * self._settings.cold_rate_fraction)
 
     def _owns(self, server_id: ids.BackendServerId) -> bool:
         owns = self._owned.get(server_id)
         if owns is None:
             ranked = _ranking.rank(server_id, self._vms, str)
-            owns = self._vm in ranked[: self._settings.cold_owners]
+            owns = self._vm in ranked[: self._settings.vms_per_cold_server]
             self._owned[server_id] = owns
         return owns
--- a/dragonflystack/entry/_context.py
+++ b/dragonflystack/entry/_context.py
@@ -18,8 +18,8 @@
     rng: random.Random
 
     @property
-    def late_wait_part(self) -> float:
-        """See `ChoiceSettings.late_wait_part`."""
+    def late_wait_fraction(self) -> float:
+        """See `ChoiceSettings.late_wait_fraction`."""
 
     def waited_before_arrival(
         self, route: _catalogue.Route, request: _messages.Request
@@ -28,28 +28,28 @@
 
     def rank_candidates(
         self,
-        wanted: _choice.Wanted,
+        requirements: _choice.Requirements,
         now: datetime.timedelta,
         tried: Container[ids.BackendServerId],
     ) -> list[_choice.Candidate]:
         """Returns the backend servers that may be used, cheapest first.
 
         Args:
-            wanted: the request's requirements.
+            requirements: the request's requirements.
             now: the time.
             tried: backend servers to skip because they got the request before.
         """
 
     def choose_candidate(
         self,
-        wanted: _choice.Wanted,
+        requirements: _choice.Requirements,
         candidates: list[_choice.Candidate],
         now: datetime.timedelta,
     ) -> _choice.Candidate:
         """Returns the candidate to use, within the shares of the regions.
 
         Args:
-            wanted: the request's requirements.
+            requirements: the request's requirements.
             candidates: at least one candidate, cheapest first.
             now: the time.
         """
@@ -74,7 +74,7 @@
         """
 
     def available_in(
-        self, wanted: _choice.Wanted, now: datetime.timedelta
+        self, requirements: _choice.Requirements, now: datetime.timedelta
     ) -> datetime.timedelta | None:
         """Returns the time until a backend server accepts requests again.
 
@@ -83,7 +83,7 @@
             the request asked VMs to wait.
         """
 
-    def on_said_leaving(
+    def on_leaving_reported(
         self, server: _servers.Server, now: datetime.timedelta
     ) -> bool:
         """Records that a backend server reported that it is leaving.
@@ -92,7 +92,7 @@
             Whether it stops getting new requests because of this report.
         """
 
-    def on_asked_wait(
+    def on_backoff_requested(
         self,
         server: _servers.Server,
         wait: datetime.timedelta,
@@ -121,7 +121,7 @@
 
     def on_completed(
         self,
-        wanted: _choice.Wanted,
+        requirements: _choice.Requirements,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -20,7 +20,7 @@
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _store_versions
 
-LAPSE_GRACE = datetime.timedelta(seconds=2)
+REREGISTRATION_GRACE = datetime.timedelta(seconds=2)
 """How long after the store's return an entry may be missing, by the users."""
 
 _MAX_REMOVED = 1_024
@@ -48,7 +48,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
+class ServerChanges:
     """What a listing changed."""
 
     added: tuple[_servers.Server, ...] = ()
@@ -76,12 +76,12 @@
 
     def __init__(
         self,
-        book: _servers.ServerBook,
+        registry: _servers.ServerRegistry,
         departures: _departures.Departures,
         confirm_after: datetime.timedelta,
     ):
         """Takes what it keeps, and how long removals of many are open."""
-        self._book = book
+        self._book = registry
         self._departures = departures
         self.confirm_after = confirm_after
         """Less than the users' bound for backend servers that left."""
@@ -106,7 +106,7 @@
         self.read_at: datetime.timedelta | None = None
         """When the list was last read, None before the first time."""
 
-    def on_store_away(self) -> None:
+    def on_store_unavailable(self) -> None:
         """Notes that the list could not be read."""
         self._was_away = True
 
@@ -114,11 +114,11 @@
         """Takes in the store's era; listings of earlier ones are too late."""
         self._era = era
 
-    def on_store_returned(self, now: datetime.timedelta) -> None:
+    def on_store_restored(self, now: datetime.timedelta) -> None:
         """Notes that the store came back from an older copy."""
         self._was_away = False
         self._is_unconfirmed = False
-        self._returned_until = now + LAPSE_GRACE
+        self._returned_until = now + REREGISTRATION_GRACE
         self._grace_until = self._returned_until
 
     def on_listing(
@@ -126,7 +126,7 @@
         listing: Listing,
         now: datetime.timedelta,
         from_store: bool = True,
-    ) -> Changes:
+    ) -> ServerChanges:
         """Takes in what was read.
 
         Args:
@@ -136,7 +136,7 @@
                 VM passes on as gone was confirmed there.
         """
         if _store_versions.era_of(listing.version) < self._era:
-            return Changes()
+            return ServerChanges()
         if from_store:
             self._on_store_answer(now)
         self.read_at = now
@@ -159,10 +159,10 @@
         if from_store or now < self._returned_until:
             lost = self._confirmed(listing, lost, now)
         gone = self._drop(dict.fromkeys(lost, listing.version))
-        return Changes(tuple(added), tuple(leaving), gone, tuple(lost))
+        return ServerChanges(tuple(added), tuple(leaving), gone, tuple(lost))
 
     @property
-    def is_store_away(self) -> bool:
+    def is_store_unavailable(self) -> bool:
         """Whether the latest read of the list failed."""
         return self._was_away
 
@@ -175,7 +175,7 @@
         if self._was_away:
             self._was_away = False
             self._is_unconfirmed = False
-            self._grace_until = now + LAPSE_GRACE
+            self._grace_until = now + REREGISTRATION_GRACE
         elif self._grace_until is not None and now >= self._grace_until:
             self._is_unconfirmed = False
 
@@ -213,19 +213,19 @@
             for service, number in unannounced.items()
         )
 
-    def on_tick(self, now: datetime.timedelta) -> Changes:
+    def on_tick(self, now: datetime.timedelta) -> ServerChanges:
         """Drops what is still missing after the grace.
 
         While the store is away or does not answer, entries cannot come back.
         """
         if self._grace_until is None or now < self._grace_until:
-            return Changes()
+            return ServerChanges()
         if self._was_away or self._is_unconfirmed:
-            return Changes()
+            return ServerChanges()
         self._grace_until = None
         self._is_unconfirmed = False
         missing, self._missing = self._missing, {}
-        return Changes(gone=self._drop(missing), removed=tuple(missing))
+        return ServerChanges(gone=self._drop(missing), removed=tuple(missing))
 
     def _is_outdated(self, entry: _servers.ServerEntry) -> bool:
         """Returns whether it was written before its backend server was gone.
--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -21,11 +21,11 @@
 from dragonflystack.entry import _discovery
 from dragonflystack.entry import _members
 from dragonflystack.entry import _messages
+from dragonflystack.entry import _observations
+from dragonflystack.entry import _processing_times
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
 from dragonflystack.entry import _shares
-from dragonflystack.entry import _sightings
-from dragonflystack.entry import _work_times
 
 _ZERO = datetime.timedelta()
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -37,7 +37,7 @@
     def __init__(
         self,
         members: _members.Members,
-        book: _servers.ServerBook,
+        registry: _servers.ServerRegistry,
         departures: _departures.Departures,
         regions: dict[ids.FailureDomainId, ids.RegionId],
         bounds: _settings.FleetBounds,
@@ -49,19 +49,22 @@
         self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
         """Failure domains that get no requests."""
 
-        self.sightings = _sightings.Sightings()
+        self.observations = _observations.Observations()
         """Observations of backend servers that this VM sends to other VMs."""
 
         self.shares = _shares.RegionShares(members.own.region, bounds.max_shift)
         self._members = members
-        self._book = book
+        self._book = registry
         self._regions = tuple(sorted(set(regions.values())))
         self._bounds = bounds
         self._settings = settings
         self._services: Mapping[ids.ServiceId, _catalogue.ServicePolicy] = {}
         self._max_time_left: dict[_catalogue.RouteId, datetime.timedelta] = {}
         self._chooser = _choice.Chooser(
-            members.own.region, book, _work_times.WorkTimes(settings), settings
+            members.own.region,
+            registry,
+            _processing_times.ProcessingTimes(settings),
+            settings,
         )
         self._cold = self._make_pacer()
         self._budgets = self._make_budgets()
@@ -103,7 +106,7 @@
                 server.on_cold(policy.cold_period, now)
 
     def on_changes(
-        self, changes: _discovery.Changes, now: datetime.timedelta
+        self, changes: _discovery.ServerChanges, now: datetime.timedelta
     ) -> None:
         """Updates limits and shares for changes of the backend servers."""
         for server in changes.gone:
@@ -115,10 +118,10 @@
 
     def on_tick(self, now: datetime.timedelta) -> None:
         """Applies what the heartbeats of the region's other VMs reported."""
-        listed = self._members.listed()
-        self._cold.on_vms(listed)
+        known_vms = self._members.known_vms()
+        self._cold.on_vms(known_vms)
         self._budgets.on_fleet(self._fleet_size())
-        self.shares.on_vms(len(listed))
+        self.shares.on_vms(len(known_vms))
         beats = [m.beat for m in self._members.alive(now) if m.beat]
         self.shares.on_peers(
             [
@@ -143,7 +146,7 @@
         self._chooser.on_round_trip(server.region, round_trip)
 
     def on_request(
-        self, wanted: _choice.Wanted, now: datetime.timedelta
+        self, wanted: _choice.Requirements, now: datetime.timedelta
     ) -> None:
         """Counts a new request of a caller."""
         self._budgets.of(wanted.service).on_request(now)
@@ -174,16 +177,16 @@
                 and not server.entry.leaving
                 and self.departures.includes(server.entry)
             ):
-                server.on_said_leaving()
+                server.on_leaving_reported()
                 leaving.append(server)
         if leaving:
             self.shares.on_server_loss(now)
         return tuple(leaving)
 
-    def on_sightings(
+    def on_observations(
         self,
-        loads: Iterable[_sightings.LoadSighting],
-        learnt: Iterable[_sightings.LearntSighting],
+        loads: Iterable[_observations.LoadObservation],
+        cached_objects: Iterable[_observations.CachedObjectObservation],
         now: datetime.timedelta,
     ) -> None:
         """Applies another VM's observations of backend servers."""
@@ -192,7 +195,7 @@
             at = now - load.age_ms * _MILLISECOND
             if server is not None and at > server.load_known_at:
                 server.on_request_count(load.requests, at)
-        for sighting in learnt:
+        for sighting in cached_objects:
             server = self._book.get(sighting.server)
             if server is not None:
                 self._on_learnt(server, sighting.object_hash, now)
@@ -203,14 +206,16 @@
         object_hash: int,
         now: datetime.timedelta,
     ) -> None:
-        if server.on_learnt(object_hash):
-            self.sightings.on_learnt(server.entry.id, object_hash, now)
+        if server.on_object_cached(object_hash):
+            self.observations.on_object_cached(
+                server.entry.id, object_hash, now
+            )
 
     # Operations for exchanges; see `_context.Context`.
 
     def rank_candidates(
         self,
-        wanted: _choice.Wanted,
+        wanted: _choice.Requirements,
         now: datetime.timedelta,
         tried: Container[ids.BackendServerId],
     ) -> list[_choice.Candidate]:
@@ -220,7 +225,7 @@
 
     def choose_candidate(
         self,
-        wanted: _choice.Wanted,
+        wanted: _choice.Requirements,
         candidates: list[_choice.Candidate],
         now: datetime.timedelta,
     ) -> _choice.Candidate:
@@ -240,7 +245,7 @@
     ) -> bool:
         """See `_context.Context.may_write`."""
         return (
-            server.may_get_requests(now)
+            server.accepts_requests(now)
             and server.entry.domain not in self.evacuated
         )
 
@@ -249,9 +254,9 @@
         self.shares.on_server_loss(now)
 
     @property
-    def late_wait_part(self) -> float:
-        """See `_context.Context.late_wait_part`."""
-        return self._settings.late_wait_part
+    def late_wait_fraction(self) -> float:
+        """See `_context.Context.late_wait_fraction`."""
+        return self._settings.late_wait_fraction
 
     def waited_before_arrival(
         self, route: _catalogue.Route, request: _messages.Request
@@ -276,14 +281,14 @@
 
     def overdue_after(self, candidate: _choice.Candidate) -> datetime.timedelta:
         """See `_context.Context.overdue_after`."""
-        return candidate.expected_latency * self._settings.silence_factor
+        return candidate.expected_latency * self._settings.overdue_factor
 
     def available_in(
-        self, wanted: _choice.Wanted, now: datetime.timedelta
+        self, wanted: _choice.Requirements, now: datetime.timedelta
     ) -> datetime.timedelta | None:
         """See `_context.Context.available_in`."""
         available_at = [
-            server.asked_wait_until
+            server.backoff_until
             for server in self._book.of_service(wanted.service)
             if server.may_serve()
             and server.suspect_since is None
@@ -293,17 +298,17 @@
         first = min(available_at, default=now)
         return first - now if first > now else None
 
-    def on_asked_wait(
+    def on_backoff_requested(
         self,
         server: _servers.Server,
         wait: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """See `_context.Context.on_asked_wait`."""
+        """See `_context.Context.on_backoff_requested`."""
         settings = self._settings
-        spread = min(wait, settings.asked_wait_spread) * self.rng.random()
-        wait = min(wait, settings.max_asked_wait) + spread
-        server.on_asked_wait(wait, now)
+        spread = min(wait, settings.server_backoff_jitter) * self.rng.random()
+        wait = min(wait, settings.max_server_backoff) + spread
+        server.on_backoff_requested(wait, now)
 
     def on_sent(
         self, candidate: _choice.Candidate, now: datetime.timedelta
@@ -320,13 +325,13 @@
     ) -> None:
         """See `_context.Context.on_load`."""
         server.on_load(load, now)
-        self.sightings.on_load(
+        self.observations.on_load(
             server.entry.id, load.running + load.waiting, now
         )
 
     def on_completed(
         self,
-        wanted: _choice.Wanted,
+        wanted: _choice.Requirements,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
@@ -334,7 +339,7 @@
         """See `_context.Context.on_completed`."""
         self._chooser.on_completed(wanted.route, candidate, elapsed, now)
         if wanted.route.sticky and wanted.object_key is not None:
-            object_hash = _sightings.hash_object(wanted.object_key)
+            object_hash = _observations.hash_object(wanted.object_key)
             self._on_learnt(candidate.server, object_hash, now)
 
     def on_overdue(
@@ -346,10 +351,10 @@
         """See `_context.Context.on_overdue`."""
         self._chooser.on_overdue(candidate, elapsed, now)
 
-    def on_said_leaving(
+    def on_leaving_reported(
         self, server: _servers.Server, now: datetime.timedelta
     ) -> bool:
-        """See `_context.Context.on_said_leaving`."""
+        """See `_context.Context.on_leaving_reported`."""
         entry = server.entry
         departure = _departures.Departure(entry.id, entry.born, entry.sequence)
         if entry.leaving:
@@ -370,10 +375,10 @@
         Until all of them are listed, each region is assumed to have as many VMs
         as the own one.
         """
-        listed = self._members.fleet_size
-        if listed is not None:
-            return listed
-        return len(self._members.listed()) * len(self._regions)
+        known_vms = self._members.fleet_size
+        if known_vms is not None:
+            return known_vms
+        return len(self._members.known_vms()) * len(self._regions)
 
     def _make_pacer(self) -> _cold.ColdPacer:
         own = self._members.own
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -50,7 +50,8 @@
 
 
 Resolve = Callable[
-    [_choice.Wanted, datetime.timedelta], _choice.Wanted | _access.Denial
+    [_choice.Requirements, datetime.timedelta],
+    _choice.Requirements | _access.Denial,
 ]
 """Returns the requirements of a request under the catalogue in force, or the
 reason why it may not be sent, given its earlier requirements and the time."""
@@ -63,12 +64,12 @@
         self,
         context: _context.Context,
         request: _messages.Request,
-        wanted: _choice.Wanted,
+        requirements: _choice.Requirements,
         resolve: Resolve,
         now: datetime.timedelta,
     ):
         self.request = request
-        self.wanted = wanted
+        self.requirements = requirements
         """Requirements on the backend server, as last resolved."""
 
         self.began = now
@@ -84,8 +85,8 @@
         self._is_idempotent = True
         """Whether every route that the request followed is idempotent."""
 
-        self._on_wanted(wanted)
-        self.sends: list[_messages.Sent] = []
+        self._on_wanted(requirements)
+        self.sends: list[_messages.SendRecord] = []
         self.may_have_run = False
         """Whether a backend server may have run the request."""
 
@@ -105,7 +106,7 @@
     @property
     def route(self) -> _catalogue.Route:
         """The route that the request follows, as last resolved."""
-        return self.wanted.route
+        return self.requirements.route
 
     def begin(self, now: datetime.timedelta) -> _messages.Step:
         """Returns the first step."""
@@ -128,10 +129,13 @@
         if self._denial(now) is not None or now >= self.deadline:
             return False
         server = current.server
-        wanted = self.wanted
+        requirements = self.requirements
         return (
-            server.entry.service == wanted.service
-            and (not wanted.regions or server.region in wanted.regions)
+            server.entry.service == requirements.service
+            and (
+                not requirements.regions
+                or server.region in requirements.regions
+            )
             and self._context.may_write(server, now)
         )
 
@@ -141,19 +145,19 @@
         Returns:
             Why the request may not be sent, None if it may.
         """
-        wanted = self._resolve(self.wanted, now)
-        if not isinstance(wanted, _choice.Wanted):
-            return wanted
-        if wanted is not self.wanted:
-            self._on_wanted(wanted)
+        requirements = self._resolve(self.requirements, now)
+        if not isinstance(requirements, _choice.Requirements):
+            return requirements
+        if requirements is not self.requirements:
+            self._on_wanted(requirements)
         return None
 
-    def _on_wanted(self, wanted: _choice.Wanted) -> None:
-        self.wanted = wanted
-        self._is_idempotent &= wanted.route.idempotent
+    def _on_wanted(self, requirements: _choice.Requirements) -> None:
+        self.requirements = requirements
+        self._is_idempotent &= requirements.route.idempotent
         self.deadline = self._caller_deadline
-        if wanted.route.timeout is not None:
-            latest = self.began + wanted.route.timeout
+        if requirements.route.timeout is not None:
+            latest = self.began + requirements.route.timeout
             self.deadline = min(self.deadline, latest)
 
     def _record_end(self, step: _messages.Step) -> _messages.Step:
@@ -185,16 +189,18 @@
     ) -> _messages.Step:
         candidate = self._release()
         server = candidate.server
-        server.on_heard(now)
+        server.on_response(now)
         if answer.load is not None:
             self._context.on_load(server, answer.load, now)
         if answer.wrong_server:
             server.gone = True
             return self._retry(_messages.Reason.NO_SERVER, now)
         if answer.leaving:
-            self._context.on_said_leaving(server, now)
-        if answer.asked_wait is not None:
-            self._context.on_asked_wait(server, answer.asked_wait, now)
+            self._context.on_leaving_reported(server, now)
+        if answer.requested_backoff is not None:
+            self._context.on_backoff_requested(
+                server, answer.requested_backoff, now
+            )
         if answer.not_run:
             self._on_not_run(server, answer, now)
             return self._retry(_messages.Reason.FULL, now)
@@ -207,7 +213,7 @@
                 return step
         if not failed:
             self._context.on_completed(
-                self.wanted, candidate, now - self._sent_at, now
+                self.requirements, candidate, now - self._sent_at, now
             )
         return _messages.Deliver()
 
@@ -250,11 +256,11 @@
         if now >= self.deadline:
             self._release()
             self._context.on_overdue(current, now - self._sent_at, now)
-            if current.server.last_heard < self._sent_at:
+            if current.server.last_response_at < self._sent_at:
                 current.server.on_suspect(now)
             self.may_have_run = True
             return _messages.Fail(_messages.Reason.TIMEOUT, timed_out=True)
-        if current.server.last_heard >= self._sent_at:
+        if current.server.last_response_at >= self._sent_at:
             return self._wait(now)
         current.server.on_suspect(now)
         current.server.on_result(True, now)
@@ -301,7 +307,7 @@
     def _take_from_budget(self, now: datetime.timedelta) -> bool:
         if self._attempts >= self.route.max_attempts or now >= self.deadline:
             return False
-        return self._context.take_retry(self.wanted.service, now)
+        return self._context.take_retry(self.requirements.service, now)
 
     def _send(self, now: datetime.timedelta) -> _messages.Step:
         denial = self._denial(now)
@@ -312,7 +318,9 @@
             return self._give_up(self._reason, now)
         best = candidates[0]
         if not self.sends:
-            best = self._context.choose_candidate(self.wanted, candidates, now)
+            best = self._context.choose_candidate(
+                self.requirements, candidates, now
+            )
         reason = self._rejection_reason(best, now)
         if reason is None:
             return self._start(best, now)
@@ -348,7 +356,7 @@
         before = self._context.waited_before_arrival(self.route, self.request)
         if before + (now - self.began) + best.expected_latency <= target:
             return False
-        return best.wait > target * self._context.late_wait_part
+        return best.wait > target * self._context.late_wait_fraction
 
     def _candidates(self, now: datetime.timedelta) -> list[_choice.Candidate]:
         """Returns the backend servers that may be used, cheapest first.
@@ -359,11 +367,11 @@
         rank_candidates = self._context.rank_candidates
         candidates = [
             candidate
-            for candidate in rank_candidates(self.wanted, now, ())
+            for candidate in rank_candidates(self.requirements, now, ())
             if candidate.server.entry.id not in self._tried
         ]
         if not candidates and self._tried:
-            candidates = rank_candidates(self.wanted, now, self._tried)
+            candidates = rank_candidates(self.requirements, now, self._tried)
         return candidates
 
     def _start(
@@ -377,7 +385,7 @@
         server.on_start()
         self._context.on_sent(candidate, now)
         self.sends.append(
-            _messages.Sent(
+            _messages.SendRecord(
                 server.entry.id,
                 now,
                 candidate.expected_latency,
@@ -414,7 +422,7 @@
         if self.may_have_run:
             return _messages.Fail(reason, timed_out=now >= self.deadline)
         if best is None:
-            available_in = self._context.available_in(self.wanted, now)
+            available_in = self._context.available_in(self.requirements, now)
             if available_in is not None:
                 return _messages.Reject(
                     _messages.Reason.ASKED_TO_WAIT,
--- a/dragonflystack/entry/_members.py
+++ b/dragonflystack/entry/_members.py
@@ -17,10 +17,10 @@
 
 from dragonflystack import ids
 from dragonflystack.entry import _departures
-from dragonflystack.entry import _lag
-from dragonflystack.entry import _news
+from dragonflystack.entry import _observations
 from dragonflystack.entry import _ranking
-from dragonflystack.entry import _sightings
+from dragonflystack.entry import _replication
+from dragonflystack.entry import _replication_lag
 
 HEARTBEAT_EVERY = datetime.timedelta(milliseconds=500)
 """Callers lose a second on a VM without power; datagrams get lost too."""
@@ -79,10 +79,10 @@
     vm: ids.VmId
     incarnation: ids.Incarnation
     phase: Phase
-    position: _news.Position
+    position: _replication.Position
     """Up to where it knows the store's rows."""
 
-    news_age_ms: int
+    store_view_age_ms: int
     """How long ago a VM with a working watch of the store was heard of."""
 
     shares: tuple[int, ...]
@@ -92,11 +92,11 @@
     wanted: tuple[int, ...]
     """Where load alone would have its requests, likewise."""
 
-    is_near: bool
+    is_neighbour: bool
     """Whether the receiver is one of the sender's neighbours, which then wants
     to hear of it regularly."""
 
-    answer_wanted: bool = False
+    reply_requested: bool = False
     """Whether the sender would like to hear of the receiver at once."""
 
     address: VmAddress | None = None
@@ -106,14 +106,14 @@
     """Backend servers of which the sender just learnt that they are leaving,
     other than from the store."""
 
-    loads: tuple[_sightings.LoadSighting, ...] = ()
+    loads: tuple[_observations.LoadObservation, ...] = ()
     """What backend servers said of their load to the sender."""
 
-    learnt: tuple[_sightings.LearntSighting, ...] = ()
+    cached_objects: tuple[_observations.CachedObjectObservation, ...] = ()
     """Objects that backend servers came to know, seen by the sender or told
     to it."""
 
-    heard: _lag.Word | None = None
+    heard: _replication_lag.VersionAnnouncement | None = None
     """The latest operators' rows that the sender heard of and lacks."""
 
 
@@ -155,7 +155,7 @@
         self.is_listed = False
         """Whether a list of VMs was read."""
 
-    def on_list(
+    def on_vm_list(
         self, addresses: Iterable[VmAddress], of_all_regions: bool = True
     ) -> None:
         """Takes in a list of VMs, some of which may be gone.
@@ -164,11 +164,11 @@
             addresses: the VMs.
             of_all_regions: whether they are the whole fleet.
         """
-        listed = list(addresses)
+        known_vms = list(addresses)
         if of_all_regions:
-            self.fleet_size = max(self.fleet_size or 1, len(listed))
+            self.fleet_size = max(self.fleet_size or 1, len(known_vms))
         self.is_listed = True
-        for address in listed:
+        for address in known_vms:
             self._meet(address)
 
     def on_heartbeat(
@@ -198,7 +198,7 @@
         member.phase = beat.phase
         member.heard_at = now
         member.asked_at = None
-        member.wants_mine = beat.is_near
+        member.wants_mine = beat.is_neighbour
         member.beat = beat
         return member if changed or not was_alive else None
 
@@ -214,7 +214,7 @@
                 del self._members[vm]
                 self._ring_cache = None
 
-    def receivers(
+    def heartbeat_targets(
         self, now: datetime.timedelta
     ) -> tuple[tuple[Member, bool], ...]:
         """Returns who is to hear of this VM, and whether it is a neighbour."""
@@ -274,7 +274,7 @@
             self._ring_cache = _ranking.rank("ring", vms, str)
         return self._ring_cache
 
-    def listed(self) -> tuple[ids.VmId, ...]:
+    def known_vms(self) -> tuple[ids.VmId, ...]:
         """Returns the VMs of the region not known to be gone, in order."""
         return tuple(sorted((self.own.vm, *self._members)))
 
@@ -288,16 +288,16 @@
             m for m in self._members.values() if self._is_alive(m, now)
         )
 
-    def named(self, now: datetime.timedelta) -> tuple[str, ...]:
+    def serving_addresses(self, now: datetime.timedelta) -> tuple[str, ...]:
         """Returns the callers' addresses of the VMs that serve."""
-        named = [
+        serving_addresses = [
             m.address.callers
             for m in self.alive(now)
             if m.phase is Phase.SERVING
         ]
         if self.phase is Phase.SERVING:
-            named.append(self.own.callers)
-        return tuple(sorted(named)[:_MAX_NAMED])
+            serving_addresses.append(self.own.callers)
+        return tuple(sorted(serving_addresses)[:_MAX_NAMED])
 
     def _meet(self, address: VmAddress) -> None:
         if address.vm == self.own.vm or address.region != self.own.region:
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -95,7 +95,7 @@
     leaving: bool = False
     """Whether the backend server states that it is leaving."""
 
-    asked_wait: datetime.timedelta | None = None
+    requested_backoff: datetime.timedelta | None = None
     """How long the backend server asks VMs to send nothing (Retry-After), None
     if it does not."""
 
@@ -143,7 +143,7 @@
     time_left: datetime.timedelta
     """How long the backend server may process the request."""
 
-    patience: datetime.timedelta
+    answer_timeout: datetime.timedelta
     """Time after which a missing answer is reported as `Silent`."""
 
 
@@ -151,7 +151,7 @@
 class Wait:
     """Continue to wait for the answer to the latest attempt."""
 
-    patience: datetime.timedelta
+    answer_timeout: datetime.timedelta
     """Time after which a missing answer is reported as `Silent` again."""
 
 
@@ -199,7 +199,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Sent:
+class SendRecord:
     """One attempt of a request, for logs and metrics."""
 
     server: ids.BackendServerId
--- a/dragonflystack/entry/_sightings.py
+++ b/dragonflystack/entry/_observations.py
@@ -26,7 +26,7 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
-class LoadSighting(msgspec.Struct, frozen=True, array_like=True):
+class LoadObservation(msgspec.Struct, frozen=True, array_like=True):
     """Load that a backend server reported in an answer."""
 
     server: ids.BackendServerId
@@ -37,7 +37,7 @@
     """Age of the report when the heartbeat was sent."""
 
 
-class LearntSighting(msgspec.Struct, frozen=True, array_like=True):
+class CachedObjectObservation(msgspec.Struct, frozen=True, array_like=True):
     """A backend server and an object that it newly cached."""
 
     server: ids.BackendServerId
@@ -54,7 +54,7 @@
     return xxhash.xxh32_intdigest(key.encode())
 
 
-class Sightings:
+class Observations:
     """Recent observations of one VM."""
 
     def __init__(self):
@@ -62,7 +62,7 @@
             ids.BackendServerId, tuple[int, datetime.timedelta]
         ] = {}
         self._learnt: collections.deque[
-            tuple[datetime.timedelta, LearntSighting]
+            tuple[datetime.timedelta, CachedObjectObservation]
         ] = collections.deque(maxlen=_MAX_LEARNT)
 
     def on_load(
@@ -77,23 +77,25 @@
         if len(self._loads) > _MAX_LOADS:
             del self._loads[next(iter(self._loads))]
 
-    def on_learnt(
+    def on_object_cached(
         self,
         server: ids.BackendServerId,
         object_hash: int,
         now: datetime.timedelta,
     ) -> None:
         """Records that a backend server newly cached an object."""
-        self._learnt.append((now, LearntSighting(server, object_hash)))
+        self._learnt.append((now, CachedObjectObservation(server, object_hash)))
 
-    def loads(self, now: datetime.timedelta) -> tuple[LoadSighting, ...]:
+    def loads(self, now: datetime.timedelta) -> tuple[LoadObservation, ...]:
         """Returns the recent loads, to be sent in a heartbeat."""
         return tuple(
-            LoadSighting(server, requests, round((now - at) / _MILLISECOND))
+            LoadObservation(server, requests, round((now - at) / _MILLISECOND))
             for server, (requests, at) in self._loads.items()
             if now - at <= _SHARE_FOR
         )
 
-    def learnt(self, now: datetime.timedelta) -> tuple[LearntSighting, ...]:
+    def cached_objects(
+        self, now: datetime.timedelta
+    ) -> tuple[CachedObjectObservation, ...]:
         """Returns the recently cached objects, to be sent in a heartbeat."""
         return tuple(s for at, s in self._learnt if now - at <= _SHARE_FOR)
--- a/dragonflystack/entry/_work_times.py
+++ b/dragonflystack/entry/_processing_times.py
@@ -57,28 +57,28 @@
     """Measurements that the miss rate is based on."""
 
     def add(
-        self, processing_time: datetime.timedelta, warm_part: float
+        self, processing_time: datetime.timedelta, warm_time_ratio: float
     ) -> bool:
         """Updates the nearer mean; returns whether the object was uncached.
 
         Args:
             processing_time: the measured processing time.
-            warm_part: ratio of the two means while one was not measured.
+            warm_time_ratio: ratio of the two means while one was not measured.
         """
         product = self.cached.value.total_seconds()
         product *= self.uncached.value.total_seconds()
         if processing_time.total_seconds() > math.sqrt(product):
             self.uncached.add(processing_time)
             if not self.cached.count:
-                self.cached.value = self.uncached.value * warm_part
+                self.cached.value = self.uncached.value * warm_time_ratio
             return True
         self.cached.add(processing_time)
         if not self.uncached.count:
-            self.uncached.value = self.cached.value / warm_part
+            self.uncached.value = self.cached.value / warm_time_ratio
         return False
 
 
-class WorkTimes:
+class ProcessingTimes:
     """Mean processing times of each route and each service."""
 
     def __init__(self, settings: _settings.ChoiceSettings):
@@ -152,13 +152,15 @@
                 object's ranking and was not known to have the object cached.
         """
         times = self._routes.get(route.id)
-        warm_part = self._warm_part(route)
+        warm_time_ratio = self._warm_part(route)
         if times is None:
             uncached = max(processing_time, route.target_latency)
-            times = _RouteTimes(_Mean(uncached * warm_part), _Mean(uncached))
+            times = _RouteTimes(
+                _Mean(uncached * warm_time_ratio), _Mean(uncached)
+            )
             self._routes[route.id] = times
-        if warm_part < 1:
-            was_uncached = times.add(processing_time, warm_part)
+        if warm_time_ratio < 1:
+            was_uncached = times.add(processing_time, warm_time_ratio)
             if is_first_choice:
                 times.first_choices += 1
                 step = float(was_uncached) - times.miss_rate
@@ -171,4 +173,4 @@
         mean.add(processing_time)
 
     def _warm_part(self, route: _catalogue.Route) -> float:
-        return self._settings.warm_part if route.sticky else 1.0
+        return self._settings.warm_time_ratio if route.sticky else 1.0
--- a/dragonflystack/entry/_waits.py
+++ b/dragonflystack/entry/_queue_waits.py
@@ -23,7 +23,7 @@
     at: datetime.timedelta
 
 
-class Waits:
+class QueueWaits:
     """Moving averages of the waits of one VM's requests."""
 
     def __init__(self):
--- a/dragonflystack/entry/_quotas.py
+++ b/dragonflystack/entry/_quotas.py
@@ -78,7 +78,7 @@
     """Host and port where it is asked."""
 
     message: _quota_shards.QuotaAsk
-    patience: datetime.timedelta
+    answer_timeout: datetime.timedelta
     """There is no answer if none came after this."""
 
     asked_at: datetime.timedelta
@@ -298,20 +298,20 @@
             return self._refuse(customer, use, fits_in, now)
         position = table.positions[place]
         near = position.region == self._region
-        patience = _NEAR_PATIENCE if near else _FAR_PATIENCE
+        answer_timeout = _NEAR_PATIENCE if near else _FAR_PATIENCE
         self._asks += 1
         wanted = 1
         if now >= use.ahead_until:
             wanted = min(_MAX_WANTED, max(1, use.requests_before))
             if wanted > 1:
-                use.ahead_until = now + patience
+                use.ahead_until = now + answer_timeout
         return AskOwner(
             position.owner,
             position.peers,
             _quota_shards.QuotaAsk(
                 self._asks, customer, place, wanted, use.empty.to_ask(now)
             ),
-            patience,
+            answer_timeout,
             now,
             began,
             (*tried, place),
--- a/dragonflystack/entry/_news.py
+++ b/dragonflystack/entry/_replication.py
@@ -58,7 +58,7 @@
         return max(self.operators, self.servers)
 
 
-class News(msgspec.Struct, frozen=True):
+class ReplicatedChanges(msgspec.Struct, frozen=True):
     """What one VM tells another that is behind."""
 
     position: Position
@@ -72,7 +72,7 @@
     """Whether the entries are all there are."""
 
 
-class NewsLog:
+class ReplicationLog:
     """What this VM learnt of the store's rows, for others."""
 
     def __init__(self):
@@ -118,7 +118,7 @@
         known_version: int,
         evacuated: frozenset[ids.FailureDomainId],
         registered: tuple[_servers.ServerEntry, ...],
-    ) -> News:
+    ) -> ReplicatedChanges:
         """Returns what a VM at a position does not know.
 
         Args:
@@ -140,7 +140,7 @@
                 latest[change] = None
         entries = tuple(e for e in latest.values() if e is not None)
         gone = tuple(s for s, e in latest.items() if e is None)
-        return News(
+        return ReplicatedChanges(
             self.position,
             catalogue if is_newer else None,
             evacuated,
@@ -150,7 +150,7 @@
         )
 
 
-def is_watcher(own: ids.VmId, vms: tuple[ids.VmId, ...]) -> bool:
+def is_store_watcher(own: ids.VmId, vms: tuple[ids.VmId, ...]) -> bool:
     """Returns whether a VM is one of those that watch the store.
 
     Args:
@@ -170,7 +170,7 @@
         own: the VM.
         vms: the VMs of its region that are not known to be gone.
     """
-    if is_watcher(own, vms):
+    if is_store_watcher(own, vms):
         return _RETRY_LIMIT
     return _RETRY_LIMIT * (len(vms) / _watchers(len(vms)))
 
--- a/dragonflystack/entry/_lag.py
+++ b/dragonflystack/entry/_replication_lag.py
@@ -22,7 +22,7 @@
 """A word that is confirmed again after a pause counts from its first time."""
 
 
-class Word(msgspec.Struct, frozen=True, array_like=True):
+class VersionAnnouncement(msgspec.Struct, frozen=True, array_like=True):
     """What a VM heard of rows that it may lack."""
 
     position: int
@@ -50,11 +50,16 @@
         """Notes that the store was read up to a position."""
         self._read = max(self._read, position)
 
-    def on_word(self, word: Word, known: int, now: datetime.timedelta) -> bool:
+    def on_announcement(
+        self,
+        announcement: VersionAnnouncement,
+        known: int,
+        now: datetime.timedelta,
+    ) -> bool:
         """Takes in a position that another VM has, or heard of.
 
         Args:
-            word: the position.
+            announcement: the position.
             known: up to where this VM knows the operators' rows.
             now: the time.
 
@@ -62,13 +67,13 @@
             Whether this VM lacks the rows and hears of them for the first time.
         """
         self._forget(known, now)
-        position = word.position
-        confirmed = now - word.confirmed_ms * _MILLISECOND
+        position = announcement.position
+        confirmed = now - announcement.confirmed_ms * _MILLISECOND
         if position <= max(known, self._read):
             return False
         if now - confirmed > CONFIRMED_FOR:
             return False
-        first = now - word.first_heard_ms * _MILLISECOND
+        first = now - announcement.first_heard_ms * _MILLISECOND
         heard = self._heard.get(position)
         if heard is None:
             self._heard[position] = _Heard(first, confirmed)
@@ -77,14 +82,16 @@
         heard.confirmed = max(heard.confirmed, confirmed)
         return False
 
-    def word(self, known: int, now: datetime.timedelta) -> Word | None:
+    def announcement(
+        self, known: int, now: datetime.timedelta
+    ) -> VersionAnnouncement | None:
         """Returns the latest position to pass on, None if there is none."""
         lacking = self._lacking(known, now)
         if not lacking:
             return None
         position = max(lacking)
         heard = lacking[position]
-        return Word(
+        return VersionAnnouncement(
             position,
             round((now - heard.first) / _MILLISECOND),
             round((now - heard.confirmed) / _MILLISECOND),
--- a/dragonflystack/entry/_servers.py
+++ b/dragonflystack/entry/_servers.py
@@ -80,7 +80,7 @@
         self.added_at = now
         """When this VM first read an entry of it."""
 
-        self.learned_at = now
+        self.entry_confirmed_at = now
         """When the entry was last read or confirmed."""
 
         self.in_flight = 0
@@ -91,13 +91,13 @@
         """When it became suspect, None if it is not. A suspect backend server
         gets no requests until it responds to a probe."""
 
-        self.last_heard = now
+        self.last_response_at = now
         """When it last responded to a request or probe."""
 
         self.gone = False
         """Whether it is no longer registered, or its address was reused."""
 
-        self.asked_wait_until = _ZERO
+        self.backoff_until = _ZERO
         """When it may get requests again after it asked VMs to wait."""
 
         self._settings = settings
@@ -118,7 +118,7 @@
     def on_entry(self, entry: ServerEntry, now: datetime.timedelta) -> None:
         """Replaces the entry by a later one of the same incarnation."""
         self.entry = entry
-        self.learned_at = now
+        self.entry_confirmed_at = now
         self.gone = False
         if entry.cold_left > _ZERO:
             self.on_cold(entry.cold_left, now)
@@ -134,12 +134,12 @@
         """Returns whether it is registered and not leaving."""
         return not (self.gone or self.entry.leaving)
 
-    def may_get_requests(self, now: datetime.timedelta) -> bool:
+    def accepts_requests(self, now: datetime.timedelta) -> bool:
         """Returns whether requests may be written to it now.
 
         False while it is leaving, gone, or asks VMs to wait.
         """
-        return self.may_serve() and now >= self.asked_wait_until
+        return self.may_serve() and now >= self.backoff_until
 
     def is_cold(self, now: datetime.timedelta) -> bool:
         """Returns whether it is cold, so that it can take only few requests."""
@@ -157,7 +157,7 @@
         """
         mean = self._mean_other_load
         other_load = mean + (self._other_load - mean) * self._decay(
-            now - self._load_reported_at, self._settings.others_half_life
+            now - self._load_reported_at, self._settings.load_report_half_life
         )
         return self.in_flight + max(0.0, other_load)
 
@@ -177,12 +177,12 @@
         """Counts a request of this VM as in flight."""
         self.in_flight += 1
 
-    def on_learnt(self, object_hash: int) -> bool:
+    def on_object_cached(self, object_hash: int) -> bool:
         """Records that it processed an object; returns whether it is new."""
         is_new = object_hash not in self._cached_objects
         self._cached_objects[object_hash] = None
         self._cached_objects.move_to_end(object_hash)
-        if len(self._cached_objects) > self._settings.objects_kept:
+        if len(self._cached_objects) > self._settings.assumed_cached_objects:
             self._cached_objects.popitem(last=False)
         return is_new
 
@@ -213,18 +213,18 @@
         self._failure_rate = rate + weight * (float(failed) - rate)
         self._failure_rate_at = now
 
-    def on_heard(self, now: datetime.timedelta) -> None:
+    def on_response(self, now: datetime.timedelta) -> None:
         """Records a response, after which it is no longer suspect."""
-        self.last_heard = now
+        self.last_response_at = now
         self.suspect_since = None
 
-    def on_asked_wait(
+    def on_backoff_requested(
         self, wait: datetime.timedelta, now: datetime.timedelta
     ) -> None:
         """Stops requests to it for the time that it asked for."""
-        self.asked_wait_until = max(self.asked_wait_until, now + wait)
+        self.backoff_until = max(self.backoff_until, now + wait)
 
-    def on_said_leaving(self) -> None:
+    def on_leaving_reported(self) -> None:
         """Marks it as leaving, as it reported itself."""
         self.entry = dataclasses.replace(self.entry, leaving=True)
 
@@ -238,7 +238,7 @@
         return 0.5 ** (age / half_life)
 
 
-class ServerBook:
+class ServerRegistry:
     """Registry of the backend servers that one VM knows, by service."""
 
     def __init__(
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -29,7 +29,7 @@
     max_shift: float = 0.15
     """Part of a region's requests that may change region in 2 s."""
 
-    apply: datetime.timedelta = _ms(2_500)
+    apply_time: datetime.timedelta = _ms(2_500)
     """From the store's acknowledgement of a change until every VM decides by
     it."""
 
@@ -56,18 +56,18 @@
 class ChoiceSettings:
     """How a backend server is chosen for a request."""
 
-    warm_part: float = 0.45
+    warm_time_ratio: float = 0.45
     """Assumed time of work on a known object over that on a new one, until
     both were measured."""
 
-    objects_kept: int = 40
+    assumed_cached_objects: int = 40
     """Objects that a backend server is assumed to remember."""
 
-    object_ranks: int = 2
+    servers_per_object: int = 2
     """Backend servers of the own region that get requests on one object; more
     of them remember fewer objects each."""
 
-    hot_part: float = 0.25
+    hot_object_fraction: float = 0.25
     """Requests on one object may fill this part of a backend server's share of
     the requests before another one gets them as well."""
 
@@ -79,10 +79,10 @@
     """Delay that a nearer backend server may cost; bytes between regions are
     paid for."""
 
-    others_half_life: datetime.timedelta = _ms(300)
+    load_report_half_life: datetime.timedelta = _ms(300)
     """How fast a report of load goes back to its long-run mean."""
 
-    load_trusted: datetime.timedelta = _ms(600)
+    load_report_max_age: datetime.timedelta = _ms(600)
     """How long a report of load stands for itself; after that the waits that
     requests met in the region count as well."""
 
@@ -95,32 +95,32 @@
     failure_penalty: float = 3.0
     """Cost of a sure failure, in target latencies."""
 
-    queue_slots: float = 3.0
+    max_requests_per_slot: float = 3.0
     """A backend server is full at this many requests per slot."""
 
-    late_wait_part: float = 0.6
+    late_wait_fraction: float = 0.6
     """A request that would be late is sent only where it waits less than this
     part of its target latency."""
 
-    max_asked_wait: datetime.timedelta = _ms(300_000)
+    max_server_backoff: datetime.timedelta = _ms(300_000)
     """Longest time that a backend server is left alone when it asks for that;
     one that asks for longer by mistake is not lost for good."""
 
-    asked_wait_spread: datetime.timedelta = _ms(500)
+    server_backoff_jitter: datetime.timedelta = _ms(500)
     """VMs go back to a backend server that asked to be left alone over up to
     this time, so that they do not come as one."""
 
-    silence_factor: float = 3.0
+    overdue_factor: float = 3.0
     """A request is overdue after this many times its expected time."""
 
-    cold_owners: int = 2
+    vms_per_cold_server: int = 2
     """Entry VMs that may send to one cold backend server."""
 
-    cold_share: float = 0.3
+    cold_rate_fraction: float = 0.3
     """Part of a cold backend server's bound that each of them uses."""
 
-    retry_part: float = 0.6
+    retry_budget_fraction: float = 0.6
     """Part of the fleet's retry budget that is dealt out to the VMs."""
 
-    remote_round_trip: datetime.timedelta = _ms(70)
+    assumed_remote_round_trip: datetime.timedelta = _ms(70)
     """Assumed round trip to another region until one was measured."""
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -14,7 +14,7 @@
 from dragonflystack.entry import _freshness
 from dragonflystack.entry import _members
 from dragonflystack.entry import _messages
-from dragonflystack.entry import _news
+from dragonflystack.entry import _replication
 from dragonflystack.entry import _routes
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
@@ -27,8 +27,8 @@
 does not answer asks the store again after 0.2 to 0.6 s."""
 
 _OUTDATED_FRACTION = 0.6
-"""Fraction of `FleetBounds.apply` for which a VM uses routes that it knows to
-be outdated. The rest is the time in which the first VMs read a change and
+"""Fraction of `FleetBounds.apply_time` for which a VM uses routes that it knows
+to be outdated. The rest is the time in which the first VMs read a change and
 announce it."""
 
 _OUTDATED_RETRY_AFTER = datetime.timedelta(milliseconds=50)
@@ -55,13 +55,13 @@
         self.members = members
         self.bounds = bounds
         self.rng = rng
-        self.book = _servers.ServerBook(regions, settings)
+        self.registry = _servers.ServerRegistry(regions, settings)
         departures = _departures.Departures()
         self.discovery = _discovery.Discovery(
-            self.book, departures, bounds.drain * _CONFIRM_FRACTION
+            self.registry, departures, bounds.drain * _CONFIRM_FRACTION
         )
         self.dispatch = _dispatch.Dispatch(
-            members, self.book, departures, regions, bounds, settings, rng
+            members, self.registry, departures, regions, bounds, settings, rng
         )
         """Selects the backend servers for requests."""
 
@@ -69,7 +69,7 @@
         self.store_era: int | None = None
         """The store's latest known era, None if unknown."""
 
-        self.log = _news.NewsLog()
+        self.log = _replication.ReplicationLog()
         self.freshness = _freshness.Freshness(members, self.log)
         """Tracks how far this VM is behind the store's rows."""
 
@@ -120,11 +120,11 @@
         self.discovery.on_store_era(era)
         if before is None:
             return False
-        self.discovery.on_store_returned(now)
-        self._repopulated_at = now + _discovery.LAPSE_GRACE
+        self.discovery.on_store_restored(now)
+        self._repopulated_at = now + _discovery.REREGISTRATION_GRACE
         return True
 
-    def is_settled(self, now: datetime.timedelta) -> bool:
+    def is_store_repopulated(self, now: datetime.timedelta) -> bool:
         """Returns whether lost rows had time to be rewritten to the store.
 
         True unless the store was restored from an older copy recently.
@@ -147,7 +147,7 @@
         ended since. Evacuations therefore do not change until operators had
         time to rewrite theirs.
         """
-        if self.is_settled(now):
+        if self.is_store_repopulated(now):
             self.dispatch.on_evacuated(domains, now)
 
     def on_listing(
@@ -156,7 +156,7 @@
         position: int,
         now: datetime.timedelta,
         from_store: bool = True,
-    ) -> _discovery.Changes:
+    ) -> _discovery.ServerChanges:
         """Applies a listing of backend servers.
 
         Args:
@@ -184,7 +184,7 @@
         """See `_dispatch.Dispatch.on_departures`."""
         return self.dispatch.on_departures(departures, now)
 
-    def on_tick(self, now: datetime.timedelta) -> _discovery.Changes:
+    def on_tick(self, now: datetime.timedelta) -> _discovery.ServerChanges:
         """Performs the periodic updates of peers, shares and server entries.
 
         Returns:
@@ -202,18 +202,18 @@
     def heartbeat(
         self,
         now: datetime.timedelta,
-        is_near: bool = True,
-        answer_wanted: bool = False,
-        introduce: bool = False,
+        is_neighbour: bool = True,
+        reply_requested: bool = False,
+        include_address: bool = False,
     ) -> _members.Heartbeat:
         """Returns a heartbeat for another VM of the region.
 
         Args:
             now: the time.
-            is_near: whether the receiver is a neighbour in the ring.
-            answer_wanted: whether the receiver should answer at once.
-            introduce: whether to include this VM's address, for a receiver that
-                may not know it.
+            is_neighbour: whether the receiver is a neighbour in the ring.
+            reply_requested: whether the receiver should answer at once.
+            include_address: whether to include this VM's address, for a
+                receiver that may not know it.
         """
         members = self.members
         shares = self.dispatch.shares
@@ -222,21 +222,21 @@
             members.incarnation,
             members.phase,
             self.log.position,
-            round(self.freshness.news_age(now) / _MILLISECOND),
+            round(self.freshness.store_view_age(now) / _MILLISECOND),
             _shares.to_thousandths(shares.shares, self._regions),
             _shares.to_thousandths(shares.wanted, self._regions),
-            is_near,
-            answer_wanted,
-            members.own if introduce else None,
+            is_neighbour,
+            reply_requested,
+            members.own if include_address else None,
             self.dispatch.departures.recent(now),
-            self.dispatch.sightings.loads(now),
-            self.dispatch.sightings.learnt(now),
-            self.freshness.word(now),
+            self.dispatch.observations.loads(now),
+            self.dispatch.observations.cached_objects(now),
+            self.freshness.announcement(now),
         )
 
     # Replication of the store's rows between VMs.
 
-    def lacks(self, position: _news.Position) -> bool:
+    def is_behind(self, position: _replication.Position) -> bool:
         """Returns whether a position has rows that this VM does not have."""
         own = self.log.position
         return (
@@ -246,12 +246,13 @@
     def is_outdated(self, now: datetime.timedelta) -> bool:
         """Returns whether this VM's routes are too old to be used."""
         return (
-            self.freshness.behind(now) > self.bounds.apply * _OUTDATED_FRACTION
+            self.freshness.replication_lag(now)
+            > self.bounds.apply_time * _OUTDATED_FRACTION
         )
 
-    def news_since(
-        self, position: _news.Position, known_version: int = 0
-    ) -> _news.News:
+    def changes_since(
+        self, position: _replication.Position, known_version: int = 0
+    ) -> _replication.ReplicatedChanges:
         """Returns the changes that a VM at a position does not have.
 
         Args:
@@ -263,12 +264,12 @@
             self.catalogue,
             known_version,
             self.evacuated,
-            tuple(server.entry for server in self.book.all()),
+            tuple(server.entry for server in self.registry.all()),
         )
 
-    def on_news(
-        self, news: _news.News, now: datetime.timedelta
-    ) -> _discovery.Changes:
+    def on_replicated_changes(
+        self, news: _replication.ReplicatedChanges, now: datetime.timedelta
+    ) -> _discovery.ServerChanges:
         """Applies another VM's changes of backend servers, and its position."""
         self.log.on_operators(news.position.operators)
         version = news.position.servers
@@ -278,7 +279,7 @@
         return self.on_listing(listing, version, now, from_store=False)
 
     @property
-    def is_informed(self) -> bool:
+    def has_initial_state(self) -> bool:
         """Whether this VM has a catalogue and has read the backend servers."""
         return self.catalogue is not None and (
             self.discovery.read_at is not None
@@ -293,7 +294,7 @@
 
         Has no side effects, so it may be called again before each attempt.
         """
-        if self._rules is None or not self.is_informed:
+        if self._rules is None or not self.has_initial_state:
             wait = _NO_CATALOGUE_RETRY_AFTER
             return _messages.Reject(_messages.Reason.NO_CATALOGUE, wait)
         if self.is_outdated(now):
@@ -320,7 +321,7 @@
             step.
         """
         wanted = self._resolve(request, None, now)
-        if not isinstance(wanted, _choice.Wanted):
+        if not isinstance(wanted, _choice.Requirements):
             return None, wanted
         self.dispatch.on_request(wanted, now)
         exchange = _exchange.Exchange(
@@ -337,13 +338,13 @@
         resolved_by = self._rules
 
         def resolve(
-            before: _choice.Wanted, now: datetime.timedelta
-        ) -> _choice.Wanted | _access.Denial:
+            before: _choice.Requirements, now: datetime.timedelta
+        ) -> _choice.Requirements | _access.Denial:
             nonlocal resolved_by
             if resolved_by is self._rules and not self.is_outdated(now):
                 return before
             wanted = self._resolve(request, before, now)
-            if isinstance(wanted, _choice.Wanted):
+            if isinstance(wanted, _choice.Requirements):
                 resolved_by = self._rules
             return wanted
 
@@ -352,9 +353,9 @@
     def _resolve(
         self,
         request: _messages.Request,
-        before: _choice.Wanted | None,
+        before: _choice.Requirements | None,
         now: datetime.timedelta,
-    ) -> _choice.Wanted | _access.Denial:
+    ) -> _choice.Requirements | _access.Denial:
         """Returns the requirements of a request under the catalogue in force.
 
         A request keeps its service as long as its route leads to it.
@@ -364,15 +365,15 @@
             return access
         assert self._routes is not None
         route = access.route
-        if before is not None and route.leads_to(before.service):
+        if before is not None and route.sends_to(before.service):
             service = before.service
         else:
             service = self._routes.pick_service(route)
-        return _choice.Wanted(
+        return _choice.Requirements(
             route,
             service,
             request.object_key,
             access.regions,
             access.customer,
-            access.hides_key,
+            access.strips_key_headers,
         )
--- a/dragonflystack/entry/tests/loads.py
+++ b/dragonflystack/entry/tests/loads.py
@@ -56,7 +56,7 @@
     objects: int = 50
     """Different objects that the callers of each region request."""
 
-    hot_part: float = 0.0
+    hot_object_fraction: float = 0.0
     """Fraction of the requests that concern a single hot object."""
 
     kept: int = 52
@@ -76,7 +76,7 @@
     seed: int = 1
 
 
-def draw(seed: int) -> Load:
+def random_load(seed: int) -> Load:
     """Returns a random load.
 
     Regions, capacity, processing time, deadlines and objects vary.
@@ -241,7 +241,7 @@
         self.tally = Tally()
         self.vms = self._make_vms(settings)
 
-    def play(self) -> Tally:
+    def simulate(self) -> Tally:
         """Runs the simulation and returns the outcomes of the requests."""
         for region in self._load.servers:
             self._at(0.0, self._arrive, region)
@@ -319,7 +319,7 @@
                 vms.setdefault(region, []).append(vm)
         fleet = [vm for group in vms.values() for vm in group]
         for vm in fleet:
-            vm.members.on_list([other.members.own for other in fleet])
+            vm.members.on_vm_list([other.members.own for other in fleet])
         return vms
 
     def _lose(self, now: float) -> None:
@@ -334,11 +334,11 @@
             by_id = {vm.members.own.vm: vm for vm in group}
             for vm in group:
                 beat = vm.heartbeat(_ms(now))
-                for member, _ in vm.members.receivers(_ms(now)):
+                for member, _ in vm.members.heartbeat_targets(_ms(now)):
                     other = by_id[member.address.vm]
                     other.members.on_heartbeat(beat, _ms(now))
-                    other.dispatch.on_sightings(
-                        beat.loads, beat.learnt, _ms(now)
+                    other.dispatch.on_observations(
+                        beat.loads, beat.cached_objects, _ms(now)
                     )
             for vm in group:
                 vm.on_tick(_ms(now))
@@ -351,7 +351,10 @@
             gap = self._rng.expovariate(rate) * 1000
             self._at(now + gap, self._arrive, region)
             self.tally.asked += 1
-            is_hot = load.hot_part and self._rng.random() < load.hot_part
+            is_hot = (
+                load.hot_object_fraction
+                and self._rng.random() < load.hot_object_fraction
+            )
             number = 0 if is_hot else self._rng.randrange(load.objects)
             key = f"{region}/{number}"
             reached = now + _CALLER_DELAY_MS
@@ -377,11 +380,13 @@
                 delay = self._delay_ms(region, name)
                 send = len(exchange.sends)
                 self._at(now + delay, self._reach, name, call, send)
-                patience = step.patience / _ms(1)
-                self._at(now + patience, self._silence, call, send)
-            case entry.Wait(patience):
+                answer_timeout = step.answer_timeout / _ms(1)
+                self._at(now + answer_timeout, self._silence, call, send)
+            case entry.Wait(answer_timeout):
                 send = len(exchange.sends)
-                self._at(now + patience / _ms(1), self._silence, call, send)
+                self._at(
+                    now + answer_timeout / _ms(1), self._silence, call, send
+                )
             case entry.Deliver():
                 latency = now + _CALLER_DELAY_MS - began
                 if latency <= self._load.target_ms:
@@ -469,9 +474,9 @@
         self._result(now, call, send, entry.Silent())
 
 
-def play(load: Load, **changes: Any) -> Tally:
+def simulate(load: Load, **changes: Any) -> Tally:
     """Simulates a load with the given settings changed."""
-    return World(load, entry.ChoiceSettings(**changes)).play()
+    return World(load, entry.ChoiceSettings(**changes)).simulate()
 
 
 def _ms(milliseconds: float) -> datetime.timedelta:
--- a/dragonflystack/entry/tests/quota_fleet.py
+++ b/dragonflystack/entry/tests/quota_fleet.py
@@ -202,8 +202,8 @@
                 self._deliver(owner, vm, lambda: on_answer(answer))
 
         self._deliver(vm, owner, on_ask)
-        patience = ask.patience / builders.ms(1)
-        self.at(self.now + patience, lambda: on_answer(None))
+        answer_timeout = ask.answer_timeout / builders.ms(1)
+        self.at(self.now + answer_timeout, lambda: on_answer(None))
 
     def _deliver(self, source: Vm, target: Vm, do: Callable[[], None]) -> None:
         near = source.address.region == target.address.region
--- a/dragonflystack/entry/tests/test_access.py
+++ b/dragonflystack/entry/tests/test_access.py
@@ -38,8 +38,8 @@
     exchange, step = _vm(_ALICE, _BOB).open(_request(key), builders.ms(1))
     assert isinstance(step, entry.Send)
     assert exchange is not None
-    assert exchange.wanted.customer == customer
-    assert exchange.wanted.hides_key
+    assert exchange.requirements.customer == customer
+    assert exchange.requirements.strips_key_headers
 
 
 @pytest.mark.parametrize(
@@ -65,8 +65,8 @@
     exchange, step = _vm(_ALICE).open(request, builders.ms(1))
     assert isinstance(step, entry.Send)
     assert exchange is not None
-    assert exchange.wanted.customer is None
-    assert exchange.wanted.hides_key
+    assert exchange.requirements.customer is None
+    assert exchange.requirements.strips_key_headers
 
 
 @pytest.mark.parametrize("key", [None, "key-a1"])
@@ -75,7 +75,7 @@
     exchange, step = vm.open(_request(key), builders.ms(1))
     assert isinstance(step, entry.Send)
     assert exchange is not None
-    assert not exchange.wanted.hides_key
+    assert not exchange.requirements.strips_key_headers
 
 
 def test_an_unknown_route_is_unknown_whatever_the_key():
--- a/dragonflystack/entry/tests/test_asked_waits.py
+++ b/dragonflystack/entry/tests/test_asked_waits.py
@@ -14,7 +14,7 @@
 
 def _asks(wait_s):
     wait = datetime.timedelta(seconds=wait_s)
-    return entry.Answered(503, not_run=True, asked_wait=wait)
+    return entry.Answered(503, not_run=True, requested_backoff=wait)
 
 
 def _vm(*names):
@@ -42,7 +42,7 @@
         exchange, step, now = _open(vm, at)
         assert step.server is not asking
         exchange.on_result(entry.Answered(200), now)
-    later = 10 + 4_000 + _SETTINGS.asked_wait_spread / builders.ms(1)
+    later = 10 + 4_000 + _SETTINGS.server_backoff_jitter / builders.ms(1)
     reached = set()
     for i in range(40):
         exchange, step, now = _open(vm, later + i)
@@ -74,9 +74,9 @@
         step = exchange.on_result(_asks(2), now)
         assert isinstance(step, entry.Reject)
         waits.add(step.retry_after)
-        server = next(iter(vm.book.all()))
-        frees.add(server.asked_wait_until)
-        assert server.asked_wait_until >= now + 2 * _SECOND
+        server = next(iter(vm.registry.all()))
+        frees.add(server.backoff_until)
+        assert server.backoff_until >= now + 2 * _SECOND
     assert len(waits) > 15
     assert len(frees) > 15
 
@@ -93,19 +93,19 @@
     vm = _vm("s1")
     exchange, _, now = _open(vm, 10)
     exchange.on_result(_asks(asked_s), now)
-    server = next(iter(vm.book.all()))
-    waited = server.asked_wait_until - now
+    server = next(iter(vm.registry.all()))
+    waited = server.backoff_until - now
     least = datetime.timedelta(seconds=waited_s)
-    assert least <= waited <= least + _SETTINGS.asked_wait_spread
+    assert least <= waited <= least + _SETTINGS.server_backoff_jitter
 
 
 def test_a_shorter_wait_does_not_end_a_longer_one():
     vm = _vm("s1")
-    server = next(iter(vm.book.all()))
-    server.on_asked_wait(builders.ms(4_000), builders.ms(0))
-    server.on_asked_wait(builders.ms(100), builders.ms(10))
-    assert not server.may_get_requests(builders.ms(3_900))
-    assert server.may_get_requests(builders.ms(4_000))
+    server = next(iter(vm.registry.all()))
+    server.on_backoff_requested(builders.ms(4_000), builders.ms(0))
+    server.on_backoff_requested(builders.ms(100), builders.ms(10))
+    assert not server.accepts_requests(builders.ms(3_900))
+    assert server.accepts_requests(builders.ms(4_000))
 
 
 def test_a_failure_that_ran_also_asks():
@@ -114,8 +114,8 @@
     exchange, step, now = _open(vm, 10)
     asking = step.server
     wait = datetime.timedelta(seconds=2)
-    exchange.on_result(entry.Answered(503, asked_wait=wait), now)
-    assert not asking.may_get_requests(builders.ms(1_000))
+    exchange.on_result(entry.Answered(503, requested_backoff=wait), now)
+    assert not asking.accepts_requests(builders.ms(1_000))
 
 
 def test_servers_of_regions_that_may_not_serve_do_not_count():
@@ -124,9 +124,9 @@
     vm = builders.entry_vm(
         builders.server("s1", "b1"), builders.server("s2"), routes=(route,)
     )
-    for server in vm.book.all():
+    for server in vm.registry.all():
         wait = 1_000 if server.entry.id == "s1" else 6_000
-        server.on_asked_wait(builders.ms(wait), builders.ms(0))
+        server.on_backoff_requested(builders.ms(wait), builders.ms(0))
     _, step, _ = _open(vm, 10)
     assert isinstance(step, entry.Reject)
     assert step.retry_after >= builders.ms(5_900)
--- a/dragonflystack/entry/tests/test_catalogue_changes.py
+++ b/dragonflystack/entry/tests/test_catalogue_changes.py
@@ -143,7 +143,7 @@
             id="evacuated",
         ),
         pytest.param(
-            lambda vm, s: s.on_said_leaving(), False, id="server leaving"
+            lambda vm, s: s.on_leaving_reported(), False, id="server leaving"
         ),
     ],
 )
--- a/dragonflystack/entry/tests/test_cold.py
+++ b/dragonflystack/entry/tests/test_cold.py
@@ -21,7 +21,7 @@
         ]
         for vm in vms:
             for other in vms:
-                beat = other.heartbeat(now, introduce=True)
+                beat = other.heartbeat(now, include_address=True)
                 vm.members.on_heartbeat(beat, now)
             vm.on_tick(now)
         fleet.extend(vms)
--- a/dragonflystack/entry/tests/test_departures.py
+++ b/dragonflystack/entry/tests/test_departures.py
@@ -97,16 +97,16 @@
     vm.on_listing(
         _listing(builders.server("s1", sequence=3, row_version=9)), 9, _at(300)
     )
-    assert vm.book.get(builders.server("s1").id) is not None
+    assert vm.registry.get(builders.server("s1").id) is not None
     assert _reached(vm, 400) == {"s2"}
 
 
 def test_an_answer_to_a_probe_does_not_take_it_back():
     vm = _vm("s1", "s2")
     _hear(vm, "s1")
-    server = vm.book.get(builders.server("s1").id)
+    server = vm.registry.get(builders.server("s1").id)
     server.on_suspect(_at(100))
-    server.on_heard(_at(150))
+    server.on_response(_at(150))
     assert _reached(vm, 200) == {"s2"}
 
 
@@ -117,8 +117,8 @@
     exchange, step = vm.open(builders.request(), now)
     assert isinstance(step, entry.Send)
     first = step.server
-    vm.dispatch.on_said_leaving(first, now)
-    assert not first.may_get_requests(now)
+    vm.dispatch.on_leaving_reported(first, now)
+    assert not first.accepts_requests(now)
     step = exchange.on_result(entry.Withdrawn(), now)
     assert isinstance(step, entry.Send)
     assert step.server is not first
@@ -139,8 +139,8 @@
 
 def test_one_that_is_known_to_leave_is_not_told_again():
     vm = builders.entry_vm(builders.server("s1", leaving=True))
-    server = next(iter(vm.book.all()))
-    assert not vm.dispatch.on_said_leaving(server, _at(10))
+    server = next(iter(vm.registry.all()))
+    assert not vm.dispatch.on_leaving_reported(server, _at(10))
     assert vm.heartbeat(_at(20)).departures == ()
 
 
@@ -170,5 +170,5 @@
 def test_news_for_a_vm_that_starts_says_it():
     vm = _vm("s1", "s2")
     _hear(vm, "s1")
-    told = vm.news_since(entry.Position())
+    told = vm.changes_since(entry.Position())
     assert {e.id: e.leaving for e in told.entries} == {"s1": True, "s2": False}
--- a/dragonflystack/entry/tests/test_exchange.py
+++ b/dragonflystack/entry/tests/test_exchange.py
@@ -91,7 +91,7 @@
         while isinstance(step, entry.Send | entry.Wait):
             at += 400
             step = exchange.on_result(result, builders.ms(at))
-        assert sum(s.in_flight for s in vm.book.all()) == 0
+        assert sum(s.in_flight for s in vm.registry.all()) == 0
 
 
 def test_repeats_keep_to_the_budget():
@@ -136,7 +136,7 @@
     regions = len(set(builders.REGIONS.values()))
     number = 50 * (regions if of_all_regions else 1)
     vms = [builders.address(f"vm-{i}") for i in range(number)]
-    vm.members.on_list(vms, of_all_regions)
+    vm.members.on_vm_list(vms, of_all_regions)
     vm.on_tick(builders.ms(5))
     assert _repeats(vm, 20) <= 100.0 / (50 * regions)
 
@@ -183,7 +183,7 @@
     vm = builders.entry_vm(builders.server("s1"), builders.server("s2"))
     _, step = vm.open(builders.request(), builders.ms(0))
     assert isinstance(step, entry.Send)
-    assert step.patience >= 2 * builders.route().target_latency
+    assert step.answer_timeout >= 2 * builders.route().target_latency
 
 
 def test_no_second_send_that_cannot_be_in_time():
--- a/dragonflystack/entry/tests/test_loads.py
+++ b/dragonflystack/entry/tests/test_loads.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from dragonflystack.entry import _observations
 from dragonflystack.entry import _shares
-from dragonflystack.entry import _sightings
 from dragonflystack.entry.tests import loads
 
 _UNEVEN = {"a": 2, "b": 4, "c": 6}
@@ -38,22 +38,25 @@
 def test_keeping_objects_together_beats_spreading_them(make):
     """Even demand on uneven regions, near the room for known objects."""
     seeds = range(1, 7)
-    kept = [loads.play(make(s)) for s in seeds]
+    kept = [loads.simulate(make(s)) for s in seeds]
     spread = [
-        loads.play(make(s), object_ranks=12, warmup_penalty=0.0) for s in seeds
+        loads.simulate(make(s), servers_per_object=12, warmup_penalty=0.0)
+        for s in seeds
     ]
     assert sum(t.credit for t in kept) > sum(t.credit for t in spread)
 
 
 def test_most_are_in_time_near_the_room_for_known_objects():
-    plays = [loads.play(_gallery(92, seed=s)) for s in range(1, 7)]
+    plays = [loads.simulate(_gallery(92, seed=s)) for s in range(1, 7)]
     assert min(t.in_target_part for t in plays) > 0.5
 
 
 def _mute(monkeypatch):
     """Has VMs tell each other nothing of what they see."""
-    for name in ("loads", "learnt"):
-        monkeypatch.setattr(_sightings.Sightings, name, lambda self, now: ())
+    for name in ("loads", "cached_objects"):
+        monkeypatch.setattr(
+            _observations.Observations, name, lambda self, now: ()
+        )
 
 
 @pytest.mark.parametrize(
@@ -67,16 +70,16 @@
 def test_vms_that_tell_what_they_see_serve_callers_better(monkeypatch, make):
     """Each VM alone hears of queues and of known objects too seldom."""
     seeds = range(1, 5)
-    told = [loads.play(make(seed)) for seed in seeds]
+    told = [loads.simulate(make(seed)) for seed in seeds]
     _mute(monkeypatch)
-    mute = [loads.play(make(seed)) for seed in seeds]
+    mute = [loads.simulate(make(seed)) for seed in seeds]
     assert sum(t.credit for t in told) > sum(t.credit for t in mute)
     assert sum(t.in_target for t in told) > sum(t.in_target for t in mute)
 
 
 def test_a_region_short_of_room_is_helped_by_the_others():
     """A region asks for more than its backend servers can do."""
-    tally = loads.play(_gallery(92))
+    tally = loads.simulate(_gallery(92))
     away = sum(n for (frm, to), n in tally.regions.items() if frm != to)
     assert tally.regions["a", "a"] > 0
     assert away > 0
@@ -86,7 +89,7 @@
 def test_a_calm_load_stays_at_home_and_in_time():
     """Room for all at home: nothing needs to travel."""
     load = loads.Load({"a": 6, "b": 6, "c": 6}, lambda r, t: 20.0)
-    tally = loads.play(load)
+    tally = loads.simulate(load)
     away = sum(n for (frm, to), n in tally.regions.items() if frm != to)
     assert away / tally.asked < 0.05
     assert tally.served_part == 1.0
@@ -103,10 +106,12 @@
         "kept": 25,
     }
     kept_short = [
-        loads.play(_gallery(38, seed=seed, **lookups)) for seed in seeds
+        loads.simulate(_gallery(38, seed=seed, **lookups)) for seed in seeds
     ]
     let_grow = [
-        loads.play(_gallery(38, seed=seed, **lookups), late_wait_part=1e9)
+        loads.simulate(
+            _gallery(38, seed=seed, **lookups), late_wait_fraction=1e9
+        )
         for seed in seeds
     ]
     assert sum(t.credit for t in kept_short) > sum(t.credit for t in let_grow)
@@ -136,14 +141,14 @@
 
 def _play_unseen(load):
     """Plays a load without the waits that were met."""
-    return loads.play(load, load_trusted=datetime.timedelta.max)
+    return loads.simulate(load, load_report_max_age=datetime.timedelta.max)
 
 
 @pytest.mark.parametrize("per_second", [12, 16])
 def test_waits_that_were_met_keep_slots_from_work_that_is_cut_off(per_second):
     """More than there is room for, while a VM hears of few queues."""
     plays = [_sketches(per_second, seed) for seed in range(1, 13)]
-    seen = sum(loads.play(load).failed for load in plays)
+    seen = sum(loads.simulate(load).failed for load in plays)
     assert seen < sum(_play_unseen(load).failed for load in plays)
 
 
@@ -178,7 +183,7 @@
 )
 def test_waits_that_were_met_serve_callers_better(make, seeds):
     plays = [make(seed) for seed in seeds]
-    seen = sum(loads.play(load).credit for load in plays)
+    seen = sum(loads.simulate(load).credit for load in plays)
     assert seen > sum(_play_unseen(load).credit for load in plays)
 
 
@@ -208,9 +213,9 @@
 def test_shares_that_fit_the_room_help_a_region_short_of_it(monkeypatch):
     """What a region has no room for begins where room is left."""
     seeds = range(1, 9)
-    fitting = [loads.play(_clearances(seed)) for seed in seeds]
+    fitting = [loads.simulate(_clearances(seed)) for seed in seeds]
     monkeypatch.setattr(_shares, "_fitting_shares", _shares_by_size)
-    by_size = [loads.play(_clearances(seed)) for seed in seeds]
+    by_size = [loads.simulate(_clearances(seed)) for seed in seeds]
     assert sum(t.in_target for t in fitting) > sum(t.in_target for t in by_size)
     assert sum(t.credit for t in fitting) > sum(t.credit for t in by_size)
 
@@ -242,8 +247,10 @@
 def test_another_backend_server_is_not_warmed_up_lightly():
     """A short queue at the one that knows it costs less than new work."""
     seeds = range(1, 7)
-    patient = [loads.play(_bookings(seed)) for seed in seeds]
-    hasty = [loads.play(_bookings(seed), warmup_penalty=0.0) for seed in seeds]
+    patient = [loads.simulate(_bookings(seed)) for seed in seeds]
+    hasty = [
+        loads.simulate(_bookings(seed), warmup_penalty=0.0) for seed in seeds
+    ]
     assert sum(t.in_target for t in patient) > sum(t.in_target for t in hasty)
     assert sum(t.credit for t in patient) > sum(t.credit for t in hasty)
 
@@ -273,9 +280,11 @@
 def test_objects_stay_where_they_are_remembered():
     """Each further copy of an object takes a slot for the time of new work."""
     seeds = range(1, 5)
-    kept = [loads.play(_reservations(seed)) for seed in seeds]
+    kept = [loads.simulate(_reservations(seed)) for seed in seeds]
     copied = [
-        loads.play(_reservations(seed), object_ranks=12, warmup_penalty=0.0)
+        loads.simulate(
+            _reservations(seed), servers_per_object=12, warmup_penalty=0.0
+        )
         for seed in seeds
     ]
     assert sum(t.credit for t in kept) > sum(t.credit for t in copied)
@@ -283,17 +292,21 @@
 
 
 def test_objects_stay_in_regions_that_remember_them():
-    plays = [loads.play(_reservations(seed)) for seed in range(1, 5)]
+    plays = [loads.simulate(_reservations(seed)) for seed in range(1, 5)]
     away = sum(n for t in plays for (x, y), n in t.regions.items() if x != y)
     assert away < 0.2 * sum(t.asked for t in plays)
 
 
-@pytest.mark.parametrize("hot_part", [0.9, 0.95])
-def test_an_object_in_great_demand_gets_more_backend_servers(hot_part):
+@pytest.mark.parametrize("hot_object_fraction", [0.9, 0.95])
+def test_an_object_in_great_demand_gets_more_backend_servers(
+    hot_object_fraction,
+):
     """One object alone fills more slots than a backend server has."""
-    load = loads.Load({"a": 6}, lambda r, t: 115.0, hot_part=hot_part)
-    spread = loads.play(load)
-    single = loads.play(load, hot_part=math.inf)
+    load = loads.Load(
+        {"a": 6}, lambda r, t: 115.0, hot_object_fraction=hot_object_fraction
+    )
+    spread = loads.simulate(load)
+    single = loads.simulate(load, hot_object_fraction=math.inf)
     assert spread.in_target_part > 0.9
     assert single.in_target_part < 0.8
 
@@ -301,7 +314,7 @@
 def test_a_slow_backend_server_costs_few_requests():
     """One of six takes five times as long."""
     load = loads.Load({"a": 6}, lambda r, t: 60.0, slow=1)
-    assert loads.play(load).in_target_part > 0.8
+    assert loads.simulate(load).in_target_part > 0.8
 
 
 def _halls(seed, **changes):
@@ -329,17 +342,17 @@
 
 def test_a_loss_elsewhere_does_not_send_all_requests_home():
     """One of 128 backend servers leaves; VMs hear of few queues at home."""
-    calm = sum(loads.play(_halls(seed)).credit for seed in (1, 2))
-    lossy = [loads.play(_halls(seed, loss_at_s=3.0)) for seed in (1, 2)]
+    calm = sum(loads.simulate(_halls(seed)).credit for seed in (1, 2))
+    lossy = [loads.simulate(_halls(seed, loss_at_s=3.0)) for seed in (1, 2)]
     assert sum(tally.credit for tally in lossy) > 0.9 * calm
 
 
 def test_objects_stay_in_the_region_that_they_are_dealt_to(monkeypatch):
     """Keeping each VM's counts exact would send objects back and forth."""
     seeds = (1, 2)
-    kept = [loads.play(_halls(seed)) for seed in seeds]
+    kept = [loads.simulate(_halls(seed)) for seed in seeds]
     monkeypatch.setattr(_shares, "_LEEWAY_PART", 0.0)
-    exact = [loads.play(_halls(seed)) for seed in seeds]
+    exact = [loads.simulate(_halls(seed)) for seed in seeds]
     assert sum(t.in_target for t in kept) > sum(t.in_target for t in exact)
     assert sum(t.credit for t in kept) > sum(t.credit for t in exact)
     assert sum(t.failed for t in kept) < sum(t.failed for t in exact)
--- a/dragonflystack/entry/tests/test_sightings.py
+++ b/dragonflystack/entry/tests/test_observations.py
@@ -5,7 +5,7 @@
 
 from dragonflystack import entry
 from dragonflystack import ids
-from dragonflystack.entry import _sightings
+from dragonflystack.entry import _observations
 from dragonflystack.entry.tests import builders
 
 _SERVER = ids.BackendServerId("s0")
@@ -20,21 +20,23 @@
     sent = msgspec.msgpack.decode(
         msgspec.msgpack.encode(beat), type=entry.Heartbeat
     )
-    listener.dispatch.on_sightings(sent.loads, sent.learnt, builders.ms(at_ms))
+    listener.dispatch.on_observations(
+        sent.loads, sent.cached_objects, builders.ms(at_ms)
+    )
 
 
 def _serve(vm, load, at_ms):
     exchange, step = vm.open(builders.request(), builders.ms(at_ms))
     assert exchange is not None and isinstance(step, entry.Send)
     exchange.on_result(entry.Answered(200, load=load), builders.ms(at_ms + 50))
-    return step.server.entry.id, exchange.wanted.object_key
+    return step.server.entry.id, exchange.requirements.object_key
 
 
 def test_a_neighbour_knows_the_load_that_another_vm_was_told():
     teller, listener = _vm(), _vm()
     server, _ = _serve(teller, entry.Load(3, 4, 3), 10)
     _tell(teller, listener, 100)
-    heard = listener.book.get(server)
+    heard = listener.registry.get(server)
     assert heard.load_known_at == builders.ms(60)
     assert heard.load(builders.ms(60)) == 7
 
@@ -42,9 +44,9 @@
 def test_a_load_that_was_seen_before_the_own_report_is_passed_over():
     teller, listener = _vm(), _vm()
     server, _ = _serve(teller, entry.Load(3, 4, 3), 10)
-    listener.book.get(server).on_load(entry.Load(1, 0, 3), builders.ms(80))
+    listener.registry.get(server).on_load(entry.Load(1, 0, 3), builders.ms(80))
     _tell(teller, listener, 100)
-    assert listener.book.get(server).load_known_at == builders.ms(80)
+    assert listener.registry.get(server).load_known_at == builders.ms(80)
 
 
 def test_known_objects_are_told_on_to_vms_further_off():
@@ -53,7 +55,9 @@
     _tell(first, second, 100)
     _tell(second, third, 600)
     for vm in (second, third):
-        assert vm.book.get(server).has_cached(_sightings.hash_object(key))
+        assert vm.registry.get(server).has_cached(
+            _observations.hash_object(key)
+        )
 
 
 @pytest.mark.parametrize(
@@ -69,7 +73,7 @@
     exchange, step = vm.open(builders.request(), builders.ms(10))
     assert isinstance(step, entry.Send)
     exchange.on_result(result, builders.ms(60))
-    key = _sightings.hash_object(exchange.wanted.object_key)
+    key = _observations.hash_object(exchange.requirements.object_key)
     assert not step.server.has_cached(key)
 
 
@@ -77,25 +81,25 @@
     vm = _vm()
     _serve(vm, entry.Load(1, 0, 3), 10)
     later = vm.heartbeat(builders.ms(2_000))
-    assert later.loads == () and later.learnt == ()
+    assert later.loads == () and later.cached_objects == ()
 
 
 def test_a_heartbeat_names_a_bounded_number():
-    seen = _sightings.Sightings()
+    seen = _observations.Observations()
     for number in range(500):
         server = ids.BackendServerId(f"s{number}")
         seen.on_load(server, 1, builders.ms(0))
-        seen.on_learnt(server, number, builders.ms(0))
+        seen.on_object_cached(server, number, builders.ms(0))
     assert 0 < len(seen.loads(builders.ms(1))) <= 48
-    assert 0 < len(seen.learnt(builders.ms(1))) <= 48
+    assert 0 < len(seen.cached_objects(builders.ms(1))) <= 48
 
 
 def test_a_sighting_of_an_unknown_backend_server_is_passed_over():
     vm = _vm()
     stranger = ids.BackendServerId("stranger")
-    vm.dispatch.on_sightings(
-        (_sightings.LoadSighting(stranger, 3, 10),),
-        (_sightings.LearntSighting(stranger, 7),),
+    vm.dispatch.on_observations(
+        (_observations.LoadObservation(stranger, 3, 10),),
+        (_observations.CachedObjectObservation(stranger, 7),),
         builders.ms(100),
     )
-    assert vm.book.get(stranger) is None
+    assert vm.registry.get(stranger) is None
--- a/dragonflystack/entry/tests/test_outdated.py
+++ b/dragonflystack/entry/tests/test_outdated.py
@@ -12,7 +12,7 @@
 
 def _vm():
     entries = [builders.server(f"s{i}", f"a{i % 2 + 1}") for i in range(6)]
-    bounds = entry.FleetBounds(apply=_BOUND)
+    bounds = entry.FleetBounds(apply_time=_BOUND)
     vm = builders.entry_vm(*entries, routes=(_ROUTE,), bounds=bounds)
     builders.watch(vm, builders.ms(0))
     return vm
@@ -22,9 +22,9 @@
     """Has a neighbour tell that it knows more of the operators' rows."""
     other = builders.entry_vm(vm="vm-2")
     other.log.on_operators(vm.log.position.operators + 5)
-    beat = other.heartbeat(now, introduce=True)
+    beat = other.heartbeat(now, include_address=True)
     vm.members.on_heartbeat(beat, now)
-    vm.freshness.on_beat(beat, now)
+    vm.freshness.on_heartbeat(beat, now)
 
 
 def _open(vm, now):
@@ -90,7 +90,7 @@
     addresses = [builders.address(f"vm-{i}") for i in range(60)]
     vms = [builders.entry_vm(vm=address.vm) for address in addresses]
     for vm in vms:
-        vm.members.on_list(addresses)
+        vm.members.on_vm_list(addresses)
     vm, neighbour = [
         v for v in vms if not v.freshness.should_watch(builders.ms(1))
     ][:2]
@@ -98,9 +98,9 @@
     for at in (builders.ms(1400), builders.ms(1600)):
         builders.watch(neighbour, at)
         _ahead(vm, at)
-        beat = neighbour.heartbeat(at, introduce=True)
+        beat = neighbour.heartbeat(at, include_address=True)
         vm.members.on_heartbeat(beat, at)
-        assert vm.freshness.news_age(at) == builders.ms(0)
+        assert vm.freshness.store_view_age(at) == builders.ms(0)
     assert not vm.freshness.should_watch_operators(builders.ms(1400))
     assert vm.freshness.should_watch_operators(builders.ms(1600))
     assert not vm.freshness.should_watch(builders.ms(1600))
--- a/dragonflystack/entry/tests/test_work_times.py
+++ b/dragonflystack/entry/tests/test_processing_times.py
@@ -6,8 +6,8 @@
 
 from dragonflystack import entry
 from dragonflystack import ids
-from dragonflystack.entry import _waits
-from dragonflystack.entry import _work_times
+from dragonflystack.entry import _processing_times
+from dragonflystack.entry import _queue_waits
 from dragonflystack.entry.tests import builders
 
 _NEW = builders.ms(600)
@@ -15,7 +15,7 @@
 
 
 def _measured(*works):
-    times = _work_times.WorkTimes(entry.ChoiceSettings())
+    times = _processing_times.ProcessingTimes(entry.ChoiceSettings())
     route = builders.route(sticky=True)
     for work in works:
         times.on_measured(route, builders.SERVICE, work, True)
@@ -48,7 +48,7 @@
 
 
 def test_a_wait_that_was_met_fades_with_time():
-    waits = _waits.Waits()
+    waits = _queue_waits.QueueWaits()
     place = (builders.SERVICE, ids.RegionId("a"))
     assert waits.expect(*place, builders.ms(0)) == datetime.timedelta()
     waits.on_wait(*place, builders.ms(800), builders.ms(0))
--- a/dragonflystack/entry/tests/test_news.py
+++ b/dragonflystack/entry/tests/test_replication.py
@@ -4,7 +4,7 @@
 
 from dragonflystack import entry
 from dragonflystack import ids
-from dragonflystack.entry import _news
+from dragonflystack.entry import _replication
 from dragonflystack.entry.tests import builders
 
 
@@ -14,7 +14,7 @@
     vms = {}
     for address in addresses:
         vm = builders.entry_vm(vm=address.vm)
-        vm.members.on_list(addresses)
+        vm.members.on_vm_list(addresses)
         vms[address.vm] = vm
     return vms
 
@@ -25,16 +25,16 @@
     for name, vm in vms.items():
         if name in dead:
             continue
-        for member, is_near in vm.members.receivers(now):
+        for member, is_neighbour in vm.members.heartbeat_targets(now):
             sent += 1
             receiver = member.address.vm
             if receiver in dead:
                 continue
-            beat = vm.heartbeat(now, is_near, introduce=True)
+            beat = vm.heartbeat(now, is_neighbour, include_address=True)
             vms[receiver].members.on_heartbeat(beat, now)
             if beat.position > vms[receiver].log.position:
-                news = vm.news_since(vms[receiver].log.position)
-                vms[receiver].on_news(news, now)
+                news = vm.changes_since(vms[receiver].log.position)
+                vms[receiver].on_replicated_changes(news, now)
     for name, vm in vms.items():
         if name not in dead:
             vm.on_tick(now)
@@ -62,7 +62,9 @@
     listing = entry.Listing((added,), (), whole=False)
     first.on_listing(listing, 7, builders.ms(1600))
     sent = [_beat(vms, builders.ms(2000 + 500 * i)) for i in range(20)]
-    assert all(vm.book.get(ids.BackendServerId("new")) for vm in vms.values())
+    assert all(
+        vm.registry.get(ids.BackendServerId("new")) for vm in vms.values()
+    )
     assert max(sent) <= size * min(size - 1, 10)
 
 
@@ -73,7 +75,7 @@
     name, vm = next(
         (n, v)
         for n, v in vms.items()
-        if not _news.is_watcher(n, v.members.listed())
+        if not _replication.is_store_watcher(n, v.members.known_vms())
     )
     vm.freshness.on_start(builders.ms(0))
     assert not vm.freshness.should_watch(builders.ms(1400))
@@ -83,8 +85,10 @@
 @pytest.mark.parametrize("size", [5, 8, 47, 140])
 def test_a_store_that_is_out_is_called_no_more_often_in_a_large_region(size):
     vms = tuple(ids.VmId(f"vm-{i}") for i in range(size))
-    limits = [_news.retry_limit(vm, vms) / builders.ms(1000) for vm in vms]
-    watchers = [vm for vm in vms if _news.is_watcher(vm, vms)]
+    limits = [
+        _replication.retry_limit(vm, vms) / builders.ms(1000) for vm in vms
+    ]
+    watchers = [vm for vm in vms if _replication.is_store_watcher(vm, vms)]
     calls_s = sum(1 / limit for limit in limits)
     assert calls_s <= 2 * len(watchers) / 0.6
     assert max(limits) < 6
@@ -100,27 +104,30 @@
     now = builders.ms(500 * 19)
     for name, vm in vms.items():
         if name not in dead:
-            named = {address.split(":")[0] for address in vm.members.named(now)}
-            assert not named & dead
-            assert len(named) >= 5
+            serving_addresses = {
+                address.split(":")[0]
+                for address in vm.members.serving_addresses(now)
+            }
+            assert not serving_addresses & dead
+            assert len(serving_addresses) >= 5
 
 
 def test_one_far_behind_takes_everything():
-    log = _news.NewsLog()
+    log = _replication.ReplicationLog()
     for version in range(1, 600):
         entries = (builders.server(f"s{version}"),)
         log.on_servers(version, entries, (), whole=False)
-    late = log.since(_news.Position(0, 3), None, 0, frozenset(), ())
+    late = log.since(_replication.Position(0, 3), None, 0, frozenset(), ())
     assert late.whole
-    near = log.since(_news.Position(0, 590), None, 0, frozenset(), ())
+    near = log.since(_replication.Position(0, 590), None, 0, frozenset(), ())
     assert not near.whole and len(near.entries) == 9
 
 
 def test_a_server_that_came_and_went_is_told_as_gone():
-    log = _news.NewsLog()
+    log = _replication.ReplicationLog()
     log.on_servers(1, (builders.server("s"),), (), whole=False)
     log.on_servers(2, (), (ids.BackendServerId("s"),), whole=False)
-    news = log.since(_news.Position(), None, 0, frozenset(), ())
+    news = log.since(_replication.Position(), None, 0, frozenset(), ())
     assert news.entries == () and news.gone == ("s",)
 
 
@@ -130,7 +137,7 @@
     vm = builders.entry_vm(builders.server("s1"))
     gone = entry.Listing((), (ids.BackendServerId("s2"),), whole=False)
     vm.on_listing(gone, 7, builders.ms(10), from_store)
-    assert vm.news_since(_news.Position(0, 6)).gone == ("s2",)
+    assert vm.changes_since(_replication.Position(0, 6)).gone == ("s2",)
 
 
 def test_a_removal_that_is_not_confirmed_is_not_passed_on():
@@ -138,4 +145,4 @@
     vm = builders.entry_vm(*servers)
     lost = (*(s.id for s in servers[:2]), ids.BackendServerId("unknown"))
     vm.on_listing(entry.Listing((), lost, whole=False), 7, builders.ms(10))
-    assert vm.news_since(_news.Position(0, 6)).gone == ()
+    assert vm.changes_since(_replication.Position(0, 6)).gone == ()
--- a/dragonflystack/entry/tests/test_lag.py
+++ b/dragonflystack/entry/tests/test_replication_lag.py
@@ -3,19 +3,21 @@
 import pytest
 
 from dragonflystack import entry
-from dragonflystack.entry import _lag
+from dragonflystack.entry import _replication_lag
 from dragonflystack.entry.tests import builders
 
 _ZERO = builders.ms(0)
 
 
 def _hear(lag, position, at_ms, known=3, first_ms=0, confirmed_ms=0):
-    word = _lag.Word(position, first_ms, confirmed_ms)
-    return lag.on_word(word, known, builders.ms(at_ms))
+    announcement = _replication_lag.VersionAnnouncement(
+        position, first_ms, confirmed_ms
+    )
+    return lag.on_announcement(announcement, known, builders.ms(at_ms))
 
 
 def test_the_lag_counts_from_the_first_word_of_the_oldest_missing_position():
-    lag = _lag.Lag()
+    lag = _replication_lag.Lag()
     assert lag.age(3, _ZERO) == _ZERO
     assert _hear(lag, 5, 100)
     assert not _hear(lag, 5, 600)
@@ -26,11 +28,11 @@
 
 
 def test_a_word_that_was_passed_on_counts_from_the_first_vm():
-    lag = _lag.Lag()
+    lag = _replication_lag.Lag()
     assert _hear(lag, 5, 1000, first_ms=300, confirmed_ms=200)
     assert lag.age(3, builders.ms(1100)) == builders.ms(400)
-    passed_on = lag.word(3, builders.ms(1100))
-    assert passed_on == _lag.Word(5, 400, 300)
+    passed_on = lag.announcement(3, builders.ms(1100))
+    assert passed_on == _replication_lag.VersionAnnouncement(5, 400, 300)
 
 
 @pytest.mark.parametrize(
@@ -43,39 +45,39 @@
     ],
 )
 def test_what_is_known_or_too_old_is_no_word(position, confirmed_ms, is_new):
-    lag = _lag.Lag()
+    lag = _replication_lag.Lag()
     lag.on_read(4)
     heard = _hear(lag, position, 5_000, confirmed_ms=confirmed_ms)
     assert heard is is_new
 
 
 def test_rows_that_no_living_vm_has_are_no_lag():
-    lag = _lag.Lag()
+    lag = _replication_lag.Lag()
     _hear(lag, 5, 0)
     _hear(lag, 5, 900)
     assert lag.age(3, builders.ms(2900)) == builders.ms(2900)
     assert lag.age(3, builders.ms(2901)) == _ZERO
-    assert lag.word(3, builders.ms(2901)) is None
+    assert lag.announcement(3, builders.ms(2901)) is None
     assert not _hear(lag, 5, 4000)
     assert lag.age(3, builders.ms(4000)) == builders.ms(4000)
 
 
 def test_two_vms_do_not_keep_a_word_alive_between_them():
-    first, second = _lag.Lag(), _lag.Lag()
+    first, second = _replication_lag.Lag(), _replication_lag.Lag()
     _hear(first, 5, 0)
     for at in range(0, 6000, 500):
         for teller, hearer in ((first, second), (second, first)):
-            word = teller.word(3, builders.ms(at))
-            if word is not None:
-                hearer.on_word(word, 3, builders.ms(at))
+            announcement = teller.announcement(3, builders.ms(at))
+            if announcement is not None:
+                hearer.on_announcement(announcement, 3, builders.ms(at))
     assert first.age(3, builders.ms(2001)) == _ZERO
     assert second.age(3, builders.ms(2001)) == _ZERO
 
 
 def _tell(receiver, sender, now):
-    beat = sender.heartbeat(now, introduce=True)
+    beat = sender.heartbeat(now, include_address=True)
     receiver.members.on_heartbeat(beat, now)
-    return receiver.freshness.on_beat(beat, now)
+    return receiver.freshness.on_heartbeat(beat, now)
 
 
 # Guards against a VM that serves by old routes as none of its neighbours has
@@ -87,8 +89,10 @@
         now = builders.ms(500 * i)
         is_new = _tell(middle, ahead, now), _tell(far, middle, now)
         assert is_new == (i == 0, i == 0)
-    assert middle.freshness.behind(builders.ms(2500)) == builders.ms(2500)
-    assert far.freshness.behind(builders.ms(2500)) == builders.ms(2500)
+    assert middle.freshness.replication_lag(builders.ms(2500)) == builders.ms(
+        2500
+    )
+    assert far.freshness.replication_lag(builders.ms(2500)) == builders.ms(2500)
 
 
 def test_a_vm_that_read_the_store_later_is_not_behind():
@@ -97,16 +101,16 @@
     other = builders.entry_vm(vm="vm-2")
     other.log.on_operators(150)
     _tell(vm, other, _ZERO)
-    assert vm.freshness.behind(builders.ms(500)) == builders.ms(500)
+    assert vm.freshness.replication_lag(builders.ms(500)) == builders.ms(500)
     vm.log.on_operators(100)
     vm.freshness.on_operators_read(500)
     _tell(vm, other, builders.ms(500))
-    assert vm.freshness.behind(builders.ms(600)) == _ZERO
+    assert vm.freshness.replication_lag(builders.ms(600)) == _ZERO
 
 
 def test_a_vm_lacks_what_another_knows():
     vm = builders.entry_vm()
     own = vm.log.position
-    assert not vm.lacks(own)
-    assert vm.lacks(entry.Position(0, own.servers + 1))
-    assert vm.lacks(entry.Position(own.operators + 1, 0))
+    assert not vm.is_behind(own)
+    assert vm.is_behind(entry.Position(0, own.servers + 1))
+    assert vm.is_behind(entry.Position(own.operators + 1, 0))
--- a/dragonflystack/entry/tests/test_store_returned.py
+++ b/dragonflystack/entry/tests/test_store_returned.py
@@ -40,7 +40,7 @@
 
 
 def _usable(vm, name):
-    server = vm.book.get(ids.BackendServerId(name))
+    server = vm.registry.get(ids.BackendServerId(name))
     return server is not None and server.may_serve()
 
 
@@ -132,8 +132,8 @@
     _return(vm, _row("s0", 5, era=2), _row("s1", 6, era=2))
     late = _listing(_row("s0", 5), number=70, removed=["s1"])
     changes = _read(vm, late, 5_200)
-    assert changes == entry.Changes()
-    assert vm.on_tick(builders.ms(_SETTLED_MS)) == entry.Changes()
+    assert changes == entry.ServerChanges()
+    assert vm.on_tick(builders.ms(_SETTLED_MS)) == entry.ServerChanges()
     assert _usable(vm, "s1")
 
 
@@ -150,8 +150,8 @@
     _return(vm, _row("s0", 5, era=2))
     vm.on_evacuated(frozenset(copy), builders.ms(_RETURN_MS))
     assert vm.evacuated == before
-    assert not vm.is_settled(builders.ms(_RETURN_MS))
-    assert vm.is_settled(builders.ms(_SETTLED_MS))
+    assert not vm.is_store_repopulated(builders.ms(_RETURN_MS))
+    assert vm.is_store_repopulated(builders.ms(_SETTLED_MS))
     vm.on_evacuated(frozenset(copy), builders.ms(_SETTLED_MS))
     assert vm.evacuated == copy
 
@@ -170,9 +170,9 @@
     now = builders.ms(at_ms)
     if teller.log.position <= listener.log.position:
         return False
-    news = teller.news_since(listener.log.position)
+    news = teller.changes_since(listener.log.position)
     listener.on_store_era(entry.era_of(news.position.latest), now)
-    listener.on_news(news, now)
+    listener.on_replicated_changes(news, now)
     return True
 
 
@@ -195,5 +195,5 @@
     starts = builders.entry_vm()
     assert _tell(new, starts, 5_500)
     late = _listing(_row("s9", 60), number=70)
-    assert _read(starts, late, 5_600) == entry.Changes()
+    assert _read(starts, late, 5_600) == entry.ServerChanges()
     assert _usable(starts, "s0") and not _usable(starts, "s9")
--- a/dragonflystack/entryd/__init__.py
+++ b/dragonflystack/entryd/__init__.py
@@ -15,17 +15,17 @@
 from dragonflystack import entry
 from dragonflystack import ids
 from dragonflystack.entryd._answer_reader import AnswerLimits
+from dragonflystack.entryd._daemon import Daemon
+from dragonflystack.entryd._daemon import Endpoint
+from dragonflystack.entryd._daemon import Settings
 from dragonflystack.entryd._dialect import Dialect
 from dragonflystack.entryd._journal import Journal
 from dragonflystack.entryd._metrics import Metrics
-from dragonflystack.entryd._node import Endpoint
-from dragonflystack.entryd._node import Node
-from dragonflystack.entryd._node import Settings
 from dragonflystack.entryd._platform_port import HistoryLost
-from dragonflystack.entryd._platform_port import OperatorNews
+from dragonflystack.entryd._platform_port import OperatorUpdate
 from dragonflystack.entryd._platform_port import Platform
-from dragonflystack.entryd._platform_port import ServerNews
-from dragonflystack.entryd._platform_port import Skipped
+from dragonflystack.entryd._platform_port import ServerUpdate
+from dragonflystack.entryd._platform_port import SkippedRow
 from dragonflystack.entryd._run import Apps
 from dragonflystack.entryd._run import run
 
@@ -35,18 +35,18 @@
     "Dialect",
     "Endpoint",
     "HistoryLost",
-    "Node",
-    "OperatorNews",
+    "Daemon",
+    "OperatorUpdate",
     "Platform",
-    "ServerNews",
+    "ServerUpdate",
     "Settings",
-    "Skipped",
-    "make_node",
+    "SkippedRow",
+    "make_daemon",
     "run",
 ]
 
 
-def make_node(cfg: Settings, dialect: Dialect) -> Node:
+def make_daemon(cfg: Settings, dialect: Dialect) -> Daemon:
     """Returns the state of a daemon that starts."""
     now = clock.SystemClock()
     own = entry.VmAddress(
@@ -63,4 +63,4 @@
     )
     vm.freshness.on_start(now.monotonic())
     journal = Journal(sys.stdout.fileno(), now)
-    return Node(cfg, dialect, now, vm, journal, Metrics())
+    return Daemon(cfg, dialect, now, vm, journal, Metrics())
--- a/dragonflystack/entryd/_node.py
+++ b/dragonflystack/entryd/_daemon.py
@@ -68,7 +68,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Node:
+class Daemon:
     """The state of one process."""
 
     settings: Settings
@@ -77,7 +77,7 @@
     vm: entry.EntryVm
     journal: _journal.Journal
     metrics: _metrics.Metrics
-    stop_asked: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    stop_requested: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     leaving_since: datetime.timedelta | None = None
     """When a planned stop began, None before."""
 
@@ -87,7 +87,9 @@
     watch_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     """Set to have watches of the store begin anew."""
 
-    news_poke: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    update_available: anyio.Event = dataclasses.field(
+        default_factory=anyio.Event
+    )
     """Set when another VM knows of news."""
 
     news_from: Endpoint | None = None
@@ -141,9 +143,9 @@
     def update_phase(self) -> None:
         """Begins to serve once routes and backend servers are known."""
         members = self.vm.members
-        if self.vm.is_informed:
+        if self.vm.has_initial_state:
             self.first_news.set()
-        if members.phase is entry.Phase.STARTING and self.vm.is_informed:
+        if members.phase is entry.Phase.STARTING and self.vm.has_initial_state:
             members.phase = entry.Phase.SERVING
             self.note(_events.Event.READY_CHANGED, ready=True)
 
--- a/dragonflystack/entryd/_first_news.py
+++ b/dragonflystack/entryd/_first_news.py
@@ -11,7 +11,7 @@
 import anyio
 
 from dragonflystack import _asgi
-from dragonflystack.entryd import _node
+from dragonflystack.entryd import _daemon
 
 _LONGEST = datetime.timedelta(seconds=1)
 """A small VM has its first news within 0.7 s of its start."""
@@ -27,8 +27,8 @@
 class FirstNews:
     """The requests that wait for a VM to know routes and backend servers."""
 
-    def __init__(self, node: _node.Node):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon):
+        self._daemon = daemon
         self._requests = 0
         self._bytes = 0
 
@@ -43,10 +43,10 @@
         Returns:
             False if the caller left meanwhile.
         """
-        node = self._node
+        daemon = self._daemon
         if (
-            node.vm.is_informed
-            or node.vm.discovery.is_store_away
+            daemon.vm.has_initial_state
+            or daemon.vm.discovery.is_store_unavailable
             or self._requests >= _MAX_REQUESTS
             or self._bytes + body_bytes > _MAX_BYTES
         ):
@@ -77,6 +77,6 @@
                     tasks.cancel_scope.cancel()
 
                 tasks.start_soon(watch_caller)
-                await self._node.first_news.wait()
+                await self._daemon.first_news.wait()
                 tasks.cancel_scope.cancel()
         return is_there
--- a/dragonflystack/entryd/_front.py
+++ b/dragonflystack/entryd/_front.py
@@ -8,10 +8,10 @@
 from dragonflystack import ids
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _first_news
 from dragonflystack.entryd import _journal
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _sending
 
 _TAKING_PART = 0.45
@@ -35,38 +35,38 @@
 class Front:
     """The ASGI app of the callers' port."""
 
-    def __init__(self, node: _node.Node, pool: _connections.Pool):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon, pool: _connections.Pool):
+        self._daemon = daemon
         self._pool = pool
-        self._first_news = _first_news.FirstNews(node)
+        self._first_news = _first_news.FirstNews(daemon)
 
     async def __call__(
         self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
         """Serves one request."""
-        self._node.in_flight += 1
+        self._daemon.in_flight += 1
         try:
             await self._serve(scope, receive, send)
         finally:
-            self._node.in_flight -= 1
+            self._daemon.in_flight -= 1
 
     async def _serve(
         self, scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
-        node = self._node
-        began = node.now()
-        catalogue = node.vm.catalogue
+        daemon = self._daemon
+        began = daemon.now()
+        catalogue = daemon.vm.catalogue
         limits = entry.CallerLimits() if catalogue is None else catalogue.limits
         try:
             body = await _asgi.read_body(receive, limits.max_body_bytes)
         except _asgi.CallerGoneError:
-            node.note(
+            daemon.note(
                 _events.Event.REQUEST_DROPPED,
                 reason=entry.Reason.CALLER_GONE.value,
             )
             return
         except _asgi.BodyTooLargeError:
-            node.note(
+            daemon.note(
                 _events.Event.REQUEST_REJECTED,
                 reason=entry.Reason.TOO_LARGE.value,
             )
@@ -80,11 +80,11 @@
         ):
             step = entry.Drop()
         elif not self._is_too_late(request):
-            exchange, step = node.vm.open(request, node.now(), began)
+            exchange, step = daemon.vm.open(request, daemon.now(), began)
         answer: _answer_reader.Answer | None = None
         if exchange is not None:
             run = _sending.Run(
-                node, self._pool, scope, receive, request, exchange, body
+                daemon, self._pool, scope, receive, request, exchange, body
             )
             step = await run.carry_out(step)
             answer = run.answer
@@ -97,15 +97,15 @@
         Until the users count on its end, a VM takes what comes; later only
         what its caller awaits no longer than the VM lives.
         """
-        since = self._node.leaving_since
+        since = self._daemon.leaving_since
         if since is None:
             return False
-        grace = self._node.vm.bounds.grace
-        gone = self._node.now() - since
+        grace = self._daemon.vm.bounds.grace
+        gone = self._daemon.now() - since
         if gone < grace * _TAKING_PART:
             return False
         left = request.time_left
-        return left is None or gone + left > grace - _node.EXIT_BEFORE_KILL
+        return left is None or gone + left > grace - _daemon.EXIT_BEFORE_KILL
 
     def _note_end(
         self,
@@ -115,17 +115,17 @@
         answer: _answer_reader.Answer | None,
         began: datetime.timedelta,
     ) -> None:
-        node = self._node
-        elapsed = node.now() - began
+        daemon = self._daemon
+        elapsed = daemon.now() - began
         event = _ENDS[type(step)]
         status = None
         if isinstance(step, entry.Deliver) and answer is not None:
             status = answer.status
-        node.metrics.time("request", elapsed, outcome=event.value)
+        daemon.metrics.time("request", elapsed, outcome=event.value)
         retry_after = getattr(step, "retry_after", None)
         reason = getattr(step, "reason", None)
         denied = isinstance(step, entry.Unauthorized)
-        node.note(
+        daemon.note(
             event,
             request=request.id,
             route=_route(exchange, step),
@@ -136,12 +136,12 @@
             took_ms=_journal.milliseconds(elapsed),
             caller_left_ms=_journal.milliseconds(request.time_left),
             retry_after_ms=_journal.milliseconds(retry_after),
-            catalogue=node.catalogue_version,
+            catalogue=daemon.catalogue_version,
             **({"key_digest": request.customer_key} if denied else {}),
         )
 
     def _read(self, scope: _asgi.Scope) -> entry.Request:
-        dialect = self._node.dialect
+        dialect = self._daemon.dialect
         request_id = ""
         host = ""
         left: datetime.timedelta | None = None
@@ -181,9 +181,9 @@
 
 def _customer(exchange: entry.Exchange | None) -> ids.CustomerId | None:
     """Returns the customer of a request, if it has one."""
-    if exchange is None or exchange.wanted.customer is None:
+    if exchange is None or exchange.requirements.customer is None:
         return None
-    return exchange.wanted.customer.id
+    return exchange.requirements.customer.id
 
 
 async def _reply(
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from dragonflystack import entry
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _server_reports
 
 _encoder = msgspec.msgpack.Encoder()
@@ -23,8 +23,8 @@
 class Heartbeats(asyncio.DatagramProtocol):
     """Sends and receives heartbeats."""
 
-    def __init__(self, node: _node.Node):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon):
+        self._daemon = daemon
         self._transport: asyncio.DatagramTransport | None = None
         self._alive: dict[str, entry.Phase] = {}
 
@@ -34,7 +34,7 @@
         Raises:
             OSError: if the port is taken.
         """
-        peers = self._node.settings.peers
+        peers = self._daemon.settings.peers
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=(peers.host, peers.port)
@@ -46,53 +46,55 @@
 
     def datagram_received(self, data, addr):
         """Takes in a heartbeat; malformed ones are logged and skipped."""
-        node = self._node
+        daemon = self._daemon
         try:
             beat = _decoder.decode(data)
         except msgspec.MsgspecError as exc:
-            node.note(
+            daemon.note(
                 _events.Event.ENTRY_SKIPPED,
                 source="heartbeat",
                 peer=str(addr),
                 reason=str(exc),
             )
             return
-        now = node.now()
+        now = daemon.now()
         try:
-            member = node.vm.members.on_heartbeat(beat, now)
+            member = daemon.vm.members.on_heartbeat(beat, now)
         except entry.UnknownVmError:
-            self._send(_node.Endpoint(*addr), answer_wanted=True)
+            self._send(_daemon.Endpoint(*addr), reply_requested=True)
             return
-        if beat.answer_wanted:
-            self._send(_node.Endpoint(*addr), introduce=True)
+        if beat.reply_requested:
+            self._send(_daemon.Endpoint(*addr), include_address=True)
         if member is not None:
-            node.note(
+            daemon.note(
                 _events.Event.VM_HEARD,
                 peer=beat.vm,
                 phase=beat.phase.value,
                 incarnation=beat.incarnation,
             )
-        node.vm.dispatch.on_sightings(beat.loads, beat.learnt, now)
-        for server in node.vm.on_departures(beat.departures, now):
-            _server_reports.note_leaving(node, server, beat.vm)
-        if node.vm.freshness.on_beat(beat, now):
-            node.beat_poke.set()
-        if node.vm.lacks(beat.position):
-            node.news_from = _node.Endpoint(*addr)
-            node.news_poke.set()
+        daemon.vm.dispatch.on_observations(beat.loads, beat.cached_objects, now)
+        for server in daemon.vm.on_departures(beat.departures, now):
+            _server_reports.note_leaving(daemon, server, beat.vm)
+        if daemon.vm.freshness.on_heartbeat(beat, now):
+            daemon.beat_poke.set()
+        if daemon.vm.is_behind(beat.position):
+            daemon.news_from = _daemon.Endpoint(*addr)
+            daemon.update_available.set()
 
     def error_received(self, exc):
         """A receiver refused a datagram: nothing listens there now."""
 
     def beat(self) -> None:
         """Tells the neighbours that this VM lives."""
-        now = self._node.now()
-        for member, is_near in self._node.vm.members.receivers(now):
+        now = self._daemon.now()
+        for member, is_neighbour in self._daemon.vm.members.heartbeat_targets(
+            now
+        ):
             address = member.address
             try:
-                peer = _node.Endpoint.parse(address.peers)
+                peer = _daemon.Endpoint.parse(address.peers)
             except ValueError as exc:
-                self._node.note(
+                self._daemon.note(
                     _events.Event.ENTRY_SKIPPED,
                     source="vm",
                     peer=address.vm,
@@ -100,38 +102,43 @@
                 )
                 continue
             asks = address.vm not in self._alive
-            self._send(peer, is_near, answer_wanted=asks, introduce=asks)
+            self._send(
+                peer, is_neighbour, reply_requested=asks, include_address=asks
+            )
 
     async def run(self) -> None:
         """Sends heartbeats, for ever, at once if there is news."""
-        node = self._node
+        daemon = self._daemon
         while True:
             self._note_silent()
             self.beat()
-            node.beat_poke = anyio.Event()
+            daemon.beat_poke = anyio.Event()
             with anyio.move_on_after(entry.HEARTBEAT_EVERY.total_seconds()):
-                await node.beat_poke.wait()
+                await daemon.beat_poke.wait()
                 await anyio.sleep(_GATHER_S)
 
     def _send(
         self,
-        peer: _node.Endpoint,
-        is_near: bool = True,
-        answer_wanted: bool = False,
-        introduce: bool = False,
+        peer: _daemon.Endpoint,
+        is_neighbour: bool = True,
+        reply_requested: bool = False,
+        include_address: bool = False,
     ) -> None:
         if self._transport is None:
             return
-        node = self._node
-        beat = node.vm.heartbeat(
-            node.now(), is_near, answer_wanted, introduce or answer_wanted
+        daemon = self._daemon
+        beat = daemon.vm.heartbeat(
+            daemon.now(),
+            is_neighbour,
+            reply_requested,
+            include_address or reply_requested,
         )
         self._transport.sendto(_encoder.encode(beat), (peer.host, peer.port))
 
     def _note_silent(self) -> None:
-        node = self._node
-        now = node.now()
-        alive = {m.address.vm: m for m in node.vm.members.alive(now)}
+        daemon = self._daemon
+        now = daemon.now()
+        alive = {m.address.vm: m for m in daemon.vm.members.alive(now)}
         for vm in self._alive.keys() - alive.keys():
-            node.note(_events.Event.VM_SILENT, peer=vm)
+            daemon.note(_events.Event.VM_SILENT, peer=vm)
         self._alive = {vm: m.phase for vm, m in alive.items()}
--- a/dragonflystack/entryd/_intake.py
+++ b/dragonflystack/entryd/_intake.py
@@ -2,24 +2,28 @@
 
 from dragonflystack import entry
 from dragonflystack import ids
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
-from dragonflystack.entryd import _node
 
 
-def after_news(node: _node.Node, before: entry.Position) -> None:
+def after_news(daemon: _daemon.Daemon, before: entry.Position) -> None:
     """Tells the neighbours at once if this VM knows more than before."""
-    node.update_phase()
-    if node.vm.log.position != before:
-        node.beat_poke.set()
+    daemon.update_phase()
+    if daemon.vm.log.position != before:
+        daemon.beat_poke.set()
 
 
-def adopt(node: _node.Node, catalogue: entry.Catalogue, source: str) -> None:
+def adopt(
+    daemon: _daemon.Daemon, catalogue: entry.Catalogue, source: str
+) -> None:
     """Puts a catalogue in force, unless it is older than the present one."""
-    before = node.vm.catalogue
-    behind_ms = _journal.milliseconds(node.vm.freshness.behind(node.now()))
-    if node.vm.on_catalogue(catalogue):
-        node.note(
+    before = daemon.vm.catalogue
+    behind_ms = _journal.milliseconds(
+        daemon.vm.freshness.replication_lag(daemon.now())
+    )
+    if daemon.vm.on_catalogue(catalogue):
+        daemon.note(
             _events.Event.CATALOGUE_ADOPTED,
             version=catalogue.version,
             before=None if before is None else before.version,
@@ -30,19 +34,19 @@
 
 
 def evacuate(
-    node: _node.Node, domains: frozenset[ids.FailureDomainId], source: str
+    daemon: _daemon.Daemon, domains: frozenset[ids.FailureDomainId], source: str
 ) -> None:
     """Takes in which failure domains are to get no requests."""
-    if domains != node.vm.evacuated:
-        node.vm.on_evacuated(domains, node.now())
-        node.note(
+    if domains != daemon.vm.evacuated:
+        daemon.vm.on_evacuated(domains, daemon.now())
+        daemon.note(
             _events.Event.EVACUATION_CHANGED,
             domains=sorted(domains),
             source=source,
         )
 
 
-def note_changes(node: _node.Node, changes: entry.Changes) -> None:
+def note_changes(daemon: _daemon.Daemon, changes: entry.ServerChanges) -> None:
     """Logs what changed among the backend servers."""
     for event, servers in (
         (_events.Event.SERVER_ADDED, changes.added),
@@ -50,7 +54,7 @@
         (_events.Event.SERVER_GONE, changes.gone),
     ):
         for server in servers:
-            node.note(
+            daemon.note(
                 event,
                 server=server.entry.id,
                 service=server.entry.service,
--- a/dragonflystack/entryd/_metrics_port.py
+++ b/dragonflystack/entryd/_metrics_port.py
@@ -1,13 +1,13 @@
 """The port on which collectors read metrics."""
 
 from dragonflystack import _asgi
-from dragonflystack.entryd import _node
+from dragonflystack.entryd import _daemon
 
 METRICS_PATH = "/metrics"
 _CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
-def make_app(node: _node.Node) -> _asgi.App:
+def make_app(daemon: _daemon.Daemon) -> _asgi.App:
     """Returns the ASGI app of the metrics port."""
 
     async def app(
@@ -16,11 +16,11 @@
         if scope["path"] != METRICS_PATH:
             await _asgi.send_problem(send, 404, "no such path")
             return
-        node.metrics.set("in-flight", node.in_flight)
-        node.metrics.set("catalogue-version", node.catalogue_version or 0)
-        behind = node.vm.freshness.behind(node.now())
-        node.metrics.set("behind-seconds", behind.total_seconds())
+        daemon.metrics.set("in-flight", daemon.in_flight)
+        daemon.metrics.set("catalogue-version", daemon.catalogue_version or 0)
+        replication_lag = daemon.vm.freshness.replication_lag(daemon.now())
+        daemon.metrics.set("behind-seconds", replication_lag.total_seconds())
         headers = [(b"content-type", _CONTENT_TYPE)]
-        await _asgi.send_bytes(send, 200, headers, node.metrics.render())
+        await _asgi.send_bytes(send, 200, headers, daemon.metrics.render())
 
     return app
