--- a/dragonflystack/entryd/_news_calls.py
+++ b/dragonflystack/entryd/_news_calls.py
@@ -12,9 +12,9 @@
 from dragonflystack import _asgi
 from dragonflystack import _bounded
 from dragonflystack import entry
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _told
 
 NEWS_PATH = "/v1/news"
@@ -41,7 +41,7 @@
 
 
 async def tell(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     packer: _told.Packer,
     scope: _asgi.Scope,
     send: _asgi.Send,
@@ -58,8 +58,8 @@
     except ValueError as exc:
         await _asgi.send_problem(send, 400, "position", str(exc))
         return
-    vms = node.vm.members.addresses() if "vms" in query else ()
-    told = _told.Told(node.vm.news_since(position, known_version), vms)
+    vms = daemon.vm.members.addresses() if "vms" in query else ()
+    told = _told.Told(daemon.vm.changes_since(position, known_version), vms)
     if (b"accept", _told.CONTENT_TYPE) in scope["headers"]:
         headers = [(b"content-type", _told.CONTENT_TYPE)]
         await _asgi.send_bytes(send, _OK, headers, packer.encode(told))
@@ -68,25 +68,25 @@
 
 
 async def ask(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     pool: httpcore.AsyncConnectionPool,
-    peer: _node.Endpoint,
+    peer: _daemon.Endpoint,
     with_vms: bool = False,
 ) -> _told.Told | None:
     """Returns what another VM knows and this one does not, if it says."""
-    began = node.now()
+    began = daemon.now()
     try:
         res = await _bounded.request(
             pool,
             "GET",
-            f"http://{peer}{NEWS_PATH}?{_query(node, with_vms)}",
+            f"http://{peer}{NEWS_PATH}?{_query(daemon, with_vms)}",
             _MAX_NEWS_BYTES,
             LONGEST,
             headers=[(b"accept", _told.CONTENT_TYPE)],
             extensions=_TIMEOUTS,
         )
         if res.status != _OK:
-            _note_failed(node, peer, f"status {res.status}", began)
+            _note_failed(daemon, peer, f"status {res.status}", began)
             return None
         told = _told.decode(res.content, _content_type(res))
     except (
@@ -95,18 +95,18 @@
         httpcore.TimeoutException,
         _told.ToldError,
     ) as exc:
-        _note_failed(node, peer, f"{type(exc).__name__}: {exc}", began)
+        _note_failed(daemon, peer, f"{type(exc).__name__}: {exc}", began)
         return None
-    _note_taken(node, peer, told, len(res.content), began)
+    _note_taken(daemon, peer, told, len(res.content), began)
     return told
 
 
-def _query(node: _node.Node, with_vms: bool) -> str:
-    position = node.vm.log.position
+def _query(daemon: _daemon.Daemon, with_vms: bool) -> str:
+    position = daemon.vm.log.position
     query = {
         "operators": position.operators,
         "servers": position.servers,
-        "catalogue": node.catalogue_version or 0,
+        "catalogue": daemon.catalogue_version or 0,
     }
     if with_vms:
         query["vms"] = 1
@@ -119,40 +119,42 @@
 
 
 def _note_failed(
-    node: _node.Node,
-    peer: _node.Endpoint,
+    daemon: _daemon.Daemon,
+    peer: _daemon.Endpoint,
     reason: str,
     began: datetime.timedelta,
 ) -> None:
-    took = node.now() - began
-    node.metrics.time("news", took, outcome="failed")
-    node.note(
+    took = daemon.now() - began
+    daemon.metrics.time("news", took, outcome="failed")
+    daemon.note(
         _events.Event.NEWS_FAILED,
         peer=str(peer),
         reason=reason,
         took_ms=_journal.milliseconds(took),
-        behind_ms=_journal.milliseconds(node.vm.freshness.behind(node.now())),
+        behind_ms=_journal.milliseconds(
+            daemon.vm.freshness.replication_lag(daemon.now())
+        ),
     )
 
 
 def _note_taken(
-    node: _node.Node,
-    peer: _node.Endpoint,
+    daemon: _daemon.Daemon,
+    peer: _daemon.Endpoint,
     told: _told.Told,
     size: int,
     began: datetime.timedelta,
 ) -> None:
-    took = node.now() - began
-    node.metrics.time("news", took, outcome="taken")
+    took = daemon.now() - began
+    daemon.metrics.time("news", took, outcome="taken")
     catalogue = told.news.catalogue
     if catalogue is not None:
-        node.note(
+        daemon.note(
             _events.Event.NEWS_TAKEN,
             peer=str(peer),
             catalogue=catalogue.version,
             bytes=size,
             took_ms=_journal.milliseconds(took),
             behind_ms=_journal.milliseconds(
-                node.vm.freshness.behind(node.now())
+                daemon.vm.freshness.replication_lag(daemon.now())
             ),
         )
--- a/dragonflystack/entryd/_peer_news.py
+++ b/dragonflystack/entryd/_peer_news.py
@@ -6,10 +6,10 @@
 import httpcore
 
 from dragonflystack import entry
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _intake
 from dragonflystack.entryd import _news_calls
-from dragonflystack.entryd import _node
 
 _ASK_ANOTHER_AFTER = datetime.timedelta(milliseconds=500)
 """Most news are here within a tenth of that; a VM that is behind has 0.6 of the
@@ -22,8 +22,8 @@
 class PeerNews:
     """Asks VMs that know more than this one."""
 
-    def __init__(self, node: _node.Node):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon):
+        self._daemon = daemon
         self._pool = httpcore.AsyncConnectionPool(max_connections=4)
 
     async def aclose(self) -> None:
@@ -32,15 +32,15 @@
 
     async def run(self) -> None:
         """Takes news from the VM that has some, for ever."""
-        node = self._node
+        daemon = self._daemon
         while True:
-            await node.news_poke.wait()
-            node.news_poke = anyio.Event()
-            peer = node.news_from
+            await daemon.update_available.wait()
+            daemon.update_available = anyio.Event()
+            peer = daemon.news_from
             if peer is not None and not await self._take_first_news(peer):
                 await anyio.sleep(_RETRY_AFTER.total_seconds())
 
-    async def _take_first_news(self, peer: _node.Endpoint) -> bool:
+    async def _take_first_news(self, peer: _daemon.Endpoint) -> bool:
         """Takes news from a VM, or from another if that one is slow to tell.
 
         A connection may have gone silent, or a link be full.
@@ -51,7 +51,7 @@
         taken = False
         async with anyio.create_task_group() as tasks:
 
-            async def take(source: _node.Endpoint) -> None:
+            async def take(source: _daemon.Endpoint) -> None:
                 nonlocal taken
                 if await self._take_news(source):
                     taken = True
@@ -68,59 +68,61 @@
         return taken
 
     def _another_that_knows_more(
-        self, peer: _node.Endpoint
-    ) -> _node.Endpoint | None:
-        vm = self._node.vm
+        self, peer: _daemon.Endpoint
+    ) -> _daemon.Endpoint | None:
+        vm = self._daemon.vm
         others = [
-            _node.Endpoint.parse(member.address.peers)
-            for member in vm.members.alive(self._node.now())
-            if member.beat is not None and vm.lacks(member.beat.position)
+            _daemon.Endpoint.parse(member.address.peers)
+            for member in vm.members.alive(self._daemon.now())
+            if member.beat is not None and vm.is_behind(member.beat.position)
         ]
         others = [other for other in others if other != peer]
         return vm.rng.choice(others) if others else None
 
     async def _take_news(
-        self, peer: _node.Endpoint, with_vms: bool = False
+        self, peer: _daemon.Endpoint, with_vms: bool = False
     ) -> bool:
         """Returns whether another VM answered with news."""
-        node = self._node
-        told = await _news_calls.ask(node, self._pool, peer, with_vms)
+        daemon = self._daemon
+        told = await _news_calls.ask(daemon, self._pool, peer, with_vms)
         if told is None:
             return False
         news = told.news
-        node.on_store_era(entry.era_of(news.position.latest), str(peer))
-        was_informed = node.vm.is_informed
+        daemon.on_store_era(entry.era_of(news.position.latest), str(peer))
+        was_informed = daemon.vm.has_initial_state
         if told.vms:
-            node.vm.members.on_list(told.vms, of_all_regions=False)
+            daemon.vm.members.on_vm_list(told.vms, of_all_regions=False)
         if news.catalogue is not None:
-            _intake.adopt(node, news.catalogue, str(peer))
-        before = node.vm.log.position
+            _intake.adopt(daemon, news.catalogue, str(peer))
+        before = daemon.vm.log.position
         if news.position.operators >= before.operators:
-            _intake.evacuate(node, news.evacuated, str(peer))
-        _intake.note_changes(node, node.vm.on_news(news, node.now()))
+            _intake.evacuate(daemon, news.evacuated, str(peer))
+        _intake.note_changes(
+            daemon, daemon.vm.on_replicated_changes(news, daemon.now())
+        )
         if not was_informed:
-            node.note(
+            daemon.note(
                 _events.Event.STATE_FROM_PEER,
                 peer=str(peer),
                 servers=len(news.entries),
             )
-        _intake.after_news(node, before)
+        _intake.after_news(daemon, before)
         return True
 
     async def ask_anyone(self) -> None:
         """Asks VMs that may live, if this one knows nothing."""
-        node = self._node
-        if node.vm.is_informed:
+        daemon = self._daemon
+        if daemon.vm.has_initial_state:
             return
         await self._ask_each_in_turn()
-        node.first_news.set()
+        daemon.first_news.set()
 
     async def _ask_each_in_turn(self) -> None:
-        node = self._node
-        alive = node.vm.members.alive(node.now())
-        peers = [_node.Endpoint.parse(m.address.peers) for m in alive]
-        own = node.settings.peers
-        seeds = [seed for seed in node.settings.seeds if seed != own]
+        daemon = self._daemon
+        alive = daemon.vm.members.alive(daemon.now())
+        peers = [_daemon.Endpoint.parse(m.address.peers) for m in alive]
+        own = daemon.settings.peers
+        seeds = [seed for seed in daemon.settings.seeds if seed != own]
         for peer in (*peers, *seeds):
             if await self._take_news(peer, with_vms=True):
                 return
--- a/dragonflystack/entryd/_platform_port.py
+++ b/dragonflystack/entryd/_platform_port.py
@@ -10,7 +10,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Skipped:
+class SkippedRow:
     """A row that names nothing to use."""
 
     key: str
@@ -23,7 +23,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class OperatorNews:
+class OperatorUpdate:
     """What operators wrote."""
 
     version: int
@@ -37,12 +37,12 @@
 
     catalogue: entry.Catalogue | None
     evacuated: frozenset[ids.FailureDomainId]
-    taken_back: frozenset[ids.FailureDomainId] = frozenset()
-    skipped: tuple[Skipped, ...] = ()
+    evacuation_ended: frozenset[ids.FailureDomainId] = frozenset()
+    skipped: tuple[SkippedRow, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ServerNews:
+class ServerUpdate:
     """What backend servers wrote."""
 
     version: int
@@ -52,7 +52,7 @@
     """Of the latest row among these, 0 if there is none."""
 
     listing: entry.Listing
-    skipped: tuple[Skipped, ...] = ()
+    skipped: tuple[SkippedRow, ...] = ()
 
 
 class Platform(Protocol):
@@ -62,12 +62,12 @@
     """The latest era that an answer told; see `entry.store_version`. Versions
     are of this era, and an answer of an earlier one is as good as none."""
 
-    async def read_operators(self) -> OperatorNews | storage.Unavailable:
+    async def read_operators(self) -> OperatorUpdate | storage.Unavailable:
         """Returns all that operators wrote."""
 
     async def watch_operators(
         self, after: int, wait: datetime.timedelta
-    ) -> OperatorNews | HistoryLost | storage.Unavailable:
+    ) -> OperatorUpdate | HistoryLost | storage.Unavailable:
         """Returns what operators change, as soon as they do.
 
         Args:
@@ -75,12 +75,12 @@
             wait: how long to wait for a change.
         """
 
-    async def read_servers(self) -> ServerNews | storage.Unavailable:
+    async def read_servers(self) -> ServerUpdate | storage.Unavailable:
         """Returns all that backend servers wrote."""
 
     async def watch_servers(
         self, after: int, wait: datetime.timedelta
-    ) -> ServerNews | HistoryLost | storage.Unavailable:
+    ) -> ServerUpdate | HistoryLost | storage.Unavailable:
         """Returns what backend servers change; see `watch_operators`."""
 
     async def register(self, address: entry.VmAddress) -> storage.WriteResult:
--- a/dragonflystack/entryd/_probes.py
+++ b/dragonflystack/entryd/_probes.py
@@ -11,9 +11,9 @@
 from dragonflystack import entry
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _server_reports
 
 _EVERY = datetime.timedelta(milliseconds=700)
@@ -24,30 +24,30 @@
 class Prober:
     """Probes the backend servers that are suspect."""
 
-    def __init__(self, node: _node.Node, pool: _connections.Pool):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon, pool: _connections.Pool):
+        self._daemon = daemon
         self._pool = pool
 
     async def run(self) -> None:
         """Probes, for ever."""
-        node = self._node
+        daemon = self._daemon
         while True:
-            spread = 0.75 + 0.5 * node.vm.rng.random()
+            spread = 0.75 + 0.5 * daemon.vm.rng.random()
             await anyio.sleep(_EVERY.total_seconds() * spread)
-            now = node.now()
+            now = daemon.now()
             suspects = [
                 server
-                for server in node.vm.book.all()
+                for server in daemon.vm.registry.all()
                 if server.suspect_since is not None
-                and server.may_get_requests(now)
+                and server.accepts_requests(now)
             ]
             async with anyio.create_task_group() as tasks:
                 for server in suspects:
                     tasks.start_soon(self._probe, server)
 
     async def _probe(self, server: entry.Server) -> None:
-        node = self._node
-        node.metrics.count("probes")
+        daemon = self._daemon
+        daemon.metrics.count("probes")
         try:
             with anyio.fail_after(_TIMEOUT.total_seconds()):
                 answer = await self._ask(server)
@@ -57,10 +57,10 @@
             _answer_reader.BrokenError,
             _answer_reader.CorruptError,
         ) as exc:
-            node.metrics.count("probes-failed", why=type(exc).__name__)
+            daemon.metrics.count("probes-failed", why=type(exc).__name__)
             return
-        now = node.now()
-        named = answer.header(node.dialect.server_id)
+        now = daemon.now()
+        named = answer.header(daemon.dialect.server_id)
         if named is not None and named.decode("latin-1") != server.entry.id:
             server.gone = True
             return
@@ -68,12 +68,12 @@
         since = server.suspect_since
         if answer.status != _OK or since is None:
             return
-        cold = answer.header(node.dialect.cold_left_ms)
-        left = None if cold is None else node.dialect.read_milliseconds(cold)
+        cold = answer.header(daemon.dialect.cold_left_ms)
+        left = None if cold is None else daemon.dialect.read_milliseconds(cold)
         if left is not None and left > datetime.timedelta():
             server.on_cold(left, now)
-        server.on_heard(now)
-        node.note(
+        server.on_response(now)
+        daemon.note(
             _events.Event.SERVER_BACK,
             server=server.entry.id,
             suspect_ms=_journal.milliseconds(now - since),
@@ -84,19 +84,19 @@
         self, server: entry.Server, answer: _answer_reader.Answer
     ) -> None:
         """Takes in that it leaves, or wants to be left alone."""
-        node = self._node
-        now = node.now()
+        daemon = self._daemon
+        now = daemon.now()
         if _server_reports.says_leaving(
-            node, answer
-        ) and node.vm.dispatch.on_said_leaving(server, now):
-            _server_reports.note_leaving(node, server, "probe")
-        wait = _server_reports.asked_wait(node, answer, server)
+            daemon, answer
+        ) and daemon.vm.dispatch.on_leaving_reported(server, now):
+            _server_reports.note_leaving(daemon, server, "probe")
+        wait = _server_reports.requested_backoff(daemon, answer, server)
         if wait is not None:
-            node.vm.dispatch.on_asked_wait(server, wait, now)
-            _server_reports.note_asked_wait(node, server)
+            daemon.vm.dispatch.on_backoff_requested(server, wait, now)
+            _server_reports.note_asked_wait(daemon, server)
 
     async def _ask(self, server: entry.Server) -> _answer_reader.Answer:
-        catalogue = self._node.vm.catalogue
+        catalogue = self._daemon.vm.catalogue
         policy = None
         if catalogue is not None:
             policy = catalogue.services.get(server.entry.service)
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -11,13 +11,13 @@
 from dragonflystack import _server
 from dragonflystack import entry
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _front
 from dragonflystack.entryd import _heartbeats
 from dragonflystack.entryd import _intake
 from dragonflystack.entryd import _journal
 from dragonflystack.entryd import _metrics_port
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _peer_news
 from dragonflystack.entryd import _platform_port
 from dragonflystack.entryd import _probes
@@ -44,7 +44,7 @@
 
 
 async def run(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     platform: _platform_port.Platform,
     apps: Apps,
     reload_bounds: Callable[[], entry.FleetBounds],
@@ -52,39 +52,41 @@
     """Serves until SIGTERM or SIGINT, then shuts down gracefully.
 
     Args:
-        node: the state of the process.
+        daemon: the state of the process.
         platform: the platform's store.
         apps: what the platform's own callers ask.
         reload_bounds: reads the settings again; raises ValueError if they
             are wrong.
     """
-    cfg = node.settings
-    node.journal.start(vm=cfg.vm)
-    node.note(
+    cfg = daemon.settings
+    daemon.journal.start(vm=cfg.vm)
+    daemon.note(
         _events.Event.STARTED,
         callers=str(cfg.callers),
         region=cfg.region,
         domain=cfg.domain,
     )
-    pool = _connections.Pool(node.dialect.request_id, cfg.answers, node.clock)
-    heartbeats = _heartbeats.Heartbeats(node)
+    pool = _connections.Pool(
+        daemon.dialect.request_id, cfg.answers, daemon.clock
+    )
+    heartbeats = _heartbeats.Heartbeats(daemon)
     await heartbeats.open()
-    peer_news = _peer_news.PeerNews(node)
-    sync = _sync.Sync(node, platform, peer_news)
-    ports = _make_ports(node, pool, apps)
+    peer_news = _peer_news.PeerNews(daemon)
+    sync = _sync.Sync(daemon, platform, peer_news)
+    ports = _make_ports(daemon, pool, apps)
     async with anyio.create_task_group() as signals:
-        signals.start_soon(_follow_signals, node, reload_bounds)
-        await _serve(node, pool, heartbeats, sync, peer_news, ports)
+        signals.start_soon(_follow_signals, daemon, reload_bounds)
+        await _serve(daemon, pool, heartbeats, sync, peer_news, ports)
         pool.close()
         await peer_news.aclose()
         await platform.aclose()
-        node.note(_events.Event.STOPPED, in_flight=node.in_flight)
-        node.journal.flush()
+        daemon.note(_events.Event.STOPPED, in_flight=daemon.in_flight)
+        daemon.journal.flush()
         signals.cancel_scope.cancel()
 
 
 async def _serve(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     pool: _connections.Pool,
     heartbeats: _heartbeats.Heartbeats,
     sync: _sync.Sync,
@@ -93,27 +95,27 @@
 ) -> None:
     """Serves until the node is asked to stop and has finished its requests."""
     async with anyio.create_task_group() as loops:
-        loops.start_soon(_tick, node, pool, ports[0])
+        loops.start_soon(_tick, daemon, pool, ports[0])
         loops.start_soon(sync.run_operators)
         loops.start_soon(sync.run_servers)
         loops.start_soon(sync.run_registration)
         loops.start_soon(peer_news.run)
         loops.start_soon(heartbeats.run)
-        loops.start_soon(_probes.Prober(node, pool).run)
+        loops.start_soon(_probes.Prober(daemon, pool).run)
         async with anyio.create_task_group() as servers:
             for port in ports:
                 servers.start_soon(port.serve)
-            await node.stop_asked.wait()
-            await _leave(node, heartbeats, ports)
+            await daemon.stop_requested.wait()
+            await _leave(daemon, heartbeats, ports)
         loops.cancel_scope.cancel()
 
 
 def _make_ports(
-    node: _node.Node, pool: _connections.Pool, apps: Apps
+    daemon: _daemon.Daemon, pool: _connections.Pool, apps: Apps
 ) -> tuple[_server.Server, ...]:
-    cfg = node.settings
+    cfg = daemon.settings
     front = _asgi.close_connections_when(
-        lambda: node.is_leaving, _front.Front(node, pool)
+        lambda: daemon.is_leaving, _front.Front(daemon, pool)
     )
     idle = entry.CallerLimits().idle_timeout
     return (
@@ -125,70 +127,70 @@
             for app, port in (
                 (apps.readiness, cfg.readiness),
                 (apps.directory, cfg.directory),
-                (_snapshots.make_app(node), cfg.peers),
-                (_metrics_port.make_app(node), cfg.metrics),
+                (_snapshots.make_app(daemon), cfg.peers),
+                (_metrics_port.make_app(daemon), cfg.metrics),
             )
         ),
     )
 
 
 async def _tick(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     pool: _connections.Pool,
     front: _server.Server,
 ) -> None:
     """Does what is due, for ever."""
-    swept_at = node.now()
+    swept_at = daemon.now()
     while True:
         await anyio.sleep(_TICK_S)
-        now = node.now()
-        _intake.note_changes(node, node.vm.on_tick(now))
+        now = daemon.now()
+        _intake.note_changes(daemon, daemon.vm.on_tick(now))
         if now - swept_at >= _SWEEP_EVERY:
             swept_at = now
             pool.sweep()
-            if node.vm.catalogue is not None:
-                front.set_keep_alive(node.vm.catalogue.limits.idle_timeout)
-        node.journal.flush()
+            if daemon.vm.catalogue is not None:
+                front.set_keep_alive(daemon.vm.catalogue.limits.idle_timeout)
+        daemon.journal.flush()
 
 
 async def _follow_signals(
-    node: _node.Node, reload_bounds: Callable[[], entry.FleetBounds]
+    daemon: _daemon.Daemon, reload_bounds: Callable[[], entry.FleetBounds]
 ) -> None:
     kinds = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*kinds) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
-                _reload(node, reload_bounds)
+                _reload(daemon, reload_bounds)
             else:
-                node.stop_asked.set()
+                daemon.stop_requested.set()
 
 
 def _reload(
-    node: _node.Node, reload_bounds: Callable[[], entry.FleetBounds]
+    daemon: _daemon.Daemon, reload_bounds: Callable[[], entry.FleetBounds]
 ) -> None:
     try:
         bounds = reload_bounds()
     except (OSError, ValueError) as exc:
-        node.note(_events.Event.SETTINGS_REFUSED, reason=str(exc))
+        daemon.note(_events.Event.SETTINGS_REFUSED, reason=str(exc))
         return
-    changed = bounds != node.vm.bounds
-    node.vm.on_bounds(bounds)
-    node.note(_events.Event.SETTINGS_RELOADED, changed=changed)
+    changed = bounds != daemon.vm.bounds
+    daemon.vm.on_bounds(bounds)
+    daemon.note(_events.Event.SETTINGS_RELOADED, changed=changed)
 
 
 async def _leave(
-    node: _node.Node,
+    daemon: _daemon.Daemon,
     heartbeats: _heartbeats.Heartbeats,
     ports: tuple[_server.Server, ...],
 ) -> None:
     """Is no longer named, serves those who come still, then closes."""
-    began = node.now()
-    grace = node.vm.bounds.grace
-    node.leaving_since = began
-    node.vm.members.phase = entry.Phase.LEAVING
-    node.note(
+    began = daemon.now()
+    grace = daemon.vm.bounds.grace
+    daemon.leaving_since = began
+    daemon.vm.members.phase = entry.Phase.LEAVING
+    daemon.note(
         _events.Event.STOPPING,
-        in_flight=node.in_flight,
+        in_flight=daemon.in_flight,
         grace_ms=_journal.milliseconds(grace),
     )
     heartbeats.beat()
@@ -196,8 +198,8 @@
     await anyio.sleep(serve.total_seconds())
     for port in ports:
         port.stop()
-    end = began + grace - _node.EXIT_BEFORE_KILL
-    while node.in_flight and node.now() < end:
+    end = began + grace - _daemon.EXIT_BEFORE_KILL
+    while daemon.in_flight and daemon.now() < end:
         await anyio.sleep(_DRAIN_POLL_S)
     for port in ports:
         port.force_exit = True
--- a/dragonflystack/entryd/_sending.py
+++ b/dragonflystack/entryd/_sending.py
@@ -9,9 +9,9 @@
 from dragonflystack import entry
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _server_reports
 
 _CONNECT_TIMEOUT = datetime.timedelta(milliseconds=350)
@@ -46,7 +46,7 @@
 
     def __init__(
         self,
-        node: _node.Node,
+        daemon: _daemon.Daemon,
         pool: _connections.Pool,
         scope: _asgi.Scope,
         receive: _asgi.Receive,
@@ -54,7 +54,7 @@
         exchange: entry.Exchange,
         body: bytes,
     ):
-        self._node = node
+        self._daemon = daemon
         self._pool = pool
         self._scope = scope
         self._receive = receive
@@ -80,9 +80,9 @@
                     else:
                         result = started
                 if sending is not None:
-                    left = self._exchange.deadline - self._node.now()
-                    patience = min(step.patience, left)
-                    result = await self._result(sending, patience)
+                    left = self._exchange.deadline - self._daemon.now()
+                    answer_timeout = min(step.answer_timeout, left)
+                    result = await self._result(sending, answer_timeout)
                 assert result is not None
                 step = self._decide(result)
                 if (
@@ -94,7 +94,7 @@
         except BaseException:
             if sending is not None:
                 self._abandon(sending)
-            self._exchange.on_result(entry.CallerGone(), self._node.now())
+            self._exchange.on_result(entry.CallerGone(), self._daemon.now())
             raise
         finally:
             if self._watch is not None:
@@ -107,14 +107,14 @@
         assert server is not None
         was_suspect = server.suspect_since is not None
         was_leaving = server.entry.leaving
-        waited_until = server.asked_wait_until
-        step = exchange.on_result(result, self._node.now())
+        waited_until = server.backoff_until
+        step = exchange.on_result(result, self._daemon.now())
         if not was_suspect and server.suspect_since is not None:
             self._note_suspect(server, result)
         if server.entry.leaving and not was_leaving:
-            _server_reports.note_leaving(self._node, server, "answer")
-        if server.asked_wait_until != waited_until:
-            _server_reports.note_asked_wait(self._node, server)
+            _server_reports.note_leaving(self._daemon, server, "answer")
+        if server.backoff_until != waited_until:
+            _server_reports.note_asked_wait(self._daemon, server)
         if isinstance(result, entry.Answered) and isinstance(
             step, entry.Deliver
         ):
@@ -124,10 +124,10 @@
             if isinstance(result, entry.Silent)
             else _events.Event.SEND_FAILED
         )
-        self._node.note(
+        self._daemon.note(
             event,
             request=self._request.id,
-            service=exchange.wanted.service,
+            service=exchange.requirements.service,
             server=server.entry.id,
             result=type(result).__name__,
             detail=getattr(result, "reason", getattr(result, "status", None)),
@@ -136,8 +136,8 @@
         return step
 
     def _note_suspect(self, server: entry.Server, result: entry.Result) -> None:
-        heard_age = self._node.now() - server.last_heard
-        self._node.note(
+        heard_age = self._daemon.now() - server.last_response_at
+        self._daemon.note(
             _events.Event.SERVER_SUSPECT,
             server=server.entry.id,
             service=server.entry.service,
@@ -158,7 +158,7 @@
             server.entry.port,
         )
         self._note_sent(step)
-        began = self._node.now()
+        began = self._daemon.now()
         conn = self._pool.take_idle(address, self._max_idle())
         if conn is None:
             try:
@@ -166,10 +166,10 @@
             except _connections.ConnectError as exc:
                 self._pool.close_idle(address)
                 return entry.ConnectFailed(str(exc))
-            took = self._node.now() - began
-            self._node.vm.dispatch.on_round_trip(server, took)
-            self._node.metrics.count("connections-opened")
-        now = self._node.now()
+            took = self._daemon.now() - began
+            self._daemon.vm.dispatch.on_round_trip(server, took)
+            self._daemon.metrics.count("connections-opened")
+        now = self._daemon.now()
         if not self._exchange.may_write(now):
             # The process was paused, or news came meanwhile.
             self._pool.give_back(address, conn)
@@ -179,9 +179,9 @@
         return _Sending(server, address, conn, answer)
 
     async def _result(
-        self, sending: _Sending, patience: datetime.timedelta
+        self, sending: _Sending, answer_timeout: datetime.timedelta
     ) -> entry.Result:
-        settled = await self._settles(sending.answer, patience)
+        settled = await self._settles(sending.answer, answer_timeout)
         if not settled:
             if self._watch is not None and self._watch.done():
                 return entry.CallerGone()
@@ -198,13 +198,13 @@
     async def _settles(
         self,
         answer: "asyncio.Future[_answer_reader.Answer]",
-        patience: datetime.timedelta,
+        answer_timeout: datetime.timedelta,
     ) -> bool:
         """Waits for an answer; returns whether it came.
 
         The caller is watched only once the wait is long, which costs a task.
         """
-        left = max(0.0, patience.total_seconds())
+        left = max(0.0, answer_timeout.total_seconds())
         if self._watch is None:
             first = min(_WATCH_AFTER_S, left)
             await asyncio.wait((answer,), timeout=first)
@@ -235,7 +235,7 @@
     def _judge(
         self, answer: _answer_reader.Answer, server: entry.Server
     ) -> entry.Result:
-        dialect = self._node.dialect
+        dialect = self._daemon.dialect
         self.answer = answer
         load = answer.header(dialect.load)
         result = entry.Answered(
@@ -243,8 +243,10 @@
             not_run=answer.header(dialect.not_run) is not None,
             wrong_server=answer.status == dialect.wrong_server_status,
             load=None if load is None else dialect.read_load(load),
-            leaving=_server_reports.says_leaving(self._node, answer),
-            asked_wait=_server_reports.asked_wait(self._node, answer, server),
+            leaving=_server_reports.says_leaving(self._daemon, answer),
+            requested_backoff=_server_reports.requested_backoff(
+                self._daemon, answer, server
+            ),
         )
         if answer.status in _SUCCESS:
             if answer.header(dialect.signature) is None:
@@ -261,7 +263,7 @@
     def _outgoing(
         self, step: entry.Send, left: datetime.timedelta
     ) -> _answer_reader.Outgoing:
-        dialect = self._node.dialect
+        dialect = self._daemon.dialect
         scope = self._scope
         method = scope["method"].encode("ascii")
         lines = [method + b" " + _target(scope) + b" HTTP/1.1"]
@@ -273,7 +275,7 @@
         lines.append(dialect.time_left_ms + b": %d" % left_ms)
         expected = step.server.entry.id.encode("latin-1")
         lines.append(dialect.expected_server + b": " + expected)
-        customer = self._exchange.wanted.customer
+        customer = self._exchange.requirements.customer
         if customer is not None:
             name = customer.id.encode("ascii")
             lines.append(dialect.customer + b": " + name)
@@ -287,29 +289,29 @@
 
     def _own_headers(self) -> tuple[bytes, ...]:
         """Returns the headers in which nothing of the caller is passed on."""
-        dialect = self._node.dialect
+        dialect = self._daemon.dialect
         own = (dialect.time_left_ms, dialect.expected_server)
-        if self._exchange.wanted.hides_key:
+        if self._exchange.requirements.strips_key_headers:
             return (*own, dialect.customer_key, dialect.customer)
         return own
 
     def _note_sent(self, step: entry.Send) -> None:
-        node = self._node
+        daemon = self._daemon
         exchange = self._exchange
-        now = node.now()
+        now = daemon.now()
         sent = exchange.sends[-1]
         again = len(exchange.sends) > 1
-        node.metrics.count("sends", again=str(again).lower())
+        daemon.metrics.count("sends", again=str(again).lower())
         event = (
             _events.Event.REQUEST_SENT_AGAIN
             if again
             else _events.Event.REQUEST_SENT
         )
-        node.note(
+        daemon.note(
             event,
             request=self._request.id,
             route=exchange.route.id,
-            service=exchange.wanted.service,
+            service=exchange.requirements.service,
             server=sent.server,
             region=step.server.region,
             object=self._request.object_key,
@@ -317,9 +319,13 @@
             load=round(step.server.load(now), 2),
             expected_ms=_journal.milliseconds(sent.expected),
             left_ms=_journal.milliseconds(step.time_left),
-            entry_age_ms=_journal.milliseconds(now - step.server.learned_at),
-            heard_age_ms=_journal.milliseconds(now - step.server.last_heard),
-            catalogue=node.catalogue_version,
+            entry_age_ms=_journal.milliseconds(
+                now - step.server.entry_confirmed_at
+            ),
+            heard_age_ms=_journal.milliseconds(
+                now - step.server.last_response_at
+            ),
+            catalogue=daemon.catalogue_version,
         )
 
 
--- a/dragonflystack/entryd/_server_reports.py
+++ b/dragonflystack/entryd/_server_reports.py
@@ -4,22 +4,22 @@
 
 from dragonflystack import entry
 from dragonflystack.entryd import _answer_reader
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _journal
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _retry_after
 
 _ASKING_STATUSES = frozenset((429, 503))
 """With these, Retry-After tells how long to leave the backend server alone."""
 
 
-def says_leaving(node: _node.Node, answer: _answer_reader.Answer) -> bool:
+def says_leaving(daemon: _daemon.Daemon, answer: _answer_reader.Answer) -> bool:
     """Returns whether a backend server says that it is leaving."""
-    return answer.header(node.dialect.leaving) is not None
+    return answer.header(daemon.dialect.leaving) is not None
 
 
-def asked_wait(
-    node: _node.Node, answer: _answer_reader.Answer, server: entry.Server
+def requested_backoff(
+    daemon: _daemon.Daemon, answer: _answer_reader.Answer, server: entry.Server
 ) -> datetime.timedelta | None:
     """Returns how long a backend server wants to be left alone, if it says.
 
@@ -30,11 +30,11 @@
     value = answer.header(b"retry-after")
     if value is None:
         return None
-    match _retry_after.read(value, node.clock.utcnow()):
+    match _retry_after.read(value, daemon.clock.utcnow()):
         case _retry_after.Wait(duration):
             return duration
         case _retry_after.Unusable(problem, text):
-            node.note(
+            daemon.note(
                 _events.Event.RETRY_AFTER_SKIPPED,
                 server=server.entry.id,
                 reason=problem.value,
@@ -43,22 +43,24 @@
             return None
 
 
-def note_leaving(node: _node.Node, server: entry.Server, source: str) -> None:
+def note_leaving(
+    daemon: _daemon.Daemon, server: entry.Server, source: str
+) -> None:
     """Logs that a backend server said it leaves, and tells the neighbours."""
-    node.note(
+    daemon.note(
         _events.Event.SERVER_LEAVING,
         server=server.entry.id,
         service=server.entry.service,
         in_flight=server.in_flight,
         source=source,
     )
-    node.beat_poke.set()
+    daemon.beat_poke.set()
 
 
-def note_asked_wait(node: _node.Node, server: entry.Server) -> None:
+def note_asked_wait(daemon: _daemon.Daemon, server: entry.Server) -> None:
     """Logs until when a backend server is left alone."""
-    left = server.asked_wait_until - node.now()
-    node.note(
+    left = server.backoff_until - daemon.now()
+    daemon.note(
         _events.Event.SERVER_ASKED_WAIT,
         server=server.entry.id,
         service=server.entry.service,
--- a/dragonflystack/entryd/_snapshots.py
+++ b/dragonflystack/entryd/_snapshots.py
@@ -1,34 +1,37 @@
 """The port for other VMs and operators: news of the store's rows, a dump."""
 
 from dragonflystack import _asgi
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _news_calls
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _told
 
 DUMP_PATH = "/v1/dump"
 
 
-def make_app(node: _node.Node) -> _asgi.App:
+def make_app(daemon: _daemon.Daemon) -> _asgi.App:
     """Returns the ASGI app that other VMs and operators ask."""
     packer = _told.Packer()
 
     async def app(
         scope: _asgi.Scope, receive: _asgi.Receive, send: _asgi.Send
     ) -> None:
-        if scope["path"] == _news_calls.NEWS_PATH and node.vm.is_informed:
-            await _news_calls.tell(node, packer, scope, send)
+        if (
+            scope["path"] == _news_calls.NEWS_PATH
+            and daemon.vm.has_initial_state
+        ):
+            await _news_calls.tell(daemon, packer, scope, send)
         elif scope["path"] == DUMP_PATH:
-            await _asgi.send_json(send, dump(node))
+            await _asgi.send_json(send, dump(daemon))
         else:
             await _asgi.send_problem(send, 404, "no such path or no news yet")
 
     return app
 
 
-def dump(node: _node.Node) -> dict:
+def dump(daemon: _daemon.Daemon) -> dict:
     """Returns the whole state of the process, with ages, for operators."""
-    vm = node.vm
-    now = node.now()
+    vm = daemon.vm
+    now = daemon.now()
     servers = [
         {
             "id": server.entry.id,
@@ -40,15 +43,19 @@
             "suspect": server.suspect_since is not None,
             "asked_wait_s": max(
                 0.0,
-                round((server.asked_wait_until - now).total_seconds(), 3),
+                round((server.backoff_until - now).total_seconds(), 3),
             ),
             "in_flight": server.in_flight,
             "load": round(server.load(now), 2),
             "failure_rate": round(server.failure_rate(now), 3),
-            "entry_age_s": round((now - server.learned_at).total_seconds(), 3),
-            "heard_age_s": round((now - server.last_heard).total_seconds(), 3),
+            "entry_age_s": round(
+                (now - server.entry_confirmed_at).total_seconds(), 3
+            ),
+            "heard_age_s": round(
+                (now - server.last_response_at).total_seconds(), 3
+            ),
         }
-        for server in vm.book.all()
+        for server in vm.registry.all()
     ]
     members = [
         {
@@ -59,7 +66,7 @@
             else round((now - member.heard_at).total_seconds(), 3),
             "news_age_ms": None
             if member.beat is None
-            else member.beat.news_age_ms,
+            else member.beat.store_view_age_ms,
         }
         for member in vm.members.alive(now)
     ]
@@ -72,7 +79,7 @@
         "list_age_s": None
         if read_at is None
         else round((now - read_at).total_seconds(), 3),
-        "in_flight": node.in_flight,
+        "in_flight": daemon.in_flight,
         "servers": servers,
         "members": members,
     }
--- a/dragonflystack/entryd/_sync.py
+++ b/dragonflystack/entryd/_sync.py
@@ -14,10 +14,10 @@
 
 from dragonflystack import entry
 from dragonflystack import storage
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _intake
 from dragonflystack.entryd import _journal
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _peer_news
 from dragonflystack.entryd import _platform_port
 
@@ -49,27 +49,27 @@
 class _Link:
     """Whether the store answers one kind of call, for the log."""
 
-    def __init__(self, node: _node.Node, call: str):
-        self._node = node
+    def __init__(self, daemon: _daemon.Daemon, call: str):
+        self._daemon = daemon
         self._call = call
         self._lost_at: datetime.timedelta | None = None
         self._retry = _FIRST_RETRY
 
     def on_failure(self, failure: storage.Unavailable) -> float:
         """Notes a failed call; returns the seconds to wait."""
-        node = self._node
-        node.metrics.count("store-failures", call=self._call)
+        daemon = self._daemon
+        daemon.metrics.count("store-failures", call=self._call)
         if self._lost_at is None:
-            self._lost_at = node.now()
-            node.note(
+            self._lost_at = daemon.now()
+            daemon.note(
                 _events.Event.DEPENDENCY_LOST,
                 dependency=_STORE,
                 call=self._call,
                 reason=str(failure.failure),
             )
-        limit = node.vm.freshness.store_retry_limit
+        limit = daemon.vm.freshness.max_store_retry_delay
         pause, self._retry = self._retry, min(2 * self._retry, limit)
-        spread = 0.75 + 0.5 * node.vm.rng.random()
+        spread = 0.75 + 0.5 * daemon.vm.rng.random()
         return pause.total_seconds() * spread
 
     def on_success(self) -> bool:
@@ -77,9 +77,9 @@
         self._retry = _FIRST_RETRY
         if self._lost_at is None:
             return False
-        away = self._node.now() - self._lost_at
+        away = self._daemon.now() - self._lost_at
         self._lost_at = None
-        self._node.note(
+        self._daemon.note(
             _events.Event.DEPENDENCY_REGAINED,
             dependency=_STORE,
             call=self._call,
@@ -93,11 +93,11 @@
 
     def __init__(
         self,
-        node: _node.Node,
+        daemon: _daemon.Daemon,
         platform: _platform_port.Platform,
         peer_news: _peer_news.PeerNews,
     ):
-        self._node = node
+        self._daemon = daemon
         self._platform = platform
         self._peer_news = peer_news
 
@@ -107,7 +107,7 @@
         """Follows the operators' rows while that is this VM's to do."""
         await self._follow(
             entry.Table.OPERATORS,
-            self._node.vm.freshness.should_watch_operators,
+            self._daemon.vm.freshness.should_watch_operators,
             self._platform.read_operators,
             self._platform.watch_operators,
             self._on_operators,
@@ -118,7 +118,7 @@
         """Follows the entries of backend servers likewise."""
         await self._follow(
             entry.Table.SERVERS,
-            self._node.vm.freshness.should_watch,
+            self._daemon.vm.freshness.should_watch,
             self._platform.read_servers,
             self._platform.watch_servers,
             self._on_servers,
@@ -135,17 +135,17 @@
         gather: datetime.timedelta,
     ) -> None:
         """Reads a table, then watches it, for ever."""
-        node = self._node
-        link = _Link(node, table.value)
+        daemon = self._daemon
+        link = _Link(daemon, table.value)
         version: int | None = None
         read_too_soon = False
         while True:
-            if not should_watch(node.now()):
+            if not should_watch(daemon.now()):
                 version = None
-                node.vm.freshness.on_watch(table, False, node.now())
+                daemon.vm.freshness.on_watch(table, False, daemon.now())
                 await anyio.sleep(_DUTY_POLL_S)
                 continue
-            if read_too_soon and node.vm.is_settled(node.now()):
+            if read_too_soon and daemon.vm.is_store_repopulated(daemon.now()):
                 # Others have written again what the store had lost.
                 version = None
                 read_too_soon = False
@@ -154,22 +154,22 @@
             else:
                 await anyio.sleep(gather.total_seconds())
                 news = await self._watch(watch, version)
-            node.on_store_era(self._platform.era, _STORE)
-            read_too_soon |= not node.vm.is_settled(node.now())
+            daemon.on_store_era(self._platform.era, _STORE)
+            read_too_soon |= not daemon.vm.is_store_repopulated(daemon.now())
             if isinstance(news, storage.Unavailable):
                 version = None
-                node.vm.freshness.on_watch(table, False, node.now())
-                node.vm.discovery.on_store_away()
+                daemon.vm.freshness.on_watch(table, False, daemon.now())
+                daemon.vm.discovery.on_store_unavailable()
                 await self._peer_news.ask_anyone()
                 await anyio.sleep(link.on_failure(news))
             elif isinstance(news, _platform_port.HistoryLost):
-                node.note(_events.Event.HISTORY_LOST, table=table.value)
+                daemon.note(_events.Event.HISTORY_LOST, table=table.value)
                 version = None
             elif news is not None:
                 if link.on_success():
                     # Other watches may wait on a connection that died.
-                    node.restart_watches()
-                node.vm.freshness.on_watch(table, True, node.now())
+                    daemon.restart_watches()
+                daemon.vm.freshness.on_watch(table, True, daemon.now())
                 version = news.version
                 self._note_skipped(table.value, news.skipped)
                 take_in(news)
@@ -180,12 +180,12 @@
         version: int,
     ) -> object:
         """Watches until there is an answer or reason to read anew."""
-        node = self._node
-        poke = node.watch_poke
+        daemon = self._daemon
+        poke = daemon.watch_poke
         wait = _WATCH_WAIT
-        if node.vm.discovery.needs_confirmation:
+        if daemon.vm.discovery.needs_confirmation:
             wait = _CONFIRM_WAIT
-        elif not node.vm.is_settled(node.now()):
+        elif not daemon.vm.is_store_repopulated(daemon.now()):
             wait = _SETTLING_WAIT
         news: object = None
         async with anyio.create_task_group() as tasks:
@@ -199,68 +199,72 @@
             tasks.cancel_scope.cancel()
         return news
 
-    def _on_operators(self, news: _platform_port.OperatorNews) -> None:
-        node = self._node
+    def _on_operators(self, news: _platform_port.OperatorUpdate) -> None:
+        daemon = self._daemon
         evacuated = news.evacuated
         if not news.whole:
-            evacuated = (node.vm.evacuated | evacuated) - news.taken_back
+            evacuated = (
+                daemon.vm.evacuated | evacuated
+            ) - news.evacuation_ended
         position = news.position
-        if news.whole and evacuated != node.vm.evacuated:
+        if news.whole and evacuated != daemon.vm.evacuated:
             # A row that is gone leaves no version behind.
             position = news.version
         if news.catalogue is not None:
-            _intake.adopt(node, news.catalogue, _STORE)
-        _intake.evacuate(node, evacuated, _STORE)
-        before = node.vm.log.position
-        node.vm.log.on_operators(position)
-        node.vm.freshness.on_operators_read(news.version)
-        _intake.after_news(node, before)
-
-    def _on_servers(self, news: _platform_port.ServerNews) -> None:
-        node = self._node
-        before = node.vm.log.position
-        changes = node.vm.on_listing(news.listing, news.position, node.now())
-        _intake.note_changes(node, changes)
-        _intake.after_news(node, before)
+            _intake.adopt(daemon, news.catalogue, _STORE)
+        _intake.evacuate(daemon, evacuated, _STORE)
+        before = daemon.vm.log.position
+        daemon.vm.log.on_operators(position)
+        daemon.vm.freshness.on_operators_read(news.version)
+        _intake.after_news(daemon, before)
+
+    def _on_servers(self, news: _platform_port.ServerUpdate) -> None:
+        daemon = self._daemon
+        before = daemon.vm.log.position
+        changes = daemon.vm.on_listing(
+            news.listing, news.position, daemon.now()
+        )
+        _intake.note_changes(daemon, changes)
+        _intake.after_news(daemon, before)
 
     # Entry VMs.
 
     async def run_registration(self) -> None:
         """Registers this VM and reads the list of VMs now and then."""
-        node = self._node
-        link = _Link(node, "vms")
+        daemon = self._daemon
+        link = _Link(daemon, "vms")
         registered_era: int | None = None
         while True:
-            poke = node.registration_poke
+            poke = daemon.registration_poke
             if registered_era is None or registered_era < self._latest_era():
-                result = await self._platform.register(node.vm.members.own)
-                node.on_store_era(self._platform.era, _STORE)
+                result = await self._platform.register(daemon.vm.members.own)
+                daemon.on_store_era(self._platform.era, _STORE)
                 if isinstance(result, storage.Committed):
                     registered_era = self._platform.era
-                    node.note(_events.Event.VM_REGISTERED)
+                    daemon.note(_events.Event.VM_REGISTERED)
                 else:
                     await self._peer_news.ask_anyone()
                     await anyio.sleep(_failure_pause(link, result))
             vms = await self._platform.list_vms()
-            node.on_store_era(self._platform.era, _STORE)
+            daemon.on_store_era(self._platform.era, _STORE)
             if isinstance(vms, storage.Unavailable):
                 await anyio.sleep(link.on_failure(vms))
                 continue
             link.on_success()
-            node.vm.members.on_list(vms)
-            node.beat_poke.set()
+            daemon.vm.members.on_vm_list(vms)
+            daemon.beat_poke.set()
             if registered_era == self._latest_era():
                 with anyio.move_on_after(_LIST_VMS_EVERY.total_seconds()):
                     await poke.wait()
 
     def _latest_era(self) -> int:
-        return max(self._platform.era, self._node.vm.store_era or 0)
+        return max(self._platform.era, self._daemon.vm.store_era or 0)
 
     def _note_skipped(
-        self, source: str, skipped: tuple[_platform_port.Skipped, ...]
+        self, source: str, skipped: tuple[_platform_port.SkippedRow, ...]
     ) -> None:
         for row in skipped:
-            self._node.note(
+            self._daemon.note(
                 _events.Event.ENTRY_SKIPPED,
                 source=source,
                 key=row.key,
--- a/dragonflystack/entryd/_told.py
+++ b/dragonflystack/entryd/_told.py
@@ -30,7 +30,7 @@
 class Told:
     """The answer of a VM that is asked for news."""
 
-    news: entry.News
+    news: entry.ReplicatedChanges
     vms: tuple[entry.VmAddress, ...]
     """The VMs of its region, if they were asked for."""
 
@@ -85,7 +85,7 @@
         if content_type != CONTENT_TYPE:
             return msgspec.json.decode(data, type=Told)
         packed = msgspec.msgpack.decode(data, type=_PackedBody)
-        news = _unpack(packed.news, entry.News)
+        news = _unpack(packed.news, entry.ReplicatedChanges)
         if packed.catalogue is not None:
             catalogue = _unpack(packed.catalogue, entry.Catalogue)
             news = msgspec.structs.replace(news, catalogue=catalogue)
--- a/dragonflystack/entryd/tests/daemons.py
+++ b/dragonflystack/entryd/tests/daemons.py
@@ -59,11 +59,11 @@
         if self.is_out:
             return out()
         catalogue = make_catalogue(3, self.customers)
-        return entryd.OperatorNews(5, 5, True, catalogue, frozenset())
+        return entryd.OperatorUpdate(5, 5, True, catalogue, frozenset())
 
     async def watch_operators(self, after, wait):
         await anyio.sleep(wait.total_seconds())
-        return entryd.OperatorNews(after, 0, False, None, frozenset())
+        return entryd.OperatorUpdate(after, 0, False, None, frozenset())
 
     async def read_servers(self):
         if self.is_out:
@@ -79,11 +79,11 @@
             cold_left=datetime.timedelta(),
         )
         listing = entry.Listing((server,), (), whole=True)
-        return entryd.ServerNews(5, 5, listing)
+        return entryd.ServerUpdate(5, 5, listing)
 
     async def watch_servers(self, after, wait):
         await anyio.sleep(wait.total_seconds())
-        return entryd.ServerNews(after, 0, entry.Listing((), (), False))
+        return entryd.ServerUpdate(after, 0, entry.Listing((), (), False))
 
     async def register(self, address):
         return out() if self.is_out else storage.Committed()
@@ -233,10 +233,10 @@
 
 
 def start(tasks, platform, cfg):
-    node = entryd.make_node(cfg, DIALECT)
+    daemon = entryd.make_daemon(cfg, DIALECT)
     apps = entryd.Apps(no_app, no_app)
-    tasks.start_soon(entryd.run, node, platform, apps, lambda: cfg.bounds)
-    return node
+    tasks.start_soon(entryd.run, daemon, platform, apps, lambda: cfg.bounds)
+    return daemon
 
 
 @contextlib.asynccontextmanager
@@ -247,14 +247,16 @@
             httpcore.AsyncConnectionPool() as pool,
             anyio.create_task_group() as tasks,
         ):
-            node = start(tasks, platform, cfg or settings())
-            await until(lambda: node.is_ready)
-            yield pool, node
-            node.stop_asked.set()
+            daemon = start(tasks, platform, cfg or settings())
+            await until(lambda: daemon.is_ready)
+            yield pool, daemon
+            daemon.stop_requested.set()
 
 
-async def get(pool, node, path="/r/1", left_ms=3000, request_id=b"1", more=()):
-    url = f"http://{node.settings.callers}{path}"
+async def get(
+    pool, daemon, path="/r/1", left_ms=3000, request_id=b"1", more=()
+):
+    url = f"http://{daemon.settings.callers}{path}"
     headers = [
         HEADERS[0],
         (b"x-id", request_id),
--- a/dragonflystack/entryd/tests/test_first_news.py
+++ b/dragonflystack/entryd/tests/test_first_news.py
@@ -15,8 +15,8 @@
 
 async def _ask_at_start(tasks, platform):
     """Starts a daemon; returns it and a connection with a request on it."""
-    node = daemons.start(tasks, platform, daemons.settings())
-    callers = node.settings.callers
+    daemon = daemons.start(tasks, platform, daemons.settings())
+    callers = daemon.settings.callers
     while True:
         try:
             conn = await anyio.connect_tcp(callers.host, callers.port)
@@ -24,7 +24,7 @@
         except OSError:
             await anyio.sleep(0.01)
     await conn.send(_REQUEST)
-    return node, conn
+    return daemon, conn
 
 
 def test_a_request_at_the_start_is_kept_until_the_routes_are_known():
@@ -33,13 +33,13 @@
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            node, conn = await _ask_at_start(tasks, platform)
+            daemon, conn = await _ask_at_start(tasks, platform)
             await anyio.sleep(0.2)
             platform.reads_wait_for.set()
             assert (await conn.receive()).startswith(b"HTTP/1.1 200")
             assert backend.runs == 1
             await conn.aclose()
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.play(scenario)
 
@@ -48,15 +48,15 @@
     async def scenario(platform, backend):
         platform.is_out = True
         async with anyio.create_task_group() as tasks:
-            node, conn = await _ask_at_start(tasks, platform)
-            began = node.now()
+            daemon, conn = await _ask_at_start(tasks, platform)
+            began = daemon.now()
             answer = await conn.receive()
             assert answer.startswith(b"HTTP/1.1 503")
             assert b"retry-after" in answer
-            assert node.now() - began < _first_news._LONGEST
+            assert daemon.now() - began < _first_news._LONGEST
             assert backend.runs == 0
             await conn.aclose()
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.play(scenario)
 
@@ -65,14 +65,14 @@
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            node, conn = await _ask_at_start(tasks, platform)
+            daemon, conn = await _ask_at_start(tasks, platform)
             await anyio.sleep(0.1)
             await conn.aclose()
-            await daemons.until(lambda: node.in_flight == 0)
+            await daemons.until(lambda: daemon.in_flight == 0)
             platform.reads_wait_for.set()
-            await daemons.until(lambda: node.is_ready)
+            await daemons.until(lambda: daemon.is_ready)
             assert backend.runs == 0
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.play(scenario)
 
@@ -86,11 +86,11 @@
     async def scenario(platform, backend):
         platform.reads_wait_for = anyio.Event()
         async with anyio.create_task_group() as tasks:
-            node, conn = await _ask_at_start(tasks, platform)
+            daemon, conn = await _ask_at_start(tasks, platform)
             assert (await conn.receive()).startswith(b"HTTP/1.1 503")
             await conn.aclose()
             platform.reads_wait_for.set()
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.play(scenario)
 
@@ -103,14 +103,14 @@
             httpcore.AsyncConnectionPool(),
             anyio.create_task_group() as tasks,
         ):
-            node, conn = await _ask_at_start(tasks, platform)
-            began = node.now()
+            daemon, conn = await _ask_at_start(tasks, platform)
+            began = daemon.now()
             await anyio.sleep(0.5)
             platform.reads_wait_for.set()
             assert (await conn.receive()).startswith(b"HTTP/1.1 504")
-            waited = (node.now() - began).total_seconds()
+            waited = (daemon.now() - began).total_seconds()
             assert waited < 6.4
             await conn.aclose()
-            node.stop_asked.set()
+            daemon.stop_requested.set()
 
     daemons.play(scenario)
--- a/dragonflystack/entryd/tests/test_incidents.py
+++ b/dragonflystack/entryd/tests/test_incidents.py
@@ -40,10 +40,10 @@
     )
 
     async def scenario(platform, _):
-        async with daemons.serving(platform) as (pool, node):
-            first = await daemons.get(pool, node, request_id=b"1")
+        async with daemons.serving(platform) as (pool, daemon):
+            first = await daemons.get(pool, daemon, request_id=b"1")
             assert first.content == b"first"
-            second = await daemons.get(pool, node, request_id=b"2")
+            second = await daemons.get(pool, daemon, request_id=b"2")
             assert second.status == status
             assert b"first" not in second.content
             assert backend.connections == 1
@@ -64,12 +64,12 @@
 
     monkeypatch.setattr(_front.Front, "__call__", count)
 
-    async def call_on(node):
+    async def call_on(daemon):
         """Sends one request after the other until nobody answers."""
         async with httpcore.AsyncConnectionPool(max_connections=1) as own:
             while True:
                 try:
-                    res = await daemons.get(own, node)
+                    res = await daemons.get(own, daemon)
                 except (httpcore.NetworkError, httpcore.ProtocolError):
                     return
                 statuses.append(res.status)
@@ -78,10 +78,10 @@
         backend.delay_s = 0.1
         async with (
             anyio.create_task_group() as tasks,
-            daemons.serving(platform) as (_, node),
+            daemons.serving(platform) as (_, daemon),
         ):
             for _ in range(callers):
-                tasks.start_soon(call_on, node)
+                tasks.start_soon(call_on, daemon)
             await daemons.until(lambda: len(statuses) > callers)
         assert set(statuses) <= {200, 503}
         assert len(statuses) == len(taken)
@@ -106,8 +106,8 @@
             anyio.create_task_group() as tasks,
         ):
             if withdrawn == "server":
-                server = next(iter(first.vm.book.all()))
-                first.vm.dispatch.on_said_leaving(server, first.now())
+                server = next(iter(first.vm.registry.all()))
+                first.vm.dispatch.on_leaving_reported(server, first.now())
             else:
                 first.vm.on_catalogue(entry.Catalogue(4, (), {}))
             out = daemons.Platform(0)
@@ -118,7 +118,7 @@
             res = await daemons.get(pool, second)
             assert res.status == {"server": 503, "route": 404}[withdrawn]
             assert backend.runs == 0
-            second.stop_asked.set()
+            second.stop_requested.set()
 
     daemons.play(scenario)
 
@@ -140,17 +140,17 @@
     """It is paused between the choice of a backend server and the send."""
 
     async def scenario(platform, backend):
-        async with daemons.serving(platform) as (pool, node):
-            node.clock = _PausingClock()
-            choose = node.vm.open
+        async with daemons.serving(platform) as (pool, daemon):
+            daemon.clock = _PausingClock()
+            choose = daemon.vm.open
 
             def choose_and_pause(*args):
                 chosen = choose(*args)
-                node.clock.pause(datetime.timedelta(seconds=5))
+                daemon.clock.pause(datetime.timedelta(seconds=5))
                 return chosen
 
-            node.vm.open = choose_and_pause
-            res = await daemons.get(pool, node, left_ms=3000)
+            daemon.vm.open = choose_and_pause
+            res = await daemons.get(pool, daemon, left_ms=3000)
             assert res.status == 503
             assert backend.runs == 0
 
@@ -161,8 +161,8 @@
     backend = daemons.ScriptedBackend(b"", reset_at_end=True)
 
     async def scenario(platform, _):
-        async with daemons.serving(platform) as (pool, node):
-            res = await daemons.get(pool, node)
+        async with daemons.serving(platform) as (pool, daemon):
+            res = await daemons.get(pool, daemon)
             assert res.status == 502
             assert backend.runs == 1
 
@@ -189,8 +189,8 @@
     backend = daemons.ScriptedBackend(answer, reset_at_end=reset)
 
     async def scenario(platform, _):
-        async with daemons.serving(platform) as (pool, node):
-            res = await daemons.get(pool, node)
+        async with daemons.serving(platform) as (pool, daemon):
+            res = await daemons.get(pool, daemon)
             assert res.status == 502
             assert backend.runs == 1
 
@@ -201,8 +201,8 @@
     backend = daemons.ScriptedBackend(_HEAD + b"x-id: 1\r\n\r\nring")
 
     async def scenario(platform, _):
-        async with daemons.serving(platform) as (pool, node):
-            res = await daemons.get(pool, node)
+        async with daemons.serving(platform) as (pool, daemon):
+            res = await daemons.get(pool, daemon)
             assert (res.status, res.content) == (200, b"ring")
 
     daemons.play(scenario, backend)
--- a/dragonflystack/entryd/tests/test_keys.py
+++ b/dragonflystack/entryd/tests/test_keys.py
@@ -34,8 +34,8 @@
 def _play(scenario, customers=(_ALICE, _BOB)):
     async def run(platform, backend):
         platform.customers = customers
-        async with daemons.serving(platform) as (pool, node):
-            await scenario(pool, node, backend)
+        async with daemons.serving(platform) as (pool, daemon):
+            await scenario(pool, daemon, backend)
 
     daemons.play(run)
 
@@ -60,8 +60,8 @@
     ],
 )
 def test_a_key_becomes_the_customer_s_name(headers, customer):
-    async def scenario(pool, node, backend):
-        res = await daemons.get(pool, node, more=headers)
+    async def scenario(pool, daemon, backend):
+        res = await daemons.get(pool, daemon, more=headers)
         assert res.status == 200
         (head,) = backend.heads
         assert _values(head, b"x-customer") == [customer]
@@ -94,8 +94,8 @@
     ],
 )
 def test_a_request_without_a_readable_key_in_force_gets_401(headers):
-    async def scenario(pool, node, backend):
-        res = await daemons.get(pool, node, more=headers)
+    async def scenario(pool, daemon, backend):
+        res = await daemons.get(pool, daemon, more=headers)
         assert res.status == 401
         assert (b"www-authenticate", b"Bearer") in res.headers
         assert backend.runs == 0
@@ -127,8 +127,8 @@
     [[], [_BEARER], [(b"x-customer", b"bob")], [(b"authorization", b"x")]],
 )
 def test_on_a_public_route_neither_key_nor_name_is_passed_on(headers):
-    async def scenario(pool, node, backend):
-        res = await daemons.get(pool, node, path="/open/1", more=headers)
+    async def scenario(pool, daemon, backend):
+        res = await daemons.get(pool, daemon, path="/open/1", more=headers)
         assert res.status == 200
         (head,) = backend.heads
         assert _values(head, b"authorization") == []
@@ -138,9 +138,9 @@
 
 
 def test_without_customers_headers_go_on_as_they_came():
-    async def scenario(pool, node, backend):
+    async def scenario(pool, daemon, backend):
         headers = [_BEARER, (b"x-customer", b"bob")]
-        res = await daemons.get(pool, node, more=headers)
+        res = await daemons.get(pool, daemon, more=headers)
         assert res.status == 200
         (head,) = backend.heads
         assert _values(head, b"authorization") == [b"Bearer " + _KEY]
@@ -150,13 +150,13 @@
 
 
 def test_a_key_taken_away_is_refused_on_a_kept_connection():
-    async def scenario(pool, node, backend):
-        assert (await daemons.get(pool, node, more=[_BEARER])).status == 200
+    async def scenario(pool, daemon, backend):
+        assert (await daemons.get(pool, daemon, more=[_BEARER])).status == 200
         taken = _customer("alice", b"second-key")
-        node.vm.on_catalogue(daemons.make_catalogue(4, (taken, _BOB)))
-        assert (await daemons.get(pool, node, more=[_BEARER])).status == 401
+        daemon.vm.on_catalogue(daemons.make_catalogue(4, (taken, _BOB)))
+        assert (await daemons.get(pool, daemon, more=[_BEARER])).status == 401
         other = (b"authorization", b"Bearer second-key")
-        assert (await daemons.get(pool, node, more=[other])).status == 200
+        assert (await daemons.get(pool, daemon, more=[other])).status == 200
         assert backend.runs == 2
         (conn,) = pool.connections
         assert conn.is_idle()
@@ -168,13 +168,13 @@
     """A log names the digest of a refused key, so that it can be found."""
     reader, writer = os.pipe()
 
-    async def scenario(pool, node, backend):
-        journal = _journal.Journal(writer, node.clock)
+    async def scenario(pool, daemon, backend):
+        journal = _journal.Journal(writer, daemon.clock)
         eliot.add_destinations(journal._take)
         try:
-            await daemons.get(pool, node, more=[_BEARER])
-            node.vm.on_catalogue(daemons.make_catalogue(4, (_BOB,)))
-            await daemons.get(pool, node, more=[_BEARER])
+            await daemons.get(pool, daemon, more=[_BEARER])
+            daemon.vm.on_catalogue(daemons.make_catalogue(4, (_BOB,)))
+            await daemons.get(pool, daemon, more=[_BEARER])
         finally:
             eliot.remove_destination(journal._take)
         journal.flush()
@@ -183,10 +183,10 @@
         os.close(writer)
         assert b'"customer":"alice"' in log
         assert entry.digest_key(_KEY).encode() in log
-        dump = msgspec.json.encode(_snapshots.dump(node))
-        news = msgspec.json.encode(node.vm.news_since(entry.Position()))
+        dump = msgspec.json.encode(_snapshots.dump(daemon))
+        news = msgspec.json.encode(daemon.vm.changes_since(entry.Position()))
         assert b"bob" in news
-        for told in (log, dump, news, node.metrics.render()):
+        for told in (log, dump, news, daemon.metrics.render()):
             for key in (_KEY, b"second-key", b"key-of-bob"):
                 assert key not in told
 
--- a/dragonflystack/entryd/tests/test_news_calls.py
+++ b/dragonflystack/entryd/tests/test_news_calls.py
@@ -8,8 +8,8 @@
 import pytest
 
 from dragonflystack import entryd
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _news_calls
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _peer_news
 from dragonflystack.entryd import _told
 from dragonflystack.entryd.tests import daemons
@@ -22,25 +22,25 @@
 
 def _behind(neighbour):
     """Returns a VM, not started, that heard that another knows more."""
-    node = entryd.make_node(daemons.settings(), daemons.DIALECT)
-    now = node.now()
-    beat = neighbour.vm.heartbeat(neighbour.now(), introduce=True)
-    node.vm.members.on_heartbeat(beat, now)
-    assert node.vm.lacks(beat.position)
-    return node
+    daemon = entryd.make_daemon(daemons.settings(), daemons.DIALECT)
+    now = daemon.now()
+    beat = neighbour.vm.heartbeat(neighbour.now(), include_address=True)
+    daemon.vm.members.on_heartbeat(beat, now)
+    assert daemon.vm.is_behind(beat.position)
+    return daemon
 
 
 # Guards against a VM that stays behind as the neighbour that it asks is silent.
 def test_another_vm_is_asked_when_one_is_slow_to_tell():
     async def scenario(platform, _):
         silent = await asyncio.start_server(_never_answer, "127.0.0.1", 0)
-        peer = _node.Endpoint(*silent.sockets[0].getsockname())
+        peer = _daemon.Endpoint(*silent.sockets[0].getsockname())
         async with daemons.serving(platform) as (_, neighbour):
-            node = _behind(neighbour)
-            news = _peer_news.PeerNews(node)
+            daemon = _behind(neighbour)
+            news = _peer_news.PeerNews(daemon)
             assert await news._take_first_news(peer)
-            assert node.vm.is_informed
-            assert node.catalogue_version == 3
+            assert daemon.vm.has_initial_state
+            assert daemon.catalogue_version == 3
             await news.aclose()
         silent.close()
 
@@ -50,9 +50,9 @@
 def test_no_answer_from_anyone_is_no_news():
     async def scenario(platform, _):
         silent = await asyncio.start_server(_never_answer, "127.0.0.1", 0)
-        peer = _node.Endpoint(*silent.sockets[0].getsockname())
-        node = entryd.make_node(daemons.settings(), daemons.DIALECT)
-        news = _peer_news.PeerNews(node)
+        peer = _daemon.Endpoint(*silent.sockets[0].getsockname())
+        daemon = entryd.make_daemon(daemons.settings(), daemons.DIALECT)
+        news = _peer_news.PeerNews(daemon)
         assert not await news._take_first_news(peer)
         await news.aclose()
         silent.close()
@@ -65,15 +65,15 @@
     """A VM of the version before accepts JSON."""
 
     async def scenario(platform, _):
-        async with daemons.serving(platform) as (pool, node):
-            url = f"http://{node.settings.peers}{_news_calls.NEWS_PATH}"
+        async with daemons.serving(platform) as (pool, daemon):
+            url = f"http://{daemon.settings.peers}{_news_calls.NEWS_PATH}"
             accept = _told.CONTENT_TYPE if accepts else b"*/*"
             res = await pool.request("GET", url, headers=[(b"accept", accept)])
             if accepts:
                 told = _told.decode(res.content)
             else:
                 told = msgspec.json.decode(res.content, type=_told.Told)
-            assert told.news.catalogue == node.vm.catalogue
+            assert told.news.catalogue == daemon.vm.catalogue
 
     daemons.play(scenario)
 
@@ -88,10 +88,10 @@
             anyio.create_task_group() as tasks,
         ):
             empty = daemons.start(tasks, platform, daemons.settings())
-            node = entryd.make_node(daemons.settings(), daemons.DIALECT)
+            daemon = entryd.make_daemon(daemons.settings(), daemons.DIALECT)
             peer = empty.settings.peers
             await daemons.until(lambda: empty.first_news.is_set())
-            assert await _news_calls.ask(node, pool, peer) is None
-            empty.stop_asked.set()
+            assert await _news_calls.ask(daemon, pool, peer) is None
+            empty.stop_requested.set()
 
     daemons.play(scenario)
--- a/dragonflystack/entryd/tests/test_news_spread.py
+++ b/dragonflystack/entryd/tests/test_news_spread.py
@@ -12,10 +12,10 @@
 
 from dragonflystack import entry
 from dragonflystack import ids
-from dragonflystack.entry import _news
+from dragonflystack.entry import _replication
 from dragonflystack.entry.tests import builders
+from dragonflystack.entryd import _daemon
 from dragonflystack.entryd import _news_calls
-from dragonflystack.entryd import _node
 from dragonflystack.entryd import _snapshots
 from dragonflystack.entryd import _told
 
@@ -82,13 +82,13 @@
         return {}
 
     async def ask():
-        node = cast(_node.Node, types.SimpleNamespace(vm=vm))
+        daemon = cast(_daemon.Daemon, types.SimpleNamespace(vm=vm))
         scope = {
             "path": _news_calls.NEWS_PATH,
             "query_string": query,
             "headers": [(b"accept", _told.CONTENT_TYPE)],
         }
-        await _snapshots.make_app(node)(scope, receive, send)
+        await _snapshots.make_app(daemon)(scope, receive, send)
 
     asyncio.run(ask())
     return len(b"".join(sent))
@@ -102,13 +102,15 @@
     vms = {}
     for address in addresses:
         vm = builders.entry_vm(vm=address.vm)
-        vm.members.on_list(addresses)
+        vm.members.on_vm_list(addresses)
         vms[address.vm] = vm
     for i in range(3):
         for vm in vms.values():
-            for member, is_near in vm.members.receivers(builders.ms(500 * i)):
+            for member, is_neighbour in vm.members.heartbeat_targets(
+                builders.ms(500 * i)
+            ):
                 beat = vm.heartbeat(
-                    builders.ms(500 * i), is_near, introduce=True
+                    builders.ms(500 * i), is_neighbour, include_address=True
                 )
                 other = vms[member.address.vm].members
                 other.on_heartbeat(beat, builders.ms(500 * i))
@@ -140,7 +142,7 @@
         self._reading = {
             vm: _Transfer(None, row_bytes, 0.0)
             for vm in vms
-            if _news.is_watcher(vm, tuple(sorted(vms)))
+            if _replication.is_store_watcher(vm, tuple(sorted(vms)))
         }
         self._asking: dict[str, _Transfer] = {}
         self._pause_until: dict[str, float] = {}
@@ -194,7 +196,7 @@
         """Has informed VMs send their heartbeats; who is behind asks."""
         now = datetime.timedelta(seconds=2 + now_s)
         for sender in senders:
-            for member, _ in self._vms[sender].members.receivers(now):
+            for member, _ in self._vms[sender].members.heartbeat_targets(now):
                 receiver = member.address.vm
                 if (
                     receiver not in self.informed_s
--- a/dragonflystack/entryd/tests/test_told.py
+++ b/dragonflystack/entryd/tests/test_told.py
@@ -19,7 +19,7 @@
     vm.dispatch.on_evacuated(
         frozenset({ids.FailureDomainId("a1")}), builders.ms(0)
     )
-    news = vm.news_since(entry.Position())
+    news = vm.changes_since(entry.Position())
     return _told.Told(news, vm.members.addresses())
 
 
--- a/dragonflystack/forwarding/__init__.py
+++ b/dragonflystack/forwarding/__init__.py
@@ -23,9 +23,12 @@
 from dragonflystack.forwarding._messages import Action
 from dragonflystack.forwarding._messages import Answer
 from dragonflystack.forwarding._messages import Answered
+from dragonflystack.forwarding._messages import Attempt
+from dragonflystack.forwarding._messages import AttemptId
+from dragonflystack.forwarding._messages import AttemptResult
 from dragonflystack.forwarding._messages import CallId
+from dragonflystack.forwarding._messages import CancelAttempt
 from dragonflystack.forwarding._messages import CancelRelay
-from dragonflystack.forwarding._messages import CancelWork
 from dragonflystack.forwarding._messages import Cause
 from dragonflystack.forwarding._messages import ClaimHeld
 from dragonflystack.forwarding._messages import ClaimId
@@ -35,20 +38,17 @@
 from dragonflystack.forwarding._messages import CloseConnection
 from dragonflystack.forwarding._messages import Dispatch
 from dragonflystack.forwarding._messages import Failed
-from dragonflystack.forwarding._messages import Finish
 from dragonflystack.forwarding._messages import Headers
 from dragonflystack.forwarding._messages import Issuer
 from dragonflystack.forwarding._messages import OwnerHint
-from dragonflystack.forwarding._messages import Owners
+from dragonflystack.forwarding._messages import OwnerLookup
 from dragonflystack.forwarding._messages import Payload
 from dragonflystack.forwarding._messages import ReadClaim
 from dragonflystack.forwarding._messages import Refused
 from dragonflystack.forwarding._messages import Relay
 from dragonflystack.forwarding._messages import Reply
 from dragonflystack.forwarding._messages import Request
-from dragonflystack.forwarding._messages import Work
-from dragonflystack.forwarding._messages import WorkId
-from dragonflystack.forwarding._messages import WorkResult
+from dragonflystack.forwarding._messages import SendReply
 from dragonflystack.forwarding._messages import WriteClaim
 
 __all__ = [
@@ -58,7 +58,7 @@
     "Bounds",
     "CallId",
     "CancelRelay",
-    "CancelWork",
+    "CancelAttempt",
     "Cause",
     "ClaimHeld",
     "ClaimId",
@@ -70,22 +70,22 @@
     "Engine",
     "EngineState",
     "Failed",
-    "Finish",
+    "SendReply",
     "Headers",
     "IssuedKey",
     "Issuer",
     "Limits",
     "OwnerHint",
-    "Owners",
+    "OwnerLookup",
     "Payload",
     "ReadClaim",
     "Refused",
     "Relay",
     "Reply",
     "Request",
-    "Work",
-    "WorkId",
-    "WorkResult",
+    "Attempt",
+    "AttemptId",
+    "AttemptResult",
     "WriteClaim",
     "find_fault",
     "key_prefix",
--- a/dragonflystack/forwarding/_answer_checks.py
+++ b/dragonflystack/forwarding/_answer_checks.py
@@ -5,7 +5,7 @@
 
 
 def find_fault(
-    answer: _messages.Answer, work: _messages.WorkId, peer: str
+    answer: _messages.Answer, work: _messages.AttemptId, peer: str
 ) -> outcomes.Failure | None:
     """Returns what is wrong with an answer, None if it is sound.
 
--- a/dragonflystack/forwarding/_calls.py
+++ b/dragonflystack/forwarding/_calls.py
@@ -129,4 +129,4 @@
         if reply.cause is not None:
             label = f"{label}.{reply.cause.value}"
         self.ended[label] += 1
-        self._out.append(_messages.Finish(call, reply))
+        self._out.append(_messages.SendReply(call, reply))
--- a/dragonflystack/forwarding/_engine.py
+++ b/dragonflystack/forwarding/_engine.py
@@ -28,7 +28,7 @@
     """A request with what is needed to decide on it."""
 
     request: _messages.Request
-    owners: _messages.Owners
+    owners: _messages.OwnerLookup
     busy: _messages.Cause | None
     """Why no new work is taken, None if it is."""
 
@@ -117,7 +117,7 @@
     def on_request(
         self,
         request: _messages.Request,
-        owners: _messages.Owners,
+        owners: _messages.OwnerLookup,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
         """Takes a request.
@@ -138,10 +138,10 @@
             self._take_with_key(offer, request.key)
         return self._flush()
 
-    def on_work_result(
+    def on_attempt_result(
         self,
-        work: _messages.WorkId,
-        result: _messages.WorkResult,
+        work: _messages.AttemptId,
+        result: _messages.AttemptResult,
         now: datetime.timedelta,
     ) -> tuple[_messages.Action, ...]:
         """Takes what became of a `Dispatch`, here or at another VM."""
--- a/dragonflystack/forwarding/_jobs.py
+++ b/dragonflystack/forwarding/_jobs.py
@@ -78,7 +78,7 @@
     def make(
         self,
         request: _messages.Request,
-        owners: _messages.Owners,
+        owners: _messages.OwnerLookup,
         key: ids.RequestKey | None,
     ) -> _runner.Job:
         job = _runner.Job(request, owners, key, [])
--- a/dragonflystack/forwarding/_key_ledger.py
+++ b/dragonflystack/forwarding/_key_ledger.py
@@ -76,7 +76,7 @@
     max_answer_bytes: int = 8_388_608
     """Bytes of kept answers."""
 
-    answer_kept: datetime.timedelta = datetime.timedelta(seconds=120)
+    answer_ttl: datetime.timedelta = datetime.timedelta(seconds=120)
     """How long an answer is kept for a repeated request."""
 
     def __post_init__(self) -> None:
@@ -373,7 +373,7 @@
         while self._kept_bytes + size > self._bounds.max_answer_bytes:
             self._drop_oldest_answer()
         entry.answer = answer
-        until = now + self._bounds.answer_kept
+        until = now + self._bounds.answer_ttl
         self._kept[key] = _KeptAnswer(size, until)
         self._kept_bytes += size
 
--- a/dragonflystack/forwarding/_messages.py
+++ b/dragonflystack/forwarding/_messages.py
@@ -19,7 +19,7 @@
 CallId = NewType("CallId", int)
 """One exchange with a caller or a relaying VM, chosen by the shell."""
 
-WorkId = NewType("WorkId", str)
+AttemptId = NewType("AttemptId", str)
 """One try at running a request; unique in the fleet, so it can be echoed."""
 
 ClaimId = NewType("ClaimId", str)
@@ -105,7 +105,7 @@
     """The work id that the backend server repeated, if it did."""
 
 
-Owners = Callable[[], Sequence[OwnerHint]]
+OwnerLookup = Callable[[], Sequence[OwnerHint]]
 """Tells the VMs that may run a request, as known when it is called."""
 
 
@@ -140,7 +140,7 @@
     """The backend server at which it broke off, None if it was the owner."""
 
 
-WorkResult = Answered | Refused | Failed
+AttemptResult = Answered | Refused | Failed
 
 
 # What became of a claim.
@@ -216,10 +216,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Work:
+class Attempt:
     """One try at running a request."""
 
-    id: WorkId
+    id: AttemptId
     service: ids.ServiceId
     idempotent: bool
     priority: config.Priority
@@ -236,18 +236,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Have the owner run this; report by `Engine.on_work_result`."""
+    """Have the owner run this; report by `Engine.on_attempt_result`."""
 
     owner: ids.VmId
-    work: Work
+    work: Attempt
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class CancelWork:
+class CancelAttempt:
     """Nobody waits for this try any more; its result is not needed."""
 
     owner: ids.VmId
-    work: WorkId
+    work: AttemptId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -255,7 +255,7 @@
     """The connection that carried this try can't be trusted any more."""
 
     owner: ids.VmId
-    work: WorkId
+    work: AttemptId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -292,7 +292,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Finish:
+class SendReply:
     """Tell the caller; it is the last action for this call."""
 
     call: CallId
@@ -301,11 +301,11 @@
 
 Action = (
     Dispatch
-    | CancelWork
+    | CancelAttempt
     | CloseConnection
     | Relay
     | CancelRelay
     | WriteClaim
     | ReadClaim
-    | Finish
+    | SendReply
 )
--- a/dragonflystack/forwarding/_runner.py
+++ b/dragonflystack/forwarding/_runner.py
@@ -32,7 +32,7 @@
     """One request being run for one or more callers."""
 
     request: _messages.Request
-    owners: _messages.Owners
+    owners: _messages.OwnerLookup
     key: ids.RequestKey | None
     callers: list[_messages.CallId]
     claim_writes: int = 0
@@ -50,7 +50,7 @@
     avoid: tuple[ids.BackendServerId, ...] = ()
     """Backend servers at which a try failed."""
 
-    live: dict[_messages.WorkId, ids.VmId] = dataclasses.field(
+    live: dict[_messages.AttemptId, ids.VmId] = dataclasses.field(
         default_factory=dict
     )
     """The tries under way and where."""
@@ -84,7 +84,7 @@
         self._timers = timers
         self._out = out
         self._on_end = on_end
-        self._jobs: dict[_messages.WorkId, Job] = {}
+        self._jobs: dict[_messages.AttemptId, Job] = {}
         self._serial = 0
         self.owners = _owner_choice.OwnerChooser(issuer.vm, rng)
         self.budget = retry_budget.RetryBudget(
@@ -128,8 +128,8 @@
 
     def on_result(
         self,
-        work: _messages.WorkId,
-        result: _messages.WorkResult,
+        work: _messages.AttemptId,
+        result: _messages.AttemptResult,
         now: datetime.timedelta,
     ) -> None:
         """Takes the result of a try; one that nobody waits for is dropped."""
@@ -179,7 +179,7 @@
         self,
         job: Job,
         owner: ids.VmId,
-        work: _messages.WorkId,
+        work: _messages.AttemptId,
         answer: _messages.Answer,
         now: datetime.timedelta,
     ) -> None:
@@ -261,7 +261,7 @@
             self._keys.on_started(job.key, now)
         self._serial += 1
         issuer = self._issuer
-        work = _messages.WorkId(
+        work = _messages.AttemptId(
             f"{issuer.vm}.{issuer.incarnation}:{self._serial}"
         )
         job.tries += 1
@@ -274,7 +274,7 @@
         self._out.append(
             _messages.Dispatch(
                 hint.vm,
-                _messages.Work(
+                _messages.Attempt(
                     work,
                     req.service,
                     req.idempotent,
@@ -292,7 +292,7 @@
         )
 
     def _on_silence(
-        self, work: _messages.WorkId, now: datetime.timedelta
+        self, work: _messages.AttemptId, now: datetime.timedelta
     ) -> None:
         job = self._jobs.get(work)
         if job is None:
@@ -347,7 +347,7 @@
         for work, owner in job.live.items():
             del self._jobs[work]
             self.owners.on_end(owner)
-            self._out.append(_messages.CancelWork(owner, work))
+            self._out.append(_messages.CancelAttempt(owner, work))
         job.live.clear()
         self._on_end(job, reply, now)
 
--- a/dragonflystack/forwarding/tests/test_engine.py
+++ b/dragonflystack/forwarding/tests/test_engine.py
@@ -72,7 +72,7 @@
 
     def result(self, result, now=0.1, which=-1):
         work = self.of(forwarding.Dispatch)[which].work.id
-        self.actions += self.engine.on_work_result(work, result, _at(now))
+        self.actions += self.engine.on_attempt_result(work, result, _at(now))
 
     def claim(self, result, now=0.1):
         record = self.of(forwarding.WriteClaim)[0].record
@@ -85,7 +85,7 @@
 
     def reply(self, call):
         replies = [
-            a.reply for a in self.of(forwarding.Finish) if a.call == call
+            a.reply for a in self.of(forwarding.SendReply) if a.call == call
         ]
         assert len(replies) <= 1
         return replies[0] if replies else None
@@ -196,7 +196,7 @@
     assert bench.engine.state().suspected_owners == (first.owner,)
     bench.tick(2)
     assert bench.outcome(call) is _UNKNOWN
-    cancelled = {a.work for a in bench.of(forwarding.CancelWork)}
+    cancelled = {a.work for a in bench.of(forwarding.CancelAttempt)}
     assert cancelled == {d.work.id for d in bench.of(forwarding.Dispatch)}
     assert bench.engine.next_wake_up() is None
 
@@ -210,7 +210,9 @@
     bench.result(_ANSWERED, 0.9, which=1)
     bench.result(_ANSWERED, 0.9, which=0)
     assert bench.outcome(call) is _SERVED
-    assert [a.work for a in bench.of(forwarding.CancelWork)] == [second.work.id]
+    assert [a.work for a in bench.of(forwarding.CancelAttempt)] == [
+        second.work.id
+    ]
 
 
 @pytest.mark.parametrize("attempt", [1, 2])
@@ -373,10 +375,10 @@
     full = bench.prefix + key if key else None
     call = bench.ask(full, idempotent=idempotent)
     bench.actions += bench.engine.on_caller_gone(call, _at(0.1))
-    assert len(bench.of(forwarding.CancelWork)) == cancels
+    assert len(bench.of(forwarding.CancelAttempt)) == cancels
     assert bench.reply(call) is None
     bench.tick(2)
-    assert len(bench.of(forwarding.CancelWork)) == 1
+    assert len(bench.of(forwarding.CancelAttempt)) == 1
     assert bench.engine.state().jobs == 0
 
 
--- a/dragonflystack/steering/__init__.py
+++ b/dragonflystack/steering/__init__.py
@@ -13,8 +13,8 @@
 from dragonflystack.steering._answers import Refusal
 from dragonflystack.steering._answers import SlotsOwned
 from dragonflystack.steering._block_table import BlockTable
-from dragonflystack.steering._block_table import TableLoader
-from dragonflystack.steering._budget import PEER_AGE
+from dragonflystack.steering._block_table import BlockTableLoader
+from dragonflystack.steering._budget import MAX_PEER_AGE
 from dragonflystack.steering._budget import Budget
 from dragonflystack.steering._chunks import InvalidChunkError
 from dragonflystack.steering._chunks import decode_chunk
@@ -36,8 +36,8 @@
 from dragonflystack.steering._report import to_measurements
 from dragonflystack.steering._shares import Cell
 from dragonflystack.steering._shares import Shares
-from dragonflystack.steering._shares import distance
 from dragonflystack.steering._shares import gain
+from dragonflystack.steering._shares import total_variation
 from dragonflystack.steering._steering import Steering
 from dragonflystack.steering._summary import ALONE
 from dragonflystack.steering._summary import CellSummary
@@ -46,7 +46,7 @@
 from dragonflystack.steering._summary import merge_cells
 from dragonflystack.steering._targets import compute_targets
 from dragonflystack.steering._walk import CellStatus
-from dragonflystack.steering._walk import Walker
+from dragonflystack.steering._walk import TrafficShifter
 
 __all__ = [
     "ALONE",
@@ -72,7 +72,7 @@
     "Measurements",
     "NO_LOAD",
     "OwnedCapacity",
-    "PEER_AGE",
+    "MAX_PEER_AGE",
     "PeerView",
     "Policy",
     "RankedVm",
@@ -82,13 +82,13 @@
     "Shares",
     "SlotsOwned",
     "Steering",
-    "TableLoader",
-    "Walker",
+    "BlockTableLoader",
+    "TrafficShifter",
     "compute_targets",
     "decode_chunk",
     "decode_report",
     "digest_of",
-    "distance",
+    "total_variation",
     "encode_report",
     "gain",
     "merge_all_cells",
--- a/dragonflystack/steering/_block_table.py
+++ b/dragonflystack/steering/_block_table.py
@@ -90,7 +90,7 @@
     return _Index(tuple(chunk.firsts[0] for chunk in mine), mine)
 
 
-class TableLoader:
+class BlockTableLoader:
     """Collects the chunks of a new table, one at a time.
 
     Decoding one chunk takes well under a millisecond or two, so that a caller
@@ -126,7 +126,7 @@
             dict.fromkeys(d for d in self._digests if d not in self._chunks)
         )
 
-    def on_chunk(self, digest: ids.Digest, data: bytes) -> None:
+    def add_chunk(self, digest: ids.Digest, data: bytes) -> None:
         """Takes up one chunk.
 
         Raises:
--- a/dragonflystack/steering/_budget.py
+++ b/dragonflystack/steering/_budget.py
@@ -18,7 +18,7 @@
 
 _SPREAD_PART = 0.15
 _MIX_PART = 0.15
-PEER_AGE = datetime.timedelta(seconds=2)
+MAX_PEER_AGE = datetime.timedelta(seconds=2)
 """What was heard of another VM's shares longer ago does not count."""
 
 MAX_TICK = datetime.timedelta(seconds=1)
@@ -38,7 +38,7 @@
     @classmethod
     def from_config(cls, cap: config.ShiftCap, fleet: config.Fleet) -> "Budget":
         """Returns the parts of a service's cap."""
-        window = cap.window + fleet.answer_ttl + 2 * PEER_AGE + MAX_TICK
+        window = cap.window + fleet.answer_ttl + 2 * MAX_PEER_AGE + MAX_TICK
         return cls(cap.fraction, window)
 
     @property
--- a/dragonflystack/steering/_inputs.py
+++ b/dragonflystack/steering/_inputs.py
@@ -182,7 +182,7 @@
         return use
 
     @functools.cached_property
-    def by_distance(
+    def regions_by_delay(
         self,
     ) -> dict[_shares.Cell, tuple[tuple[ids.RegionId, ...], ...]]:
         """For each cell its allowed regions, grouped by equal delay."""
@@ -203,7 +203,7 @@
 
         All callers go to the nearest allowed region that is not leaving.
         """
-        for group in self.by_distance[cell]:
+        for group in self.regions_by_delay[cell]:
             for region in group:
                 if region not in self.leaving:
                     return _shares.Shares({region: 1.0})
--- a/dragonflystack/steering/_shares.py
+++ b/dragonflystack/steering/_shares.py
@@ -88,7 +88,7 @@
     )
 
 
-def distance(one: Shares, other: Shares) -> float:
+def total_variation(one: Shares, other: Shares) -> float:
     """Returns the total variation distance, refusal counted as a component."""
     return max(gain(one, other), gain(other, one))
 
--- a/dragonflystack/steering/_steering.py
+++ b/dragonflystack/steering/_steering.py
@@ -61,7 +61,7 @@
         self._region = region
         self._document = document
         self._version = version
-        self._walker = _walk.Walker.from_config(document, ledger)
+        self._walker = _walk.TrafficShifter.from_config(document, ledger)
         self._meter = _meters.DemandMeter()
         self._heard: dict[str, _Heard] = {}
         self._region_heard_at: dict[ids.RegionId, datetime.timedelta] = {}
@@ -233,7 +233,7 @@
         newest_at = datetime.timedelta()
         count = waiting = 0
         for heard in self._heard.values():
-            if now - heard.at > _budget.PEER_AGE:
+            if now - heard.at > _budget.MAX_PEER_AGE:
                 continue
             vms = sum(heard.report.vms.values())
             if not heard.report.cells:
--- a/dragonflystack/steering/_summary.py
+++ b/dragonflystack/steering/_summary.py
@@ -46,13 +46,13 @@
     """Sums of the target shares of all."""
 
     @classmethod
-    def of_one(
-        cls, shares: _shares.Shares, target: _shares.Shares, is_near: bool
+    def of_single_vm(
+        cls, shares: _shares.Shares, target: _shares.Shares, is_converged: bool
     ) -> "CellSummary":
         """Returns the summary of a single VM."""
         here = shares.by_region
         nowhere: Sums = {}
-        if is_near:
+        if is_converged:
             return cls(1, here, here, here, 0, nowhere, target.by_region)
         return cls(0, nowhere, nowhere, nowhere, 1, here, target.by_region)
 
@@ -102,7 +102,7 @@
     """The summary of all others heard, without itself."""
 
     heard: int
-    """How many others it covers; none heard longer ago than `PEER_AGE`."""
+    """How many others it covers; none heard longer ago than `MAX_PEER_AGE`."""
 
     listed: int
     """How many others the VM list names as live."""
--- a/dragonflystack/steering/_targets.py
+++ b/dragonflystack/steering/_targets.py
@@ -143,19 +143,19 @@
     ) -> None:
         for part in opened:
             home = part.cell.caller_region
-            if home in self._policy.by_distance[part.cell][0]:
+            if home in self._policy.regions_by_delay[part.cell][0]:
                 self._spread(part, (home,), stale, self._room)
 
     def _fill_near(
         self, opened: list[_Open], stale: frozenset[ids.RegionId]
     ) -> None:
         deepest = max(
-            (len(self._policy.by_distance[part.cell]) for part in opened),
+            (len(self._policy.regions_by_delay[part.cell]) for part in opened),
             default=0,
         )
         for i in range(deepest):
             for part in opened:
-                groups = self._policy.by_distance[part.cell]
+                groups = self._policy.regions_by_delay[part.cell]
                 if i < len(groups):
                     self._spread(part, groups[i], stale, self._room)
 
@@ -163,7 +163,7 @@
         self, opened: list[_Open], stale: frozenset[ids.RegionId]
     ) -> None:
         for part in opened:
-            nearest = self._policy.by_distance[part.cell][0]
+            nearest = self._policy.regions_by_delay[part.cell][0]
             self._spread(part, nearest, stale, self._whole)
 
     def _keep_leaving(self, opened: list[_Open]) -> None:
--- a/dragonflystack/steering/_walk.py
+++ b/dragonflystack/steering/_walk.py
@@ -48,14 +48,14 @@
     """Where it walks to; it holds still while measurements vary little."""
 
     window: _budget.ShiftWindow
-    is_near: bool = True
+    is_converged: bool = True
 
     def aim(self, goal: _shares.Shares) -> None:
         """Sets the goal, unless it differs little from the one it has.
 
         Without this, noise in the measurements would never let it rest.
         """
-        apart = _shares.distance(self.goal, goal)
+        apart = _shares.total_variation(self.goal, goal)
         if apart > _LEAST_CHANGE or _empties(self.goal, goal):
             self.goal = goal
 
@@ -71,14 +71,14 @@
     target: _shares.Shares
     """Where this VM alone would move them."""
 
-    is_near: bool
+    is_converged: bool
     """Whether they are close to what other VMs use."""
 
     goal: _shares.Shares
     """Where they are moving to."""
 
 
-class Walker:
+class TrafficShifter:
     """The shares in use at one VM."""
 
     def __init__(self, policy: _inputs.Policy, ledger: promises.Ledger):
@@ -99,7 +99,7 @@
     @classmethod
     def from_config(
         cls, document: config.Document, ledger: promises.Ledger
-    ) -> "Walker":
+    ) -> "TrafficShifter":
         """Returns a walker under the document's policy."""
         return cls(_inputs.Policy.from_config(document), ledger)
 
@@ -133,7 +133,7 @@
         """
         if not self.is_ready or self._ticked_at is None:
             return False
-        return now - self._ticked_at <= _budget.PEER_AGE
+        return now - self._ticked_at <= _budget.MAX_PEER_AGE
 
     def shares(self, cell: _shares.Cell) -> _shares.Shares:
         """Returns the shares in use; a cell unknown to it is refused."""
@@ -165,8 +165,8 @@
         if not self.is_ready:
             return {}
         return {
-            cell: _summary.CellSummary.of_one(
-                track.shares, track.target, track.is_near
+            cell: _summary.CellSummary.of_single_vm(
+                track.shares, track.target, track.is_converged
             )
             for cell, track in self._tracks.items()
         }
@@ -175,7 +175,7 @@
         """Returns the state of all cells, for the dump."""
         return tuple(
             CellStatus(
-                cell, track.shares, track.target, track.is_near, track.goal
+                cell, track.shares, track.target, track.is_converged, track.goal
             )
             for cell, track in self._tracks.items()
         )
@@ -251,7 +251,7 @@
             The time that this tick's step may make up for.
         """
         last = self._ticked_at
-        if last is None or now - last > _budget.PEER_AGE:
+        if last is None or now - last > _budget.MAX_PEER_AGE:
             self._waiting_since = now
         self._ticked_at = now
         since = self._waiting_since
@@ -272,14 +272,14 @@
         One that has shares goes on from them soon. One that never had any
         would move the fleet to its first shares if the others only pause.
         """
-        return _budget.PEER_AGE if self._tracks else _START_PATIENCE
+        return _budget.MAX_PEER_AGE if self._tracks else _START_PATIENCE
 
     def _take_shares(self, view: _summary.PeerView) -> None:
         for cell, track in self._tracks.items():
             summary = view.cells.get(cell)
             if summary is not None and summary.count > 0:
                 track.shares = self._known(summary.reference)
-                track.is_near = True
+                track.is_converged = True
                 track.goal = track.shares
 
     def _add_cells(self, view: _summary.PeerView) -> None:
@@ -341,8 +341,8 @@
             track.aim(track.target)
             return
         reference = self._known(summary.reference).without(down)
-        track.is_near = self._is_near(cell, track, reference, summary)
-        if track.is_near:
+        track.is_converged = self._is_near(cell, track, reference, summary)
+        if track.is_converged:
             mean = summary.mean_target(track.target)
             track.aim(self._known(mean).without(down))
         else:
@@ -361,9 +361,9 @@
         heard of yet can bring it; one that is far has to come closer.
         """
         budget = self._budgets[cell.service]
-        if not track.is_near and summary.near > 0:
+        if not track.is_converged and summary.near > 0:
             return _spread.apart(track.shares, summary) <= budget.spread
-        unheard = budget.pace_per_s(True) * _budget.PEER_AGE.total_seconds()
+        unheard = budget.pace_per_s(True) * _budget.MAX_PEER_AGE.total_seconds()
         apart = max(
             _shares.gain(track.shares, reference),
             _shares.gain(reference, track.shares),
@@ -380,7 +380,7 @@
     ) -> _shares.Shares:
         """Returns where a cell may get to in this tick by pace alone."""
         budget = self._budgets[cell.service]
-        whole = _shares.distance(track.shares, track.goal)
+        whole = _shares.total_variation(track.shares, track.goal)
         if whole <= _ROUNDING:
             return track.shares
         moved = track.window.moved(now, budget.window)
@@ -407,12 +407,12 @@
         summary = view.cells.get(cell)
         start = track.shares
         apart = 0.0
-        if summary is not None and summary.near > 0 and track.is_near:
+        if summary is not None and summary.near > 0 and track.is_converged:
             end = _spread.limit(start, end, summary, budget.spread)
             apart = _spread.apart(end, summary)
             if apart <= _spread.apart(start, summary) + 2 * _ROUNDING:
                 apart = min(apart, budget.spread)
-        moved = _shares.distance(start, end)
+        moved = _shares.total_variation(start, end)
         if moved <= 0:
             return set()
         track.shares = end
--- a/dragonflystack/steering/tests/fleet.py
+++ b/dragonflystack/steering/tests/fleet.py
@@ -33,7 +33,7 @@
 class Node:
     """One VM: its walker, and what it has heard."""
 
-    walker: steering.Walker
+    walker: steering.TrafficShifter
     side: int = 0
     """VMs on different sides do not hear each other."""
 
@@ -85,7 +85,7 @@
 
     def join(self, document=None) -> int:
         """Starts a VM."""
-        walker = steering.Walker.from_config(
+        walker = steering.TrafficShifter.from_config(
             document or self.document, self.ledger
         )
         self.nodes[self._next] = Node(walker)
@@ -228,7 +228,7 @@
         )
 
 
-def churn_nodes(fleet: Fleet) -> None:
+def churn_vms(fleet: Fleet) -> None:
     """Lets something happen to a VM or several."""
     rng = fleet.rng
     names = sorted(fleet.nodes)
--- a/dragonflystack/steering/tests/test_block_table.py
+++ b/dragonflystack/steering/tests/test_block_table.py
@@ -27,10 +27,10 @@
 
 def _load(chunks, before=None, default=0):
     digests = [steering.digest_of(data) for data in chunks]
-    loader = steering.TableLoader(digests, SITES, before)
+    loader = steering.BlockTableLoader(digests, SITES, before)
     by_digest = dict(zip(digests, chunks, strict=True))
     for digest in loader.missing:
-        loader.on_chunk(digest, by_digest[digest])
+        loader.add_chunk(digest, by_digest[digest])
     return loader.build(default)
 
 
@@ -105,7 +105,7 @@
     assert len(set(other) - set(one)) == 1
     table = _load(one)
     digests = [steering.digest_of(data) for data in other]
-    loader = steering.TableLoader(digests, SITES, table)
+    loader = steering.BlockTableLoader(digests, SITES, table)
     assert len(loader.missing) == 1
     assert _site(_load(other, table), many[at][0].partition("/")[0]) == 8
     assert _site(table, many[at][0].partition("/")[0]) != 8
@@ -154,17 +154,17 @@
     (data,) = _chunks([("10.0.0.0/8", 1)])
     wrong = change(data)
     digest = steering.digest_of(wrong)
-    loader = steering.TableLoader([digest], SITES)
+    loader = steering.BlockTableLoader([digest], SITES)
     with pytest.raises(steering.InvalidChunkError, match=message):
-        loader.on_chunk(digest, wrong)
+        loader.add_chunk(digest, wrong)
 
 
 def test_refuses_other_bytes_than_asked_for():
     one, other = _chunks([("10.0.0.0/8", 1), ("2001:db8::/32", 2)])
     digest = steering.digest_of(one)
-    loader = steering.TableLoader([digest], SITES)
+    loader = steering.BlockTableLoader([digest], SITES)
     with pytest.raises(steering.InvalidChunkError, match="bytes are others"):
-        loader.on_chunk(digest, other)
+        loader.add_chunk(digest, other)
     with pytest.raises(steering.InvalidChunkError, match="missing"):
         loader.build(ids.SiteId(0))
 
@@ -173,8 +173,8 @@
     chunks = _chunks([("10.0.0.0/8", 5)])
     table = _load(chunks)
     digest = steering.digest_of(chunks[0])
-    assert not steering.TableLoader([digest], SITES, table).missing
-    assert steering.TableLoader([digest], 5, table).missing == (digest,)
+    assert not steering.BlockTableLoader([digest], SITES, table).missing
+    assert steering.BlockTableLoader([digest], 5, table).missing == (digest,)
 
 
 def test_refuses_chunks_in_the_wrong_order():
--- a/dragonflystack/steering/tests/test_fleet.py
+++ b/dragonflystack/steering/tests/test_fleet.py
@@ -21,7 +21,7 @@
     for i in range(240):
         fleet.tick()
         if fleet.now_s > SETTLED_S and fleet.rng.random() < 0.25:
-            fleets.churn_nodes(fleet)
+            fleets.churn_vms(fleet)
         if i % 20 == 19:
             fleets.churn_load(fleet)
     assert 0.03 < fleet.largest_gain(SETTLED_S) <= IN_TOUCH
@@ -55,7 +55,7 @@
 def test_vms_out_of_touch_stay_under_the_cap_while_callers_stay():
     fleet = _split(3)
     moved, stayed = _shares_by_side(fleet)
-    assert steering.distance(moved, stayed) > 0.9
+    assert steering.total_variation(moved, stayed) > 0.9
     for node in fleet.nodes.values():
         node.side = 0
         node.demand_age_s = 0.5
@@ -63,7 +63,7 @@
         fleet.tick()
     assert fleet.largest_gain(SETTLED_S) <= IN_TOUCH
     end = [node.walker.shares(fleet.cell) for node in fleet.nodes.values()]
-    assert all(steering.distance(end[0], other) < 0.02 for other in end)
+    assert all(steering.total_variation(end[0], other) < 0.02 for other in end)
 
 
 def test_callers_who_change_between_vms_out_of_touch_shift_as_they_do():
@@ -79,7 +79,7 @@
     handed_over = sum(fleet.handovers[-span:])
     found = fleet.largest_gain(SETTLED_S)
     assert found > fleets.CAP
-    apart = steering.distance(moved, stayed)
+    apart = steering.total_variation(moved, stayed)
     assert found <= IN_TOUCH + handed_over * apart
 
 
--- a/dragonflystack/steering/tests/test_report.py
+++ b/dragonflystack/steering/tests/test_report.py
@@ -14,7 +14,7 @@
     target = steering.Shares({C: 1.0})
     return steering.Report(
         {A: 1},
-        {CELL: steering.CellSummary.of_one(shares, target, near)},
+        {CELL: steering.CellSummary.of_single_vm(shares, target, near)},
         steering.Load(
             {CELL: 4.0}, {documents.cell(B): 1.0}, {documents.GALLERY: 20.0}
         ),
@@ -49,7 +49,7 @@
 def test_merging_all_at_once_is_merging_one_by_one():
     reports = [_report(0.2), _report(0.5, near=False), _report(0.75)]
     shares = steering.Shares({C: 0.5})
-    other = steering.CellSummary.of_one(shares, shares, True)
+    other = steering.CellSummary.of_single_vm(shares, shares, True)
     parts = [report.cells for report in reports] + [{CELL: other}]
     one_by_one: dict = {}
     for part in parts:
@@ -76,11 +76,11 @@
 
 def test_rounded_shares_may_add_up_to_a_little_more_than_one():
     shares = steering.Shares({A: 0.33335, B: 0.33335, C: 0.3333})
-    one = steering.CellSummary.of_one(shares, shares, True)
+    one = steering.CellSummary.of_single_vm(shares, shares, True)
     report = steering.Report({A: 1}, {CELL: one}, steering.NO_LOAD, {})
     decoded = steering.decode_report(steering.encode_report(report))
     found = decoded.cells[CELL].reference
-    assert steering.distance(found, shares) < 2e-4
+    assert steering.total_variation(found, shares) < 2e-4
 
 
 @pytest.mark.parametrize(
--- a/dragonflystack/steering/tests/test_steering.py
+++ b/dragonflystack/steering/tests/test_steering.py
@@ -182,8 +182,8 @@
     whole["topology"]["sites"] = sites
     digests = [steering.digest_of(data) for data in chunks]
     whole["clients"] |= {"chunks": digests, "default_site": 1}
-    loader = steering.TableLoader(digests, len(sites))
-    loader.on_chunk(digests[0], chunks[0])
+    loader = steering.BlockTableLoader(digests, len(sites))
+    loader.add_chunk(digests[0], chunks[0])
     trio = Trio(msgspec.convert(whole, type(document)))
     trio.run(5)
     assert isinstance(trio.look_up(A, "198.51.100.7"), steering.Refusal)
--- a/dragonflystack/steering/tests/test_walk.py
+++ b/dragonflystack/steering/tests/test_walk.py
@@ -29,7 +29,7 @@
 
     def __init__(self, document=None):
         self.ledger = promises.Ledger(strict=True)
-        self.walker = steering.Walker.from_config(
+        self.walker = steering.TrafficShifter.from_config(
             document or documents.document(), self.ledger
         )
         self.now_s = 0.0
@@ -54,11 +54,11 @@
 
 def _walked(path):
     steps = zip(path, path[1:], strict=False)
-    return sum(steering.distance(one, other) for one, other in steps)
+    return sum(steering.total_variation(one, other) for one, other in steps)
 
 
 def _view(shares, *, heard=1, newest_s=0.0, target=None):
-    one = steering.CellSummary.of_one(shares, target or shares, True)
+    one = steering.CellSummary.of_single_vm(shares, target or shares, True)
     return steering.PeerView(
         {CELL: one}, heard, heard, 0, documents.seconds(newest_s)
     )
@@ -172,10 +172,10 @@
     driver.run(5, NORMAL)
     used = steering.Shares({A: 0.2, B: 0.8})
     assert driver.run(TICK_S, HALF, _view(used)).of(A) > 0.99
-    assert not driver.walker.status()[0].is_near
+    assert not driver.walker.status()[0].is_converged
     end = driver.run(400, HALF, _view(used))
     assert end.of(A) < 0.25
-    assert driver.walker.status()[0].is_near
+    assert driver.walker.status()[0].is_converged
     assert _largest_gain(driver.path, 25) <= WALK
 
 
@@ -228,7 +228,7 @@
     before = driver.walker.shares(CELL)
     driver.now_s += 1.4
     after = driver.run(TICK_S, HALF)
-    moved = steering.distance(before, after)
+    moved = steering.total_variation(before, after)
     assert 0 < moved <= BUDGET.pace_per_s(True) * 1.0 + 1e-9
 
 
@@ -248,7 +248,7 @@
     both = documents.service(documents.ORDER), documents.service()
     driver.walker.on_document(documents.document(*both))
     found = driver.run(TICK_S, NORMAL, _view(used))
-    assert steering.distance(found, used) < 0.01
+    assert steering.total_variation(found, used) < 0.01
 
 
 def test_a_small_difference_does_not_start_a_walk():
@@ -302,7 +302,7 @@
     down = documents.measurements(DEMAND, SLOTS, down=(A,))
     late = _view(steering.Shares({A: 1.0}), target=steering.Shares({B: 1.0}))
     assert driver.run(2, down, late).of(B) > 0
-    assert driver.walker.status()[0].is_near
+    assert driver.walker.status()[0].is_converged
 
 
 def test_capacity_that_is_missed_for_a_moment_moves_little():
