Reword the tests of the entry decisions

Change: test names state the condition and the expected result; private names and docs follow the joint terms. The source lines that the ablation of waits quotes follow.

--- a/benchmarks/_ablate.py
+++ b/benchmarks/_ablate.py
@@ -115,8 +115,8 @@
     "waits-met": (
         Edit(
             _CHOICE,
-            "            wait = max(wait, seen)",
-            "            wait = max(wait, min(seen, _ZERO))",
+            "            wait = max(wait, estimate)",
+            "            wait = max(wait, min(estimate, _ZERO))",
         ),
     ),
     "too-late": (
--- a/dragonflystack/entry/_choice.py
+++ b/dragonflystack/entry/_choice.py
@@ -95,7 +95,7 @@
         settings: _settings.ChoiceSettings,
     ):
         self._region = region
-        self._book = registry
+        self._registry = registry
         self._times = times
         self._settings = settings
         self._round_trips: dict[ids.RegionId, datetime.timedelta] = {}
@@ -266,16 +266,16 @@
         if server.is_cold(now):
             processing_time *= _COLD_FACTOR
             likely_time *= _COLD_FACTOR
-        ahead = load + 1 - slots
+        excess = load + 1 - slots
         wait = _ZERO
-        if ahead > 0:
+        if excess > 0:
             per_slot = self._times.per_slot(route, requirements.service)
-            wait = per_slot * (ahead / slots)
+            wait = per_slot * (excess / slots)
         if now - server.load_known_at > self._settings.load_report_max_age:
-            seen = self._queue_waits.expect(
+            estimate = self._queue_waits.expect(
                 requirements.service, server.region, now
             )
-            wait = max(wait, seen)
+            wait = max(wait, estimate)
         round_trip = self.round_trip(server.region)
         expected_latency = round_trip + wait + processing_time
         cost = expected_latency
@@ -325,15 +325,15 @@
     def _ranked(
         self, requirements: Requirements
     ) -> dict[ids.RegionId, list[_servers.Server]]:
-        if self._revision != self._book.revision:
+        if self._revision != self._registry.revision:
             self._rankings.clear()
-            self._revision = self._book.revision
+            self._revision = self._registry.revision
         key = requirements.object_key or ""
         cache_key = (requirements.service, key)
         ranked = self._rankings.get(cache_key)
         if ranked is None:
             ranked = {}
-            servers = self._book.of_service(requirements.service)
+            servers = self._registry.of_service(requirements.service)
             for server in _ranking.rank(key, servers, _name):
                 ranked.setdefault(server.region, []).append(server)
             if len(self._rankings) >= _MAX_CACHED_RANKINGS:
--- a/dragonflystack/entry/_context.py
+++ b/dragonflystack/entry/_context.py
@@ -80,7 +80,7 @@
 
         Returns:
             The shortest time, or None unless all backend servers that may serve
-            the request asked VMs to wait.
+            the request have requested a back-off.
         """
 
     def on_leaving_reported(
@@ -98,11 +98,11 @@
         wait: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Records that a backend server asked VMs to send nothing for a time.
+        """Records that a backend server requested a back-off.
 
         Args:
             server: the backend server.
-            wait: the time that it asked for.
+            wait: the time in which it wants no requests.
             now: the time.
         """
 
--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -54,7 +54,7 @@
 
         self.shares = _shares.RegionShares(members.own.region, bounds.max_shift)
         self._members = members
-        self._book = registry
+        self._registry = registry
         self._regions = tuple(sorted(set(regions.values())))
         self._bounds = bounds
         self._settings = settings
@@ -100,7 +100,7 @@
         if domains - self.evacuated:
             self.shares.on_server_loss(now)
         self.evacuated = domains
-        for server in self._book.all():
+        for server in self._registry.all():
             policy = self._services.get(server.entry.service)
             if server.entry.domain in back and policy is not None:
                 server.on_cold(policy.cold_period, now)
@@ -114,23 +114,23 @@
         if changes.leaving or changes.gone:
             self.shares.on_server_loss(now)
         if changes.added:
-            self.shares.on_capacity(self._book.slots_by_region())
+            self.shares.on_capacity(self._registry.slots_by_region())
 
     def on_tick(self, now: datetime.timedelta) -> None:
-        """Applies what the heartbeats of the region's other VMs reported."""
+        """Applies the listed VMs and the heartbeats of the own region."""
         known_vms = self._members.known_vms()
         self._cold.on_vms(known_vms)
         self._budgets.on_fleet(self._fleet_size())
         self.shares.on_vms(len(known_vms))
-        beats = [m.beat for m in self._members.alive(now) if m.beat]
+        heartbeats = [m.beat for m in self._members.alive(now) if m.beat]
         self.shares.on_peers(
             [
-                _shares.from_thousandths(beat.shares, self._regions)
-                for beat in beats
+                _shares.from_thousandths(heartbeat.shares, self._regions)
+                for heartbeat in heartbeats
             ],
             [
-                _shares.from_thousandths(beat.wanted, self._regions)
-                for beat in beats
+                _shares.from_thousandths(heartbeat.wanted, self._regions)
+                for heartbeat in heartbeats
             ],
         )
 
@@ -146,11 +146,11 @@
         self._chooser.on_round_trip(server.region, round_trip)
 
     def on_request(
-        self, wanted: _choice.Requirements, now: datetime.timedelta
+        self, requirements: _choice.Requirements, now: datetime.timedelta
     ) -> None:
         """Counts a new request of a caller."""
-        self._budgets.of(wanted.service).on_request(now)
-        self._chooser.on_request(wanted)
+        self._budgets.of(requirements.service).on_request(now)
+        self._chooser.on_request(requirements)
 
     def on_departures(
         self,
@@ -171,7 +171,7 @@
         for departure in departures:
             if not self.departures.announce(departure, now):
                 continue
-            server = self._book.get(departure.server)
+            server = self._registry.get(departure.server)
             if (
                 server is not None
                 and not server.entry.leaving
@@ -191,12 +191,12 @@
     ) -> None:
         """Applies another VM's observations of backend servers."""
         for load in loads:
-            server = self._book.get(load.server)
+            server = self._registry.get(load.server)
             at = now - load.age_ms * _MILLISECOND
             if server is not None and at > server.load_known_at:
                 server.on_request_count(load.requests, at)
         for sighting in cached_objects:
-            server = self._book.get(sighting.server)
+            server = self._registry.get(sighting.server)
             if server is not None:
                 self._on_learnt(server, sighting.object_hash, now)
 
@@ -215,25 +215,25 @@
 
     def rank_candidates(
         self,
-        wanted: _choice.Requirements,
+        requirements: _choice.Requirements,
         now: datetime.timedelta,
         tried: Container[ids.BackendServerId],
     ) -> list[_choice.Candidate]:
         """See `_context.Context.rank_candidates`."""
         may_use = functools.partial(self._may_use, now=now)
-        return self._chooser.rank_candidates(wanted, may_use, now, tried)
+        return self._chooser.rank_candidates(requirements, may_use, now, tried)
 
     def choose_candidate(
         self,
-        wanted: _choice.Requirements,
+        requirements: _choice.Requirements,
         candidates: list[_choice.Candidate],
         now: datetime.timedelta,
     ) -> _choice.Candidate:
         """See `_context.Context.choose_candidate`."""
         usable = {candidate.server.region for candidate in candidates}
         preferred = candidates[0].server.region
-        key = wanted.object_key if wanted.route.sticky else None
-        target = wanted.route.target_latency
+        key = requirements.object_key if requirements.route.sticky else None
+        target = requirements.route.target_latency
         in_time = {
             c.server.region for c in candidates if c.expected_latency <= target
         }
@@ -284,16 +284,19 @@
         return candidate.expected_latency * self._settings.overdue_factor
 
     def available_in(
-        self, wanted: _choice.Requirements, now: datetime.timedelta
+        self, requirements: _choice.Requirements, now: datetime.timedelta
     ) -> datetime.timedelta | None:
         """See `_context.Context.available_in`."""
         available_at = [
             server.backoff_until
-            for server in self._book.of_service(wanted.service)
+            for server in self._registry.of_service(requirements.service)
             if server.may_serve()
             and server.suspect_since is None
             and server.entry.domain not in self.evacuated
-            and (not wanted.regions or server.region in wanted.regions)
+            and (
+                not requirements.regions
+                or server.region in requirements.regions
+            )
         ]
         first = min(available_at, default=now)
         return first - now if first > now else None
@@ -306,8 +309,8 @@
     ) -> None:
         """See `_context.Context.on_backoff_requested`."""
         settings = self._settings
-        spread = min(wait, settings.server_backoff_jitter) * self.rng.random()
-        wait = min(wait, settings.max_server_backoff) + spread
+        jitter = min(wait, settings.server_backoff_jitter) * self.rng.random()
+        wait = min(wait, settings.max_server_backoff) + jitter
         server.on_backoff_requested(wait, now)
 
     def on_sent(
@@ -331,15 +334,15 @@
 
     def on_completed(
         self,
-        wanted: _choice.Requirements,
+        requirements: _choice.Requirements,
         candidate: _choice.Candidate,
         elapsed: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
         """See `_context.Context.on_completed`."""
-        self._chooser.on_completed(wanted.route, candidate, elapsed, now)
-        if wanted.route.sticky and wanted.object_key is not None:
-            object_hash = _observations.hash_object(wanted.object_key)
+        self._chooser.on_completed(requirements.route, candidate, elapsed, now)
+        if requirements.route.sticky and requirements.object_key is not None:
+            object_hash = _observations.hash_object(requirements.object_key)
             self._on_learnt(candidate.server, object_hash, now)
 
     def on_overdue(
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -85,7 +85,7 @@
         self._is_idempotent = True
         """Whether every route that the request followed is idempotent."""
 
-        self._on_wanted(requirements)
+        self._on_requirements(requirements)
         self.sends: list[_messages.SendRecord] = []
         self.may_have_run = False
         """Whether a backend server may have run the request."""
@@ -149,10 +149,10 @@
         if not isinstance(requirements, _choice.Requirements):
             return requirements
         if requirements is not self.requirements:
-            self._on_wanted(requirements)
+            self._on_requirements(requirements)
         return None
 
-    def _on_wanted(self, requirements: _choice.Requirements) -> None:
+    def _on_requirements(self, requirements: _choice.Requirements) -> None:
         self.requirements = requirements
         self._is_idempotent &= requirements.route.idempotent
         self.deadline = self._caller_deadline
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -29,7 +29,7 @@
     """No backend server could answer before the deadline."""
 
     ASKED_TO_WAIT = "asked-to-wait"
-    """Every backend server that may be used asked VMs to wait."""
+    """Every backend server that may be used has requested a back-off."""
 
     TIMEOUT = "timeout"
     """The route's or the caller's deadline passed; the request may still be
@@ -96,8 +96,8 @@
     """Whether the backend server states that it is leaving."""
 
     requested_backoff: datetime.timedelta | None = None
-    """How long the backend server asks VMs to send nothing (Retry-After), None
-    if it does not."""
+    """Time in which the backend server wants no requests (Retry-After), None if
+    it requests no back-off."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dragonflystack/entry/_servers.py
+++ b/dragonflystack/entry/_servers.py
@@ -98,7 +98,7 @@
         """Whether it is no longer registered, or its address was reused."""
 
         self.backoff_until = _ZERO
-        """When it may get requests again after it asked VMs to wait."""
+        """End of the latest back-off that it requested."""
 
         self._settings = settings
         self._failure_rate = 0.0
@@ -137,7 +137,7 @@
     def accepts_requests(self, now: datetime.timedelta) -> bool:
         """Returns whether requests may be written to it now.
 
-        False while it is leaving, gone, or asks VMs to wait.
+        False while it is leaving, gone, or in a back-off that it requested.
         """
         return self.may_serve() and now >= self.backoff_until
 
@@ -221,7 +221,7 @@
     def on_backoff_requested(
         self, wait: datetime.timedelta, now: datetime.timedelta
     ) -> None:
-        """Stops requests to it for the time that it asked for."""
+        """Stops requests to it for the back-off that it requested."""
         self.backoff_until = max(self.backoff_until, now + wait)
 
     def on_leaving_reported(self) -> None:
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -268,13 +268,13 @@
         )
 
     def on_replicated_changes(
-        self, news: _replication.ReplicatedChanges, now: datetime.timedelta
+        self, changes: _replication.ReplicatedChanges, now: datetime.timedelta
     ) -> _discovery.ServerChanges:
         """Applies another VM's changes of backend servers, and its position."""
-        self.log.on_operators(news.position.operators)
-        version = news.position.servers
+        self.log.on_operators(changes.position.operators)
+        version = changes.position.servers
         listing = _discovery.Listing(
-            news.entries, news.gone, news.whole, version
+            changes.entries, changes.gone, changes.whole, version
         )
         return self.on_listing(listing, version, now, from_store=False)
 
@@ -320,14 +320,14 @@
             The exchange, None if the request may not be sent, and the first
             step.
         """
-        wanted = self._resolve(request, None, now)
-        if not isinstance(wanted, _choice.Requirements):
-            return None, wanted
-        self.dispatch.on_request(wanted, now)
+        requirements = self._resolve(request, None, now)
+        if not isinstance(requirements, _choice.Requirements):
+            return None, requirements
+        self.dispatch.on_request(requirements, now)
         exchange = _exchange.Exchange(
             self.dispatch,
             request,
-            wanted,
+            requirements,
             self._make_resolver(request),
             now if arrived is None else arrived,
         )
@@ -343,10 +343,10 @@
             nonlocal resolved_by
             if resolved_by is self._rules and not self.is_outdated(now):
                 return before
-            wanted = self._resolve(request, before, now)
-            if isinstance(wanted, _choice.Requirements):
+            requirements = self._resolve(request, before, now)
+            if isinstance(requirements, _choice.Requirements):
                 resolved_by = self._rules
-            return wanted
+            return requirements
 
         return resolve
 
--- a/dragonflystack/entry/tests/test_budgets.py
+++ b/dragonflystack/entry/tests/test_budgets.py
@@ -1,4 +1,4 @@
-"""The fleet's bound on repeats, for fleets of any size."""
+"""The fleet's limit on retries, for fleets of any size."""
 
 import random
 
@@ -29,10 +29,10 @@
     calm_windows=strategies.integers(0, 2),
     seed=strategies.integers(0, 9),
 )
-def test_repeats_of_any_number_of_vms_keep_the_bound(
+def test_retries_of_any_number_of_vms_stay_within_the_limit(
     size, per_vm, calm_windows, seed
 ):
-    """Callers press for one window after calm ones; each send is repeated."""
+    """All requests of one window are retried, after windows without retries."""
     rng = random.Random(seed)
     fleet = _fleet(size)
     per_vm = min(per_vm, _MOST_EVENTS // size)
@@ -41,7 +41,7 @@
         for _ in range(calm_windows * per_vm):
             budget.on_request(builders.ms(rng.uniform(0, calm_ms)))
     requests = 0
-    repeats = 0
+    retries = 0
     for budget in fleet:
         for _ in range(per_vm):
             at = builders.ms(calm_ms + rng.uniform(0, _WINDOW_MS))
@@ -49,12 +49,12 @@
             requests += 1
         end = builders.ms(calm_ms + _WINDOW_MS - 1)
         while budget.take(end):
-            repeats += 1
-    assert repeats <= 0.2 * requests + 430
+            retries += 1
+    assert retries <= 0.2 * requests + 430
 
 
-def test_a_vm_of_a_large_fleet_still_repeats_some():
-    """Its part of the extra repeats is less than one."""
+def test_a_vm_of_a_large_fleet_may_still_retry():
+    """Its part of the fixed number of retries is less than one."""
     (budget, *_) = _fleet(1_400)
     at = builders.ms(100)
     assert not budget.take(at)
@@ -65,14 +65,14 @@
     assert not budget.take(at)
 
 
-def test_repeats_count_for_a_whole_window():
+def test_retries_count_for_a_whole_window():
     (budget, *_) = _fleet(200)
     assert budget.take(builders.ms(0))
     assert not budget.take(builders.ms(_WINDOW_MS))
     assert budget.take(builders.ms(1.1 * _WINDOW_MS))
 
 
-def test_old_requests_allow_nothing():
+def test_requests_before_the_window_allow_no_retries():
     (budget, *_) = _fleet(5_000)
     for _ in range(100):
         budget.on_request(builders.ms(0))
--- a/dragonflystack/entry/tests/test_cold.py
+++ b/dragonflystack/entry/tests/test_cold.py
@@ -1,4 +1,4 @@
-"""A cold backend server stays within its bound, over all VMs together."""
+"""The limit on requests to a cold backend server, over all VMs together."""
 
 import pytest
 
@@ -10,7 +10,7 @@
 
 
 def _fleet(cold, sizes):
-    """Returns the VMs of each region, which have heard each other."""
+    """Returns the VMs of all regions after an exchange of heartbeats."""
     fleet = []
     now = builders.ms(10_000)
     for region, size in sizes.items():
@@ -37,7 +37,7 @@
     "sizes",
     [{"a": 1}, {"a": 6, "b": 6}, {"a": 20, "b": 3}, {"a": 2, "b": 1}],
 )
-def test_all_vms_together_keep_to_the_bound_in_any_second(sizes):
+def test_all_vms_together_stay_within_the_limit_in_any_second(sizes):
     cold = builders.server("s", cold_left=builders.ms(3000), slots=400)
     fleet = _fleet(cold, sizes)
     sent_at = []
@@ -60,7 +60,7 @@
     assert not _sends(vm, builders.ms(100))
 
 
-def test_a_server_that_is_taken_back_from_evacuation_counts_as_cold():
+def test_a_server_counts_as_cold_after_an_evacuation():
     vm = builders.entry_vm(builders.server("s"))
     domain = frozenset((ids.FailureDomainId("a1"),))
     vm.on_evacuated(domain, builders.ms(0))
--- a/dragonflystack/entry/tests/test_departures.py
+++ b/dragonflystack/entry/tests/test_departures.py
@@ -1,4 +1,4 @@
-"""Backend servers that say in an answer that they are leaving."""
+"""Backend servers that report in an answer that they are leaving."""
 
 import pytest
 
@@ -9,13 +9,17 @@
 
 
 def _vm(*names, **changes):
-    """Returns a VM that knows the servers, and an answer said by the first."""
+    """Returns a VM with the backend servers, on a route without affinity."""
     entries = [builders.server(name, **changes) for name in names]
     return builders.entry_vm(*entries, routes=(builders.route(sticky=False),))
 
 
-def _hear(vm, name, result=_LEAVING, at=10):
-    """Plays requests until one is answered by the server of that name."""
+def _receive_from(vm, name, result=_LEAVING, at=10):
+    """Sends requests until one reaches a server, which answers with a result.
+
+    Returns:
+        The step after that result.
+    """
     for i in range(100):
         now = builders.ms(at + i)
         exchange, step = vm.open(builders.request(key=str(i)), now)
@@ -27,7 +31,7 @@
 
 
 def _reached(vm, at, requests=60):
-    """Returns the ids of the servers that requests are sent to."""
+    """Returns the ids of the servers that a number of requests reach."""
     reached = set()
     for i in range(requests):
         now = builders.ms(at + i)
@@ -42,9 +46,9 @@
     return entry.Listing(entries, (), whole=whole, version=9)
 
 
-def test_a_server_that_says_it_leaves_gets_nothing_from_then_on():
+def test_a_server_that_reports_leaving_gets_no_more_requests():
     vm = _vm("s1", "s2")
-    step = _hear(vm, "s1")
+    step = _receive_from(vm, "s1")
     assert isinstance(step, entry.Deliver)
     assert _reached(vm, 200) == {"s2"}
 
@@ -52,17 +56,19 @@
 @pytest.mark.parametrize(
     "status", [pytest.param(500, id="failed"), pytest.param(503, id="not run")]
 )
-def test_refusals_and_failures_say_it_as_well(status):
+def test_rejections_and_failures_can_report_leaving(status):
     vm = _vm("s1", "s2")
     not_run = status == 503
-    _hear(vm, "s1", entry.Answered(status, not_run=not_run, leaving=True))
+    _receive_from(
+        vm, "s1", entry.Answered(status, not_run=not_run, leaving=True)
+    )
     assert _reached(vm, 200) == {"s2"}
 
 
-def test_what_another_server_says_at_the_address_does_not_count():
+def test_a_report_of_another_server_at_the_address_is_ignored():
     vm = _vm("s1", "s2")
     moved = entry.Answered(421, wrong_server=True, leaving=True)
-    _hear(vm, "s1", moved)
+    _receive_from(vm, "s1", moved)
     vm.on_listing(_listing(builders.server("s1", sequence=2)), 9, _at(300))
     assert "s1" in _reached(vm, 400)
 
@@ -81,16 +87,16 @@
         pytest.param({"born": 0, "sequence": 0}, False, id="born unknown"),
     ],
 )
-def test_only_a_new_incarnation_takes_it_back(later, is_used):
+def test_only_a_new_incarnation_gets_requests_again(later, is_used):
     vm = _vm("s1", "s2")
-    _hear(vm, "s1")
+    _receive_from(vm, "s1")
     vm.on_listing(_listing(builders.server("s1", **later)), 9, _at(300))
     assert ("s1" in _reached(vm, 400)) == is_used
 
 
-def test_a_lapsed_entry_that_returns_is_still_leaving():
+def test_an_expired_entry_that_returns_is_still_leaving():
     vm = _vm("s1", "s2")
-    _hear(vm, "s1")
+    _receive_from(vm, "s1")
     vm.on_listing(
         entry.Listing((), (builders.server("s1").id,), False, 8), 8, _at(200)
     )
@@ -101,17 +107,17 @@
     assert _reached(vm, 400) == {"s2"}
 
 
-def test_an_answer_to_a_probe_does_not_take_it_back():
+def test_a_response_to_a_probe_does_not_end_leaving():
     vm = _vm("s1", "s2")
-    _hear(vm, "s1")
+    _receive_from(vm, "s1")
     server = vm.registry.get(builders.server("s1").id)
     server.on_suspect(_at(100))
     server.on_response(_at(150))
     assert _reached(vm, 200) == {"s2"}
 
 
-def test_a_request_that_was_not_yet_written_goes_elsewhere():
-    """It was chosen before another answer said that the server leaves."""
+def test_a_request_that_is_not_yet_written_goes_to_another_server():
+    """The server is chosen before another answer reports that it leaves."""
     vm = _vm("s1", "s2")
     now = builders.ms(10)
     exchange, step = vm.open(builders.request(), now)
@@ -125,27 +131,27 @@
     assert first.in_flight == 0
 
 
-def test_neighbours_are_told_once_and_tell_on():
+def test_a_departure_is_forwarded_in_heartbeats_for_a_short_time():
     vms = [_vm("s1", "s2") for _ in range(3)]
-    _hear(vms[0], "s1")
-    for teller, hearer in ((0, 1), (1, 2)):
-        beat = vms[teller].heartbeat(_at(300))
+    _receive_from(vms[0], "s1")
+    for sender, receiver in ((0, 1), (1, 2)):
+        beat = vms[sender].heartbeat(_at(300))
         assert [d.server for d in beat.departures] == ["s1"]
-        assert len(vms[hearer].on_departures(beat.departures, _at(310))) == 1
-        assert vms[hearer].on_departures(beat.departures, _at(320)) == ()
-        assert _reached(vms[hearer], 400) == {"s2"}
+        assert len(vms[receiver].on_departures(beat.departures, _at(310))) == 1
+        assert vms[receiver].on_departures(beat.departures, _at(320)) == ()
+        assert _reached(vms[receiver], 400) == {"s2"}
     assert vms[0].heartbeat(_at(5_000)).departures == ()
 
 
-def test_one_that_is_known_to_leave_is_not_told_again():
+def test_a_departure_that_the_store_has_is_not_announced():
     vm = builders.entry_vm(builders.server("s1", leaving=True))
     server = next(iter(vm.registry.all()))
     assert not vm.dispatch.on_leaving_reported(server, _at(10))
     assert vm.heartbeat(_at(20)).departures == ()
 
 
-def test_what_the_store_says_again_does_not_take_back_what_was_said():
-    """The row said so first, and then no longer does."""
+def test_a_store_row_that_changes_back_does_not_end_leaving():
+    """The row says leaving before the answer does, and ready after it."""
     vm = _vm("s1", "s2")
     exchange, step = vm.open(builders.request(), _at(10))
     assert isinstance(step, entry.Send)
@@ -159,16 +165,19 @@
     assert _reached(vm, 100) == other
 
 
-def test_a_neighbour_without_the_entry_remembers_it():
+def test_a_departure_applies_to_an_entry_that_arrives_later():
     vm = _vm("s2")
-    gone = (entry.Departure(builders.server("s1").id, 1, 1),)
-    vm.on_departures(gone, _at(10))
+    departures = (entry.Departure(builders.server("s1").id, 1, 1),)
+    vm.on_departures(departures, _at(10))
     vm.on_listing(_listing(builders.server("s1")), 9, _at(20))
     assert _reached(vm, 30) == {"s2"}
 
 
-def test_news_for_a_vm_that_starts_says_it():
+def test_replicated_changes_for_a_new_vm_mark_the_server_as_leaving():
     vm = _vm("s1", "s2")
-    _hear(vm, "s1")
-    told = vm.changes_since(entry.Position())
-    assert {e.id: e.leaving for e in told.entries} == {"s1": True, "s2": False}
+    _receive_from(vm, "s1")
+    changes = vm.changes_since(entry.Position())
+    assert {e.id: e.leaving for e in changes.entries} == {
+        "s1": True,
+        "s2": False,
+    }
--- a/dragonflystack/entry/tests/test_loads.py
+++ b/dragonflystack/entry/tests/test_loads.py
@@ -1,4 +1,4 @@
-"""Loads that callers bring, played against the real decisions."""
+"""Simulated loads on entry VMs that make real routing decisions."""
 
 import datetime
 import math
@@ -10,16 +10,16 @@
 from dragonflystack.entry.tests import loads
 
 _UNEVEN = {"a": 2, "b": 4, "c": 6}
-"""Backend servers a region, while callers are as many in each."""
+"""Backend servers in each region; all regions have equally many callers."""
 
 
 def _waves(per_second):
-    """Returns demand that goes up and down, in each region at another time."""
+    """Returns a request rate that oscillates, with one phase per region."""
     phases = {"a": 0.0, "b": 0.33, "c": 0.67}
 
     def rate(region, second):
-        turn = 2 * math.pi * (second / 36 + phases[region])
-        return per_second * (1 + 0.55 * math.sin(turn))
+        angle = 2 * math.pi * (second / 36 + phases[region])
+        return per_second * (1 + 0.55 * math.sin(angle))
 
     return rate
 
@@ -35,8 +35,8 @@
         pytest.param(lambda s: _sketches(14, s), id="sketches"),
     ],
 )
-def test_keeping_objects_together_beats_spreading_them(make):
-    """Even demand on uneven regions, near the room for known objects."""
+def test_few_servers_per_object_score_better_than_many(make):
+    """Equal demand, unequal regions, close to capacity with cached objects."""
     seeds = range(1, 7)
     kept = [loads.simulate(make(s)) for s in seeds]
     spread = [
@@ -46,13 +46,14 @@
     assert sum(t.credit for t in kept) > sum(t.credit for t in spread)
 
 
-def test_most_are_in_time_near_the_room_for_known_objects():
-    plays = [loads.simulate(_gallery(92, seed=s)) for s in range(1, 7)]
-    assert min(t.in_target_part for t in plays) > 0.5
+def test_most_requests_are_in_time_close_to_capacity():
+    """Demand is close to the capacity for cached objects."""
+    tallies = [loads.simulate(_gallery(92, seed=s)) for s in range(1, 7)]
+    assert min(t.in_target_part for t in tallies) > 0.5
 
 
-def _mute(monkeypatch):
-    """Has VMs tell each other nothing of what they see."""
+def _stop_observations(monkeypatch):
+    """Makes VMs send no observations to each other."""
     for name in ("loads", "cached_objects"):
         monkeypatch.setattr(
             _observations.Observations, name, lambda self, now: ()
@@ -67,18 +68,18 @@
         pytest.param(lambda s: _reservations(s), id="reservations"),
     ],
 )
-def test_vms_that_tell_what_they_see_serve_callers_better(monkeypatch, make):
-    """Each VM alone hears of queues and of known objects too seldom."""
+def test_vms_that_share_observations_serve_callers_better(monkeypatch, make):
+    """Alone, a VM learns of queues and cached objects too rarely."""
     seeds = range(1, 5)
-    told = [loads.simulate(make(seed)) for seed in seeds]
-    _mute(monkeypatch)
-    mute = [loads.simulate(make(seed)) for seed in seeds]
-    assert sum(t.credit for t in told) > sum(t.credit for t in mute)
-    assert sum(t.in_target for t in told) > sum(t.in_target for t in mute)
+    sharing = [loads.simulate(make(seed)) for seed in seeds]
+    _stop_observations(monkeypatch)
+    alone = [loads.simulate(make(seed)) for seed in seeds]
+    assert sum(t.credit for t in sharing) > sum(t.credit for t in alone)
+    assert sum(t.in_target for t in sharing) > sum(t.in_target for t in alone)
 
 
-def test_a_region_short_of_room_is_helped_by_the_others():
-    """A region asks for more than its backend servers can do."""
+def test_other_regions_serve_requests_of_an_overloaded_region():
+    """A region's demand exceeds the capacity of its backend servers."""
     tally = loads.simulate(_gallery(92))
     away = sum(n for (frm, to), n in tally.regions.items() if frm != to)
     assert tally.regions["a", "a"] > 0
@@ -86,8 +87,8 @@
     assert tally.served_part > 0.9
 
 
-def test_a_calm_load_stays_at_home_and_in_time():
-    """Room for all at home: nothing needs to travel."""
+def test_a_low_load_stays_in_its_region_and_is_served():
+    """Every region has capacity for all of its requests."""
     load = loads.Load({"a": 6, "b": 6, "c": 6}, lambda r, t: 20.0)
     tally = loads.simulate(load)
     away = sum(n for (frm, to), n in tally.regions.items() if frm != to)
@@ -95,8 +96,8 @@
     assert tally.served_part == 1.0
 
 
-def test_sending_late_requests_away_serves_more_in_time():
-    """More than there is room for: what waits long makes others late."""
+def test_rejecting_late_requests_serves_more_in_time():
+    """In overload, requests with long waits make other requests late."""
     seeds = (1, 2, 3)
     lookups = {
         "work_ms": 600.0,
@@ -105,26 +106,28 @@
         "objects": 24,
         "kept": 25,
     }
-    kept_short = [
+    short_queues = [
         loads.simulate(_gallery(38, seed=seed, **lookups)) for seed in seeds
     ]
-    let_grow = [
+    long_queues = [
         loads.simulate(
             _gallery(38, seed=seed, **lookups), late_wait_fraction=1e9
         )
         for seed in seeds
     ]
-    assert sum(t.credit for t in kept_short) > sum(t.credit for t in let_grow)
-    assert sum(t.in_target for t in kept_short) > sum(
-        t.in_target for t in let_grow
+    assert sum(t.credit for t in short_queues) > sum(
+        t.credit for t in long_queues
+    )
+    assert sum(t.in_target for t in short_queues) > sum(
+        t.in_target for t in long_queues
     )
 
 
 def _sketches(per_second, seed):
-    """Work on a new object nearly fills the time that a request may take.
+    """Processing an uncached object takes nearly all of the route's timeout.
 
-    Nobody knows any object at the start, so little room is left to wait; what
-    waits longer is cut off at work, and its slot was taken for nothing.
+    No object is cached at the start, so a request can wait only briefly. One
+    that waits longer is cut off during processing and wastes its slot.
     """
     return loads.Load(
         _UNEVEN,
@@ -139,21 +142,21 @@
     )
 
 
-def _play_unseen(load):
-    """Plays a load without the waits that were met."""
+def _simulate_without_waits(load):
+    """Simulates a load without the estimates of queue waits."""
     return loads.simulate(load, load_report_max_age=datetime.timedelta.max)
 
 
 @pytest.mark.parametrize("per_second", [12, 16])
-def test_waits_that_were_met_keep_slots_from_work_that_is_cut_off(per_second):
-    """More than there is room for, while a VM hears of few queues."""
-    plays = [_sketches(per_second, seed) for seed in range(1, 13)]
-    seen = sum(loads.simulate(load).failed for load in plays)
-    assert seen < sum(_play_unseen(load).failed for load in plays)
+def test_wait_estimates_lead_to_fewer_timeouts(per_second):
+    """In overload, and with few load reports per VM."""
+    drawn = [_sketches(per_second, seed) for seed in range(1, 13)]
+    failed = sum(loads.simulate(load).failed for load in drawn)
+    assert failed < sum(_simulate_without_waits(load).failed for load in drawn)
 
 
 def _orders(seed):
-    """Work on a new object takes five sixths of the route's time.
+    """Processing an uncached object takes five sixths of the route's timeout.
 
     A third of the callers are in the region that has a tenth of the slots.
     """
@@ -181,20 +184,20 @@
         pytest.param(_orders, range(1, 5), id="orders"),
     ],
 )
-def test_waits_that_were_met_serve_callers_better(make, seeds):
-    plays = [make(seed) for seed in seeds]
-    seen = sum(loads.simulate(load).credit for load in plays)
-    assert seen > sum(_play_unseen(load).credit for load in plays)
+def test_wait_estimates_serve_callers_better(make, seeds):
+    drawn = [make(seed) for seed in seeds]
+    credit = sum(loads.simulate(load).credit for load in drawn)
+    assert credit > sum(_simulate_without_waits(load).credit for load in drawn)
 
 
-_STEPPE = {"a": 4, "b": 6, "c": 2}
-"""Two of twelve backend servers for a third of the callers."""
+_SMALL_REGION = {"a": 4, "b": 6, "c": 2}
+"""Region c has two of twelve backend servers for a third of the callers."""
 
 
 def _clearances(seed):
-    """Work on a new object takes four fifths of the route's time."""
+    """Processing an uncached object takes four fifths of the timeout."""
     return loads.Load(
-        _STEPPE,
+        _SMALL_REGION,
         _waves(22),
         vms=6,
         work_ms=1_200.0,
@@ -210,8 +213,8 @@
     )
 
 
-def test_shares_that_fit_the_room_help_a_region_short_of_it(monkeypatch):
-    """What a region has no room for begins where room is left."""
+def test_initial_shares_that_fit_the_slots_help_a_small_region(monkeypatch):
+    """Requests beyond a region's capacity start in regions with headroom."""
     seeds = range(1, 9)
     fitting = [loads.simulate(_clearances(seed)) for seed in seeds]
     monkeypatch.setattr(_shares, "_fitting_shares", _shares_by_size)
@@ -221,16 +224,16 @@
 
 
 def _shares_by_size(own, slots):
-    """Shares that favour home and ignore what other regions need."""
+    """Returns shares by slots that ignore the demand of other regions."""
     total = sum(slots.values())
-    home = min(1.0, 1.2 * slots[own] * len(slots) / total)
-    away = total - slots[own]
-    shares = {r: (1 - home) * n / away for r, n in slots.items()}
-    return shares | {own: home}
+    own_share = min(1.0, 1.2 * slots[own] * len(slots) / total)
+    others = total - slots[own]
+    shares = {r: (1 - own_share) * n / others for r, n in slots.items()}
+    return shares | {own: own_share}
 
 
 def _bookings(seed):
-    """More than there is room for while objects are new, then less."""
+    """Demand exceeds capacity while objects are uncached; it drops later."""
     return loads.Load(
         _UNEVEN,
         lambda region, second: 20.0 if second < 10 else 12.0,
@@ -244,22 +247,24 @@
     )
 
 
-def test_another_backend_server_is_not_warmed_up_lightly():
-    """A short queue at the one that knows it costs less than new work."""
+def test_a_warm_up_penalty_serves_callers_better():
+    """A short queue costs less than processing an object that is uncached."""
     seeds = range(1, 7)
-    patient = [loads.simulate(_bookings(seed)) for seed in seeds]
-    hasty = [
+    penalty = [loads.simulate(_bookings(seed)) for seed in seeds]
+    no_penalty = [
         loads.simulate(_bookings(seed), warmup_penalty=0.0) for seed in seeds
     ]
-    assert sum(t.in_target for t in patient) > sum(t.in_target for t in hasty)
-    assert sum(t.credit for t in patient) > sum(t.credit for t in hasty)
+    assert sum(t.in_target for t in penalty) > sum(
+        t.in_target for t in no_penalty
+    )
+    assert sum(t.credit for t in penalty) > sum(t.credit for t in no_penalty)
 
 
 def _reservations(seed):
-    """Few backend servers, which cannot know every object all together.
+    """A few backend servers; those of one region cannot cache all objects.
 
-    Each region asks for as many objects as one of its two backend servers
-    remembers, and the waves fill a region's slots in turn.
+    Each region requests about as many objects as one of its two backend servers
+    can cache. The oscillating demand fills each region's slots in turn.
     """
     return loads.Load(
         {"a": 2, "b": 2, "c": 2},
@@ -277,8 +282,8 @@
     )
 
 
-def test_objects_stay_where_they_are_remembered():
-    """Each further copy of an object takes a slot for the time of new work."""
+def test_objects_stay_on_servers_that_have_them_cached():
+    """Caching an object on a further server occupies a slot for long."""
     seeds = range(1, 5)
     kept = [loads.simulate(_reservations(seed)) for seed in seeds]
     copied = [
@@ -291,17 +296,17 @@
     assert sum(t.in_target for t in kept) > sum(t.in_target for t in copied)
 
 
-def test_objects_stay_in_regions_that_remember_them():
-    plays = [loads.simulate(_reservations(seed)) for seed in range(1, 5)]
-    away = sum(n for t in plays for (x, y), n in t.regions.items() if x != y)
-    assert away < 0.2 * sum(t.asked for t in plays)
+def test_objects_stay_in_regions_that_have_them_cached():
+    tallies = [loads.simulate(_reservations(seed)) for seed in range(1, 5)]
+    away = sum(n for t in tallies for (x, y), n in t.regions.items() if x != y)
+    assert away < 0.2 * sum(t.asked for t in tallies)
 
 
 @pytest.mark.parametrize("hot_object_fraction", [0.9, 0.95])
-def test_an_object_in_great_demand_gets_more_backend_servers(
+def test_a_hot_object_gets_more_backend_servers(
     hot_object_fraction,
 ):
-    """One object alone fills more slots than a backend server has."""
+    """Requests for one object need more slots than one backend server has."""
     load = loads.Load(
         {"a": 6}, lambda r, t: 115.0, hot_object_fraction=hot_object_fraction
     )
@@ -318,9 +323,9 @@
 
 
 def _halls(seed, **changes):
-    """Many small VMs, and a region with a tenth of the slots.
+    """Many VMs with few requests each, and a region with a tenth of the slots.
 
-    Each VM sees few requests, of which any object may be the next.
+    There are many objects, so a VM rarely gets two requests for the same one.
     """
     return loads.Load(
         {"a": 13, "b": 52, "c": 63},
@@ -340,15 +345,15 @@
     )
 
 
-def test_a_loss_elsewhere_does_not_send_all_requests_home():
-    """One of 128 backend servers leaves; VMs hear of few queues at home."""
+def test_a_loss_in_another_region_does_not_shift_all_requests_to_the_own():
+    """One of 128 backend servers is removed; a VM gets few load reports."""
     calm = sum(loads.simulate(_halls(seed)).credit for seed in (1, 2))
     lossy = [loads.simulate(_halls(seed, loss_at_s=3.0)) for seed in (1, 2)]
     assert sum(tally.credit for tally in lossy) > 0.9 * calm
 
 
-def test_objects_stay_in_the_region_that_they_are_dealt_to(monkeypatch):
-    """Keeping each VM's counts exact would send objects back and forth."""
+def test_objects_stay_in_the_region_that_they_are_assigned_to(monkeypatch):
+    """Without leeway, exact counts would move objects back and forth."""
     seeds = (1, 2)
     kept = [loads.simulate(_halls(seed)) for seed in seeds]
     monkeypatch.setattr(_shares, "_LEEWAY_PART", 0.0)
--- a/dragonflystack/entry/tests/test_popularity.py
+++ b/dragonflystack/entry/tests/test_popularity.py
@@ -1,4 +1,4 @@
-"""How much of the requests concerns one object."""
+"""The estimated share of requests that concern one object."""
 
 import pytest
 
@@ -17,14 +17,14 @@
 @pytest.mark.parametrize(
     ("keys", "low", "high"),
     [
-        pytest.param([], 0.0, 0.0, id="nothing asked for"),
-        pytest.param(["a"], 0.0, 0.0, id="one request says nothing"),
+        pytest.param([], 0.0, 0.0, id="no requests"),
+        pytest.param(["a"], 0.0, 0.0, id="one request is no evidence"),
         pytest.param(["a", "b"] * 50, 0.45, 0.5, id="half"),
-        pytest.param(["a", "b"] * 2_000, 0.45, 0.5, id="half, for long"),
+        pytest.param(["a", "b"] * 2_000, 0.45, 0.5, id="half, many requests"),
         pytest.param(["a"] * 500 + ["b"] * 500, 0.0, 0.2, id="no longer"),
     ],
 )
-def test_the_part_of_an_object(keys, low, high):
+def test_the_share_of_an_object(keys, low, high):
     assert low <= _after(*keys).share(builders.SERVICE, "a") <= high
 
 
@@ -33,7 +33,7 @@
     assert len(popularity._counts[builders.SERVICE]) <= 256
 
 
-def test_a_request_that_is_sent_again_counts_once():
+def test_a_request_that_is_retried_counts_once():
     vm = builders.entry_vm(*(builders.server(f"s{i}") for i in range(3)))
     for i in range(20):
         now = builders.ms(10 + i)
--- a/dragonflystack/entry/tests/test_processing_times.py
+++ b/dragonflystack/entry/tests/test_processing_times.py
@@ -1,4 +1,4 @@
-"""What is learnt of how long requests take."""
+"""Measured processing times and queue waits."""
 
 import datetime
 
@@ -10,44 +10,45 @@
 from dragonflystack.entry import _queue_waits
 from dragonflystack.entry.tests import builders
 
-_NEW = builders.ms(600)
-_KNOWN = builders.ms(180)
+_UNCACHED = builders.ms(600)
+_CACHED = builders.ms(180)
 
 
-def _measured(*works):
+def _measured(*processing_times):
     times = _processing_times.ProcessingTimes(entry.ChoiceSettings())
     route = builders.route(sticky=True)
-    for work in works:
-        times.on_measured(route, builders.SERVICE, work, True)
+    for processing_time in processing_times:
+        times.on_measured(route, builders.SERVICE, processing_time, True)
     return times, route
 
 
 def _expected(times, route):
     return tuple(
-        times.expect(route, builders.SERVICE, known) for known in (False, True)
+        times.expect(route, builders.SERVICE, cached)
+        for cached in (False, True)
     )
 
 
-def test_measurements_are_told_apart_by_their_length():
-    times, route = _measured(*[_NEW, _KNOWN, _KNOWN, _NEW] * 5)
-    new, known = _expected(times, route)
-    assert new == pytest.approx(_NEW, abs=builders.ms(30))
-    assert known == pytest.approx(_KNOWN, abs=builders.ms(30))
+def test_measurements_are_assigned_to_the_nearer_mean():
+    times, route = _measured(*[_UNCACHED, _CACHED, _CACHED, _UNCACHED] * 5)
+    uncached, cached = _expected(times, route)
+    assert uncached == pytest.approx(_UNCACHED, abs=builders.ms(30))
+    assert cached == pytest.approx(_CACHED, abs=builders.ms(30))
 
 
-def test_the_first_measurements_count_fully():
+def test_the_first_measurement_replaces_the_assumed_mean():
     times, route = _measured(builders.ms(1_000))
     assert _expected(times, route)[0] == builders.ms(1_000)
 
 
-def test_first_choices_are_new_to_objects_until_measured_otherwise():
+def test_the_miss_rate_is_one_until_it_is_measured():
     times, route = _measured()
     assert times.miss_rate(route) == 1.0
-    times, route = _measured(_NEW, *[_KNOWN] * 20)
+    times, route = _measured(_UNCACHED, *[_CACHED] * 20)
     assert times.miss_rate(route) < 0.2
 
 
-def test_a_wait_that_was_met_fades_with_time():
+def test_a_measured_wait_decays_over_time():
     waits = _queue_waits.QueueWaits()
     place = (builders.SERVICE, ids.RegionId("a"))
     assert waits.expect(*place, builders.ms(0)) == datetime.timedelta()
--- a/dragonflystack/entry/tests/test_asked_waits.py
+++ b/dragonflystack/entry/tests/test_requested_backoff.py
@@ -1,4 +1,4 @@
-"""Backend servers that ask to be left alone for a while."""
+"""Back-off that backend servers request with Retry-After."""
 
 import datetime
 
@@ -12,7 +12,7 @@
 _SETTINGS = entry.ChoiceSettings()
 
 
-def _asks(wait_s):
+def _backoff_answer(wait_s):
     wait = datetime.timedelta(seconds=wait_s)
     return entry.Answered(503, not_run=True, requested_backoff=wait)
 
@@ -30,17 +30,17 @@
     return exchange, step, now
 
 
-def test_others_take_over_until_the_time_is_over():
+def test_requests_go_to_other_servers_until_the_backoff_ends():
     vm = _vm("s1", "s2")
     exchange, step, now = _open(vm, 10)
-    asking = step.server
-    step = exchange.on_result(_asks(4), now)
+    backing_off = step.server
+    step = exchange.on_result(_backoff_answer(4), now)
     assert isinstance(step, entry.Send)
-    assert step.server is not asking
+    assert step.server is not backing_off
     exchange.on_result(entry.Answered(200), now)
     for at in range(20, 4_000, 20):
         exchange, step, now = _open(vm, at)
-        assert step.server is not asking
+        assert step.server is not backing_off
         exchange.on_result(entry.Answered(200), now)
     later = 10 + 4_000 + _SETTINGS.server_backoff_jitter / builders.ms(1)
     reached = set()
@@ -48,14 +48,14 @@
         exchange, step, now = _open(vm, later + i)
         reached.add(step.server)
         exchange.on_result(entry.Answered(200), now)
-    assert asking in reached
+    assert backing_off in reached
 
 
-def test_if_all_ask_callers_are_told_at_once_when_the_first_is_free():
+def test_if_all_servers_request_backoff_callers_get_the_shortest_wait():
     vm = _vm("s1", "s2")
     exchange, _, now = _open(vm, 10)
-    exchange.on_result(_asks(3), now)
-    step = exchange.on_result(_asks(1), now)
+    exchange.on_result(_backoff_answer(3), now)
+    step = exchange.on_result(_backoff_answer(1), now)
     assert isinstance(step, entry.Reject)
     assert step.reason is entry.Reason.ASKED_TO_WAIT
     _, step, now = _open(vm, 500)
@@ -64,21 +64,21 @@
     assert left <= step.retry_after <= 2 * _SECOND
 
 
-def test_returns_of_callers_and_vms_are_spread():
+def test_retries_of_callers_and_vms_after_a_backoff_are_jittered():
     waits = set()
-    frees = set()
+    backoff_ends = set()
     for seed in range(20):
         vm = _vm("s1")
         vm.rng.seed(seed)
         exchange, _, now = _open(vm, 10)
-        step = exchange.on_result(_asks(2), now)
+        step = exchange.on_result(_backoff_answer(2), now)
         assert isinstance(step, entry.Reject)
         waits.add(step.retry_after)
         server = next(iter(vm.registry.all()))
-        frees.add(server.backoff_until)
+        backoff_ends.add(server.backoff_until)
         assert server.backoff_until >= now + 2 * _SECOND
     assert len(waits) > 15
-    assert len(frees) > 15
+    assert len(backoff_ends) > 15
 
 
 @pytest.mark.parametrize(
@@ -89,17 +89,17 @@
         pytest.param(1e6, 300, id="more than the longest"),
     ],
 )
-def test_the_longest_wait_is_bounded(asked_s, waited_s):
+def test_the_requested_backoff_is_bounded(asked_s, waited_s):
     vm = _vm("s1")
     exchange, _, now = _open(vm, 10)
-    exchange.on_result(_asks(asked_s), now)
+    exchange.on_result(_backoff_answer(asked_s), now)
     server = next(iter(vm.registry.all()))
     waited = server.backoff_until - now
     least = datetime.timedelta(seconds=waited_s)
     assert least <= waited <= least + _SETTINGS.server_backoff_jitter
 
 
-def test_a_shorter_wait_does_not_end_a_longer_one():
+def test_a_shorter_backoff_does_not_end_a_longer_one():
     vm = _vm("s1")
     server = next(iter(vm.registry.all()))
     server.on_backoff_requested(builders.ms(4_000), builders.ms(0))
@@ -108,17 +108,16 @@
     assert server.accepts_requests(builders.ms(4_000))
 
 
-def test_a_failure_that_ran_also_asks():
-    """The wait holds, and the caller gets the backend server's own failure."""
+def test_a_failure_of_a_request_that_ran_can_request_backoff():
     vm = _vm("s1", "s2")
     exchange, step, now = _open(vm, 10)
-    asking = step.server
+    backing_off = step.server
     wait = datetime.timedelta(seconds=2)
     exchange.on_result(entry.Answered(503, requested_backoff=wait), now)
-    assert not asking.accepts_requests(builders.ms(1_000))
+    assert not backing_off.accepts_requests(builders.ms(1_000))
 
 
-def test_servers_of_regions_that_may_not_serve_do_not_count():
+def test_the_backoff_of_servers_in_disallowed_regions_is_ignored():
     home = frozenset([ids.RegionId("a")])
     route = builders.route(sticky=False, regions=home)
     vm = builders.entry_vm(
--- a/dragonflystack/entry/tests/test_shares.py
+++ b/dragonflystack/entry/tests/test_shares.py
@@ -1,4 +1,4 @@
-"""Requests change region no faster than the operators allow."""
+"""The operators' cap on shifts of requests between regions."""
 
 import random
 
@@ -17,7 +17,20 @@
 
 
 def _run(vms, seconds, preferred, start=0, objects=None, in_time=None):
-    """Plays seconds of requests; returns (second, region) of each."""
+    """Chooses regions for some seconds of requests.
+
+    Args:
+        vms: the shares of each VM.
+        seconds: how long requests arrive.
+        preferred: returns the region that load asks for, given the request's
+            number.
+        start: the second of the first request.
+        objects: the number of different objects, None for requests without.
+        in_time: the regions that would answer in time, None for all.
+
+    Returns:
+        The second and the chosen region of each request.
+    """
     rng = random.Random(7)
 
     def key(_):
@@ -27,8 +40,8 @@
     for i in range(start * _RATE, (start + seconds) * _RATE):
         at = builders.ms(1000 * i / _RATE)
         for vm in vms:
-            wants = preferred(i)
-            region = vm.choose_region(key(i), wants, (_A, _B, _C), at, in_time)
+            asked = preferred(i)
+            region = vm.choose_region(key(i), asked, (_A, _B, _C), at, in_time)
             ran.append((i / _RATE, region))
     return ran
 
@@ -40,13 +53,13 @@
     tenths = int(last * 10) - 40
     for tenth in range(max(0, tenths)):
         begin = tenth / 10
-        parts = []
+        shares = []
         for low in (begin, begin + 2):
             window = [r for t, r in ran if low <= t < low + 2]
-            parts.append(
+            shares.append(
                 {r: window.count(r) / len(window) for r in (_A, _B, _C)}
             )
-        gain = sum(max(0.0, parts[1][r] - parts[0][r]) for r in (_A, _B, _C))
+        gain = sum(max(0.0, shares[1][r] - shares[0][r]) for r in (_A, _B, _C))
         worst = max(worst, gain)
     return worst
 
@@ -55,9 +68,9 @@
     "preferred",
     [
         pytest.param(lambda i: _B, id="everything at once"),
-        pytest.param(lambda i: _B if i // 60 % 2 else _A, id="to and fro"),
-        pytest.param(lambda i: (_A, _B, _C)[i // 45 % 3], id="round and round"),
-        pytest.param(lambda i: _B if i % 2 else _C, id="to two others"),
+        pytest.param(lambda i: _B if i // 60 % 2 else _A, id="alternating"),
+        pytest.param(lambda i: (_A, _B, _C)[i // 45 % 3], id="in rotation"),
+        pytest.param(lambda i: _B if i % 2 else _C, id="to two regions"),
     ],
 )
 @pytest.mark.parametrize("objects", [None, 50, 500])
@@ -69,13 +82,13 @@
     assert _worst_shift(ran) <= _CAP
 
 
-def test_the_shares_reach_what_load_asks_for():
+def test_the_shares_converge_to_what_load_asks_for():
     vm = _shares.RegionShares(_A, _CAP)
     _run([vm], 40, lambda i: _B)
     assert vm.shares[_B] > 0.95
 
 
-def test_a_loss_moves_requests_at_once():
+def test_a_loss_of_servers_shifts_requests_at_once():
     vm = _shares.RegionShares(_A, _CAP)
     _run([vm], 2, lambda i: _A)
     vm.on_server_loss(builders.ms(2000))
@@ -83,7 +96,7 @@
     assert {region for _, region in ran} == {_B}
 
 
-def test_a_loss_moves_nothing_from_where_it_is_answered_in_time():
+def test_a_loss_of_servers_shifts_nothing_that_is_answered_in_time():
     vm = _shares.RegionShares(_A, _CAP)
     _run([vm], 2, lambda i: _A)
     vm.on_server_loss(builders.ms(2000))
@@ -92,9 +105,9 @@
     assert moved <= _CAP * len(ran)
 
 
-def test_a_region_that_cannot_serve_gets_nothing():
+def test_a_region_that_cannot_serve_gets_no_requests():
     vm = _shares.RegionShares(_A, _CAP)
-    placed = {
+    chosen = {
         vm.choose_region(None, _B, (_B,), builders.ms(i)) for i in range(50)
     }
-    assert placed == {_B}
+    assert chosen == {_B}
