Say what the VM counts and the arrival time are in entry

Cause: on_vms meant two things, and an exchange's began did not say what began. Change: on_live_vms, on_vm_count, on_fleet_size and arrived_at. Behaviour: names only; mypy is clean, and the tests of dragonflystack/entry passed (without those of quotas, which the names do not reach).

--- a/dragonflystack/entry/_budgets.py
+++ b/dragonflystack/entry/_budgets.py
@@ -85,7 +85,7 @@
         self._fleet_size = fleet_size
         self._by_service: dict[ids.ServiceId, RetryBudget] = {}
 
-    def on_fleet(self, size: int) -> None:
+    def on_fleet_size(self, size: int) -> None:
         """Updates the number of VMs in the fleet."""
         if size == self._fleet_size:
             return
--- a/dragonflystack/entry/_cold.py
+++ b/dragonflystack/entry/_cold.py
@@ -39,7 +39,7 @@
         self._vms: tuple[ids.VmId, ...] = (vm,)
         self._owned: dict[ids.BackendServerId, bool] = {}
 
-    def on_vms(self, vms: tuple[ids.VmId, ...]) -> None:
+    def on_live_vms(self, vms: tuple[ids.VmId, ...]) -> None:
         """Updates the live VMs of the own region, this one included."""
         if vms != self._vms:
             self._vms = vms
--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -119,9 +119,9 @@
     def on_tick(self, now: datetime.timedelta) -> None:
         """Applies the listed VMs and the heartbeats of the own region."""
         known_vms = self._members.known_vms()
-        self._cold.on_vms(known_vms)
-        self._budgets.on_fleet(self._fleet_size())
-        self.shares.on_vms(len(known_vms))
+        self._cold.on_live_vms(known_vms)
+        self._budgets.on_fleet_size(self._fleet_size())
+        self.shares.on_vm_count(len(known_vms))
         heartbeats = [m.beat for m in self._members.alive(now) if m.beat]
         self.shares.on_peers(
             [
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -72,7 +72,7 @@
         self.requirements = requirements
         """Requirements on the backend server, as last resolved."""
 
-        self.began = now
+        self.arrived_at = now
         left = request.time_left
         self._caller_deadline = now + (
             _DEFAULT_TIME_LEFT if left is None else left
@@ -157,7 +157,7 @@
         self._is_idempotent &= requirements.route.idempotent
         self.deadline = self._caller_deadline
         if requirements.route.timeout is not None:
-            latest = self.began + requirements.route.timeout
+            latest = self.arrived_at + requirements.route.timeout
             self.deadline = min(self.deadline, latest)
 
     def _record_end(self, step: _messages.Step) -> _messages.Step:
@@ -353,8 +353,8 @@
         slot from one that could still meet it.
         """
         target = self.route.target_latency
-        before = self._context.waited_before_arrival(self.route, self.request)
-        if before + (now - self.began) + best.expected_latency <= target:
+        waited = self._context.waited_before_arrival(self.route, self.request)
+        if waited + (now - self.arrived_at) + best.expected_latency <= target:
             return False
         return best.wait > target * self._context.late_wait_fraction
 
--- a/dragonflystack/entry/_shares.py
+++ b/dragonflystack/entry/_shares.py
@@ -115,7 +115,7 @@
             self._shares = _mean(peers)
             self._wanted = dict(self._shares)
 
-    def on_vms(self, number: int) -> None:
+    def on_vm_count(self, number: int) -> None:
         """Updates the number of VMs in the own region."""
         self._vms = max(1, number)
 
--- a/dragonflystack/entry/tests/test_loads.py
+++ b/dragonflystack/entry/tests/test_loads.py
@@ -303,9 +303,7 @@
 
 
 @pytest.mark.parametrize("hot_object_fraction", [0.9, 0.95])
-def test_a_hot_object_gets_more_backend_servers(
-    hot_object_fraction,
-):
+def test_a_hot_object_gets_more_backend_servers(hot_object_fraction):
     """Requests for one object need more slots than one backend server has."""
     load = loads.Load(
         {"a": 6}, lambda r, t: 115.0, hot_object_fraction=hot_object_fraction
--- a/dragonflystack/entry/tests/test_shares.py
+++ b/dragonflystack/entry/tests/test_shares.py
@@ -77,7 +77,7 @@
 def test_shifts_stay_under_the_cap_whatever_load_asks_for(preferred, objects):
     vms = [_shares.RegionShares(_A, _CAP) for _ in range(6)]
     for vm in vms:
-        vm.on_vms(len(vms))
+        vm.on_vm_count(len(vms))
     ran = _run(vms, 24, preferred, objects=objects)
     assert _worst_shift(ran) <= _CAP
 
