--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -215,7 +215,7 @@
     registry = _servers.ServerRegistry(builders.REGIONS, entry.ChoiceSettings())
     first, _ = registry.on_entry(builders.server("s", born=1), builders.ms(0))
     first.on_object_cached(7)
-    assert first.knows(7)
+    assert first.has_cached(7)
     first.on_suspect(builders.ms(1))
     second, is_new = registry.on_entry(
         builders.server("s", born=2), builders.ms(2)
@@ -223,4 +223,4 @@
     assert is_new and first.gone
     assert second.in_flight == 0
     assert second.suspect_since is None
-    assert not second.knows(7)
+    assert not second.has_cached(7)
--- a/dragonflystack/entry/tests/test_popularity.py
+++ b/dragonflystack/entry/tests/test_popularity.py
@@ -1,4 +1,4 @@
-"""How much of the requests concerns one object."""
+"""The estimated share of requests that concern one object."""
 
 import pytest
 
@@ -17,15 +17,15 @@
 @pytest.mark.parametrize(
     ("keys", "low", "high"),
     [
-        pytest.param([], 0.0, 0.0, id="nothing asked for"),
-        pytest.param(["a"], 0.0, 0.0, id="one request says nothing"),
+        pytest.param([], 0.0, 0.0, id="no requests"),
+        pytest.param(["a"], 0.0, 0.0, id="one request is no evidence"),
         pytest.param(["a", "b"] * 50, 0.45, 0.5, id="half"),
-        pytest.param(["a", "b"] * 2_000, 0.45, 0.5, id="half, for long"),
+        pytest.param(["a", "b"] * 2_000, 0.45, 0.5, id="half, many requests"),
         pytest.param(["a"] * 500 + ["b"] * 500, 0.0, 0.2, id="no longer"),
     ],
 )
-def test_the_part_of_an_object(keys, low, high):
-    assert low <= _after(*keys).part(builders.SERVICE, "a") <= high
+def test_the_share_of_an_object(keys, low, high):
+    assert low <= _after(*keys).share(builders.SERVICE, "a") <= high
 
 
 def test_counts_stay_bounded():
@@ -33,7 +33,7 @@
     assert len(popularity._counts[builders.SERVICE]) <= 256
 
 
-def test_a_request_that_is_sent_again_counts_once():
+def test_a_request_that_is_retried_counts_once():
     vm = builders.entry_vm(*(builders.server(f"s{i}") for i in range(3)))
     for i in range(20):
         now = builders.ms(10 + i)
@@ -42,4 +42,4 @@
         while isinstance(step, entry.Send):
             step = exchange.on_result(entry.Broken("reset"), now)
     popularity = vm.dispatch._chooser._popularity
-    assert popularity.part(builders.SERVICE, "0") == 0.0
+    assert popularity.share(builders.SERVICE, "0") == 0.0
