Reword the command-line client in standard terms

Comments, help texts and names of the client used figurative words: the "story" of a request, "belief", a VM that is "counted out". They now say history, state change and fence or end of registration; ExitCode.UNREACHED is NO_ANSWER, with the same code 3. Commands, flags, JSON keys, exit codes and the log fields that `explain` reads are the same.

Texts for people changed, besides help: "waits for V (I): has 1" now reads "waits for V (I): acknowledged version 1", "lines are no log lines" reads "lines are not log lines", "V counted out" reads "V is fenced"; "is pending, accepted is N" and the note on a predecessor's vouches are reworded. The tests that match the first two compare the new texts in full, as before.

--- a/dragonflystack/cli/__init__.py
+++ b/dragonflystack/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command-line client."""
+"""Command-line client for operators."""
--- a/dragonflystack/cli/__main__.py
+++ b/dragonflystack/cli/__main__.py
@@ -1,4 +1,4 @@
-"""The operators' client: `dragonfly COMMAND`."""
+"""Entry point of the command-line client: `dragonfly COMMAND`."""
 
 import argparse
 import os
@@ -32,12 +32,12 @@
 
 
 def make_parser() -> argparse.ArgumentParser:
-    """Returns the parser of the whole command line."""
+    """Returns the argument parser with all commands."""
     common = argparse.ArgumentParser(add_help=False)
     common.add_argument(
         "--vm-url",
         default=os.environ.get("DRAGONFLY_VM_URL", "http://127.0.0.1:7002"),
-        help="operators' port of any VM (or DRAGONFLY_VM_URL)",
+        help="URL of the operators' port of any VM (or DRAGONFLY_VM_URL)",
     )
     common.add_argument(
         "--token",
@@ -45,12 +45,12 @@
         help="your team's token (or DRAGONFLY_TOKEN)",
     )
     common.add_argument(
-        "--json", action="store_true", help="print JSON for a machine"
+        "--json", action="store_true", help="print the result as JSON"
     )
     parser = argparse.ArgumentParser(
         prog="dragonfly",
         description="Operates a dragonflystack fleet through any of its VMs.",
-        epilog="Exit codes: 0 done, 1 refused or a check failed, 2 usage,"
+        epilog="Exit codes: 0 done, 1 refused or a check failed, 2 usage error,"
         " 3 no answer, 4 written but not yet accepted.",
     )
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
@@ -88,7 +88,7 @@
             f"dragonfly: no answer from {args.vm_url}: {reason}",
             file=sys.stderr,
         )
-        return _command.ExitCode.UNREACHED
+        return _command.ExitCode.NO_ANSWER
 
 
 if __name__ == "__main__":
--- a/dragonflystack/cli/_command.py
+++ b/dragonflystack/cli/_command.py
@@ -1,4 +1,4 @@
-"""What a command of the client is, and how it talks to a VM."""
+"""The base class of commands, and helpers to call a VM and print results."""
 
 import argparse
 import enum
@@ -20,29 +20,32 @@
 
     DONE = 0
     REFUSED = 1
-    """The system refused, or a check failed."""
+    """The VM refused the request, or a check failed."""
 
     USAGE = 2
-    UNREACHED = 3
-    """No answer from the VM; for a change, it may have been made."""
+    NO_ANSWER = 3
+    """No answer from the VM; a requested change may still have been made."""
 
     PENDING = 4
-    """Written, but not yet accepted."""
+    """The change is written, but not yet accepted."""
 
 
 class Command:
-    """One command; a subclass states its name, description and arguments."""
+    """A command; each subclass defines its name, description and arguments.
+
+    A space in `NAME` separates the group of a command from its own name.
+    """
 
     NAME: ClassVar[str]
     DESCRIPTION: ClassVar[str]
 
     @staticmethod
     def add_arguments(parser: argparse.ArgumentParser) -> None:
-        """Adds the command's own arguments."""
+        """Adds the arguments of this command to the parser."""
 
     @staticmethod
     def run(args: argparse.Namespace) -> ExitCode:
-        """Does the work and returns the exit code."""
+        """Runs the command and returns the exit code."""
         raise NotImplementedError
 
 
@@ -53,31 +56,32 @@
     content: bytes | None = None,
     headers: list[tuple[str, str]] | None = None,
 ) -> httpcore.Response:
-    """Returns the answer of the VM that `--vm-url` names.
+    """Sends a request to the VM at `--vm-url` and returns the response.
 
     Raises:
-        httpcore.NetworkError: if there was no whole answer, and the other
-            errors of httpcore.
+        httpcore.NetworkError: the connection failed or was lost.
+        httpcore.ProtocolError: the response is incomplete or not valid HTTP.
+        httpcore.TimeoutException: a step took longer than `_TIMEOUT_S` seconds.
     """
-    sent = list(headers or [])
+    request_headers = list(headers or [])
     if args.token:
-        sent.append(("Authorization", f"Bearer {args.token}"))
+        request_headers.append(("Authorization", f"Bearer {args.token}"))
     return httpcore.request(
         method,
         args.vm_url + path,
-        headers=sent,
+        headers=request_headers,
         content=content,
         extensions=_TIMEOUTS,
     )
 
 
 def show(args: argparse.Namespace, value: Any, text: str) -> None:
-    """Prints a value as JSON if `--json` was given, else the text."""
+    """Prints `value` as JSON if `--json` was given, else prints `text`."""
     print(json.dumps(value, indent=2) if args.json else text)
 
 
 def show_problem(res: httpcore.Response) -> ExitCode:
-    """Prints the problem details of a refusal."""
+    """Prints the problem details of an error response to standard error."""
     problem = json.loads(res.content)
     detail = problem.get("detail", "")
     line = f"dragonfly: {problem['title']}: {detail}".rstrip(": ")
--- a/dragonflystack/cli/_config.py
+++ b/dragonflystack/cli/_config.py
@@ -1,4 +1,4 @@
-"""Commands on the configuration document: read, check, change, wait."""
+"""Commands that read, check and change the configuration document."""
 
 import argparse
 import difflib
@@ -16,13 +16,17 @@
 _WAIT_POLL_S = 0.1
 
 
-def _add_section(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("section", help="such as services/order")
+def _add_section_argument(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "section", help="name of the section, such as services/order"
+    )
 
 
-def _add_edit(parser: argparse.ArgumentParser) -> None:
-    _add_section(parser)
-    parser.add_argument("file", type=pathlib.Path, help="the section's JSON")
+def _add_edit_arguments(parser: argparse.ArgumentParser) -> None:
+    _add_section_argument(parser)
+    parser.add_argument(
+        "file", type=pathlib.Path, help="file with the section's JSON"
+    )
     parser.add_argument(
         "--base",
         type=int,
@@ -31,7 +35,7 @@
     )
 
 
-def _put(
+def _put_section(
     args: argparse.Namespace, query: str, change: str
 ) -> httpcore.Response:
     headers = [("If-Match", f'"{args.base}"'), ("Dragonfly-Change", change)]
@@ -39,17 +43,22 @@
     return _command.call(args, "PUT", path, args.file.read_bytes(), headers)
 
 
-def _show_refusal(res: httpcore.Response) -> _command.ExitCode:
-    """Prints the problem and, if the section changed, the difference."""
+def _show_problem_with_difference(res: httpcore.Response) -> _command.ExitCode:
+    """Prints the problem details, with the difference of a changed section.
+
+    Returns:
+        NO_ANSWER for a server error (status 500 or above), after which a
+        change may still have been made, else REFUSED.
+    """
     problem = json.loads(res.content)
     if "difference" in problem:
         print(problem["difference"], file=sys.stderr)
     code = _command.show_problem(res)
-    return _command.ExitCode.UNREACHED if res.status >= 500 else code
+    return _command.ExitCode.NO_ANSWER if res.status >= 500 else code
 
 
 class ConfigGet(_command.Command):
-    """Prints the document, or a section with its version."""
+    """Prints the document or one of its sections, and the version."""
 
     NAME = "config get"
     DESCRIPTION = "Print the document that the VM has in force, or a section."
@@ -57,7 +66,9 @@
     @staticmethod
     def add_arguments(parser: argparse.ArgumentParser) -> None:
         """See `Command.add_arguments`."""
-        parser.add_argument("section", nargs="?", help="only this section")
+        parser.add_argument(
+            "section", nargs="?", help="print only this section"
+        )
 
     @staticmethod
     def run(args: argparse.Namespace) -> _command.ExitCode:
@@ -92,29 +103,31 @@
         content = args.file.read_bytes()
         res = _command.call(args, "PUT", "/v1/document", content, headers)
         if res.status != 201:
-            return _show_refusal(res)
-        found = json.loads(res.content)
-        _command.show(args, found, f"written as version {found['version']}")
+            return _show_problem_with_difference(res)
+        body = json.loads(res.content)
+        _command.show(args, body, f"written as version {body['version']}")
         return _command.ExitCode.DONE
 
 
 class ConfigCheck(_command.Command):
-    """Checks a changed section and writes nothing."""
+    """Validates a changed section without writing it."""
 
     NAME = "config check"
-    DESCRIPTION = "Check a changed section within the whole document."
+    DESCRIPTION = (
+        "Validate a changed section with the whole document; write nothing."
+    )
 
     @staticmethod
     def add_arguments(parser: argparse.ArgumentParser) -> None:
         """See `Command.add_arguments`."""
-        _add_edit(parser)
+        _add_edit_arguments(parser)
 
     @staticmethod
     def run(args: argparse.Namespace) -> _command.ExitCode:
         """See `Command.run`."""
-        res = _put(args, "?dry-run", uuid.uuid4().hex)
+        res = _put_section(args, "?dry-run", uuid.uuid4().hex)
         if res.status != 200:
-            return _show_refusal(res)
+            return _show_problem_with_difference(res)
         _command.show(args, json.loads(res.content), "valid, not written")
         return _command.ExitCode.DONE
 
@@ -128,7 +141,7 @@
     @staticmethod
     def add_arguments(parser: argparse.ArgumentParser) -> None:
         """See `Command.add_arguments`."""
-        _add_section(parser)
+        _add_section_argument(parser)
         parser.add_argument("file", type=pathlib.Path)
 
     @staticmethod
@@ -138,8 +151,8 @@
         if res.status != 200:
             return _command.show_problem(res)
         lines = difflib.unified_diff(
-            _pretty(res.content),
-            _pretty(args.file.read_bytes()),
+            _sorted_lines(res.content),
+            _sorted_lines(args.file.read_bytes()),
             f"{args.section} (in force)",
             str(args.file),
             lineterm="",
@@ -149,30 +162,32 @@
         return _command.ExitCode.DONE
 
 
-def _pretty(content: bytes) -> list[str]:
+def _sorted_lines(content: bytes) -> list[str]:
     value = json.loads(content)
     return json.dumps(value, indent=2, sort_keys=True).splitlines()
 
 
 class ConfigApply(_command.Command):
-    """Changes one section."""
+    """Writes a changed section and optionally waits for its acceptance."""
 
     NAME = "config apply"
-    DESCRIPTION = "Change a section; exit code 4 until it is accepted."
+    DESCRIPTION = (
+        "Write a changed section; exit code 4 if it is not yet accepted."
+    )
 
     @staticmethod
     def add_arguments(parser: argparse.ArgumentParser) -> None:
         """See `Command.add_arguments`."""
-        _add_edit(parser)
+        _add_edit_arguments(parser)
         parser.add_argument("--dry-run", action="store_true")
         parser.add_argument(
-            "--change", help="change id; give it again to repeat an apply"
+            "--change", help="change id; repeat it to retry an earlier apply"
         )
         parser.add_argument(
             "--wait-s",
             type=float,
             default=0.0,
-            help="how long to wait for the acceptance",
+            help="maximum time to wait for acceptance, in seconds",
         )
 
     @staticmethod
@@ -182,22 +197,24 @@
             return ConfigCheck.run(args)
         change = args.change or uuid.uuid4().hex
         print(f"change id {change}", file=sys.stderr)
-        res = _put(args, "", change)
+        res = _put_section(args, "", change)
         if res.status == 200:
             _command.show(args, json.loads(res.content), "unchanged")
             return _command.ExitCode.DONE
         if res.status != 201:
-            return _show_refusal(res)
+            return _show_problem_with_difference(res)
         version = json.loads(res.content)["version"]
         print(f"written as version {version}", file=sys.stderr)
-        return _wait(args, version, args.wait_s)
+        return _wait_until_accepted(args, version, args.wait_s)
 
 
 class ConfigWait(_command.Command):
     """Waits until a version is accepted."""
 
     NAME = "config wait"
-    DESCRIPTION = "Wait until a version is accepted; name whom it waits for."
+    DESCRIPTION = (
+        "Wait until a version is accepted; list the VMs that it waits for."
+    )
 
     @staticmethod
     def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -208,27 +225,27 @@
     @staticmethod
     def run(args: argparse.Namespace) -> _command.ExitCode:
         """See `Command.run`."""
-        return _wait(args, args.version, args.wait_s)
+        return _wait_until_accepted(args, args.version, args.wait_s)
 
 
-def _wait(
+def _wait_until_accepted(
     args: argparse.Namespace, version: int, wait_s: float
 ) -> _command.ExitCode:
     deadline = time.monotonic() + wait_s
     while True:
         res = _command.call(args, "GET", "/v1/configuration")
         if res.status != 200:
-            return _show_refusal(res)
+            return _show_problem_with_difference(res)
         state = json.loads(res.content)
         accepted = state["accepted"] >= version
         if accepted or time.monotonic() >= deadline:
             break
         time.sleep(_WAIT_POLL_S)
-    _command.show(args, state, _state_text(state, version))
+    _command.show(args, state, _format_state(state, version))
     return _command.ExitCode.DONE if accepted else _command.ExitCode.PENDING
 
 
-def _state_text(state: dict[str, Any], version: int) -> str:
+def _format_state(state: dict[str, Any], version: int) -> str:
     if state["accepted"] >= version:
         receipt = state["receipt"]
         count = len(receipt["confirmations"])
@@ -237,27 +254,30 @@
             f"VMs, receipt for {receipt['version']} of "
             f"{receipt['accepted_at']}"
         )
-    lines = [f"version {version} is pending, accepted is {state['accepted']}"]
+    lines = [
+        f"version {version} is pending; the accepted version is "
+        f"{state['accepted']}"
+    ]
     for vm in state["waiting_for"]:
-        why = f"has {vm['acknowledged']}"
+        reason = f"acknowledged version {vm['acknowledged']}"
         if vm["hold"]:
-            why += ", a predecessor's vouches may last"
-        lines.append(f"  waits for {vm['vm']} ({vm['incarnation']}): {why}")
+            reason += ", vouches of an earlier incarnation may still be valid"
+        lines.append(f"  waits for {vm['vm']} ({vm['incarnation']}): {reason}")
     return "\n".join(lines)
 
 
 class ConfigHistory(_command.Command):
-    """Prints the latest changes."""
+    """Prints the latest changes of the configuration."""
 
     NAME = "config history"
-    DESCRIPTION = "Print the latest changes, the newest first."
+    DESCRIPTION = "Print the latest changes, newest first."
 
     @staticmethod
     def run(args: argparse.Namespace) -> _command.ExitCode:
         """See `Command.run`."""
         res = _command.call(args, "GET", "/v1/history")
         if res.status != 200:
-            return _show_refusal(res)
+            return _show_problem_with_difference(res)
         records = json.loads(res.content)
         lines = [
             f"{r['version']:>6}  {r['at']}  {r['team']}  {r['section']}  "
@@ -269,10 +289,12 @@
 
 
 class ConfigFence(_command.Command):
-    """Counts out a VM that is known to be switched off."""
+    """Ends the registration of a VM that is known to be switched off."""
 
     NAME = "config fence"
-    DESCRIPTION = "Count out a serving VM that you know to be switched off."
+    DESCRIPTION = (
+        "End the registration of a serving VM that is known to be switched off."
+    )
 
     @staticmethod
     def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -282,7 +304,7 @@
             "--switched-off",
             action="store_true",
             required=True,
-            help="you made sure that the VM is switched off",
+            help="confirm that the VM is switched off",
         )
 
     @staticmethod
@@ -290,25 +312,25 @@
         """See `Command.run`."""
         res = _command.call(args, "POST", f"/v1/fence/{args.vm}")
         if res.status != 200:
-            return _show_refusal(res)
-        _command.show(args, json.loads(res.content), f"{args.vm} counted out")
+            return _show_problem_with_difference(res)
+        _command.show(args, json.loads(res.content), f"{args.vm} is fenced")
         return _command.ExitCode.DONE
 
 
 class Status(_command.Command):
-    """Prints what is written, what is accepted and whom it waits for."""
+    """Prints the written and accepted versions and the VMs it waits for."""
 
     NAME = "status"
-    DESCRIPTION = "Print the state of the configuration over all VMs."
+    DESCRIPTION = "Print the state of the configuration on all VMs."
 
     @staticmethod
     def run(args: argparse.Namespace) -> _command.ExitCode:
         """See `Command.run`."""
         res = _command.call(args, "GET", "/v1/configuration")
         if res.status != 200:
-            return _show_refusal(res)
+            return _show_problem_with_difference(res)
         state = json.loads(res.content)
         version = state["version"]
-        _command.show(args, state, _state_text(state, version))
+        _command.show(args, state, _format_state(state, version))
         accepted = state["accepted"] >= version
         return _command.ExitCode.DONE if accepted else _command.ExitCode.PENDING
--- a/dragonflystack/cli/_explain.py
+++ b/dragonflystack/cli/_explain.py
@@ -1,4 +1,4 @@
-"""The command `explain`: the story of one request, from log lines."""
+"""The command `explain`: reconstructs the history of a request from logs."""
 
 import argparse
 from collections.abc import Iterable
@@ -10,28 +10,28 @@
 from dragonflystack.cli import _command
 
 _CONTEXT_S = 5.0
-"""Changes of belief this long before the request may have decided it."""
+"""State changes at most this long before a request may explain its result."""
 
-_OMITTED = frozenset(
+_OMITTED_KEYS = frozenset(
     ("message_type", "request", "task_level", "task_uuid", "timestamp", "vm")
 )
 
 
 class Explain(_command.Command):
-    """Prints what became of a request, and what was believed before it."""
+    """Prints the log lines on a request and the state changes before it."""
 
     NAME = "explain"
     DESCRIPTION = (
         "Read log lines of entry VMs from files (or standard input) and print"
-        " the story of one request: each decision on it, and the changes of"
-        " belief about its backend servers shortly before. Exit code 1 if no"
-        " line names the request."
+        " the history of one request: each decision on it, and the changes"
+        " in the assumed state of its backend servers shortly before. Exit"
+        " code 1 if no line names the request."
     )
 
     @staticmethod
     def add_arguments(parser: argparse.ArgumentParser) -> None:
         """See `Command.add_arguments`."""
-        parser.add_argument("request", help="the id of the caller's attempt")
+        parser.add_argument("request", help="id of the caller's attempt")
         parser.add_argument(
             "files",
             nargs="*",
@@ -42,23 +42,27 @@
     @staticmethod
     def run(args: argparse.Namespace) -> _command.ExitCode:
         """See `Command.run`."""
-        lines = list(_read(args.files))
-        story = find_story(lines, args.request)
-        text = "\n".join(_format(line) for line in story)
-        _command.show(args, story, text or f"no line names {args.request}")
-        if not story:
+        lines = list(_read_files(args.files))
+        history = find_request_history(lines, args.request)
+        text = "\n".join(_format_line(line) for line in history)
+        _command.show(args, history, text or f"no line names {args.request}")
+        if not history:
             return _command.ExitCode.REFUSED
         return _command.ExitCode.DONE
 
 
-def find_story(
+def find_request_history(
     lines: Iterable[dict[str, Any]], request: str
 ) -> list[dict[str, Any]]:
-    """Returns the lines that tell what became of a request, in order.
+    """Returns the log lines that explain a request, in order of time.
+
+    These are the lines on the request itself, and the state changes on the
+    same VMs that may have caused its result. The list is empty if no line
+    names the request.
 
     Args:
         lines: decoded log lines of one or more processes.
-        request: the id of the caller's attempt.
+        request: id of the caller's attempt.
     """
     ordered = sorted(lines, key=lambda line: line["timestamp"])
     own = [line for line in ordered if line.get("request") == request]
@@ -68,11 +72,12 @@
     end = own[-1]["timestamp"]
     vms = {line["vm"] for line in own}
     servers = {line["server"] for line in own if "server" in line}
-    # A request that was sent nowhere was decided by what is known of them all.
+    # Lines of a request that was never sent name no backend server; the state
+    # of any of them may be the cause.
     context = [
         line
         for line in ordered
-        if _lasts_until(line) >= begin
+        if _relevant_until(line) >= begin
         and line["timestamp"] <= end
         and line.get("request") != request
         and line["vm"] in vms
@@ -82,21 +87,24 @@
     return sorted([*own, *context], key=lambda line: line["timestamp"])
 
 
-def _lasts_until(line: dict[str, Any]) -> float:
-    """Returns until when a change of belief counts as told."""
+def _relevant_until(line: dict[str, Any]) -> float:
+    """Returns the time until which a state change may be the cause of a result.
+
+    A back-off that a backend server requested lasts for `wait_ms`.
+    """
     wait_ms = line.get("wait_ms") or 0.0
     return line["timestamp"] + wait_ms / 1000
 
 
-def _read(files: list[pathlib.Path]) -> Iterable[dict[str, Any]]:
+def _read_files(files: list[pathlib.Path]) -> Iterable[dict[str, Any]]:
     if not files:
-        yield from _decode("standard input", sys.stdin)
+        yield from _decode_lines("standard input", sys.stdin)
     for path in files:
         with path.open() as lines:
-            yield from _decode(str(path), lines)
+            yield from _decode_lines(str(path), lines)
 
 
-def _decode(name: str, lines: Iterable[str]) -> Iterable[dict[str, Any]]:
+def _decode_lines(name: str, lines: Iterable[str]) -> Iterable[dict[str, Any]]:
     skipped = 0
     for text in lines:
         try:
@@ -107,16 +115,16 @@
             skipped += 1
     if skipped:
         print(
-            f"dragonfly: {name}: {skipped} lines are no log lines",
+            f"dragonfly: {name}: {skipped} lines are not log lines",
             file=sys.stderr,
         )
 
 
-def _format(line: dict[str, Any]) -> str:
+def _format_line(line: dict[str, Any]) -> str:
     fields = " ".join(
         f"{key} {value}"
         for key, value in line.items()
-        if key not in _OMITTED and value is not None
+        if key not in _OMITTED_KEYS and value is not None
     )
     at = f"{line['timestamp']:.3f}"
     return f"{at} {line['vm']} {line['message_type']:<18} {fields}"
--- a/dragonflystack/cli/_vm.py
+++ b/dragonflystack/cli/_vm.py
@@ -1,4 +1,4 @@
-"""Commands on one VM: `dump`, `promises`, `lookup`, `drain`."""
+"""Commands that query or drain a VM: `dump`, `promises`, `lookup`, `drain`."""
 
 import argparse
 import datetime
@@ -10,7 +10,7 @@
 
 
 class Dump(_command.Command):
-    """Shows the whole state of one daemon."""
+    """Prints the whole state of a VM's daemon."""
 
     NAME = "dump"
     DESCRIPTION = "Show the whole state of a VM's daemon as JSON."
@@ -24,7 +24,7 @@
 
 
 class Promises(_command.Command):
-    """Shows how each promise was kept by the fleet on one day."""
+    """Prints the checks and breaches of each promise."""
 
     NAME = "promises"
     DESCRIPTION = (
@@ -40,12 +40,12 @@
             "--day",
             type=datetime.date.fromisoformat,
             default=datetime.datetime.now(datetime.UTC).date(),
-            help="day in UTC, as 2026-12-31 (default: today)",
+            help="day in UTC, such as 2026-12-31 (default: today)",
         )
         scope.add_argument(
             "--only-vm",
             action="store_true",
-            help="the counters of this VM's daemon since it started",
+            help="show only the counters of this VM's daemon since it started",
         )
 
     @staticmethod
@@ -55,19 +55,19 @@
         res = _command.call(args, "GET", "/v1/promises" + query)
         if res.status != 200:
             return _command.show_problem(res)
-        found = json.loads(res.content)
-        _command.show(args, found, _promise_table(found["promises"]))
-        kept = all(p["breaches"] == 0 for p in found["promises"])
+        report = json.loads(res.content)
+        _command.show(args, report, _format_promises(report["promises"]))
+        kept = all(p["breaches"] == 0 for p in report["promises"])
         return _command.ExitCode.DONE if kept else _command.ExitCode.REFUSED
 
 
-def _promise_table(entries: list[dict[str, Any]]) -> str:
+def _format_promises(entries: list[dict[str, Any]]) -> str:
     lines = [f"{'promise':24} {'checks':>10} {'worst margin':>13} breaches"]
     for entry in entries:
         margin = entry["worst_margin"]
-        shown = "-" if margin is None else f"{margin:.4g}"
+        margin_text = "-" if margin is None else f"{margin:.4g}"
         lines.append(
-            f"{entry['promise']:24} {entry['checks']:>10} {shown:>13}"
+            f"{entry['promise']:24} {entry['checks']:>10} {margin_text:>13}"
             f" {entry['breaches']:>8}"
         )
         lines += [
@@ -78,12 +78,12 @@
 
 
 class LookUp(_command.Command):
-    """Asks a VM as a caller would."""
+    """Prints the steering answer that a caller would get."""
 
     NAME = "lookup"
     DESCRIPTION = (
-        "Show the answer that a caller would get; needs --vm-url of the"
-        " callers' port."
+        "Show the answer that a caller would get for a service; --vm-url must"
+        " be the URL of the callers' port."
     )
 
     @staticmethod
@@ -107,12 +107,13 @@
 
 
 class Drain(_command.Command):
-    """Asks a VM's daemon for a graceful shutdown."""
+    """Starts the graceful shutdown of a VM's daemon."""
 
     NAME = "drain"
     DESCRIPTION = (
-        "Let the VM leave: it is no longer named, serves until the answers"
-        " given out have expired, finishes what is in flight and exits 0."
+        "Shut the VM's daemon down gracefully: answers no longer name the VM,"
+        " it serves until the answers given so far have expired, finishes"
+        " the requests in flight and exits with code 0."
     )
 
     @staticmethod
@@ -121,6 +122,6 @@
         res = _command.call(args, "POST", "/v1/drain")
         if res.status != 202:
             return _command.show_problem(res)
-        found = json.loads(res.content)
-        _command.show(args, found, f"{found['vm']} is leaving")
+        body = json.loads(res.content)
+        _command.show(args, body, f"{body['vm']} is leaving")
         return _command.ExitCode.DONE
--- a/dragonflystack/cli/tests/test_blocks.py
+++ b/dragonflystack/cli/tests/test_blocks.py
@@ -22,7 +22,7 @@
         ("192.0.2.0/24\n", "blocks.csv:1: not enough values"),
     ],
 )
-def test_an_error_names_the_line(tmp_path, text, message):
+def test_invalid_blocks_error_names_file_and_line(tmp_path, text, message):
     path = tmp_path / "blocks.csv"
     path.write_text(text)
     sites = config.decode_document(_EXAMPLE.read_bytes()).topology.sites
@@ -39,7 +39,7 @@
     return res
 
 
-def test_only_changed_chunks_are_sent(tmp_path, monkeypatch, capsys):
+def test_upload_sends_only_changed_chunks(tmp_path, monkeypatch, capsys):
     stored = json.loads(_EXAMPLE.read_bytes())
     sent = []
 
@@ -59,9 +59,9 @@
     assert cli.main(argv) == _command.ExitCode.DONE
     assert "config apply clients" in capsys.readouterr().out
     stored["clients"] = json.loads(section.read_text())
-    named = stored["clients"]["chunks"]
-    assert list(map(steering.digest_of, sent)) == named
+    listed_digests = stored["clients"]["chunks"]
+    assert list(map(steering.digest_of, sent)) == listed_digests
     sent.clear()
     blocks.write_text("\n".join([*lines, f"10.0.0.128/25,{_SITE}"]))
     assert cli.main(argv) == _command.ExitCode.DONE
-    assert 0 < len(sent) < len(named)
+    assert 0 < len(sent) < len(listed_digests)
--- a/dragonflystack/cli/tests/test_config.py
+++ b/dragonflystack/cli/tests/test_config.py
@@ -22,7 +22,7 @@
 }
 _DONE = _command.ExitCode.DONE
 _REFUSED = _command.ExitCode.REFUSED
-_UNREACHED = _command.ExitCode.UNREACHED
+_NO_ANSWER = _command.ExitCode.NO_ANSWER
 _APPLY = ["config", "apply", "fleet", "FILE", "--base", "1"]
 _CHECK = ["config", "check", "fleet", "FILE", "--base", "1"]
 
@@ -34,10 +34,10 @@
 def _run(monkeypatch, tmp_path, argv, answers) -> int:
     path = tmp_path / "part.json"
     path.write_text('{"owner": "b"}')
-    left = list(answers)
+    remaining = list(answers)
 
     def call(*args) -> httpcore.Response:
-        status, value = left.pop(0)
+        status, value = remaining.pop(0)
         headers = [(b"etag", b'"1"')]
         content = json.dumps(value).encode()
         res = httpcore.Response(status, headers=headers, content=content)
@@ -67,7 +67,7 @@
         (_APPLY, [(201, {"version": 2}), (200, _ACCEPTED)], _DONE),
         (_APPLY, [_problem(403)], _REFUSED),
         (_APPLY, [_problem(409, difference="-a\n+b")], _REFUSED),
-        (_APPLY, [_problem(504)], _UNREACHED),
+        (_APPLY, [_problem(504)], _NO_ANSWER),
         (["config", "wait", "2"], [(200, _PENDING), (200, _ACCEPTED)], _DONE),
         (
             ["config", "wait", "2", "--wait-s", "0"],
@@ -79,33 +79,33 @@
         (["config", "fence", "v", "--switched-off"], [_problem(409)], _REFUSED),
         (["status"], [(200, _ACCEPTED)], _DONE),
         (["status"], [(200, _PENDING)], _command.ExitCode.PENDING),
-        (["status"], [_problem(503)], _UNREACHED),
+        (["status"], [_problem(503)], _NO_ANSWER),
     ],
 )
-def test_the_exit_code_tells_what_became_of_it(
-    monkeypatch, tmp_path, argv, answers, code
-):
+def test_exit_code_matches_response(monkeypatch, tmp_path, argv, answers, code):
     assert _run(monkeypatch, tmp_path, argv, answers) == code
 
 
-def test_pending_names_whom_it_waits_for(monkeypatch, tmp_path, capsys):
+def test_pending_status_lists_vms_that_it_waits_for(
+    monkeypatch, tmp_path, capsys
+):
     _run(monkeypatch, tmp_path, ["status"], [(200, _PENDING)])
-    assert "waits for v (i): has 1" in capsys.readouterr().out
+    assert "waits for v (i): acknowledged version 1" in capsys.readouterr().out
 
 
-def test_refusal_shows_the_difference(monkeypatch, tmp_path, capsys):
+def test_version_conflict_prints_difference(monkeypatch, tmp_path, capsys):
     answers = [_problem(409, difference="-a\n+b")]
     _run(monkeypatch, tmp_path, _APPLY, answers)
     assert "-a\n+b" in capsys.readouterr().err
 
 
-def test_diff_shows_what_a_file_changes(monkeypatch, tmp_path, capsys):
+def test_diff_prints_removed_and_added_lines(monkeypatch, tmp_path, capsys):
     argv = ["config", "diff", "fleet", "FILE"]
     _run(monkeypatch, tmp_path, argv, [(200, {"owner": "a"})])
     assert '-  "owner": "a"\n+  "owner": "b"' in capsys.readouterr().out
 
 
-def test_fencing_needs_the_operators_word():
+def test_fence_without_switched_off_flag_is_usage_error():
     with pytest.raises(SystemExit) as exit_info:
         cli.main(["config", "fence", "v"])
     assert exit_info.value.code == _command.ExitCode.USAGE
--- a/dragonflystack/cli/tests/test_explain.py
+++ b/dragonflystack/cli/tests/test_explain.py
@@ -1,4 +1,4 @@
-"""The story of a request is found among the lines of several VMs."""
+"""Tests how `explain` finds the history of a request in logs of several VMs."""
 
 import json
 
@@ -24,42 +24,44 @@
 ]
 
 
-def test_the_story_has_the_request_and_what_was_believed_before():
-    story = _explain.find_story(_LINES, "q")
-    kinds = [line["message_type"] for line in story]
+def test_history_contains_request_and_earlier_state_changes():
+    history = _explain.find_request_history(_LINES, "q")
+    kinds = [line["message_type"] for line in history]
     assert kinds == ["server-suspect", "request-sent", "request-failed"]
 
 
-def test_a_suspicion_that_the_request_itself_raised_is_told_once():
+def test_state_change_caused_by_request_appears_once():
     suspicion = _line(10.15, "server-suspect", server="s1", request="q")
-    story = _explain.find_story([*_LINES, suspicion], "q")
-    assert story.count(suspicion) == 1
+    history = _explain.find_request_history([*_LINES, suspicion], "q")
+    assert history.count(suspicion) == 1
 
 
-def test_a_request_that_was_never_sent_is_explained_by_all_that_changed():
+def test_request_never_sent_is_explained_by_changes_of_all_servers():
     lines = [*_LINES, _line(10.3, "request-rejected", request="r")]
-    story = _explain.find_story(lines, "r")
-    assert sum("server" in line for line in story) == 2
+    history = _explain.find_request_history(lines, "r")
+    assert sum("server" in line for line in history) == 2
 
 
-def test_a_wait_that_was_asked_for_long_before_still_explains():
-    asked = _line(2.0, "server-asked-wait", server="s1", wait_ms=30_000.0)
-    over = _line(2.1, "server-asked-wait", server="s2", wait_ms=1_000.0)
+def test_requested_backoff_explains_requests_until_it_expires():
+    active = _line(2.0, "server-asked-wait", server="s1", wait_ms=30_000.0)
+    expired = _line(2.1, "server-asked-wait", server="s2", wait_ms=1_000.0)
     rejected = _line(
         20.0, "request-rejected", request="r", reason="asked-to-wait"
     )
-    assert _explain.find_story([asked, over, rejected], "r") == [
-        asked,
+    assert _explain.find_request_history([active, expired, rejected], "r") == [
+        active,
         rejected,
     ]
 
 
 @pytest.mark.parametrize(("request_id", "code"), [("q", 0), ("nobody", 1)])
-def test_files_are_read(tmp_path, capsys, request_id, code):
+def test_explain_reads_log_files_and_counts_other_lines(
+    tmp_path, capsys, request_id, code
+):
     path = tmp_path / "vm.log"
     text = "\n".join(f"  1.5 vm-1 {json.dumps(line)}" for line in _LINES)
     path.write_text(text + "\nnot a line\n")
     assert cli.main(["explain", request_id, str(path)]) == code
     out = capsys.readouterr()
     assert ("request-failed" in out.out) == (code == 0)
-    assert "1 lines are no log lines" in out.err
+    assert "1 lines are not log lines" in out.err
--- a/dragonflystack/cli/tests/test_main.py
+++ b/dragonflystack/cli/tests/test_main.py
@@ -44,21 +44,21 @@
         ),
     ],
 )
-def test_the_exit_code_tells_what_became_of_it(monkeypatch, argv, answer, code):
+def test_exit_code_matches_response(monkeypatch, argv, answer, code):
     monkeypatch.setattr(_command, "call", lambda *args: answer)
     assert cli.main(argv) == code
 
 
-def test_no_answer_has_its_own_exit_code(monkeypatch, capsys):
+def test_connection_error_exits_with_no_answer(monkeypatch, capsys):
     def fail(*args):
         raise httpcore.ConnectError("refused")
 
     monkeypatch.setattr(_command, "call", fail)
-    assert cli.main(["dump"]) == _command.ExitCode.UNREACHED
+    assert cli.main(["dump"]) == _command.ExitCode.NO_ANSWER
     assert "no answer from" in capsys.readouterr().err
 
 
-def test_every_command_describes_itself():
+def test_every_command_has_description_and_valid_arguments():
     for command in cli._COMMANDS:
         assert command.DESCRIPTION.endswith(".")
         command.add_arguments(argparse.ArgumentParser())
