--- a/dragonflystack/membership/_children.py
+++ b/dragonflystack/membership/_children.py
@@ -12,7 +12,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class News:
+class ParentState:
     """What there is to tell."""
 
     me: _vms.Vm
@@ -21,7 +21,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Told:
+class ResponseDelta:
     """The part of the news that one child lacks."""
 
     call: int
@@ -40,7 +40,7 @@
     request: _messages.Request
     """Its latest request."""
 
-    asked_at: datetime.timedelta
+    received_at: datetime.timedelta
     """When that request came."""
 
     call: int | None
@@ -52,36 +52,40 @@
     serial: int = 0
     """Counts the answers."""
 
-    told: dict[_regions.Key, int] = dataclasses.field(default_factory=dict)
+    sent_serials: dict[_regions.RowKey, int] = dataclasses.field(
+        default_factory=dict
+    )
     """Serials of the region loads in the answers so far."""
 
-    told_sender: _vms.Vm | None = None
+    sent_sender: _vms.Vm | None = None
     """What the answers have said of this VM."""
 
-    told_listing: int = 0
+    sent_listing_digest: int = 0
     """Digest of the VM list in the last answer."""
 
     region_loads: _regions.TimedRows = dataclasses.field(default_factory=dict)
     """Loads of regions below it, with the time at which the age held."""
 
-    def tell(self, news: News) -> Told:
+    def take_delta(self, parent_state: ParentState) -> ResponseDelta:
         """Returns what is new to this child in an answer, and notes it."""
         theirs = {
             key: row
-            for key, row in news.rows.items()
+            for key, row in parent_state.rows.items()
             if key not in self.region_loads
         }
-        changed, ages = _regions.split(theirs, self.told)
-        sender = None if self.told_sender == news.me else news.me
+        changed, ages = _regions.encode_delta(theirs, self.sent_serials)
+        sender = (
+            None if self.sent_sender == parent_state.me else parent_state.me
+        )
         if self.call is None:
             raise ValueError(f"VM {self.vm.id}: no request waits")
-        told = Told(self.call, sender, changed, ages)
+        delta = ResponseDelta(self.call, sender, changed, ages)
         self.call = None
         self.serial += 1
-        self.told = {key: row.serial for key, row in theirs.items()}
-        self.told_sender = news.me
-        self.told_listing = news.listing_digest
-        return told
+        self.sent_serials = {key: row.serial for key, row in theirs.items()}
+        self.sent_sender = parent_state.me
+        self.sent_listing_digest = parent_state.listing_digest
+        return delta
 
 
 class Children:
@@ -111,14 +115,14 @@
             child = Child(vm, request, now, call)
             self._by_id[vm.id] = child
         if request.last_serial != child.serial:
-            _forget_told(child)
+            _reset_sent(child)
         child.vm = vm or child.vm
         child.request = request
-        child.asked_at = now
+        child.received_at = now
         child.call = call
         if request.acknowledgements is not None:
             child.acknowledgements = request.acknowledgements
-        child.region_loads = _regions.join(
+        child.region_loads = _regions.apply_delta(
             child.region_loads,
             request.region_loads,
             request.region_ages,
@@ -132,7 +136,7 @@
         late = [
             vm_id
             for vm_id, child in self._by_id.items()
-            if now - child.asked_at > self._expiry
+            if now - child.received_at > self._expiry
         ]
         for vm_id in late:
             del self._by_id[vm_id]
@@ -150,9 +154,9 @@
         return all(c.call is not None for c in self._by_id.values())
 
 
-def _forget_told(child: Child) -> None:
+def _reset_sent(child: Child) -> None:
     child.serial = 0
-    child.told = {}
-    child.told_sender = None
-    child.told_listing = 0
+    child.sent_serials = {}
+    child.sent_sender = None
+    child.sent_listing_digest = 0
     child.region_loads = {}
--- a/dragonflystack/membership/_load.py
+++ b/dragonflystack/membership/_load.py
@@ -106,7 +106,7 @@
     services: Loads
 
 
-def differ(
+def differ_beyond_tolerance(
     one: LoadSum, other: LoadSum, tolerance: float, floor: float
 ) -> bool:
     """Returns whether two sums differ enough to be worth sending.
--- a/dragonflystack/membership/_node.py
+++ b/dragonflystack/membership/_node.py
@@ -57,14 +57,14 @@
         self._in_force = ids.DocumentVersion(0)
         self._load: tuple[_load.Loads, datetime.timedelta] = ({}, now)
         self._position = _overlay.Position(0, ())
-        self._position_of = -1
-        self._recorded: tuple[_messages.Acknowledgement, ...] = ()
+        self._position_generation = -1
+        self._recorded_acks: tuple[_messages.Acknowledgement, ...] = ()
         self._acks_changed = True
         self._record_not_before = now
         self._ask_not_before = now + self._jitter(settings.retry_jitter)
         self._gather_until = self._ask_not_before
         self._wave_due = now + self._jitter(settings.wave_interval)
-        self._watch_due = now + self._jitter(settings.watch_interval)
+        self._head_poll_due = now + self._jitter(settings.head_poll_interval)
         self._listing_due = now + self._jitter(settings.wave_interval)
 
     @property
@@ -117,7 +117,7 @@
         """Takes that a version is in force on this VM."""
         self._in_force = max(self._in_force, version)
         self._acks_changed = True
-        return self._advance(now)
+        return self._send_upwards(now)
 
     def on_head(
         self,
@@ -126,18 +126,18 @@
         now: datetime.timedelta,
     ) -> list[_actions.Action]:
         """Takes the version of the document as read from the store."""
-        actions = self._take_head(version, updates, None, now)
-        return actions + self._advance(now)
+        actions = self._apply_head(version, updates, None, now)
+        return actions + self._send_upwards(now)
 
     def on_listing(
         self, listing: _vms.Listing, now: datetime.timedelta
     ) -> list[_actions.Action]:
         """Takes the VM list as read from the platform."""
-        first = self._listings.known and self.parent is None
-        self._listings.on_read(listing, first, now)
+        is_root = self._listings.has_listing and self.parent is None
+        self._listings.on_read(listing, is_root, now)
         if self._uplink.pending is None:
             self._choose_parent(now)
-        return self._advance(now)
+        return self._send_upwards(now)
 
     def on_request(
         self, request: _messages.Request, call: int, now: datetime.timedelta
@@ -149,14 +149,14 @@
         if child is None:
             unknown = _messages.Response(self._me, 0, self._head)
             return [_actions.Answer(call, unknown)]
-        self._view.on_heard(child.vm, now)
+        self._view.on_message(child.vm, now)
         for vm in request.unlisted:
-            self._view.on_heard(vm, now)
+            self._view.on_message(vm, now)
         self._acks_changed |= request.acknowledgements is not None
-        actions = self._take_head(request.head, (), child.vm, now)
-        if child.call is not None and self._has_news(child):
+        actions = self._apply_head(request.head, (), child.vm, now)
+        if child.call is not None and self._has_updates_for(child):
             actions.append(self._answer(child, self._rows(now), now))
-        return actions + self._advance(now)
+        return actions + self._send_upwards(now)
 
     def on_response(
         self,
@@ -168,16 +168,16 @@
         pending = self._uplink.on_response(number, response)
         if pending is None:
             return []
-        self._view.on_heard(response.sender or pending.to, now)
-        transit = max(_ZERO, now - pending.asked_at - response.held)
+        self._view.on_message(response.sender or pending.to, now)
+        transit = max(_ZERO, now - pending.sent_at - response.held)
         self._regions.on_response(response, transit, now)
         self._listings.on_response(response, transit, now)
         self._gather_until = now + self._cfg.gather_delay
         self._ask_not_before = now
-        actions = self._take_head(
+        actions = self._apply_head(
             response.head, response.updates, pending.to, now
         )
-        return actions + self._wave(now) + self._advance(now)
+        return actions + self._run_wave(now) + self._send_upwards(now)
 
     def on_no_response(
         self, number: int, now: datetime.timedelta
@@ -186,36 +186,36 @@
         pending = self._uplink.on_no_response(number)
         if pending is None:
             return []
-        self._view.on_silence(pending.to.id, now)
+        self._view.on_unresponsive(pending.to.id, now)
         self._ask_not_before = now + self._jitter(self._cfg.retry_jitter)
         self._gather_until = self._ask_not_before
-        return self._advance(now)
+        return self._send_upwards(now)
 
     def on_tick(self, now: datetime.timedelta) -> list[_actions.Action]:
         """Does what has fallen due."""
         self._children.on_tick(now)
         pending = self._uplink.pending
-        if pending and now - pending.asked_at >= self._cfg.ask_timeout:
+        if pending and now - pending.sent_at >= self._cfg.ask_timeout:
             return self.on_no_response(pending.number, now)
         actions: list[_actions.Action] = []
         if now >= self._wave_due:
             self._view.on_tick(now)
-            actions += self._wave(now)
-        actions += self._reads(now)
-        return actions + self._advance(now)
+            actions += self._run_wave(now)
+        actions += self._due_reads(now)
+        return actions + self._send_upwards(now)
 
     def due(self) -> datetime.timedelta:
         """Returns when `on_tick` is to be called at the latest."""
         dues = [self._wave_due]
         pending = self._uplink.pending
         if pending:
-            dues.append(pending.asked_at + self._cfg.ask_timeout)
+            dues.append(pending.sent_at + self._cfg.ask_timeout)
         elif self.parent is not None:
             dues.append(max(self._ask_not_before, self._gather_until))
         if self._acks_changed and self._is_relay():
             dues.append(max(self._gather_until, self._record_not_before))
-        if self._watches():
-            dues.append(self._watch_due)
+        if self._watches_store():
+            dues.append(self._head_poll_due)
         if self._reads_listing():
             dues.append(self._listing_due)
         return min(dues)
@@ -226,20 +226,20 @@
         return self._rng.random() * limit
 
     def _choose_parent(self, now: datetime.timedelta) -> _vms.Vm | None:
-        if self._position_of != self._view.generation:
+        if self._position_generation != self._view.generation:
             overlay = _overlay.Overlay(self._view.vms(), self._cfg.fan_out)
             self._position = overlay.position(self._me)
-            self._position_of = self._view.generation
+            self._position_generation = self._view.generation
         chosen = next(self._candidates(now), None)
         self._uplink.set_parent(chosen.id if chosen else None)
         return chosen
 
     def _candidates(self, now: datetime.timedelta) -> Iterator[_vms.Vm]:
         """Yields whom to ask; any VM at all before there is a VM list."""
-        names: Iterable[ids.VmId] = self._position.parents
-        if not self._listings.known:
-            names = sorted(vm.id for vm in self._view.vms())
-        for vm_id in names:
+        vm_ids: Iterable[ids.VmId] = self._position.parents
+        if not self._listings.has_listing:
+            vm_ids = sorted(vm.id for vm in self._view.vms())
+        for vm_id in vm_ids:
             vm = self._view.get(vm_id)
             if not vm or vm_id == self._me.id:
                 continue
@@ -258,27 +258,27 @@
         vm = self._parent_vm()
         return vm is None or vm.region != self._me.region
 
-    def _watches(self) -> bool:
-        if not self._listings.known:
+    def _watches_store(self) -> bool:
+        if not self._listings.has_listing:
             return False
         return self._position.watches_store or self._is_relay()
 
     def _reads_listing(self) -> bool:
-        return self.parent is None or not self._listings.known
+        return self.parent is None or not self._listings.has_listing
 
-    def _sum_below(self, now: datetime.timedelta) -> _load.LoadSum:
+    def _subtree_load(self, now: datetime.timedelta) -> _load.LoadSum:
         services, loaded_at = self._load
         parts = [_load.LoadSum(1, now - loaded_at, services)]
         for child in self._children.all():
             load = child.request.load
             if load is None or child.vm.region != self._me.region:
                 continue
-            age = load.age + now - child.asked_at
+            age = load.age + now - child.received_at
             age += self._cfg.transit_allowance
             parts.append(dataclasses.replace(load, age=age))
         return _load.add_sums(parts)
 
-    def _rows_below(self, now: datetime.timedelta) -> _regions.Rows:
+    def _subtree_rows(self, now: datetime.timedelta) -> _regions.Rows:
         """The loads of regions that children relay, and of this one."""
         rows = [
             row.aged(now - at)
@@ -291,71 +291,73 @@
 
     def _own_row(self, now: datetime.timedelta) -> _load.RegionLoad:
         return self._regions.publish(
-            self._sum_below(now),
+            self._subtree_load(now),
             self._cfg.load_tolerance,
             self._cfg.load_floor,
             self._rng,
         )
 
     def _rows(self, now: datetime.timedelta) -> _regions.Rows:
-        return self._regions.rows(self._rows_below(now), now)
+        return self._regions.rows(self._subtree_rows(now), now)
 
     # Upwards.
 
-    def _advance(self, now: datetime.timedelta) -> list[_actions.Action]:
+    def _send_upwards(self, now: datetime.timedelta) -> list[_actions.Action]:
         gathered = now >= self._gather_until or (
             self._children.all_waiting() and self._in_force >= self._head
         )
-        actions = self._record(now) if gathered else []
+        actions = self._record_acks(now) if gathered else []
         if self._uplink.pending or now < self._ask_not_before:
             return actions
         parent = self._choose_parent(now)
         if parent and gathered:
-            facts = self._facts_for(parent, now)
-            number, request = self._uplink.ask(parent, facts, now)
+            content = self._request_content(parent, now)
+            number, request = self._uplink.open_request(parent, content, now)
             actions.append(_actions.Ask(number, parent, request))
         return actions
 
-    def _facts_for(self, to: _vms.Vm, now: datetime.timedelta) -> _uplink.Facts:
+    def _request_content(
+        self, to: _vms.Vm, now: datetime.timedelta
+    ) -> _uplink.RequestContent:
         """What a parent is told; no sums before the tree is known."""
-        known = self._listings.known
+        known = self._listings.has_listing
         same_domain = to.failure_domain == self._me.failure_domain
         same_region = to.region == self._me.region
         unlisted = self._view.unlisted()
-        return _uplink.Facts(
+        return _uplink.RequestContent(
             me=self._me,
             head=self._head,
             listing_digest=self._listings.digest,
             acknowledgements=(
                 self.acknowledgements() if known and same_domain else None
             ),
-            load=self._sum_below(now) if known and same_region else None,
-            rows=self._rows_below(now) if known else {},
+            load=self._subtree_load(now) if known and same_region else None,
+            rows=self._subtree_rows(now) if known else {},
             unlisted=tuple(vm for vm in unlisted if vm.id != self._me.id),
-            wanted_rosters=self._listings.wanted,
+            wanted_rosters=self._listings.domains_to_request,
         )
 
-    def _record(self, now: datetime.timedelta) -> list[_actions.Action]:
+    def _record_acks(self, now: datetime.timedelta) -> list[_actions.Action]:
         if not self._acks_changed or not self._is_relay():
             return []
-        if now < self._record_not_before or not self._listings.known:
+        if now < self._record_not_before or not self._listings.has_listing:
             return []
         self._acks_changed = False
         acks = self.acknowledgements()
-        if acks == self._recorded:
+        if acks == self._recorded_acks:
             return []
-        self._recorded = acks
+        self._recorded_acks = acks
         self._record_not_before = now + self._cfg.gather_delay
         domain = self._me.failure_domain
         return [_actions.RecordAcknowledgements(domain, acks)]
 
     # Downwards.
 
-    def _wave(self, now: datetime.timedelta) -> list[_actions.Action]:
-        first = self.parent is None
+    def _run_wave(self, now: datetime.timedelta) -> list[_actions.Action]:
+        is_root = self.parent is None
         interval = self._cfg.wave_interval
-        self._wave_due = now + (interval if first else self._cfg.hold_limit)
-        if first:
+        self._wave_due = now + (interval if is_root else self._cfg.hold_limit)
+        if is_root:
             self._listings.add_unlisted(now)
         return self._answer_all(now)
 
@@ -366,13 +368,13 @@
         rows = self._rows(now)
         return [self._answer(child, rows, now) for child in waiting]
 
-    def _has_news(self, child: _children.Child) -> bool:
+    def _has_updates_for(self, child: _children.Child) -> bool:
         request = child.request
         if request.head < self._head or request.wanted_rosters:
             return True
         return (
             self._listings.differs_from(request.listing_digest)
-            and child.told_listing != self._listings.digest
+            and child.sent_listing_digest != self._listings.digest
         )
 
     def _answer(
@@ -383,30 +385,30 @@
     ) -> _actions.Answer:
         request = child.request
         differs = self._listings.differs_from(request.listing_digest)
-        news = _children.News(
+        parent_state = _children.ParentState(
             me=self._me,
             rows=rows,
             listing_digest=self._listings.digest,
         )
-        told = child.tell(news)
+        delta = child.take_delta(parent_state)
         response = _messages.Response(
-            sender=told.sender,
+            sender=delta.sender,
             serial=child.serial,
             head=self._head,
-            held=now - child.asked_at,
+            held=now - child.received_at,
             updates=self._updates.after(request.head, self._head),
-            region_loads=told.region_loads,
-            region_ages=told.region_ages,
+            region_loads=delta.region_loads,
+            region_ages=delta.region_ages,
             listing_age=self._listings.age(now),
             listing_digest=self._listings.digest,
             roster_digests=self._listings.digests() if differs else (),
             rosters=self._listings.rosters(request.wanted_rosters),
         )
-        return _actions.Answer(told.call, response)
+        return _actions.Answer(delta.call, response)
 
     # The document and the VM list.
 
-    def _take_head(
+    def _apply_head(
         self,
         version: ids.DocumentVersion,
         updates: tuple[_messages.Update, ...],
@@ -422,11 +424,11 @@
         adopt = _actions.Adopt(version, updates, source)
         return [adopt, *self._answer_all(now)]
 
-    def _reads(self, now: datetime.timedelta) -> list[_actions.Action]:
-        watches = self._watches()
+    def _due_reads(self, now: datetime.timedelta) -> list[_actions.Action]:
+        watches = self._watches_store()
         actions: list[_actions.Action] = []
-        if watches and now >= self._watch_due:
-            self._watch_due = now + self._cfg.watch_interval
+        if watches and now >= self._head_poll_due:
+            self._head_poll_due = now + self._cfg.head_poll_interval
             actions.append(_actions.ReadHead())
         if self._reads_listing() and now >= self._listing_due:
             self._listing_due = now + max(
--- a/dragonflystack/membership/_overlay.py
+++ b/dragonflystack/membership/_overlay.py
@@ -26,13 +26,13 @@
 
 
 @functools.cache
-def weight(place: str, name: str) -> int:
+def weight(scope: str, name: str) -> int:
     """Returns the rendezvous weight of a name at a place, 64 bits."""
-    return xxhash.xxh3_64_intdigest(f"{place}\n{name}".encode())
+    return xxhash.xxh3_64_intdigest(f"{scope}\n{name}".encode())
 
 
-def _order(place: str, names: Iterable[str]) -> list[str]:
-    return sorted(names, key=lambda n: (weight(place, n), n), reverse=True)
+def _rendezvous_order(scope: str, names: Iterable[str]) -> list[str]:
+    return sorted(names, key=lambda n: (weight(scope, n), n), reverse=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,7 +77,7 @@
         """Returns where a VM stands, whether or not it is in the set."""
         order = self._domain_order(vm.failure_domain, vm.id)
         rank = order.index(vm.id)
-        parents = [order[i] for i in self._heap_chain(rank)]
+        parents = [order[i] for i in self._heap_ancestors(rank)]
         parents += [v for v in order[:rank] if v not in parents][
             :RELAYS_PER_DOMAIN
         ]
@@ -87,35 +87,37 @@
 
     def relays(self, domain: ids.FailureDomainId) -> tuple[ids.VmId, ...]:
         """Returns the relays of a failure domain, first choice first."""
-        order = _order(domain, self._domains.get(domain, ()))
+        order = _rendezvous_order(domain, self._domains.get(domain, ()))
         return tuple(ids.VmId(v) for v in order[:RELAYS_PER_DOMAIN])
 
     def _domain_order(self, domain: str, vm_id: str) -> list[str]:
-        return _order(domain, {*self._domains.get(domain, ()), vm_id})
+        return _rendezvous_order(
+            domain, {*self._domains.get(domain, ()), vm_id}
+        )
 
-    def _heap_chain(self, rank: int) -> list[int]:
-        chain = []
+    def _heap_ancestors(self, rank: int) -> list[int]:
+        ancestors = []
         while rank > 0:
             rank = (rank - 1) // self._fan_out
-            chain.append(rank)
-        return chain
+            ancestors.append(rank)
+        return ancestors
 
     def _region_order(self, region: str) -> list[str]:
-        return _order(region, self._regions.get(region, ()))
+        return _rendezvous_order(region, self._regions.get(region, ()))
 
     def _region_parents(self, vm: _vms.Vm) -> list[str]:
         parents: list[str] = []
         domains = {*self._regions.get(vm.region, ()), vm.failure_domain}
-        for domain in _order(vm.region, domains):
+        for domain in _rendezvous_order(vm.region, domains):
             if domain == vm.failure_domain:
                 break
             parents += self.relays(ids.FailureDomainId(domain))
         return parents
 
     def _fleet_parents(self, vm: _vms.Vm) -> list[str]:
-        order = _order("fleet", {*self._regions, vm.region})
+        order = _rendezvous_order("fleet", {*self._regions, vm.region})
         parents: list[str] = []
-        for i in self._heap_chain(order.index(vm.region)):
+        for i in self._heap_ancestors(order.index(vm.region)):
             domains = self._region_order(order[i])
             parents += self.relays(ids.FailureDomainId(domains[0]))
         return parents
--- a/dragonflystack/membership/_regions.py
+++ b/dragonflystack/membership/_regions.py
@@ -11,35 +11,35 @@
 from dragonflystack.membership import _messages
 from dragonflystack.membership import _vms
 
-Key: TypeAlias = tuple[ids.RegionId, ids.VmId]
+RowKey: TypeAlias = tuple[ids.RegionId, ids.VmId]
 """The region, and the VM that made the sum."""
 
-Rows: TypeAlias = dict[Key, _load.RegionLoad]
+Rows: TypeAlias = dict[RowKey, _load.RegionLoad]
 
-TimedRows: TypeAlias = dict[Key, tuple[_load.RegionLoad, datetime.timedelta]]
+TimedRows: TypeAlias = dict[RowKey, tuple[_load.RegionLoad, datetime.timedelta]]
 """Rows and the time at which their age held."""
 
 _SERIAL_BITS = 31
 
 
-def split(
-    rows: Rows, told: Mapping[Key, int]
+def encode_delta(
+    rows: Rows, sent_serials: Mapping[RowKey, int]
 ) -> tuple[tuple[_load.RegionLoad, ...], _messages.Ages]:
     """Returns the rows that differ from what was told, and ages of the rest."""
     changed = tuple(
-        row for key, row in rows.items() if told.get(key) != row.serial
+        row for key, row in rows.items() if sent_serials.get(key) != row.serial
     )
     ages = tuple(
         rows[key].sum.age
-        if key in rows and rows[key].serial == told[key]
+        if key in rows and rows[key].serial == sent_serials[key]
         else None
-        for key in sorted(told)
+        for key in sorted(sent_serials)
     )
     return changed, ages
 
 
-def join(
-    known: TimedRows,
+def apply_delta(
+    previous: TimedRows,
     changed: Iterable[_load.RegionLoad],
     ages: _messages.Ages,
     transit: datetime.timedelta,
@@ -48,16 +48,16 @@
     """Returns the rows that were split, with the time of their ages.
 
     Args:
-        known: the rows as told before.
+        previous: the rows as told before.
         changed: the rows told anew.
         ages: the ages of those known, in the order of their keys.
         transit: how long the message was under way, at most.
         now: the time on the monotonic clock.
     """
     rows: TimedRows = {}
-    for key, age in zip(sorted(known), ages, strict=False):
+    for key, age in zip(sorted(previous), ages, strict=False):
         if age is not None:
-            row = known[key][0]
+            row = previous[key][0]
             rows[key] = (row.aged(age + transit - row.sum.age), now)
     for row in changed:
         rows[row.key] = (row.aged(transit), now)
@@ -70,7 +70,7 @@
     def __init__(self, me: _vms.Vm, max_age: datetime.timedelta):
         self._me = me
         self._max_age = max_age
-        self._above: TimedRows = {}
+        self._from_parent: TimedRows = {}
         self._published: _load.RegionLoad | None = None
 
     def on_response(
@@ -86,8 +86,8 @@
             transit: an upper bound on how long the answer was under way.
             now: the time on the monotonic clock.
         """
-        self._above = join(
-            self._above,
+        self._from_parent = apply_delta(
+            self._from_parent,
             response.region_loads,
             response.region_ages,
             transit,
@@ -105,7 +105,7 @@
         last = self._published
         if last is None:
             serial = rng.getrandbits(_SERIAL_BITS)
-        elif _load.differ(last.sum, total, tolerance, floor):
+        elif _load.differ_beyond_tolerance(last.sum, total, tolerance, floor):
             serial = (last.serial + 1) % (1 << _SERIAL_BITS)
         else:
             return last.aged(total.age - last.sum.age)
@@ -113,12 +113,13 @@
         self._published = row
         return row
 
-    def rows(self, below: Rows, now: datetime.timedelta) -> Rows:
+    def rows(self, subtree_rows: Rows, now: datetime.timedelta) -> Rows:
         """Returns all rows that are not too old; those from below go first."""
         rows = {
-            key: row.aged(now - at) for key, (row, at) in self._above.items()
+            key: row.aged(now - at)
+            for key, (row, at) in self._from_parent.items()
         }
-        rows.update(below)
+        rows.update(subtree_rows)
         return {
             key: row
             for key, row in rows.items()
--- a/dragonflystack/membership/_settings.py
+++ b/dragonflystack/membership/_settings.py
@@ -23,7 +23,7 @@
     retry_jitter: datetime.timedelta = datetime.timedelta(milliseconds=500)
     """Longest random wait before another parent is asked."""
 
-    watch_interval: datetime.timedelta = datetime.timedelta(seconds=1)
+    head_poll_interval: datetime.timedelta = datetime.timedelta(seconds=1)
     """Time between reads of the document's version by a relay."""
 
     listing_interval: datetime.timedelta = datetime.timedelta(seconds=5)
--- a/dragonflystack/membership/_uplink.py
+++ b/dragonflystack/membership/_uplink.py
@@ -13,7 +13,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Facts:
+class RequestContent:
     """What a request is made of."""
 
     me: _vms.Vm
@@ -29,13 +29,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Pending:
+class PendingRequest:
     """The request that is open."""
 
     number: int
     to: _vms.Vm
-    asked_at: datetime.timedelta
-    facts: Facts
+    sent_at: datetime.timedelta
+    content: RequestContent
 
 
 class Uplink:
@@ -43,45 +43,50 @@
 
     def __init__(self):
         self.parent: ids.VmId | None = None
-        self.pending: Pending | None = None
+        self.pending: PendingRequest | None = None
         self._number = 0
         self._last_serial = 0
-        self._told: Facts | None = None
+        self._delivered: RequestContent | None = None
 
     def set_parent(self, parent: ids.VmId | None) -> None:
         """Changes the parent; a new one has been told nothing."""
         if parent != self.parent:
             self.parent = parent
-            self._forget_told()
+            self._reset_sent()
 
-    def ask(
-        self, to: _vms.Vm, facts: Facts, now: datetime.timedelta
+    def open_request(
+        self, to: _vms.Vm, content: RequestContent, now: datetime.timedelta
     ) -> tuple[int, _messages.Request]:
         """Opens a request; returns its number and content."""
-        told = self._told
-        told_rows = _serials(told.rows) if told else {}
-        changed, ages = _regions.split(facts.rows, told_rows)
-        tell_acks = not told or facts.acknowledgements != told.acknowledgements
+        delivered = self._delivered
+        delivered_serials = _serials(delivered.rows) if delivered else {}
+        changed, ages = _regions.encode_delta(content.rows, delivered_serials)
+        send_acks = (
+            not delivered
+            or content.acknowledgements != delivered.acknowledgements
+        )
         request = _messages.Request(
-            sender_id=facts.me.id,
-            sender=None if told and told.me == facts.me else facts.me,
+            sender_id=content.me.id,
+            sender=None
+            if delivered and delivered.me == content.me
+            else content.me,
             last_serial=self._last_serial,
-            head=facts.head,
-            listing_digest=facts.listing_digest,
-            acknowledgements=facts.acknowledgements if tell_acks else None,
-            load=facts.load,
+            head=content.head,
+            listing_digest=content.listing_digest,
+            acknowledgements=content.acknowledgements if send_acks else None,
+            load=content.load,
             region_loads=changed,
             region_ages=ages,
-            unlisted=facts.unlisted,
-            wanted_rosters=facts.wanted_rosters,
+            unlisted=content.unlisted,
+            wanted_rosters=content.wanted_rosters,
         )
         self._number += 1
-        self.pending = Pending(self._number, to, now, facts)
+        self.pending = PendingRequest(self._number, to, now, content)
         return self._number, request
 
     def on_response(
         self, number: int, response: _messages.Response
-    ) -> Pending | None:
+    ) -> PendingRequest | None:
         """Closes the request that a response belongs to, if it is open.
 
         A parent that has begun to count anew does not know what was told.
@@ -90,30 +95,30 @@
         if pending is None:
             return None
         if response.serial != self._last_serial + 1:
-            self._forget_told()
+            self._reset_sent()
             return pending
         self._last_serial = response.serial
-        self._told = pending.facts
+        self._delivered = pending.content
         return pending
 
-    def on_no_response(self, number: int) -> Pending | None:
+    def on_no_response(self, number: int) -> PendingRequest | None:
         """Closes the request that failed, if it is open."""
         pending = self._close(number)
         if pending is not None:
-            self._forget_told()
+            self._reset_sent()
         return pending
 
-    def _close(self, number: int) -> Pending | None:
+    def _close(self, number: int) -> PendingRequest | None:
         pending = self.pending
         if pending is None or pending.number != number:
             return None
         self.pending = None
         return pending
 
-    def _forget_told(self) -> None:
+    def _reset_sent(self) -> None:
         self._last_serial = 0
-        self._told = None
+        self._delivered = None
 
 
-def _serials(rows: _regions.Rows) -> dict[_regions.Key, int]:
+def _serials(rows: _regions.Rows) -> dict[_regions.RowKey, int]:
     return {key: row.serial for key, row in rows.items()}
--- a/dragonflystack/membership/_vms.py
+++ b/dragonflystack/membership/_vms.py
@@ -141,10 +141,10 @@
 class ViewSettings:
     """How long a view waits."""
 
-    suspect_for: datetime.timedelta = datetime.timedelta(seconds=10)
+    suspicion_period: datetime.timedelta = datetime.timedelta(seconds=10)
     """How long a VM that did not answer is not asked; doubles each time."""
 
-    suspect_for_at_most: datetime.timedelta = datetime.timedelta(seconds=160)
+    max_suspicion_period: datetime.timedelta = datetime.timedelta(seconds=160)
     """Where the doubling ends."""
 
     forget_after: datetime.timedelta = datetime.timedelta(seconds=60)
@@ -160,9 +160,9 @@
         self._listed: dict[ids.VmId, Vm] = {}
         self._known: dict[ids.VmId, Vm] = {}
         self._unlisted: tuple[Vm, ...] | None = ()
-        self._heard_at: dict[ids.VmId, datetime.timedelta] = {}
+        self._last_message_at: dict[ids.VmId, datetime.timedelta] = {}
         self._suspected_until: dict[ids.VmId, datetime.timedelta] = {}
-        self._silences: dict[ids.VmId, int] = {}
+        self._missed_responses: dict[ids.VmId, int] = {}
         self._generation = 0
 
     @property
@@ -184,36 +184,36 @@
             for roster in listing.rosters.values()
             for vm in roster.vms
         }
-        known = {vm_id: self._later(vm) for vm_id, vm in listed.items()}
+        known = {vm_id: self._later_run(vm) for vm_id, vm in listed.items()}
         for vm_id, vm in self._known.items():
-            if vm_id not in known and self._heard_lately(vm_id, now):
+            if vm_id not in known and self._heard_recently(vm_id, now):
                 known[vm_id] = vm
         self._listing = listing
         self._listed = listed
         self._known = known
-        self._changed()
+        self._on_change()
 
-    def on_heard(self, vm: Vm, now: datetime.timedelta) -> None:
+    def on_message(self, vm: Vm, now: datetime.timedelta) -> None:
         """Takes a message from a VM itself, or passed on unaltered."""
         known = self._known.get(vm.id)
-        another_run = known and known.incarnation != vm.incarnation
-        if known and another_run and not vm.replaces(known):
+        is_other_run = known and known.incarnation != vm.incarnation
+        if known and is_other_run and not vm.replaces(known):
             return
-        self._heard_at[vm.id] = now
+        self._last_message_at[vm.id] = now
         self._suspected_until.pop(vm.id, None)
-        self._silences.pop(vm.id, None)
+        self._missed_responses.pop(vm.id, None)
         if known is None or vm.replaces(known):
             self._known[vm.id] = vm
-            self._changed()
+            self._on_change()
 
-    def on_silence(self, vm_id: ids.VmId, now: datetime.timedelta) -> None:
+    def on_unresponsive(self, vm_id: ids.VmId, now: datetime.timedelta) -> None:
         """Takes that a VM did not answer this VM in time."""
-        times = self._silences.get(vm_id, 0)
-        self._silences[vm_id] = times + 1
+        times = self._missed_responses.get(vm_id, 0)
+        self._missed_responses[vm_id] = times + 1
         cfg = self._settings
         duration = min(
-            cfg.suspect_for * 2 ** min(times, _MAX_DOUBLINGS),
-            cfg.suspect_for_at_most,
+            cfg.suspicion_period * 2 ** min(times, _MAX_DOUBLINGS),
+            cfg.max_suspicion_period,
         )
         self._suspected_until[vm_id] = now + duration
 
@@ -226,10 +226,10 @@
         ]
         for vm_id in gone:
             del self._known[vm_id]
-            self._heard_at.pop(vm_id, None)
+            self._last_message_at.pop(vm_id, None)
             self._suspected_until.pop(vm_id, None)
-            self._silences.pop(vm_id, None)
-            self._changed()
+            self._missed_responses.pop(vm_id, None)
+            self._on_change()
 
     def get(self, vm_id: ids.VmId) -> Vm | None:
         """Returns the latest run known of a VM."""
@@ -249,7 +249,7 @@
         vm = self._known.get(vm_id)
         if vm is None:
             return VmState.GONE
-        if vm_id not in self._listed and not self._heard_lately(vm_id, now):
+        if vm_id not in self._listed and not self._heard_recently(vm_id, now):
             return VmState.GONE
         if self.is_suspected(vm_id, now):
             return VmState.SUSPECTED
@@ -269,18 +269,18 @@
             )
         return self._unlisted
 
-    def _changed(self) -> None:
+    def _on_change(self) -> None:
         self._generation += 1
         self._unlisted = None
 
-    def _later(self, listed: Vm) -> Vm:
+    def _later_run(self, listed: Vm) -> Vm:
         known = self._known.get(listed.id)
         if known is not None and known.replaces(listed):
             return known
         return listed
 
-    def _heard_lately(self, vm_id: ids.VmId, now: datetime.timedelta) -> bool:
-        heard_at = self._heard_at.get(vm_id)
-        if heard_at is None:
+    def _heard_recently(self, vm_id: ids.VmId, now: datetime.timedelta) -> bool:
+        last_message_at = self._last_message_at.get(vm_id)
+        if last_message_at is None:
             return False
-        return now - heard_at <= self._settings.forget_after
+        return now - last_message_at <= self._settings.forget_after
--- a/dragonflystack/membership/tests/test_listings.py
+++ b/dragonflystack/membership/tests/test_listings.py
@@ -29,4 +29,4 @@
         ),
     )
     sync.on_response(response, 0 * _S, 101 * _S)
-    assert bool(sync.wanted) is wants
+    assert bool(sync.domains_to_request) is wants
--- a/dragonflystack/membership/tests/test_load.py
+++ b/dragonflystack/membership/tests/test_load.py
@@ -79,14 +79,14 @@
         key: _load.RegionLoad(*key, serial=i, sum=_sum(i))
         for i, key in enumerate(keys)
     }
-    changed, ages = _regions.split(rows, {})
-    known = _regions.join({}, changed, ages, 0 * _S, 0 * _S)
-    told = {key: row.serial for key, row in rows.items()}
+    changed, ages = _regions.encode_delta(rows, {})
+    known = _regions.apply_delta({}, changed, ages, 0 * _S, 0 * _S)
+    sent_serials = {key: row.serial for key, row in rows.items()}
     rows[keys[0]] = _load.RegionLoad(*keys[0], serial=9, sum=_sum(9))
-    changed, ages = _regions.split(rows, told)
+    changed, ages = _regions.encode_delta(rows, sent_serials)
     assert [row.serial for row in changed] == [9]
     assert sorted(ages, key=str) == [1 * _S, None]
-    known = _regions.join(known, changed, ages, 2 * _S, 5 * _S)
+    known = _regions.apply_delta(known, changed, ages, 2 * _S, 5 * _S)
     assert {k: row.serial for k, (row, _) in known.items()} == {
         keys[0]: 9,
         keys[1]: 1,
@@ -96,10 +96,10 @@
 
 def test_row_goes_when_it_is_not_named_or_too_old():
     row = _load.RegionLoad(_HOME, _ME.id, 1, _sum(1))
-    known = _regions.join({}, (row,), (), 0 * _S, 0 * _S)
-    told = {row.key: row.serial}
-    _, ages = _regions.split({}, told)
-    assert _regions.join(known, (), ages, 0 * _S, 1 * _S) == {}
+    known = _regions.apply_delta({}, (row,), (), 0 * _S, 0 * _S)
+    sent_serials = {row.key: row.serial}
+    _, ages = _regions.encode_delta({}, sent_serials)
+    assert _regions.apply_delta(known, (), ages, 0 * _S, 1 * _S) == {}
     table = _regions.RegionTable(_ME, 3 * _S)
     assert table.rows({row.key: row.aged(1 * _S)}, 0 * _S)
     assert not table.rows({row.key: row.aged(3 * _S)}, 0 * _S)
--- a/dragonflystack/membership/tests/test_uplink.py
+++ b/dragonflystack/membership/tests/test_uplink.py
@@ -35,10 +35,10 @@
     return {row.key: row for row in rows}
 
 
-def _facts(
+def _content(
     me: _vms.Vm, rows: _regions.Rows, acks: _uplink.Acks
-) -> _uplink.Facts:
-    return _uplink.Facts(
+) -> _uplink.RequestContent:
+    return _uplink.RequestContent(
         me, ids.DocumentVersion(1), 0, acks, None, rows, (), ()
     )
 
@@ -65,8 +65,8 @@
             _messages.Acknowledgement(version, frozenset({_CHILD.incarnation})),
         )
         me = rng.choice((_CHILD, _LEAVING_CHILD))
-        facts = _facts(me, self.up, self.acks)
-        number, request = self.uplink.ask(_PARENT, facts, 0 * _S)
+        content = _content(me, self.up, self.acks)
+        number, request = self.uplink.open_request(_PARENT, content, 0 * _S)
         response = self._serve(request) if rng.random() >= loss else None
         if response is None or rng.random() < loss:
             self.uplink.on_no_response(number)
@@ -79,13 +79,13 @@
         child = self.children.on_request(request, 1, 0 * _S, 0 * _S)
         if child is None:
             return _messages.Response(_PARENT, 0, head)
-        told = child.tell(_children.News(_PARENT, self.down, 0))
+        delta = child.take_delta(_children.ParentState(_PARENT, self.down, 0))
         return _messages.Response(
-            told.sender,
+            delta.sender,
             child.serial,
             head,
-            region_loads=told.region_loads,
-            region_ages=told.region_ages,
+            region_loads=delta.region_loads,
+            region_ages=delta.region_ages,
         )
 
     def forget(self) -> None:
--- a/dragonflystack/membership/tests/test_vms.py
+++ b/dragonflystack/membership/tests/test_vms.py
@@ -53,11 +53,11 @@
 )
 def test_later_run_counts_whatever_the_order_of_news(listed, heard, expected):
     view = _view(listed)
-    view.on_heard(heard, 1 * _S)
+    view.on_message(heard, 1 * _S)
     assert view.get(_FIRST.id) == expected
 
     view = _view()
-    view.on_heard(heard, 1 * _S)
+    view.on_message(heard, 1 * _S)
     view.on_listing(_vms.Listing.from_vms([listed]), 2 * _S)
     assert view.get(_FIRST.id) == expected
 
@@ -65,7 +65,7 @@
 def test_suspicion_never_removes_a_vm_from_what_must_acknowledge():
     view = _view(_FIRST)
     for second in range(200):
-        view.on_silence(_FIRST.id, second * _S)
+        view.on_unresponsive(_FIRST.id, second * _S)
         view.on_tick(second * _S)
     assert view.state_of(_FIRST.id, 200 * _S) is _vms.VmState.SUSPECTED
     assert view.must_acknowledge() == {_FIRST.incarnation}
@@ -73,21 +73,21 @@
 
 def test_suspicion_lapses_later_each_time_and_ends_when_heard():
     view = _view(_FIRST)
-    view.on_silence(_FIRST.id, 0 * _S)
+    view.on_unresponsive(_FIRST.id, 0 * _S)
     assert not view.is_suspected(_FIRST.id, 10 * _S)
-    view.on_silence(_FIRST.id, 10 * _S)
+    view.on_unresponsive(_FIRST.id, 10 * _S)
     assert view.is_suspected(_FIRST.id, 29 * _S)
     assert not view.is_suspected(_FIRST.id, 30 * _S)
-    view.on_silence(_FIRST.id, 30 * _S)
-    view.on_heard(_FIRST, 31 * _S)
+    view.on_unresponsive(_FIRST.id, 30 * _S)
+    view.on_message(_FIRST, 31 * _S)
     assert not view.is_suspected(_FIRST.id, 31 * _S)
-    view.on_silence(_FIRST.id, 40 * _S)
+    view.on_unresponsive(_FIRST.id, 40 * _S)
     assert not view.is_suspected(_FIRST.id, 50 * _S)
 
 
 def test_unlisted_vm_is_known_while_heard_then_gone():
     view = _view()
-    view.on_heard(_FIRST, 0 * _S)
+    view.on_message(_FIRST, 0 * _S)
     view.on_tick(60 * _S)
     assert view.state_of(_FIRST.id, 60 * _S) is _vms.VmState.SERVING
     assert view.unlisted() == (_FIRST,)
@@ -99,14 +99,14 @@
 
 def test_vm_dropped_by_a_lagging_list_stays_while_heard():
     view = _view(_FIRST)
-    view.on_heard(_FIRST, 1 * _S)
+    view.on_message(_FIRST, 1 * _S)
     view.on_listing(_vms.Listing.from_vms([]), 2 * _S)
     assert view.must_acknowledge() == {_FIRST.incarnation}
 
 
 def test_replaced_run_no_longer_has_to_acknowledge():
     view = _view(_FIRST)
-    view.on_heard(_SECOND, 1 * _S)
+    view.on_message(_SECOND, 1 * _S)
     assert view.must_acknowledge() == {_SECOND.incarnation}
     assert view.unlisted() == (_SECOND,)
 
@@ -125,6 +125,6 @@
 
 def test_message_of_a_replaced_run_does_not_lift_suspicion():
     view = _view(_SECOND)
-    view.on_silence(_SECOND.id, 0 * _S)
-    view.on_heard(_FIRST, 1 * _S)
+    view.on_unresponsive(_SECOND.id, 0 * _S)
+    view.on_message(_FIRST, 1 * _S)
     assert view.is_suspected(_SECOND.id, 1 * _S)
