--- a/dragonflystack/membership/__init__.py
+++ b/dragonflystack/membership/__init__.py
@@ -1,11 +1,11 @@
-"""Entry VMs: incarnations, heartbeats, relays.
+"""Membership of the entry VMs and the exchange of control data among them.
 
     node = membership.Node(me, cfg, membership.View(view_cfg), rng, now)
     for action in node.on_listing(vms, now):
         ...  # an `Ask` goes to another daemon, a `ReadHead` to the store
 
-The daemon feeds what it receives to the `on_x` methods and carries out what
-they return. docs/design/membership.md says why it is done this way.
+The daemon passes what it receives to the `on_x` methods and carries out the
+actions that they return. docs/design/membership.md explains the design.
 """
 
 from dragonflystack.membership._actions import Action
--- a/dragonflystack/membership/_actions.py
+++ b/dragonflystack/membership/_actions.py
@@ -1,4 +1,4 @@
-"""What a node of the tree asks the daemon to do."""
+"""Actions that a node of the tree returns for the daemon to carry out."""
 
 import dataclasses
 from typing import TypeAlias
@@ -10,10 +10,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ask:
-    """Send a request; report the response or that there was none."""
+    """Send a request to another VM.
+
+    The daemon passes the result to `Node.on_response` or
+    `Node.on_no_response`.
+    """
 
     number: int
-    """Comes back with the response."""
+    """Identifies the request; the daemon passes it back with the result."""
 
     to: _vms.Vm
     request: _messages.Request
@@ -21,17 +25,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """Answer the request of a VM that has been held open."""
+    """Send the response to a request that was held open."""
 
     call: int
-    """The number that came with the request."""
+    """The call number that the daemon passed to `Node.on_request`."""
 
     response: _messages.Response
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadHead:
-    """Read the version of the document from the store."""
+    """Read the head, the newest version of the document, from the store."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,19 +45,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Adopt:
-    """A newer version of the document exists: put it in force."""
+    """Put a newer version of the document in force."""
 
     version: ids.DocumentVersion
     updates: tuple[_messages.Update, ...]
-    """The changes up to it, or none if it has to be read whole."""
+    """The changes up to the version; empty if it has to be read whole."""
 
     source: _vms.Vm | None
-    """The VM that told of it, or None if the store did."""
+    """The VM that sent the version; None if it was read from the store."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RecordAcknowledgements:
-    """Write to the store who has which version in force."""
+    """Write to the store which runs have which version in force."""
 
     failure_domain: ids.FailureDomainId
     acknowledgements: tuple[_messages.Acknowledgement, ...]
--- a/dragonflystack/membership/_children.py
+++ b/dragonflystack/membership/_children.py
@@ -1,4 +1,4 @@
-"""What a VM keeps of those that ask it."""
+"""The state that a VM keeps for each of its children in the tree."""
 
 from collections.abc import Iterable
 import dataclasses
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ParentState:
-    """What there is to tell."""
+    """The state of this VM from which responses to children are built."""
 
     me: _vms.Vm
     rows: _regions.Rows
@@ -22,74 +22,80 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseDelta:
-    """The part of the news that one child lacks."""
+    """The part of the parent state that one child does not have yet."""
 
     call: int
-    """The call to answer."""
+    """Number of the call that the response answers."""
 
     sender: _vms.Vm | None
+    """This VM; None if the child has its current state already."""
+
     region_loads: tuple[_load.RegionLoad, ...]
     region_ages: _messages.Ages
 
 
 @dataclasses.dataclass(slots=True)
 class Child:
-    """One VM that asks this one."""
+    """One VM that has this VM as its parent."""
 
     vm: _vms.Vm
     request: _messages.Request
     """Its latest request."""
 
     received_at: datetime.timedelta
-    """When that request came."""
+    """When the latest request was received."""
 
     call: int | None
-    """The call that waits for an answer, if any."""
+    """Number of the open call; None if every request has been answered."""
 
     acknowledgements: tuple[_messages.Acknowledgement, ...] = ()
-    """The latest that it told."""
+    """The latest acknowledgements received from the child."""
 
     serial: int = 0
-    """Counts the answers."""
+    """Number of responses since the exchange last started anew."""
 
     sent_serials: dict[_regions.RowKey, int] = dataclasses.field(
         default_factory=dict
     )
-    """Serials of the region loads in the answers so far."""
+    """Serials of the region loads that the child has from this VM."""
 
     sent_sender: _vms.Vm | None = None
-    """What the answers have said of this VM."""
+    """This VM as last sent to the child; None if not sent."""
 
     sent_listing_digest: int = 0
-    """Digest of the VM list in the last answer."""
+    """Digest of the VM list in the last response; 0 if none was sent."""
 
     region_loads: _regions.TimedRows = dataclasses.field(default_factory=dict)
-    """Loads of regions below it, with the time at which the age held."""
+    """Region loads from the child's subtree, and when their age was valid."""
 
     def take_delta(self, parent_state: ParentState) -> ResponseDelta:
-        """Returns what is new to this child in an answer, and notes it."""
-        theirs = {
+        """Returns what the child does not have yet and records it as sent.
+
+        Raises:
+            ValueError: if the child has no open request.
+        """
+        rows = {
             key: row
             for key, row in parent_state.rows.items()
             if key not in self.region_loads
         }
-        changed, ages = _regions.encode_delta(theirs, self.sent_serials)
+        changed, ages = _regions.encode_delta(rows, self.sent_serials)
         sender = (
             None if self.sent_sender == parent_state.me else parent_state.me
         )
         if self.call is None:
-            raise ValueError(f"VM {self.vm.id}: no request waits")
+            raise ValueError(f"VM {self.vm.id}: no open request to answer")
         delta = ResponseDelta(self.call, sender, changed, ages)
         self.call = None
         self.serial += 1
-        self.sent_serials = {key: row.serial for key, row in theirs.items()}
+        self.sent_serials = {key: row.serial for key, row in rows.items()}
         self.sent_sender = parent_state.me
         self.sent_listing_digest = parent_state.listing_digest
         return delta
 
 
 class Children:
-    """The VMs that ask this one."""
+    """The children of this VM."""
 
     def __init__(self, expiry: datetime.timedelta):
         self._expiry = expiry
@@ -102,10 +108,11 @@
         transit: datetime.timedelta,
         now: datetime.timedelta,
     ) -> Child | None:
-        """Takes a request; its answer is due later.
+        """Records a request, which is answered later.
 
         Returns:
-            The child, or None if the sender has to introduce itself.
+            The child, or None if the sender is unknown and the request does not
+            describe it.
         """
         child = self._by_id.get(request.sender_id)
         vm = request.sender
@@ -132,13 +139,13 @@
         return child
 
     def on_tick(self, now: datetime.timedelta) -> None:
-        """Drops the children that have gone elsewhere or died."""
-        late = [
+        """Drops children without a request for longer than the expiry."""
+        expired = [
             vm_id
             for vm_id, child in self._by_id.items()
             if now - child.received_at > self._expiry
         ]
-        for vm_id in late:
+        for vm_id in expired:
             del self._by_id[vm_id]
 
     def all(self) -> Iterable[Child]:
@@ -146,11 +153,11 @@
         return self._by_id.values()
 
     def waiting(self) -> tuple[Child, ...]:
-        """Returns the children whose request has no answer yet."""
+        """Returns the children that have an open request."""
         return tuple(c for c in self._by_id.values() if c.call is not None)
 
     def all_waiting(self) -> bool:
-        """Returns whether every child has asked since its last answer."""
+        """Returns whether every child has an open request."""
         return all(c.call is not None for c in self._by_id.values())
 
 
--- a/dragonflystack/membership/_listings.py
+++ b/dragonflystack/membership/_listings.py
@@ -1,9 +1,9 @@
-"""How the VM list travels down the tree.
+"""Distribution of the VM list down the tree.
 
-The first VM of the tree reads it from the platform and adds what traffic has
-shown. The others read it once, when they start; then they compare digests with
-their parent and ask for the rosters that differ, so that one restarted VM costs
-the roster of its failure domain and not the whole list.
+The root of the tree reads the list from the platform and adds VMs known from
+messages. The other VMs read it once, when they start; then they compare digests
+with their parent and request the rosters that differ, so that one restarted VM
+costs the roster of its failure domain and not the whole list.
 """
 
 from collections.abc import Iterable
@@ -14,23 +14,23 @@
 from dragonflystack.membership import _vms
 
 _STALE_AGE = datetime.timedelta(days=1)
-"""Counts as the age of a list that a VM read only to find its parent."""
+"""Assumed age of a list read only to find a parent, so the parent's wins."""
 
 _EMPTY = _vms.Roster.from_vms(())
 
 
 class ListingSync:
-    """The state of that exchange on one VM."""
+    """Synchronizes the VM list of one VM with that of its parent."""
 
     def __init__(self, view: _vms.View):
         self._view = view
         self._read_at: datetime.timedelta | None = None
         self.domains_to_request: tuple[ids.FailureDomainId, ...] = ()
-        """Failure domains whose roster is to be asked for."""
+        """Failure domains whose roster the next request asks for."""
 
     @property
     def has_listing(self) -> bool:
-        """Whether there is a VM list at all."""
+        """Whether a VM list has been received."""
         return self._read_at is not None
 
     @property
@@ -39,7 +39,10 @@
         return self._view.listing.digest if self.has_listing else 0
 
     def age(self, now: datetime.timedelta) -> datetime.timedelta:
-        """Returns the time since the platform gave the list, at least."""
+        """Returns an upper bound on the time since the platform gave the list.
+
+        The age is 0 if there is no list.
+        """
         if self._read_at is None:
             return datetime.timedelta()
         return now - self._read_at
@@ -47,12 +50,12 @@
     def on_read(
         self, listing: _vms.Listing, is_root: bool, now: datetime.timedelta
     ) -> None:
-        """Takes a list read from the platform.
+        """Applies a list read from the platform.
 
         Args:
             listing: the list.
-            is_root: whether this VM is the first of the tree; the list of any
-                other gives way to its parent's.
+            is_root: whether this VM is the root of the tree; the list of any
+                other VM is replaced by that of its parent.
             now: the time on the monotonic clock.
         """
         self._set_listing(listing, now if is_root else now - _STALE_AGE, now)
@@ -60,7 +63,7 @@
             self.add_unlisted(now)
 
     def add_unlisted(self, now: datetime.timedelta) -> None:
-        """Adds the VMs that traffic has shown to the list."""
+        """Adds VMs that are known from messages only to the list."""
         if self.has_listing and self._view.unlisted():
             self._set_listing(_vms.Listing.from_vms(self._view.vms()), now, now)
 
@@ -79,25 +82,28 @@
         transit: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Takes the parent's list if it was read later than this one."""
+        """Applies the parent's list if it was read later than this VM's.
+
+        If rosters are missing for that, `domains_to_request` names them.
+        """
         requested, self.domains_to_request = self.domains_to_request, ()
         read_at = now - response.listing_age - transit
         if not response.listing_digest:
             return
         if self._read_at is not None and read_at < self._read_at:
             return
-        mine = self._view.listing
+        candidate = self._view.listing
         if requested:
-            mine = mine.with_rosters(dict(response.rosters))
-        if response.listing_digest == mine.digest:
-            self._set_listing(mine, read_at, now)
+            candidate = candidate.with_rosters(dict(response.rosters))
+        if response.listing_digest == candidate.digest:
+            self._set_listing(candidate, read_at, now)
             return
         self.domains_to_request = _differing(
             self._view.listing, response.roster_digests
         )
 
     def differs_from(self, digest: int) -> bool:
-        """Returns whether another VM's list is another one than this."""
+        """Returns whether this VM has a list and its digest is another one."""
         return self.has_listing and digest != self.digest
 
     def digests(self) -> tuple[_messages.RosterDigest, ...]:
@@ -110,7 +116,7 @@
     def rosters(
         self, domains: Iterable[ids.FailureDomainId]
     ) -> tuple[tuple[ids.FailureDomainId, _vms.Roster], ...]:
-        """Returns the rosters of some failure domains."""
+        """Returns the rosters of failure domains; unknown ones are empty."""
         rosters = self._view.listing.rosters
         return tuple((d, rosters.get(d, _EMPTY)) for d in domains)
 
--- a/dragonflystack/membership/_load.py
+++ b/dragonflystack/membership/_load.py
@@ -1,8 +1,9 @@
 """Load reports and their sums.
 
 Every field of a report is additive, so that the sum over VMs is itself a
-report. Sums travel as codes on a logarithmic scale. A relay publishes another
-sum only when it differs enough from the last one; else its age alone travels.
+report. Sums are sent as codes on a logarithmic scale. A relay publishes a new
+sum only when it differs enough from the last one; otherwise only the age is
+sent.
 """
 
 from collections.abc import Iterable
@@ -14,36 +15,36 @@
 from dragonflystack import ids
 
 CODE_STEP = 1.02
-"""Ratio of two neighbouring codes."""
+"""Ratio of the values of two neighbouring codes."""
 
 _CODE_UNIT = 0.01
-"""The value at which the scale turns from linear to logarithmic."""
+"""Value around which the scale changes from linear to logarithmic."""
 
 _LOG_STEP = math.log(CODE_STEP)
 
 
 def to_code(value: float) -> int:
-    """Returns the code of a value that is not negative, below 2**15."""
+    """Returns the code, below 2**15, of a non-negative value."""
     return round(math.log1p(value / _CODE_UNIT) / _LOG_STEP)
 
 
 def from_code(code: int) -> float:
-    """Returns the value that a code stands for."""
+    """Returns the value that a code represents."""
     return math.expm1(code * _LOG_STEP) * _CODE_UNIT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Flow:
-    """What is exchanged with the callers and VMs of one region."""
+    """Traffic exchanged with the callers and VMs of one region."""
 
     arrivals: float = 0.0
-    """Requests a second from callers of the region."""
+    """Requests per second from callers of the region."""
 
     sent: float = 0.0
-    """Bytes a second sent to the region."""
+    """Bytes per second sent to the region."""
 
     received: float = 0.0
-    """Bytes a second received from the region."""
+    """Bytes per second received from the region."""
 
     def __add__(self, other: "Flow") -> "Flow":
         return Flow(
@@ -61,17 +62,17 @@
     """Slots in use, averaged over the time since the last report."""
 
     usable: float = 0.0
-    """Slots of backend servers that take new work."""
+    """Slots of backend servers that accept new requests."""
 
     completions: float = 0.0
-    """Requests finished a second."""
+    """Requests finished per second."""
 
     flows: Mapping[ids.RegionId, Flow] = dataclasses.field(default_factory=dict)
-    """By region of the other side; regions without traffic are left out."""
+    """Traffic by region of the other side; only regions with traffic."""
 
     @property
     def mean_service_time(self) -> datetime.timedelta | None:
-        """Time in a slot, by Little's law; None while nothing finishes."""
+        """Mean time in a slot by Little's law; None if no request finished."""
         if self.completions <= 0:
             return None
         return datetime.timedelta(seconds=self.busy / self.completions)
@@ -79,8 +80,8 @@
     def __add__(self, other: "ServiceLoad") -> "ServiceLoad":
         flows = dict(self.flows)
         for region, flow in other.flows.items():
-            mine = flows.get(region)
-            flows[region] = flow if mine is None else mine + flow
+            current = flows.get(region)
+            flows[region] = flow if current is None else current + flow
         return ServiceLoad(
             self.busy + other.busy,
             self.usable + other.usable,
@@ -98,10 +99,10 @@
     """The load of a set of VMs."""
 
     reporters: int
-    """How many VMs it is the sum of."""
+    """Number of VMs in the sum."""
 
     age: datetime.timedelta
-    """Age of its oldest part, at least."""
+    """Upper bound on the age of the oldest report in the sum."""
 
     services: Loads
 
@@ -109,13 +110,14 @@
 def differ_beyond_tolerance(
     one: LoadSum, other: LoadSum, tolerance: float, floor: float
 ) -> bool:
-    """Returns whether two sums differ enough to be worth sending.
+    """Returns whether two sums differ enough to publish the new one.
 
     Args:
         one: a sum.
         other: another sum.
-        tolerance: largest difference as a fraction that is not worth it.
-        floor: values below this count as this.
+        tolerance: largest difference that is ignored, as a fraction of the
+            larger value.
+        floor: lower bound for the value to which the tolerance applies.
     """
     if one.reporters != other.reporters:
         return True
@@ -141,17 +143,17 @@
 
 
 def add_loads(loads: Iterable[Loads]) -> Loads:
-    """Returns the sum by service."""
+    """Returns the summed load of each service."""
     total: dict[ids.ServiceId, ServiceLoad] = {}
     for services in loads:
         for service, load in services.items():
-            mine = total.get(service)
-            total[service] = load if mine is None else mine + load
+            current = total.get(service)
+            total[service] = load if current is None else current + load
     return total
 
 
 def add_sums(sums: Iterable[LoadSum]) -> LoadSum:
-    """Returns the sum of disjoint sets of VMs."""
+    """Returns the sum over disjoint sets of VMs."""
     parts = tuple(sums)
     return LoadSum(
         sum(part.reporters for part in parts),
@@ -162,23 +164,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegionLoad:
-    """The load of a region, or of that part of it that one VM relays."""
+    """The load of a region, or of the part of it that one VM relays."""
 
     region: ids.RegionId
     relay: ids.VmId
-    """The VM that made the sum; the sums of different relays are disjoint."""
+    """The VM that computed the sum; sums of different relays are disjoint."""
 
     serial: int
-    """Differs whenever the relay publishes another sum."""
+    """Changes whenever the relay publishes a new sum."""
 
     sum: LoadSum
 
     @property
     def key(self) -> tuple[ids.RegionId, ids.VmId]:
-        """What a newer sum replaces."""
+        """Region and relay; a newer load replaces one with the same key."""
         return (self.region, self.relay)
 
     def aged(self, by: datetime.timedelta) -> "RegionLoad":
-        """Returns the same load, older by a duration."""
+        """Returns the same load with a duration added to its age."""
         older = dataclasses.replace(self.sum, age=self.sum.age + by)
         return dataclasses.replace(self, sum=older)
--- a/dragonflystack/membership/_messages.py
+++ b/dragonflystack/membership/_messages.py
@@ -1,4 +1,4 @@
-"""What a VM and its parent in the tree tell each other."""
+"""Messages between a VM and its parent in the tree."""
 
 import dataclasses
 import datetime
@@ -22,22 +22,22 @@
     """One change of the document, as the configuration encodes it."""
 
     version: ids.DocumentVersion
-    """The version that it leads to, from the one before."""
+    """The version after the change; it applies to the version before."""
 
     payload: bytes
-    """Opaque here."""
+    """The encoded change, which this package does not interpret."""
 
 
 Ages: TypeAlias = tuple[datetime.timedelta | None, ...]
-"""Ages of the region loads told before, in the order of their keys.
+"""Ages of the region loads sent earlier, in the order of their keys.
 
-None for one that is told anew or is no longer known.
+None for a load that is sent again in full or is no longer known.
 """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RosterDigest:
-    """Stands for the roster of a failure domain."""
+    """The digest of the roster of a failure domain."""
 
     failure_domain: ids.FailureDomainId
     digest: int
@@ -45,14 +45,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """From a VM to its parent: what is known below."""
+    """The request of a VM to its parent, with the state of its subtree."""
 
     sender_id: ids.VmId
     sender: _vms.Vm | None
-    """The sender; None if this parent has been told already."""
+    """The sender; None if the parent has it from an earlier request."""
 
     last_serial: int
-    """Serial of the last answer taken from this parent; 0 for none."""
+    """Serial of the last response processed from this parent; 0 for none."""
 
     head: ids.DocumentVersion
     """The newest version that the sender knows of."""
@@ -61,35 +61,39 @@
     """Digest of the sender's VM list."""
 
     acknowledgements: tuple[Acknowledgement, ...] | None = None
-    """The sender and those below it in its failure domain; None if the
-    parent has been told already, or is outside it."""
+    """Those of the sender and its subtree in its failure domain; None if they
+    have not changed since the last response or the parent is in another
+    domain."""
 
     load: _load.LoadSum | None = None
-    """Below the sender, the sender included; None outside its region."""
+    """Load of the sender's subtree, itself included; None for a parent in
+    another region."""
 
     region_loads: tuple[_load.RegionLoad, ...] = ()
-    """Changed loads of the regions below the sender."""
+    """Changed loads of the regions relayed in the sender's subtree."""
 
     region_ages: Ages = ()
+    """Ages of the region loads that have not changed."""
 
     unlisted: tuple[_vms.Vm, ...] = ()
-    """VMs that traffic has shown below and the VM list does not name."""
+    """VMs known from messages that differ from the VM list or are not in it."""
 
     wanted_rosters: tuple[ids.FailureDomainId, ...] = ()
-    """Failure domains whose roster the sender asks for."""
+    """Failure domains whose roster the sender requests."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """From a parent to a VM: what is known above and beside."""
+    """The response of a parent, with its view of the rest of the fleet."""
 
     sender: _vms.Vm | None
-    """The sender; None if the asker has been told already."""
+    """The sender; None if the child has it from an earlier response."""
 
     serial: int
-    """Counts the answers of the sender to this VM, from 1.
+    """Counts the sender's responses to this child, from 1.
 
-    0 tells the asker that it is not known here and has to say all anew.
+    0 means that the sender does not know the child, which has to send its whole
+    state again.
     """
 
     head: ids.DocumentVersion
@@ -99,21 +103,22 @@
     """How long the sender held the request open."""
 
     updates: tuple[Update, ...] = ()
-    """Changes after the asker's version, in order, or none if not kept."""
+    """Changes after the child's version, in order; empty if not kept."""
 
     region_loads: tuple[_load.RegionLoad, ...] = ()
     """Changed loads of regions."""
 
     region_ages: Ages = ()
+    """Ages of the region loads that have not changed."""
 
     listing_age: datetime.timedelta = datetime.timedelta()
-    """Time since the platform gave the sender's VM list, at least."""
+    """Upper bound on the time since the platform gave the sender's VM list."""
 
     listing_digest: int = 0
     """Digest of the sender's VM list."""
 
     roster_digests: tuple[RosterDigest, ...] = ()
-    """One for each failure domain, if the asker's list differs."""
+    """One per failure domain; empty if the child's list is the same."""
 
     rosters: tuple[tuple[ids.FailureDomainId, _vms.Roster], ...] = ()
-    """The rosters that the asker wanted."""
+    """The rosters that the child requested."""
--- a/dragonflystack/membership/_node.py
+++ b/dragonflystack/membership/_node.py
@@ -1,14 +1,15 @@
-"""One VM's part in the exchange of control data.
+"""The exchange of control data, as one VM takes part in it.
 
 Each VM keeps one request open at its parent in the tree and answers those of
-its children. A parent holds a request until it has something new to tell: a
-new version of the document at once, the loads of the regions once in a wave.
-A wave starts at the first VM of the fleet and each answer passes it on, so
-that it reaches all in a few network delays; the requests that follow each
-answer carry loads and acknowledgements up, summed at each step.
-
-A parent that does not answer is suspected and the next one in the order is
-asked. A VM that finds no parent is the first of its part of the fleet.
+its children (long polling). A parent holds a request until there is new data:
+it sends a new version of the document at once, the loads of the regions once
+per wave. A wave is a round of responses: the root answers its children, and
+each response makes its receiver answer its own children, so that a wave reaches
+all VMs within a few network delays. The requests that follow each response
+carry loads and acknowledgements up, summed at each step.
+
+A VM suspects a parent that does not answer and sends its request to the next
+candidate. A VM that finds no parent is the root of its partition of the fleet.
 """
 
 from collections.abc import Iterable
@@ -34,7 +35,7 @@
 
 
 class Node:
-    """The aggregate; most methods return what the daemon is to do."""
+    """One VM in the tree; most methods return actions for the daemon."""
 
     def __init__(
         self,
@@ -74,12 +75,12 @@
 
     @property
     def parent(self) -> ids.VmId | None:
-        """Whom this VM asks; None if it is the first of its part."""
+        """The parent in the tree; None if this VM is a root."""
         return self._uplink.parent
 
     @property
     def view(self) -> _vms.View:
-        """The VMs as known here."""
+        """The VMs that this VM knows."""
         return self._view
 
     def region_loads(
@@ -89,7 +90,10 @@
         return tuple(self._rows(now).values())
 
     def acknowledgements(self) -> tuple[_messages.Acknowledgement, ...]:
-        """Returns who has which version in force, here and below."""
+        """Returns which runs have which version in force.
+
+        They cover this VM and its subtree in its failure domain.
+        """
         groups: dict[ids.DocumentVersion, set[ids.Incarnation]] = {
             self._in_force: {self._me.incarnation}
         }
@@ -104,17 +108,17 @@
         )
 
     def announce(self, state: _vms.VmState) -> None:
-        """Sets what this VM says of itself from now on."""
+        """Sets the state that this VM announces from now on."""
         self._me = dataclasses.replace(self._me, state=state)
 
     def on_load(self, loads: _load.Loads, now: datetime.timedelta) -> None:
-        """Takes this VM's own load since the last report."""
+        """Records this VM's own load since the last report."""
         self._load = (loads, now)
 
     def on_in_force(
         self, version: ids.DocumentVersion, now: datetime.timedelta
     ) -> list[_actions.Action]:
-        """Takes that a version is in force on this VM."""
+        """Records that a version is in force on this VM."""
         self._in_force = max(self._in_force, version)
         self._acks_changed = True
         return self._send_upwards(now)
@@ -125,14 +129,14 @@
         updates: tuple[_messages.Update, ...],
         now: datetime.timedelta,
     ) -> list[_actions.Action]:
-        """Takes the version of the document as read from the store."""
+        """Handles the newest version of the document read from the store."""
         actions = self._apply_head(version, updates, None, now)
         return actions + self._send_upwards(now)
 
     def on_listing(
         self, listing: _vms.Listing, now: datetime.timedelta
     ) -> list[_actions.Action]:
-        """Takes the VM list as read from the platform."""
+        """Applies the VM list read from the platform."""
         is_root = self._listings.has_listing and self.parent is None
         self._listings.on_read(listing, is_root, now)
         if self._uplink.pending is None:
@@ -142,7 +146,7 @@
     def on_request(
         self, request: _messages.Request, call: int, now: datetime.timedelta
     ) -> list[_actions.Action]:
-        """Takes the request of a VM; the answer may come much later."""
+        """Handles the request of a child, which may be held open."""
         child = self._children.on_request(
             request, call, self._cfg.transit_allowance, now
         )
@@ -164,7 +168,7 @@
         response: _messages.Response,
         now: datetime.timedelta,
     ) -> list[_actions.Action]:
-        """Takes the answer to a request; a late one is ignored."""
+        """Handles the response to a request; a late one is ignored."""
         pending = self._uplink.on_response(number, response)
         if pending is None:
             return []
@@ -182,7 +186,10 @@
     def on_no_response(
         self, number: int, now: datetime.timedelta
     ) -> list[_actions.Action]:
-        """Takes that a request failed, for instance a refused connection."""
+        """Handles a failed request, for instance a refused connection.
+
+        The parent is suspected, and another one is chosen after a random delay.
+        """
         pending = self._uplink.on_no_response(number)
         if pending is None:
             return []
@@ -192,7 +199,7 @@
         return self._send_upwards(now)
 
     def on_tick(self, now: datetime.timedelta) -> list[_actions.Action]:
-        """Does what has fallen due."""
+        """Handles timeouts, and starts the waves and reads that are due."""
         self._children.on_tick(now)
         pending = self._uplink.pending
         if pending and now - pending.sent_at >= self._cfg.ask_timeout:
@@ -205,7 +212,7 @@
         return actions + self._send_upwards(now)
 
     def due(self) -> datetime.timedelta:
-        """Returns when `on_tick` is to be called at the latest."""
+        """Returns the latest time for the next call of `on_tick`."""
         dues = [self._wave_due]
         pending = self._uplink.pending
         if pending:
@@ -220,7 +227,7 @@
             dues.append(self._listing_due)
         return min(dues)
 
-    # What is known here.
+    # State of this VM and its subtree.
 
     def _jitter(self, limit: datetime.timedelta) -> datetime.timedelta:
         return self._rng.random() * limit
@@ -235,7 +242,7 @@
         return chosen
 
     def _candidates(self, now: datetime.timedelta) -> Iterator[_vms.Vm]:
-        """Yields whom to ask; any VM at all before there is a VM list."""
+        """Yields parents in order; any known VM before there is a VM list."""
         vm_ids: Iterable[ids.VmId] = self._position.parents
         if not self._listings.has_listing:
             vm_ids = sorted(vm.id for vm in self._view.vms())
@@ -250,7 +257,10 @@
         return self._view.get(self.parent) if self.parent else None
 
     def _is_relay(self) -> bool:
-        """Whether this VM speaks for its failure domain or a part of it."""
+        """Returns whether this VM has no parent in its failure domain.
+
+        Such a VM represents its failure domain or a part of it.
+        """
         vm = self._parent_vm()
         return vm is None or vm.failure_domain != self._me.failure_domain
 
@@ -279,7 +289,7 @@
         return _load.add_sums(parts)
 
     def _subtree_rows(self, now: datetime.timedelta) -> _regions.Rows:
-        """The loads of regions that children relay, and of this one."""
+        """Returns region loads from children, and this VM's if it relays it."""
         rows = [
             row.aged(now - at)
             for child in self._children.all()
@@ -300,7 +310,7 @@
     def _rows(self, now: datetime.timedelta) -> _regions.Rows:
         return self._regions.rows(self._subtree_rows(now), now)
 
-    # Upwards.
+    # Requests to the parent and acknowledgements to the store.
 
     def _send_upwards(self, now: datetime.timedelta) -> list[_actions.Action]:
         gathered = now >= self._gather_until or (
@@ -319,8 +329,8 @@
     def _request_content(
         self, to: _vms.Vm, now: datetime.timedelta
     ) -> _uplink.RequestContent:
-        """What a parent is told; no sums before the tree is known."""
-        known = self._listings.has_listing
+        """Returns the state to send; without sums before there is a VM list."""
+        has_listing = self._listings.has_listing
         same_domain = to.failure_domain == self._me.failure_domain
         same_region = to.region == self._me.region
         unlisted = self._view.unlisted()
@@ -329,10 +339,12 @@
             head=self._head,
             listing_digest=self._listings.digest,
             acknowledgements=(
-                self.acknowledgements() if known and same_domain else None
+                self.acknowledgements() if has_listing and same_domain else None
+            ),
+            load=(
+                self._subtree_load(now) if has_listing and same_region else None
             ),
-            load=self._subtree_load(now) if known and same_region else None,
-            rows=self._subtree_rows(now) if known else {},
+            rows=self._subtree_rows(now) if has_listing else {},
             unlisted=tuple(vm for vm in unlisted if vm.id != self._me.id),
             wanted_rosters=self._listings.domains_to_request,
         )
@@ -351,7 +363,7 @@
         domain = self._me.failure_domain
         return [_actions.RecordAcknowledgements(domain, acks)]
 
-    # Downwards.
+    # Responses to the children.
 
     def _run_wave(self, now: datetime.timedelta) -> list[_actions.Action]:
         is_root = self.parent is None
--- a/dragonflystack/membership/_overlay.py
+++ b/dragonflystack/membership/_overlay.py
@@ -5,11 +5,11 @@
 hashing (David G. Thaler and Chinya V. Ravishankar, "Using name-based mappings
 to increase hit rates", 1998). A heap over each order makes one tree: the first
 VM of a failure domain is its relay to the other domains, the first failure
-domain of a region its relay to the other regions.
+domain of a region is its relay to the other regions.
 
-The order depends on ids only, not on what a VM knows or suspects, and a VM
-only ever asks one that comes before it. So no set of views, however much they
-differ, closes a cycle in which a sum would count itself.
+The order depends on ids only, not on what a VM knows or suspects, and the
+parent of a VM always comes before it. So VMs with different views never form a
+cycle, in which a sum would count itself.
 """
 
 from collections.abc import Iterable
@@ -22,12 +22,17 @@
 from dragonflystack.membership import _vms
 
 RELAYS_PER_DOMAIN = 2
-"""VMs of a failure domain that watch the store and stand in for each other."""
+"""VMs of a failure domain that watch the store; each can replace the other."""
 
 
 @functools.cache
 def weight(scope: str, name: str) -> int:
-    """Returns the rendezvous weight of a name at a place, 64 bits."""
+    """Returns the 64-bit rendezvous weight of a name within a scope.
+
+    Args:
+        scope: id of a failure domain or region, or "fleet".
+        name: id of a VM, failure domain or region in it.
+    """
     return xxhash.xxh3_64_intdigest(f"{scope}\n{name}".encode())
 
 
@@ -37,13 +42,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Position:
-    """Where one VM stands in the tree."""
+    """The position of one VM in the tree."""
 
     rank: int
-    """Place in its failure domain, 0 for the first."""
+    """Index in the order of its failure domain, 0 for the first."""
 
     parents: tuple[ids.VmId, ...]
-    """Whom to ask, best first; empty for the first VM of the fleet."""
+    """Candidate parents, best first; empty for the root of the fleet."""
 
     @property
     def watches_store(self) -> bool:
@@ -52,14 +57,15 @@
 
 
 class Overlay:
-    """The tree over one set of VMs."""
+    """The tree that a set of VMs forms."""
 
     def __init__(self, vms: Iterable[_vms.Vm], fan_out: int):
         """Initializes the tree.
 
         Args:
             vms: the VMs; at most one run of each.
-            fan_out: children of a VM in its failure domain, at least 1.
+            fan_out: maximum number of children of a VM in its failure domain,
+                at least 1.
 
         Raises:
             ValueError: if `fan_out` is below 1.
@@ -74,7 +80,7 @@
             self._regions.setdefault(vm.region, set()).add(vm.failure_domain)
 
     def position(self, vm: _vms.Vm) -> Position:
-        """Returns where a VM stands, whether or not it is in the set."""
+        """Returns the position of a VM, whether or not it is in the set."""
         order = self._domain_order(vm.failure_domain, vm.id)
         rank = order.index(vm.id)
         parents = [order[i] for i in self._heap_ancestors(rank)]
--- a/dragonflystack/membership/_regions.py
+++ b/dragonflystack/membership/_regions.py
@@ -1,4 +1,4 @@
-"""The loads of all regions as one VM knows them."""
+"""The loads of all regions known to one VM."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -12,12 +12,12 @@
 from dragonflystack.membership import _vms
 
 RowKey: TypeAlias = tuple[ids.RegionId, ids.VmId]
-"""The region, and the VM that made the sum."""
+"""The region, and the VM that computed the sum."""
 
 Rows: TypeAlias = dict[RowKey, _load.RegionLoad]
 
 TimedRows: TypeAlias = dict[RowKey, tuple[_load.RegionLoad, datetime.timedelta]]
-"""Rows and the time at which their age held."""
+"""Rows, and the monotonic time at which their age was valid."""
 
 _SERIAL_BITS = 31
 
@@ -25,7 +25,12 @@
 def encode_delta(
     rows: Rows, sent_serials: Mapping[RowKey, int]
 ) -> tuple[tuple[_load.RegionLoad, ...], _messages.Ages]:
-    """Returns the rows that differ from what was told, and ages of the rest."""
+    """Returns the rows that the receiver lacks, and the ages of the others.
+
+    Args:
+        rows: the rows to send.
+        sent_serials: serials of the rows that the receiver has.
+    """
     changed = tuple(
         row for key, row in rows.items() if sent_serials.get(key) != row.serial
     )
@@ -45,13 +50,14 @@
     transit: datetime.timedelta,
     now: datetime.timedelta,
 ) -> TimedRows:
-    """Returns the rows that were split, with the time of their ages.
+    """Returns the rows that a delta encodes, with the time of their ages.
 
     Args:
-        previous: the rows as told before.
-        changed: the rows told anew.
-        ages: the ages of those known, in the order of their keys.
-        transit: how long the message was under way, at most.
+        previous: the rows before the delta.
+        changed: the rows that are new or changed.
+        ages: the ages of the previous rows, in the order of their keys; None
+            for one that was removed or is among the changed.
+        transit: upper bound on the transit time of the message.
         now: the time on the monotonic clock.
     """
     rows: TimedRows = {}
@@ -65,7 +71,7 @@
 
 
 class RegionTable:
-    """What came from the parent, and the sum that this VM publishes."""
+    """The region loads from the parent, and the sum that this VM publishes."""
 
     def __init__(self, me: _vms.Vm, max_age: datetime.timedelta):
         self._me = me
@@ -79,11 +85,11 @@
         transit: datetime.timedelta,
         now: datetime.timedelta,
     ) -> None:
-        """Takes what the parent knows.
+        """Applies the region loads of a response.
 
         Args:
-            response: its answer.
-            transit: an upper bound on how long the answer was under way.
+            response: the parent's response.
+            transit: upper bound on the transit time of the response.
             now: the time on the monotonic clock.
         """
         self._from_parent = apply_delta(
@@ -101,7 +107,11 @@
         floor: float,
         rng: random.Random,
     ) -> _load.RegionLoad:
-        """Returns the row of this VM's region, the last one if close to it."""
+        """Returns the row of this VM's region.
+
+        The last row is returned, with the age of the new sum, unless the sums
+        differ by more than the tolerance.
+        """
         last = self._published
         if last is None:
             serial = rng.getrandbits(_SERIAL_BITS)
@@ -114,7 +124,10 @@
         return row
 
     def rows(self, subtree_rows: Rows, now: datetime.timedelta) -> Rows:
-        """Returns all rows that are not too old; those from below go first."""
+        """Returns all rows up to the maximum age.
+
+        Rows of the subtree take precedence over those from the parent.
+        """
         rows = {
             key: row.aged(now - at)
             for key, (row, at) in self._from_parent.items()
--- a/dragonflystack/membership/_updates.py
+++ b/dragonflystack/membership/_updates.py
@@ -1,4 +1,4 @@
-"""The latest changes of the document, kept to pass on."""
+"""The latest changes of the document, kept for the children."""
 
 import collections
 from collections.abc import Iterable
@@ -8,7 +8,7 @@
 
 
 class UpdateLog:
-    """A bounded run of changes with no gap."""
+    """A log of consecutive changes, limited in bytes."""
 
     def __init__(self, max_bytes: int):
         self._max_bytes = max_bytes
@@ -16,7 +16,7 @@
         self._updates: collections.deque[_messages.Update] = collections.deque()
 
     def add(self, updates: Iterable[_messages.Update]) -> None:
-        """Adds changes; a gap drops what was kept before it."""
+        """Adds changes; a gap in the versions drops the changes before it."""
         for update in updates:
             last = self._updates[-1].version if self._updates else None
             if last is not None and update.version <= last:
@@ -32,6 +32,9 @@
     def after(
         self, version: ids.DocumentVersion, head: ids.DocumentVersion
     ) -> tuple[_messages.Update, ...]:
-        """Returns the changes from a version to the head, or none of them."""
+        """Returns the changes after a version up to the head.
+
+        The result is empty if one of them is missing.
+        """
         found = tuple(u for u in self._updates if version < u.version <= head)
         return found if len(found) == head - version else ()
--- a/dragonflystack/membership/_uplink.py
+++ b/dragonflystack/membership/_uplink.py
@@ -1,4 +1,4 @@
-"""What a VM has told its parent, and the request that is open there."""
+"""The state that a VM has sent to its parent, and the open request."""
 
 import dataclasses
 import datetime
@@ -14,13 +14,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestContent:
-    """What a request is made of."""
+    """The state from which a request is built."""
 
     me: _vms.Vm
     head: ids.DocumentVersion
     listing_digest: int
     acknowledgements: Acks | None
-    """None if they are not for this parent."""
+    """None if the parent is in another failure domain."""
 
     load: _load.LoadSum | None
     rows: _regions.Rows
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingRequest:
-    """The request that is open."""
+    """A request that has no response yet."""
 
     number: int
     to: _vms.Vm
@@ -39,7 +39,7 @@
 
 
 class Uplink:
-    """The way to the parent; only what it has not been told is sent."""
+    """Builds requests to the parent, with only what it does not have yet."""
 
     def __init__(self):
         self.parent: ids.VmId | None = None
@@ -49,7 +49,7 @@
         self._delivered: RequestContent | None = None
 
     def set_parent(self, parent: ids.VmId | None) -> None:
-        """Changes the parent; a new one has been told nothing."""
+        """Sets the parent; a new one is sent the whole state."""
         if parent != self.parent:
             self.parent = parent
             self._reset_sent()
@@ -57,7 +57,7 @@
     def open_request(
         self, to: _vms.Vm, content: RequestContent, now: datetime.timedelta
     ) -> tuple[int, _messages.Request]:
-        """Opens a request; returns its number and content."""
+        """Builds the next request; returns its number and the message."""
         delivered = self._delivered
         delivered_serials = _serials(delivered.rows) if delivered else {}
         changed, ages = _regions.encode_delta(content.rows, delivered_serials)
@@ -89,7 +89,8 @@
     ) -> PendingRequest | None:
         """Closes the request that a response belongs to, if it is open.
 
-        A parent that has begun to count anew does not know what was told.
+        If the parent started a new count of responses, it has lost the state
+        sent earlier, and the next request carries the whole state.
         """
         pending = self._close(number)
         if pending is None:
@@ -102,7 +103,7 @@
         return pending
 
     def on_no_response(self, number: int) -> PendingRequest | None:
-        """Closes the request that failed, if it is open."""
+        """Closes the failed request, if it is open."""
         pending = self._close(number)
         if pending is not None:
             self._reset_sent()
--- a/dragonflystack/membership/_vms.py
+++ b/dragonflystack/membership/_vms.py
@@ -1,9 +1,9 @@
 """The VMs of the fleet as one VM knows them.
 
-Knowledge comes from the platform's VM list, which lags, and from traffic.
-Both are merged by the same rule: of two runs of one VM the later one counts.
-Suspicion is the judgement of one VM; it decides whom this VM asks, never who
-has to acknowledge a configuration.
+The sources are the platform's VM list, which lags, and messages from VMs. Both
+are merged by the same rule: of two runs of one VM the later one counts.
+Suspicion is local to one VM: it affects the choice of a parent, never which
+VMs have to acknowledge a configuration.
 """
 
 from collections.abc import Collection
@@ -19,28 +19,28 @@
 
 
 class VmState(enum.Enum):
-    """What a VM is taken to be doing."""
+    """The state of a VM as another VM sees it."""
 
     JOINING = "joining"
-    """It runs but answers no callers yet."""
+    """The VM runs but does not serve callers yet."""
 
     SERVING = "serving"
-    """It answers callers."""
+    """The VM serves callers."""
 
     LEAVING = "leaving"
-    """It finishes what it has and is named in no new answer."""
+    """The VM finishes its requests and is named in no new answer."""
 
     SUSPECTED = "suspected"
-    """It did not answer this VM in time; others may still reach it."""
+    """The VM did not answer this VM in time; others may still reach it."""
 
     GONE = "gone"
-    """Its run has ended: replaced, or neither listed nor heard from."""
+    """The run has ended: replaced, or neither listed nor heard from."""
 
 
 _MAX_DOUBLINGS = 10
 
 ANNOUNCED_STATES = (VmState.JOINING, VmState.SERVING, VmState.LEAVING)
-"""What a VM may say of itself."""
+"""The states that a VM may announce for itself, in their order."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,15 +50,15 @@
     id: ids.VmId
     incarnation: ids.Incarnation
     started_ms: int
-    """Start of this run in milliseconds since 1970; orders runs of one VM."""
+    """Unix time of the start in milliseconds; orders the runs of one VM."""
 
     failure_domain: ids.FailureDomainId
     region: ids.RegionId
     host: str
-    """Address for the other daemons."""
+    """Address at which the other daemons reach this one."""
 
     port: int
-    """Port for the other daemons, 1 to 65535."""
+    """Port at which the other daemons reach this one, 1 to 65535."""
 
     state: VmState = VmState.SERVING
 
@@ -71,7 +71,7 @@
             raise ValueError(f"VM {self.id}: port {self.port} out of range")
 
     def replaces(self, other: "Vm") -> bool:
-        """Returns whether this is a later run, or later news of the same."""
+        """Returns whether this is a later run, or a later state of the same."""
         if self.incarnation != other.incarnation:
             return self._run > other._run
         order = ANNOUNCED_STATES.index
@@ -90,7 +90,7 @@
     """In order of id."""
 
     digest: int
-    """64 bits over the content; equal rosters have equal digests."""
+    """64-bit hash of the content; equal rosters have equal digests."""
 
     @classmethod
     def from_vms(cls, vms: Iterable[Vm]) -> "Roster":
@@ -109,7 +109,7 @@
 
     rosters: Mapping[ids.FailureDomainId, Roster]
     digest: int
-    """64 bits over the rosters."""
+    """64-bit hash of the rosters' digests."""
 
     @classmethod
     def from_vms(cls, vms: Iterable[Vm]) -> "Listing":
@@ -139,20 +139,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ViewSettings:
-    """How long a view waits."""
+    """How long a view suspects and remembers VMs."""
 
     suspicion_period: datetime.timedelta = datetime.timedelta(seconds=10)
-    """How long a VM that did not answer is not asked; doubles each time."""
+    """How long an unresponsive VM is first suspected; doubles each time."""
 
     max_suspicion_period: datetime.timedelta = datetime.timedelta(seconds=160)
-    """Where the doubling ends."""
+    """Upper bound of the doubled period."""
 
     forget_after: datetime.timedelta = datetime.timedelta(seconds=60)
-    """Silence after which a VM that is not listed counts as gone."""
+    """Time without a message after which an unlisted VM counts as gone."""
 
 
 class View:
-    """What one VM knows of all VMs."""
+    """All VMs as one VM knows them."""
 
     def __init__(self, settings: ViewSettings):
         self._settings = settings
@@ -172,11 +172,11 @@
 
     @property
     def generation(self) -> int:
-        """Grows whenever the set of known VMs changes."""
+        """Counter that grows whenever the known VMs change."""
         return self._generation
 
     def on_listing(self, listing: Listing, now: datetime.timedelta) -> None:
-        """Takes a newer VM list; it may lag behind what traffic has shown."""
+        """Applies a newer VM list, which may lag behind messages from VMs."""
         if listing.digest == self._listing.digest:
             return
         listed = {
@@ -194,7 +194,7 @@
         self._on_change()
 
     def on_message(self, vm: Vm, now: datetime.timedelta) -> None:
-        """Takes a message from a VM itself, or passed on unaltered."""
+        """Records a message from a VM, direct or relayed unaltered."""
         known = self._known.get(vm.id)
         is_other_run = known and known.incarnation != vm.incarnation
         if known and is_other_run and not vm.replaces(known):
@@ -207,7 +207,7 @@
             self._on_change()
 
     def on_unresponsive(self, vm_id: ids.VmId, now: datetime.timedelta) -> None:
-        """Takes that a VM did not answer this VM in time."""
+        """Records that a VM did not answer; suspects it for a period."""
         times = self._missed_responses.get(vm_id, 0)
         self._missed_responses[vm_id] = times + 1
         cfg = self._settings
@@ -232,20 +232,20 @@
             self._on_change()
 
     def get(self, vm_id: ids.VmId) -> Vm | None:
-        """Returns the latest run known of a VM."""
+        """Returns the latest known run of a VM; None if it is unknown."""
         return self._known.get(vm_id)
 
     def vms(self) -> Collection[Vm]:
-        """Returns the latest run known of every VM that is not gone."""
+        """Returns the latest known run of every VM that is not gone."""
         return self._known.values()
 
     def is_suspected(self, vm_id: ids.VmId, now: datetime.timedelta) -> bool:
-        """Returns whether this VM should rather ask another one."""
+        """Returns whether the VM recently did not answer this one."""
         until = self._suspected_until.get(vm_id)
         return until is not None and now < until
 
     def state_of(self, vm_id: ids.VmId, now: datetime.timedelta) -> VmState:
-        """Returns what a VM is taken to be doing."""
+        """Returns the state of a VM as this VM sees it."""
         vm = self._known.get(vm_id)
         if vm is None:
             return VmState.GONE
@@ -260,7 +260,7 @@
         return frozenset(vm.incarnation for vm in self._known.values())
 
     def unlisted(self) -> tuple[Vm, ...]:
-        """Returns what traffic has shown and the VM list does not."""
+        """Returns the known VMs that the VM list lacks or has outdated."""
         if self._unlisted is None:
             self._unlisted = tuple(
                 vm
--- a/dragonflystack/membership/tests/test_listings.py
+++ b/dragonflystack/membership/tests/test_listings.py
@@ -13,10 +13,12 @@
 _NEW = _vms.Listing.from_vms([_fleet_sim.make_vm(0, 0, 0, run=1)])
 
 
-@pytest.mark.parametrize(("first", "wants"), [(False, True), (True, False)])
-def test_a_list_read_to_join_gives_way_to_the_parents(first, wants):
+@pytest.mark.parametrize(
+    ("is_root", "requests_roster"), [(False, True), (True, False)]
+)
+def test_parents_list_replaces_own_unless_vm_is_root(is_root, requests_roster):
     sync = _listings.ListingSync(_vms.View(_vms.ViewSettings()))
-    sync.on_read(_OLD, first, 100 * _S)
+    sync.on_read(_OLD, is_root, 100 * _S)
     (domain,) = _NEW.rosters
     response = _messages.Response(
         None,
@@ -29,4 +31,4 @@
         ),
     )
     sync.on_response(response, 0 * _S, 101 * _S)
-    assert bool(sync.domains_to_request) is wants
+    assert bool(sync.domains_to_request) is requests_roster
--- a/dragonflystack/membership/tests/test_load.py
+++ b/dragonflystack/membership/tests/test_load.py
@@ -30,13 +30,13 @@
 
 
 @pytest.mark.parametrize("value", [0.0, 0.5, 3.0, 860.0, 1.2e6, 3e8])
-def test_code_keeps_a_value_within_its_step(value):
+def test_code_round_trip_keeps_value_within_one_percent(value):
     code = _load.to_code(value)
     assert 0 <= code < 2**15
     assert _load.from_code(code) == pytest.approx(value, rel=0.01, abs=1e-3)
 
 
-def test_sums_add_fields_and_regions():
+def test_service_loads_add_by_field_and_region():
     one = _load.ServiceLoad(2, 6, 10, {_HOME: _load.Flow(5, 1, 2)})
     two = _load.ServiceLoad(
         1, 3, 20, {_HOME: _load.Flow(1, 1, 1), _AWAY: _load.Flow(7)}
@@ -48,14 +48,14 @@
     assert _load.ServiceLoad().mean_service_time is None
 
 
-def test_sum_of_sums_counts_reporters_and_takes_the_oldest_age():
+def test_sum_of_sums_adds_reporters_and_takes_oldest_age():
     older = _load.LoadSum(3, 4 * _S, {})
     total = _load.add_sums([_sum(1), older])
     assert (total.reporters, total.age) == (4, 4 * _S)
 
 
 @pytest.mark.parametrize(
-    ("after", "again"),
+    ("total", "publishes_new"),
     [
         (_sum(104), False),
         (_sum(110), True),
@@ -64,16 +64,16 @@
         (_load.LoadSum(1, 1 * _S, {}), True),
     ],
 )
-def test_relay_publishes_only_what_differs_enough(after, again):
+def test_relay_publishes_new_sum_only_beyond_tolerance(total, publishes_new):
     table = _regions.RegionTable(_ME, 30 * _S)
     rng = random.Random(1)
     first = table.publish(_sum(100), 0.05, 10.0, rng)
-    second = table.publish(after, 0.05, 10.0, rng)
-    assert (second.serial != first.serial) is again
-    assert second.sum.age == after.age
+    second = table.publish(total, 0.05, 10.0, rng)
+    assert (second.serial != first.serial) is publishes_new
+    assert second.sum.age == total.age
 
 
-def test_split_and_join_are_inverse_and_ages_grow_by_transit():
+def test_applied_delta_restores_rows_and_adds_transit_to_ages():
     keys = [(_HOME, _ME.id), (_AWAY, ids.VmId("vm-2"))]
     rows = {
         key: _load.RegionLoad(*key, serial=i, sum=_sum(i))
@@ -94,7 +94,7 @@
     assert {row.sum.age for row, _ in known.values()} == {3 * _S}
 
 
-def test_row_goes_when_it_is_not_named_or_too_old():
+def test_row_is_dropped_when_absent_from_delta_or_too_old():
     row = _load.RegionLoad(_HOME, _ME.id, 1, _sum(1))
     known = _regions.apply_delta({}, (row,), (), 0 * _S, 0 * _S)
     sent_serials = {row.key: row.serial}
--- a/dragonflystack/membership/tests/test_overlay.py
+++ b/dragonflystack/membership/tests/test_overlay.py
@@ -14,13 +14,13 @@
 
 
 @pytest.mark.parametrize(("count", "domains", "regions", "fan_out"), _SIZES)
-def test_one_vm_is_first_and_fan_out_is_bounded(
+def test_tree_has_one_root_and_bounded_fan_out(
     count, domains, regions, fan_out
 ):
     vms = _fleet_sim.make_vms(count, domains, regions)
     positions = _positions(vms, fan_out)
-    firsts = [vm for vm, at in positions.items() if not at.parents]
-    assert len(firsts) == 1
+    roots = [vm for vm, at in positions.items() if not at.parents]
+    assert len(roots) == 1
     children: dict[str, int] = {}
     for at in positions.values():
         for parent in at.parents[:1]:
@@ -29,9 +29,10 @@
     assert max(children.values()) <= bound
 
 
-def test_no_set_of_views_closes_a_cycle():
-    # Every VM knows another part of the fleet and asks any of its candidates;
-    # a topological order of all the edges shows that none of them leads back.
+def test_differing_views_never_form_a_cycle():
+    # Each VM knows a random part of the fleet and may choose any candidate as
+    # parent. A topological order of all these edges exists only if no cycle can
+    # form.
     vms = _fleet_sim.make_vms(60, 12, 4)
     rng = random.Random(7)
     edges: dict[str, set[str]] = {vm.id: set() for vm in vms}
@@ -43,12 +44,12 @@
     left = dict(edges)
     while left:
         free = [v for v, parents in left.items() if not parents & left.keys()]
-        assert free, "a cycle"
+        assert free, "candidate parents form a cycle"
         for v in free:
             del left[v]
 
 
-def test_relays_stay_when_another_vm_goes():
+def test_relays_stay_when_another_vm_is_removed():
     vms = _fleet_sim.make_vms(48, 4, 2)
     domain = vms[0].failure_domain
     relays = _overlay.Overlay(vms, 4).relays(domain)
@@ -61,6 +62,6 @@
         ]
 
 
-def test_fan_out_below_one_is_refused():
+def test_fan_out_below_one_is_rejected():
     with pytest.raises(ValueError, match="fan-out"):
         _overlay.Overlay([], 0)
--- a/dragonflystack/membership/tests/test_uplink.py
+++ b/dragonflystack/membership/tests/test_uplink.py
@@ -1,4 +1,4 @@
-"""A parent and a child, between which any message may be lost."""
+"""Tests the delta exchange of a parent and a child when messages are lost."""
 
 import dataclasses
 import datetime
@@ -44,7 +44,7 @@
 
 
 class _Pair:
-    """Both ends, with what each has told the other last."""
+    """A parent and a child, with the state that each sent last."""
 
     def __init__(self, rng: random.Random):
         self.rng = rng
@@ -57,7 +57,7 @@
         self.acks: _uplink.Acks = ()
 
     def exchange(self, loss: float) -> None:
-        """Makes one exchange, of which either half may be lost."""
+        """Exchanges a request and a response, either of which may be lost."""
         rng = self.rng
         self.down, self.up = _rows(rng, "down"), _rows(rng, "up")
         version = ids.DocumentVersion(rng.randrange(3))
@@ -89,11 +89,11 @@
         )
 
     def forget(self) -> None:
-        """The parent drops the child, as after a long silence."""
+        """Makes the parent drop the child, as after a long silence."""
         self.children = _children.Children(3600 * _S)
 
     def check(self) -> None:
-        """Both ends know exactly what the other told last."""
+        """Checks that each end holds exactly what the other sent last."""
         (child,) = self.children.all()
         above = {k: r.serial for k, (r, _) in child.region_loads.items()}
         assert above == {k: r.serial for k, r in self.up.items()}
--- a/dragonflystack/membership/tests/test_vms.py
+++ b/dragonflystack/membership/tests/test_vms.py
@@ -36,13 +36,13 @@
         {"port": 0},
     ],
 )
-def test_vm_refuses_what_it_cannot_announce(change):
+def test_vm_rejects_invalid_announcement(change):
     with pytest.raises(ValueError, match="vm-1"):
         dataclasses.replace(_FIRST, **change)
 
 
 @pytest.mark.parametrize(
-    ("listed", "heard", "expected"),
+    ("listed", "received", "expected"),
     [
         (_FIRST, _SECOND, _SECOND),
         (_SECOND, _FIRST, _SECOND),
@@ -51,18 +51,18 @@
         (_SECOND, _LEAVING, _SECOND),
     ],
 )
-def test_later_run_counts_whatever_the_order_of_news(listed, heard, expected):
+def test_later_run_counts_in_any_order_of_sources(listed, received, expected):
     view = _view(listed)
-    view.on_message(heard, 1 * _S)
+    view.on_message(received, 1 * _S)
     assert view.get(_FIRST.id) == expected
 
     view = _view()
-    view.on_message(heard, 1 * _S)
+    view.on_message(received, 1 * _S)
     view.on_listing(_vms.Listing.from_vms([listed]), 2 * _S)
     assert view.get(_FIRST.id) == expected
 
 
-def test_suspicion_never_removes_a_vm_from_what_must_acknowledge():
+def test_suspected_vm_must_still_acknowledge():
     view = _view(_FIRST)
     for second in range(200):
         view.on_unresponsive(_FIRST.id, second * _S)
@@ -71,7 +71,7 @@
     assert view.must_acknowledge() == {_FIRST.incarnation}
 
 
-def test_suspicion_lapses_later_each_time_and_ends_when_heard():
+def test_suspicion_period_doubles_until_a_message_resets_it():
     view = _view(_FIRST)
     view.on_unresponsive(_FIRST.id, 0 * _S)
     assert not view.is_suspected(_FIRST.id, 10 * _S)
@@ -85,7 +85,7 @@
     assert not view.is_suspected(_FIRST.id, 50 * _S)
 
 
-def test_unlisted_vm_is_known_while_heard_then_gone():
+def test_unlisted_vm_is_gone_after_a_minute_without_messages():
     view = _view()
     view.on_message(_FIRST, 0 * _S)
     view.on_tick(60 * _S)
@@ -97,7 +97,7 @@
     assert view.must_acknowledge() == frozenset()
 
 
-def test_vm_dropped_by_a_lagging_list_stays_while_heard():
+def test_vm_with_recent_message_stays_when_list_drops_it():
     view = _view(_FIRST)
     view.on_message(_FIRST, 1 * _S)
     view.on_listing(_vms.Listing.from_vms([]), 2 * _S)
@@ -123,7 +123,7 @@
     assert changed.digest == _vms.Listing.from_vms([_FIRST]).digest
 
 
-def test_message_of_a_replaced_run_does_not_lift_suspicion():
+def test_message_of_a_replaced_run_does_not_end_suspicion():
     view = _view(_SECOND)
     view.on_unresponsive(_SECOND.id, 0 * _S)
     view.on_message(_FIRST, 1 * _S)
