--- a/dragonflystack/membership/_vms.py
+++ b/dragonflystack/membership/_vms.py
@@ -1,9 +1,9 @@
 """The VMs of the fleet as one VM knows them.
 
-Knowledge comes from the platform's VM list, which lags, and from traffic.
-Both are merged by the same rule: of two runs of one VM the later one counts.
-Suspicion is the judgement of one VM; it decides whom this VM asks, never who
-has to acknowledge a configuration.
+The sources are the platform's VM list, which lags, and messages from VMs. Both
+are merged by the same rule: of two runs of one VM the later one counts.
+Suspicion is local to one VM: it affects the choice of a parent, never which
+VMs have to acknowledge a configuration.
 """
 
 from collections.abc import Collection
@@ -19,28 +19,28 @@
 
 
 class VmState(enum.Enum):
-    """What a VM is taken to be doing."""
+    """The state of a VM as another VM sees it."""
 
     JOINING = "joining"
-    """It runs but answers no callers yet."""
+    """The VM runs but does not serve callers yet."""
 
     SERVING = "serving"
-    """It answers callers."""
+    """The VM serves callers."""
 
     LEAVING = "leaving"
-    """It finishes what it has and is named in no new answer."""
+    """The VM finishes its requests and is named in no new answer."""
 
     SUSPECTED = "suspected"
-    """It did not answer this VM in time; others may still reach it."""
+    """The VM did not answer this VM in time; others may still reach it."""
 
     GONE = "gone"
-    """Its run has ended: replaced, or neither listed nor heard from."""
+    """The run has ended: replaced, or neither listed nor heard from."""
 
 
 _MAX_DOUBLINGS = 10
 
 ANNOUNCED_STATES = (VmState.JOINING, VmState.SERVING, VmState.LEAVING)
-"""What a VM may say of itself."""
+"""The states that a VM may announce for itself, in their order."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,15 +50,15 @@
     id: ids.VmId
     incarnation: ids.Incarnation
     started_ms: int
-    """Start of this run in milliseconds since 1970; orders runs of one VM."""
+    """Unix time of the start in milliseconds; orders the runs of one VM."""
 
     failure_domain: ids.FailureDomainId
     region: ids.RegionId
     host: str
-    """Address for the other daemons."""
+    """Address at which the other daemons reach this one."""
 
     port: int
-    """Port for the other daemons, 1 to 65535."""
+    """Port at which the other daemons reach this one, 1 to 65535."""
 
     state: VmState = VmState.SERVING
 
@@ -71,7 +71,7 @@
             raise ValueError(f"VM {self.id}: port {self.port} out of range")
 
     def replaces(self, other: "Vm") -> bool:
-        """Returns whether this is a later run, or later news of the same."""
+        """Returns whether this is a later run, or a later state of the same."""
         if self.incarnation != other.incarnation:
             return self._run > other._run
         order = ANNOUNCED_STATES.index
@@ -90,7 +90,7 @@
     """In order of id."""
 
     digest: int
-    """64 bits over the content; equal rosters have equal digests."""
+    """64-bit hash of the content; equal rosters have equal digests."""
 
     @classmethod
     def from_vms(cls, vms: Iterable[Vm]) -> "Roster":
@@ -109,7 +109,7 @@
 
     rosters: Mapping[ids.FailureDomainId, Roster]
     digest: int
-    """64 bits over the rosters."""
+    """64-bit hash of the rosters' digests."""
 
     @classmethod
     def from_vms(cls, vms: Iterable[Vm]) -> "Listing":
@@ -139,20 +139,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ViewSettings:
-    """How long a view waits."""
+    """How long a view suspects and remembers VMs."""
 
-    suspect_for: datetime.timedelta = datetime.timedelta(seconds=10)
-    """How long a VM that did not answer is not asked; doubles each time."""
+    suspicion_period: datetime.timedelta = datetime.timedelta(seconds=10)
+    """How long an unresponsive VM is first suspected; doubles each time."""
 
-    suspect_for_at_most: datetime.timedelta = datetime.timedelta(seconds=160)
-    """Where the doubling ends."""
+    max_suspicion_period: datetime.timedelta = datetime.timedelta(seconds=160)
+    """Upper bound of the doubled period."""
 
     forget_after: datetime.timedelta = datetime.timedelta(seconds=60)
-    """Silence after which a VM that is not listed counts as gone."""
+    """Time without a message after which an unlisted VM counts as gone."""
 
 
 class View:
-    """What one VM knows of all VMs."""
+    """All VMs as one VM knows them."""
 
     def __init__(self, settings: ViewSettings):
         self._settings = settings
@@ -160,9 +160,9 @@
         self._listed: dict[ids.VmId, Vm] = {}
         self._known: dict[ids.VmId, Vm] = {}
         self._unlisted: tuple[Vm, ...] | None = ()
-        self._heard_at: dict[ids.VmId, datetime.timedelta] = {}
+        self._last_message_at: dict[ids.VmId, datetime.timedelta] = {}
         self._suspected_until: dict[ids.VmId, datetime.timedelta] = {}
-        self._silences: dict[ids.VmId, int] = {}
+        self._missed_responses: dict[ids.VmId, int] = {}
         self._generation = 0
 
     @property
@@ -172,11 +172,11 @@
 
     @property
     def generation(self) -> int:
-        """Grows whenever the set of known VMs changes."""
+        """Counter that grows whenever the known VMs change."""
         return self._generation
 
     def on_listing(self, listing: Listing, now: datetime.timedelta) -> None:
-        """Takes a newer VM list; it may lag behind what traffic has shown."""
+        """Applies a newer VM list, which may lag behind messages from VMs."""
         if listing.digest == self._listing.digest:
             return
         listed = {
@@ -184,36 +184,36 @@
             for roster in listing.rosters.values()
             for vm in roster.vms
         }
-        known = {vm_id: self._later(vm) for vm_id, vm in listed.items()}
+        known = {vm_id: self._later_run(vm) for vm_id, vm in listed.items()}
         for vm_id, vm in self._known.items():
-            if vm_id not in known and self._heard_lately(vm_id, now):
+            if vm_id not in known and self._heard_recently(vm_id, now):
                 known[vm_id] = vm
         self._listing = listing
         self._listed = listed
         self._known = known
-        self._changed()
+        self._on_change()
 
-    def on_heard(self, vm: Vm, now: datetime.timedelta) -> None:
-        """Takes a message from a VM itself, or passed on unaltered."""
+    def on_message(self, vm: Vm, now: datetime.timedelta) -> None:
+        """Records a message from a VM, direct or relayed unaltered."""
         known = self._known.get(vm.id)
-        another_run = known and known.incarnation != vm.incarnation
-        if known and another_run and not vm.replaces(known):
+        is_other_run = known and known.incarnation != vm.incarnation
+        if known and is_other_run and not vm.replaces(known):
             return
-        self._heard_at[vm.id] = now
+        self._last_message_at[vm.id] = now
         self._suspected_until.pop(vm.id, None)
-        self._silences.pop(vm.id, None)
+        self._missed_responses.pop(vm.id, None)
         if known is None or vm.replaces(known):
             self._known[vm.id] = vm
-            self._changed()
+            self._on_change()
 
-    def on_silence(self, vm_id: ids.VmId, now: datetime.timedelta) -> None:
-        """Takes that a VM did not answer this VM in time."""
-        times = self._silences.get(vm_id, 0)
-        self._silences[vm_id] = times + 1
+    def on_unresponsive(self, vm_id: ids.VmId, now: datetime.timedelta) -> None:
+        """Records that a VM did not answer; suspects it for a period."""
+        times = self._missed_responses.get(vm_id, 0)
+        self._missed_responses[vm_id] = times + 1
         cfg = self._settings
         duration = min(
-            cfg.suspect_for * 2 ** min(times, _MAX_DOUBLINGS),
-            cfg.suspect_for_at_most,
+            cfg.suspicion_period * 2 ** min(times, _MAX_DOUBLINGS),
+            cfg.max_suspicion_period,
         )
         self._suspected_until[vm_id] = now + duration
 
@@ -226,30 +226,30 @@
         ]
         for vm_id in gone:
             del self._known[vm_id]
-            self._heard_at.pop(vm_id, None)
+            self._last_message_at.pop(vm_id, None)
             self._suspected_until.pop(vm_id, None)
-            self._silences.pop(vm_id, None)
-            self._changed()
+            self._missed_responses.pop(vm_id, None)
+            self._on_change()
 
     def get(self, vm_id: ids.VmId) -> Vm | None:
-        """Returns the latest run known of a VM."""
+        """Returns the latest known run of a VM; None if it is unknown."""
         return self._known.get(vm_id)
 
     def vms(self) -> Collection[Vm]:
-        """Returns the latest run known of every VM that is not gone."""
+        """Returns the latest known run of every VM that is not gone."""
         return self._known.values()
 
     def is_suspected(self, vm_id: ids.VmId, now: datetime.timedelta) -> bool:
-        """Returns whether this VM should rather ask another one."""
+        """Returns whether the VM recently did not answer this one."""
         until = self._suspected_until.get(vm_id)
         return until is not None and now < until
 
     def state_of(self, vm_id: ids.VmId, now: datetime.timedelta) -> VmState:
-        """Returns what a VM is taken to be doing."""
+        """Returns the state of a VM as this VM sees it."""
         vm = self._known.get(vm_id)
         if vm is None:
             return VmState.GONE
-        if vm_id not in self._listed and not self._heard_lately(vm_id, now):
+        if vm_id not in self._listed and not self._heard_recently(vm_id, now):
             return VmState.GONE
         if self.is_suspected(vm_id, now):
             return VmState.SUSPECTED
@@ -260,7 +260,7 @@
         return frozenset(vm.incarnation for vm in self._known.values())
 
     def unlisted(self) -> tuple[Vm, ...]:
-        """Returns what traffic has shown and the VM list does not."""
+        """Returns the known VMs that the VM list lacks or has outdated."""
         if self._unlisted is None:
             self._unlisted = tuple(
                 vm
@@ -269,18 +269,18 @@
             )
         return self._unlisted
 
-    def _changed(self) -> None:
+    def _on_change(self) -> None:
         self._generation += 1
         self._unlisted = None
 
-    def _later(self, listed: Vm) -> Vm:
+    def _later_run(self, listed: Vm) -> Vm:
         known = self._known.get(listed.id)
         if known is not None and known.replaces(listed):
             return known
         return listed
 
-    def _heard_lately(self, vm_id: ids.VmId, now: datetime.timedelta) -> bool:
-        heard_at = self._heard_at.get(vm_id)
-        if heard_at is None:
+    def _heard_recently(self, vm_id: ids.VmId, now: datetime.timedelta) -> bool:
+        last_message_at = self._last_message_at.get(vm_id)
+        if last_message_at is None:
             return False
-        return now - heard_at <= self._settings.forget_after
+        return now - last_message_at <= self._settings.forget_after
--- a/dragonflystack/membership/tests/test_uplink.py
+++ b/dragonflystack/membership/tests/test_uplink.py
@@ -1,4 +1,4 @@
-"""A parent and a child, between which any message may be lost."""
+"""Tests the delta exchange of a parent and a child when messages are lost."""
 
 import dataclasses
 import datetime
@@ -35,16 +35,16 @@
     return {row.key: row for row in rows}
 
 
-def _facts(
+def _content(
     me: _vms.Vm, rows: _regions.Rows, acks: _uplink.Acks
-) -> _uplink.Facts:
-    return _uplink.Facts(
+) -> _uplink.RequestContent:
+    return _uplink.RequestContent(
         me, ids.DocumentVersion(1), 0, acks, None, rows, (), ()
     )
 
 
 class _Pair:
-    """Both ends, with what each has told the other last."""
+    """A parent and a child, with the state that each sent last."""
 
     def __init__(self, rng: random.Random):
         self.rng = rng
@@ -57,7 +57,7 @@
         self.acks: _uplink.Acks = ()
 
     def exchange(self, loss: float) -> None:
-        """Makes one exchange, of which either half may be lost."""
+        """Exchanges a request and a response, either of which may be lost."""
         rng = self.rng
         self.down, self.up = _rows(rng, "down"), _rows(rng, "up")
         version = ids.DocumentVersion(rng.randrange(3))
@@ -65,8 +65,8 @@
             _messages.Acknowledgement(version, frozenset({_CHILD.incarnation})),
         )
         me = rng.choice((_CHILD, _LEAVING_CHILD))
-        facts = _facts(me, self.up, self.acks)
-        number, request = self.uplink.ask(_PARENT, facts, 0 * _S)
+        content = _content(me, self.up, self.acks)
+        number, request = self.uplink.open_request(_PARENT, content, 0 * _S)
         response = self._serve(request) if rng.random() >= loss else None
         if response is None or rng.random() < loss:
             self.uplink.on_no_response(number)
@@ -79,21 +79,21 @@
         child = self.children.on_request(request, 1, 0 * _S, 0 * _S)
         if child is None:
             return _messages.Response(_PARENT, 0, head)
-        told = child.tell(_children.News(_PARENT, self.down, 0))
+        delta = child.take_delta(_children.ParentState(_PARENT, self.down, 0))
         return _messages.Response(
-            told.sender,
+            delta.sender,
             child.serial,
             head,
-            region_loads=told.region_loads,
-            region_ages=told.region_ages,
+            region_loads=delta.region_loads,
+            region_ages=delta.region_ages,
         )
 
     def forget(self) -> None:
-        """The parent drops the child, as after a long silence."""
+        """Makes the parent drop the child, as after a long silence."""
         self.children = _children.Children(3600 * _S)
 
     def check(self) -> None:
-        """Both ends know exactly what the other told last."""
+        """Checks that each end holds exactly what the other sent last."""
         (child,) = self.children.all()
         above = {k: r.serial for k, (r, _) in child.region_loads.items()}
         assert above == {k: r.serial for k, r in self.up.items()}
