--- a/dragonflystack/config/__init__.py
+++ b/dragonflystack/config/__init__.py
@@ -1,8 +1,8 @@
-"""The configuration document: its schema, sections, owners and receipts."""
+"""The configuration document: schema, sections, ownership, acceptance."""
 
+from dragonflystack.config._acceptance import BlockingVm
 from dragonflystack.config._acceptance import ReceiptWriter
 from dragonflystack.config._acceptance import View
-from dragonflystack.config._acceptance import Waiting
 from dragonflystack.config._acceptance import accepted_version
 from dragonflystack.config._acceptance import fence
 from dragonflystack.config._acceptance import waiting_for
@@ -39,7 +39,7 @@
 from dragonflystack.config._lease import Bounds
 from dragonflystack.config._lease import RoleKeeper
 from dragonflystack.config._lease import decode_role
-from dragonflystack.config._registration import Plan
+from dragonflystack.config._registration import PlannedTransaction
 from dragonflystack.config._registration import Registration
 from dragonflystack.config._rows import CONFIGURATION
 from dragonflystack.config._rows import HEAD
@@ -72,6 +72,7 @@
     "Adoption",
     "BackendServer",
     "Behind",
+    "BlockingVm",
     "Bounds",
     "CONFIGURATION",
     "Change",
@@ -91,7 +92,7 @@
     "NotRegistered",
     "Nothing",
     "Permission",
-    "Plan",
+    "PlannedTransaction",
     "Prepared",
     "Priority",
     "RECEIPT",
@@ -120,7 +121,6 @@
     "VouchAsked",
     "Vouched",
     "Vouches",
-    "Waiting",
     "accepted_version",
     "asked_owner",
     "decode_document",
--- a/dragonflystack/config/_adoption.py
+++ b/dragonflystack/config/_adoption.py
@@ -1,7 +1,8 @@
-"""Adopting newer versions of the document in one process.
+"""Adopts newer versions of the document in one process.
 
-A version is adopted when all its section bodies are there and match their
-digests. Versions only grow in a process, whatever order answers arrive in.
+A version is adopted when all its section bodies are present and match their
+digests. The version of a process never decreases, in whatever order responses
+arrive.
 """
 
 from collections.abc import Mapping
@@ -15,7 +16,7 @@
 
 
 class Adoption:
-    """The version that one process has in force."""
+    """The document version that one process has in force."""
 
     def __init__(self, vm: ids.VmId, ledger: promises.Ledger):
         self._vm = vm
@@ -47,18 +48,18 @@
         if self._head is None:
             return {}
         return {
-            section: self._bodies[found.digest]
-            for section, found in self._head.sections.items()
+            section: self._bodies[entry.digest]
+            for section, entry in self._head.sections.items()
         }
 
     def missing(self, head: _rows.Head) -> tuple[ids.Digest, ...]:
-        """Returns the objects that a newer head needs and that are not here.
+        """Returns the digests of a newer head's objects that must be fetched.
 
-        It is empty for a head that is not newer than the one in force.
+        The tuple is empty for a head that is not newer than the one in force.
         """
         if head.version <= self.version:
             return ()
-        needed = {found.digest for found in head.sections.values()}
+        needed = {entry.digest for entry in head.sections.values()}
         return tuple(sorted(needed - self._bodies.keys()))
 
     def on_head(
@@ -67,34 +68,38 @@
         fetched: Mapping[ids.Digest, bytes],
         now: datetime.timedelta,
     ) -> bool:
-        """Adopts a head if it is newer and whole; returns whether it did.
+        """Adopts a head if it is newer and complete.
 
         Args:
             head: the head, from the table service or another VM.
             fetched: the objects that were missing.
             now: the time on the monotonic clock.
 
+        Returns:
+            Whether the head was adopted.
+
         Raises:
             InvalidDocumentError: if the document breaks a rule.
         """
         if head.version <= self.version:
             return False
-        bodies = self._whole(head, fetched)
+        bodies = self._complete_bodies(head, fetched)
         if bodies is None:
             return False
         document = _sections.join(bodies)
         self._adopt(head, document, bodies, now)
         return True
 
-    def _whole(
+    def _complete_bodies(
         self, head: _rows.Head, fetched: Mapping[ids.Digest, bytes]
     ) -> dict[ids.SectionId, bytes] | None:
+        """Returns all bodies, or None if one is missing or corrupt."""
         bodies = {}
-        for section, found in head.sections.items():
-            body = self._bodies.get(found.digest)
+        for section, entry in head.sections.items():
+            body = self._bodies.get(entry.digest)
             if body is None:
-                body = fetched.get(found.digest)
-            if body is None or _sections.digest_of(body) != found.digest:
+                body = fetched.get(entry.digest)
+            if body is None or _sections.digest_of(body) != entry.digest:
                 return None
             bodies[section] = body
         return bodies
@@ -106,10 +111,10 @@
         bodies: dict[ids.SectionId, bytes],
         now: datetime.timedelta,
     ) -> None:
-        grown = float(head.version - self.version)
+        version_increase = float(head.version - self.version)
         self._ledger.check(
             promises.PromiseId.CONFIGURATION_IN_FORCE,
-            grown - 1,
+            version_increase - 1,
             f"{self._vm}: adoption of version {head.version}",
             now,
         )
@@ -123,7 +128,7 @@
     def check_accepted(
         self, accepted: ids.DocumentVersion, now: datetime.timedelta
     ) -> bool:
-        """Checks that a serving process is not below an accepted version.
+        """Checks that a serving process has at least the accepted version.
 
         Args:
             accepted: the version of a receipt that was read while this
--- a/dragonflystack/config/_change.py
+++ b/dragonflystack/config/_change.py
@@ -1,11 +1,13 @@
-"""One team's change to one section, from the edit to a settled write.
-
-The change states the section version that was edited. It is checked whole
-against the latest other sections and written over the head that it was
-checked against; another team's change elsewhere makes it start over unseen. A
-change to the same section is refused with the difference. When the answer to
-the write was lost, the records since the base version tell whether the change
-id is among them; a head that moved on shows that a late write is void.
+"""Prepares a team's change to one section and finds out whether it was made.
+
+A change states the version of the section that was edited. The whole document
+is validated with the latest other sections, and the head is written only if it
+is still the one that was validated. After a concurrent change to another
+section the caller prepares the change again, which its team does not notice. A
+concurrent change to the same section is refused with a diff. If the response
+to the write was lost, the change records since the base version show whether
+the change was made; once the head has a newer version, a delayed write can no
+longer take effect.
 """
 
 from collections.abc import Mapping
@@ -21,22 +23,22 @@
 from dragonflystack.config import _rows
 from dragonflystack.config import _sections
 
-_NONE = ids.DocumentVersion(0)
+_NO_VERSION = ids.DocumentVersion(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
-    """What a team asks for."""
+    """A change to one section, as requested by a team."""
 
     id: ids.ChangeId
-    """Chosen by the client; the same when it repeats the request."""
+    """Chosen by the client; a repeated request carries the same id."""
 
     team: ids.TeamId
     """The team that the credential belongs to."""
 
     section: ids.SectionId
     base: ids.DocumentVersion
-    """The version of the section that was edited, 0 if there was none."""
+    """The version of the section that was edited, 0 for a new section."""
 
     body: bytes | None
     """The section's new JSON text, None to remove it."""
@@ -52,15 +54,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SectionChanged:
-    """Another change to the same section came first."""
+    """The section changed after the version that the team edited."""
 
     section: ids.SectionId
     base: ids.DocumentVersion
     found: _rows.Section | None
-    """What is written of the section now, None if it was removed."""
+    """The section in the latest head, None if it does not exist."""
 
     difference: str
-    """From what is written now to what the team asks for, unified."""
+    """Unified diff from the latest body to the requested body."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,18 +74,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Nothing:
-    """The section already reads so; nothing was written."""
+    """The section already has this content; nothing is to be written."""
 
     version: ids.DocumentVersion
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prepared:
-    """What to store and then to write."""
+    """The objects to store, and the write of the head that follows."""
 
     version: ids.DocumentVersion
     objects: Mapping[ids.Digest, bytes]
-    """Objects to put before the write."""
+    """Objects to put into the object store before the write."""
 
     write: _rows.RowWrite
     """The conditional write of the head."""
@@ -98,37 +100,37 @@
     bodies: Mapping[ids.SectionId, bytes],
     utcnow: datetime.datetime,
 ) -> Decision:
-    """Decides a change against the latest head.
+    """Validates a change against the latest head.
 
     Args:
-        change: what is asked for.
+        change: the requested change.
         stored: the row of the head, None before the first version.
         bodies: the body of each section of the head.
-        utcnow: the time for the record.
+        utcnow: the time to write into the change record.
     """
     head = decode_head(stored)
-    found = head.sections.get(change.section)
-    if found is not None and found.owner != change.team:
-        return NotOwner(change.section, found.owner)
-    if change.base != (_NONE if found is None else found.version):
-        return _section_changed(change, found, bodies)
+    current = head.sections.get(change.section)
+    if current is not None and current.owner != change.team:
+        return NotOwner(change.section, current.owner)
+    if change.base != (_NO_VERSION if current is None else current.version):
+        return _section_changed(change, current, bodies)
     changed = dict(bodies)
     changed.pop(change.section, None)
     if change.body is not None:
         changed[change.section] = change.body
-    return _checked(change, stored, head, changed, utcnow)
+    return _prepare_checked(change, stored, head, changed, utcnow)
 
 
 def _section_changed(
     change: Change,
-    found: _rows.Section | None,
+    current: _rows.Section | None,
     bodies: Mapping[ids.SectionId, bytes],
 ) -> SectionChanged:
     difference = diff(bodies.get(change.section), change.body, change.section)
-    return SectionChanged(change.section, change.base, found, difference)
+    return SectionChanged(change.section, change.base, current, difference)
 
 
-def _checked(
+def _prepare_checked(
     change: Change,
     stored: _rows.StoredRow | None,
     head: _rows.Head,
@@ -140,20 +142,20 @@
     except _document.InvalidDocumentError as exc:
         return Invalid(str(exc))
     body = _sections.split(document).get(change.section)
-    found = head.sections.get(change.section)
+    current = head.sections.get(change.section)
     if body is None:
-        if found is None:
+        if current is None:
             return Nothing(head.version)
-        return _prepared(change, stored, head, None, None, utcnow)
+        return _make_prepared(change, stored, head, None, None, utcnow)
     owner = _sections.owner(change.section, body)
-    if found is None and owner != change.team:
+    if current is None and owner != change.team:
         return NotOwner(change.section, owner)
-    if found is not None and found.digest == _sections.digest_of(body):
+    if current is not None and current.digest == _sections.digest_of(body):
         return Nothing(head.version)
-    return _prepared(change, stored, head, body, owner, utcnow)
+    return _make_prepared(change, stored, head, body, owner, utcnow)
 
 
-def _prepared(
+def _make_prepared(
     change: Change,
     stored: _rows.StoredRow | None,
     head: _rows.Head,
@@ -188,9 +190,9 @@
 
 
 def decode_head(stored: _rows.StoredRow | None) -> _rows.Head:
-    """Returns the head as it was read; version 0 before the first."""
+    """Returns the decoded head; an empty head of version 0 without a row."""
     if stored is None:
-        return _rows.Head(_NONE, {}, ids.Digest(""))
+        return _rows.Head(_NO_VERSION, {}, ids.Digest(""))
     return msgspec.json.decode(stored.value, type=_rows.Head)
 
 
@@ -200,9 +202,10 @@
     team: ids.TeamId,
     utcnow: datetime.datetime,
 ) -> Prepared:
-    """Returns version 1, which brings every section at once.
+    """Returns the write of version 1, which contains every section.
 
-    It is written only where there is no head yet, by one team for all owners.
+    The write takes effect only if there is no head yet. One team makes it for
+    all owners.
     """
     version = ids.DocumentVersion(1)
     bodies = _sections.split(document)
@@ -212,7 +215,7 @@
         change=change,
         team=team,
         section=ids.SectionId("*"),
-        base=_NONE,
+        base=_NO_VERSION,
         digest=None,
         previous=None,
         at=utcnow,
@@ -232,12 +235,12 @@
 
 
 def diff(old: bytes | None, new: bytes | None, section: ids.SectionId) -> str:
-    """Returns the unified difference of two bodies of a section."""
+    """Returns the unified diff of two bodies of a section."""
     lines = difflib.unified_diff(
         _lines(old),
         _lines(new),
-        f"{section} (written)",
-        f"{section} (asked for)",
+        f"{section} (latest)",
+        f"{section} (requested)",
         lineterm="",
     )
     return "\n".join(lines)
@@ -252,16 +255,17 @@
 
 
 class Settlement:
-    """Settles whether a change was made, from the records back to its base.
+    """Finds out from the change records whether a change was made.
 
-    Feed it the record of the head, then each `previous` that it asks for.
+    The caller passes the record of the head, then each older record that
+    `on_record` asks for, at most back to the base version of the change.
     """
 
     def __init__(self, change: Change):
         self._change = change
 
     def on_record(self, record: _rows.ChangeRecord) -> "Settled | ReadRecord":
-        """Decides on a record, the newest first."""
+        """Returns the result, or the record to read next; newest first."""
         if record.change == self._change.id:
             return Settled(record.version)
         if record.version <= self._change.base + 1 or record.previous is None:
@@ -271,14 +275,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settled:
-    """Whether the change is among the records."""
+    """The change was found in the records, or certainly is not there."""
 
     version: ids.DocumentVersion | None
-    """The version that it made, None if it made none so far."""
+    """The version that the change made, None if it was not found."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadRecord:
-    """The object to read next."""
+    """The change record to read next."""
 
     digest: ids.Digest
--- a/dragonflystack/config/_document.py
+++ b/dragonflystack/config/_document.py
@@ -1,8 +1,9 @@
-"""The schema of the configuration document, checked whole.
+"""The schema of the configuration document and its validation.
 
-The document is one JSON object. Each of its parts is a section with an owner:
-`fleet`, `topology`, `clients` and one `services/NAME` per service. Units stand
-in the names: `_ms` milliseconds, `_s` seconds, `_mbit_s` megabits a second.
+The document is one JSON object. It consists of sections, each with an owner:
+`fleet`, `topology`, `clients` and one `services/NAME` per service. Suffixes of
+field names give the unit: `_ms` milliseconds, `_s` seconds, `_mbit_s` megabits
+per second.
 """
 
 import datetime
@@ -19,31 +20,31 @@
 
 
 class Priority(enum.Enum):
-    """Which service yields to which under overload."""
+    """Priority of a service's requests under overload."""
 
     HIGH = "high"
     NORMAL = "normal"
 
 
-class _Part(
+class _DocumentStruct(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """A part of the document; unknown keys are refused."""
+    """Base of the document's objects; rejects unknown keys."""
 
 
-def _require(holds: bool, path: str, rule: str, found: object) -> None:
-    if not holds:
+def _require(condition: bool, path: str, rule: str, found: object) -> None:
+    if not condition:
         raise InvalidDocumentError(f"{path}: {rule}, found {found!r}")
 
 
-class ShiftCap(_Part, frozen=True, kw_only=True):
-    """How much of a service's traffic may change region inside a window."""
+class ShiftCap(_DocumentStruct, frozen=True, kw_only=True):
+    """Limit on the traffic of a service that changes region in a window."""
 
     fraction: float
-    """Largest total variation of the shares, above 0 and at most 1."""
+    """Largest total variation of the regions' shares, above 0, at most 1."""
 
     window_s: float
-    """Length of the sliding window."""
+    """Length of the sliding window, in seconds."""
 
     @property
     def window(self) -> datetime.timedelta:
@@ -51,26 +52,26 @@
         return datetime.timedelta(seconds=self.window_s)
 
 
-class FailureDomain(_Part, frozen=True, kw_only=True):
-    """A failure domain and the region that holds it."""
+class FailureDomain(_DocumentStruct, frozen=True, kw_only=True):
+    """A failure domain and the region that it belongs to."""
 
     id: ids.FailureDomainId
     region: ids.RegionId
 
 
-class Region(_Part, frozen=True, kw_only=True):
+class Region(_DocumentStruct, frozen=True, kw_only=True):
     """A region."""
 
     id: ids.RegionId
     leaving: bool = False
-    """Whether traffic is to move away from it."""
+    """Whether traffic is to be shifted to other regions."""
 
     reserve: float = 0.1
-    """Fraction of its slots that steering leaves free, 0 to below 1."""
+    """Fraction of the slots that steering keeps free, from 0 to below 1."""
 
 
-class LinkBudget(_Part, frozen=True, kw_only=True):
-    """What all traffic between two regions may use, each way."""
+class LinkBudget(_DocumentStruct, frozen=True, kw_only=True):
+    """Bandwidth budget of a link between two regions, per direction."""
 
     between: tuple[ids.RegionId, ids.RegionId]
     mbit_s: float
@@ -78,15 +79,15 @@
     """Delay in one direction."""
 
 
-class Site(_Part, frozen=True, kw_only=True):
+class Site(_DocumentStruct, frozen=True, kw_only=True):
     """A site of clients and the region nearest to it."""
 
     name: str
     region: ids.RegionId
 
 
-class Topology(_Part, frozen=True, kw_only=True):
-    """Where things are; owned by one section."""
+class Topology(_DocumentStruct, frozen=True, kw_only=True):
+    """Regions, failure domains, links between regions, and client sites."""
 
     owner: ids.TeamId
     regions: tuple[Region, ...]
@@ -95,43 +96,44 @@
     sites: tuple[Site, ...]
 
 
-class Clients(_Part, frozen=True, kw_only=True):
+class Clients(_DocumentStruct, frozen=True, kw_only=True):
     """Client blocks, as references to packed chunks in the object store."""
 
     owner: ids.TeamId
     default_site: ids.SiteId = ids.SiteId(0)
-    """Where a caller outside every block belongs."""
+    """The site of callers whose address is in no block."""
 
     chunks: tuple[ids.Digest, ...] = ()
     """Digests of the chunks, in address order."""
 
 
-class Fleet(_Part, frozen=True, kw_only=True):
-    """Bounds that hold for every VM."""
+class Fleet(_DocumentStruct, frozen=True, kw_only=True):
+    """Settings that apply to every VM."""
 
     owner: ids.TeamId
     answer_ttl_s: float = 5.0
-    """How long a caller may cache a look-up answer."""
+    """How long a caller may cache the response to a look-up."""
 
     measurement_max_age_s: float = 5.0
-    """Older measurements never justify moving load towards a region."""
+    """Age in seconds above which a measurement cannot justify shifting load
+    towards a region."""
 
     default_deadline_ms: int = 2_000
-    """Deadline of a request that names none."""
+    """Deadline of a request that states none."""
 
     max_body_bytes: int = 1_048_576
-    """Largest request or answer body."""
+    """Largest body of a request or response."""
 
     retry_budget: float = 0.1
     """Retries as a fraction of first attempts."""
 
     @property
     def answer_ttl(self) -> datetime.timedelta:
-        """How long a caller may cache a look-up answer."""
+        """How long a caller may cache the response to a look-up."""
         return datetime.timedelta(seconds=self.answer_ttl_s)
 
 
-class BackendServer(_Part, frozen=True, kw_only=True):
+class BackendServer(_DocumentStruct, frozen=True, kw_only=True):
     """A backend server of one service."""
 
     id: ids.BackendServerId
@@ -139,36 +141,37 @@
     port: int
     failure_domain: ids.FailureDomainId
     slots: int = 3
-    """Requests it runs at once."""
+    """Number of requests that the server runs concurrently."""
 
     max_connections: int = 650
-    """Connections it accepts."""
+    """Number of connections that the server accepts."""
 
     leaving: bool = False
-    """Whether it is to get no new work."""
+    """Whether the server is draining: no new requests are sent to it."""
 
 
-class Service(_Part, frozen=True, kw_only=True):
-    """A service: who may serve it and under which limits."""
+class Service(_DocumentStruct, frozen=True, kw_only=True):
+    """A service: its owner, backend servers, regions and limits."""
 
     owner: ids.TeamId
     id: ids.ServiceId
     idempotent: bool
-    """Whether a request may be run twice without harm, whatever its method."""
+    """Whether requests may safely run twice, regardless of their method."""
 
     priority: Priority = Priority.NORMAL
     shift_cap: ShiftCap
     allowed_regions: tuple[ids.RegionId, ...]
-    """Regions that may serve it; callers of other regions are steered here."""
+    """Regions that may serve it; callers in other regions are steered to
+    these."""
 
     mean_request_bytes: int = 2_000
     mean_answer_bytes: int = 20_000
-    """Mean sizes, for link budgets before there are measurements."""
+    """Mean sizes, used for link budgets until there are measurements."""
 
     backend_servers: tuple[BackendServer, ...]
 
 
-class Document(_Part, frozen=True, kw_only=True, dict=True):
+class Document(_DocumentStruct, frozen=True, kw_only=True, dict=True):
     """The whole configuration document."""
 
     format: int = 1
@@ -189,10 +192,11 @@
 
 
 def decode_document(data: bytes) -> Document:
-    """Returns the document that the JSON text holds, checked whole.
+    """Returns the validated document of a JSON text.
 
     Raises:
-        InvalidDocumentError: names the path, what was found and expected.
+        InvalidDocumentError: if the text cannot be decoded or a rule is
+            broken; names the path, what was expected and what was found.
     """
     try:
         document = msgspec.json.decode(data, type=Document)
@@ -203,17 +207,18 @@
 
 
 def encode_document(document: Document) -> bytes:
-    """Returns the document as JSON text, the same bytes for equal documents."""
+    """Returns the document as JSON; equal documents give the same bytes."""
     return msgspec.json.format(
         msgspec.json.encode(document, order="sorted"), indent=2
     )
 
 
 def check_document(document: Document) -> None:
-    """Checks the rules that span sections.
+    """Checks value ranges and the references between sections.
 
     Raises:
-        InvalidDocumentError: names the path, what was found and expected.
+        InvalidDocumentError: names the path, what was expected and what was
+            found.
     """
     _require(document.format == 1, "$.format", "expected 1", document.format)
     _check_topology(document)
@@ -288,20 +293,23 @@
 ) -> None:
     seen: set[ids.BackendServerId] = set()
     for i, server in enumerate(service.backend_servers):
-        where = f"{path}.backend_servers[{i}]"
+        server_path = f"{path}.backend_servers[{i}]"
         _require(
-            server.id not in seen, f"{where}.id", "already used", server.id
+            server.id not in seen,
+            f"{server_path}.id",
+            "already used",
+            server.id,
         )
         seen.add(server.id)
         _require(
             server.failure_domain in document.region_of,
-            f"{where}.failure_domain",
+            f"{server_path}.failure_domain",
             "no such failure domain",
             server.failure_domain,
         )
         _require(
             0 < server.slots <= server.max_connections,
-            f"{where}.slots",
+            f"{server_path}.slots",
             "expected 1 to max_connections",
             server.slots,
         )
--- a/dragonflystack/config/_lease.py
+++ b/dragonflystack/config/_lease.py
@@ -1,11 +1,12 @@
-"""Bounds on leases, and the role that only one VM holds at a time.
-
-A holder counts a lease from the moment at which it sent the write that took
-or renewed it, on its own monotonic clock. Everybody else waits longer, by the
-drift that two clocks may have, from the moment at which it saw the row change.
-`spec/_clocks.py` shows that the observer then concludes after the holder. See
-C. Gray and D. Cheriton, "Leases" (1989). The clock must go on while the
-process is paused.
+"""Lease durations, and the role that only one VM holds at a time.
+
+A holder measures a lease on its own monotonic clock, from the time at which it
+sent the write that acquired or renewed the lease. An observer measures from
+the time at which it read the changed row, and waits longer by the drift that
+is possible between two clocks. `spec/_clocks.py` proves that the observer
+therefore never considers a lease expired before its holder does. See C. Gray
+and D. Cheriton, "Leases" (1989). The clock must keep running while the process
+is paused.
 """
 
 import dataclasses
@@ -19,30 +20,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
-    """Durations that every VM of a fleet shares."""
+    """Lease durations, the same on every VM of a fleet."""
 
     serving_lease: datetime.timedelta = datetime.timedelta(hours=6)
-    """How long a VM serves without reaching the table service."""
+    """How long a VM may serve without reaching the table service."""
 
     vouch_lease: datetime.timedelta = datetime.timedelta(seconds=5)
-    """How long a vouch of another VM lasts."""
+    """How long a vouch for another VM lasts."""
 
     role_lease: datetime.timedelta = datetime.timedelta(seconds=6)
-    """How long the role of writing receipts lasts."""
+    """How long a VM holds the role of receipt writer without renewal."""
 
-    renew_every: datetime.timedelta = datetime.timedelta(seconds=30)
+    renewal_interval: datetime.timedelta = datetime.timedelta(seconds=30)
     """How often a VM renews its serving lease."""
 
-    drift: float = 0.001
-    """Largest error of a clock's rate, as a fraction."""
+    max_clock_drift: float = 0.001
+    """Largest relative error of a clock's rate."""
 
-    def wait_out(self, lease: datetime.timedelta) -> datetime.timedelta:
-        """Returns how long an observer waits until a lease is over."""
-        return lease * ((1 + self.drift) / (1 - self.drift))
+    def observer_wait(self, lease: datetime.timedelta) -> datetime.timedelta:
+        """Returns after which time an observer may consider a lease expired."""
+        return lease * ((1 + self.max_clock_drift) / (1 - self.max_clock_drift))
 
 
 class RoleKeeper:
-    """Takes and renews the role; one instance a process."""
+    """Acquires and renews the role; one instance per process."""
 
     def __init__(
         self, vm: ids.VmId, incarnation: ids.Incarnation, bounds: Bounds
@@ -60,10 +61,10 @@
     def on_row(
         self, stored: _rows.StoredRow | None, now: datetime.timedelta
     ) -> _rows.RowWrite | None:
-        """Returns the write that takes the role, if it is free.
+        """Returns the write that acquires the role, None if it is not free.
 
         Args:
-            stored: the row of the role as it was read just now.
+            stored: the row of the role, just read; None if it does not exist.
             now: the time on the monotonic clock.
         """
         version = 0 if stored is None else stored.version
@@ -75,16 +76,16 @@
             return self._write(stored, epoch=1, renewal=0)
         if self.holds(role):
             return None
-        wait = self._bounds.wait_out(self._bounds.role_lease)
+        wait = self._bounds.observer_wait(self._bounds.role_lease)
         if now - self._seen_at < wait:
             return None
         return self._write(stored, epoch=role.epoch + 1, renewal=0)
 
     def renew(self, stored: _rows.StoredRow) -> _rows.RowWrite:
-        """Returns the write that every transaction of the holder contains.
+        """Returns the renewal that every transaction of the holder contains.
 
-        It takes effect only if the row is as it was read, so that a holder
-        whose epoch is over changes nothing.
+        The write fails if the row has changed since it was read, so that a
+        holder whose epoch has ended cannot change anything.
         """
         role = msgspec.json.decode(stored.value, type=_rows.Role)
         return self._write(stored, role.epoch, role.renewal + 1)
@@ -102,7 +103,7 @@
 
 
 def decode_role(stored: _rows.StoredRow | None) -> _rows.Role | None:
-    """Returns the role as it was read, None if nobody ever took it."""
+    """Returns the decoded role, None if no VM ever acquired it."""
     if stored is None:
         return None
     return msgspec.json.decode(stored.value, type=_rows.Role)
--- a/dragonflystack/config/_registration.py
+++ b/dragonflystack/config/_registration.py
@@ -1,8 +1,9 @@
-"""This VM's row: registering, acknowledging, renewing, leaving.
+"""The serving row of this VM: registers, acknowledges, renews, withdraws.
 
-The row is read and written under its version, so that a late write changes
-nothing. Registering holds only over the head that the VM has in force: a
-version that was accepted between its reading and its writing makes it fail.
+Every write expects the row version that was read, so that a delayed write has
+no effect. Registration also requires that the head is still the one that the
+VM has in force: if a newer version was written between the read and the write,
+registration fails.
 """
 
 import dataclasses
@@ -17,19 +18,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """A transaction that this VM wants done."""
+class PlannedTransaction:
+    """A transaction that this VM is to send."""
 
     writes: tuple[_rows.RowWrite, ...]
     acknowledged: ids.DocumentVersion
-    """What the row says once they took effect."""
+    """The acknowledged version in the row after the transaction."""
 
     sent_at: datetime.timedelta
-    """When it was planned, on the monotonic clock; the lease starts here."""
+    """Time of planning on the monotonic clock; the lease starts here."""
 
 
 class Registration:
-    """The row of one process."""
+    """Manages the serving row of one process."""
 
     def __init__(
         self,
@@ -50,16 +51,16 @@
     def is_due(
         self, version: ids.DocumentVersion, now: datetime.timedelta
     ) -> bool:
-        """Returns whether the rows are to be read for `on_rows`."""
+        """Returns whether the rows should be read and passed to `on_rows`."""
         if not self._permission.is_registered(now):
             return True
-        return version > self._acknowledged or self._renewal_due(now)
+        return version > self._acknowledged or self._is_renewal_due(now)
 
-    def _renewal_due(self, now: datetime.timedelta) -> bool:
+    def _is_renewal_due(self, now: datetime.timedelta) -> bool:
         renewed_at = self._renewed_at
         if renewed_at is None:
             return True
-        return now - renewed_at >= self._bounds.renew_every
+        return now - renewed_at >= self._bounds.renewal_interval
 
     def on_rows(
         self,
@@ -67,27 +68,29 @@
         own: _rows.StoredRow | None,
         version: ids.DocumentVersion,
         now: datetime.timedelta,
-    ) -> Plan | None:
-        """Returns what to write, given rows that were read just now.
+    ) -> PlannedTransaction | None:
+        """Returns the transaction to send, None if no write is needed.
 
         Args:
-            head: the row of the head.
-            own: this VM's row.
+            head: the row of the head, just read.
+            own: this VM's row, just read; None if it does not exist.
             version: the version that this process has in force.
             now: the time on the monotonic clock.
         """
         row = _decode(own)
-        if own is None or row is None or not self._stands(row):
+        if own is None or row is None or not self._is_own_and_active(row):
             self._permission.on_registration_lost()
             return self._register(head, own, row, version, now)
-        if row.acknowledged < version and self._vouches.cover(version, now):
+        if row.acknowledged < version and self._vouches.all_have_version(
+            version, now
+        ):
             return self._renew(own, row, version, now)
-        if self._renewal_due(now):
+        if self._is_renewal_due(now):
             return self._renew(own, row, row.acknowledged, now)
         return None
 
-    def on_committed(self, plan: Plan) -> None:
-        """Takes note that a plan took effect."""
+    def on_committed(self, plan: PlannedTransaction) -> None:
+        """Records that a transaction took effect."""
         self._renewed_at = plan.sent_at
         self._acknowledged = plan.acknowledged
         self._permission.on_registered(plan.sent_at)
@@ -97,26 +100,27 @@
     ) -> _rows.RowWrite | None:
         """Stops serving and returns the write that withdraws the row.
 
-        Returns None while that may not be done: somebody is vouched for, or
-        vouches of a predecessor may last.
+        Returns None, and serves on, while withdrawing is not allowed: this VM
+        still vouches for others, or vouches of a previous incarnation may
+        still be valid. Also returns None if the row is not this process's.
         """
         row = _decode(own)
-        if own is None or row is None or not self._stands(row):
+        if own is None or row is None or not self._is_own_and_active(row):
             return None
-        if row.hold or not self._vouches.empty(now):
+        if row.hold or not self._vouches.is_empty(now):
             return None
         self._permission.stop()
         withdrawn = msgspec.structs.replace(row, withdrawn=True)
         return _rows.make_write(_rows.SERVING, self._vm, own, withdrawn)
 
     def stands(self, own: _rows.StoredRow | None) -> bool:
-        """Returns whether the row says that this process may serve."""
+        """Returns whether the row is an active registration of this process."""
         row = _decode(own)
-        return row is not None and self._stands(row)
+        return row is not None and self._is_own_and_active(row)
 
-    def _stands(self, row: _rows.Serving) -> bool:
-        ours = row.incarnation == self._incarnation
-        return ours and not row.ended and not row.withdrawn
+    def _is_own_and_active(self, row: _rows.Serving) -> bool:
+        is_own = row.incarnation == self._incarnation
+        return is_own and not row.ended and not row.withdrawn
 
     def _register(
         self,
@@ -125,25 +129,29 @@
         row: _rows.Serving | None,
         version: ids.DocumentVersion,
         now: datetime.timedelta,
-    ) -> Plan | None:
+    ) -> PlannedTransaction | None:
         latest = msgspec.json.decode(head.value, type=_rows.Head)
-        if latest.version != version or not self._vouches.cover(version, now):
+        if latest.version != version or not self._vouches.all_have_version(
+            version, now
+        ):
             return None
         replaces = (
             row is not None
             and row.incarnation != self._incarnation
             and not row.withdrawn
         )
-        held = row is not None and row.hold
+        has_hold = row is not None and row.hold
         value = _rows.Serving(
             vm=self._vm,
             incarnation=self._incarnation,
             acknowledged=version,
-            hold=replaces or held,
+            hold=replaces or has_hold,
         )
-        return Plan(
+        return PlannedTransaction(
             (
-                _rows.keep(_rows.CONFIGURATION, _rows.HEAD, head),
+                _rows.make_unchanged_check(
+                    _rows.CONFIGURATION, _rows.HEAD, head
+                ),
                 _rows.make_write(_rows.SERVING, self._vm, own, value),
             ),
             version,
@@ -156,12 +164,12 @@
         row: _rows.Serving,
         acknowledged: ids.DocumentVersion,
         now: datetime.timedelta,
-    ) -> Plan:
+    ) -> PlannedTransaction:
         value = msgspec.structs.replace(
             row, acknowledged=acknowledged, renewal=row.renewal + 1
         )
         write = _rows.make_write(_rows.SERVING, self._vm, own, value)
-        return Plan((write,), acknowledged, now)
+        return PlannedTransaction((write,), acknowledged, now)
 
 
 def _decode(stored: _rows.StoredRow | None) -> _rows.Serving | None:
--- a/dragonflystack/config/_rows.py
+++ b/dragonflystack/config/_rows.py
@@ -1,9 +1,10 @@
-"""The rows of the configuration in the table service, and its objects.
+"""The configuration's rows in the table service and its stored objects.
 
 `HEAD` is the latest written version, `RECEIPT` the latest accepted one, and
-`ROLE` says who writes receipts. Each serving VM has a row in the table
-`SERVING`. A write states the row version that it expects; a row that must
-stay as it was read is written back unchanged in the same transaction.
+`ROLE` names the VM that writes receipts. Each serving VM has a row in the
+table `SERVING`. A write states the row version that it expects. To make a
+transaction depend on a row that it does not change, the row is written back
+unchanged in the same transaction.
 """
 
 import dataclasses
@@ -22,14 +23,14 @@
 ROLE = "role"
 
 SERVING = "serving"
-"""The table of the serving VMs, by VM id."""
+"""The table of the serving VMs; its keys are VM ids."""
 
 
 class Section(msgspec.Struct, frozen=True):
-    """What is written of a section."""
+    """The entry of a section in the head."""
 
     version: ids.DocumentVersion
-    """The document version that changed it last."""
+    """The document version that last changed the section."""
 
     digest: ids.Digest
     owner: ids.TeamId
@@ -42,17 +43,17 @@
     version: ids.DocumentVersion
     sections: dict[ids.SectionId, Section]
     record: ids.Digest
-    """The object that records the change that made this version."""
+    """Digest of the `ChangeRecord` of this version."""
 
     @property
     def digest(self) -> ids.Digest:
-        """The digest of the whole document, from those of its sections."""
+        """The digest of the document, computed from its sections' digests."""
         lines = [f"{s} {v.digest}" for s, v in sorted(self.sections.items())]
         return _sections.digest_of("\n".join(lines).encode())
 
 
 class ChangeRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """One change, kept in the object store, linked to the one before it."""
+    """One change, kept in the object store and linked to the previous one."""
 
     version: ids.DocumentVersion
     change: ids.ChangeId
@@ -62,52 +63,54 @@
     """The version of the section that the team edited."""
 
     digest: ids.Digest | None
-    """The section's new body, None if it was removed."""
+    """Digest of the section's new body, None if it was removed."""
 
     previous: ids.Digest | None
-    """The record of the version before, None for the first."""
+    """Digest of the previous version's record, None for the first."""
 
     at: datetime.datetime
     """When it was prepared, in UTC."""
 
 
 class Serving(msgspec.Struct, frozen=True, kw_only=True):
-    """A VM that may serve."""
+    """The serving row of a VM."""
 
     vm: ids.VmId
     incarnation: ids.Incarnation
     acknowledged: ids.DocumentVersion
-    """Not below this are the VM and those it vouches for."""
+    """The VM and those it vouches for have at least this version."""
 
     renewal: int = 0
-    """Grows by one with each renewal of the serving lease."""
+    """Incremented with each renewal of the serving lease."""
 
     ended: bool = False
-    """Counted out: the incarnation may not renew, only register anew."""
+    """Whether the incarnation is excluded: it may register again, but not
+    renew."""
 
     withdrawn: bool = False
-    """Serves no more and is waited for no more. The row stays for a while:
-    a row that is written anew begins with the same versions again, and a late
-    write would take it for the one it was meant for."""
+    """Whether the VM has stopped serving, so that no version waits for it.
+    The row is kept for a while: a re-created row starts again at the same row
+    versions, and a delayed write meant for the old row would match it."""
 
     hold: bool = False
-    """Nothing is accepted until vouches of an ended incarnation lapsed."""
+    """Whether acceptance is blocked until the vouches of an ended incarnation
+    have expired."""
 
 
 class Role(msgspec.Struct, frozen=True, kw_only=True):
-    """Who writes receipts."""
+    """The VM that writes receipts."""
 
     vm: ids.VmId
     incarnation: ids.Incarnation
     epoch: int
-    """Grows by one each time the role is taken."""
+    """Incremented each time a VM acquires the role."""
 
     renewal: int = 0
-    """Grows by one with each write of the holder."""
+    """Incremented with each write of the holder."""
 
 
 class Confirmation(msgspec.Struct, frozen=True):
-    """A VM that showed that it has the version."""
+    """A VM that confirmed a version by its acknowledgement."""
 
     vm: ids.VmId
     incarnation: ids.Incarnation
@@ -115,14 +118,14 @@
 
 
 class Receipt(msgspec.Struct, frozen=True, kw_only=True):
-    """Shows that a version is in force on every VM that serves."""
+    """Proof that a version is in force on every serving VM."""
 
     version: ids.DocumentVersion
     digest: ids.Digest | None
-    """The digest of the document; None if a later version was written."""
+    """The digest of the document; None if the head is already newer."""
 
     epoch: int
-    """The epoch of the holder that wrote it."""
+    """The epoch of the role holder that wrote the receipt."""
 
     confirmations: tuple[Confirmation, ...]
     accepted_at: datetime.datetime
@@ -134,7 +137,7 @@
     """A row as it was read."""
 
     version: int
-    """The version of the row; grows by one with each write."""
+    """The version of the row; incremented with each write."""
 
     value: bytes
 
@@ -146,7 +149,7 @@
     table: str
     key: str
     expected_version: int
-    """The version the row must have, 0 if it must not exist."""
+    """The version that the row must have, 0 if it must not exist."""
 
     value: bytes | None
     """JSON text, or None to delete the row."""
@@ -158,12 +161,19 @@
     stored: StoredRow | None,
     value: msgspec.Struct | None,
 ) -> RowWrite:
-    """Returns the write of a value over a row as it was read."""
+    """Returns a write that replaces a row if it is still as it was read.
+
+    Args:
+        table: the table of the row.
+        key: the key of the row.
+        stored: the row as it was read, None if it did not exist.
+        value: the new value, None to delete the row.
+    """
     expected = 0 if stored is None else stored.version
     data = None if value is None else msgspec.json.encode(value)
     return RowWrite(table, key, expected, data)
 
 
-def keep(table: str, key: str, stored: StoredRow) -> RowWrite:
-    """Returns the write that holds only if the row is still as it was read."""
+def make_unchanged_check(table: str, key: str, stored: StoredRow) -> RowWrite:
+    """Returns a write of the same value, which fails if the row changed."""
     return RowWrite(table, key, stored.version, stored.value)
--- a/dragonflystack/config/_sections.py
+++ b/dragonflystack/config/_sections.py
@@ -1,8 +1,8 @@
-"""The sections of the document: what each holds, who owns it, its bytes.
+"""The sections of the document: their content, owners and encoding.
 
-A section's body is the JSON text of its part of the document. Bodies stand in
-the object store under the digest of their bytes, so that a change moves only
-the section that changed.
+A section's body is the JSON text of its part of the document. Bodies are kept
+in the object store under the digest of their bytes, so that after a change
+only the changed section is transferred.
 """
 
 import hashlib
@@ -18,66 +18,70 @@
 CLIENTS = ids.SectionId("clients")
 SERVICE_PREFIX = "services/"
 
-_Part = (
+_SectionContent = (
     _document.Fleet | _document.Topology | _document.Clients | _document.Service
 )
 
-_FIXED = (FLEET, TOPOLOGY, CLIENTS)
+_REQUIRED_SECTIONS = (FLEET, TOPOLOGY, CLIENTS)
 
 
 def digest_of(data: bytes) -> ids.Digest:
-    """Returns the name of an object with these bytes."""
+    """Returns the digest under which an object with these bytes is stored."""
     return ids.Digest(hashlib.sha256(data).hexdigest())
 
 
 def split(document: _document.Document) -> dict[ids.SectionId, bytes]:
     """Returns the body of each section of a document."""
-    parts: dict[ids.SectionId, Any] = {
+    contents: dict[ids.SectionId, Any] = {
         FLEET: document.fleet,
         TOPOLOGY: document.topology,
         CLIENTS: document.clients,
     }
     for service_id, service in document.services.items():
-        parts[ids.SectionId(SERVICE_PREFIX + service_id)] = service
+        contents[ids.SectionId(SERVICE_PREFIX + service_id)] = service
     return {
         section: msgspec.json.format(
-            msgspec.json.encode(part, order="sorted"), indent=2
+            msgspec.json.encode(content, order="sorted"), indent=2
         )
-        for section, part in parts.items()
+        for section, content in contents.items()
     }
 
 
 def join(bodies: dict[ids.SectionId, bytes]) -> _document.Document:
-    """Returns the document made of section bodies, checked whole.
+    """Returns the validated document that consists of these sections.
 
     Raises:
-        InvalidDocumentError: names the section and the path, what was found
-            and what was expected.
+        InvalidDocumentError: names the section and the path, what was
+            expected and what was found.
     """
     services = {
         section.removeprefix(SERVICE_PREFIX): msgspec.Raw(body)
         for section, body in bodies.items()
         if section.startswith(SERVICE_PREFIX)
     }
-    for section in _FIXED:
+    for section in _REQUIRED_SECTIONS:
         if section not in bodies:
             raise _document.InvalidDocumentError(
-                f"section {section}: expected to be there, found none"
+                f"section {section}: required, but missing"
             )
     for section in bodies:
-        if section not in _FIXED and not section.startswith(SERVICE_PREFIX):
+        if section not in _REQUIRED_SECTIONS and not section.startswith(
+            SERVICE_PREFIX
+        ):
             raise _document.InvalidDocumentError(
-                f"section {section}: expected {', '.join(_FIXED)} or "
-                f"{SERVICE_PREFIX}NAME"
+                f"section {section}: expected "
+                f"{', '.join(_REQUIRED_SECTIONS)} or {SERVICE_PREFIX}NAME"
             )
     for section, body in bodies.items():
         _decode(section, body)
-    whole: dict[str, Any] = {s: msgspec.Raw(bodies[s]) for s in _FIXED}
-    whole |= {"format": 1, "services": services}
-    return _document.decode_document(msgspec.json.encode(whole))
+    raw_document: dict[str, Any] = {
+        s: msgspec.Raw(bodies[s]) for s in _REQUIRED_SECTIONS
+    }
+    raw_document |= {"format": 1, "services": services}
+    return _document.decode_document(msgspec.json.encode(raw_document))
 
 
-def _type_of(section: ids.SectionId) -> type[_Part]:
+def _type_of(section: ids.SectionId) -> type[_SectionContent]:
     if section == FLEET:
         return _document.Fleet
     if section == TOPOLOGY:
@@ -87,11 +91,12 @@
     return _document.Service
 
 
-def _decode(section: ids.SectionId, body: bytes) -> _Part:
-    """Returns the part of the document that a body holds.
+def _decode(section: ids.SectionId, body: bytes) -> _SectionContent:
+    """Returns the decoded content of a section.
 
     Raises:
-        InvalidDocumentError: names the section and the path in it.
+        InvalidDocumentError: if the body does not match the schema; names the
+            section and the path in it.
     """
     try:
         return msgspec.json.decode(body, type=_type_of(section))
@@ -102,10 +107,11 @@
 
 
 def owner(section: ids.SectionId, body: bytes) -> ids.TeamId:
-    """Returns the team that owns a section with this body.
+    """Returns the team that the body of a section names as its owner.
 
     Raises:
-        InvalidDocumentError: names the section and the path in it.
+        InvalidDocumentError: if the body does not match the schema; names the
+            section and the path in it.
     """
     return _decode(section, body).owner
 
@@ -115,7 +121,7 @@
 
 
 def asked_owner(body: bytes) -> ids.TeamId | None:
-    """Returns the owner that a body names, checked or not, None if none."""
+    """Returns the owner that an unvalidated body names, or None."""
     try:
         return msgspec.json.decode(body, type=_Owned).owner
     except msgspec.MsgspecError:
--- a/dragonflystack/config/_serving.py
+++ b/dragonflystack/config/_serving.py
@@ -1,9 +1,10 @@
-"""Whether this VM may serve, and for whom it vouches.
+"""Whether this VM may serve, and the VMs that it vouches for.
 
-A VM serves while it is registered in the table service or vouched for by a
-registered VM, each for as long as its lease lasts on the VM's own clock. The
-permission is looked up for each request, when it is admitted and again before
-it is sent on: a process that was paused finds its lease over.
+A vouch is a short lease with which a registered VM lets another VM serve. A VM
+may serve while it is registered in the table service or a registered VM
+vouches for it, until the lease expires on the VM's own clock. The permission
+is checked for each request at admission and again before the request is
+forwarded, since the lease may have expired while the process was paused.
 """
 
 import dataclasses
@@ -14,7 +15,7 @@
 
 
 class Permission:
-    """Whether this process may serve."""
+    """Tracks whether this process may serve."""
 
     def __init__(self, bounds: _lease.Bounds):
         self._bounds = bounds
@@ -22,7 +23,7 @@
         self._vouched_until: datetime.timedelta | None = None
 
     def on_registered(self, sent_at: datetime.timedelta) -> None:
-        """Takes note that a registration or renewal took effect.
+        """Records that a registration or renewal took effect.
 
         Args:
             sent_at: when the write was sent, on the monotonic clock.
@@ -30,11 +31,11 @@
         self._registered_until = sent_at + self._bounds.serving_lease
 
     def on_registration_lost(self) -> None:
-        """Takes note that the row is gone, counted out or another's."""
+        """Records that the row is missing, ended or of another incarnation."""
         self._registered_until = None
 
     def on_vouched(self, asked_at: datetime.timedelta) -> None:
-        """Takes note that a registered VM vouches for this one.
+        """Records that a registered VM vouches for this one.
 
         Args:
             asked_at: when the request was sent, on the monotonic clock.
@@ -42,17 +43,17 @@
         self._vouched_until = asked_at + self._bounds.vouch_lease
 
     def stop(self) -> None:
-        """Ends the permission for good, before the row is withdrawn."""
+        """Ends the permission; called before the row is withdrawn."""
         self._registered_until = None
         self._vouched_until = None
 
     def is_registered(self, now: datetime.timedelta) -> bool:
-        """Returns whether the registration is in force."""
+        """Returns whether the registration is valid."""
         until = self._registered_until
         return until is not None and now < until
 
     def may_serve(self, now: datetime.timedelta) -> bool:
-        """Returns whether a request may be decided now."""
+        """Returns whether this process may serve a request now."""
         until = self._vouched_until
         vouched = until is not None and now < until
         return vouched or self.is_registered(now)
@@ -60,7 +61,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VouchAsked:
-    """A VM asks to be vouched for, at first and to renew."""
+    """A VM's request for a vouch or for its renewal."""
 
     vm: ids.VmId
     incarnation: ids.Incarnation
@@ -69,24 +70,24 @@
 
 
 class VouchAnswer:
-    """What a VM that is asked to vouch answers."""
+    """Base of the replies to a vouch request."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Vouched(VouchAnswer):
-    """The asker may serve for the vouch lease from when it asked."""
+    """The requester may serve for one vouch lease from its request on."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Behind(VouchAnswer):
-    """The asker must first adopt this version, which it can fetch here."""
+    """The requester must first adopt this version, available from here."""
 
     version: ids.DocumentVersion
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotRegistered(VouchAnswer):
-    """This VM is not registered and can vouch for nobody."""
+    """The asked VM is not registered and cannot vouch for others."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +97,7 @@
 
 
 class Vouches:
-    """The VMs that this process vouches for."""
+    """Tracks the VMs that this process vouches for."""
 
     def __init__(self, bounds: _lease.Bounds):
         self._bounds = bounds
@@ -104,40 +105,42 @@
 
     def on_asked(
         self,
-        asked: VouchAsked,
+        request: VouchAsked,
         own_version: ids.DocumentVersion,
         registered: bool,
         now: datetime.timedelta,
     ) -> VouchAnswer:
-        """Vouches for a VM unless it is behind.
+        """Vouches for a VM unless its version is behind this process's.
 
         Args:
-            asked: who asks.
+            request: the requesting VM and its version.
             own_version: the version that this process has in force.
             registered: whether this process is registered now.
             now: the time on the monotonic clock.
         """
         if not registered:
             return NotRegistered()
-        if asked.version < own_version:
+        if request.version < own_version:
             return Behind(own_version)
-        until = now + self._bounds.wait_out(self._bounds.vouch_lease)
-        self._dependents[asked.incarnation] = _Dependent(asked.version, until)
+        until = now + self._bounds.observer_wait(self._bounds.vouch_lease)
+        self._dependents[request.incarnation] = _Dependent(
+            request.version, until
+        )
         return Vouched()
 
-    def cover(
+    def all_have_version(
         self, version: ids.DocumentVersion, now: datetime.timedelta
     ) -> bool:
-        """Returns whether all that are vouched for have this version."""
-        self._forget_lapsed(now)
+        """Returns whether all VMs vouched for have at least this version."""
+        self._remove_expired(now)
         return all(d.version >= version for d in self._dependents.values())
 
-    def empty(self, now: datetime.timedelta) -> bool:
-        """Returns whether nobody is vouched for any more."""
-        self._forget_lapsed(now)
+    def is_empty(self, now: datetime.timedelta) -> bool:
+        """Returns whether no vouch of this process is valid any more."""
+        self._remove_expired(now)
         return not self._dependents
 
-    def _forget_lapsed(self, now: datetime.timedelta) -> None:
+    def _remove_expired(self, now: datetime.timedelta) -> None:
         self._dependents = {
             incarnation: dependent
             for incarnation, dependent in self._dependents.items()
--- a/dragonflystack/config/tests/world.py
+++ b/dragonflystack/config/tests/simulated_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of the real modules round a table service, driven step by step."""
+"""Simulates a fleet that runs the real modules, driven step by step."""
 
 import datetime
 import enum
@@ -15,14 +15,14 @@
     serving_lease=60 * SECOND,
     vouch_lease=5 * SECOND,
     role_lease=3 * SECOND,
-    renew_every=10 * SECOND,
-    drift=0.01,
+    renewal_interval=10 * SECOND,
+    max_clock_drift=0.01,
 )
-RATES = (0.99, 1.01, 1.0)
+CLOCK_RATES = (0.99, 1.01, 1.0)
 
 
-class Fate(enum.Enum):
-    """What becomes of a write."""
+class WriteOutcome(enum.Enum):
+    """What happens to a write and to its response."""
 
     DONE = "done"
     ANSWER_LOST = "answer lost"
@@ -43,7 +43,7 @@
         self.adoption = config.Adoption(vm, promises.Ledger(strict=True))
 
 
-class World:
+class SimulatedFleet:
     def __init__(self):
         self.store = store_lib.Store()
         first = config.make_first(
@@ -51,31 +51,33 @@
         )
         assert self.store.put(first)
         self.elapsed = datetime.timedelta()
-        self.vms = [ids.VmId(f"vm{i}") for i in range(len(RATES))]
+        self.vms = [ids.VmId(f"vm{i}") for i in range(len(CLOCK_RATES))]
         self.runs = 0
         self.processes: list[_Process | None] = [None for _ in self.vms]
-        self.late: list[tuple[config.RowWrite, ...]] = []
+        self.late_writes: list[tuple[config.RowWrite, ...]] = []
         self.views: dict[ids.Incarnation, config.View] = {}
         self.highest_accepted = ids.DocumentVersion(0)
         self.start(0)
         self.adopt(0)
-        self.register(0, Fate.DONE)
+        self.register(0, WriteOutcome.DONE)
 
     def now(self, i: int) -> datetime.timedelta:
-        return self.elapsed * RATES[i]
-
-    def write(self, writes: tuple[config.RowWrite, ...], fate: Fate) -> bool:
-        """Returns whether the writer learns that it took effect."""
-        if fate is Fate.LATE:
-            self.late.append(writes)
-        if fate in (Fate.LATE, Fate.DROPPED):
+        return self.elapsed * CLOCK_RATES[i]
+
+    def write(
+        self, writes: tuple[config.RowWrite, ...], outcome: WriteOutcome
+    ) -> bool:
+        """Returns whether the writer learns that its write took effect."""
+        if outcome is WriteOutcome.LATE:
+            self.late_writes.append(writes)
+        if outcome in (WriteOutcome.LATE, WriteOutcome.DROPPED):
             return False
-        return self.store.write(writes) and fate is Fate.DONE
+        return self.store.write(writes) and outcome is WriteOutcome.DONE
 
     def wait(self, seconds: float):
         self.elapsed += seconds * SECOND
 
-    def publish(self, fate: Fate):
+    def publish(self, outcome: WriteOutcome):
         version = self.store.head.version
         body = self.store.bodies()[documents.FLEET]
         change = config.Change(
@@ -93,7 +95,7 @@
         )
         assert isinstance(prepared, config.Prepared)
         self.store.objects.update(prepared.objects)
-        self.write((prepared.write,), fate)
+        self.write((prepared.write,), outcome)
 
     def start(self, i: int):
         if self.processes[i] is None:
@@ -114,7 +116,7 @@
         }
         process.adoption.on_head(head, fetched, self.now(i))
 
-    def register(self, i: int, fate: Fate):
+    def register(self, i: int, outcome: WriteOutcome):
         process = self.processes[i]
         if process is None:
             return
@@ -123,7 +125,7 @@
         own = self.store.read(config.SERVING, self.vms[i])
         version = process.adoption.version
         plan = process.registration.on_rows(head, own, version, self.now(i))
-        if plan is not None and self.write(plan.writes, fate):
+        if plan is not None and self.write(plan.writes, outcome):
             process.registration.on_committed(plan)
 
     def ask_for_vouch(self, i: int, j: int):
@@ -144,17 +146,17 @@
         if isinstance(answer, config.Vouched):
             asker.permission.on_vouched(self.now(i))
 
-    def leave(self, i: int, fate: Fate):
+    def leave(self, i: int, outcome: WriteOutcome):
         process = self.processes[i]
         if process is None:
             return
         own = self.store.read(config.SERVING, self.vms[i])
         write = process.registration.leave(own, self.now(i))
         if write is not None:
-            self.write((write,), fate)
+            self.write((write,), outcome)
 
-    def look_at_rows(self, i: int):
-        """Reads what a receipt is decided on, which may be late."""
+    def read_rows(self, i: int):
+        """Reads the rows for `write_receipt`, if VM i holds the role."""
         process = self.processes[i]
         role = self.store.read(config.CONFIGURATION, config.ROLE)
         head = self.store.head_row
@@ -168,23 +170,23 @@
                 self.store.serving(),
             )
 
-    def write_receipt(self, i: int, fate: Fate):
+    def write_receipt(self, i: int, outcome: WriteOutcome):
         process = self.processes[i]
         if process is None:
             return
         view = self.views.pop(process.incarnation, None)
         if view is not None:
             writes = process.writer.on_view(view, self.now(i), UTC)
-            self.write(writes, fate)
+            self.write(writes, outcome)
 
-    def take_role(self, i: int, fate: Fate):
+    def take_role(self, i: int, outcome: WriteOutcome):
         process = self.processes[i]
         if process is None:
             return
         stored = self.store.read(config.CONFIGURATION, config.ROLE)
         write = process.keeper.on_row(stored, self.now(i))
         if write is not None:
-            self.write((write,), fate)
+            self.write((write,), outcome)
 
     def fence(self, i: int):
         stored = self.store.read(config.SERVING, self.vms[i])
@@ -193,43 +195,43 @@
             if write is not None:
                 self.store.write((write,))
 
-    def late_write_arrives(self, i: int):
-        if self.late:
-            self.store.write(self.late.pop(i % len(self.late)))
+    def deliver_late_write(self, i: int):
+        if self.late_writes:
+            self.store.write(self.late_writes.pop(i % len(self.late_writes)))
 
-    def tick(self, i: int, fate: Fate):
+    def adopt_and_register(self, i: int, outcome: WriteOutcome):
         self.adopt(i)
-        self.register(i, fate)
+        self.register(i, outcome)
 
-    def accept(self, i: int, fate: Fate):
-        self.take_role(i, Fate.DONE)
-        self.look_at_rows(i)
-        self.write_receipt(i, fate)
+    def accept(self, i: int, outcome: WriteOutcome):
+        self.take_role(i, WriteOutcome.DONE)
+        self.read_rows(i)
+        self.write_receipt(i, outcome)
 
-    def lapse(self, i: int):
-        """Lets one VM's serving lease run out while the others go on."""
+    def expire_serving_lease(self, i: int):
+        """Lets the serving lease of VM i expire; the others stay active."""
         others = [j for j in range(len(self.vms)) if j != i]
         for _ in range(8):
             self.wait(10.0)
             for j in others:
-                self.register(j, Fate.DONE)
-                self.accept(j, Fate.DONE)
+                self.register(j, WriteOutcome.DONE)
+                self.accept(j, WriteOutcome.DONE)
 
     def serves(self, i: int) -> bool:
         process = self.processes[i]
         return process is not None and process.permission.may_serve(self.now(i))
 
     def check(self):
-        self.no_vm_serves_below_the_accepted_version()
-        self.the_accepted_version_only_grows()
+        self.check_no_vm_serves_below_accepted_version()
+        self.check_accepted_version_only_grows()
 
-    def no_vm_serves_below_the_accepted_version(self):
+    def check_no_vm_serves_below_accepted_version(self):
         for i, process in enumerate(self.processes):
             if process is None or not process.permission.may_serve(self.now(i)):
                 continue
             process.adoption.check_accepted(self.store.accepted, self.now(i))
 
-    def the_accepted_version_only_grows(self):
+    def check_accepted_version_only_grows(self):
         assert self.store.accepted >= self.highest_accepted
         assert self.store.accepted <= self.store.head.version
         self.highest_accepted = self.store.accepted
--- a/dragonflystack/config/tests/store.py
+++ b/dragonflystack/config/tests/store.py
@@ -1,4 +1,4 @@
-"""A table service and an object store in memory, for the tests here."""
+"""An in-memory table service and object store for tests."""
 
 from dragonflystack import config
 from dragonflystack import ids
@@ -51,6 +51,6 @@
 
     def bodies(self) -> dict[ids.SectionId, bytes]:
         return {
-            section: self.objects[found.digest]
-            for section, found in self.head.sections.items()
+            section: self.objects[entry.digest]
+            for section, entry in self.head.sections.items()
         }
--- a/dragonflystack/config/tests/test_adoption.py
+++ b/dragonflystack/config/tests/test_adoption.py
@@ -29,14 +29,14 @@
     ("versions", "expected"),
     [((1, 2), 2), ((2, 1), 2), ((3, 3, 1), 3)],
 )
-def test_versions_only_grow(versions, expected):
+def test_adopted_version_never_decreases(versions, expected):
     adoption = _adoption()
     for version in versions:
         adoption.on_head(_head(version), _FIRST.objects, _NOW)
     assert adoption.version == expected
 
 
-def test_newer_version_fetches_only_what_changed():
+def test_newer_version_needs_no_unchanged_objects():
     adoption = _adoption()
     assert len(adoption.missing(_head(1))) == 4
     assert adoption.on_head(_head(1), _FIRST.objects, _NOW)
@@ -44,20 +44,20 @@
     assert adoption.document == documents.document()
 
 
-@pytest.mark.parametrize("damage", [b"", b"{}", None])
-def test_missing_or_damaged_body_is_not_adopted(damage):
+@pytest.mark.parametrize("corrupt_body", [b"", b"{}", None])
+def test_version_with_missing_or_corrupt_body_is_not_adopted(corrupt_body):
     adoption = _adoption()
     digest = _head(1).sections[documents.ORDER].digest
     fetched = dict(_FIRST.objects)
-    if damage is None:
+    if corrupt_body is None:
         del fetched[digest]
     else:
-        fetched[digest] = damage
+        fetched[digest] = corrupt_body
     assert not adoption.on_head(_head(1), fetched, _NOW)
     assert adoption.version == 0
 
 
-def test_serving_below_an_accepted_version_is_a_breach():
+def test_serving_below_the_accepted_version_is_a_breach():
     ledger = promises.Ledger()
     adoption = config.Adoption(ids.VmId("v"), ledger)
     adoption.on_head(_head(1), _FIRST.objects, _NOW)
--- a/dragonflystack/config/tests/test_change.py
+++ b/dragonflystack/config/tests/test_change.py
@@ -50,7 +50,7 @@
     return prepared
 
 
-def test_change_moves_only_its_section(store):
+def test_change_updates_only_its_section(store):
     prepared = _apply(store, _change(body=_body(30.0)))
     assert prepared.version == _V2
     assert len(prepared.objects) == 2
@@ -59,19 +59,19 @@
     assert store.head.sections[documents.FLEET].version == _V1
 
 
-def test_changes_to_different_sections_do_not_get_in_the_way(store):
-    late = _prepare(store, _change("a", body=_body(30.0)))
-    assert isinstance(late, config.Prepared)
+def test_concurrent_changes_to_different_sections_both_succeed(store):
+    outdated = _prepare(store, _change("a", body=_body(30.0)))
+    assert isinstance(outdated, config.Prepared)
     fleet = msgspec.json.encode(
         config.Fleet(owner=documents.OWNER, retry_budget=0.2)
     )
     _apply(store, _change("b", documents.OWNER, documents.FLEET, body=fleet))
-    assert not store.put(late)
+    assert not store.put(outdated)
     _apply(store, _change("a", body=_body(30.0)))
     assert store.head.version == 3
 
 
-def test_change_to_the_same_section_is_refused_with_the_difference(store):
+def test_concurrent_change_to_the_same_section_is_refused_with_a_diff(store):
     _apply(store, _change("a", body=_body(30.0)))
     refused = _prepare(store, _change("b", body=_body(45.0)))
     assert isinstance(refused, config.SectionChanged)
@@ -98,23 +98,23 @@
             documents.TEAM,
         ),
     ],
-    ids=["edit", "remove", "seize", "add for another"],
+    ids=["edit", "remove", "take over", "add for another team"],
 )
-def test_only_the_owner_changes_a_section(store, change, owner):
+def test_change_by_another_team_is_refused(store, change, owner):
     refused = _prepare(store, change)
     assert refused == config.NotOwner(change.section, owner)
 
 
-def test_owner_adds_hands_over_and_removes(store):
+def test_owner_can_add_hand_over_and_remove_a_section(store):
     _apply(store, _change("a", section=_NEW, base=_V0, body=_body(9.0, "new")))
-    given = msgspec.structs.replace(
+    handed_over = msgspec.structs.replace(
         documents.service("new", 9.0), owner=documents.OWNER
     )
-    body = msgspec.json.encode(given)
+    body = msgspec.json.encode(handed_over)
     _apply(store, _change("b", section=_NEW, base=_V2, body=body))
     base = store.head.sections[_NEW].version
-    gone = _change("c", documents.OWNER, _NEW, base)
-    _apply(store, gone)
+    removal = _change("c", documents.OWNER, _NEW, base)
+    _apply(store, removal)
     assert _NEW not in store.head.sections
 
 
@@ -133,7 +133,7 @@
         (ids.SectionId("elsewhere"), _body(1.0), "elsewhere"),
     ],
 )
-def test_invalid_document_is_refused_with_its_place(
+def test_invalid_change_is_refused_with_the_path_of_the_error(
     store, section, body, reason
 ):
     base = _V1 if section == documents.ORDER else _V0
@@ -142,7 +142,7 @@
     assert reason in refused.reason
 
 
-def test_same_body_writes_nothing(store):
+def test_unchanged_body_writes_nothing(store):
     decision = _prepare(store, _change(body=_body(60.0)))
     assert decision == config.Nothing(_V1)
 
@@ -160,7 +160,7 @@
     return step.version
 
 
-def test_lost_answer_is_settled_after_further_changes(store):
+def test_change_with_lost_response_is_found_after_further_changes(store):
     lost = _change("a", body=_body(30.0))
     _apply(store, lost)
     _apply(store, _change("b", base=_V2, body=_body(31.0)))
