Reword storage and promises in standard terms

Cause: doc comments and names such as "unsure", "tally" or "what is known" read like riddles to newcomers.

--- a/dragonflystack/promises/__init__.py
+++ b/dragonflystack/promises/__init__.py
@@ -1,4 +1,4 @@
-"""Promises to the operators, and the ledger that shows them as kept."""
+"""Promises to the operators, and counters that show whether they hold."""
 
 from dragonflystack.promises._ledger import Breach
 from dragonflystack.promises._ledger import BrokenPromiseError
--- a/dragonflystack/promises/_ledger.py
+++ b/dragonflystack/promises/_ledger.py
@@ -1,8 +1,8 @@
-"""Counts how often each promise was checked, its worst margin, its breaches.
+"""Records the checks, the worst margin and the breaches of each promise.
 
-An invariant is checked where the state changes, by `Ledger.check`. A breach
-is recorded; with `strict` it also raises, which tests and long randomised
-runs use to stop at the first one.
+A promise is an invariant that the operators rely on. The code calls
+`Ledger.check` where the state changes. A breach is recorded; a strict ledger
+also raises, so that tests and long randomised runs stop at the first breach.
 """
 
 import collections
@@ -10,11 +10,11 @@
 import datetime
 import enum
 
-_MAX_BREACHES_KEPT = 32
+_MAX_KEPT_BREACHES = 32
 
 
 class PromiseId(enum.Enum):
-    """The promises of the brief."""
+    """The promises to the operators."""
 
     SHIFT_CAP = "shift-cap"
     REGION_CAPACITY = "region-capacity"
@@ -32,37 +32,37 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Breach:
-    """One time at which a promise was not kept."""
+    """One breach of a promise."""
 
     at: datetime.timedelta
-    """When, on the monotonic clock of the process."""
+    """Time of the breach on the monotonic clock of the process."""
 
     place: str
-    """Where in the system: a service, a region, a request key."""
+    """Subject of the check, such as a service, a region or a request key."""
 
     margin: float
-    """How far the promise was missed; negative."""
+    """Amount by which the promise was missed; negative."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromiseRecord:
-    """What is known of one promise."""
+    """The check results of one promise."""
 
     promise: PromiseId
     checks: int
-    """How often it was checked."""
+    """Number of checks."""
 
     worst_margin: float | None
-    """The smallest margin seen, None before the first check."""
+    """The smallest margin so far, None before the first check."""
 
     breaches: int
-    """How often it was not kept."""
+    """Number of breaches."""
 
     last_breaches: tuple[Breach, ...]
-    """The latest breaches, oldest first, a bounded number of them."""
+    """The latest breaches, oldest first; limited to `_MAX_KEPT_BREACHES`."""
 
 
-class _Tally:
+class _PromiseCounters:
     """The counters of one promise."""
 
     def __init__(self):
@@ -70,7 +70,7 @@
         self.worst_margin: float | None = None
         self.breaches = 0
         self.last_breaches: collections.deque[Breach] = collections.deque(
-            maxlen=_MAX_BREACHES_KEPT
+            maxlen=_MAX_KEPT_BREACHES
         )
 
 
@@ -79,7 +79,7 @@
 
     def __init__(self, strict: bool = False):
         self._strict = strict
-        self._tallies = {promise: _Tally() for promise in PromiseId}
+        self._counters = {promise: _PromiseCounters() for promise in PromiseId}
 
     def check(
         self,
@@ -92,9 +92,10 @@
 
         Args:
             promise: the promise checked.
-            margin: how far the promise is kept, in its own unit; it is broken
-                if this is negative. Use 0.0 and -1.0 where it is yes or no.
-            place: where in the system, for a breach's record.
+            margin: distance from a breach, in the unit of the promise; negative
+                if it is broken. Use 0.0 (kept) and -1.0 (broken) for yes-or-no
+                promises.
+            place: subject of the check, recorded with a breach.
             now: the time on the monotonic clock.
 
         Returns:
@@ -103,27 +104,27 @@
         Raises:
             BrokenPromiseError: if it is broken and the ledger is strict.
         """
-        tally = self._tallies[promise]
-        tally.checks += 1
-        if tally.worst_margin is None or margin < tally.worst_margin:
-            tally.worst_margin = margin
+        counters = self._counters[promise]
+        counters.checks += 1
+        if counters.worst_margin is None or margin < counters.worst_margin:
+            counters.worst_margin = margin
         if margin >= 0:
             return True
-        tally.breaches += 1
-        tally.last_breaches.append(Breach(now, place, margin))
+        counters.breaches += 1
+        counters.last_breaches.append(Breach(now, place, margin))
         if self._strict:
             raise BrokenPromiseError(f"{promise.value} at {place}: {margin}")
         return False
 
     def records(self) -> tuple[PromiseRecord, ...]:
-        """Returns what is known of every promise, in order of `PromiseId`."""
+        """Returns the record of every promise, in the order of `PromiseId`."""
         return tuple(
             PromiseRecord(
                 promise,
-                tally.checks,
-                tally.worst_margin,
-                tally.breaches,
-                tuple(tally.last_breaches),
+                counters.checks,
+                counters.worst_margin,
+                counters.breaches,
+                tuple(counters.last_breaches),
             )
-            for promise, tally in self._tallies.items()
+            for promise, counters in self._counters.items()
         )
--- a/dragonflystack/promises/_report.py
+++ b/dragonflystack/promises/_report.py
@@ -1,8 +1,8 @@
-"""Reports of promises that outlive their process, and their sum.
+"""Reports on promises that outlive their process, and their aggregation.
 
-A daemon's counters end with it, so it writes them, as running totals, into a
-small report under a name of its own; the fleet's figures are the sum over all
-reports of a day.
+A daemon's counters are lost when the process ends. The daemon therefore writes
+its running totals to a small report under a name of its own. The fleet's
+figures are the sum of all reports of a day.
 """
 
 from collections.abc import Iterable
@@ -14,31 +14,31 @@
 from dragonflystack import ids
 from dragonflystack.promises import _ledger
 
-_MAX_BREACHES_SHOWN = 32
+_MAX_REPORTED_BREACHES = 32
 
 
 class ReportedBreach(msgspec.Struct, frozen=True, kw_only=True):
-    """One time at which a promise was not kept."""
+    """One breach of a promise."""
 
     vm: ids.VmId
     at: datetime.datetime
-    """When, in UTC."""
+    """Time of the breach, in UTC."""
 
     place: str
     margin: float
 
 
 class ReportedPromise(msgspec.Struct, frozen=True, kw_only=True):
-    """What a daemon or the fleet knows of one promise."""
+    """The totals of one promise, for one daemon or for the fleet."""
 
     promise: _ledger.PromiseId
     checks: int
     worst_margin: float | None
-    """The smallest margin, None if it was never checked."""
+    """The smallest margin, None if the promise was never checked."""
 
     breaches: int
     last_breaches: tuple[ReportedBreach, ...] = ()
-    """The latest breaches, oldest first, a bounded number of them."""
+    """The latest breaches, oldest first; limited in number."""
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
@@ -61,7 +61,7 @@
 
     Args:
         vm: the VM that reports.
-        incarnation: its run.
+        incarnation: the incarnation of its daemon.
         records: the ledger's records.
         now: the time on the monotonic clock of the ledger.
         utcnow: the same instant in UTC.
@@ -91,26 +91,28 @@
 
 
 def merge(reports: Iterable[Report]) -> tuple[ReportedPromise, ...]:
-    """Returns the sum of the reports, one entry per promise."""
-    found: dict[_ledger.PromiseId, list[ReportedPromise]] = {
+    """Returns the aggregated totals of the reports, one entry per promise."""
+    by_promise: dict[_ledger.PromiseId, list[ReportedPromise]] = {
         promise: [] for promise in _ledger.PromiseId
     }
     for report in reports:
         for entry in report.promises:
-            found[entry.promise].append(entry)
-    return tuple(_sum(promise, parts) for promise, parts in found.items())
+            by_promise[entry.promise].append(entry)
+    return tuple(
+        _sum(promise, entries) for promise, entries in by_promise.items()
+    )
 
 
 def _sum(
-    promise: _ledger.PromiseId, parts: Sequence[ReportedPromise]
+    promise: _ledger.PromiseId, entries: Sequence[ReportedPromise]
 ) -> ReportedPromise:
-    margins = [p.worst_margin for p in parts if p.worst_margin is not None]
-    breaches = [breach for p in parts for breach in p.last_breaches]
+    margins = [p.worst_margin for p in entries if p.worst_margin is not None]
+    breaches = [breach for p in entries for breach in p.last_breaches]
     breaches.sort(key=lambda breach: (breach.at, breach.vm))
     return ReportedPromise(
         promise=promise,
-        checks=sum(p.checks for p in parts),
+        checks=sum(p.checks for p in entries),
         worst_margin=min(margins, default=None),
-        breaches=sum(p.breaches for p in parts),
-        last_breaches=tuple(breaches[-_MAX_BREACHES_SHOWN:]),
+        breaches=sum(p.breaches for p in entries),
+        last_breaches=tuple(breaches[-_MAX_REPORTED_BREACHES:]),
     )
--- a/dragonflystack/storage/__init__.py
+++ b/dragonflystack/storage/__init__.py
@@ -1,4 +1,4 @@
-"""Ports to the table service, the object store and the VM list."""
+"""Interfaces to the table service, the object store and the VM list."""
 
 from dragonflystack.storage._http import CONNECT_ERRORS
 from dragonflystack.storage._http import LOST_ANSWER_ERRORS
--- a/dragonflystack/storage/_http.py
+++ b/dragonflystack/storage/_http.py
@@ -1,8 +1,8 @@
-"""The platform over HTTP.
+"""HTTP client for the platform's storage services and VM list.
 
-Rows are resources under `/tables/TABLE/KEY` whose `ETag` is their version; a
-transaction is one POST to `/transactions`; objects are resources under
-`/objects/NAME`, listed by `/objects?prefix=P`; the list of VMs is `/vms`.
+Rows are resources under `/tables/TABLE/KEY`, with their version as `ETag`. A
+transaction is one POST to `/transactions`. Objects are resources under
+`/objects/NAME` and are listed by `/objects?prefix=P`. The VM list is `/vms`.
 """
 
 import datetime
@@ -25,14 +25,14 @@
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
 )
-"""Nothing was written."""
+"""Errors that occur before the request is sent."""
 
 LOST_ANSWER_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
 )
-"""Something may have been written, and done."""
+"""Errors after which the request may have been sent and executed."""
 
 
 class _RowBody(msgspec.Struct, frozen=True):
@@ -55,11 +55,12 @@
         timeout: datetime.timedelta,
         pool: httpcore.AsyncConnectionPool,
     ):
-        """Takes the pool as its own.
+        """Takes ownership of the pool; `aclose` closes it.
 
         Args:
-            base_url: scheme, host and port, without a slash at the end.
-            timeout: bound on connecting and on each read.
+            base_url: scheme, host and port, without a trailing slash.
+            timeout: limit on waiting for a pooled connection, on connecting,
+                and on each read and write.
             pool: the connections to use.
         """
         self._base_url = base_url
@@ -75,7 +76,7 @@
     def from_url(
         cls, base_url: str, timeout: datetime.timedelta
     ) -> "HttpPlatform":
-        """Returns a platform with connections of its own."""
+        """Returns a client with a connection pool of its own."""
         pool = httpcore.AsyncConnectionPool(
             max_connections=8, keepalive_expiry=timeout.total_seconds()
         )
@@ -159,12 +160,13 @@
         )
 
     async def aclose(self) -> None:
-        """Closes the connections."""
+        """Closes all connections."""
         await self._pool.aclose()
 
     async def _get(
         self, path: str
     ) -> httpcore.Response | None | _ports.Unavailable:
+        """Returns the response, None for status 404."""
         try:
             res = await self._request("GET", path, None)
         except (*CONNECT_ERRORS, *LOST_ANSWER_ERRORS) as exc:
@@ -201,15 +203,15 @@
 
 
 def plain_failure(reason: str) -> outcomes.Failure:
-    """Returns a failure of a call to the store."""
+    """Returns a failure of a platform call with this reason."""
     return outcomes.Failure(outcomes.Step.STORE, "platform", reason)
 
 
 def failure(exc: Exception) -> outcomes.Failure:
-    """Returns the failure that an error of httpcore stands for."""
+    """Returns the failure for an httpcore error."""
     return plain_failure(f"{type(exc).__name__}: {exc}".rstrip(": "))
 
 
 def status_failure(res: httpcore.Response) -> outcomes.Failure:
-    """Returns the failure that an unexpected status stands for."""
+    """Returns the failure for an unexpected response status."""
     return plain_failure(f"answered {res.status}")
--- a/dragonflystack/storage/_ports.py
+++ b/dragonflystack/storage/_ports.py
@@ -1,8 +1,9 @@
-"""What the product asks of the platform, and how its answers may fail.
+"""Interfaces to the platform's services, with their possible results.
 
-A read fails whole. A write may also end unsure: its answer was lost, so that
-it may have taken effect. Whoever writes puts something of its own into the
-row, such as a change id, and settles the doubt by reading back.
+A read either succeeds or fails. The result of a write may also be unknown
+(`Unsure`): the response was lost, and the write may have taken effect. A writer
+therefore puts a value of its own into the row, such as a change id, and reads
+the row back to find out.
 """
 
 import dataclasses
@@ -21,7 +22,7 @@
 
     key: str
     version: int
-    """Grows by one with each write; the first is 1."""
+    """Starts at 1 and is incremented with each write."""
 
     value: bytes
     """JSON text."""
@@ -34,7 +35,8 @@
     table: str
     key: str
     expected_version: int | None
-    """The version the row must have, 0 if it must not exist, None if any."""
+    """The version that the row must have, 0 if it must not exist, None for
+    an unconditional write."""
 
     value: bytes | None
     """JSON text, or None to delete the row."""
@@ -55,14 +57,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unavailable:
-    """Nothing took effect: the service was not reached or refused."""
+    """The service was unreachable or refused; a write had no effect."""
 
     failure: outcomes.Failure
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unsure:
-    """The answer was lost: all writes took effect or none did."""
+    """The response was lost: either all writes took effect or none did."""
 
     failure: outcomes.Failure
 
@@ -71,7 +73,7 @@
 
 
 class VmState(enum.Enum):
-    """What the platform says of a VM."""
+    """State of a VM in the platform's list."""
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -83,7 +85,7 @@
     id: ids.VmId
     host: str
     port: int
-    """The port for daemons."""
+    """The port on which its daemon serves other daemons."""
 
     state: VmState
 
@@ -98,7 +100,7 @@
         """Returns all rows of a table, in order of their keys."""
 
     async def write(self, *writes: Write) -> WriteResult:
-        """Does all the writes in one transaction, or none."""
+        """Applies all writes in one transaction, or none of them."""
 
 
 class ObjectStore(Protocol):
@@ -108,14 +110,14 @@
         """Returns the object's bytes, or None if there is none."""
 
     async def put(self, name: str, data: bytes) -> Unavailable | None:
-        """Stores the object, in place of one of that name."""
+        """Stores the object; replaces an existing one of that name."""
 
     async def list_names(self, prefix: str) -> tuple[str, ...] | Unavailable:
-        """Returns the names that begin with a prefix, in order."""
+        """Returns the sorted names that begin with a prefix."""
 
 
 class VmList(Protocol):
-    """The platform's list of VMs, which lags."""
+    """The platform's list of VMs, which may be out of date."""
 
     async def list_vms(self) -> tuple[ListedVm, ...] | Unavailable:
-        """Returns the VMs that live or are leaving."""
+        """Returns the VMs that are live or leaving."""
