Reword the top-level modules in standard terms

Change: doc comments, private names, test names and three messages (body too large, no complete response, clock advanced by a negative duration).

--- a/dragonflystack/__init__.py
+++ b/dragonflystack/__init__.py
@@ -1,8 +1,8 @@
 """Global traffic steering for operators who answer to a regulator.
 
 The daemon `dragonflyd` runs on every entry VM; `dragonfly` is the operators'
-command-line client. The decisions live in packages without I/O, so that a
-bench or a simulation can drive the code that runs in production.
+command-line client. The decision logic is in packages without I/O, so that
+benchmarks and simulations can run the production code.
 """
 
 from dragonflystack import clock
--- a/dragonflystack/_asgi.py
+++ b/dragonflystack/_asgi.py
@@ -1,6 +1,6 @@
-"""Small helpers round the ASGI interface: whole bodies, JSON, problems.
+"""Helpers for ASGI: complete bodies, JSON and problem details.
 
-A refusal is a problem details object as in RFC 9457.
+Errors are sent as problem details objects, see RFC 9457.
 """
 
 from collections.abc import Awaitable
@@ -25,11 +25,11 @@
 
 
 class CallerGoneError(Exception):
-    """The other side closed its connection before the body was whole."""
+    """The peer closed its connection before the body was complete."""
 
 
 async def read_body(receive: Receive, limit_bytes: int) -> bytes:
-    """Returns the whole body of a request.
+    """Returns the complete body of a request.
 
     Raises:
         BodyTooLargeError: if it is longer than the limit.
@@ -53,7 +53,7 @@
 async def send_bytes(
     send: Send, status: int, headers: Headers, body: bytes
 ) -> None:
-    """Sends a whole answer, its length stated."""
+    """Sends a complete response with its content length."""
     length = (b"content-length", b"%d" % len(body))
     await send(
         {
@@ -85,12 +85,12 @@
     """Sends a problem details object.
 
     Args:
-        send: the ASGI channel.
+        send: the `send` callable of ASGI.
         status: the HTTP status.
-        title: what kind of problem it is.
-        detail: what was wrong this time.
-        headers: more headers, such as `retry-after`.
-        members: more members of the object.
+        title: the type of the problem.
+        detail: an explanation of this occurrence.
+        headers: additional headers, such as `retry-after`.
+        members: additional members of the object.
     """
     problem = {"title": title, "status": status, "detail": detail, **members}
     content_type = (b"content-type", _PROBLEM_JSON)
@@ -99,7 +99,7 @@
 
 
 def header(scope: Scope, name: bytes) -> str | None:
-    """Returns the first header of that lower-case name, or None."""
+    """Returns the first header of this lower-case name, or None."""
     for key, value in scope["headers"]:
         if key == name:
             return value.decode("latin-1")
@@ -107,10 +107,11 @@
 
 
 def close_connections_when(is_leaving: Callable[[], bool], app: App) -> App:
-    """Returns the app, ending each connection after its answer while leaving.
+    """Wraps an app to close each connection after its response while leaving.
 
-    A connection that stays open could carry its next request just as the
-    process ends; a caller that is told of the end opens another elsewhere.
+    On a connection that stays open, the next request could arrive just as the
+    process ends. The `connection: close` header makes the caller open a new
+    connection, to another VM.
     """
 
     async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
--- a/dragonflystack/_bounded.py
+++ b/dragonflystack/_bounded.py
@@ -1,4 +1,4 @@
-"""Answers that are read whole, within a bound on their size and their time."""
+"""Reads complete HTTP responses with limits on their size and duration."""
 
 import datetime
 from typing import Any
@@ -12,7 +12,7 @@
 
 
 async def read(res: httpcore.Response, limit_bytes: int) -> bytes:
-    """Returns the whole body of an answer that is being received.
+    """Returns the complete body of a response that is being received.
 
     Raises:
         AnswerTooLargeError: if it is longer than the limit.
@@ -22,7 +22,9 @@
     async for part in res.aiter_stream():
         size += len(part)
         if size > limit_bytes:
-            raise AnswerTooLargeError(f"a body of over {limit_bytes} bytes")
+            raise AnswerTooLargeError(
+                f"response body is larger than {limit_bytes} bytes"
+            )
         parts.append(part)
     return parts[0] if len(parts) == 1 else b"".join(parts)
 
@@ -35,28 +37,30 @@
     longest: datetime.timedelta,
     **options: Any,
 ) -> httpcore.Response:
-    """Returns a whole answer.
+    """Sends a request and returns the complete response.
 
     Args:
         pool: the connections to use.
         method: the HTTP method.
-        url: what to ask.
-        limit_bytes: largest body of the answer.
-        longest: bound on the whole exchange; timeouts among the options bound
-            each read, and an answer may come in many.
+        url: the URL to request.
+        limit_bytes: maximum size of the response body.
+        longest: limit on the duration of the whole exchange. Timeouts in the
+            options limit each single read only, and a response may take many.
         options: see `httpcore.AsyncConnectionPool.request`.
 
     Raises:
-        httpcore.NetworkError: no connection, or it broke.
-        httpcore.ProtocolError: what came is no answer, or is too large.
-        httpcore.TimeoutException: a timeout passed.
+        httpcore.NetworkError: if connecting failed or the connection broke.
+        httpcore.ProtocolError: if the response is malformed or too large.
+        httpcore.TimeoutException: if a timeout expired.
     """
     try:
         with anyio.fail_after(longest.total_seconds()):
             async with pool.stream(method, url, **options) as res:
                 content = await read(res, limit_bytes)
     except TimeoutError as exc:
-        raise httpcore.ReadTimeout(f"no whole answer in {longest}") from exc
+        raise httpcore.ReadTimeout(
+            f"no complete response within {longest}"
+        ) from exc
     whole = httpcore.Response(res.status, headers=res.headers, content=content)
     whole.read()
     return whole
--- a/dragonflystack/_hop_headers.py
+++ b/dragonflystack/_hop_headers.py
@@ -1,4 +1,4 @@
-"""Headers that concern one connection only.
+"""Removes hop-by-hop headers, which apply to one connection only.
 
 Source: RFC 9110, "HTTP Semantics", section 7.6.1.
 """
@@ -22,7 +22,10 @@
 
 
 def end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Returns the headers that are not for one connection only."""
+    """Returns the headers that are not hop-by-hop.
+
+    Also drops the headers that a `connection` header names.
+    """
     pairs = [(name.lower(), name, value) for name, value in headers]
     dropped = _HOP_BY_HOP
     for lower, _, value in pairs:
--- a/dragonflystack/_limits.py
+++ b/dragonflystack/_limits.py
@@ -1,8 +1,8 @@
-"""Bounds on what one connection may send, for every port of the product.
+"""Limits on what one connection may send, for every listening port.
 
-uvicorn bounds neither the size of a request's head nor the time a request
-takes to arrive; its protocol class is the place to add both. The callbacks
-overridden here are those that httptools documents for its parser.
+uvicorn limits neither the size of a request head nor the time that receiving a
+request takes, so a subclass of its protocol class adds both. The overridden
+callbacks are those that httptools documents for its parser.
 """
 
 import asyncio
@@ -12,22 +12,22 @@
 from uvicorn.protocols.http import httptools_impl
 
 MAX_HEAD_BYTES = 32_768
-"""Largest request line and headers together."""
+"""Maximum size of the request line and headers together."""
 
-FRAMING_PER_BODY_BYTE = 8
-"""Bytes of framing and trailers allowed for each byte of a body beside
-`MAX_HEAD_BYTES`; a chunk of one byte takes five."""
+MAX_FRAMING_PER_BODY_BYTE = 8
+"""Maximum bytes of framing and trailers per body byte, in addition to
+`MAX_HEAD_BYTES`; a chunk of one byte has five bytes of framing."""
 
-MAX_ARRIVAL = datetime.timedelta(seconds=10)
-"""Longest time from a request's first byte, or from the connection, to its
-last byte."""
+MAX_REQUEST_RECEIVE_TIME = datetime.timedelta(seconds=10)
+"""Maximum time from the first byte of a request, or from the opening of the
+connection, to the last byte."""
 
-_LINGER = datetime.timedelta(seconds=1)
+_CLOSE_DELAY = datetime.timedelta(seconds=1)
 _HEAD_END = b"\r\n\r\n"
 
 
-def _refusal(status: int, reason: str, title: str) -> bytes:
-    """Returns a whole answer with problem details, as in RFC 9457."""
+def _make_refusal(status: int, reason: str, title: str) -> bytes:
+    """Returns a complete response with problem details, see RFC 9457."""
     body = json.dumps({"title": title, "status": status})
     lines = (
         f"HTTP/1.1 {status} {reason}",
@@ -39,107 +39,111 @@
     return ("\r\n".join(lines) + "\r\n\r\n" + body).encode()
 
 
-_TOO_LARGE = _refusal(
+_TOO_LARGE = _make_refusal(
     431, "Request Header Fields Too Large", "request head too large"
 )
-_TOO_SLOW = _refusal(408, "Request Timeout", "request too slow")
+_TOO_SLOW = _make_refusal(408, "Request Timeout", "request too slow")
 
 
 class LimitedProtocol(httptools_impl.HttpToolsProtocol):
-    """HTTP/1.1 with bounds on a request's head and on its arrival."""
+    """HTTP/1.1 with limits on the request head and the receive time."""
 
     def connection_made(self, transport):
-        """Starts the time that the first request may take."""
+        """Starts the timer for the first request."""
         self._head_bytes = 0
         self._in_head = True
         self._framing_bytes = 0
         self._body_bytes = 0
-        self._tail = b""
+        self._last_bytes = b""
         self._refused = False
-        self._arrival_timer: asyncio.TimerHandle | None = None
+        self._receive_timer: asyncio.TimerHandle | None = None
         super().connection_made(transport)
-        self._start_arrival_timer()
+        self._start_receive_timer()
 
     def connection_lost(self, exc):
         """Stops the timer."""
-        self._stop_arrival_timer()
+        self._stop_receive_timer()
         super().connection_lost(exc)
 
     def data_received(self, data):
-        """Refuses a head that is too large, and passes on the rest."""
+        """Refuses too much head or framing data; parses everything else."""
         if self._refused:
             return
         if self._in_head:
             self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES and not self._fits(data):
+            if self._head_bytes > MAX_HEAD_BYTES and not self._head_fits(data):
                 self._refuse(_TOO_LARGE)
                 return
-            self._tail = data[1 - len(_HEAD_END) :]
+            self._last_bytes = data[1 - len(_HEAD_END) :]
         else:
             self._framing_bytes += len(data)
         super().data_received(data)
-        if not self._in_head and self._framing_bytes > self._most_framing():
+        if (
+            not self._in_head
+            and self._framing_bytes > self._max_framing_bytes()
+        ):
             self._refuse(_TOO_LARGE)
 
     def on_message_begin(self):
-        """Starts the time that this request may take."""
+        """Starts the timer for this request."""
         self._in_head = True
         self._framing_bytes = 0
         self._body_bytes = 0
-        self._start_arrival_timer()
+        self._start_receive_timer()
         super().on_message_begin()
 
     def on_headers_complete(self):
-        """Ends the count of the head's bytes; keeps the target as it came."""
+        """Ends the head; keeps the request target as received."""
         self._in_head = False
         self._head_bytes = 0
         self.scope["raw_target"] = self.url  # type: ignore[typeddict-unknown-key]
         super().on_headers_complete()
 
     def on_body(self, body):
-        """Counts the body, which its reader bounds."""
+        """Counts the body bytes; the reader of the body limits its size."""
         self._body_bytes += len(body)
         self._framing_bytes -= len(body)
         super().on_body(body)
 
     def on_message_complete(self):
-        """Stops the timer: the request has arrived."""
+        """Stops the timer, as the request is complete."""
         self._in_head = True
-        self._stop_arrival_timer()
+        self._stop_receive_timer()
         super().on_message_complete()
 
-    def _most_framing(self) -> int:
-        """Returns how many bytes of framing and trailers are allowed by now."""
-        return MAX_HEAD_BYTES + FRAMING_PER_BODY_BYTE * self._body_bytes
-
-    def _fits(self, data: bytes) -> bool:
-        """Returns whether the head ends within its bound in this data."""
-        seen = self._tail + data
-        before = self._head_bytes - len(seen)
-        end = seen.find(_HEAD_END)
-        return end >= 0 and before + end <= MAX_HEAD_BYTES
-
-    def _start_arrival_timer(self) -> None:
-        self._stop_arrival_timer()
-        self._arrival_timer = self.loop.call_later(
-            MAX_ARRIVAL.total_seconds(), self._refuse, _TOO_SLOW
+    def _max_framing_bytes(self) -> int:
+        """Returns the maximum of framing and trailer bytes received so far."""
+        return MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
+
+    def _head_fits(self, data: bytes) -> bool:
+        """Returns whether the head ends in this data and within its limit."""
+        recent_bytes = self._last_bytes + data
+        earlier_bytes = self._head_bytes - len(recent_bytes)
+        end = recent_bytes.find(_HEAD_END)
+        return end >= 0 and earlier_bytes + end <= MAX_HEAD_BYTES
+
+    def _start_receive_timer(self) -> None:
+        self._stop_receive_timer()
+        self._receive_timer = self.loop.call_later(
+            MAX_REQUEST_RECEIVE_TIME.total_seconds(), self._refuse, _TOO_SLOW
         )
 
-    def _stop_arrival_timer(self) -> None:
-        if self._arrival_timer is not None:
-            self._arrival_timer.cancel()
-            self._arrival_timer = None
+    def _stop_receive_timer(self) -> None:
+        if self._receive_timer is not None:
+            self._receive_timer.cancel()
+            self._receive_timer = None
 
     def _refuse(self, answer: bytes) -> None:
-        """Answers, then reads on a while so that the answer is not lost.
+        """Sends a response, and closes the connection after a delay.
 
-        Closing at once, with data unread, would reset the connection.
+        Data that arrives meanwhile is discarded. Closing at once, with unread
+        data, would reset the connection and could lose the response.
         """
-        self._stop_arrival_timer()
+        self._stop_receive_timer()
         if self._refused or self.transport.is_closing():
             return
         self._refused = True
         self.transport.write(answer)
         if self.transport.can_write_eof():
             self.transport.write_eof()
-        self.loop.call_later(_LINGER.total_seconds(), self.transport.close)
+        self.loop.call_later(_CLOSE_DELAY.total_seconds(), self.transport.close)
--- a/dragonflystack/_server.py
+++ b/dragonflystack/_server.py
@@ -1,4 +1,4 @@
-"""A uvicorn server that runs inside a task group and leaves signals alone."""
+"""A uvicorn server that runs in a task group and handles no signals."""
 
 import contextlib
 import datetime
@@ -18,7 +18,7 @@
 
 
 class Server(uvicorn.Server):
-    """One listening port."""
+    """An HTTP server on one port."""
 
     @classmethod
     def from_address(
@@ -29,14 +29,15 @@
         tls: ssl.SSLContext | None = None,
         keep_alive: datetime.timedelta = _KEEP_ALIVE,
     ) -> "Server":
-        """Returns a server for the app; `port` 0 takes any free port.
+        """Returns a server for an app.
 
         Args:
-            app: what to serve.
+            app: the ASGI app to serve.
             host: the address to listen on.
-            port: the port to listen on.
-            tls: keys, None for plain connections.
-            keep_alive: how long an idle connection is kept.
+            port: the port to listen on, 0 for any free port.
+            tls: the TLS context, None for plain connections.
+            keep_alive: how long an idle connection is kept open, rounded up to
+                whole seconds.
         """
         cfg = uvicorn.Config(
             app,
@@ -63,7 +64,7 @@
 
     @contextlib.contextmanager
     def capture_signals(self):
-        """Leaves signals to the daemon."""
+        """Installs no signal handlers; the daemon handles signals."""
         yield
 
     async def wait_started(self) -> None:
@@ -72,9 +73,9 @@
             await anyio.sleep(_START_POLL_S)
 
     def set_keep_alive(self, keep_alive: datetime.timedelta) -> None:
-        """Sets how long idle connections are kept, for those to come."""
+        """Sets how long idle connections are kept; new connections use it."""
         self.config.timeout_keep_alive = math.ceil(keep_alive.total_seconds())
 
     def stop(self) -> None:
-        """Asks for a graceful shutdown: what is in flight is finished."""
+        """Requests a graceful shutdown, which completes requests in flight."""
         self.should_exit = True
--- a/dragonflystack/clock.py
+++ b/dragonflystack/clock.py
@@ -1,4 +1,4 @@
-"""The clock, passed in to whatever needs the time."""
+"""Clocks, passed to the code that needs the time."""
 
 import datetime
 import time
@@ -6,21 +6,21 @@
 
 
 class Clock(Protocol):
-    """Tells the time."""
+    """Interface of a clock."""
 
     def monotonic(self) -> datetime.timedelta:
-        """Returns the time since a fixed origin; it never goes back.
+        """Returns the time since a fixed origin; it never decreases.
 
-        It counts the time for which the VM was suspended.
+        Time for which the VM was suspended is included.
         """
 
     def utcnow(self) -> datetime.datetime:
         """Returns the wall-clock time in UTC, for records only."""
 
 
-_STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
-"""Where the system has it, a clock that goes on while the VM is suspended:
-what callers and other VMs await goes on as well."""
+_SUSPEND_AWARE_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""A clock that keeps running while the VM is suspended, if the system has one,
+because the timeouts of callers and other VMs keep running too."""
 
 
 class SystemClock:
@@ -28,7 +28,9 @@
 
     def monotonic(self) -> datetime.timedelta:
         """See `Clock.monotonic`."""
-        return datetime.timedelta(seconds=time.clock_gettime(_STEADY_CLOCK))
+        return datetime.timedelta(
+            seconds=time.clock_gettime(_SUSPEND_AWARE_CLOCK)
+        )
 
     def utcnow(self) -> datetime.datetime:
         """See `Clock.utcnow`."""
@@ -36,7 +38,7 @@
 
 
 class ManualClock:
-    """A clock that stands still until it is advanced."""
+    """A clock for tests that changes only when it is advanced."""
 
     def __init__(self, start: datetime.datetime):
         self._start = start
@@ -51,14 +53,16 @@
         return self._start + self._elapsed
 
     def advance(self, by: datetime.timedelta) -> None:
-        """Moves the time on.
+        """Advances the time.
 
         Args:
-            by: how far; not negative.
+            by: the duration; not negative.
 
         Raises:
             ValueError: if `by` is negative.
         """
         if by < datetime.timedelta():
-            raise ValueError(f"a clock cannot go back: advance by {by}")
+            raise ValueError(
+                f"cannot advance a clock by a negative duration: {by}"
+            )
         self._elapsed += by
--- a/dragonflystack/ids.py
+++ b/dragonflystack/ids.py
@@ -6,7 +6,7 @@
 """An entry VM, as named in its settings; unique in the fleet."""
 
 Incarnation = NewType("Incarnation", str)
-"""One run of a daemon on a VM; unique over all runs of all VMs."""
+"""One run of the daemon on a VM; unique over all runs on all VMs."""
 
 FailureDomainId = NewType("FailureDomainId", str)
 """A failure domain; unique in the fleet."""
@@ -21,13 +21,13 @@
 """A backend server; unique in the fleet."""
 
 CustomerId = NewType("CustomerId", str)
-"""A customer, as named by the operators and to backend servers."""
+"""A customer; this id is also sent to backend servers."""
 
 SiteId = NewType("SiteId", int)
 """A site of clients: the index into the document's list of sites."""
 
 RequestKey = NewType("RequestKey", str)
-"""The identity of a non-idempotent request over all its attempts."""
+"""Identifies a non-idempotent request across all its attempts."""
 
 TeamId = NewType("TeamId", str)
 """A team of operators that owns sections of the document."""
@@ -36,10 +36,10 @@
 """A section of the configuration document, such as `services/order`."""
 
 DocumentVersion = NewType("DocumentVersion", int)
-"""The version of the configuration document; it only grows."""
+"""A version of the configuration document; never decreases."""
 
 ChangeId = NewType("ChangeId", str)
-"""One attempt of an operator to change the document, chosen by the client."""
+"""An operator's change of the document; the id is chosen by the client."""
 
 Digest = NewType("Digest", str)
 """The lower-case hexadecimal SHA-256 of an object's bytes."""
--- a/dragonflystack/outcomes.py
+++ b/dragonflystack/outcomes.py
@@ -1,4 +1,4 @@
-"""Tagged outcomes: how a request ended, and at which step and peer."""
+"""Outcomes of requests, and failures with their step and peer."""
 
 import dataclasses
 import datetime
@@ -6,20 +6,20 @@
 
 
 class RequestOutcome(enum.Enum):
-    """What became of a request, as told to its caller."""
+    """The outcome of a request, as reported to its caller."""
 
     SERVED = "served"
-    """The whole answer of the backend server is returned."""
+    """The complete response of the backend server is returned."""
 
     NOT_RUN = "not-run"
-    """No backend server ran it, and none ever will for this attempt."""
+    """No backend server has run it or will run it for this attempt."""
 
     UNKNOWN = "unknown"
     """It may have run; it will not be run again."""
 
 
 class Step(enum.Enum):
-    """The step of the work at which something failed."""
+    """The processing step at which a failure occurred."""
 
     LOOK_UP = "look-up"
     ADMISSION = "admission"
@@ -33,21 +33,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
-    """Why something was not done."""
+    """The cause of a failed operation."""
 
     step: Step
     """The step at which it failed."""
 
     peer: str
-    """The other side: an id or an address; empty if there was none."""
+    """The id or address of the peer; empty if there was none."""
 
     reason: str
-    """What was wrong, in words for an operator."""
+    """The cause, as a text for operators."""
 
     retry_after: datetime.timedelta | None = None
-    """When to come back, or None if coming back does not help."""
+    """Delay before a retry, None if a retry would not help."""
 
     def __str__(self) -> str:
-        """Returns the failure in one line, for logs and messages."""
+        """Returns the failure as one line, for logs and messages."""
         place = f"{self.step.value} {self.peer}".strip()
         return f"{place}: {self.reason}"
--- a/dragonflystack/tests/test_asgi.py
+++ b/dragonflystack/tests/test_asgi.py
@@ -5,10 +5,10 @@
 
 
 def _receive_from(*messages):
-    left = list(messages)
+    remaining = list(messages)
 
     async def receive():
-        return left.pop(0)
+        return remaining.pop(0)
 
     return receive
 
@@ -17,31 +17,31 @@
     return {"type": "http.request", "body": body, "more_body": more}
 
 
-_GONE = {"type": "http.disconnect"}
+_DISCONNECT = {"type": "http.disconnect"}
 
 
 @pytest.mark.parametrize(
-    ("messages", "found"),
+    ("messages", "expected"),
     [
         ([_part(b"", False)], b""),
         ([_part(b"ab", True), _part(b"cd", False)], b"abcd"),
         ([_part(b"ab", True), _part(b"cde", False)], _asgi.BodyTooLargeError),
-        ([_part(b"ab", True), _GONE], _asgi.CallerGoneError),
+        ([_part(b"ab", True), _DISCONNECT], _asgi.CallerGoneError),
     ],
 )
-def test_a_body_is_whole_or_an_error(messages, found):
+def test_read_body_returns_the_complete_body_or_raises(messages, expected):
     async def run():
         return await _asgi.read_body(_receive_from(*messages), limit_bytes=4)
 
-    if isinstance(found, bytes):
-        assert anyio.run(run) == found
+    if isinstance(expected, bytes):
+        assert anyio.run(run) == expected
     else:
-        with pytest.raises(found):
+        with pytest.raises(expected):
             anyio.run(run)
 
 
 @pytest.mark.parametrize("leaving", [False, True])
-def test_connections_end_after_their_answer_while_leaving(leaving):
+def test_connection_closes_after_its_response_while_leaving(leaving):
     sent = []
 
     async def send(message):
--- a/dragonflystack/tests/test_bounded.py
+++ b/dragonflystack/tests/test_bounded.py
@@ -1,4 +1,4 @@
-"""Answers without end, from what the daemons themselves ask."""
+"""Endless responses to requests that a daemon sends must not block it."""
 
 import asyncio
 import contextlib
@@ -12,18 +12,18 @@
 
 _HEAD = b"HTTP/1.1 200 OK\r\n"
 _LIMIT_BYTES = 100_000
-_LONGEST = datetime.timedelta(milliseconds=400)
+_TIMEOUT = datetime.timedelta(milliseconds=400)
 
 
-def _ask(start: bytes, endless: bytes = b"", pause_s: float = 0.0):
-    """Asks a server that sends a start, and then the same without end."""
+def _request(prefix: bytes, repeated: bytes = b"", pause_s: float = 0.0):
+    """Requests from a server that sends a prefix, then bytes without end."""
 
     async def serve(reader, writer):
         with contextlib.suppress(ConnectionError):
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(start)
-            while endless:
-                writer.write(endless)
+            writer.write(prefix)
+            while repeated:
+                writer.write(repeated)
                 await writer.drain()
                 await anyio.sleep(pause_s)
         writer.close()
@@ -37,7 +37,7 @@
                 "GET",
                 f"http://127.0.0.1:{port}/",
                 _LIMIT_BYTES,
-                _LONGEST,
+                _TIMEOUT,
             )
         server.close()
         return res
@@ -45,44 +45,44 @@
     return anyio.run(run)
 
 
-def test_a_whole_answer_is_returned():
-    res = _ask(_HEAD + b"content-length: 2\r\n\r\nhi")
+def test_complete_response_is_returned():
+    res = _request(_HEAD + b"content-length: 2\r\n\r\nhi")
     assert (res.status, res.content) == (200, b"hi")
 
 
 @pytest.mark.parametrize(
-    ("start", "endless", "pause_s", "error"),
+    ("prefix", "repeated", "pause_s", "expected_error"),
     [
         pytest.param(
             _HEAD + b"\r\n",
             b"x" * 65_536,
             0.0,
             _bounded.AnswerTooLargeError,
-            id="a body",
+            id="endless body",
         ),
         pytest.param(
             _HEAD,
             b"a: b\r\n" * 999,
             0.0,
             httpcore.RemoteProtocolError,
-            id="headers",
+            id="endless headers",
         ),
         pytest.param(
             b"",
             b"HTTP/1.1 100 Continue\r\n\r\n",
             0.01,
             httpcore.TimeoutException,
-            id="interim answers",
+            id="endless interim responses",
         ),
         pytest.param(
             _HEAD + b"content-length: 99999\r\n\r\n",
             b"x",
             0.01,
             httpcore.TimeoutException,
-            id="a body that drips",
+            id="slow body",
         ),
     ],
 )
-def test_an_answer_without_end_is_given_up(start, endless, pause_s, error):
-    with pytest.raises(error):
-        _ask(start, endless, pause_s)
+def test_endless_response_raises(prefix, repeated, pause_s, expected_error):
+    with pytest.raises(expected_error):
+        _request(prefix, repeated, pause_s)
--- a/dragonflystack/tests/test_limits.py
+++ b/dragonflystack/tests/test_limits.py
@@ -36,7 +36,7 @@
     return b"".join(parts)
 
 
-def _answer_to(*parts: bytes) -> bytes:
+def _response_to(*parts: bytes) -> bytes:
     async def run():
         async with _connected() as stream:
             with contextlib.suppress(anyio.BrokenResourceError):
@@ -73,8 +73,8 @@
         ),
     ],
 )
-def test_a_request_is_answered_by_its_head(parts, status):
-    assert _answer_to(*parts).startswith(b"HTTP/1.1 " + status)
+def test_response_status_depends_on_the_request_head(parts, status):
+    assert _response_to(*parts).startswith(b"HTTP/1.1 " + status)
 
 
 _CHUNKED = _HEAD + b"transfer-encoding: chunked\r\n\r\n"
@@ -86,12 +86,12 @@
         pytest.param(
             [_CHUNKED, b"1\r\nx\r\n" * 9_000, b"0\r\n\r\n"],
             b"200",
-            id="chunks of one byte",
+            id="one-byte chunks",
         ),
         pytest.param(
             [_CHUNKED, b"1;" + b"e" * 2_000_000 + b"\r\nx\r\n0\r\n\r\n"],
             b"431",
-            id="a long chunk extension",
+            id="long chunk extension",
         ),
         pytest.param(
             [_CHUNKED, b"0\r\n", b"t: u\r\n" * 400_000, b"\r\n"],
@@ -101,19 +101,19 @@
         pytest.param(
             [_CHUNKED, b"0\r\nt: ", b"u" * 2_000_000, b"\r\n\r\n"],
             b"431",
-            id="a long trailer",
+            id="long trailer",
         ),
     ],
 )
-def test_what_is_neither_head_nor_body_is_bounded(parts, status):
-    assert _answer_to(*parts).startswith(b"HTTP/1.1 " + status)
+def test_framing_and_trailers_are_limited(parts, status):
+    assert _response_to(*parts).startswith(b"HTTP/1.1 " + status)
 
 
 @pytest.mark.parametrize(
     "part",
     [b"", b"GET / HT", _HEAD, _HEAD + b"content-length: 9\r\n\r\nab"],
 )
-def test_a_slow_request_is_given_up(monkeypatch, part):
+def test_slow_request_gets_status_408(monkeypatch, part):
     short = datetime.timedelta(milliseconds=50)
-    monkeypatch.setattr(_limits, "MAX_ARRIVAL", short)
-    assert _answer_to(part).startswith(b"HTTP/1.1 408")
+    monkeypatch.setattr(_limits, "MAX_REQUEST_RECEIVE_TIME", short)
+    assert _response_to(part).startswith(b"HTTP/1.1 408")
