Close the test server's connections when its test ends

Cause: the server of test_bounded closed a connection only if it got to the end of its handler, and the endless ones are cancelled. The StreamWriter was then finalized by a later garbage collection, on a closed event loop; when that fell into ast.parse in test_decisions, CPython 3.11 raised "SystemError: AST constructor recursion depth mismatch".

Change: the handler closes the connection however it ends. No check changed.

Shown: test_bounded and test_decisions with gc.set_threshold(300), (500), (900) and (1500): two of four runs failed before, none of four after.

--- a/dragonflystack/tests/test_bounded.py
+++ b/dragonflystack/tests/test_bounded.py
@@ -19,14 +19,13 @@
     """Requests from a server that sends a prefix, then bytes without end."""
 
     async def serve(reader, writer):
-        with contextlib.suppress(ConnectionError):
+        with contextlib.closing(writer), contextlib.suppress(ConnectionError):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(prefix)
             while repeated:
                 writer.write(repeated)
                 await writer.drain()
                 await anyio.sleep(pause_s)
-        writer.close()
 
     async def run():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
