Log in which region requests were sent, and why there

A shift of requests between regions could not be traced to its cause: the lines of sent requests name the region, but not whether the object's region was not usable, whether a share was balanced, or whether the limit was lifted, nor by what. Once a second with requests, a VM now logs counts by region and cause, the shares in use and wanted, and what lifted the limit. No change of behaviour.

--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -104,7 +104,7 @@
         """
         back = self.evacuated - domains
         if domains - self.evacuated:
-            self.shares.on_server_loss(now)
+            self.shares.on_server_loss(now, _shares.Loss.EVACUATED)
         self.evacuated = domains
         for server in self._registry.all():
             policy = self._services.get(server.entry.service)
@@ -118,7 +118,7 @@
         for server in changes.gone:
             self._cold.forget(server.entry.id)
         if changes.leaving or changes.gone:
-            self.shares.on_server_loss(now)
+            self.shares.on_server_loss(now, _shares.Loss.SERVERS_LEFT)
         if changes.added:
             self.shares.on_capacity(self._registry.slots_by_region())
 
@@ -187,7 +187,7 @@
                 server.on_leaving_reported()
                 leaving.append(server)
         if leaving:
-            self.shares.on_server_loss(now)
+            self.shares.on_server_loss(now, _shares.Loss.SERVERS_LEFT)
         return tuple(leaving)
 
     def on_limit_reports(
@@ -267,7 +267,7 @@
 
     def on_server_loss(self, now: datetime.timedelta) -> None:
         """See `_context.Context.on_server_loss`."""
-        self.shares.on_server_loss(now)
+        self.shares.on_server_loss(now, _shares.Loss.NOT_CONNECTED)
 
     @property
     def late_wait_fraction(self) -> float:
--- a/dragonflystack/entry/_shares.py
+++ b/dragonflystack/entry/_shares.py
@@ -10,11 +10,13 @@
 answer late is skipped as well, because the cap is meant for normal operation.
 """
 
+import collections
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
+import enum
 import math
 
 import xxhash
@@ -60,6 +62,35 @@
 Shares = dict[ids.RegionId, float]
 
 
+class Cause(enum.Enum):
+    """Why a request was assigned to a region."""
+
+    ASSIGNED = "assigned"
+    """The region of the object, or the preferred one without an object."""
+
+    NOT_USABLE = "not-usable"
+    """That region could not serve the request."""
+
+    COUNT = "count"
+    """The requests of a region were too far from its share."""
+
+    LOSS = "loss"
+    """The cap was lifted, and that region would have answered late."""
+
+
+class Loss(enum.Enum):
+    """Why the cap on shifts was lifted."""
+
+    SERVERS_LEFT = "servers-left"
+    """Backend servers are leaving or gone."""
+
+    EVACUATED = "evacuated"
+    """A failure domain is evacuated."""
+
+    NOT_CONNECTED = "not-connected"
+    """No connection to a backend server could be opened."""
+
+
 class RegionShares:
     """Shares of the regions that serve the requests of one VM's callers."""
 
@@ -77,6 +108,19 @@
         """When the shares were last adjusted, None before the first request."""
 
         self._cap_lifted_until = datetime.timedelta()
+        self._lifted_by: Loss | None = None
+        self._choices: collections.Counter[tuple[ids.RegionId, Cause]] = (
+            collections.Counter()
+        )
+
+    def take_choices(self) -> dict[tuple[ids.RegionId, Cause], int]:
+        """Returns the choices by region and cause since the last call."""
+        choices, self._choices = self._choices, collections.Counter()
+        return dict(choices)
+
+    def lifted_by(self, now: datetime.timedelta) -> Loss | None:
+        """Returns why the cap is lifted now, None if it is not."""
+        return self._lifted_by if now < self._cap_lifted_until else None
 
     @property
     def shares(self) -> Shares:
@@ -119,9 +163,10 @@
         """Updates the number of VMs in the own region."""
         self._vms = max(1, number)
 
-    def on_server_loss(self, now: datetime.timedelta) -> None:
+    def on_server_loss(self, now: datetime.timedelta, loss: Loss) -> None:
         """Lifts the cap for a time after backend servers were lost or leave."""
         self._cap_lifted_until = now + _CAP_LIFTED_FOR
+        self._lifted_by = loss
 
     def choose_region(
         self,
@@ -147,6 +192,7 @@
         for region, share in self._shares.items():
             credits[region] = credits.get(region, 0.0) + share
         chosen = preferred
+        cause = Cause.ASSIGNED
         if object_key is not None:
             chosen = self._region_of(object_key)
         furthest_behind = max(usable, key=lambda r: (credits.get(r, 0.0), r))
@@ -156,11 +202,15 @@
             or credits.get(furthest_behind, 0.0) >= 1.0 + leeway
             or credits.get(chosen, 0.0) < 1.0 - leeway
         ):
+            if chosen != furthest_behind:
+                cause = Cause.COUNT if chosen in usable else Cause.NOT_USABLE
             chosen = furthest_behind
         timely = usable if in_time is None else in_time
         is_cap_lifted = now < self._cap_lifted_until
         if is_cap_lifted and chosen not in timely and preferred in timely:
             chosen = preferred
+            cause = Cause.LOSS
+        self._choices[chosen, cause] += 1
         credits[chosen] = credits.get(chosen, 0.0) - 1.0
         limit = 2 * leeway
         for region, credit in credits.items():
--- a/dragonflystack/entry/tests/test_shares.py
+++ b/dragonflystack/entry/tests/test_shares.py
@@ -91,7 +91,7 @@
 def test_a_loss_of_servers_shifts_requests_at_once():
     vm = _shares.RegionShares(_A, _CAP)
     _run([vm], 2, lambda i: _A)
-    vm.on_server_loss(builders.ms(2000))
+    vm.on_server_loss(builders.ms(2000), _shares.Loss.SERVERS_LEFT)
     ran = _run([vm], 2, lambda i: _B, start=2, in_time=(_B,))
     assert {region for _, region in ran} == {_B}
 
@@ -99,7 +99,7 @@
 def test_a_loss_of_servers_shifts_nothing_that_is_answered_in_time():
     vm = _shares.RegionShares(_A, _CAP)
     _run([vm], 2, lambda i: _A)
-    vm.on_server_loss(builders.ms(2000))
+    vm.on_server_loss(builders.ms(2000), _shares.Loss.SERVERS_LEFT)
     ran = _run([vm], 2, lambda i: _B, start=2, in_time=(_A, _B))
     moved = sum(1 for _, region in ran if region == _B)
     assert moved <= _CAP * len(ran)
@@ -111,3 +111,22 @@
         vm.choose_region(None, _B, (_B,), builders.ms(i)) for i in range(50)
     }
     assert chosen == {_B}
+
+
+def test_choices_are_counted_by_region_and_cause():
+    """Guards against shifts whose cause the logs do not show."""
+    vm = _shares.RegionShares(_A, _CAP)
+    vm.choose_region(None, _A, (_A, _B), builders.ms(0))
+    vm.choose_region(None, _B, (_B,), builders.ms(1))
+    vm.choose_region("x", _B, (_B,), builders.ms(2))
+    vm.on_server_loss(builders.ms(3), _shares.Loss.EVACUATED)
+    vm.choose_region("x", _B, (_A, _B), builders.ms(4), in_time=(_B,))
+    assert vm.take_choices() == {
+        (_A, _shares.Cause.ASSIGNED): 1,
+        (_B, _shares.Cause.ASSIGNED): 1,
+        (_B, _shares.Cause.NOT_USABLE): 1,
+        (_B, _shares.Cause.LOSS): 1,
+    }
+    assert vm.take_choices() == {}
+    assert vm.lifted_by(builders.ms(4)) is _shares.Loss.EVACUATED
+    assert vm.lifted_by(builders.ms(6000)) is None
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -33,6 +33,7 @@
     STATE_FROM_PEER = "state-from-peer"
     NEWS_TAKEN = "news-taken"
     NEWS_FAILED = "news-failed"
+    REGION_SHARES = "region-shares"
     READY_CHANGED = "ready-changed"
     REQUEST_SENT = "request-sent"
     REQUEST_SENT_AGAIN = "request-sent-again"
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -28,6 +28,8 @@
 """Interval of the periodic work, and the longest delay of a log line."""
 
 _CLOSE_EXPIRED_EVERY = datetime.timedelta(seconds=1)
+"""Also the interval of the lines on regions."""
+
 _CLOSE_BEFORE_KILL = datetime.timedelta(milliseconds=1_600)
 """The ports close this long before the end of the grace period. By then, the
 directory answers with this VM's address have expired at the callers."""
@@ -156,11 +158,31 @@
         if now - last_close_at >= _CLOSE_EXPIRED_EVERY:
             last_close_at = now
             pool.close_expired()
+            _log_region_shares(daemon, now)
             if daemon.vm.catalogue is not None:
                 server.set_keep_alive(daemon.vm.catalogue.limits.idle_timeout)
         daemon.event_log.flush()
 
 
+def _log_region_shares(daemon: _daemon.Daemon, now: datetime.timedelta) -> None:
+    """Logs where and why requests were sent since the last call."""
+    shares = daemon.vm.dispatch.shares
+    choices = shares.take_choices()
+    if not choices:
+        return
+    chosen: dict[str, dict[str, int]] = {}
+    for (region, cause), number in choices.items():
+        chosen.setdefault(region, {})[cause.value] = number
+    loss = shares.lifted_by(now)
+    daemon.log_event(
+        _events.Event.REGION_SHARES,
+        chosen=chosen,
+        shares={r: round(part, 3) for r, part in shares.shares.items()},
+        wanted={r: round(part, 3) for r, part in shares.wanted.items()},
+        limit_lifted_by=None if loss is None else loss.value,
+    )
+
+
 async def _handle_signals(
     daemon: _daemon.Daemon, reload_bounds: Callable[[], entry.FleetBounds]
 ) -> None:
