--- a/dragonflystack/entry/tests/test_shares.py
+++ b/dragonflystack/entry/tests/test_shares.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from dragonflystack import entry
 from dragonflystack import ids
+from dragonflystack.entry import _departures
 from dragonflystack.entry import _shares
 from dragonflystack.entry.tests import builders
 
@@ -130,3 +132,60 @@
     assert vm.take_choices() == {}
     assert vm.lifted_by(builders.ms(4)) is _shares.Loss.EVACUATED
     assert vm.lifted_by(builders.ms(6000)) is None
+
+
+_LEAVER = builders.server("a-2", "a1", leaving=True, sequence=2)
+
+
+def _nothing(vm, now):
+    """Changes nothing."""
+
+
+def _depart(vm, now):
+    listing = entry.Listing((_LEAVER,), (), whole=False, version=6)
+    vm.on_listing(listing, 6, now)
+
+
+def _report_departure(vm, now):
+    vm.on_departures((entry.Departure.from_entry(_LEAVER),), now)
+
+
+def _remove(vm, now):
+    listing = entry.Listing((), (_LEAVER.id,), whole=False, version=6)
+    vm.on_listing(listing, 6, now)
+
+
+def _announce_removal(vm, now):
+    vm.on_removals((_departures.Removal(_LEAVER.id, 6),), now)
+
+
+def _evacuate(vm, now):
+    vm.on_evacuated(frozenset({ids.FailureDomainId("a2")}), now)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        _nothing,
+        _depart,
+        _report_departure,
+        _remove,
+        _announce_removal,
+        _evacuate,
+    ],
+)
+def test_planned_changes_shift_no_more_than_the_cap(change):
+    """Guards against lifting the cap on all VMs whenever servers leave.
+
+    From the change on, the region of the callers answers late.
+    """
+    servers = [builders.server(f"a-{i}", f"a{i % 2 + 1}") for i in range(1, 5)]
+    fleet = [builders.entry_vm(*servers, vm=f"vm-{i}") for i in range(6)]
+    shares = [vm.dispatch.shares for vm in fleet]
+    for vm_shares in shares:
+        vm_shares.on_vm_count(len(fleet))
+    ran = _run(shares, 6, lambda i: _A, objects=50)
+    for vm in fleet:
+        change(vm, builders.ms(6000))
+    ran += _run(shares, 6, lambda i: _B, start=6, objects=50, in_time=(_B,))
+    assert _worst_shift(ran) <= _CAP
