Lift the limit on shifts only where servers cannot be reached

Cause: every departure, removal and evacuation lifted the limit for 5 s, for all services and regions, on all VMs at the same moment. Class: an exemption that is wider than its reason.

Now only a connection that cannot be opened to a backend server that should serve lifts it, and only for the service and region of that server.

Ruled out by the lines on regions: regions that are not usable (none), counts (8%, steady).

--- a/dragonflystack/entry/_context.py
+++ b/dragonflystack/entry/_context.py
@@ -59,8 +59,10 @@
     ) -> bool:
         """Returns whether a request may be written to a backend server now."""
 
-    def on_server_loss(self, now: datetime.timedelta) -> None:
-        """Records that a backend server became unreachable."""
+    def on_server_loss(
+        self, server: _servers.Server, now: datetime.timedelta
+    ) -> None:
+        """Records that no connection to a backend server could be opened."""
 
     def take_retry(
         self, service: ids.ServiceId, now: datetime.timedelta
--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -103,8 +103,6 @@
         their service's cold period.
         """
         back = self.evacuated - domains
-        if domains - self.evacuated:
-            self.shares.on_server_loss(now, _shares.Loss.EVACUATED)
         self.evacuated = domains
         for server in self._registry.all():
             policy = self._services.get(server.entry.service)
@@ -117,8 +115,6 @@
         """Updates limits and shares for changes of the backend servers."""
         for server in changes.gone:
             self._cold.forget(server.entry.id)
-        if changes.leaving or changes.gone:
-            self.shares.on_server_loss(now, _shares.Loss.SERVERS_LEFT)
         if changes.added:
             self.shares.on_capacity(self._registry.slots_by_region())
 
@@ -186,8 +182,6 @@
             ):
                 server.on_leaving_reported()
                 leaving.append(server)
-        if leaving:
-            self.shares.on_server_loss(now, _shares.Loss.SERVERS_LEFT)
         return tuple(leaving)
 
     def on_limit_reports(
@@ -253,7 +247,9 @@
         in_time = {
             c.server.region for c in candidates if c.expected_latency <= target
         }
-        region = self.shares.choose_region(key, preferred, usable, now, in_time)
+        region = self.shares.choose_region(
+            key, preferred, usable, now, in_time, requirements.service
+        )
         return next(c for c in candidates if c.server.region == region)
 
     def may_write(
@@ -265,9 +261,12 @@
             and server.entry.domain not in self.evacuated
         )
 
-    def on_server_loss(self, now: datetime.timedelta) -> None:
+    def on_server_loss(
+        self, server: _servers.Server, now: datetime.timedelta
+    ) -> None:
         """See `_context.Context.on_server_loss`."""
-        self.shares.on_server_loss(now, _shares.Loss.NOT_CONNECTED)
+        if server.may_serve():
+            self.shares.on_server_loss(server.entry.service, server.region, now)
 
     @property
     def late_wait_fraction(self) -> float:
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -234,7 +234,7 @@
         server = self._release().server
         server.on_suspect(now)
         server.on_result(True, now)
-        self._context.on_server_loss(now)
+        self._context.on_server_loss(server, now)
         self._attempts -= 1
         self._connect_tries += 1
         if self._connect_tries >= _MAX_CONNECT_TRIES:
--- a/dragonflystack/entry/_shares.py
+++ b/dragonflystack/entry/_shares.py
@@ -6,8 +6,9 @@
 speed. Objects are assigned to regions by their hash in proportion to the
 shares, so that few objects move and each is cached in one region. Each VM also
 keeps its request counts near the shares. A region that cannot serve at all is
-skipped at once. For a time after a loss of backend servers, a region that would
-answer late is skipped as well, because the cap is meant for normal operation.
+skipped at once. The cap is meant for normal operation, which includes planned
+changes. For a time after backend servers could not be reached, their region is
+skipped as well if it would answer late, but only for their service.
 """
 
 import collections
@@ -51,7 +52,8 @@
 """Weight of the latest such window in this VM's request rate."""
 
 _CAP_LIFTED_FOR = datetime.timedelta(seconds=5)
-"""Time after a loss of backend servers in which the cap does not apply."""
+"""Time after an unplanned loss of a backend server in which the cap does not
+apply to its service and region."""
 
 _MAX_STEP = datetime.timedelta(milliseconds=500)
 """Longest time for which one step changes the shares, also after a pause of
@@ -75,20 +77,7 @@
     """The requests of a region were too far from its share."""
 
     LOSS = "loss"
-    """The cap was lifted, and that region would have answered late."""
-
-
-class Loss(enum.Enum):
-    """Why the cap on shifts was lifted."""
-
-    SERVERS_LEFT = "servers-left"
-    """Backend servers are leaving or gone."""
-
-    EVACUATED = "evacuated"
-    """A failure domain is evacuated."""
-
-    NOT_CONNECTED = "not-connected"
-    """No connection to a backend server could be opened."""
+    """That region lost backend servers and would have answered late."""
 
 
 class RegionShares:
@@ -107,8 +96,9 @@
         self._moved_at: datetime.timedelta | None = None
         """When the shares were last adjusted, None before the first request."""
 
-        self._cap_lifted_until = datetime.timedelta()
-        self._lifted_by: Loss | None = None
+        self._cap_lifted_until: dict[
+            tuple[ids.ServiceId, ids.RegionId], datetime.timedelta
+        ] = {}
         self._choices: collections.Counter[tuple[ids.RegionId, Cause]] = (
             collections.Counter()
         )
@@ -118,9 +108,12 @@
         choices, self._choices = self._choices, collections.Counter()
         return dict(choices)
 
-    def lifted_by(self, now: datetime.timedelta) -> Loss | None:
-        """Returns why the cap is lifted now, None if it is not."""
-        return self._lifted_by if now < self._cap_lifted_until else None
+    def cap_lifted_for(
+        self, now: datetime.timedelta
+    ) -> list[tuple[ids.ServiceId, ids.RegionId]]:
+        """Returns the services and regions to which the cap does not apply."""
+        lifted = self._cap_lifted_until.items()
+        return sorted(place for place, until in lifted if now < until)
 
     @property
     def shares(self) -> Shares:
@@ -163,10 +156,18 @@
         """Updates the number of VMs in the own region."""
         self._vms = max(1, number)
 
-    def on_server_loss(self, now: datetime.timedelta, loss: Loss) -> None:
-        """Lifts the cap for a time after backend servers were lost or leave."""
-        self._cap_lifted_until = now + _CAP_LIFTED_FOR
-        self._lifted_by = loss
+    def on_server_loss(
+        self,
+        service: ids.ServiceId,
+        region: ids.RegionId,
+        now: datetime.timedelta,
+    ) -> None:
+        """Lifts the cap for a time where a backend server was lost unplanned.
+
+        Departures, removals and evacuations are planned: they reach all VMs at
+        once, so that a lifted cap would move a large part of the requests.
+        """
+        self._cap_lifted_until[service, region] = now + _CAP_LIFTED_FOR
 
     def choose_region(
         self,
@@ -175,6 +176,7 @@
         usable: Collection[ids.RegionId],
         now: datetime.timedelta,
         in_time: Collection[ids.RegionId] | None = None,
+        service: ids.ServiceId | None = None,
     ) -> ids.RegionId:
         """Returns the region that gets the next request.
 
@@ -184,6 +186,7 @@
             usable: the regions that can serve the request, with `preferred`.
             now: the time.
             in_time: those of them that would answer in time, None for all.
+            service: the service that handles the request.
         """
         self._rate.on_request(now)
         self._update_wanted(preferred)
@@ -206,8 +209,11 @@
                 cause = Cause.COUNT if chosen in usable else Cause.NOT_USABLE
             chosen = furthest_behind
         timely = usable if in_time is None else in_time
-        is_cap_lifted = now < self._cap_lifted_until
-        if is_cap_lifted and chosen not in timely and preferred in timely:
+        if (
+            chosen not in timely
+            and preferred in timely
+            and self._is_cap_lifted(service, chosen, now)
+        ):
             chosen = preferred
             cause = Cause.LOSS
         self._choices[chosen, cause] += 1
@@ -217,6 +223,17 @@
             credits[region] = max(-limit, min(limit, credit))
         return chosen
 
+    def _is_cap_lifted(
+        self,
+        service: ids.ServiceId | None,
+        region: ids.RegionId,
+        now: datetime.timedelta,
+    ) -> bool:
+        if service is None:
+            return False
+        until = self._cap_lifted_until.get((service, region))
+        return until is not None and now < until
+
     def _leeway(self) -> float:
         """Returns by how many requests a region may deviate from its share."""
         part = _LEEWAY_PART * self._max_shift * math.sqrt(self._vms)
--- a/dragonflystack/entry/tests/test_shares.py
+++ b/dragonflystack/entry/tests/test_shares.py
@@ -43,7 +43,9 @@
         at = builders.ms(1000 * i / _RATE)
         for vm in vms:
             asked = preferred(i)
-            region = vm.choose_region(key(i), asked, (_A, _B, _C), at, in_time)
+            region = vm.choose_region(
+                key(i), asked, (_A, _B, _C), at, in_time, builders.SERVICE
+            )
             ran.append((i / _RATE, region))
     return ran
 
@@ -93,7 +95,7 @@
 def test_a_loss_of_servers_shifts_requests_at_once():
     vm = _shares.RegionShares(_A, _CAP)
     _run([vm], 2, lambda i: _A)
-    vm.on_server_loss(builders.ms(2000), _shares.Loss.SERVERS_LEFT)
+    vm.on_server_loss(builders.SERVICE, _A, builders.ms(2000))
     ran = _run([vm], 2, lambda i: _B, start=2, in_time=(_B,))
     assert {region for _, region in ran} == {_B}
 
@@ -101,12 +103,50 @@
 def test_a_loss_of_servers_shifts_nothing_that_is_answered_in_time():
     vm = _shares.RegionShares(_A, _CAP)
     _run([vm], 2, lambda i: _A)
-    vm.on_server_loss(builders.ms(2000), _shares.Loss.SERVERS_LEFT)
+    vm.on_server_loss(builders.SERVICE, _A, builders.ms(2000))
     ran = _run([vm], 2, lambda i: _B, start=2, in_time=(_A, _B))
     moved = sum(1 for _, region in ran if region == _B)
     assert moved <= _CAP * len(ran)
 
 
+@pytest.mark.parametrize(
+    "place",
+    [
+        pytest.param((ids.ServiceId("other"), _A), id="of another service"),
+        pytest.param((builders.SERVICE, _C), id="of another region"),
+    ],
+)
+def test_a_loss_elsewhere_shifts_no_more_than_the_cap(place):
+    """Guards against a loss that lifts the cap for all requests."""
+    fleet = [_shares.RegionShares(_A, _CAP) for _ in range(6)]
+    for vm in fleet:
+        vm.on_vm_count(len(fleet))
+    ran = _run(fleet, 6, lambda i: _A, objects=50)
+    for vm in fleet:
+        vm.on_server_loss(*place, builders.ms(6000))
+    ran += _run(fleet, 6, lambda i: _B, start=6, objects=50, in_time=(_B,))
+    assert _worst_shift(ran) <= _CAP
+
+
+def test_only_an_unplanned_loss_lifts_the_cap():
+    """A connection to a departed backend server fails as planned."""
+    vm = builders.entry_vm(builders.server("a-1"), builders.server("a-2"))
+    server = vm.registry.get(ids.BackendServerId("a-2"))
+    assert server is not None
+    _depart(vm, builders.ms(10))
+    vm.dispatch.on_server_loss(server, builders.ms(20))
+    assert vm.dispatch.shares.cap_lifted_for(builders.ms(30)) == []
+
+
+def test_a_failed_connection_lifts_the_cap():
+    vm = builders.entry_vm(builders.server("a-1"))
+    exchange, _ = vm.open(builders.request(), builders.ms(10))
+    assert exchange is not None
+    exchange.on_result(entry.ConnectFailed("refused"), builders.ms(20))
+    lifted = vm.dispatch.shares.cap_lifted_for(builders.ms(30))
+    assert lifted == [(builders.SERVICE, _A)]
+
+
 def test_a_region_that_cannot_serve_gets_no_requests():
     vm = _shares.RegionShares(_A, _CAP)
     chosen = {
@@ -121,8 +161,9 @@
     vm.choose_region(None, _A, (_A, _B), builders.ms(0))
     vm.choose_region(None, _B, (_B,), builders.ms(1))
     vm.choose_region("x", _B, (_B,), builders.ms(2))
-    vm.on_server_loss(builders.ms(3), _shares.Loss.EVACUATED)
-    vm.choose_region("x", _B, (_A, _B), builders.ms(4), in_time=(_B,))
+    vm.on_server_loss(builders.SERVICE, _A, builders.ms(3))
+    both = (_A, _B)
+    vm.choose_region("x", _B, both, builders.ms(4), (_B,), builders.SERVICE)
     assert vm.take_choices() == {
         (_A, _shares.Cause.ASSIGNED): 1,
         (_B, _shares.Cause.ASSIGNED): 1,
@@ -130,8 +171,8 @@
         (_B, _shares.Cause.LOSS): 1,
     }
     assert vm.take_choices() == {}
-    assert vm.lifted_by(builders.ms(4)) is _shares.Loss.EVACUATED
-    assert vm.lifted_by(builders.ms(6000)) is None
+    assert vm.cap_lifted_for(builders.ms(4)) == [(builders.SERVICE, _A)]
+    assert vm.cap_lifted_for(builders.ms(6000)) == []
 
 
 _LEAVER = builders.server("a-2", "a1", leaving=True, sequence=2)
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -173,13 +173,15 @@
     chosen: dict[str, dict[str, int]] = {}
     for (region, cause), number in choices.items():
         chosen.setdefault(region, {})[cause.value] = number
-    loss = shares.lifted_by(now)
     daemon.log_event(
         _events.Event.REGION_SHARES,
         chosen=chosen,
         shares={r: round(part, 3) for r, part in shares.shares.items()},
         wanted={r: round(part, 3) for r, part in shares.wanted.items()},
-        limit_lifted_by=None if loss is None else loss.value,
+        limit_lifted_for=[
+            f"{service}/{region}"
+            for service, region in shares.cap_lifted_for(now)
+        ],
     )
 
 
