--- a/dragonflystack/entry/tests/test_shares.py
+++ b/dragonflystack/entry/tests/test_shares.py
@@ -110,20 +110,20 @@
 
 
 @pytest.mark.parametrize(
-    "place",
+    ("service", "region"),
     [
-        pytest.param((ids.ServiceId("other"), _A), id="of another service"),
-        pytest.param((builders.SERVICE, _C), id="of another region"),
+        pytest.param(ids.ServiceId("other"), _A, id="of another service"),
+        pytest.param(builders.SERVICE, _C, id="of another region"),
     ],
 )
-def test_a_loss_elsewhere_shifts_no_more_than_the_cap(place):
+def test_a_loss_elsewhere_shifts_no_more_than_the_cap(service, region):
     """Guards against a loss that lifts the cap for all requests."""
     fleet = [_shares.RegionShares(_A, _CAP) for _ in range(6)]
     for vm in fleet:
         vm.on_vm_count(len(fleet))
     ran = _run(fleet, 6, lambda i: _A, objects=50)
     for vm in fleet:
-        vm.on_server_loss(*place, builders.ms(6000))
+        vm.on_server_loss(service, region, builders.ms(6000))
     ran += _run(fleet, 6, lambda i: _B, start=6, objects=50, in_time=(_B,))
     assert _worst_shift(ran) <= _CAP
 
