Log a digest that tells when a broken request comes again

The digest covers the caller's address and key, method, host, target and body. No change of behaviour.

--- a/dragonflystack/_asgi.py
+++ b/dragonflystack/_asgi.py
@@ -124,3 +124,13 @@
         await app(scope, receive, send_closing)
 
     return wrapped
+
+
+def request_target(scope: Scope) -> bytes:
+    """Returns the request target as the caller sent it."""
+    raw: bytes = scope.get("raw_target", b"")
+    if raw.startswith(b"/"):
+        return raw
+    query = scope["query_string"]
+    path: bytes = scope["raw_path"]
+    return path + b"?" + query if query else path
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -80,6 +80,10 @@
     """Digest of the customer's key, None if the request has no readable
     key."""
 
+    digest: ids.RequestDigest = ids.RequestDigest("")
+    """Identifies the caller, method, host, target and body: equal for a request
+    that comes again. Empty if it is not known."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
--- a/dragonflystack/entryd/_callers_port.py
+++ b/dragonflystack/entryd/_callers_port.py
@@ -1,6 +1,7 @@
 """The callers' port: accepts requests and forwards them to backend servers."""
 
 import datetime
+import hashlib
 
 from dragonflystack import _asgi
 from dragonflystack import _hop_headers
@@ -22,6 +23,7 @@
 _STOPPING_RETRY_AFTER = datetime.timedelta(milliseconds=50)
 """Short because another VM can accept the request at once."""
 
+_DIGEST_BYTES = 8
 _NO_LENGTH_STATUSES = frozenset((204, 304))
 _OUTCOME_EVENTS = {
     entry.Deliver: _events.Event.REQUEST_SERVED,
@@ -73,7 +75,7 @@
             )
             await _asgi.send_problem(send, 413, "body too large")
             return
-        request = self._parse_request(scope)
+        request = self._parse_request(scope, body)
         exchange: entry.Exchange | None = None
         step: entry.Step = entry.Reject(
             entry.Reason.STOPPING, _STOPPING_RETRY_AFTER
@@ -146,7 +148,7 @@
             **({"key_digest": request.customer_key} if is_denied else {}),
         )
 
-    def _parse_request(self, scope: _asgi.Scope) -> entry.Request:
+    def _parse_request(self, scope: _asgi.Scope, body: bytes) -> entry.Request:
         dialect = self._daemon.dialect
         request_id = ""
         host = ""
@@ -173,9 +175,32 @@
             object_key,
             time_left,
             None if key is None else entry.digest_key(key),
+            _digest(scope, host, key, body),
         )
 
 
+def _digest(
+    scope: _asgi.Scope, host: str, key: bytes | None, body: bytes
+) -> ids.RequestDigest:
+    """Returns the digest of a request: equal if a caller sends it again.
+
+    The caller is identified by its address and its key. A caller's ports and
+    the ids of its attempts differ each time.
+    """
+    address = scope.get("client") or ("",)
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in (
+        address[0].encode(),
+        key or b"",
+        scope["method"].encode("ascii"),
+        host.encode("latin-1"),
+        _asgi.request_target(scope),
+    ):
+        digest.update(b"%d:" % len(part) + part)
+    digest.update(body)
+    return ids.RequestDigest(digest.hexdigest())
+
+
 def _route_id(
     exchange: entry.Exchange | None, step: entry.Step
 ) -> entry.RouteId | None:
--- a/dragonflystack/entryd/_exchange_runner.py
+++ b/dragonflystack/entryd/_exchange_runner.py
@@ -132,6 +132,7 @@
         self._daemon.log_event(
             event,
             request=self._request.id,
+            digest=self._request.digest,
             service=exchange.requirements.service,
             server=server.entry.id,
             result=type(result).__name__,
@@ -275,7 +276,7 @@
         dialect = self._daemon.dialect
         scope = self._scope
         method = scope["method"].encode("ascii")
-        lines = [method + b" " + _request_target(scope) + b" HTTP/1.1"]
+        lines = [method + b" " + _asgi.request_target(scope) + b" HTTP/1.1"]
         reserved = self._reserved_headers()
         for name, value in _hop_headers.end_to_end(scope["headers"]):
             if name not in reserved and name != b"expect":
@@ -338,16 +339,6 @@
         )
 
 
-def _request_target(scope: _asgi.Scope) -> bytes:
-    """Returns the request target as the caller sent it."""
-    raw: bytes = scope.get("raw_target", b"")
-    if raw.startswith(b"/"):
-        return raw
-    query = scope["query_string"]
-    path: bytes = scope["raw_path"]
-    return path + b"?" + query if query else path
-
-
 def _has_body(scope: _asgi.Scope) -> bool:
     return any(
         name in (b"content-length", b"transfer-encoding")
--- a/dragonflystack/ids.py
+++ b/dragonflystack/ids.py
@@ -43,3 +43,7 @@
 
 Digest = NewType("Digest", str)
 """The lower-case hexadecimal SHA-256 of an object's bytes."""
+
+RequestDigest = NewType("RequestDigest", str)
+"""Identifies a caller's request by its content: equal whenever it comes again.
+"""
