Quarantine requests under which backend servers end

What callers saw: 502 and 503 while half of the backend servers of a service were down; one request that came again and again, at any VM, ended each backend server that ran it, 21 to 24 of them in a row.

Class: an effect of a request on its environment that no VM sees alone.

Change: entry/_quarantine. A VM that sees a connection break records the request (digest of caller, method, host, target and body) and the incarnation of the backend server, and tells the VMs of its region, which forward it, and two VMs of each other region. A request that was in flight at three ends and was never answered is rejected for 10 minutes, at each place where a request is written. At two ends VMs stop to retry it on their own.

Others are kept apart: an end counts only against the requests of most ends, an answer clears a request, a backend server that responds later has not ended, ends at the same moment count once, and a request that shares all its ends with another one needs five. A VM that starts or was cut off is told by its neighbours. Reports have 24 entries at most, ends 256, 32 requests each.

Weighed: rows in the store: a write a break, and the store may be away; heartbeats with the reports in them: they do not leave the region; the path alone as the identity: it would hit other callers.

--- a/dragonflystack/entry/__init__.py
+++ b/dragonflystack/entry/__init__.py
@@ -61,6 +61,7 @@
 from dragonflystack.entry._messages import Unknown
 from dragonflystack.entry._messages import Wait
 from dragonflystack.entry._messages import Withdrawn
+from dragonflystack.entry._quarantine import QuarantineReport
 from dragonflystack.entry._replication import Position
 from dragonflystack.entry._replication import ReplicatedChanges
 from dragonflystack.entry._replication import Stream
@@ -110,6 +111,7 @@
     "Stream",
     "Phase",
     "Position",
+    "QuarantineReport",
     "Reason",
     "Reject",
     "Request",
--- a/dragonflystack/entry/_context.py
+++ b/dragonflystack/entry/_context.py
@@ -64,6 +64,33 @@
     ) -> None:
         """Records that no connection to a backend server could be opened."""
 
+    def quarantined_for(
+        self, request: _messages.Request, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns how long a request must not be sent, None if it may be.
+
+        A request is quarantined if it ends the backend servers that run it.
+        """
+
+    def may_retry(self, request: _messages.Request) -> bool:
+        """Returns whether a request may be sent to a further backend server.
+
+        False if other backend servers may have ended because of it.
+        """
+
+    def on_broken(
+        self,
+        request: _messages.Request,
+        server: _servers.Server,
+        now: datetime.timedelta,
+    ) -> None:
+        """Records that a connection broke while a request was in flight."""
+
+    def on_answered(
+        self, request: _messages.Request, now: datetime.timedelta
+    ) -> None:
+        """Records that a backend server ran a request and answered it."""
+
     def take_retry(
         self, service: ids.ServiceId, now: datetime.timedelta
     ) -> bool:
--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -23,6 +23,7 @@
 from dragonflystack.entry import _messages
 from dragonflystack.entry import _observations
 from dragonflystack.entry import _processing_times
+from dragonflystack.entry import _quarantine
 from dragonflystack.entry import _server_limits
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
@@ -53,6 +54,9 @@
         self.observations = _observations.Observations()
         """Observations of backend servers that this VM sends to other VMs."""
 
+        self.quarantine = _quarantine.Quarantine(registry)
+        """Requests that end the backend servers that run them."""
+
         self.shares = _shares.RegionShares(members.own.region, bounds.max_shift)
         self._members = members
         self._registry = registry
@@ -120,6 +124,7 @@
 
     def on_tick(self, now: datetime.timedelta) -> None:
         """Applies the listed VMs and the heartbeats of the own region."""
+        self.quarantine.on_tick(now)
         known_vms = self._members.known_vms()
         self._cold.on_live_vms(known_vms)
         self.limits.on_vms(known_vms)
@@ -288,6 +293,31 @@
         self._max_time_left[route.id] = most
         return most - left
 
+    def quarantined_for(
+        self, request: _messages.Request, now: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """See `_context.Context.quarantined_for`."""
+        return self.quarantine.quarantined_for(request.digest, now)
+
+    def may_retry(self, request: _messages.Request) -> bool:
+        """See `_context.Context.may_retry`."""
+        return self.quarantine.may_retry(request.digest)
+
+    def on_broken(
+        self,
+        request: _messages.Request,
+        server: _servers.Server,
+        now: datetime.timedelta,
+    ) -> None:
+        """See `_context.Context.on_broken`."""
+        self.quarantine.on_broken(request.digest, server.entry, now)
+
+    def on_answered(
+        self, request: _messages.Request, now: datetime.timedelta
+    ) -> None:
+        """See `_context.Context.on_answered`."""
+        self.quarantine.on_answered(request.digest, now)
+
     def take_retry(
         self, service: ids.ServiceId, now: datetime.timedelta
     ) -> bool:
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -128,6 +128,8 @@
         assert current is not None
         if self._denial(now) is not None or now >= self.deadline:
             return False
+        if self._context.quarantined_for(self.request, now) is not None:
+            return False
         server = current.server
         requirements = self.requirements
         return (
@@ -207,6 +209,7 @@
             self._on_not_run(server, answer, now)
             return self._retry(_messages.Reason.FULL, now)
         self.may_have_run = True
+        self._context.on_answered(self.request, now)
         failed = answer.status >= _FIRST_SERVER_ERROR
         server.on_result(failed, now)
         if failed and self._take_retry(now):
@@ -246,6 +249,8 @@
     ) -> _messages.Step:
         server = self._release().server
         server.on_result(True, now)
+        if not corrupt:
+            self._context.on_broken(self.request, server, now)
         self.may_have_run = True
         reason = (
             _messages.Reason.CORRUPT if corrupt else _messages.Reason.BROKEN
@@ -304,6 +309,8 @@
             return False
         if self.may_have_run and not self._is_idempotent:
             return False
+        if not self._context.may_retry(self.request):
+            return False
         return self._take_from_budget(now)
 
     def _take_from_budget(self, now: datetime.timedelta) -> bool:
@@ -315,6 +322,9 @@
         denial = self._denial(now)
         if denial is not None:
             return self._on_denied(denial)
+        quarantined_for = self._context.quarantined_for(self.request, now)
+        if quarantined_for is not None:
+            return self._on_quarantined(quarantined_for)
         candidates = self._candidates(now)
         if not candidates:
             return self._give_up(self._reason, now)
@@ -328,6 +338,12 @@
             return self._start(best, now)
         return self._give_up(reason, now, best)
 
+    def _on_quarantined(self, left: datetime.timedelta) -> _messages.Step:
+        reason = _messages.Reason.QUARANTINED
+        if self.may_have_run:
+            return _messages.Fail(reason, timed_out=False)
+        return _messages.Reject(reason, self._retry_after(left))
+
     def _on_denied(self, denial: _access.Denial) -> _messages.Step:
         if not self.may_have_run:
             return denial
--- a/dragonflystack/entry/_members.py
+++ b/dragonflystack/entry/_members.py
@@ -12,6 +12,7 @@
 import dataclasses
 import datetime
 import enum
+import random
 
 import msgspec
 
@@ -48,6 +49,9 @@
 """Silent neighbours get one of this many heartbeats, to find those that are
 reachable again."""
 
+_REMOTE_VMS = 16
+"""VMs of each other region whose addresses are kept."""
+
 _MAX_ADDRESSES = 64
 """Callers use no more addresses of one answer than this."""
 
@@ -155,6 +159,9 @@
         self.own = own
         self.incarnation = incarnation
         self._members: dict[ids.VmId, Member] = {}
+        self._remote: dict[ids.RegionId, list[VmAddress]] = {}
+        """Some VMs of each other region, a different selection on each VM."""
+
         self._ring_cache: list[ids.VmId] | None = None
         self._heartbeat_rounds = 0
         self._ticked_at: datetime.timedelta | None = None
@@ -178,6 +185,7 @@
         listed = list(addresses)
         if of_all_regions:
             self.fleet_size = max(self.fleet_size or 1, len(listed))
+            self._select_remote(listed)
         self.has_vm_list = True
         for address in listed:
             self._add_member(address)
@@ -332,6 +340,40 @@
             addresses.append(self.own.callers)
         return tuple(sorted(addresses)[:_MAX_ADDRESSES])
 
+    def neighbours(self, now: datetime.timedelta) -> tuple[Member, ...]:
+        """Returns this VM's neighbours in the ring that are alive or new."""
+        near: dict[ids.VmId, Member] = {}
+        for direction in (1, -1):
+            self._collect_neighbours(direction, now, near, {})
+        return tuple(near.values())
+
+    def remote_targets(
+        self, number: int, rng: random.Random
+    ) -> list[VmAddress]:
+        """Returns a random choice of VMs of each other region.
+
+        Args:
+            number: how many of each region.
+            rng: the source of randomness.
+        """
+        return [
+            address
+            for addresses in self._remote.values()
+            for address in rng.sample(addresses, min(number, len(addresses)))
+        ]
+
+    def _select_remote(self, listed: list[VmAddress]) -> None:
+        by_region: dict[ids.RegionId, list[VmAddress]] = {}
+        for address in listed:
+            if address.region != self.own.region:
+                by_region.setdefault(address.region, []).append(address)
+        self._remote = {
+            region: _ranking.rank(self.own.vm, addresses, _vm_name)[
+                :_REMOTE_VMS
+            ]
+            for region, addresses in by_region.items()
+        }
+
     def _add_member(self, address: VmAddress) -> None:
         if address.vm == self.own.vm or address.region != self.own.region:
             return
@@ -345,3 +387,7 @@
             return False
         silent = now - member.heard_at > SILENT_AFTER
         return not silent or now < self._pause_grace_until
+
+
+def _vm_name(address: VmAddress) -> str:
+    return address.vm
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -32,6 +32,9 @@
     """Every backend server that may be used has requested a back-off, or takes
     no more requests now by the limit that it named."""
 
+    QUARANTINED = "quarantined"
+    """Backend servers ended one after the other while they ran the request."""
+
     TIMEOUT = "timeout"
     """The route's or the caller's deadline passed; the request may still be
     running."""
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -39,6 +39,7 @@
     REQUEST_SENT_AGAIN = "request-sent-again"
     REQUEST_OVERDUE = "request-overdue"
     SEND_FAILED = "send-failed"
+    REQUEST_QUARANTINED = "request-quarantined"
     REQUEST_SERVED = "request-served"
     REQUEST_REJECTED = "request-rejected"
     REQUEST_FAILED = "request-failed"
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -1,5 +1,8 @@
 """Exchanges heartbeats between the VMs of a region as UDP datagrams.
 
+Reports of requests that end backend servers go the same way, and to some VMs of
+the other regions.
+
 Messages are encoded with msgspec, because loading thrift files would add a
 sixth of a second of processor time to each start of a small VM.
 """
@@ -16,7 +19,14 @@
 from dragonflystack.entryd import _server_reports
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(entry.Heartbeat)
+_heartbeat_decoder = msgspec.msgpack.Decoder(entry.Heartbeat)
+_report_decoder = msgspec.msgpack.Decoder(entry.QuarantineReport)
+_SMALL_MAPS = range(0x80, 0x90)
+"""First bytes of msgpack maps; a report is one, a heartbeat is an array."""
+
+_REMOTE_RECEIVERS = 2
+"""VMs of each other region that get a report; one datagram may be lost."""
+
 _COALESCE_S = 0.02
 """Delay before an early heartbeat, to send simultaneous changes together."""
 
@@ -49,7 +59,11 @@
         """Processes a heartbeat; malformed ones are logged and skipped."""
         daemon = self._daemon
         try:
-            heartbeat = _decoder.decode(data)
+            if data and data[0] in _SMALL_MAPS:
+                report = _report_decoder.decode(data)
+                daemon.vm.dispatch.quarantine.on_report(report, daemon.now())
+                return
+            heartbeat = _heartbeat_decoder.decode(data)
         except msgspec.MsgspecError as exc:
             daemon.log_event(
                 _events.Event.ENTRY_SKIPPED,
@@ -58,6 +72,12 @@
                 reason=str(exc),
             )
             return
+        self._on_heartbeat(heartbeat, addr)
+
+    def _on_heartbeat(
+        self, heartbeat: entry.Heartbeat, addr: tuple[str, int]
+    ) -> None:
+        daemon = self._daemon
         now = daemon.now()
         try:
             member = daemon.vm.members.on_heartbeat(heartbeat, now)
@@ -73,6 +93,9 @@
                 phase=heartbeat.phase.value,
                 incarnation=heartbeat.incarnation,
             )
+            known = daemon.vm.dispatch.quarantine.known(now)
+            if known is not None:
+                self._send_report(known, [member.address])
         daemon.vm.dispatch.on_observations(
             heartbeat.loads, heartbeat.cached_objects, now
         )
@@ -120,6 +143,43 @@
                 include_address=is_new,
             )
 
+    def send_quarantine_reports(self) -> None:
+        """Sends news of requests that end backend servers, if there are any.
+
+        All news goes to VMs of the own region, which forward what is new to
+        them. What this VM observed itself also goes to other regions.
+        """
+        daemon = self._daemon
+        now = daemon.now()
+        quarantine = daemon.vm.dispatch.quarantine
+        recent = quarantine.recent(now)
+        if recent is None:
+            return
+        neighbours = daemon.vm.members.neighbours(now)
+        self._send_report(recent, [member.address for member in neighbours])
+        own = quarantine.recent(now, own_only=True)
+        if own is not None:
+            self._send_report(
+                own,
+                daemon.vm.members.remote_targets(
+                    _REMOTE_RECEIVERS, daemon.vm.rng
+                ),
+            )
+
+    def _send_report(
+        self, report: entry.QuarantineReport, receivers: list[entry.VmAddress]
+    ) -> None:
+        if self._transport is None:
+            return
+        data = _encoder.encode(report)
+        for address in receivers:
+            try:
+                peer = _daemon.Endpoint.parse(address.peers)
+            except ValueError:
+                # `send_all` logs it.
+                continue
+            self._transport.sendto(data, (peer.host, peer.port))
+
     async def run(self) -> None:
         """Sends heartbeats periodically, and early if one is requested."""
         daemon = self._daemon
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -34,6 +34,7 @@
 """The ports close this long before the end of the grace period. By then, the
 directory answers with this VM's address have expired at the callers."""
 
+_REPORT_QUARANTINE_EVERY = datetime.timedelta(milliseconds=300)
 _DRAIN_POLL_S = 0.05
 _GRACE_ENDED = "grace-ended"
 """Source of removals that were kept for a grace time first."""
@@ -101,7 +102,7 @@
 ) -> None:
     """Serves until a stop is requested, then shuts down gracefully."""
     async with anyio.create_task_group() as loops:
-        loops.start_soon(_run_periodic, daemon, pool, ports[0])
+        loops.start_soon(_run_periodic, daemon, pool, heartbeats, ports[0])
         loops.start_soon(store_sync.run_operators)
         loops.start_soon(store_sync.run_servers)
         loops.start_soon(store_sync.run_registration)
@@ -143,10 +144,11 @@
 async def _run_periodic(
     daemon: _daemon.Daemon,
     pool: _connections.Pool,
+    heartbeats: _heartbeats.Heartbeats,
     server: _server.Server,
 ) -> None:
     """Does the periodic work: timers, idle connections and log output."""
-    last_close_at = daemon.now()
+    last_close_at = last_report_at = daemon.now()
     while True:
         await anyio.sleep(_PERIOD_S)
         now = daemon.now()
@@ -155,6 +157,10 @@
         _apply.log_server_changes(
             daemon, daemon.vm.on_tick(now), _GRACE_ENDED, behind
         )
+        _log_quarantined(daemon)
+        if now - last_report_at >= _REPORT_QUARANTINE_EVERY:
+            last_report_at = now
+            heartbeats.send_quarantine_reports()
         if now - last_close_at >= _CLOSE_EXPIRED_EVERY:
             last_close_at = now
             pool.close_expired()
@@ -185,6 +191,14 @@
     )
 
 
+def _log_quarantined(daemon: _daemon.Daemon) -> None:
+    """Logs the requests that were quarantined since the last call."""
+    for digest, ends in daemon.vm.dispatch.quarantine.take_changes():
+        daemon.log_event(
+            _events.Event.REQUEST_QUARANTINED, digest=digest, ends=ends
+        )
+
+
 async def _handle_signals(
     daemon: _daemon.Daemon, reload_bounds: Callable[[], entry.FleetBounds]
 ) -> None:
