Identify quarantined requests by content, callers apart

Class: identity by something that the backend server, which ends, does not even see.

Now the digest covers what backend servers see (method, host, target, key, object, body), and the caller's address is kept beside it: an answer clears the request for the address that got it, and if one address explains all ends, other addresses may still send it.

test_no_more_than_three_late_arrivals_and_others_are_served now also plays six addresses, and the same request of another caller that is answered.

--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -297,11 +297,13 @@
         self, request: _messages.Request, now: datetime.timedelta
     ) -> datetime.timedelta | None:
         """See `_context.Context.quarantined_for`."""
-        return self.quarantine.quarantined_for(request.digest, now)
+        return self.quarantine.quarantined_for(
+            request.digest, request.caller, now
+        )
 
     def may_retry(self, request: _messages.Request) -> bool:
         """See `_context.Context.may_retry`."""
-        return self.quarantine.may_retry(request.digest)
+        return self.quarantine.may_retry(request.digest, request.caller)
 
     def on_broken(
         self,
@@ -310,13 +312,15 @@
         now: datetime.timedelta,
     ) -> None:
         """See `_context.Context.on_broken`."""
-        self.quarantine.on_broken(request.digest, server.entry, now)
+        self.quarantine.on_broken(
+            request.digest, request.caller, server.entry, now
+        )
 
     def on_answered(
         self, request: _messages.Request, now: datetime.timedelta
     ) -> None:
         """See `_context.Context.on_answered`."""
-        self.quarantine.on_answered(request.digest, now)
+        self.quarantine.on_answered(request.digest, request.caller, now)
 
     def take_retry(
         self, service: ids.ServiceId, now: datetime.timedelta
--- a/dragonflystack/entry/_messages.py
+++ b/dragonflystack/entry/_messages.py
@@ -84,8 +84,11 @@
     key."""
 
     digest: ids.RequestDigest = ids.RequestDigest("")
-    """Identifies the caller, method, host, target and body: equal for a request
-    that comes again. Empty if it is not known."""
+    """Identifies the request's content, as backend servers see it: equal for a
+    request that comes again. Empty if it is not known."""
+
+    caller: ids.CallerDigest = ids.CallerDigest("")
+    """Identifies the caller's address, which backend servers do not see."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/dragonflystack/entry/_quarantine.py
+++ b/dragonflystack/entry/_quarantine.py
@@ -6,9 +6,12 @@
 answered is quarantined: no VM sends it any more.
 
 Other requests are in flight at the same moments. An end counts only against
-those of its requests that were in flight at the most ends. An answer clears a
-request, because one that ends its backend servers never gets one. A backend
-server that responds later has not ended, whatever broke its connections.
+those of its requests that were in flight at the most ends. A backend server
+that responds later has not ended, whatever broke its connections.
+
+Requests are identified by their content, because the same one may come from
+several addresses. An answer clears a request for its caller's address, because
+one that ends its backend servers never gets an answer.
 """
 
 import collections
@@ -48,11 +51,14 @@
 _MAX_ENDS = 256
 _MAX_ENDS_PER_REQUEST = 16
 _MAX_REQUESTS_PER_END = 32
+_MAX_CALLERS = 8
+"""Callers of one request that are kept for one end."""
+
 _MAX_CLEARED = 1_024
 _ANNOUNCE_FOR = datetime.timedelta(seconds=1)
 """Time for several reports, because datagrams get lost."""
 
-_MAX_PER_REPORT = 24
+_MAX_PER_REPORT = 16
 """Entries of each kind in one report, which has to fit into one packet."""
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -66,14 +72,16 @@
     """See `ServerEntry.born`."""
 
     digest: ids.RequestDigest
+    caller: ids.CallerDigest
     age_ms: int
     """Time since the end when the report was sent."""
 
 
 class Clearance(msgspec.Struct, frozen=True, array_like=True):
-    """A request that got an answer, so that earlier ends do not count."""
+    """A caller's request that got an answer, so that its ends do not count."""
 
     digest: ids.RequestDigest
+    caller: ids.CallerDigest
     age_ms: int
     """Time since the answer when the report was sent."""
 
@@ -86,6 +94,16 @@
 
 
 _Incarnation = tuple[ids.BackendServerId, int]
+_CallersRequest = tuple[ids.RequestDigest, ids.CallerDigest]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _End:
+    """A request's part in the end of a backend server."""
+
+    at: datetime.timedelta
+    callers: set[ids.CallerDigest]
+    """The callers whose attempts of the request broke."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,6 +113,7 @@
     learnt_at: datetime.timedelta
     incarnation: _Incarnation
     digest: ids.RequestDigest
+    caller: ids.CallerDigest
     is_own: bool
     """Whether this VM observed it itself."""
 
@@ -109,10 +128,8 @@
         ] = collections.OrderedDict()
         """The requests in flight at each end, oldest end first."""
 
-        self._by_request: dict[
-            ids.RequestDigest, dict[_Incarnation, datetime.timedelta]
-        ] = {}
-        """The ends at which a request was in flight, and their times."""
+        self._by_request: dict[ids.RequestDigest, dict[_Incarnation, _End]] = {}
+        """The ends at which a request was in flight."""
 
         self._quarantined: set[ids.RequestDigest] = set()
         self._verdicts: dict[ids.RequestDigest, bool] = {}
@@ -120,7 +137,7 @@
         """Cached until evidence changes or the next tick."""
 
         self._cleared_at: collections.OrderedDict[
-            ids.RequestDigest, datetime.timedelta
+            _CallersRequest, datetime.timedelta
         ] = collections.OrderedDict()
         self._news: collections.deque[_News] = collections.deque(
             maxlen=4 * _MAX_PER_REPORT
@@ -132,19 +149,24 @@
     def on_broken(
         self,
         digest: ids.RequestDigest,
+        caller: ids.CallerDigest,
         entry: _servers.ServerEntry,
         now: datetime.timedelta,
     ) -> None:
         """Records that a connection broke while a request was in flight."""
         if digest:
-            self._record((entry.id, entry.born), digest, now, now, True)
+            incarnation = (entry.id, entry.born)
+            self._record(incarnation, (digest, caller), now, now, True)
 
     def on_answered(
-        self, digest: ids.RequestDigest, now: datetime.timedelta
+        self,
+        digest: ids.RequestDigest,
+        caller: ids.CallerDigest,
+        now: datetime.timedelta,
     ) -> None:
         """Clears a request: a backend server has run it and answered."""
         if digest in self._by_request:
-            self._clear(digest, now)
+            self._clear((digest, caller), now)
 
     def on_report(
         self, report: QuarantineReport, now: datetime.timedelta
@@ -152,13 +174,20 @@
         """Records another VM's report."""
         for cleared in report.cleared:
             at = now - max(0, cleared.age_ms) * _MILLISECOND
-            known = self._cleared_at.get(cleared.digest)
+            key = (cleared.digest, cleared.caller)
+            known = self._cleared_at.get(key)
             # Transit makes each hop's time a little later.
             if known is None or at > known + _ANNOUNCE_FOR:
-                self._clear(cleared.digest, at)
-        for end in report.ends:
-            at = now - max(0, end.age_ms) * _MILLISECOND
-            self._record((end.server, end.born), end.digest, at, now, False)
+                self._clear(key, at)
+        for told in report.ends:
+            at = now - max(0, told.age_ms) * _MILLISECOND
+            self._record(
+                (told.server, told.born),
+                (told.digest, told.caller),
+                at,
+                now,
+                False,
+            )
 
     def on_tick(self, now: datetime.timedelta) -> None:
         """Forgets ends that are too old to count, and cached decisions."""
@@ -166,7 +195,7 @@
         while self._ends:
             incarnation = next(iter(self._ends))
             digests = self._ends[incarnation]
-            latest = max(self._by_request[d][incarnation] for d in digests)
+            latest = max(self._by_request[d][incarnation].at for d in digests)
             if now - latest < _REMEMBER_FOR:
                 return
             self._forget_end(incarnation)
@@ -174,22 +203,30 @@
     def _record(
         self,
         incarnation: _Incarnation,
-        digest: ids.RequestDigest,
+        request: _CallersRequest,
         at: datetime.timedelta,
         now: datetime.timedelta,
         is_own: bool,
     ) -> None:
-        if at <= self._cleared_at.get(digest, now - _REMEMBER_FOR):
+        digest, caller = request
+        if at <= self._cleared_at.get(request, now - _REMEMBER_FOR):
             return
         digests = self._ends.setdefault(incarnation, set())
-        if digest in digests or len(digests) >= _MAX_REQUESTS_PER_END:
+        if digest in digests:
+            callers = self._by_request[digest][incarnation].callers
+            if caller in callers or len(callers) >= _MAX_CALLERS:
+                return
+            callers.add(caller)
+        elif len(digests) >= _MAX_REQUESTS_PER_END:
             return
-        digests.add(digest)
-        ends = self._by_request.setdefault(digest, {})
-        ends[incarnation] = at
-        if len(ends) > _MAX_ENDS_PER_REQUEST:
-            self._forget(digest, min(ends, key=lambda end: ends[end]))
-        self._news.append(_News(now, incarnation, digest, is_own))
+        else:
+            digests.add(digest)
+            ends = self._by_request.setdefault(digest, {})
+            ends[incarnation] = _End(at, {caller})
+        self._news.append(_News(now, incarnation, digest, caller, is_own))
+        known = self._by_request[digest]
+        if len(known) > _MAX_ENDS_PER_REQUEST:
+            self._forget(digest, min(known, key=lambda end: known[end].at))
         if len(self._ends) > _MAX_ENDS:
             self._forget_end(next(iter(self._ends)))
         self._forget_decisions()
@@ -215,31 +252,55 @@
         self._verdicts.clear()
         self._counts.clear()
 
-    def _clear(self, digest: ids.RequestDigest, at: datetime.timedelta) -> None:
-        self._cleared_at[digest] = at
-        self._cleared_at.move_to_end(digest)
+    def _clear(self, key: _CallersRequest, at: datetime.timedelta) -> None:
+        digest, caller = key
+        self._cleared_at[key] = at
+        self._cleared_at.move_to_end(key)
         if len(self._cleared_at) > _MAX_CLEARED:
             self._cleared_at.popitem(last=False)
         ends = tuple(self._by_request.get(digest, {}).items())
-        for incarnation, ended_at in ends:
-            if ended_at <= at:
-                self._forget(digest, incarnation)
+        for incarnation, end in ends:
+            if end.at <= at:
+                end.callers.discard(caller)
+                if not end.callers:
+                    self._forget(digest, incarnation)
         self._forget_decisions()
 
     # Decisions.
 
     def quarantined_for(
-        self, digest: ids.RequestDigest, now: datetime.timedelta
+        self,
+        digest: ids.RequestDigest,
+        caller: ids.CallerDigest,
+        now: datetime.timedelta,
     ) -> datetime.timedelta | None:
-        """Returns how long a request stays quarantined, None if it is not."""
-        if digest not in self._by_request or not self._assess(digest):
+        """Returns how long a request stays quarantined, None if it is not.
+
+        A caller may send it whose same request was answered before. If one
+        caller explains all ends, others may as well.
+        """
+        if (
+            digest not in self._by_request
+            or (digest, caller) in self._cleared_at
+            or not self._assess(digest)
+        ):
             return None
-        left = max(self._by_request[digest].values()) + _QUARANTINE_FOR - now
+        ends = self._by_request[digest].values()
+        explaining = set.intersection(*(end.callers for end in ends))
+        if explaining and caller not in explaining:
+            return None
+        latest = max(end.at for end in ends)
+        left = latest + _QUARANTINE_FOR - now
         return left if left > datetime.timedelta() else None
 
-    def may_retry(self, digest: ids.RequestDigest) -> bool:
+    def may_retry(
+        self, digest: ids.RequestDigest, caller: ids.CallerDigest
+    ) -> bool:
         """Returns whether a VM may send a request again on its own."""
-        if digest not in self._by_request:
+        if (
+            digest not in self._by_request
+            or (digest, caller) in self._cleared_at
+        ):
             return True
         return len(self._attributed(digest)) < _ENDS_TO_STOP_RETRIES
 
@@ -263,7 +324,8 @@
         required = _ENDS_TO_QUARANTINE
         if self._has_companion(digest, ends):
             required = _ENDS_IF_AMBIGUOUS
-        if _moments(self._by_request[digest][end] for end in ends) < required:
+        known = self._by_request[digest]
+        if _moments(known[incarnation].at for incarnation in ends) < required:
             self._quarantined.discard(digest)
             return False
         if digest not in self._quarantined:
@@ -276,8 +338,8 @@
         count = self._count(digest)
         return [
             incarnation
-            for incarnation, at in self._by_request[digest].items()
-            if not self._has_responded(incarnation, at)
+            for incarnation, end in self._by_request[digest].items()
+            if not self._has_responded(incarnation, end.at)
             and not any(
                 self._explains(other, count)
                 for other in self._ends[incarnation]
@@ -311,8 +373,8 @@
         count = self._counts.get(digest)
         if count is None:
             count = self._counts[digest] = sum(
-                not self._has_responded(incarnation, at)
-                for incarnation, at in self._by_request[digest].items()
+                not self._has_responded(incarnation, end.at)
+                for incarnation, end in self._by_request[digest].items()
             )
         return count
 
@@ -341,7 +403,7 @@
             own_only: whether to leave out what other VMs reported.
         """
         ends = [
-            (news.incarnation, news.digest)
+            (news.incarnation, (news.digest, news.caller))
             for news in self._news
             if now - news.learnt_at <= _ANNOUNCE_FOR
             and (news.is_own or not own_only)
@@ -351,39 +413,43 @@
     def known(self, now: datetime.timedelta) -> QuarantineReport | None:
         """Returns what a VM needs that has just started or was cut off."""
         ends = [
-            (incarnation, digest)
-            for digest, incarnations in self._by_request.items()
-            if len(incarnations) >= _ENDS_TO_STOP_RETRIES
-            for incarnation in incarnations
+            (incarnation, (digest, caller))
+            for digest, known in self._by_request.items()
+            if len(known) >= _ENDS_TO_STOP_RETRIES
+            for incarnation, end in known.items()
+            for caller in end.callers
         ]
         return self._report(ends, _REMEMBER_FOR, now)
 
     def _report(
         self,
-        ends: Iterable[tuple[_Incarnation, ids.RequestDigest]],
+        ends: Iterable[tuple[_Incarnation, _CallersRequest]],
         max_age: datetime.timedelta,
         now: datetime.timedelta,
     ) -> QuarantineReport | None:
         """Returns a report of the most suspect requests, newest ends first."""
         chosen = []
-        for incarnation, digest in ends:
-            at = self._by_request.get(digest, {}).get(incarnation)
-            if at is not None and not self._has_responded(incarnation, at):
-                count = len(self._by_request[digest])
-                chosen.append((count, at, incarnation, digest))
-        chosen.sort(reverse=True)
+        for incarnation, (digest, caller) in ends:
+            known = self._by_request.get(digest, {})
+            end = known.get(incarnation)
+            if (
+                end is not None
+                and caller in end.callers
+                and not self._has_responded(incarnation, end.at)
+            ):
+                age_ms = round((now - end.at) / _MILLISECOND)
+                told = ServerEnd(*incarnation, digest, caller, age_ms)
+                chosen.append((len(known), -age_ms, told))
+        chosen.sort(key=lambda each: each[:2], reverse=True)
         cleared = [
-            Clearance(digest, round((now - at) / _MILLISECOND))
-            for digest, at in reversed(self._cleared_at.items())
+            Clearance(*request, round((now - at) / _MILLISECOND))
+            for request, at in reversed(self._cleared_at.items())
             if now - at <= min(max_age, 2 * _ANNOUNCE_FOR)
         ]
         if not chosen and not cleared:
             return None
         return QuarantineReport(
-            tuple(
-                ServerEnd(name, born, digest, round((now - at) / _MILLISECOND))
-                for _, at, (name, born), digest in chosen[:_MAX_PER_REPORT]
-            ),
+            tuple(told for _, _, told in chosen[:_MAX_PER_REPORT]),
             tuple(cleared[:_MAX_PER_REPORT]),
         )
 
--- a/dragonflystack/entry/tests/test_quarantine.py
+++ b/dragonflystack/entry/tests/test_quarantine.py
@@ -11,6 +11,7 @@
 from dragonflystack.entry.tests import builders
 
 _DEADLY = ids.RequestDigest("deadly")
+_CALLER = ids.CallerDigest("caller-1")
 _END = entry.Broken("no answer: closed")
 
 
@@ -28,9 +29,13 @@
     return builders.entry_vm(*entries, vm=name, region=region, routes=routes)
 
 
-def _request(digest):
-    digest = ids.RequestDigest(digest)
-    return builders.request(None, digest=digest, time_left=builders.ms(6000))
+def _request(digest, caller=_CALLER):
+    return builders.request(
+        None,
+        digest=ids.RequestDigest(digest),
+        caller=ids.CallerDigest(caller),
+        time_left=builders.ms(6000),
+    )
 
 
 def _send(vm, digest, at_ms, result=_END):
@@ -68,13 +73,18 @@
         server = vm.registry.get(ids.BackendServerId(f"s{i}"))
         assert server is not None
         now = builders.ms(1000 * i)
-        quarantine.on_broken(_DEADLY, server.entry, now)
+        quarantine.on_broken(_DEADLY, _CALLER, server.entry, now)
         if present:
-            quarantine.on_broken(ids.RequestDigest(present), server.entry, now)
+            quarantine.on_broken(
+                ids.RequestDigest(present), _CALLER, server.entry, now
+            )
         vm.registry.on_gone(server.entry.id)
     later = builders.ms(9000)
-    assert quarantine.quarantined_for(_DEADLY, later) is not None
-    assert quarantine.quarantined_for(ids.RequestDigest("slow"), later) is None
+    assert quarantine.quarantined_for(_DEADLY, _CALLER, later) is not None
+    assert (
+        quarantine.quarantined_for(ids.RequestDigest("slow"), _CALLER, later)
+        is None
+    )
 
 
 def test_answered_request_is_not_quarantined():
@@ -93,13 +103,15 @@
     for i in range(6):
         server = vm.registry.get(ids.BackendServerId(f"s{i}"))
         assert server is not None
-        quarantine.on_broken(_DEADLY, server.entry, builders.ms(1000 * i))
+        quarantine.on_broken(
+            _DEADLY, _CALLER, server.entry, builders.ms(1000 * i)
+        )
     now = builders.ms(7000)
-    assert quarantine.quarantined_for(_DEADLY, now) is not None
+    assert quarantine.quarantined_for(_DEADLY, _CALLER, now) is not None
     for server in vm.registry.all():
         server.on_response(now)
     quarantine.on_tick(now)
-    assert quarantine.quarantined_for(_DEADLY, now) is None
+    assert quarantine.quarantined_for(_DEADLY, _CALLER, now) is None
 
 
 def test_ends_at_the_same_moment_count_once():
@@ -110,8 +122,8 @@
     for i in range(6):
         server = vm.registry.on_gone(ids.BackendServerId(f"s{i}"))
         assert server is not None
-        quarantine.on_broken(_DEADLY, server.entry, now)
-    assert quarantine.quarantined_for(_DEADLY, now) is None
+        quarantine.on_broken(_DEADLY, _CALLER, server.entry, now)
+    assert quarantine.quarantined_for(_DEADLY, _CALLER, now) is None
 
 
 def test_quarantine_ends_after_ten_minutes_and_one_end_renews_it():
@@ -138,7 +150,7 @@
         server = vm.registry.on_gone(ids.BackendServerId(f"s{i + 5}"))
         assert server is not None
         vm.dispatch.quarantine.on_broken(
-            _DEADLY, server.entry, builders.ms(100 * i + 100)
+            _DEADLY, _CALLER, server.entry, builders.ms(100 * i + 100)
         )
     assert not exchange.may_write(builders.ms(400))
     last = exchange.on_result(entry.Withdrawn(), builders.ms(400))
@@ -167,7 +179,7 @@
         self.deadly_arrivals = []
         self.ends = []
         self.outcomes = []
-        """When each other request was sent, its digest, and whether it was
+        """When each other request was sent, its kind, and whether it was
         answered."""
 
     def run(self, seconds, requests):
@@ -176,7 +188,8 @@
         Args:
             seconds: how long.
             requests: returns the requests that arrive, given the step's time in
-                ms: digest, and time to the answer in ms (None if it is deadly).
+                ms: digest, caller, and time to the answer in ms (None if it is
+                deadly).
         """
         for at in range(0, 1000 * seconds, 20):
             now = builders.ms(at)
@@ -184,13 +197,13 @@
             for flight in [f for f in self._flying if f["done"] <= at]:
                 if flight in self._flying:
                     self._finish(flight, at)
-            for digest, work_ms in requests(at):
+            for digest, caller, work_ms in requests(at):
                 vm = self._rng.choice(self.vms)
-                exchange, step = vm.open(_request(digest), now)
+                exchange, step = vm.open(_request(digest, caller), now)
                 flight = {
                     "vm": vm,
                     "exchange": exchange,
-                    "digest": digest,
+                    "kind": f"{digest}/{caller}".partition("-")[0],
                     "work": work_ms,
                     "sent": at,
                 }
@@ -208,7 +221,7 @@
             self._flying.append(flight)
         elif flight["work"] is not None:
             served = isinstance(step, entry.Deliver)
-            self.outcomes.append((flight["sent"], flight["digest"], served))
+            self.outcomes.append((flight["sent"], flight["kind"], served))
 
     def _finish(self, flight, at):
         now = builders.ms(at)
@@ -258,21 +271,21 @@
         return sum(at > self.ends[2] + 4000 for at in self.deadly_arrivals)
 
 
-def _others(rng, digest, per_second, work_ms):
-    """Returns whether a request arrives in this step of 20 ms."""
-    if rng.random() < per_second / 50:
-        return [(digest, work_ms)]
-    return []
+def _random_arrival(rng, per_second, *request):
+    """Returns the request if it arrives in this step of 20 ms."""
+    return [request] if rng.random() < per_second / 50 else []
 
 
+@pytest.mark.parametrize("addresses", [1, 6])
 @pytest.mark.parametrize("deadly_per_second", [0.3, 1.0, 2.5, 10.0])
 @pytest.mark.parametrize("seed", range(4))
 def test_no_more_than_three_late_arrivals_and_others_are_served(
-    deadly_per_second, seed
+    addresses, deadly_per_second, seed
 ):
     """Guards against repeats of a request that ends backend servers.
 
-    Beside it come unique requests, the same path from another caller, and a
+    Beside it come unique requests, another path, the same request of another
+    caller if there is one that ends servers only from its own address, and a
     caller that repeats a slow request and so is cut off again and again.
     """
     rng = random.Random(seed)
@@ -280,19 +293,23 @@
     number = itertools.count()
 
     def requests(at):
-        arriving = _others(rng, f"unique-{next(number)}", 15, 100)
-        arriving += _others(rng, "other-caller", 2, 100)
-        arriving += _others(rng, "slow", 1.5, 1000)
-        if rng.random() < deadly_per_second / 50:
-            arriving.append((_DEADLY, None))
-        return arriving
+        unique = f"unique-{next(number)}"
+        address = f"address{rng.randrange(addresses)}"
+        arriving = _random_arrival(rng, 15, unique, "user-1", 100)
+        arriving += _random_arrival(rng, 2, "path", "user-2", 100)
+        arriving += _random_arrival(rng, 1.5, "slow", "user-3", 1000)
+        if addresses == 1:
+            arriving += _random_arrival(rng, 2, _DEADLY, "user-4", 100)
+        return arriving + _random_arrival(
+            rng, deadly_per_second, _DEADLY, address, None
+        )
 
     fleet.run(20, requests)
     assert fleet.late_arrivals() <= 3
     settled = max(fleet.ends[:3], default=0) + 4000
     late = [each for each in fleet.outcomes if each[0] > settled]
-    for kind in ("unique", "other-caller", "slow"):
-        served = [ok for _, digest, ok in late if digest.startswith(kind)]
+    for kind in {kind for _, kind, _ in late}:
+        served = [ok for _, other, ok in late if other == kind]
         assert served.count(False) <= 0.02 * len(served), kind
 
 
@@ -300,7 +317,7 @@
     fleet = _Fleet(1)
     cut = fleet.vms[0]
     fleet._silent = (cut,)
-    fleet.run(6, lambda at: [] if at % 400 else [(_DEADLY, None)])
+    fleet.run(6, lambda at: [] if at % 400 else [(_DEADLY, _CALLER, None)])
     now = builders.ms(6000)
     known = fleet.vms[1].dispatch.quarantine.known(now)
     assert known is not None
@@ -316,7 +333,10 @@
         for j in range(10):
             server = builders.server(f"i-{i:010x}", born=1_777_000_000_000 + i)
             vm.dispatch.quarantine.on_broken(
-                ids.RequestDigest(f"{j:016x}"), server, builders.ms(i)
+                ids.RequestDigest(f"{j:016x}"),
+                ids.CallerDigest(f"{j:08x}"),
+                server,
+                builders.ms(i),
             )
     report = vm.dispatch.quarantine.recent(builders.ms(300))
     assert report is not None
--- a/dragonflystack/entryd/_callers_port.py
+++ b/dragonflystack/entryd/_callers_port.py
@@ -24,6 +24,7 @@
 """Short because another VM can accept the request at once."""
 
 _DIGEST_BYTES = 8
+_CALLER_DIGEST_BYTES = 4
 _NO_LENGTH_STATUSES = frozenset((204, 304))
 _OUTCOME_EVENTS = {
     entry.Deliver: _events.Event.REQUEST_SERVED,
@@ -175,23 +176,26 @@
             object_key,
             time_left,
             None if key is None else entry.digest_key(key),
-            _digest(scope, host, key, body),
+            _digest(scope, host, object_key, key, body),
+            _caller_digest(scope),
         )
 
 
 def _digest(
-    scope: _asgi.Scope, host: str, key: bytes | None, body: bytes
+    scope: _asgi.Scope,
+    host: str,
+    object_key: str | None,
+    key: bytes | None,
+    body: bytes,
 ) -> ids.RequestDigest:
-    """Returns the digest of a request: equal if a caller sends it again.
+    """Returns the digest of a request's content: equal if it comes again.
 
-    The caller is identified by its address and its key. A caller's ports and
-    the ids of its attempts differ each time.
+    The same request may come from several addresses of a caller.
     """
-    address = scope.get("client") or ("",)
     digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
     for part in (
-        address[0].encode(),
         key or b"",
+        (object_key or "").encode(),
         scope["method"].encode("ascii"),
         host.encode("latin-1"),
         _asgi.request_target(scope),
@@ -201,6 +205,15 @@
     return ids.RequestDigest(digest.hexdigest())
 
 
+def _caller_digest(scope: _asgi.Scope) -> ids.CallerDigest:
+    """Returns the digest of the caller's address; its ports differ."""
+    address = scope.get("client") or ("",)
+    digest = hashlib.blake2b(
+        address[0].encode(), digest_size=_CALLER_DIGEST_BYTES
+    )
+    return ids.CallerDigest(digest.hexdigest())
+
+
 def _route_id(
     exchange: entry.Exchange | None, step: entry.Step
 ) -> entry.RouteId | None:
--- a/dragonflystack/entryd/tests/test_request_digest.py
+++ b/dragonflystack/entryd/tests/test_request_digest.py
@@ -13,26 +13,36 @@
 }
 
 
-def _digest(body=b"x", host="shop.example", key=b"k", **changes):
+def _digest(
+    body=b"x", host="shop.example", key=b"k", object_key="1", **changes
+):
     scope = _SCOPE | changes
-    return _callers_port._digest(scope, host, key, body)
+    return _callers_port._digest(scope, host, object_key, key, body)
 
 
 def test_digest_is_equal_when_the_request_comes_again():
-    """From another port of the caller, after a retry for instance."""
-    assert _digest() == _digest(client=("192.0.2.1", 50_000))
+    """Guards against a request that is not recognized at another address."""
+    assert _digest() == _digest(client=("192.0.2.2", 50_000))
+
+
+def test_callers_are_told_apart_by_address():
+    digest = _callers_port._caller_digest
+    same = _SCOPE | {"client": ("192.0.2.1", 50_000)}
+    other = _SCOPE | {"client": ("192.0.2.2", 40_000)}
+    assert digest(_SCOPE) == digest(same)
+    assert digest(_SCOPE) != digest(other)
+    assert digest(_SCOPE) != digest(_SCOPE | {"client": None})
 
 
 @pytest.mark.parametrize(
     "changes",
     [
-        {"client": ("192.0.2.2", 40_000)},
-        {"client": None},
         {"method": "POST"},
         {"raw_target": b"/r/1?a=c"},
         {"raw_target": b"/r/2?a=b"},
         {"host": "other.example"},
         {"key": None},
+        {"object_key": None},
         {"body": b""},
     ],
     ids=str,
--- a/dragonflystack/ids.py
+++ b/dragonflystack/ids.py
@@ -45,5 +45,7 @@
 """The lower-case hexadecimal SHA-256 of an object's bytes."""
 
 RequestDigest = NewType("RequestDigest", str)
-"""Identifies a caller's request by its content: equal whenever it comes again.
-"""
+"""Identifies a request by its content: equal whenever it comes again."""
+
+CallerDigest = NewType("CallerDigest", str)
+"""Identifies the network address of a caller."""
