Take an answer of another server at an address for no response

A backend server that ended is listed for some seconds more, while a new one at its address already answers 421. That answer counted as a response of the one that ended: its load was taken over, and in the quarantine it refuted the end. Now such an answer only marks the entry as gone.

test_answer_of_the_next_server_at_the_address_is_no_response failed before (the request was sent a fourth time) and passes.

--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -191,12 +191,13 @@
     ) -> _messages.Step:
         candidate = self._release()
         server = candidate.server
-        server.on_response(now)
-        if answer.load is not None:
-            self._context.on_load(server, answer.load, now)
         if answer.wrong_server:
+            # Another one answered, so this is no response of the server.
             server.gone = True
             return self._retry(_messages.Reason.NO_SERVER, now)
+        server.on_response(now)
+        if answer.load is not None:
+            self._context.on_load(server, answer.load, now)
         if answer.leaving:
             self._context.on_leaving_reported(server, now)
         if answer.requested_backoff is not None:
--- a/dragonflystack/entry/_quarantine.py
+++ b/dragonflystack/entry/_quarantine.py
@@ -384,7 +384,7 @@
         """Returns whether a backend server responded after its supposed end."""
         name, born = incarnation
         server = self._registry.get(name)
-        if server is None or server.entry.born != born:
+        if server is None or server.gone or server.entry.born != born:
             return False
         if not born and server.added_at > ended_at:
             return False
--- a/dragonflystack/entry/tests/test_quarantine.py
+++ b/dragonflystack/entry/tests/test_quarantine.py
@@ -114,6 +114,31 @@
     assert quarantine.quarantined_for(_DEADLY, _CALLER, now) is None
 
 
+def test_answer_of_the_next_server_at_the_address_is_no_response():
+    """Guards against an end that seems refuted by another instance.
+
+    The entry of a backend server that ended stays for some seconds, while a new
+    one at its address answers that it is another.
+    """
+    vm = _vm(servers=0)
+    for i in range(4):
+        now = builders.ms(2000 * i)
+        vm.registry.on_entry(builders.server(f"s{i}", born=i + 1), now)
+        deadly, step = vm.open(_request(_DEADLY), now)
+        if i == 3:
+            break
+        other, _ = vm.open(_request(f"other-{i}"), now)
+        assert deadly is not None
+        assert other is not None
+        deadly.on_result(_END, now + builders.ms(100))
+        answer = entry.Answered(
+            421, not_run=True, wrong_server=True, load=entry.Load(1, 0, 3)
+        )
+        other.on_result(answer, now + builders.ms(1000))
+    assert isinstance(step, entry.Reject)
+    assert step.reason is entry.Reason.QUARANTINED
+
+
 def test_ends_at_the_same_moment_count_once():
     """Guards against blaming a request when a failure domain loses power."""
     vm = _vm()
