Send slow readers the end of their answers in a planned stop

Report of other operators: requests that came late in the grace were taken, passed on and cut at its end with no answer.

Now a stop also waits for the callers' connections to end, until the time at which requests must end. Idle connections end when the ports close.

--- a/dragonflystack/_server.py
+++ b/dragonflystack/_server.py
@@ -76,6 +76,11 @@
         """Sets how long idle connections are kept; new connections use it."""
         self.config.timeout_keep_alive = math.ceil(keep_alive.total_seconds())
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether connections are open, also if only to send the rest."""
+        return bool(self.server_state.connections)
+
     def stop(self) -> None:
         """Requests a graceful shutdown, which completes requests in flight."""
         self.should_exit = True
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -249,7 +249,10 @@
     for port in ports:
         port.stop()
     deadline = started_at + grace - _daemon.EXIT_BEFORE_KILL
-    while daemon.in_flight and daemon.now() < deadline:
+    # A caller that reads slowly still gets the end of its answer.
+    while (
+        daemon.in_flight or ports[0].has_connections
+    ) and daemon.now() < deadline:
         await anyio.sleep(_DRAIN_POLL_S)
     for port in ports:
         port.force_exit = True
