Let an answer exempt a request only until it ends servers again

An answer cleared a request of one caller for good: one that was answered once and turned deadly later, by a new version of the backend servers for instance, was sent on for ever.

test_request_that_turns_deadly_after_an_answer_is_quarantined failed before (18 backend servers reached in ten sends) and passes.

--- a/dragonflystack/entry/_quarantine.py
+++ b/dragonflystack/entry/_quarantine.py
@@ -281,7 +281,7 @@
         """
         if (
             digest not in self._by_request
-            or (digest, caller) in self._cleared_at
+            or self._is_cleared(digest, caller)
             or not self._assess(digest)
         ):
             return None
@@ -297,13 +297,24 @@
         self, digest: ids.RequestDigest, caller: ids.CallerDigest
     ) -> bool:
         """Returns whether a VM may send a request again on its own."""
-        if (
-            digest not in self._by_request
-            or (digest, caller) in self._cleared_at
-        ):
+        if digest not in self._by_request or self._is_cleared(digest, caller):
             return True
         return len(self._attributed(digest)) < _ENDS_TO_STOP_RETRIES
 
+    def _is_cleared(
+        self, digest: ids.RequestDigest, caller: ids.CallerDigest
+    ) -> bool:
+        """Returns whether a caller's request was answered.
+
+        An answer does not count any more after as many ends as it takes to
+        quarantine a request, because backend servers change.
+        """
+        if (digest, caller) not in self._cleared_at:
+            return False
+        ends = self._by_request[digest].values()
+        later = sum(caller in end.callers for end in ends)
+        return later < _ENDS_TO_QUARANTINE
+
     def take_changes(self) -> list[tuple[ids.RequestDigest, int]]:
         """Returns the requests quarantined since the last call.
 
--- a/dragonflystack/entry/tests/test_quarantine.py
+++ b/dragonflystack/entry/tests/test_quarantine.py
@@ -96,6 +96,17 @@
         assert isinstance(step, entry.Deliver)
 
 
+def test_request_that_turns_deadly_after_an_answer_is_quarantined():
+    """Guards against an answer that exempts a request for ever."""
+    vm = _vm(servers=20)
+    _send(vm, _DEADLY, 0)
+    _send(vm, _DEADLY, 1000, entry.Answered(200))
+    reached = []
+    for i in range(10):
+        reached += _send(vm, _DEADLY, 2000 + 1000 * i)[0]
+    assert 3 <= len(reached) <= 5
+
+
 def test_breaks_of_servers_that_respond_later_do_not_count():
     """Guards against blaming requests for lost answers and reset links."""
     vm = _vm()
