Play requests that end backend servers with real processes

Six VMs as processes, a request that comes every 0.4 s at any of them and ends the backend server that runs it, each back after 2 s, while a VM is killed and another is paused. A new check of the soak, deadly, allows three arrivals from VMs in touch later than 4 s after the third end. The kind is not drawn yet: it comes in plans of its own only, since a VM that is cut off from all others has to learn by itself.

--- a/faultsoak/_actions.py
+++ b/faultsoak/_actions.py
@@ -11,7 +11,9 @@
 
 import anyio
 import fakes
+import httpcore
 
+from faultsoak import _callers
 from faultsoak import _links
 from faultsoak import _plan
 from faultsoak import _proxy
@@ -62,6 +64,8 @@
 _EVACUATION_S = 6.0
 """Longer than it takes until an evacuation is in force, by the users."""
 
+_DEADLY_EVERY_S = 0.4
+_DEADLY_TIMEOUT_S = 2.1
 _CUT_BEFORE_S = 0.1
 _NOISE_EVERY_S = 0.02
 _NOISE_BYTES = 200
@@ -102,6 +106,7 @@
             _plan.Fault.HOMES_MOVE: self._move_homes,
             _plan.Fault.SERVER_LIMITED: self._limit,
             _plan.Fault.ODD_ROWS: self._odd_rows,
+            _plan.Fault.DEADLY_REQUEST: self._send_deadly,
         }
 
     async def carry_out(self, plan: list[_plan.Action]) -> None:
@@ -263,6 +268,36 @@
             )
         )
 
+    async def _send_deadly(self, action: _plan.Action) -> None:
+        """Sends one request again and again, to any VM."""
+        target = f"/l/{_world.DEADLY}-{action.target}"
+        until_s = time.monotonic() + action.for_s
+        async with (
+            httpcore.AsyncConnectionPool() as pool,
+            anyio.create_task_group() as tasks,
+        ):
+            while time.monotonic() < until_s:
+                vm = self._rng.choice(self._fleet.vms)
+                tasks.start_soon(self._send_once, pool, vm, target)
+                tasks.start_soon(self._world.bring_back)
+                await anyio.sleep(_DEADLY_EVERY_S)
+
+    async def _send_once(
+        self, pool: httpcore.AsyncConnectionPool, vm: _vms.Vm, target: str
+    ) -> None:
+        attempt = f"{self._rng.getrandbits(64):016x}/{vm.id}"
+        headers = fakes.request_headers(attempt, _callers.HOST, 2_000, "d")
+        url = f"http://{vm.ip}:{vm.callers_port}{target}"
+        with (
+            anyio.move_on_after(_DEADLY_TIMEOUT_S),
+            contextlib.suppress(
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+                httpcore.TimeoutException,
+            ),
+        ):
+            await pool.request("GET", url, headers=headers)
+
     async def _odd_rows(self, action: _plan.Action) -> None:
         """Rows of another writer stand beside a living backend server's."""
         server = self._server(action)
--- a/faultsoak/_checks.py
+++ b/faultsoak/_checks.py
@@ -32,6 +32,11 @@
 """Within such a window, a backend server may get what its limit allows times
 the factor, and the margin more; by the users."""
 
+_DEADLY_ENDS = 3
+_MOST_LATE_DEADLY = 3
+"""How often a request may reach backend servers after it ended three, by the
+users."""
+
 _CUT_BY_STOP_S = 0.2
 """A request whose connection ends sooner may have crossed the close, unless it
 ran; by the users."""
@@ -310,6 +315,29 @@
             yield Violation("asked-wait", ask.attempt, f"{number} at {ask}")
 
 
+def _deadly(index: _Index) -> Iterator[Violation]:
+    """A request that ended three backend servers ends few more.
+
+    Each arrival is an end. VMs have some time to tell each other.
+    """
+    arrivals: dict[str, list[_record.DeadlyArrival]] = collections.defaultdict(
+        list
+    )
+    for arrival in index.record.deadly_arrivals:
+        arrivals[arrival.target].append(arrival)
+    for target, ends in arrivals.items():
+        if len(ends) < _DEADLY_ENDS:
+            continue
+        bound_s = ends[_DEADLY_ENDS - 1].at_s + index.bounds.stable_s
+        late = sum(
+            1
+            for end in ends
+            if end.at_s > bound_s and index.in_touch(end.vm, end.at_s, end.at_s)
+        )
+        if late > _MOST_LATE_DEADLY:
+            yield Violation("deadly", target, f"{late} of {len(ends)} late")
+
+
 def _limits(index: _Index) -> Iterator[Violation]:
     """A backend server gets about as much as it takes from VMs that know."""
     record = index.record
@@ -513,6 +541,7 @@
     _drain,
     _said_leaving,
     _asked_wait,
+    _deadly,
     _config,
     _key_ends,
     _evacuated,
--- a/faultsoak/_plan.py
+++ b/faultsoak/_plan.py
@@ -138,6 +138,10 @@
     SERVER_LIMITED = "server-limited"
     """A backend server names how many requests a second it takes from all."""
 
+    DEADLY_REQUEST = "deadly-request"
+    """A request that ends the backend servers that run it comes many times,
+    at any VM."""
+
     ODD_ROWS = "odd-rows"
     """Another writer leaves rows among those of the backend servers that cannot
     be used."""
@@ -157,6 +161,9 @@
 
 _LIMITS = (Fault.SERVER_LIMITED,)
 _ODD = (Fault.ODD_ROWS,)
+_NOT_DRAWN = (Fault.DEADLY_REQUEST,)
+"""Kinds that only come in plans of their own."""
+
 _DRAWN_APART = (
     *_LATER,
     *_LATEST,
@@ -165,6 +172,7 @@
     *_HOMES,
     *_LIMITS,
     *_ODD,
+    *_NOT_DRAWN,
 )
 
 _OPERATIONS = (Fault.EVACUATE, Fault.CONFIG, *_HOMES)
--- a/faultsoak/_record.py
+++ b/faultsoak/_record.py
@@ -117,6 +117,16 @@
     """Requests per second from all VMs."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeadlyArrival:
+    """A request reached a backend server and ended it."""
+
+    at_s: float
+    target: str
+    vm: str
+    """The VM that sent it."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evacuation:
     """A failure domain that was to get no requests."""
@@ -159,6 +169,9 @@
     leavings: list[Leaving] = dataclasses.field(default_factory=list)
     asked_waits: list[AskedWait] = dataclasses.field(default_factory=list)
     limits: list[NamedLimit] = dataclasses.field(default_factory=list)
+    deadly_arrivals: list[DeadlyArrival] = dataclasses.field(
+        default_factory=list
+    )
     evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     domains: dict[str, str] = dataclasses.field(default_factory=dict)
     """The failure domain of each backend server."""
--- a/faultsoak/_world.py
+++ b/faultsoak/_world.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import itertools
+import math
 import random
 import time
 from typing import Any
@@ -26,6 +27,10 @@
 """Three heartbeats of a backend server."""
 
 _REUSE_AFTER_S = 2.0
+_BACK_AFTER_S = 2.0
+DEADLY = "deadly"
+"""Part of the target of requests that end the backend server that runs them."""
+
 _DRAIN_S = 2.5
 _STAYS_ON_S = 1.0
 """A leaving backend server goes on serving for a little longer."""
@@ -100,6 +105,9 @@
         self._evacuated: set[str] = set()
         """The rows of the evacuations under way."""
 
+        self._ended: list[Server] = []
+        """Backend servers that a request ended and that are not replaced."""
+
         self._host = host
         self._rng = rng
         self._versions = itertools.count(3, 2)
@@ -200,6 +208,7 @@
             name, service, _SLOTS, self._rng, self._record.runs.append
         )
         fake.on_asked = functools.partial(self._note_asked, name)
+        fake.is_ended_by = functools.partial(self._end_by_request, name)
         fake.cold_until_s = time.monotonic() + cold_s
         port = await fake.start(self._host, port)
         proxy = _proxy.Proxy(self._host, port)
@@ -219,6 +228,31 @@
         self.register(server)
         return server
 
+    def _end_by_request(self, name: str, attempt: str, target: str) -> bool:
+        """Ends a backend server if it got a deadly request."""
+        if DEADLY not in target:
+            return False
+        self._record.deadly_arrivals.append(
+            _record.DeadlyArrival(
+                time.monotonic(), target, attempt.rpartition("/")[2]
+            )
+        )
+        self._record.disturb(name, time.monotonic(), math.inf)
+        server = self.servers[name]
+        server.proxy.stop()
+        self._ended.append(server)
+        return True
+
+    async def bring_back(self) -> None:
+        """Starts new instances for servers that a request ended."""
+        ended, self._ended = self._ended, []
+        await anyio.sleep(_BACK_AFTER_S)
+        for server in ended:
+            await self.add_server(server.fake.service, server.entry.domain)
+        await anyio.sleep(_LAPSE_AFTER_S - _BACK_AFTER_S)
+        for server in ended:
+            self.forget(server)
+
     def _note_asked(self, server: str, attempt: str, wait_s: float) -> None:
         self._record.asked_waits.append(
             _record.AskedWait(time.monotonic(), server, attempt, wait_s)
--- a/faultsoak/tests/test_checks.py
+++ b/faultsoak/tests/test_checks.py
@@ -371,6 +371,23 @@
     assert _broken(record) == broken
 
 
+@pytest.mark.parametrize(
+    ("late", "halted", "broken"),
+    [
+        pytest.param(4, False, {"deadly"}, id="too many"),
+        pytest.param(3, False, set(), id="allowed"),
+        pytest.param(4, True, set(), id="the VM was paused"),
+    ],
+)
+def test_a_request_that_ended_three_servers_ends_few_more(late, halted, broken):
+    times = [100.0, 100.5, 101.0, *(105.1 + 0.1 * i for i in range(late))]
+    arrivals = [_record.DeadlyArrival(at, "/l/x", "edge-1") for at in times]
+    record = _seen([], [], deadly_arrivals=arrivals)
+    if halted:
+        record.halt("edge-1", 104.0, 105.0)
+    assert _broken(record) == broken
+
+
 @pytest.mark.parametrize(
     ("arrivals", "halted", "broken"),
     [
--- a/faultsoak/tests/test_run.py
+++ b/faultsoak/tests/test_run.py
@@ -154,3 +154,29 @@
     report = _run(1, tmp_path, plan)
     assert report.violations == []
     assert report.served > 0
+
+
+# Guards against a request that ends one backend server after the other, at any
+# VM, also while VMs start or are paused (BUDGET).
+def test_a_request_that_ends_servers_is_not_sent_for_long(tmp_path):
+    deadly = faultsoak.Fault.DEADLY_REQUEST
+    plan = (
+        faultsoak.Action(1.0, deadly, 0, 14.0),
+        faultsoak.Action(4.0, faultsoak.Fault.KILL, 1, 1.0),
+        faultsoak.Action(5.0, faultsoak.Fault.PAUSE, 2, 1.0),
+    )
+    report = faultsoak.run(
+        faultsoak.Settings(
+            1,
+            seconds=16.0,
+            folder=tmp_path,
+            vms=6,
+            requests_s=30.0,
+            with_times=True,
+            plan=plan,
+        )
+    )
+    assert [v for v in report.violations if v.promise == "deadly"] == []
+    assert report.violations == []
+    assert report.rejected <= 0.02 * report.attempts
+    assert report.served > 0
