Bound the ages in reports of ends of backend servers

An age of 2^63 ms in a datagram raised OverflowError in the receiver (test_odd_ages_in_reports_are_bounded, 1 of 3 cases failed before). Also names the interval of the daemon's housekeeping after what it is for.

--- a/dragonflystack/entry/_quarantine.py
+++ b/dragonflystack/entry/_quarantine.py
@@ -173,14 +173,14 @@
     ) -> None:
         """Records another VM's report."""
         for cleared in report.cleared:
-            at = now - max(0, cleared.age_ms) * _MILLISECOND
+            at = _time_before(now, cleared.age_ms)
             key = (cleared.digest, cleared.caller)
             known = self._cleared_at.get(key)
             # Transit makes each hop's time a little later.
             if known is None or at > known + _ANNOUNCE_FOR:
                 self._clear(key, at)
         for told in report.ends:
-            at = now - max(0, told.age_ms) * _MILLISECOND
+            at = _time_before(now, told.age_ms)
             self._record(
                 (told.server, told.born),
                 (told.digest, told.caller),
@@ -465,6 +465,12 @@
         )
 
 
+def _time_before(now: datetime.timedelta, age_ms: int) -> datetime.timedelta:
+    """Returns the time of what a report says; ages may be out of range."""
+    longest_ms = _REMEMBER_FOR // _MILLISECOND
+    return now - min(max(0, age_ms), longest_ms) * _MILLISECOND
+
+
 def _moments(times: Iterable[datetime.timedelta]) -> int:
     """Counts times, those in quick succession once."""
     number = 0
--- a/dragonflystack/entry/tests/test_quarantine.py
+++ b/dragonflystack/entry/tests/test_quarantine.py
@@ -8,6 +8,7 @@
 
 from dragonflystack import entry
 from dragonflystack import ids
+from dragonflystack.entry import _quarantine
 from dragonflystack.entry.tests import builders
 
 _DEADLY = ids.RequestDigest("deadly")
@@ -362,6 +363,18 @@
     assert _send(fresh, _DEADLY, 6100)[0] == []
 
 
+@pytest.mark.parametrize("age_ms", [-1, 2**63, 10**15])
+def test_odd_ages_in_reports_are_bounded(age_ms):
+    """Guards against a datagram that raises in the receiver."""
+    vm = _vm()
+    end = _quarantine.ServerEnd(
+        ids.BackendServerId("s"), 1, _DEADLY, _CALLER, age_ms
+    )
+    clearance = _quarantine.Clearance(_DEADLY, _CALLER, age_ms)
+    report = entry.QuarantineReport((end,), (clearance,))
+    vm.dispatch.quarantine.on_report(report, builders.ms(1000))
+
+
 def test_report_fits_into_a_packet():
     """Guards against reports that are split or dropped on the way."""
     vm = _vm()
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -27,8 +27,8 @@
 _PERIOD_S = 0.1
 """Interval of the periodic work, and the longest delay of a log line."""
 
-_CLOSE_EXPIRED_EVERY = datetime.timedelta(seconds=1)
-"""Also the interval of the lines on regions."""
+_HOUSEKEEPING_EVERY = datetime.timedelta(seconds=1)
+"""Interval of the work that can wait: idle connections, lines on regions."""
 
 _CLOSE_BEFORE_KILL = datetime.timedelta(milliseconds=1_600)
 """The ports close this long before the end of the grace period. By then, the
@@ -148,7 +148,7 @@
     server: _server.Server,
 ) -> None:
     """Does the periodic work: timers, idle connections and log output."""
-    last_close_at = last_report_at = daemon.now()
+    last_housekeeping_at = last_report_at = daemon.now()
     while True:
         await anyio.sleep(_PERIOD_S)
         now = daemon.now()
@@ -161,8 +161,8 @@
         if now - last_report_at >= _REPORT_QUARANTINE_EVERY:
             last_report_at = now
             heartbeats.send_quarantine_reports()
-        if now - last_close_at >= _CLOSE_EXPIRED_EVERY:
-            last_close_at = now
+        if now - last_housekeeping_at >= _HOUSEKEEPING_EVERY:
+            last_housekeeping_at = now
             pool.close_expired()
             _log_region_shares(daemon, now)
             if daemon.vm.catalogue is not None:
