--- a/faultsoak/__main__.py
+++ b/faultsoak/__main__.py
@@ -85,7 +85,7 @@
         )
         for violation in report.violations:
             text = f"{violation.attempt} {violation.detail}"
-            print(f"  {violation.promise}: {text}"[:800], flush=True)
+            print(f"  {violation.promise}: {text}", flush=True)
     return 1 if broken else 0
 
 
