Survive a peer that resets a connection right after it opened

Now _bounded.request, by which the daemons ask the store and each other, raises httpcore.ConnectError for it, as its callers expect of connections that fail. Other AttributeErrors pass.

test_connection_that_is_reset_at_once_is_a_network_error failed before (AttributeError) and passes.

--- a/dragonflystack/_bounded.py
+++ b/dragonflystack/_bounded.py
@@ -6,6 +6,9 @@
 import anyio
 import httpcore
 
+_RESET_SIGN = "getpeername"
+"""The attribute that anyio fails to find on the missing socket."""
+
 
 class AnswerTooLargeError(httpcore.RemoteProtocolError):
     """The body is longer than allowed."""
@@ -61,6 +64,12 @@
         raise httpcore.ReadTimeout(
             f"no complete response within {longest}"
         ) from exc
+    except AttributeError as exc:
+        # httpcore asks a connection that it has opened for its properties, but
+        # anyio has no socket any more if the peer has reset it already.
+        if exc.name != _RESET_SIGN:
+            raise
+        raise httpcore.ConnectError("reset right after it opened") from exc
     whole = httpcore.Response(res.status, headers=res.headers, content=content)
     whole.read()
     return whole
--- a/dragonflystack/tests/test_bounded.py
+++ b/dragonflystack/tests/test_bounded.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import datetime
+from typing import Any
 
 import anyio
 import httpcore
@@ -85,3 +86,38 @@
 def test_endless_response_raises(prefix, repeated, pause_s, expected_error):
     with pytest.raises(expected_error):
         _request(prefix, repeated, pause_s)
+
+
+class _ResetStream(httpcore.AsyncNetworkStream):
+    """A connection that the peer reset right after it opened."""
+
+    async def aclose(self):
+        pass
+
+    def get_extra_info(self, info):
+        sock: Any = None
+        return sock.getpeername()
+
+
+class _ResettingBackend(httpcore.AsyncNetworkBackend):
+    async def connect_tcp(self, *args, **kwargs):
+        return _ResetStream()
+
+
+def test_connection_that_is_reset_at_once_is_a_network_error():
+    """Guards against a reset that ends the process (soak seed 4211)."""
+
+    async def scenario():
+        async with httpcore.AsyncConnectionPool(
+            network_backend=_ResettingBackend()
+        ) as pool:
+            with pytest.raises(httpcore.ConnectError):
+                await _bounded.request(
+                    pool,
+                    "GET",
+                    "http://127.0.0.1:9/",
+                    1000,
+                    datetime.timedelta(seconds=2),
+                )
+
+    anyio.run(scenario)
