--- a/faultsoak/_plan.py
+++ b/faultsoak/_plan.py
@@ -20,6 +20,9 @@
 _NEWEST_MEAN_GAP_S = 12.0
 """Between two returns of the store; bounds hold again in between."""
 
+_DEADLY_MEAN_GAP_S = 20.0
+"""Each such request takes three backend servers or more for some seconds."""
+
 
 class Fault(enum.Enum):
     """What can be done; planned work comes first."""
@@ -161,9 +164,7 @@
 
 _LIMITS = (Fault.SERVER_LIMITED,)
 _ODD = (Fault.ODD_ROWS,)
-_NOT_DRAWN = (Fault.DEADLY_REQUEST,)
-"""Kinds that only come in plans of their own."""
-
+_DEADLY = (Fault.DEADLY_REQUEST,)
 _DRAWN_APART = (
     *_LATER,
     *_LATEST,
@@ -172,7 +173,7 @@
     *_HOMES,
     *_LIMITS,
     *_ODD,
-    *_NOT_DRAWN,
+    *_DEADLY,
 )
 
 _OPERATIONS = (Fault.EVACUATE, Fault.CONFIG, *_HOMES)
@@ -218,6 +219,8 @@
     plan += _draw(limits, list(_LIMITS), _LATER_MEAN_GAP_S, seconds)
     odd = random.Random(f"{seed}, odd rows")
     plan += _draw(odd, list(_ODD), _LATER_MEAN_GAP_S, seconds)
+    deadly = random.Random(f"{seed}, deadly requests")
+    plan += _draw(deadly, list(_DEADLY), _DEADLY_MEAN_GAP_S, seconds)
     plan += _draw_rollouts(random.Random(f"{seed}, rollouts"), seconds)
     return sorted(plan, key=lambda action: action.at_s)
 
