--- a/dragonflystack/entry/tests/loads.py
+++ b/dragonflystack/entry/tests/loads.py
@@ -71,13 +71,6 @@
     """When the last region's first backend server is removed, None for
     never."""
 
-    departure_at_s: float | None = None
-    """When `departing` backend servers report that they leave, None for
-    never."""
-
-    departing: dict[str, int] = dataclasses.field(default_factory=dict)
-    """Number of departing backend servers in each region."""
-
     seconds: float = 20.0
     retries: int = 1
     seed: int = 1
@@ -246,7 +239,6 @@
         self._backends: dict[str, _Backend] = {}
         self._region_of: dict[str, str] = {}
         self.tally = Tally()
-        self._entries: list[entry.ServerEntry] = []
         self.vms = self._make_vms(settings)
 
     def simulate(self) -> Tally:
@@ -256,8 +248,6 @@
         self._at(0.0, self._beat)
         if self._load.loss_at_s is not None:
             self._at(self._load.loss_at_s * 1000, self._lose)
-        if self._load.departure_at_s is not None:
-            self._at(self._load.departure_at_s * 1000, self._depart)
         while self._events:
             now, _, run, args = heapq.heappop(self._events)
             if now > (self._load.seconds + 5) * 1000:
@@ -271,7 +261,7 @@
     def _make_vms(self, settings: entry.ChoiceSettings):
         load = self._load
         service = ids.ServiceId("service")
-        entries = self._entries
+        entries = []
         for region, number in load.servers.items():
             for i in range(number):
                 name = f"{region}-s{i}"
@@ -339,19 +329,6 @@
             for vm in group:
                 vm.on_listing(listing, 5, _ms(now))
 
-    def _depart(self, now: float) -> None:
-        departing = [
-            dataclasses.replace(server, leaving=True)
-            for region, number in self._load.departing.items()
-            for server in [e for e in self._entries if e.domain == region][
-                -number:
-            ]
-        ]
-        listing = entry.Listing(tuple(departing), (), whole=False, version=6)
-        for group in self.vms.values():
-            for vm in group:
-                vm.on_listing(listing, 6, _ms(now))
-
     def _beat(self, now: float) -> None:
         for group in self.vms.values():
             by_id = {vm.members.own.vm: vm for vm in group}
