--- a/review/standins.py
+++ b/review/standins.py
@@ -379,11 +379,13 @@
         self._waiting = 0
         self._slots = asyncio.Semaphore(slots)
         self._beats: asyncio.Task | None = None
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str) -> None:
         """Starts to listen and to register."""
-        server = await asyncio.start_server(self._serve, host, 0)
-        port = server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
         self._beats = asyncio.create_task(self._beat())
 
@@ -414,6 +416,13 @@
             self._beats.cancel()
         self.store.remove("servers", self.name)
 
+    def stop(self) -> None:
+        """Exits: stops to listen and closes all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.close()
+
     async def _beat(self) -> None:
         while True:
             self.register()
@@ -422,6 +431,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while (request := await read_message(reader)) is not None:
                 if not await self.handle(request, reader, writer):
@@ -429,6 +439,7 @@
         except OSError:
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def handle(
