--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,7 +1,6 @@
 """The store resets connections; the processes of entry VMs must live on."""
 
 import asyncio
-import contextlib
 import pathlib
 import random
 import sys
@@ -17,9 +16,10 @@
 _BACKENDS_PER_ZONE = 6
 _WORK_S = 0.05
 _DEADLINE_MS = 3_000
-_RESET_AT_S = 6.0
+_RESETS = 3
+_RESET_EVERY_S = 16.0
 _RESET_FOR_S = 8.0
-_END_AT_S = 18.0
+_END_AT_S = _RESETS * _RESET_EVERY_S + 3.0
 _MAX_ENDS = 2
 """Times that a process may end by itself."""
 
@@ -45,30 +45,8 @@
     ]
     for backend in backends:
         await backend.start("127.0.0.1")
-    tasks: list[asyncio.Task] = []
-    with standins.loopback_addresses(_VMS) as ips:
-        vms = [
-            standins.Vm(record, folder, f"edge-{n}", ip, list(_ZONES)[n % 2])
-            for n, ip in enumerate(ips)
-        ]
-        try:
-            for vm in vms:
-                vm.write_settings(f"127.0.0.1:{store.port}", ips, _ZONES)
-                vm.start()
-            try:
-                for vm in vms:
-                    await vm.wait_ready()
-            except TimeoutError:
-                record.add("a VM did not become ready")
-                return standins.COULD_NOT_RUN
-            tasks += [asyncio.create_task(vm.supervise()) for vm in vms]
-            return await _play(record, store, vms, backends, rng)
-        finally:
-            for task in tasks:
-                task.cancel()
-            for vm in vms:
-                vm.end()
-            store.end()
+    async with standins.fleet(record, folder, store, _ZONES, _VMS) as vms:
+        return await _play(record, store, vms, backends, rng)
 
 
 async def _play(
@@ -90,14 +68,15 @@
         for vm in vms
         for _ in range(_CALLERS_PER_VM)
     ]
-    await asyncio.sleep(_RESET_AT_S)
-    if standins.has_trouble():
-        record.add("the store resets its connections from now on")
-        store.start_resets()
-    await asyncio.sleep(_RESET_FOR_S)
-    if standins.has_trouble():
-        await store.stop_resets()
-        record.add("the store accepts connections")
+    for _ in range(_RESETS):
+        await asyncio.sleep(_RESET_EVERY_S - _RESET_FOR_S)
+        if standins.has_trouble():
+            record.add("the store resets its connections from now on")
+            store.start_resets()
+        await asyncio.sleep(_RESET_FOR_S)
+        if standins.has_trouble():
+            await store.stop_resets()
+            record.add("the store accepts connections")
     await asyncio.gather(*clients)
     return _judge(record, vms, callers, backends)
 
@@ -147,20 +126,5 @@
         record.add(f"{vm.name} wrote: {error}")
 
 
-def main() -> int:
-    """Returns 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    record = standins.Record(_FOLDER)
-    status = standins.COULD_NOT_RUN
-    try:
-        with (
-            standins.temporary_folder() as folder,
-            contextlib.suppress(OSError),
-        ):
-            status = asyncio.run(_run(pathlib.Path(folder), record))
-    finally:
-        record.write()
-    return status
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(standins.run_case(_FOLDER, _run))
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -101,41 +101,24 @@
     ]
     for backend in backends:
         await backend.start("127.0.0.1")
-    with standins.loopback_addresses(_VMS) as ips:
-        vms = [
-            standins.Vm(record, folder, f"edge-{n}", ip, list(_ZONES)[n % 2])
-            for n, ip in enumerate(ips)
+    async with standins.fleet(record, folder, store, _ZONES, _VMS) as vms:
+        await asyncio.sleep(2.0)
+        callers = standins.Callers(record, rng)
+        clients = [
+            (_Client(record, callers), vm, n < _LOST_PER_VM)
+            for vm in vms
+            for n in range(_CLIENTS_PER_VM)
         ]
-        try:
-            for vm in vms:
-                vm.write_settings(f"127.0.0.1:{store.port}", ips, _ZONES)
-                vm.start()
-            try:
-                for vm in vms:
-                    await vm.wait_ready()
-            except TimeoutError:
-                record.add("a VM did not become ready")
-                return standins.COULD_NOT_RUN
-            await asyncio.sleep(2.0)
-            callers = standins.Callers(record, rng)
-            clients = [
-                (_Client(record, callers), vm, n < _LOST_PER_VM)
-                for vm in vms
-                for n in range(_CLIENTS_PER_VM)
-            ]
-            tasks = [
-                asyncio.create_task(
-                    client.run(vm, is_lossy and standins.has_trouble())
-                )
-                for client, vm, is_lossy in clients
-            ]
-            await asyncio.wait(tasks, timeout=_END_AFTER_S)
-            for task in tasks:
-                task.cancel()
-            return _judge(record, [c for c, _, _ in clients], backends)
-        finally:
-            for vm in vms:
-                vm.end()
+        tasks = [
+            asyncio.create_task(
+                client.run(vm, is_lossy and standins.has_trouble())
+            )
+            for client, vm, is_lossy in clients
+        ]
+        await asyncio.wait(tasks, timeout=_END_AFTER_S)
+        for task in tasks:
+            task.cancel()
+        return _judge(record, [c for c, _, _ in clients], backends)
 
 
 def _judge(
@@ -162,20 +145,5 @@
     return standins.BROKEN if wrong else standins.HELD
 
 
-def main() -> int:
-    """Returns 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    record = standins.Record(_FOLDER)
-    status = standins.COULD_NOT_RUN
-    try:
-        with (
-            standins.temporary_folder() as folder,
-            contextlib.suppress(OSError),
-        ):
-            status = asyncio.run(_run(pathlib.Path(folder), record))
-    finally:
-        record.write()
-    return status
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(standins.run_case(_FOLDER, _run))
--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,9 @@
 
 import asyncio
 import base64
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import itertools
@@ -812,14 +815,86 @@
             await asyncio.sleep(0.1)
 
 
-@contextlib.contextmanager
-def loopback_addresses(number: int):
-    """Yields loopback addresses that no other run on this machine uses."""
+def _loopback_addresses(number: int) -> list[str]:
+    """Returns loopback addresses that no other run is likely to use."""
     rng = random.SystemRandom()
     base = f"127.{rng.randint(2, 250)}.{rng.randint(2, 250)}"
-    yield [f"{base}.{10 + index}" for index in range(number)]
-
-
-def temporary_folder() -> tempfile.TemporaryDirectory:
-    """Returns a folder for settings and logs, removed when the case ends."""
-    return tempfile.TemporaryDirectory(prefix="review-")
+    return [f"{base}.{10 + index}" for index in range(number)]
+
+
+class NotReadyError(Exception):
+    """A VM did not become ready in time."""
+
+
+@contextlib.asynccontextmanager
+async def fleet(
+    record: Record,
+    folder: pathlib.Path,
+    store: Store,
+    zones: dict[str, str],
+    number: int,
+) -> AsyncIterator[list[Vm]]:
+    """Runs entry VMs, and starts again those that end by themselves.
+
+    Args:
+        record: where starts and ends are recorded.
+        folder: where settings and logs are written.
+        store: the store of the VMs.
+        zones: the region of each zone; VMs are placed in them by turns.
+        number: how many VMs.
+
+    Yields:
+        The VMs, all of them ready.
+
+    Raises:
+        NotReadyError: if a VM does not become ready in time.
+    """
+    names = list(zones)
+    ips = _loopback_addresses(number)
+    vms = [
+        Vm(record, folder, f"edge-{n}", ip, names[n % len(names)])
+        for n, ip in enumerate(ips)
+    ]
+    supervisors: list[asyncio.Task] = []
+    try:
+        for vm in vms:
+            vm.write_settings(f"127.0.0.1:{store.port}", ips[:3], zones)
+            vm.start()
+        for vm in vms:
+            await vm.wait_ready()
+        supervisors += [asyncio.create_task(vm.supervise()) for vm in vms]
+        yield vms
+    except TimeoutError as exc:
+        raise NotReadyError from exc
+    finally:
+        for task in supervisors:
+            task.cancel()
+        for vm in vms:
+            vm.end()
+        store.end()
+
+
+Case = Callable[[pathlib.Path, Record], Awaitable[int]]
+"""Plays a case with a temporary folder and a record; returns its result."""
+
+
+def run_case(folder: pathlib.Path, case: Case) -> int:
+    """Plays a case and writes its record.
+
+    Returns:
+        1 if the rule was broken, 0 if it held, 2 if the case could not run.
+    """
+    record = Record(folder)
+
+    async def play() -> int:
+        with tempfile.TemporaryDirectory(prefix="review-") as temporary:
+            return await case(pathlib.Path(temporary), record)
+
+    status = COULD_NOT_RUN
+    try:
+        status = asyncio.run(play())
+    except (OSError, NotReadyError) as exc:
+        record.add(f"the case could not run: {exc!r}")
+    finally:
+        record.write()
+    return status
