--- a/review/standins.py
+++ b/review/standins.py
@@ -17,6 +17,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import struct
 import subprocess
@@ -382,13 +383,18 @@
         self._waiting = 0
         self._slots = asyncio.Semaphore(slots)
         self._beats: asyncio.Task | None = None
+        self._listener = socket.socket()
+        self._fillers: list[socket.socket] = []
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str) -> None:
         """Starts to listen and to register."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
-        port = self._server.sockets[0].getsockname()[1]
+        self._listener = socket.create_server((host, 0), backlog=512)
+        port = self._listener.getsockname()[1]
+        self._server = await asyncio.start_server(
+            self._serve, sock=self._listener.dup()
+        )
         self.address = f"{host}:{port}"
         self._beats = asyncio.create_task(self._beat())
 
@@ -421,11 +427,34 @@
 
     def stop(self) -> None:
         """Exits: stops to listen and closes all connections."""
-        if self._server is not None:
-            self._server.close()
+        self._stop_listening()
         for writer in tuple(self._writers):
             writer.close()
 
+    def reset(self) -> None:
+        """Stops to listen and resets all connections."""
+        self._stop_listening()
+        for writer in tuple(self._writers):
+            reset(writer)
+
+    def go_dark(self) -> None:
+        """Stops to accept connections, as a host without power."""
+        if self._server is not None:
+            self._server.close()
+        self._listener.listen(0)
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._listener.getsockname())
+            self._fillers.append(filler)
+
+    def _stop_listening(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        self._listener.close()
+        for filler in self._fillers:
+            filler.close()
+
     async def _beat(self) -> None:
         while True:
             self.register()
@@ -887,13 +916,18 @@
     record = Record(folder)
 
     async def play() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             return await case(pathlib.Path(temporary), record)
 
     status = COULD_NOT_RUN
     try:
         status = asyncio.run(play())
-    except (OSError, NotReadyError) as exc:
+    except (OSError, NotReadyError, asyncio.CancelledError) as exc:
         record.add(f"the case could not run: {exc!r}")
     finally:
         record.write()
