--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Exits with 1 if DRAIN was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if MIXED was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" && exec python3 run.py
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,7 +1,6 @@
-"""A grey backend server runs orders and answers 503; no order runs twice."""
+"""A backend server leaves; an older write of its row takes effect later."""
 
 import asyncio
-import collections
 import pathlib
 import random
 import sys
@@ -14,76 +13,26 @@
 _ZONES = {"muc-nord": "oberbayern", "muc-sued": "oberbayern"}
 _VMS = 3
 _CALLERS_PER_VM = 4
-_BACKENDS_PER_ZONE = 4
+_BACKENDS_PER_ZONE = 3
 _WORK_S = 0.2
 _DEADLINE_MS = 1_500
-_GREY_AT_S = 4.0
-_GREY_FOR_S = 6.5
-_FAILED_PART = 0.45
-_END_AT_S = 14.0
-_MIN_RUNS = 50
-_PROMISES = (408, 421, 429, 503)
-"""Statuses that promise that a request has not run."""
-
-_ROUTE = standins.Route("order", "/puka111/", "wuno96b", False, 1.5, 0.3)
-
+_LOST_AT_S = 4.0
+_LOST_FOR_S = 4.5
+"""The disruption of the store: answers to writes are lost."""
 
-class _GreyBackend(standins.Backend):
-    """Fails part of the requests that it has run; its health check is good."""
+_LATE_S = 6.0
+"""The longest time after which a write without an answer takes effect."""
 
-    failed_part = 0.0
-    rng = random.Random(3)
-
-    async def send(
-        self,
-        writer: asyncio.StreamWriter,
-        status: int,
-        headers: dict[str, str],
-        body: bytes = b"",
-    ) -> bool:
-        """Sends an answer; for some runs with status 503.
-
-        The answer has no `X-Not-Executed`, since the request was run.
-        """
-        is_run = "X-Server-Seal" in headers
-        if is_run and self.rng.random() < self.failed_part:
-            attempt = headers["X-Attempt-Id"]
-            self.record.add(f"{self.name} answers 503 to {attempt}")
-            status = 503
-        return await super().send(writer, status, headers, body)
+_STABLE_S = 4.0
+_DRAIN_S = 2.5
+_SERVES_ON_S = 8.0
+"""How long the backend server serves on after its row is removed."""
 
+_LAPSE_S = 3 * standins.HEARTBEAT_S
+_END_AT_S = 24.0
+_MIN_RUNS = 50
 
-async def _order(
-    record: standins.Record,
-    callers: standins.Callers,
-    vms: list[standins.Vm],
-    rng: random.Random,
-    orders: dict[str, list[standins.Attempt]],
-    until: float,
-) -> None:
-    """Places orders; each is tried once more after a promise."""
-    while record.now() < until:
-        order = f"{rng.getrandbits(32):08x}"
-        for _ in range(2):
-            vm = rng.choice(vms)
-            reader, writer = await asyncio.open_connection(
-                vm.ip, standins.FRONT_PORT
-            )
-            attempt = await callers.send(
-                reader,
-                writer,
-                vm.name,
-                "POST",
-                f"/puka111/{order}",
-                _DEADLINE_MS,
-                order.encode(),
-            )
-            writer.close()
-            orders[order].append(attempt)
-            if attempt.status not in _PROMISES:
-                break
-            await asyncio.sleep(float(attempt.headers.get("retry-after", 0.1)))
-        await asyncio.sleep(0.05)
+_ROUTE = standins.Route("order", "/puka111/", "wuno96b", False, 1.5, 0.3)
 
 
 async def _run(folder: pathlib.Path, record: standins.Record) -> int:
@@ -92,60 +41,86 @@
     await store.start("127.0.0.1")
     store.put("op", "config", standins.config(7, [_ROUTE]))
     backends = [
-        _GreyBackend(record, store, f"i-{zone}-{n}", "wuno96b", zone, _WORK_S)
+        standins.Backend(
+            record, store, f"i-{zone}-{n}", "wuno96b", zone, _WORK_S
+        )
         for zone in _ZONES
         for n in range(_BACKENDS_PER_ZONE)
     ]
     for backend in backends:
         await backend.start("127.0.0.1")
     async with standins.fleet(record, folder, store, _ZONES, _VMS) as vms:
-        callers = standins.Callers(record, rng)
-        orders: dict[str, list[standins.Attempt]] = collections.defaultdict(
-            list
-        )
-        until = record.now() + _END_AT_S
-        clients = [
-            asyncio.create_task(
-                _order(record, callers, vms, rng, orders, until)
+        return await _play(record, store, vms, backends, rng)
+
+
+async def _play(
+    record: standins.Record,
+    store: standins.Store,
+    vms: list[standins.Vm],
+    backends: list[standins.Backend],
+    rng: random.Random,
+) -> int:
+    callers = standins.Callers(record, rng)
+    until = record.now() + _END_AT_S
+    clients = [
+        asyncio.create_task(
+            callers.keep_sending(
+                vm.ip, vm.name, "POST", "/puka111/2f", _DEADLINE_MS, 0.1, until
             )
-            for _ in range(_VMS * _CALLERS_PER_VM)
-        ]
-        await asyncio.sleep(_GREY_AT_S)
-        if standins.has_trouble():
-            record.add(f"{backends[0].name} turns grey")
-            backends[0].failed_part = _FAILED_PART
-        await asyncio.sleep(_GREY_FOR_S)
-        backends[0].failed_part = 0.0
-        await asyncio.gather(*clients)
-        return _judge(record, orders, backends)
+        )
+        for vm in vms
+        for _ in range(_CALLERS_PER_VM)
+    ]
+    leaver = backends[0]
+    await asyncio.sleep(_LOST_AT_S + _LOST_FOR_S - 0.1)
+    # Its answer is lost; the backend server writes again at its next heartbeat.
+    late_write = leaver.entry()
+    late_at = record.now() + _LATE_S
+    if standins.has_trouble():
+        record.add(f"a write of the row of {leaver.name} gets no answer")
+    await asyncio.sleep(0.1)
+    record.add("the store's disruption ends")
+    await asyncio.sleep(_STABLE_S + 0.1)
+    leaver.leave()
+    gone_at = record.now()
+    record.add(f"the row of {leaver.name} is removed, acknowledged")
+    await asyncio.sleep(late_at - record.now())
+    if standins.has_trouble():
+        store.put("servers", leaver.name, late_write)
+        record.add(f"the older write of {leaver.name} takes effect")
+    await asyncio.sleep(gone_at + _SERVES_ON_S - record.now())
+    leaver.stop()
+    record.add(f"{leaver.name} exits")
+    await asyncio.sleep(late_at + _LAPSE_S - record.now())
+    store.remove("servers", leaver.name)
+    await asyncio.gather(*clients)
+    return _judge(record, callers, backends, leaver, gone_at)
 
 
 def _judge(
     record: standins.Record,
-    orders: dict[str, list[standins.Attempt]],
+    callers: standins.Callers,
     backends: list[standins.Backend],
+    leaver: standins.Backend,
+    gone_at: float,
 ) -> int:
-    runs = collections.Counter(
-        run.attempt for backend in backends for run in backend.runs
-    )
-    if sum(runs.values()) < _MIN_RUNS:
+    if sum(len(backend.runs) for backend in backends) < _MIN_RUNS:
         record.add("too few requests ran")
         return standins.COULD_NOT_RUN
-    broken = 0
-    for order, attempts in orders.items():
-        for attempt in attempts:
-            if attempt.status in _PROMISES and runs[attempt.id]:
-                broken += 1
-                record.add(
-                    f"{attempt.id} has run and its caller is told"
-                    f" {attempt.status}"
-                )
-        total = sum(runs[attempt.id] for attempt in attempts)
-        if total > 1:
-            record.add(f"order {order} ran {total} times")
-    record.add(f"{broken} false promises")
-    record.add("REFUSED broken" if broken else "REFUSED held")
-    return standins.BROKEN if broken else standins.HELD
+    vm_of = {attempt.id: attempt.vm for attempt in callers.attempts}
+    late = [
+        (at, attempt)
+        for at, attempt in leaver.arrivals
+        if at > gone_at + _DRAIN_S
+    ]
+    for at, attempt in late:
+        record.add(
+            f"{attempt} reached {leaver.name} from {vm_of.get(attempt)}"
+            f" {at - gone_at:.3f} s after its row was removed"
+        )
+    record.add(f"{len(late)} requests came too late")
+    record.add("DRAIN broken" if late else "DRAIN held")
+    return standins.BROKEN if late else standins.HELD
 
 
 if __name__ == "__main__":
