--- a/review/1/run.py
+++ b/review/1/run.py
@@ -9,7 +9,7 @@
 
 import standins
 
-_FOLDER = pathlib.Path(__file__).resolve().parent
+_RECORD = pathlib.Path(__file__).resolve().parent / "record.txt"
 _ZONES = {"muc-nord": "oberbayern", "muc-sued": "oberbayern"}
 _VMS = 10
 _CALLERS_PER_VM = 4
@@ -127,4 +127,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.run_case(_FOLDER, _run))
+    sys.exit(standins.run_case(_RECORD, _run))
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -10,7 +10,7 @@
 
 import standins
 
-_FOLDER = pathlib.Path(__file__).resolve().parent
+_RECORD = pathlib.Path(__file__).resolve().parent / "record.txt"
 _ZONES = {"muc-nord": "oberbayern", "muc-sued": "oberbayern"}
 _VMS = 4
 _CALLERS_PER_VM = 12
@@ -237,4 +237,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(standins.run_case(_FOLDER, _run))
+    sys.exit(standins.run_case(_RECORD, _run))
--- a/review/standins.py
+++ b/review/standins.py
@@ -72,9 +72,9 @@
 class Record:
     """What was sent, answered and run, with the time since the start."""
 
-    def __init__(self, folder: pathlib.Path):
-        self._lines: list[str] = []
-        self._path = folder / "record.txt"
+    def __init__(self, path: pathlib.Path):
+        """Starts a new file; each line is written at once."""
+        self._file = path.open("w", buffering=1)
         self.started_at = time.monotonic()
 
     def now(self) -> float:
@@ -82,12 +82,12 @@
         return time.monotonic() - self.started_at
 
     def add(self, text: str) -> None:
-        """Adds a line."""
-        self._lines.append(f"{self.now():8.3f} {text}")
+        """Writes a line."""
+        self._file.write(f"{self.now():8.3f} {text}\n")
 
-    def write(self) -> None:
-        """Writes all lines to `record.txt`."""
-        self._path.write_text("\n".join(self._lines) + "\n")
+    def close(self) -> None:
+        """Closes the file."""
+        self._file.close()
 
 
 # HTTP.
@@ -907,13 +907,17 @@
 """Plays a case with a temporary folder and a record; returns its result."""
 
 
-def run_case(folder: pathlib.Path, case: Case) -> int:
+def run_case(record_path: pathlib.Path, case: Case) -> int:
     """Plays a case and writes its record.
 
+    Args:
+        record_path: the file `record.txt` of the case.
+        case: the case.
+
     Returns:
         1 if the rule was broken, 0 if it held, 2 if the case could not run.
     """
-    record = Record(folder)
+    record = Record(record_path)
 
     async def play() -> int:
         task = asyncio.current_task()
@@ -930,5 +934,5 @@
     except (OSError, NotReadyError, asyncio.CancelledError) as exc:
         record.add(f"the case could not run: {exc!r}")
     finally:
-        record.write()
+        record.close()
     return status
