Keep serving after unexpected errors in background loops (FAULT)

Also: SIGHUP in the first 0.2 s ended the process.

Cause: a loop that syncs with the store foresaw the errors that httpcore documents. Any other one (here AttributeError, as anyio has no socket any more) ended the task group and the process. The guard in _bounded.py compared the name of the missing attribute, and knew one name of two.

Ruled out: other answers of the store.

Conclusion: the guard is where the libraries are called and does not depend on which error they raise.

--- a/dragonflystack/_bounded.py
+++ b/dragonflystack/_bounded.py
@@ -1,19 +1,50 @@
 """Reads complete HTTP responses with limits on their size and duration."""
 
+from collections.abc import Iterator
+import contextlib
 import datetime
 from typing import Any
 
 import anyio
 import httpcore
 
-_RESET_SIGN = "getpeername"
-"""The attribute that anyio fails to find on the missing socket."""
+_DOCUMENTED_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.ConnectionNotAvailable,
+)
 
 
 class AnswerTooLargeError(httpcore.RemoteProtocolError):
     """The body is longer than allowed."""
 
 
+@contextlib.contextmanager
+def only_documented_errors() -> Iterator[None]:
+    """Raises unexpected errors of the HTTP libraries as network errors.
+
+    The libraries do not foresee every state of a connection, and each error
+    that a caller does not expect could end the process.
+
+    Raises:
+        httpcore.ConnectError: if the peer reset the connection right after it
+            opened; nothing was sent.
+        httpcore.NetworkError: if another unexpected error occurred; the request
+            may have been sent.
+    """
+    try:
+        yield
+    except _DOCUMENTED_ERRORS:
+        raise
+    except Exception as exc:
+        if isinstance(exc, AttributeError) and exc.obj is None:
+            # httpcore uses the socket of a connection that it has opened, but
+            # anyio has none any more if the peer has reset it already.
+            raise httpcore.ConnectError("reset right after it opened") from exc
+        raise httpcore.NetworkError(f"{type(exc).__name__}: {exc}") from exc
+
+
 async def read(res: httpcore.Response, limit_bytes: int) -> bytes:
     """Returns the complete body of a response that is being received.
 
@@ -57,19 +88,16 @@
         httpcore.TimeoutException: if a timeout expired.
     """
     try:
-        with anyio.fail_after(longest.total_seconds()):
+        with (
+            anyio.fail_after(longest.total_seconds()),
+            only_documented_errors(),
+        ):
             async with pool.stream(method, url, **options) as res:
                 content = await read(res, limit_bytes)
     except TimeoutError as exc:
         raise httpcore.ReadTimeout(
             f"no complete response within {longest}"
         ) from exc
-    except AttributeError as exc:
-        # httpcore asks a connection that it has opened for its properties, but
-        # anyio has no socket any more if the peer has reset it already.
-        if exc.name != _RESET_SIGN:
-            raise
-        raise httpcore.ConnectError("reset right after it opened") from exc
     whole = httpcore.Response(res.status, headers=res.headers, content=content)
     whole.read()
     return whole
--- a/dragonflystack/daemon/_exchange.py
+++ b/dragonflystack/daemon/_exchange.py
@@ -52,14 +52,15 @@
         BROKEN_ERRORS: it broke off, its framing is wrong, or it is too long.
     """
     headers = [*call.headers, (b"content-length", b"%d" % len(call.body))]
-    async with conn.stream(
-        call.method,
-        call.url,
-        headers=headers,
-        content=call.body,
-        extensions=_TIMEOUTS,
-    ) as res:
-        body = await _bounded.read(res, limit_bytes)
+    with _bounded.only_documented_errors():
+        async with conn.stream(
+            call.method,
+            call.url,
+            headers=headers,
+            content=call.body,
+            extensions=_TIMEOUTS,
+        ) as res:
+            body = await _bounded.read(res, limit_bytes)
     return _answer(call.method, res, body)
 
 
--- a/dragonflystack/daemon/_health.py
+++ b/dragonflystack/daemon/_health.py
@@ -16,9 +16,11 @@
 
 _PATH = "/health"
 _POLL = datetime.timedelta(seconds=1)
-_TIMEOUT_S = 0.8
+_TIMEOUT = datetime.timedelta(milliseconds=800)
 _TIMEOUTS = {
-    "timeout": dict.fromkeys(("connect", "read", "write", "pool"), _TIMEOUT_S)
+    "timeout": dict.fromkeys(
+        ("connect", "read", "write", "pool"), _TIMEOUT.total_seconds()
+    )
 }
 _MAX_BODY_BYTES = 65_536
 
@@ -79,13 +81,18 @@
 async def _read(pool: httpcore.AsyncConnectionPool, url: str) -> bytes | None:
     """Returns a body of bounded size, None if there was no good answer."""
     try:
-        async with pool.stream("GET", url, extensions=_TIMEOUTS) as res:
-            if res.status != 200:
-                return None
-            return await _bounded.read(res, _MAX_BODY_BYTES)
+        res = await _bounded.request(
+            pool,
+            "GET",
+            url,
+            _MAX_BODY_BYTES,
+            2 * _TIMEOUT,
+            extensions=_TIMEOUTS,
+        )
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
         httpcore.TimeoutException,
     ):
         return None
+    return res.content if res.status == 200 else None
--- a/dragonflystack/daemon/_peers_reach.py
+++ b/dragonflystack/daemon/_peers_reach.py
@@ -15,6 +15,7 @@
 import httpcore
 
 from dragonflystack import _asgi
+from dragonflystack import _bounded
 from dragonflystack import clock
 from dragonflystack import ids
 from dragonflystack import membership
@@ -215,11 +216,17 @@
         url = f"{self._scheme}://{ask.to.host}:{ask.to.port}{EXCHANGE_PATH}"
         data = _peer_codec.encode_request(ask.request)
         try:
-            async with self._pool.stream("POST", url, content=data) as res:
-                body = await _read(res)
+            res = await _bounded.request(
+                self._pool,
+                "POST",
+                url,
+                _MAX_MESSAGE_BYTES,
+                self._cfg.ask_timeout,
+                content=data,
+            )
             if res.status != _OK:
                 return None
-            return _peer_codec.decode_response(body)
+            return _peer_codec.decode_response(res.content)
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -245,14 +252,3 @@
     async def _adopt(self, action: membership.Adopt) -> None:
         version = await self._hooks.adopt(action)
         self.do(lambda now: self.node.on_in_force(version, now))
-
-
-async def _read(res: httpcore.Response) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    async for part in res.aiter_stream():
-        size += len(part)
-        if size > _MAX_MESSAGE_BYTES:
-            raise _peer_codec.MalformedMessageError("response too large")
-        parts.append(part)
-    return b"".join(parts)
--- a/dragonflystack/daemon/_run.py
+++ b/dragonflystack/daemon/_run.py
@@ -1,6 +1,9 @@
 """The life of a daemon: start, serve, graceful shutdown."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import datetime
+import functools
 import random
 import signal
 import uuid
@@ -11,6 +14,7 @@
 
 from dragonflystack import _asgi
 from dragonflystack import _server
+from dragonflystack import _supervision
 from dragonflystack import clock
 from dragonflystack import config
 from dragonflystack import ids
@@ -74,11 +78,7 @@
             async with anyio.create_task_group() as servers:
                 for port in ports:
                     servers.start_soon(port.serve)
-                loops.start_soon(configuration.run)
-                loops.start_soon(
-                    _vouching.run, node, configuration, forwarder.peers
-                )
-                _start_loops(loops, node, forwarder)
+                _start_loops(loops, node, forwarder, configuration)
                 eliot.log_message("daemon_started", callers=str(cfg.callers))
                 await node.stop_requested.wait()
                 await _leave(node, forwarder, configuration)
@@ -118,22 +118,45 @@
     loops: anyio.abc.TaskGroup,
     node: _node.Node,
     forwarder: _forwarding.Forwarder,
+    configuration: _configuration.Configuration,
 ) -> None:
+    partial = functools.partial
+    runs: dict[str, Callable[[], Awaitable[None]]] = {
+        "configuration": configuration.run,
+        "vouching": partial(
+            _vouching.run, node, configuration, forwarder.peers
+        ),
+        "members": partial(_members.run, node),
+        "promise-reports": partial(_promise_reports.run, node),
+        "steering-ticks": partial(_steering.run_ticks, node, forwarder.pools),
+        "steering-reports": partial(
+            _steering.run_reports, node, forwarder.peers
+        ),
+        "blocks": partial(_steering.run_blocks, node),
+        "metrics": node.metrics.run,
+        "forwarding": forwarder.run,
+        "health": partial(
+            _health.run,
+            forwarder.pools.owned,
+            forwarder.pools.on_health,
+            node.clock,
+        ),
+    }
     if node.tls is not None:
-        loops.start_soon(_reload_keys, node.tls)
-    loops.start_soon(_members.run, node)
-    loops.start_soon(_promise_reports.run, node)
-    loops.start_soon(_steering.run_ticks, node, forwarder.pools)
-    loops.start_soon(_steering.run_reports, node, forwarder.peers)
-    loops.start_soon(_steering.run_blocks, node)
-    loops.start_soon(node.metrics.run)
-    loops.start_soon(forwarder.run)
-    loops.start_soon(
-        _health.run,
-        forwarder.pools.owned,
-        forwarder.pools.on_health,
-        node.clock,
-    )
+        runs["keys"] = partial(_reload_keys, node.tls)
+    for name, run_loop in runs.items():
+        loops.start_soon(_keep_running, name, run_loop)
+
+
+async def _keep_running(
+    name: str, run_loop: Callable[[], Awaitable[None]]
+) -> None:
+    """Runs a background loop; logs its errors and restarts it."""
+
+    def on_error(reason: str, trace: str) -> None:
+        eliot.log_message("loop_failed", loop=name, reason=reason, trace=trace)
+
+    await _supervision.keep_running(run_loop, on_error)
 
 
 async def _reload_keys(tls: _peer_tls.PeerTls) -> None:
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -11,6 +11,7 @@
     STOPPED = "stopped"
     SETTINGS_RELOADED = "settings-reloaded"
     SETTINGS_REFUSED = "settings-refused"
+    LOOP_FAILED = "loop-failed"
     DEPENDENCY_LOST = "dependency-lost"
     DEPENDENCY_REGAINED = "dependency-regained"
     CATALOGUE_ADOPTED = "catalogue-adopted"
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -1,5 +1,6 @@
 """Runs an entry daemon: start, serving and graceful shutdown."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import datetime
@@ -9,6 +10,7 @@
 
 from dragonflystack import _asgi
 from dragonflystack import _server
+from dragonflystack import _supervision
 from dragonflystack import entry
 from dragonflystack.entryd import _apply
 from dragonflystack.entryd import _callers_port
@@ -60,8 +62,8 @@
         daemon: the state of the process.
         platform: the platform's store.
         apps: the apps of the readiness and directory ports.
-        reload_bounds: reads the settings again; raises OSError or ValueError
-            if they cannot be used.
+        reload_bounds: reads the settings again; raises an exception if they
+            cannot be used.
     """
     cfg = daemon.settings
     daemon.event_log.start(vm=cfg.vm)
@@ -101,14 +103,21 @@
     ports: tuple[_server.Server, ...],
 ) -> None:
     """Serves until a stop is requested, then shuts down gracefully."""
+
+    async def run_periodic() -> None:
+        await _run_periodic(daemon, pool, heartbeats, ports[0])
+
     async with anyio.create_task_group() as loops:
-        loops.start_soon(_run_periodic, daemon, pool, heartbeats, ports[0])
-        loops.start_soon(store_sync.run_operators)
-        loops.start_soon(store_sync.run_servers)
-        loops.start_soon(store_sync.run_registration)
-        loops.start_soon(replication_client.run)
-        loops.start_soon(heartbeats.run)
-        loops.start_soon(_probes.Prober(daemon, pool).run)
+        for name, run_loop in (
+            ("periodic", run_periodic),
+            ("operators", store_sync.run_operators),
+            ("servers", store_sync.run_servers),
+            ("registration", store_sync.run_registration),
+            ("replication", replication_client.run),
+            ("heartbeats", heartbeats.run),
+            ("probes", _probes.Prober(daemon, pool).run),
+        ):
+            loops.start_soon(_keep_running, daemon, name, run_loop)
         async with anyio.create_task_group() as servers:
             for port in ports:
                 servers.start_soon(port.serve)
@@ -117,6 +126,20 @@
         loops.cancel_scope.cancel()
 
 
+async def _keep_running(
+    daemon: _daemon.Daemon, name: str, run_loop: Callable[[], Awaitable[None]]
+) -> None:
+    """Runs a background loop; logs its errors and restarts it."""
+
+    def on_error(reason: str, trace: str) -> None:
+        daemon.metrics.count("loop-failures", loop=name)
+        daemon.log_event(
+            _events.Event.LOOP_FAILED, loop=name, reason=reason, trace=trace
+        )
+
+    await _supervision.keep_running(run_loop, on_error)
+
+
 def _make_ports(
     daemon: _daemon.Daemon, pool: _connections.Pool, apps: Apps
 ) -> tuple[_server.Server, ...]:
@@ -202,13 +225,22 @@
 async def _handle_signals(
     daemon: _daemon.Daemon, reload_bounds: Callable[[], entry.FleetBounds]
 ) -> None:
+    """Reloads the bounds at SIGHUP and stops at SIGTERM or SIGINT.
+
+    A process may be started with SIGHUP blocked, so that the signal does not
+    end it while it is not handled yet, or not any more.
+    """
     numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*numbers) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                _reload(daemon, reload_bounds)
-            else:
-                daemon.stop_requested.set()
+        mask = signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        try:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    _reload(daemon, reload_bounds)
+                else:
+                    daemon.stop_requested.set()
+        finally:
+            signal.pthread_sigmask(signal.SIG_SETMASK, mask)
 
 
 def _reload(
@@ -216,8 +248,10 @@
 ) -> None:
     try:
         bounds = reload_bounds()
-    except (OSError, ValueError) as exc:
-        daemon.log_event(_events.Event.SETTINGS_REFUSED, reason=str(exc))
+    except Exception as exc:
+        # A settings file that cannot be used must not end the process.
+        reason = f"{type(exc).__name__}: {exc}"
+        daemon.log_event(_events.Event.SETTINGS_REFUSED, reason=reason)
         return
     changed = bounds != daemon.vm.bounds
     daemon.vm.on_bounds(bounds)
--- a/dragonflystack/entryd/tests/test_daemon.py
+++ b/dragonflystack/entryd/tests/test_daemon.py
@@ -2,6 +2,7 @@
 
 import anyio
 import httpcore
+import pytest
 
 from dragonflystack.entryd.tests import daemons
 
@@ -105,3 +106,37 @@
             assert (await daemons.get(pool, daemon, left_ms=500)).status == 200
 
     daemons.run_scenario(scenario)
+
+
+# Guards against an unexpected error of the store's client that ends the process
+# and the requests in flight (review/1).
+@pytest.mark.parametrize(
+    "call",
+    [
+        "read_operators",
+        "read_servers",
+        "watch_operators",
+        "watch_servers",
+        "register",
+        "list_vms",
+    ],
+)
+def test_unexpected_error_in_a_loop_ends_no_request(call):
+    async def scenario(platform, backend):
+        works = getattr(platform, call)
+        calls = []
+
+        async def fail_once(*args):
+            calls.append(args)
+            if len(calls) == 1:
+                raise AttributeError("no socket")
+            return await works(*args)
+
+        setattr(platform, call, fail_once)
+        backend.delay_s = 1.5
+        async with daemons.serving_daemon(platform) as (pool, daemon):
+            assert (await daemons.get(pool, daemon)).status == 200
+            await daemons.until(lambda: len(calls) > 1)
+            assert b"loop_failures" in daemon.metrics.render()
+
+    daemons.run_scenario(scenario)
--- a/dragonflystack/storage/_http.py
+++ b/dragonflystack/storage/_http.py
@@ -7,11 +7,13 @@
 
 import datetime
 from typing import Any
+from typing import TypeVar
 import urllib.parse
 
 import httpcore
 import msgspec
 
+from dragonflystack import _bounded
 from dragonflystack import outcomes
 from dragonflystack.storage import _ports
 
@@ -20,6 +22,12 @@
 _NOT_FOUND = 404
 _CONFLICT = 409
 
+_MAX_ANSWER_BYTES = 67_108_864
+_MAX_TRANSFER = datetime.timedelta(seconds=30)
+"""Limit on receiving a whole answer, in addition to the client's timeout."""
+
+_Decoded = TypeVar("_Decoded")
+
 CONNECT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
@@ -64,6 +72,7 @@
             pool: the connections to use.
         """
         self._base_url = base_url
+        self._longest = timeout + _MAX_TRANSFER
         seconds = timeout.total_seconds()
         self._extensions = {
             "timeout": dict.fromkeys(
@@ -89,7 +98,8 @@
         res = await self._get(f"/tables/{table}/{key}")
         if not isinstance(res, httpcore.Response):
             return res
-        return _row(msgspec.json.decode(res.content, type=_RowBody))
+        body = _decode(res, _RowBody)
+        return _row(body) if isinstance(body, _RowBody) else body
 
     async def scan(
         self, table: str
@@ -100,7 +110,9 @@
             return ()
         if not isinstance(res, httpcore.Response):
             return res
-        bodies = msgspec.json.decode(res.content, type=list[_RowBody])
+        bodies = _decode(res, list[_RowBody])
+        if isinstance(bodies, _ports.Unavailable):
+            return bodies
         return tuple(_row(body) for body in bodies)
 
     async def write(self, *writes: _ports.Write) -> _ports.WriteResult:
@@ -115,7 +127,9 @@
         if res.status == _OK:
             return _ports.Committed()
         if res.status == _CONFLICT:
-            body = msgspec.json.decode(res.content, type=_ConflictBody)
+            body = _decode(res, _ConflictBody)
+            if isinstance(body, _ports.Unavailable):
+                return _ports.Unsure(body.failure)
             return _ports.Conflict(body.table, body.key)
         return _ports.Unavailable(status_failure(res))
 
@@ -144,7 +158,7 @@
             return ()
         if not isinstance(res, httpcore.Response):
             return res
-        return msgspec.json.decode(res.content, type=tuple[str, ...])
+        return _decode(res, tuple[str, ...])
 
     async def list_vms(
         self,
@@ -155,9 +169,7 @@
             return ()
         if not isinstance(res, httpcore.Response):
             return res
-        return msgspec.json.decode(
-            res.content, type=tuple[_ports.ListedVm, ...]
-        )
+        return _decode(res, tuple[_ports.ListedVm, ...])
 
     async def aclose(self) -> None:
         """Closes all connections."""
@@ -180,14 +192,27 @@
     async def _request(
         self, method: str, path: str, content: bytes | None
     ) -> httpcore.Response:
-        return await self._pool.request(
+        return await _bounded.request(
+            self._pool,
             method,
             self._base_url + path,
+            _MAX_ANSWER_BYTES,
+            self._longest,
             content=content,
             extensions=self._extensions,
         )
 
 
+def _decode(
+    res: httpcore.Response, kind: type[_Decoded]
+) -> _Decoded | _ports.Unavailable:
+    """Returns the decoded body of an answer, a failure if it is malformed."""
+    try:
+        return msgspec.json.decode(res.content, type=kind)
+    except msgspec.MsgspecError as exc:
+        return _ports.Unavailable(plain_failure(f"malformed answer: {exc}"))
+
+
 def _row(body: _RowBody) -> _ports.Row:
     return _ports.Row(body.key, body.version, bytes(body.value))
 
--- a/dragonflystack/tests/test_bounded.py
+++ b/dragonflystack/tests/test_bounded.py
@@ -88,6 +88,9 @@
         _request(prefix, repeated, pause_s)
 
 
+_NO_SOCKET: Any = None
+
+
 class _ResetStream(httpcore.AsyncNetworkStream):
     """A connection that the peer reset right after it opened."""
 
@@ -95,23 +98,52 @@
         pass
 
     def get_extra_info(self, info):
-        sock: Any = None
-        return sock.getpeername()
+        return _NO_SOCKET.getpeername()
+
+
+class _FailingBackend(httpcore.AsyncNetworkBackend):
+    """Opens connections that fail like those of httpcore and anyio."""
 
+    def __init__(self, connect):
+        self._connect = connect
 
-class _ResettingBackend(httpcore.AsyncNetworkBackend):
     async def connect_tcp(self, *args, **kwargs):
-        return _ResetStream()
+        return self._connect()
 
 
-def test_connection_that_is_reset_at_once_is_a_network_error():
-    """Guards against a reset that ends the process (soak seed 4211)."""
+def _raise(exc):
+    raise exc
 
+
+# Guards against processes that end when the store resets connections right
+# after it accepted them (soak seed 4211, review/1).
+@pytest.mark.parametrize(
+    ("connect", "error"),
+    [
+        pytest.param(_ResetStream, httpcore.ConnectError, id="properties"),
+        pytest.param(
+            lambda: _NO_SOCKET.setsockopt(1, 9, 1),
+            httpcore.ConnectError,
+            id="socket options",
+        ),
+        pytest.param(
+            lambda: _raise(AttributeError("x", name="y", obj="a string")),
+            httpcore.NetworkError,
+            id="another attribute",
+        ),
+        pytest.param(
+            lambda: _raise(RuntimeError("unforeseen")),
+            httpcore.NetworkError,
+            id="any other error",
+        ),
+    ],
+)
+def test_error_of_the_libraries_is_a_network_error(connect, error):
     async def scenario():
         async with httpcore.AsyncConnectionPool(
-            network_backend=_ResettingBackend()
+            network_backend=_FailingBackend(connect)
         ) as pool:
-            with pytest.raises(httpcore.ConnectError):
+            with pytest.raises(error):
                 await _bounded.request(
                     pool,
                     "GET",
