Drop what a closed connection to a backend server has read (LOST)

Cause: Connection.close stopped counting the bytes of its answer but kept them. The reader and its parser refer to each other, so only the garbage collector frees them, which a few large objects do not bring about.

Change: closing a connection drops its answer, its request and the parser.

Test: test_closed_connections_leave_no_bytes, without the change 3 of 8 cases fail with 15.1 MB held of answers that were given up.

Conclusion: the bytes that are held are those that are counted.

--- a/dragonflystack/entryd/_answer_reader.py
+++ b/dragonflystack/entryd/_answer_reader.py
@@ -114,7 +114,9 @@
     def __init__(self, id_header: bytes, limits: AnswerLimits):
         self._id_header = id_header
         self._limits = limits
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self._request: OutgoingRequest | None = None
         self._answer: Answer | None = None
         self._problem: str | None = None
@@ -160,6 +162,7 @@
         Raises:
             CorruptError: if the bytes are not a valid answer or exceed a limit.
         """
+        assert self._parser is not None
         self._received_bytes += len(data)
         problem: str | None = None
         try:
@@ -201,6 +204,19 @@
         reason = "closed" if cause is None else str(cause)
         raise BrokenError(f"no answer: {reason}")
 
+    def close(self) -> None:
+        """Frees the request and all received bytes; ends the use of the reader.
+
+        The parser refers to the reader. Both would stay in memory until the
+        garbage collector runs, which depends on the number of objects, not on
+        their size.
+        """
+        self.is_reusable = False
+        self._request = None
+        self._answer = None
+        self._reset_message()
+        self._parser = None
+
     # Callbacks of httptools.HttpResponseParser.
 
     def on_message_begin(self):
@@ -222,6 +238,7 @@
 
     def on_headers_complete(self):
         """Records the status and evaluates the headers."""
+        assert self._parser is not None
         self._in_head = False
         self._status = self._parser.get_status_code()
         if self._status > _LAST_STATUS:
@@ -256,6 +273,7 @@
                 limit = self._limits.interim_answers
                 self._abort_parsing(f"more than {limit} interim answers")
             return
+        assert self._parser is not None
         if not self._parser.should_keep_alive():
             self.is_reusable = False
         self._end_message()
--- a/dragonflystack/entryd/_connections.py
+++ b/dragonflystack/entryd/_connections.py
@@ -70,8 +70,8 @@
         return self._future
 
     def close(self) -> None:
-        """Closes the connection at once and discards unwritten data."""
-        self._reader.is_reusable = False
+        """Closes the connection at once; drops what was read and not sent."""
+        self._reader.close()
         self._future = None
         self._buffers.remove(self)
         if self._transport is not None:
