--- a/dragonflystack/_limits.py
+++ b/dragonflystack/_limits.py
@@ -3,12 +3,19 @@
 uvicorn limits neither the size of a request head nor the time that receiving a
 request takes, so a subclass of its protocol class adds both. The overridden
 callbacks are those that httptools documents for its parser.
+
+A caller may send further requests before the first is answered. Answers are
+sent in the order of the requests, so a request that is refused while it is
+received gets its answer after those to the requests before it.
 """
 
 import asyncio
+import collections
+from collections.abc import Callable
 import datetime
 import json
 
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 MAX_HEAD_BYTES = 32_768
@@ -43,6 +50,27 @@
     431, "Request Header Fields Too Large", "request head too large"
 )
 _TOO_SLOW = _make_refusal(408, "Request Timeout", "request too slow")
+_MALFORMED = _make_refusal(400, "Bad Request", "malformed request")
+
+
+class _ObservedFlow(flow_control.FlowControl):
+    """Reports when reading is paused and resumed."""
+
+    def __init__(
+        self, transport: asyncio.Transport, on_change: Callable[[], None]
+    ):
+        super().__init__(transport)
+        self._on_change = on_change
+
+    def pause_reading(self) -> None:
+        """See `flow_control.FlowControl`."""
+        super().pause_reading()
+        self._on_change()
+
+    def resume_reading(self) -> None:
+        """See `flow_control.FlowControl`."""
+        super().resume_reading()
+        self._on_change()
 
 
 class LimitedProtocol(httptools_impl.HttpToolsProtocol):
@@ -55,9 +83,21 @@
         self._framing_bytes = 0
         self._body_bytes = 0
         self._last_bytes = b""
-        self._refused = False
+        self._refusal: bytes | None = None
+        """The answer to a refused request, which is the last one on this
+        connection; empty if its answer had begun before."""
+
+        self._unanswered: collections.deque[
+            httptools_impl.RequestResponseCycle
+        ] = collections.deque()
+        """The requests whose head is complete, the oldest first."""
+
         self._receive_timer: asyncio.TimerHandle | None = None
+        self._paused_receive_time: float | None = None
+        """What is left of the timer, in seconds, while reading is paused."""
+
         super().connection_made(transport)
+        self.flow = _ObservedFlow(transport, self._on_flow_change)
         self._start_receive_timer()
 
     def connection_lost(self, exc):
@@ -67,7 +107,7 @@
 
     def data_received(self, data):
         """Refuses too much head or framing data; parses everything else."""
-        if self._refused:
+        if self._refusal is not None:
             return
         if self._in_head:
             self._head_bytes += len(data)
@@ -98,6 +138,7 @@
         self._head_bytes = 0
         self.scope["raw_target"] = self.url  # type: ignore[typeddict-unknown-key]
         super().on_headers_complete()
+        self._unanswered.append(self.cycle)
 
     def on_body(self, body):
         """Counts the body bytes; the reader of the body limits its size."""
@@ -111,6 +152,16 @@
         self._stop_receive_timer()
         super().on_message_complete()
 
+    def on_response_complete(self):
+        """Sends the answer to a refused request if it is the next one."""
+        super().on_response_complete()
+        if self._refusal is not None and not self._is_answer_owed():
+            self._send_refusal()
+
+    def send_400_response(self, msg):
+        """Refuses a malformed request."""
+        self._refuse(_MALFORMED)
+
     def _max_framing_bytes(self) -> int:
         """Returns the maximum of framing and trailer bytes received so far."""
         return MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
@@ -124,26 +175,80 @@
 
     def _start_receive_timer(self) -> None:
         self._stop_receive_timer()
-        self._receive_timer = self.loop.call_later(
-            MAX_REQUEST_RECEIVE_TIME.total_seconds(), self._refuse, _TOO_SLOW
-        )
+        self._paused_receive_time = MAX_REQUEST_RECEIVE_TIME.total_seconds()
+        self._on_flow_change()
 
     def _stop_receive_timer(self) -> None:
+        self._paused_receive_time = None
         if self._receive_timer is not None:
             self._receive_timer.cancel()
             self._receive_timer = None
 
+    def _on_flow_change(self) -> None:
+        """Lets the timer run only while the connection is read.
+
+        Otherwise a request could be refused as too slow although the rest of it
+        has arrived and waits to be read.
+        """
+        if self.flow.read_paused and self._receive_timer is not None:
+            left = self._receive_timer.when() - self.loop.time()
+            self._stop_receive_timer()
+            self._paused_receive_time = max(0.0, left)
+        elif (
+            not self.flow.read_paused and self._paused_receive_time is not None
+        ):
+            self._receive_timer = self.loop.call_later(
+                self._paused_receive_time, self._refuse, _TOO_SLOW
+            )
+            self._paused_receive_time = None
+
+    def _is_answer_owed(self) -> bool:
+        """Returns whether a request before the refused one is unanswered."""
+        unanswered = self._unanswered
+        while unanswered and (
+            unanswered[0].response_complete or unanswered[0].disconnected
+        ):
+            unanswered.popleft()
+        return bool(unanswered)
+
     def _refuse(self, answer: bytes) -> None:
-        """Sends a response, and closes the connection after a delay.
+        """Ends the connection after an answer to the request being received.
 
-        Data that arrives meanwhile is discarded. Closing at once, with unread
-        data, would reset the connection and could lose the response.
+        Its answer comes after those to the requests before it.
         """
         self._stop_receive_timer()
-        if self._refused or self.transport.is_closing():
+        if self._refusal is not None or self.transport.is_closing():
+            return
+        self._refusal = answer
+        if not self._in_head:
+            if self.cycle.response_started:
+                self._refusal = b""
+            else:
+                self._drop_incomplete_request()
+        # What still arrives is discarded; this also detects a disconnect.
+        self.flow.resume_reading()
+        if not self._is_answer_owed():
+            self._send_refusal()
+
+    def _drop_incomplete_request(self) -> None:
+        """Ends the request whose body is being received."""
+        cycle = self.cycle
+        if self.pipeline and self.pipeline[0][0] is cycle:
+            self.pipeline.popleft()
+        cycle.disconnected = True
+        cycle.message_event.set()
+
+    def _send_refusal(self) -> None:
+        """Sends the last answer, and closes the connection after a delay.
+
+        Data that arrives meanwhile is discarded. Closing at once, with unread
+        data, would reset the connection and could lose the answer.
+        """
+        if self.transport.is_closing():
             return
-        self._refused = True
-        self.transport.write(answer)
+        self._unset_keepalive_if_required()
+        if self._refusal:
+            self.transport.write(self._refusal)
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.loop.call_later(_CLOSE_DELAY.total_seconds(), self.transport.close)
--- a/dragonflystack/tests/test_limits.py
+++ b/dragonflystack/tests/test_limits.py
@@ -17,8 +17,8 @@
 
 
 @contextlib.asynccontextmanager
-async def _connected():
-    server = _server.Server.from_address(_app, "127.0.0.1", 0)
+async def _connected(app=_app):
+    server = _server.Server.from_address(app, "127.0.0.1", 0)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve)
         await server.wait_started()
@@ -117,3 +117,110 @@
     short = datetime.timedelta(milliseconds=50)
     monkeypatch.setattr(_limits, "MAX_REQUEST_RECEIVE_TIME", short)
     assert _response_to(part).startswith(b"HTTP/1.1 408")
+
+
+_LIMIT_S = 0.1
+
+
+async def _app_that_waits(scope, receive, send):
+    """Answers with the path; takes longer than the limit on receiving."""
+    body = await _asgi.read_body(receive, _BODY_LIMIT_BYTES)
+    if scope["path"] == "/slow":
+        await anyio.sleep(5 * _LIMIT_S)
+    answer = scope["path"].encode() + b":" + body
+    await _asgi.send_bytes(send, 200, (), answer)
+
+
+def _answers_to(monkeypatch, parts, pause_s, app=_app_that_waits):
+    """Returns the statuses and paths of the answers, in their order."""
+    limit = datetime.timedelta(seconds=_LIMIT_S)
+    monkeypatch.setattr(_limits, "MAX_REQUEST_RECEIVE_TIME", limit)
+
+    async def run():
+        async with _connected(app) as stream:
+            for part in parts:
+                await stream.send(part)
+                await anyio.sleep(pause_s)
+            return await _read_to_end(stream)
+
+    data = anyio.run(run)
+    return [
+        (int(answer[:3]), answer.partition(b"\r\n\r\n")[2].partition(b":")[0])
+        for answer in data.split(b"HTTP/1.1 ")[1:]
+    ]
+
+
+def _get(path, *lines):
+    head = b"GET %s HTTP/1.1\r\nhost: a\r\n" % path
+    return head + b"".join(line + b"\r\n" for line in lines) + b"\r\n"
+
+
+_SLOW = _get(b"/slow")
+_LAST = _get(b"/last", b"connection: close")
+
+
+# Guards against 408 for a request of which the VM itself left the rest unread
+# (review/4).
+@pytest.mark.parametrize("split_at", [1, 20, len(_LAST) - 1])
+def test_request_behind_a_slow_one_is_not_too_slow(monkeypatch, split_at):
+    parts = [_SLOW, _get(b"/next") + _LAST[:split_at], _LAST[split_at:]]
+    answers = _answers_to(monkeypatch, parts, pause_s=_LIMIT_S / 4)
+    assert answers == [(200, b"/slow"), (200, b"/next"), (200, b"/last")]
+
+
+_CHUNKED_POST = (
+    b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+)
+_LONG_HEADERS = [b"h%d: %s" % (i, b"b" * 999) for i in range(99)]
+
+
+# Guards against answers that overtake those to earlier requests.
+@pytest.mark.parametrize("before", [[_SLOW], [_SLOW, _get(b"/next")]])
+@pytest.mark.parametrize(
+    ("refused", "status"),
+    [
+        pytest.param(b"nonsense\r\n\r\n", 400, id="not HTTP"),
+        pytest.param(b"GET / HTTP/3.0\r\n\r\n", 400, id="HTTP/3.0"),
+        pytest.param(
+            _get(b"/", b"content-length: -1"), 400, id="negative length"
+        ),
+        pytest.param(
+            _get(b"/", b"content-length: 1", b"content-length: 2"),
+            400,
+            id="two lengths",
+        ),
+        pytest.param(_CHUNKED_POST + b"zz\r\n", 400, id="chunk size"),
+        pytest.param(_get(b"/", *_LONG_HEADERS), 431, id="long head"),
+        pytest.param(
+            _CHUNKED_POST + b"1;" + b"e" * 2_000_000, 431, id="long extension"
+        ),
+        pytest.param(b"GET /half", 408, id="half head"),
+        pytest.param(
+            _get(b"/half", b"content-length: 9") + b"half", 408, id="half body"
+        ),
+    ],
+)
+def test_refusal_waits_for_the_answers_owed(
+    monkeypatch, before, refused, status
+):
+    answers = _answers_to(monkeypatch, [*before, refused], pause_s=0.02)
+    paths = [b"/slow", b"/next"][: len(before)]
+    assert answers[:-1] == [(200, path) for path in paths]
+    assert answers[-1][0] == status
+
+
+def test_refusal_waits_if_all_came_at_once(monkeypatch):
+    parts = [_SLOW + _get(b"/next") + b"nonsense\r\n\r\n"]
+    answers = _answers_to(monkeypatch, parts, pause_s=0)
+    assert [status for status, _ in answers] == [200, 200, 400]
+
+
+def test_answered_request_is_not_refused_again(monkeypatch):
+    """It is answered before its body, of which the rest never comes."""
+
+    async def reject(scope, receive, send):
+        await _asgi.send_bytes(send, 413, (), b"/large:")
+
+    parts = [_get(b"/large", b"content-length: 9") + b"half"]
+    answers = _answers_to(monkeypatch, parts, pause_s=0, app=reject)
+    assert answers == [(413, b"/large")]
