Ignore entries that were written before their removal (DRAIN)

Cause: VMs compared row versions only, so a row later than the removal was a registration. They forgot the sequence with which the incarnation had been known.

Ruled out: a VM that had not read the removal; each logged server-gone.

Change: a removal keeps start time and sequence and covers every entry of no later start and sequence. Ignored entries are not forwarded. A VM that has just started is told the latest removals of the last 10 s, since it may read such an entry.

Conclusion: late writes are told from returns wherever the VM knows the sequence.

--- a/dragonflystack/entry/_departures.py
+++ b/dragonflystack/entry/_departures.py
@@ -25,6 +25,13 @@
 _MAX_PER_HEARTBEAT = 16
 """Departures, and removals, in one heartbeat; it has to fit into a packet."""
 
+_MAX_REMOVALS_FOR_NEW_VM = 8
+"""Fewer, since these include start times and sequences."""
+
+_MAX_WRITE_DELAY = datetime.timedelta(seconds=10)
+"""A write of an entry whose answer was lost takes effect within this time, also
+after the entry was removed."""
+
 
 class Departure(msgspec.Struct, frozen=True, array_like=True):
     """Identifies an incarnation of a backend server that is leaving."""
@@ -49,6 +56,29 @@
     version: int
     """The store version at which the entry was gone."""
 
+    born: int = 0
+    """See `ServerEntry.born`; 0 also if the entry was not known."""
+
+    sequence: int = 0
+    """The latest known sequence of the incarnation that was removed."""
+
+    @classmethod
+    def from_entry(cls, entry: _servers.ServerEntry, version: int) -> "Removal":
+        """Returns the removal of an entry at a store version."""
+        return cls(entry.id, version, entry.born, entry.sequence)
+
+    def covers(self, entry: _servers.ServerEntry) -> bool:
+        """Returns whether an entry was written before the removal.
+
+        A write whose answer was lost may take effect after the removal. The
+        row then has a later version, but no later sequence.
+        """
+        if entry.row_version <= self.version:
+            return True
+        if not (self.born and entry.born):
+            return False
+        return (entry.born, entry.sequence) <= (self.born, self.sequence)
+
 
 class Departures:
     """Departures that this VM learnt of, and recent removals."""
@@ -104,9 +134,27 @@
         """Puts a removal into the next heartbeats."""
         self._removals.append((now, removal))
 
-    def recent_removals(self, now: datetime.timedelta) -> tuple[Removal, ...]:
-        """Returns the latest removals, to be sent in heartbeats."""
-        return tuple(r for at, r in self._removals if now - at <= _ANNOUNCE_FOR)
+    def recent_removals(
+        self, now: datetime.timedelta, for_new_vm: bool = False
+    ) -> tuple[Removal, ...]:
+        """Returns the latest removals, to be sent in heartbeats.
+
+        Args:
+            now: the time.
+            for_new_vm: whether the receiver may have started just now. It may
+                read an entry that was written late, and does not know that it
+                had been removed. Other VMs know the entry themselves.
+        """
+        if for_new_vm:
+            recent = [
+                r for at, r in self._removals if now - at <= _MAX_WRITE_DELAY
+            ]
+            return tuple(recent[-_MAX_REMOVALS_FOR_NEW_VM:])
+        return tuple(
+            Removal(r.server, r.version)
+            for at, r in self._removals
+            if now - at <= _ANNOUNCE_FOR
+        )
 
     def recent(self, now: datetime.timedelta) -> tuple[Departure, ...]:
         """Returns the latest departures, to be sent in heartbeats."""
--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -65,20 +65,6 @@
     this VM did not know, since other VMs may know them."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Removal:
-    """An entry that was removed, as it was last known."""
-
-    version: int
-    """The store version of the removal, or of the entry's row if an older copy
-    of the store brought it back."""
-
-    born: int = 0
-    sequence: int | None = None
-    """The sequence of the row that an older copy brought back, None if there
-    was none."""
-
-
 class Discovery:
     """Applies listings to the registry of backend servers."""
 
@@ -112,8 +98,12 @@
         """The store version at which each entry was found missing."""
 
         self._removals: collections.OrderedDict[
-            ids.BackendServerId, _Removal
+            ids.BackendServerId, _departures.Removal
         ] = collections.OrderedDict()
+        self._restored: dict[ids.BackendServerId, int] = {}
+        """The sequence of each removed entry that an older copy of the store
+        brought back."""
+
         self._era = 0
         self._rewrite_grace_until = datetime.timedelta()
         """Until when entries may be written again after the store was restored
@@ -193,13 +183,16 @@
         """
         if now < self._rewrite_grace_until:
             return ServerChanges()
-        gone = {
-            removal.server: removal.version
-            for removal in removals
-            if _store_versions.era_of(removal.version) >= self._era
-            and self._registry.get(removal.server) is not None
-            and self._is_gone(removal.server, removal.version)
-        }
+        gone: dict[ids.BackendServerId, int] = {}
+        for removal in removals:
+            if _store_versions.era_of(removal.version) < self._era:
+                continue
+            server = self._registry.get(removal.server)
+            if server is None:
+                self._remember_removal(removal)
+            elif removal.covers(server.entry):
+                gone[removal.server] = removal.version
+                self._remember_removal(removal)
         return ServerChanges(gone=self._drop(gone), removed=tuple(gone))
 
     @property
@@ -281,9 +274,10 @@
     def _is_outdated(self, entry: _servers.ServerEntry) -> bool:
         """Returns whether an entry was written before it was removed.
 
-        Another VM may forward an entry whose removal it does not know yet, and
-        an older copy of the store may still have the entry. A row of such a
-        copy is evidence of a live backend server only once it is written again.
+        Another VM may forward an entry whose removal it does not know yet, a
+        write may take effect late, and an older copy of the store may still
+        have the entry. A row of such a copy is evidence of a live backend
+        server only once it is written again.
         """
         removal = self._removals.get(entry.id)
         if removal is None or not entry.row_version:
@@ -292,13 +286,15 @@
             return False
         era = _store_versions.era_of(removal.version)
         if _store_versions.era_of(entry.row_version) > era:
-            self._removals[entry.id] = _Removal(
-                entry.row_version, entry.born, entry.sequence
+            self._removals[entry.id] = _departures.Removal.from_entry(
+                entry, entry.row_version
             )
+            self._restored[entry.id] = entry.sequence
             return True
-        if removal.sequence is not None and entry.sequence > removal.sequence:
+        restored = self._restored.get(entry.id)
+        if restored is not None and entry.sequence > restored:
             return False
-        return entry.row_version <= removal.version
+        return removal.covers(entry)
 
     def _is_gone(self, server_id: ids.BackendServerId, version: int) -> bool:
         """Returns whether an entry that a listing lacks is gone.
@@ -334,22 +330,26 @@
         dropped = []
         for server_id, version in missing.items():
             server = self._registry.on_gone(server_id)
-            self._remember_removal(server_id, version, server)
+            removal = _departures.Removal(server_id, version)
             if server is not None:
+                removal = _departures.Removal.from_entry(server.entry, version)
                 dropped.append(server)
+            self._remember_removal(removal)
         return tuple(dropped)
 
-    def _remember_removal(
-        self,
-        server_id: ids.BackendServerId,
-        version: int,
-        server: _servers.Server | None,
-    ) -> None:
-        before = self._removals.pop(server_id, None)
-        born = 0 if before is None else before.born
-        if server is not None:
-            born = server.entry.born
-        latest = version if before is None else max(before.version, version)
-        self._removals[server_id] = _Removal(latest, born)
+    def _remember_removal(self, removal: _departures.Removal) -> None:
+        """Remembers a removal with the latest of what is known of the entry."""
+        self._restored.pop(removal.server, None)
+        before = self._removals.pop(removal.server, removal)
+        born, sequence = max(
+            (before.born, before.sequence), (removal.born, removal.sequence)
+        )
+        self._removals[removal.server] = _departures.Removal(
+            removal.server,
+            max(before.version, removal.version),
+            born,
+            sequence,
+        )
         if len(self._removals) > _MAX_REMOVALS:
-            self._removals.popitem(last=False)
+            forgotten, _ = self._removals.popitem(last=False)
+            self._restored.pop(forgotten, None)
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -182,9 +182,10 @@
                     _departures.Departure.from_entry(server.entry), now
                 )
         self._announce_removals(changes, listing.version, now)
-        self.log.on_servers(
-            position, listing.entries, changes.removed, listing.whole
-        )
+        # Other VMs may not know that an entry which was ignored is outdated.
+        servers = (self.registry.get(e.id) for e in listing.entries)
+        entries = tuple(s.entry for s in servers if s is not None)
+        self.log.on_servers(position, entries, changes.removed, listing.whole)
         self.dispatch.on_changes(changes, now)
         return changes
 
@@ -204,10 +205,12 @@
         """Applies removals that another VM announced, and forwards them."""
         changes = self.discovery.on_removals(removals, now)
         if changes.gone:
-            gone = set(changes.removed)
-            for removal in removals:
-                if removal.server in gone:
-                    self.dispatch.departures.announce_removal(removal, now)
+            versions = {removal.server: removal.version for removal in removals}
+            for server in changes.gone:
+                version = versions[server.entry.id]
+                self.dispatch.departures.announce_removal(
+                    _departures.Removal.from_entry(server.entry, version), now
+                )
             self.dispatch.on_changes(changes, now)
         return changes
 
@@ -219,7 +222,7 @@
     ) -> None:
         for server in changes.gone:
             self.dispatch.departures.announce_removal(
-                _departures.Removal(server.entry.id, version), now
+                _departures.Removal.from_entry(server.entry, version), now
             )
 
     def on_tick(self, now: datetime.timedelta) -> _discovery.ServerChanges:
@@ -257,7 +260,9 @@
         members = self.members
         shares = self.dispatch.shares
         departures = self.dispatch.departures.recent(now)
-        removals = self.dispatch.departures.recent_removals(now)
+        removals = self.dispatch.departures.recent_removals(
+            now, for_new_vm=include_address
+        )
         limits = self.dispatch.limits.recent(now)
         # They take the place of observations in the packet.
         urgent = len(departures) + len(removals) + len(limits)
