Hold bodies in memory that grows with their bytes (LOST, small parts)

Cause: a body was a list of its parts, and a part of two bytes takes twenty times its size. The limits count bytes.

Change: small parts are merged; the same buffer holds answers of backend servers, bodies of callers, and answers of the store and of neighbours.

Conclusion: what is counted is what is held.

--- a/dragonflystack/_asgi.py
+++ b/dragonflystack/_asgi.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from dragonflystack import _body_buffer
+
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -35,19 +37,16 @@
         BodyTooLargeError: if it is longer than the limit.
         CallerGoneError: if the connection closed first.
     """
-    parts: list[bytes] = []
-    size = 0
+    body = _body_buffer.BodyBuffer()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerGoneError
-        part = message.get("body", b"")
-        size += len(part)
-        if size > limit_bytes:
+        body.append(message.get("body", b""))
+        if body.size > limit_bytes:
             raise BodyTooLargeError
-        parts.append(part)
         if not message.get("more_body", False):
-            return parts[0] if len(parts) == 1 else b"".join(parts)
+            return body.take()
 
 
 async def send_bytes(
--- a/dragonflystack/_bounded.py
+++ b/dragonflystack/_bounded.py
@@ -8,6 +8,8 @@
 import anyio
 import httpcore
 
+from dragonflystack import _body_buffer
+
 _DOCUMENTED_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
@@ -51,16 +53,14 @@
     Raises:
         AnswerTooLargeError: if it is longer than the limit.
     """
-    parts: list[bytes] = []
-    size = 0
+    body = _body_buffer.BodyBuffer()
     async for part in res.aiter_stream():
-        size += len(part)
-        if size > limit_bytes:
+        body.append(part)
+        if body.size > limit_bytes:
             raise AnswerTooLargeError(
                 f"response body is larger than {limit_bytes} bytes"
             )
-        parts.append(part)
-    return parts[0] if len(parts) == 1 else b"".join(parts)
+    return body.take()
 
 
 async def request(
--- a/dragonflystack/entryd/_answer_reader.py
+++ b/dragonflystack/entryd/_answer_reader.py
@@ -14,6 +14,8 @@
 
 import httptools
 
+from dragonflystack import _body_buffer
+
 _FIRST_FINAL_STATUS = 200
 _LAST_STATUS = 599
 _NO_BODY_STATUSES = frozenset((204, 304))
@@ -130,8 +132,7 @@
         self._in_message = False
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body_parts: list[bytes] = []
-        self._buffered_bytes = 0
+        self._body = _body_buffer.BodyBuffer()
         self._header_count = 0
         self._echoed_id: bytes | None = None
         self._has_framing = False
@@ -145,7 +146,7 @@
     @property
     def buffered_bytes(self) -> int:
         """The number of body bytes currently buffered."""
-        return self._buffered_bytes
+        return self._body.size
 
     def expect_answer(self, request: OutgoingRequest) -> None:
         """Prepares to read the answer to a request that is about to be sent."""
@@ -261,8 +262,7 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
             self._abort_parsing(f"body exceeds {self._limits.body_bytes} bytes")
-        self._buffered_bytes += len(body)
-        self._body_parts.append(body)
+        self._body.append(body)
 
     def on_message_complete(self):
         """Completes an answer, or counts an interim one."""
@@ -281,8 +281,7 @@
     def _reset_message(self) -> None:
         self._status = 0
         self._headers = []
-        self._body_parts = []
-        self._buffered_bytes = 0
+        self._body.clear()
         self._header_count = 0
         self._echoed_id = None
         self._has_framing = False
@@ -318,11 +317,7 @@
         if expected and echoed is None and had_answered:
             self._abort_parsing("no request id on a reused connection")
         self._request = None
-        self._answer = Answer(
-            self._status, self._headers, b"".join(self._body_parts)
-        )
-        self._body_parts = []
-        self._buffered_bytes = 0
+        self._answer = Answer(self._status, self._headers, self._body.take())
 
     def _check_framing(self) -> None:
         limits = self._limits
--- a/dragonflystack/entryd/tests/test_answer_reader.py
+++ b/dragonflystack/entryd/tests/test_answer_reader.py
@@ -85,6 +85,22 @@
     assert answer.body == b"x" * 50_000
 
 
+# Guards against answers in tiny chunks that hold many times the bytes that are
+# counted.
+def test_small_chunks_take_little_more_memory_than_their_bytes():
+    reader = _reader()
+    reader.feed(_CHUNKED)
+    chunks = b"2\r\nxy\r\n" * 1_000
+    tracemalloc.start()
+    try:
+        while reader.buffered_bytes < _LIMITS.body_bytes // 2:
+            reader.feed(chunks)
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held <= 1.25 * reader.buffered_bytes + 65_536
+
+
 def test_trailers_are_not_headers():
     answer = _reader().feed(_CHUNKED + b"1\r\nx\r\n0\r\nretry-after: 9\r\n\r\n")
     assert answer is not None
