--- a/dragonflystack/_limits.py
+++ b/dragonflystack/_limits.py
@@ -20,6 +20,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from dragonflystack import _body_memory
+from dragonflystack import _pacing
 
 MAX_HEAD_BYTES = 32_768
 """Maximum size of the request line and headers together."""
@@ -86,38 +87,65 @@
 
 
 class _ObservedFlow(flow_control.FlowControl):
-    """Reports when reading is paused and resumed."""
+    """Reports when reading is paused and resumed; can be held paused."""
 
     def __init__(
         self, transport: asyncio.Transport, on_change: Callable[[], None]
     ):
         super().__init__(transport)
         self._on_change = on_change
+        self._is_held = False
+        self._is_pause_wanted = False
+        """Whether reading is to stay paused after the hold."""
 
     def pause_reading(self) -> None:
         """See `flow_control.FlowControl`."""
+        self._is_pause_wanted = True
         super().pause_reading()
-        self._on_change()
+        if not self._is_held:
+            self._on_change()
 
     def resume_reading(self) -> None:
-        """See `flow_control.FlowControl`."""
-        super().resume_reading()
-        self._on_change()
+        """See `flow_control.FlowControl`; takes effect after a hold."""
+        self._is_pause_wanted = False
+        if not self._is_held:
+            super().resume_reading()
+            self._on_change()
+
+    def hold(self) -> None:
+        """Pauses reading until `release` is called; not reported."""
+        self._is_held = True
+        self._is_pause_wanted = self.read_paused
+        super().pause_reading()
+
+    def release(self) -> None:
+        """Ends a hold."""
+        self._is_held = False
+        if not self._is_pause_wanted:
+            self.resume_reading()
 
 
 class LimitedProtocol(httptools_impl.HttpToolsProtocol):
     """HTTP/1.1 with limits on the request head, body and receive time."""
 
-    def __init__(self, memory: _body_memory.BodyMemory, *args, **kwargs):
+    def __init__(
+        self,
+        memory: _body_memory.BodyMemory,
+        pacer: _pacing.Pacer,
+        *args,
+        **kwargs,
+    ):
         """Initializes the protocol.
 
         Args:
             memory: counts the bodies of requests until they are answered.
+            pacer: limits the time for bodies in many small parts.
             *args: see `HttpToolsProtocol`.
             **kwargs: see `HttpToolsProtocol`.
         """
         super().__init__(*args, **kwargs)
         self._memory = memory
+        self._pacer = pacer
 
     def connection_made(self, transport):
         """Starts the timer for the first request."""
@@ -138,25 +166,45 @@
         """What is left of the timer, in seconds, while reading is paused."""
 
         super().connection_made(transport)
-        self.flow = _ObservedFlow(transport, self._on_flow_change)
+        self._body_parts = 0
+        """The parts of bodies in the bytes that are parsed now."""
+
+        self._flow = _ObservedFlow(transport, self._on_flow_change)
+        self.flow = self._flow
+        self._feed = _pacing.PacedFeed(
+            self._pacer,
+            self._parse,
+            self._flow.hold,
+            self._flow.release,
+            self.loop,
+        )
         self._start_receive_timer()
 
     def connection_lost(self, exc):
-        """Stops the timer."""
+        """Stops the timers."""
+        self._feed.close()
         self._stop_receive_timer()
         super().connection_lost(exc)
         while self._pending:
             self._pending.popleft().close()
 
     def data_received(self, data):
-        """Refuses too much head or framing data; parses everything else."""
-        if self._refusal is not None:
-            return
+        """Parses data as far as the connection's share of time allows."""
+        if self._refusal is None:
+            self._feed.feed(data)
+
+    def _parse(self, data: bytes) -> int:
+        """Refuses too much head or framing data; parses everything else.
+
+        Returns:
+            The number of parts of bodies in the data.
+        """
+        self._body_parts = 0
         if self._in_head:
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES and not self._head_fits(data):
                 self._refuse(_TOO_LARGE)
-                return
+                return 0
             self._last_bytes = data[1 - len(_HEAD_END) :]
         else:
             self._framing_bytes += len(data)
@@ -166,6 +214,7 @@
             and self._framing_bytes > self._max_framing_bytes()
         ):
             self._refuse(_TOO_LARGE)
+        return self._body_parts
 
     def on_message_begin(self):
         """Starts the timer for this request."""
@@ -185,6 +234,7 @@
 
     def on_body(self, body):
         """Counts the body bytes; the reader of the body limits its size."""
+        self._body_parts += 1
         self._body_bytes += len(body)
         self._framing_bytes -= len(body)
         if not self.cycle.response_complete:
@@ -298,6 +348,8 @@
         if self._refusal is not None or self.transport.is_closing():
             return
         self._refusal = answer
+        self._feed.close()
+        self._flow.release()
         if not self._in_head:
             if self.cycle.response_started:
                 self._refusal = b""
--- a/dragonflystack/_server.py
+++ b/dragonflystack/_server.py
@@ -12,6 +12,7 @@
 from dragonflystack import _asgi
 from dragonflystack import _body_memory
 from dragonflystack import _limits
+from dragonflystack import _pacing
 
 _BACKLOG = 512
 _MAX_CONNECTIONS = 2_000
@@ -31,6 +32,7 @@
         tls: ssl.SSLContext | None = None,
         keep_alive: datetime.timedelta = _KEEP_ALIVE,
         memory: _body_memory.BodyMemory | None = None,
+        pacer: _pacing.Pacer | None = None,
     ) -> "Server":
         """Returns a server for an app.
 
@@ -42,9 +44,12 @@
             keep_alive: how long an idle connection is kept open, rounded up to
                 whole seconds.
             memory: counts the bodies of requests, None for a memory of its own.
+            pacer: limits the time for small parts, None for one of its own.
         """
         protocol = functools.partial(
-            _limits.LimitedProtocol, memory or _body_memory.BodyMemory()
+            _limits.LimitedProtocol,
+            memory or _body_memory.BodyMemory(),
+            pacer or _pacing.Pacer(),
         )
         cfg = uvicorn.Config(
             app,
--- a/dragonflystack/entryd/_answer_reader.py
+++ b/dragonflystack/entryd/_answer_reader.py
@@ -134,6 +134,9 @@
         self._echoed_id: bytes | None = None
         self._has_framing = False
         self._in_head = True
+        self.body_parts = 0
+        """The number of parts of bodies received so far."""
+
         self.is_reusable = True
         """Whether the connection may carry another request."""
 
@@ -256,6 +259,7 @@
 
     def on_body(self, body):
         """Appends a part of the body."""
+        self.body_parts += 1
         self._body_bytes += len(body)
         if self._body_bytes > self._limits.body_bytes:
             self._abort_parsing(f"body exceeds {self._limits.body_bytes} bytes")
--- a/dragonflystack/entryd/_connections.py
+++ b/dragonflystack/entryd/_connections.py
@@ -7,6 +7,7 @@
 import socket
 
 from dragonflystack import _body_memory
+from dragonflystack import _pacing
 from dragonflystack import clock
 from dragonflystack.entryd import _answer_reader
 
@@ -37,9 +38,12 @@
         self,
         reader: _answer_reader.AnswerReader,
         memory: _body_memory.BodyMemory,
+        pacer: _pacing.Pacer,
     ):
         self._reader = reader
         self._memory = memory
+        self._pacer = pacer
+        self._feed: _pacing.PacedFeed | None = None
         self._holding: _body_memory.Holding | None = None
         """The body of the answer that is being received."""
 
@@ -85,6 +89,8 @@
     def close(self) -> None:
         """Closes the connection at once; drops what was read and not sent."""
         self._reader.close()
+        if self._feed is not None:
+            self._feed.close()
         self._future = None
         self._release_memory()
         if self._transport is not None:
@@ -102,22 +108,19 @@
     def connection_made(self, transport):
         """See `asyncio.Protocol`."""
         self._transport = transport
+        self._feed = _pacing.PacedFeed(
+            self._pacer,
+            self._parse,
+            self._pause_reading,
+            transport.resume_reading,
+            asyncio.get_running_loop(),
+        )
         _set_socket_options(transport.get_extra_info("socket"))
 
     def data_received(self, data):
         """See `asyncio.Protocol`."""
-        if self._future is None:
-            self.close()
-            return
-        try:
-            answer = self._reader.feed(data)
-        except _answer_reader.CorruptError as exc:
-            self.fail(exc)
-            return
-        if answer is None:
-            self._count_body()
-        else:
-            self._end(answer)
+        assert self._feed is not None
+        self._feed.feed(data)
 
     def eof_received(self):
         """Completes an answer that ends with the connection."""
@@ -140,6 +143,31 @@
         ) as exc:
             self.fail(exc)
 
+    def _parse(self, data: bytes) -> int:
+        """Parses bytes; returns the number of parts of bodies in them."""
+        if self._future is None:
+            # They belong to no request.
+            self.close()
+            return 0
+        parts_before = self._reader.body_parts
+        try:
+            answer = self._reader.feed(data)
+        except _answer_reader.CorruptError as exc:
+            self.fail(exc)
+            return 0
+        if answer is None:
+            self._count_body()
+        else:
+            self._end(answer)
+        return self._reader.body_parts - parts_before
+
+    def _pause_reading(self) -> None:
+        if self._future is None:
+            # Bytes that wait to be parsed would belong to no request.
+            self.close()
+        elif self._transport is not None:
+            self._transport.pause_reading()
+
     def _count_body(self) -> None:
         if self._holding is None:
             self._holding = self._memory.open(self._on_evicted)
@@ -197,10 +225,12 @@
         limits: _answer_reader.AnswerLimits,
         now: clock.Clock,
         memory: _body_memory.BodyMemory,
+        pacer: _pacing.Pacer,
     ):
         self._id_header = id_header
         self._limits = limits
         self._memory = memory
+        self._pacer = pacer
         self._clock = now
         self._idle: dict[Address, collections.deque[Connection]] = {}
         self.opened = 0
@@ -256,7 +286,7 @@
 
     def _make_connection(self) -> Connection:
         reader = _answer_reader.AnswerReader(self._id_header, self._limits)
-        return Connection(reader, self._memory)
+        return Connection(reader, self._memory, self._pacer)
 
     def release(self, address: Address, conn: Connection) -> None:
         """Returns a connection to the pool, or closes it if not reusable."""
--- a/dragonflystack/entryd/_daemon.py
+++ b/dragonflystack/entryd/_daemon.py
@@ -7,6 +7,7 @@
 import anyio
 
 from dragonflystack import _body_memory
+from dragonflystack import _pacing
 from dragonflystack import clock
 from dragonflystack import entry
 from dragonflystack import ids
@@ -115,6 +116,7 @@
     event_log: _event_log.EventLog
     metrics: _metrics.Metrics
     body_memory: _body_memory.BodyMemory
+    pacer: _pacing.Pacer
     stop_requested: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     leaving_since: datetime.timedelta | None = None
     """When a planned stop began; None before it."""
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -78,6 +78,7 @@
         cfg.answers,
         daemon.clock,
         daemon.body_memory,
+        daemon.pacer,
     )
     heartbeats = _heartbeats.Heartbeats(daemon)
     await heartbeats.open()
@@ -158,10 +159,15 @@
             cfg.callers.port,
             keep_alive=idle,
             memory=daemon.body_memory,
+            pacer=daemon.pacer,
         ),
         *(
             _server.Server.from_address(
-                app, port.host, port.port, memory=daemon.body_memory
+                app,
+                port.host,
+                port.port,
+                memory=daemon.body_memory,
+                pacer=daemon.pacer,
             )
             for app, port in (
                 (apps.readiness, cfg.readiness),
--- a/dragonflystack/entryd/tests/test_connections.py
+++ b/dragonflystack/entryd/tests/test_connections.py
@@ -9,6 +9,7 @@
 import pytest
 
 from dragonflystack import _body_memory
+from dragonflystack import _pacing
 from dragonflystack import clock
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
@@ -64,7 +65,9 @@
         port = server.sockets[0].getsockname()[1]
         limits = _answer_reader.AnswerLimits(body_bytes=1_000)
         memory = _body_memory.BodyMemory()
-        pool = _connections.Pool(_ID, limits, clock.SystemClock(), memory)
+        pool = _connections.Pool(
+            _ID, limits, clock.SystemClock(), memory, _pacing.Pacer()
+        )
         address = _connections.Address("s", "127.0.0.1", port)
         with anyio.fail_after(10):
             await scenario(pool, address)
--- a/dragonflystack/entryd/tests/test_endless_answers.py
+++ b/dragonflystack/entryd/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from dragonflystack import _body_memory
+from dragonflystack import _pacing
 from dragonflystack import clock
 from dragonflystack.entryd import _answer_reader
 from dragonflystack.entryd import _connections
@@ -97,7 +98,9 @@
         )
         port = server.sockets[0].getsockname()[1]
         memory = _body_memory.BodyMemory(4 * _BODY_BYTES)
-        pool = _connections.Pool(b"x-id", _LIMITS, clock.SystemClock(), memory)
+        pool = _connections.Pool(
+            b"x-id", _LIMITS, clock.SystemClock(), memory, _pacing.Pacer()
+        )
         address = _connections.Address("s", "127.0.0.1", port)
         before = tracemalloc.get_traced_memory()[0]
         with anyio.fail_after(30):
