--- a/dragonflystack/_bounded.py
+++ b/dragonflystack/_bounded.py
@@ -1,4 +1,8 @@
-"""Reads complete HTTP responses with limits on their size and duration."""
+"""Reads complete HTTP responses with limits on their size and duration.
+
+With the connections of `_bounded_network`, their memory and the processor time
+for small parts are limited as well.
+"""
 
 from collections.abc import Iterator
 import contextlib
@@ -9,6 +13,10 @@
 import httpcore
 
 from dragonflystack import _body_buffer
+from dragonflystack import _bounded_network
+from dragonflystack import _pacing
+
+_PARTS_BETWEEN_PAUSES = 64
 
 _DOCUMENTED_ERRORS = (
     httpcore.NetworkError,
@@ -19,7 +27,7 @@
 
 
 class AnswerTooLargeError(httpcore.RemoteProtocolError):
-    """The body is longer than allowed."""
+    """The body is longer than allowed, or no memory is left for it."""
 
 
 @contextlib.contextmanager
@@ -51,16 +59,48 @@
     """Returns the complete body of a response that is being received.
 
     Raises:
-        AnswerTooLargeError: if it is longer than the limit.
+        AnswerTooLargeError: if it is longer than the limit, or has to give way
+            to other responses.
     """
+    stream = res.extensions.get("network_stream")
+    limits = _bounded_network.ReceiveLimits()
+    if isinstance(stream, _bounded_network.Stream):
+        stream.end_head()
+        limits = stream.limits
     body = _body_buffer.BodyBuffer()
-    async for part in res.aiter_stream():
-        body.append(part)
-        if body.size > limit_bytes:
-            raise AnswerTooLargeError(
-                f"response body is larger than {limit_bytes} bytes"
-            )
-    return body.take()
+    is_evicted = False
+
+    def evict() -> None:
+        nonlocal is_evicted
+        is_evicted = True
+        body.clear()
+
+    holding = limits.memory.open(evict)
+    parts = paced_bytes = 0
+    try:
+        async for part in res.aiter_stream():
+            parts += 1
+            body.append(part)
+            if body.size > limit_bytes:
+                raise AnswerTooLargeError(
+                    f"response body is larger than {limit_bytes} bytes"
+                )
+            holding.resize(body.size)
+            if is_evicted:
+                raise AnswerTooLargeError("no memory is left for the response")
+            if parts % _PARTS_BETWEEN_PAUSES == 0:
+                size = body.size - paced_bytes
+                await _pace(limits.pacer, _PARTS_BETWEEN_PAUSES, size)
+                paced_bytes = body.size
+        return body.take()
+    finally:
+        holding.close()
+
+
+async def _pace(pacer: _pacing.Pacer, parts: int, size: int) -> None:
+    delay_s = pacer.delay_s(parts, size, anyio.current_time())
+    if delay_s:
+        await anyio.sleep(delay_s)
 
 
 async def request(
--- a/dragonflystack/_pacing.py
+++ b/dragonflystack/_pacing.py
@@ -20,7 +20,13 @@
 class Pacer:
     """Spreads the parsing of small parts over time."""
 
-    def __init__(self):
+    def __init__(self, max_parts_per_second: int = MAX_PARTS_PER_SECOND):
+        """Initializes the pacer.
+
+        Args:
+            max_parts_per_second: for all connections that share it.
+        """
+        self._max_parts_per_second = max_parts_per_second
         self._busy_until = 0.0
 
     def delay_s(self, parts: int, size: int, now_s: float) -> float:
@@ -35,7 +41,7 @@
         if excess <= 0:
             return 0.0
         start = max(now_s, self._busy_until)
-        self._busy_until = start + excess / MAX_PARTS_PER_SECOND
+        self._busy_until = start + excess / self._max_parts_per_second
         delay = self._busy_until - now_s
         return delay if delay >= _MIN_DELAY_S else 0.0
 
--- a/dragonflystack/daemon/_exchange.py
+++ b/dragonflystack/daemon/_exchange.py
@@ -4,13 +4,16 @@
 
 import httpcore
 
+from dragonflystack import _body_memory
 from dragonflystack import _bounded
+from dragonflystack import _bounded_network
 from dragonflystack import _hop_headers
 from dragonflystack import forwarding
 
 _CONNECT_TIMEOUT_S = 0.25
 _TIMEOUTS = {"timeout": {"connect": _CONNECT_TIMEOUT_S}}
 _NO_BODY_STATUSES = frozenset((204, 304))
+_MAX_HEAD_BYTES = 65_536
 _ECHO_HEADER = b"dragonfly-request"
 UNSENT_ERRORS = (
     httpcore.ConnectError,
@@ -37,6 +40,14 @@
     body: bytes
 
 
+def make_network() -> _bounded_network.NetworkBackend:
+    """Returns a way to open connections whose answers are limited in total."""
+    limits = _bounded_network.ReceiveLimits(
+        _body_memory.DEFAULT_LIMIT_BYTES, _MAX_HEAD_BYTES
+    )
+    return _bounded_network.NetworkBackend(limits)
+
+
 async def exchange(
     conn: httpcore.AsyncHTTPConnection, call: Call, limit_bytes: int
 ) -> forwarding.Answer:
--- a/dragonflystack/daemon/_health.py
+++ b/dragonflystack/daemon/_health.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from dragonflystack import _bounded
+from dragonflystack import _bounded_network
 from dragonflystack import backends
 from dragonflystack import clock
 from dragonflystack import config
@@ -45,7 +46,11 @@
     is judged by the requests that it serves.
     """
     async with httpcore.AsyncConnectionPool(
-        max_connections=None, max_keepalive_connections=None
+        max_connections=None,
+        max_keepalive_connections=None,
+        network_backend=_bounded_network.NetworkBackend(
+            _bounded_network.ReceiveLimits()
+        ),
     ) as pool:
         while True:
             start = now.monotonic()
--- a/dragonflystack/daemon/_peers.py
+++ b/dragonflystack/daemon/_peers.py
@@ -58,6 +58,7 @@
         self._clock = now
         self._locate = locate
         self._max_body_bytes = max_body_bytes
+        self._network = _exchange.make_network()
         self._idle: dict[
             _settings.Address,
             list[tuple[datetime.timedelta, httpcore.AsyncHTTPConnection]],
@@ -164,7 +165,9 @@
             self._scheme.encode(), address.host.encode(), address.port
         )
         return httpcore.AsyncHTTPConnection(
-            origin, ssl_context=self._ssl_context
+            origin,
+            ssl_context=self._ssl_context,
+            network_backend=self._network,
         )
 
     async def _give_back(
--- a/dragonflystack/daemon/_peers_reach.py
+++ b/dragonflystack/daemon/_peers_reach.py
@@ -16,6 +16,7 @@
 
 from dragonflystack import _asgi
 from dragonflystack import _bounded
+from dragonflystack import _bounded_network
 from dragonflystack import clock
 from dragonflystack import ids
 from dragonflystack import membership
@@ -77,6 +78,9 @@
         self._pool = httpcore.AsyncConnectionPool(
             ssl_context=tls.client if tls else None,
             keepalive_expiry=_KEEP_ALIVE_S,
+            network_backend=_bounded_network.NetworkBackend(
+                _bounded_network.ReceiveLimits()
+            ),
         )
         self._numbers = itertools.count(1)
         self._answers: dict[int, membership.Response | None] = {}
--- a/dragonflystack/daemon/_pools.py
+++ b/dragonflystack/daemon/_pools.py
@@ -58,6 +58,7 @@
         self._checks = checks
         self._max_body_bytes = max_body_bytes
         self._settings = backends.PoolSettings()
+        self._network = _exchange.make_network()
         self._pools: dict[ids.ServiceId, backends.BackendPool] = {}
         self._servers: dict[ids.BackendServerId, config.BackendServer] = {}
         self._service_of: dict[ids.BackendServerId, ids.ServiceId] = {}
@@ -216,7 +217,7 @@
         if conn is None or conn.http.has_expired():
             if conn is not None:
                 self._tasks.start_soon(conn.http.aclose)
-            conn = _Connection(server.id, _open(server))
+            conn = _Connection(server.id, _open(server, self._network))
             self._connections[key] = conn
         conn.is_busy = True
         running.scope = anyio.CancelScope()
@@ -257,9 +258,11 @@
             running.report(for_engine)
 
 
-def _open(server: config.BackendServer) -> httpcore.AsyncHTTPConnection:
+def _open(
+    server: config.BackendServer, network: httpcore.AsyncNetworkBackend
+) -> httpcore.AsyncHTTPConnection:
     origin = httpcore.Origin(b"http", server.host.encode(), server.port)
-    return httpcore.AsyncHTTPConnection(origin)
+    return httpcore.AsyncHTTPConnection(origin, network_backend=network)
 
 
 def _call(
--- a/dragonflystack/entryd/__init__.py
+++ b/dragonflystack/entryd/__init__.py
@@ -12,6 +12,7 @@
 import sys
 
 from dragonflystack import _body_memory
+from dragonflystack import _bounded_network
 from dragonflystack import _pacing
 from dragonflystack import clock
 from dragonflystack import entry
@@ -66,5 +67,14 @@
     vm.freshness.on_start(now.monotonic())
     event_log = EventLog(sys.stdout.fileno(), now)
     memory = _body_memory.BodyMemory(cfg.body_memory_bytes)
-    pacer = _pacing.Pacer()
-    return Daemon(cfg, dialect, now, vm, event_log, Metrics(), memory, pacer)
+    return Daemon(
+        cfg,
+        dialect,
+        now,
+        vm,
+        event_log,
+        Metrics(),
+        memory,
+        _pacing.Pacer(),
+        _bounded_network.ReceiveLimits(cfg.response_memory_bytes),
+    )
--- a/dragonflystack/entryd/_daemon.py
+++ b/dragonflystack/entryd/_daemon.py
@@ -7,6 +7,7 @@
 import anyio
 
 from dragonflystack import _body_memory
+from dragonflystack import _bounded_network
 from dragonflystack import _pacing
 from dragonflystack import clock
 from dragonflystack import entry
@@ -79,6 +80,10 @@
     body_memory_bytes: int = _body_memory.DEFAULT_LIMIT_BYTES
     """Maximum total size of the bodies that the process holds."""
 
+    response_memory_bytes: int = _bounded_network.DEFAULT_MEMORY_BYTES
+    """Maximum total size of the responses of the store and of other VMs that
+    are being received."""
+
 
 @dataclasses.dataclass(slots=True)
 class UpdateSignal:
@@ -117,6 +122,9 @@
     metrics: _metrics.Metrics
     body_memory: _body_memory.BodyMemory
     pacer: _pacing.Pacer
+    receive_limits: _bounded_network.ReceiveLimits
+    """The limits on responses of the store and of other VMs."""
+
     stop_requested: anyio.Event = dataclasses.field(default_factory=anyio.Event)
     leaving_since: datetime.timedelta | None = None
     """When a planned stop began; None before it."""
--- a/dragonflystack/entryd/_replication_client.py
+++ b/dragonflystack/entryd/_replication_client.py
@@ -10,6 +10,7 @@
 import anyio
 import httpcore
 
+from dragonflystack import _bounded_network
 from dragonflystack import entry
 from dragonflystack.entryd import _apply
 from dragonflystack.entryd import _daemon
@@ -54,6 +55,9 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             keepalive_expiry=_KEEPALIVE_EXPIRY_S,
+            network_backend=_bounded_network.NetworkBackend(
+                daemon.receive_limits
+            ),
         )
 
     async def aclose(self) -> None:
--- a/dragonflystack/storage/_http.py
+++ b/dragonflystack/storage/_http.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from dragonflystack import _bounded
+from dragonflystack import _bounded_network
 from dragonflystack import outcomes
 from dragonflystack.storage import _ports
 
@@ -87,7 +88,11 @@
     ) -> "HttpPlatform":
         """Returns a client with a connection pool of its own."""
         pool = httpcore.AsyncConnectionPool(
-            max_connections=8, keepalive_expiry=timeout.total_seconds()
+            max_connections=8,
+            keepalive_expiry=timeout.total_seconds(),
+            network_backend=_bounded_network.NetworkBackend(
+                _bounded_network.ReceiveLimits()
+            ),
         )
         return cls(base_url, timeout, pool)
 
--- a/dragonflystack/tests/test_bounded.py
+++ b/dragonflystack/tests/test_bounded.py
@@ -10,13 +10,29 @@
 import pytest
 
 from dragonflystack import _bounded
+from dragonflystack import _bounded_network
 
 _HEAD = b"HTTP/1.1 200 OK\r\n"
 _LIMIT_BYTES = 100_000
 _TIMEOUT = datetime.timedelta(milliseconds=400)
 
 
-def _request(prefix: bytes, repeated: bytes = b"", pause_s: float = 0.0):
+def _make_pool(
+    limits: _bounded_network.ReceiveLimits | None = None,
+) -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        network_backend=_bounded_network.NetworkBackend(
+            limits or _bounded_network.ReceiveLimits()
+        )
+    )
+
+
+def _request(
+    prefix: bytes,
+    repeated: bytes = b"",
+    pause_s: float = 0.0,
+    timeout: datetime.timedelta = _TIMEOUT,
+):
     """Requests from a server that sends a prefix, then bytes without end."""
 
     async def serve(reader, writer):
@@ -31,13 +47,13 @@
     async def run():
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        async with httpcore.AsyncConnectionPool() as pool:
+        async with _make_pool() as pool:
             res = await _bounded.request(
                 pool,
                 "GET",
                 f"http://127.0.0.1:{port}/",
                 _LIMIT_BYTES,
-                _TIMEOUT,
+                timeout,
             )
         server.close()
         return res
@@ -88,6 +104,101 @@
         _request(prefix, repeated, pause_s)
 
 
+# Guards against interim responses without end from the store or a neighbour,
+# which kept the event loop from everything else until the timeout.
+def test_interim_responses_without_end_are_given_up():
+    with pytest.raises(httpcore.RemoteProtocolError, match="head is larger"):
+        _request(
+            b"",
+            b"HTTP/1.1 100 Continue\r\n\r\n" * 999,
+            timeout=datetime.timedelta(seconds=30),
+        )
+
+
+# Guards against bodies in chunks of one byte from the store or a neighbour,
+# which took the whole processor.
+def test_small_chunks_are_parsed_at_a_limited_rate():
+    number = _bounded_network.MAX_PARTS_PER_SECOND // 2
+
+    async def scenario():
+        started_at = anyio.current_time()
+        res = await _respond(b"1\r\nx\r\n" * number + b"0\r\n\r\n")
+        return len(res.content), anyio.current_time() - started_at
+
+    size, took_s = anyio.run(scenario)
+    assert size == number
+    assert took_s > 0.8 * number / _bounded_network.MAX_PARTS_PER_SECOND
+
+
+async def _respond(body: bytes) -> httpcore.Response:
+    """Returns the response of a server that sends a body in chunks."""
+    head = _HEAD + b"transfer-encoding: chunked\r\n\r\n"
+
+    async def serve(reader, writer):
+        with contextlib.closing(writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(head + body)
+            await writer.drain()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with server, _make_pool() as pool:
+        return await _bounded.request(
+            pool,
+            "GET",
+            f"http://127.0.0.1:{port}/",
+            _LIMIT_BYTES,
+            datetime.timedelta(seconds=30),
+        )
+
+
+# Guards against responses without end on several connections at once, each
+# within its own limit.
+def test_responses_give_way_beyond_the_memory():
+    limits = _bounded_network.ReceiveLimits(memory_bytes=100_000)
+    most_held = 0
+
+    async def serve(reader, writer):
+        nonlocal most_held
+        with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(_HEAD + b"\r\n")
+            while True:
+                writer.write(b"x" * 1_000)
+                await writer.drain()
+                most_held = max(most_held, limits.memory.held_bytes)
+                await anyio.sleep(0)
+
+    async def scenario():
+        errors: list[Exception] = []
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+
+        async def request() -> None:
+            try:
+                await _bounded.request(
+                    pool,
+                    "GET",
+                    f"http://127.0.0.1:{port}/",
+                    80_000,
+                    datetime.timedelta(seconds=30),
+                )
+            except _bounded.AnswerTooLargeError as exc:
+                errors.append(exc)
+
+        async with _make_pool(limits) as pool, anyio.create_task_group() as tg:
+            for _ in range(4):
+                tg.start_soon(request)
+        server.close()
+        return errors
+
+    errors = anyio.run(scenario)
+    assert len(errors) == 4
+    assert any("no memory" in str(error) for error in errors)
+    assert most_held <= 100_000
+    assert limits.memory.held_bytes == 0
+
+
 _NO_SOCKET: Any = None
 
 
