--- a/dragonflystack/_asgi.py
+++ b/dragonflystack/_asgi.py
@@ -113,17 +113,31 @@
     )
 
 
+def may_close(scope: Scope) -> bool:
+    """Returns whether a connection may end after the response to a request.
+
+    If it may, the server reads no further request from the connection.
+    """
+    may: Callable[[], bool] | None = scope.get("may_close")
+    return may is None or may()
+
+
 def close_connections_when(is_leaving: Callable[[], bool], app: App) -> App:
     """Wraps an app to close each connection after its response while leaving.
 
     On a connection that stays open, the next request could arrive just as the
     process ends. The `connection: close` header makes the caller open a new
-    connection, to another VM.
+    connection, to another VM. A connection on which further requests were read
+    already stays open until they are answered.
     """
 
     async def wrapped(scope: Scope, receive: Receive, send: Send) -> None:
         async def send_closing(message: dict[str, Any]) -> None:
-            if message["type"] == "http.response.start" and is_leaving():
+            if (
+                message["type"] == "http.response.start"
+                and is_leaving()
+                and may_close(scope)
+            ):
                 headers = [*message["headers"], (b"connection", b"close")]
                 message = {**message, "headers": headers}
             await send(message)
--- a/dragonflystack/_limits.py
+++ b/dragonflystack/_limits.py
@@ -161,6 +161,10 @@
         self._pending: collections.deque[_Pending] = collections.deque()
         """Oldest first."""
 
+        self._last_cycle: httptools_impl.RequestResponseCycle | None = None
+        """The request after whose response a shutdown ends the connection;
+        None before the shutdown."""
+
         self._receive_timer: asyncio.TimerHandle | None = None
         self._paused_receive_time: float | None = None
         """What is left of the timer, in seconds, while reading is paused."""
@@ -229,8 +233,11 @@
         self._in_head = False
         self._head_bytes = 0
         self.scope["raw_target"] = self.url  # type: ignore[typeddict-unknown-key]
+        self.scope["may_close"] = self._may_close  # type: ignore[typeddict-unknown-key]
         super().on_headers_complete()
         self._pending.append(_Pending(self.cycle))
+        if self._last_cycle is not None:
+            self._move_shutdown_behind(self.cycle)
 
     def on_body(self, body):
         """Counts the body bytes; the reader of the body limits its size."""
@@ -256,10 +263,43 @@
         if self._refusal is not None and not self._is_answer_owed():
             self._send_refusal()
 
+    def shutdown(self):
+        """Ends the connection after the responses to all requests read."""
+        was_kept = self.cycle is not None and self.cycle.keep_alive
+        super().shutdown()
+        if was_kept and not self.cycle.response_complete:
+            self._last_cycle = self.cycle
+
     def send_400_response(self, msg):
         """Refuses a malformed request."""
         self._refuse(_MALFORMED)
 
+    def _may_close(self) -> bool:
+        """Returns whether the connection may end after the current response.
+
+        It may not if a further request was read, which would be lost. If it
+        may, no further request is read.
+        """
+        self._forget_answered()
+        if (
+            len(self._pending) > 1
+            or self._refusal is not None
+            or self._feed.is_waiting
+        ):
+            return False
+        self._flow.hold()
+        return True
+
+    def _move_shutdown_behind(
+        self, cycle: httptools_impl.RequestResponseCycle
+    ) -> None:
+        """Lets the shutdown end the connection after a later request."""
+        assert self._last_cycle is not None
+        if not self._last_cycle.response_started:
+            self._last_cycle.keep_alive = True
+            cycle.keep_alive = False
+            self._last_cycle = cycle
+
     def _max_framing_bytes(self) -> int:
         """Returns the maximum of framing and trailer bytes received so far."""
         return MAX_HEAD_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._body_bytes
--- a/dragonflystack/_pacing.py
+++ b/dragonflystack/_pacing.py
@@ -75,6 +75,11 @@
         self._timer: asyncio.TimerHandle | None = None
         self._is_closed = False
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether received bytes wait to be parsed."""
+        return bool(self._unparsed)
+
     def feed(self, data: bytes) -> None:
         """Parses bytes; what exceeds the share of the processor waits."""
         if self._timer is not None:
