Wait for a port that is still in use (FAULT)

Seen: an entry process that starts while one of its ports is held ends by itself, exit status 3 or 1. A candidate for the FAULT that the users saw on three deployments; suspected, as no logs were kept.

Cause: uvicorn ends the process if it cannot bind; the error of the UDP port ends the task group.

Ruled out: the store, signals, limits on address space (152 MB) and descriptors (200) at the start; the process starts and serves (trials).

Change: a port that cannot be bound is tried again every 0.2 s and logged. The loop of heartbeats binds the UDP port. A VM becomes ready when the port of callers is bound.

Conclusion: nothing that passes ends a process at its start.

--- a/dragonflystack/_server.py
+++ b/dragonflystack/_server.py
@@ -1,5 +1,6 @@
 """A uvicorn server that runs in a task group and handles no signals."""
 
+from collections.abc import Callable
 import contextlib
 import datetime
 import functools
@@ -17,12 +18,23 @@
 _BACKLOG = 512
 _MAX_CONNECTIONS = 2_000
 _START_POLL_S = 0.01
-_KEEP_ALIVE = datetime.timedelta(seconds=5)
+_BIND_RETRY_S = 0.2
+KEEP_ALIVE = datetime.timedelta(seconds=5)
+
+
+OnBindError = Callable[[int, str], None]
+"""Receives a port that could not be bound, and the reason."""
+
+
+def _ignore_bind_error(port: int, reason: str) -> None:
+    """Does nothing: uvicorn has written the error to its own log."""
 
 
 class Server(uvicorn.Server):
     """An HTTP server on one port."""
 
+    on_bind_error: OnBindError = staticmethod(_ignore_bind_error)
+
     @classmethod
     def from_address(
         cls,
@@ -30,9 +42,10 @@
         host: str,
         port: int,
         tls: ssl.SSLContext | None = None,
-        keep_alive: datetime.timedelta = _KEEP_ALIVE,
+        keep_alive: datetime.timedelta = KEEP_ALIVE,
         memory: _body_memory.BodyMemory | None = None,
         pacer: _pacing.Pacer | None = None,
+        on_bind_error: OnBindError = _ignore_bind_error,
     ) -> "Server":
         """Returns a server for an app.
 
@@ -45,6 +58,7 @@
                 whole seconds.
             memory: counts the bodies of requests, None for a memory of its own.
             pacer: limits the time for small parts, None for one of its own.
+            on_bind_error: called each time that the port cannot be bound.
         """
         protocol = functools.partial(
             _limits.LimitedProtocol,
@@ -72,13 +86,29 @@
         if tls is not None:
             cfg.load()
             cfg.ssl = tls
-        return cls(cfg)
+        server = cls(cfg)
+        server.on_bind_error = on_bind_error
+        return server
 
     @contextlib.contextmanager
     def capture_signals(self):
         """Installs no signal handlers; the daemon handles signals."""
         yield
 
+    async def startup(self, sockets=None) -> None:
+        """Binds the port; tries again while it cannot be bound.
+
+        An earlier process may still hold the port. uvicorn would end the
+        process.
+        """
+        while not self.should_exit:
+            try:
+                await super().startup(sockets)
+                return
+            except SystemExit as exc:
+                self.on_bind_error(self.config.port, str(exc.__context__))
+            await anyio.sleep(_BIND_RETRY_S)
+
     async def wait_started(self) -> None:
         """Returns when the port accepts connections."""
         while not self.started:
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -12,6 +12,7 @@
     SETTINGS_RELOADED = "settings-reloaded"
     SETTINGS_REFUSED = "settings-refused"
     LOOP_FAILED = "loop-failed"
+    PORT_UNAVAILABLE = "port-unavailable"
     DEPENDENCY_LOST = "dependency-lost"
     DEPENDENCY_REGAINED = "dependency-regained"
     CATALOGUE_ADOPTED = "catalogue-adopted"
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -39,12 +39,14 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._alive_phases: dict[str, entry.Phase] = {}
 
-    async def open(self) -> None:
+    async def _open(self) -> None:
         """Binds the UDP port.
 
         Raises:
             OSError: if the port is in use.
         """
+        if self._transport is not None:
+            return
         peers = self._daemon.settings.peers
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
@@ -181,7 +183,12 @@
             self._transport.sendto(data, (peer.host, peer.port))
 
     async def run(self) -> None:
-        """Sends heartbeats periodically, and early if one is requested."""
+        """Sends heartbeats periodically, and early if one is requested.
+
+        Raises:
+            OSError: if the UDP port is in use.
+        """
+        await self._open()
         daemon = self._daemon
         while True:
             self._log_silent()
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -38,6 +38,7 @@
 
 _REPORT_QUARANTINE_EVERY = datetime.timedelta(milliseconds=300)
 _DRAIN_POLL_S = 0.05
+_BIND_POLL_S = 0.01
 _GRACE_ENDED = "grace-ended"
 """Source of removals that were kept for a grace time first."""
 
@@ -81,7 +82,6 @@
         daemon.pacer,
     )
     heartbeats = _heartbeats.Heartbeats(daemon)
-    await heartbeats.open()
     replication_client = _replication_client.ReplicationClient(daemon)
     store_sync = _store_sync.StoreSync(daemon, platform, replication_client)
     ports = _make_ports(daemon, pool, apps)
@@ -112,18 +112,22 @@
         await _run_periodic(daemon, pool, heartbeats, ports[0])
 
     async with anyio.create_task_group() as loops:
-        for name, run_loop in (
-            ("periodic", run_periodic),
-            ("operators", store_sync.run_operators),
-            ("servers", store_sync.run_servers),
-            ("registration", store_sync.run_registration),
-            ("replication", replication_client.run),
-            ("heartbeats", heartbeats.run),
-            ("probes", _probes.Prober(daemon, pool).run),
-        ):
-            loops.start_soon(_keep_running, daemon, name, run_loop)
         async with anyio.create_task_group() as servers:
-            for port in ports:
+            servers.start_soon(ports[0].serve)
+            # The loops make this VM ready, so that callers are sent here.
+            while not (ports[0].started or daemon.stop_requested.is_set()):
+                await anyio.sleep(_BIND_POLL_S)
+            for name, run_loop in (
+                ("periodic", run_periodic),
+                ("operators", store_sync.run_operators),
+                ("servers", store_sync.run_servers),
+                ("registration", store_sync.run_registration),
+                ("replication", replication_client.run),
+                ("heartbeats", heartbeats.run),
+                ("probes", _probes.Prober(daemon, pool).run),
+            ):
+                loops.start_soon(_keep_running, daemon, name, run_loop)
+            for port in ports[1:]:
                 servers.start_soon(port.serve)
             await daemon.stop_requested.wait()
             await _stop_gracefully(daemon, heartbeats, ports)
@@ -152,30 +156,34 @@
         lambda: daemon.is_leaving, _callers_port.CallersApp(daemon, pool)
     )
     idle = entry.CallerLimits().idle_timeout
-    return (
-        _server.Server.from_address(
-            callers_app,
-            cfg.callers.host,
-            cfg.callers.port,
-            keep_alive=idle,
+
+    def on_bind_error(port: int, reason: str) -> None:
+        daemon.log_event(
+            _events.Event.PORT_UNAVAILABLE, port=port, reason=reason
+        )
+        daemon.event_log.flush()
+
+    def make_port(
+        app: _asgi.App,
+        endpoint: _daemon.Endpoint,
+        keep_alive: datetime.timedelta = _server.KEEP_ALIVE,
+    ) -> _server.Server:
+        return _server.Server.from_address(
+            app,
+            endpoint.host,
+            endpoint.port,
+            keep_alive=keep_alive,
             memory=daemon.body_memory,
             pacer=daemon.pacer,
-        ),
-        *(
-            _server.Server.from_address(
-                app,
-                port.host,
-                port.port,
-                memory=daemon.body_memory,
-                pacer=daemon.pacer,
-            )
-            for app, port in (
-                (apps.readiness, cfg.readiness),
-                (apps.directory, cfg.directory),
-                (_peers_port.make_app(daemon), cfg.peers),
-                (_metrics_port.make_app(daemon), cfg.metrics),
-            )
-        ),
+            on_bind_error=on_bind_error,
+        )
+
+    return (
+        make_port(callers_app, cfg.callers, idle),
+        make_port(apps.readiness, cfg.readiness),
+        make_port(apps.directory, cfg.directory),
+        make_port(_peers_port.make_app(daemon), cfg.peers),
+        make_port(_metrics_port.make_app(daemon), cfg.metrics),
     )
 
 
