--- a/dragonflystack/entryd/_event_log.py
+++ b/dragonflystack/entryd/_event_log.py
@@ -7,7 +7,9 @@
 
 import collections
 import datetime
+import logging
 import os
+import traceback
 
 import eliot
 import msgspec
@@ -15,6 +17,8 @@
 from dragonflystack import clock
 from dragonflystack.entryd import _events
 
+_MAX_TEXT_CHARS = 500
+_MAX_TRACE_CHARS = 4_000
 _SECOND = datetime.timedelta(seconds=1)
 MAX_LINES_PER_SECOND = 400
 """Limit for lines of all kinds; a line has about 300 bytes."""
@@ -48,13 +52,22 @@
         self._dropped: collections.Counter[str] = collections.Counter()
 
     def start(self, **fields: str) -> None:
-        """Registers this log as a destination of eliot.
+        """Registers this log as a destination of eliot and of `logging`.
+
+        Without a handler, `logging` writes the warnings of libraries to
+        standard error, where a stalled reader would block the process. They
+        go to the log that was started last.
 
         Args:
             fields: fields to add to every line.
         """
         eliot.add_global_fields(**fields)
         eliot.add_destinations(self._enqueue)
+        root = logging.getLogger()
+        for handler in root.handlers[:]:
+            if isinstance(handler, _LibraryHandler):
+                root.removeHandler(handler)
+        root.addHandler(_LibraryHandler(self))
 
     def log_event(self, event: _events.Event, **fields: object) -> None:
         """Logs one event, or counts it as dropped if a limit is reached."""
@@ -113,6 +126,27 @@
         self._buffered_bytes += len(line)
 
 
+class _LibraryHandler(logging.Handler):
+    """Writes messages of libraries to the log of the process."""
+
+    def __init__(self, event_log: EventLog):
+        super().__init__(logging.WARNING)
+        self._event_log = event_log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """See `logging.Handler`."""
+        trace = ""
+        if record.exc_info is not None:
+            trace = "".join(traceback.format_exception(record.exc_info[1]))
+        self._event_log.log_event(
+            _events.Event.LIBRARY_MESSAGE,
+            logger=record.name,
+            level=record.levelname,
+            text=record.getMessage()[:_MAX_TEXT_CHARS],
+            trace=trace[-_MAX_TRACE_CHARS:],
+        )
+
+
 def _encode(value: object) -> object:
     return str(value)
 
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -49,8 +49,11 @@
     REQUEST_UNAUTHORIZED = "request-unauthorized"
     REQUEST_DROPPED = "request-dropped"
     BODIES_EVICTED = "bodies-evicted"
+    LIBRARY_MESSAGE = "library-message"
     LINES_DROPPED = "lines-dropped"
 
 
-ROUTINE = frozenset((Event.REQUEST_SENT, Event.REQUEST_SERVED))
+ROUTINE = frozenset(
+    (Event.REQUEST_SENT, Event.REQUEST_SERVED, Event.LIBRARY_MESSAGE)
+)
 """Kinds with a lower rate limit, so that they are dropped first."""
--- a/dragonflystack/entryd/tests/test_event_log.py
+++ b/dragonflystack/entryd/tests/test_event_log.py
@@ -1,8 +1,10 @@
 """Tests that log lines are rate limited and never block the process."""
 
 import datetime
+import logging
 import os
 import pathlib
+import sys
 
 import eliot
 import msgspec
@@ -72,3 +74,37 @@
     text = page.read_text()
     missing = [e.value for e in _events.Event if f"`{e.value}`" not in text]
     assert not missing
+
+
+# Guards against a process that hangs, because the reader of standard error has
+# stalled while a library writes its warnings there.
+def test_messages_of_libraries_are_lines_of_the_log():
+    event_log, _, reader = _log_to_pipe()
+    _close(event_log)
+    event_log.start()
+    logger = logging.getLogger("uvicorn.error")
+    for _ in range(2 * _event_log.MAX_ROUTINE_LINES_PER_SECOND):
+        logger.warning("Invalid HTTP request received.")
+    event_log.flush()
+    lines = _read_lines(reader)
+    _close(event_log)
+    assert lines[0]["text"] == "Invalid HTTP request received."
+    assert lines[0]["logger"] == "uvicorn.error"
+    assert len(lines) <= 2 * _event_log.MAX_ROUTINE_LINES_PER_SECOND
+
+
+def test_exceptions_in_libraries_are_logged_with_their_traceback():
+    event_log, _, reader = _log_to_pipe()
+    handler = _event_log._LibraryHandler(event_log)
+    try:
+        raise ValueError("the cause")
+    except ValueError:
+        record = logging.getLogger("uvicorn.error").makeRecord(
+            "uvicorn.error", logging.ERROR, "", 0, "failed", (), sys.exc_info()
+        )
+    handler.handle(record)
+    event_log.flush()
+    (line,) = _read_lines(reader)
+    _close(event_log)
+    assert line["message_type"] == "library-message"
+    assert line["trace"].endswith("ValueError: the cause\n")
