End the sending direction first after the last response of a stop (LOST)

Cause: the connection was closed at once after the last response. What arrived later was unread, so that the kernel reset the connection, and the reset made callers drop the response.

Test: test_connection_is_not_reset_while_the_caller_sends, fails before.

--- a/dragonflystack/_limits.py
+++ b/dragonflystack/_limits.py
@@ -125,6 +125,40 @@
             self.resume_reading()
 
 
+class _LastResponseTransport:
+    """Ends a connection gently after its last response.
+
+    The caller may be sending further requests. Closing at once would reset the
+    connection, and the reset could make the caller drop the response. Nothing
+    is read meanwhile, so that the caller may send those requests again.
+    """
+
+    def __init__(self, transport: asyncio.Transport):
+        self._transport = transport
+        self._is_ended = False
+
+    def write(self, data: bytes) -> None:
+        """See `asyncio.Transport`."""
+        self._transport.write(data)
+
+    def is_closing(self) -> bool:
+        """See `asyncio.Transport`."""
+        return self._is_ended or self._transport.is_closing()
+
+    def close(self) -> None:
+        """Ends the sending direction, and closes after a delay."""
+        if self.is_closing():
+            return
+        self._is_ended = True
+        if not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        self._transport.write_eof()
+        asyncio.get_running_loop().call_later(
+            _CLOSE_DELAY.total_seconds(), self._transport.close
+        )
+
+
 class LimitedProtocol(httptools_impl.HttpToolsProtocol):
     """HTTP/1.1 with limits on the request head, body and receive time."""
 
@@ -288,6 +322,9 @@
         ):
             return False
         self._flow.hold()
+        if self._pending:
+            last = _LastResponseTransport(self.transport)
+            self._pending[0].cycle.transport = last  # type: ignore[assignment]
         return True
 
     def _move_shutdown_behind(
--- a/dragonflystack/tests/test_pipelined_stop.py
+++ b/dragonflystack/tests/test_pipelined_stop.py
@@ -1,5 +1,6 @@
 """Requests that callers sent ahead when a planned stop begins."""
 
+import asyncio
 import contextlib
 
 import anyio
@@ -117,3 +118,28 @@
     before, after, is_announced, answers
 ):
     assert _answers(before, after, is_announced) == answers
+
+
+# Guards against a reset that makes a caller drop the last response, because it
+# was still sending.
+def test_connection_is_not_reset_while_the_caller_sends():
+    async def run():
+        app = _asgi.close_connections_when(lambda: True, _app)
+        server = _server.Server.from_address(app, "127.0.0.1", 0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(server.serve)
+            await server.wait_started()
+            port = server.servers[0].sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(_get(b"/a"))
+            await anyio.sleep(1.5 * _ANSWER_AFTER_S)
+            for path in (b"/b", b"/c"):
+                writer.write(_get(path))
+                await anyio.sleep(0.02)
+            data = await reader.read()
+            writer.close()
+            server.stop()
+        return data
+
+    data = anyio.run(run)
+    assert data.endswith(b"/a;")
