--- a/review/6/case.py
+++ b/review/6/case.py
@@ -37,7 +37,7 @@
 """Some clients keep an answer of the directory for three times its 1.5 s."""
 
 
-async def _play(world: w.World) -> bool:
+async def _play(world: w.World) -> bool:  # noqa: C901
     await world.start_store()
     zones = {"muc-nord": "oberbayern", "muc-sued": "oberbayern"}
     route = {
--- a/review/world_2.py
+++ b/review/world_2.py
@@ -433,7 +433,8 @@
         length = f"Content-Length: {len(body)}\r\n" if body else ""
         self._writer.write(
             f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
-            f"X-Attempt-Id: {attempt}\r\nX-Deadline-Remaining: {deadline_ms}\r\n"
+            f"X-Attempt-Id: {attempt}\r\n"
+            f"X-Deadline-Remaining: {deadline_ms}\r\n"
             f"{length}\r\n".encode()
             + body
         )
@@ -559,7 +560,8 @@
 blob_s = 0.025
 blob_mb_s = 80.0
 [terms]
-contracts = ["base","drain","config","cost","retry","recover","places","platform"]
+contracts = ["base","drain","config","cost","retry","recover","places",
+    "platform"]
 [terms.fault_tolerance]
 machines = 2
 zones = 1
