--- a/review/7/case.py
+++ b/review/7/case.py
@@ -22,16 +22,16 @@
 
 _CLIENTS = 30
 _ROUNDS = 3
-_LEAVING = frozenset(range(0, 9))
+_LEAVING = frozenset(range(9))
 """Three tenths of the clients of a round; the others stay."""
 
-_FURTHER = frozenset((*range(0, 5), *range(9, 19)))
+_FURTHER = frozenset((*range(5), *range(9, 19)))
 """The clients of a round that send a further request: half of all."""
 
 _SLACK_S = 0.5
 
 
-async def _play(world: w.World) -> bool:
+async def _play(world: w.World) -> bool:  # noqa: C901
     await world.start_store()
     zones = {"ub-a": "ulaanbaatar", "ub-b": "ulaanbaatar"}
     route = {
