--- a/review/world_2.py
+++ b/review/world_2.py
@@ -102,6 +102,18 @@
         """Writes a row of JSON."""
         self._put(table, key, json.dumps(body).encode())
 
+    def put_server(self, key: str, body: dict) -> None:
+        """Writes a backend server's row.
+
+        The entry changes only when more than its sequence changes.
+        """
+        kept = self.rows.get(("servers", key))
+        if kept is not None:
+            before = json.loads(kept[0])
+            if {**before, "sequence": 0} == {**body, "sequence": 0}:
+                return
+        self.put("servers", key, body)
+
     def drop(self, table: str, key: str) -> None:
         """Removes a row."""
         if self.rows.pop((table, key), None) is not None:
@@ -242,6 +254,10 @@
 
         self.cold_until = 0.0
         self.state = "ready"
+        self.is_leaving = False
+        """Whether it writes its row no more."""
+
+        self.is_over = False
         self._sequence = 0
         self._born = int(time.time() * 1_000)
         self._address = ("", 0)
@@ -255,30 +271,37 @@
 
     def report(self) -> None:
         """Writes this server's row."""
+        self._store.put_server(self.name, self.make_row())
+
+    def make_row(self) -> dict:
+        """Returns the body of the next write of this server's row."""
         self._sequence += 1
         host, port = self._address
         left = max(0.0, self.cold_until - self._record.now())
-        self._store.put(
-            "servers",
-            self.name,
-            {
-                "service": self.service,
-                "address": f"{host}:{port}",
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self._slots,
-                "state": self.state,
-                "cold_left_s": round(left, 3),
-                "sequence": self._sequence,
-                "born": self._born,
-            },
-        )
+        return {
+            "service": self.service,
+            "address": f"{host}:{port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self._slots,
+            "state": self.state,
+            "cold_left_s": round(left, 3),
+            "sequence": self._sequence,
+            "born": self._born,
+        }
+
+    def close(self) -> None:
+        """Ends the server."""
+        self.is_over = True
+        if self._server is not None:
+            self._server.close()
 
     async def beat(self, every_s: float = 1.5) -> None:
         """Reports for ever."""
-        while True:
+        while not self.is_leaving:
             await asyncio.sleep(every_s)
-            self.report()
+            if not self.is_leaving:
+                self.report()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
