Review: each case names its own record

Cause: only the shared stand-ins named record.txt, so that no case folder showed what writes it. Change: the cases pass the file to the stand-ins; nothing else changes.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -95,4 +95,4 @@
     return not counted or late <= counted / 4
 
 
-w.run_case(FOLDER, _play)
+w.run_case(FOLDER / "record.txt", _play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -107,4 +107,4 @@
     return lost == 0
 
 
-w.run_case(FOLDER, _play)
+w.run_case(FOLDER / "record.txt", _play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -101,4 +101,4 @@
     return not late
 
 
-w.run_case(FOLDER, _play)
+w.run_case(FOLDER / "record.txt", _play)
--- a/review/world_2.py
+++ b/review/world_2.py
@@ -638,8 +638,8 @@
 class World:
     """A small deployment on loopback addresses."""
 
-    def __init__(self, folder: pathlib.Path):
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record_file: pathlib.Path):
+        self.record = Record(record_file)
         self._temporary = tempfile.TemporaryDirectory()
         self._subnet = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
         self._next_host = 10
@@ -829,11 +829,11 @@
     }
 
 
-def run_case(folder: pathlib.Path, play: Callable) -> None:
+def run_case(record_file: pathlib.Path, play: Callable) -> None:
     """Plays a case; exits with 1 if the rule was broken, 0 if it held.
 
     Args:
-        folder: the folder of the case.
+        record_file: the file of what was sent, answered and run.
         play: an async function of a world that returns whether the rule held.
     """
 
@@ -841,7 +841,7 @@
         # Connections of the stand-ins are cut off at the end.
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda *_: None)
-        world = World(folder)
+        world = World(record_file)
         try:
             held = await asyncio.wait_for(play(world), 115.0)
             world.record.write("the rule", "held" if held else "was broken")
