--- a/dragonflystack/entry/_context.py
+++ b/dragonflystack/entry/_context.py
@@ -17,6 +17,9 @@
 
     rng: random.Random
 
+    exits_at: datetime.timedelta | None
+    """When a planned stop ends the last requests; None before it."""
+
     @property
     def late_wait_fraction(self) -> float:
         """See `ChoiceSettings.late_wait_fraction`."""
--- a/dragonflystack/entry/_dispatch.py
+++ b/dragonflystack/entry/_dispatch.py
@@ -51,6 +51,9 @@
         self.evacuated: frozenset[ids.FailureDomainId] = frozenset()
         """Failure domains that get no requests."""
 
+        self.exits_at: datetime.timedelta | None = None
+        """See `_context.Context.exits_at`."""
+
         self.observations = _observations.Observations()
         """Observations of backend servers that this VM sends to other VMs."""
 
--- a/dragonflystack/entry/_exchange.py
+++ b/dragonflystack/entry/_exchange.py
@@ -130,6 +130,8 @@
             return False
         if self._context.quarantined_for(self.request, now) is not None:
             return False
+        if self._may_outlast_vm():
+            return False
         server = current.server
         requirements = self.requirements
         return (
@@ -141,6 +143,19 @@
             and self._context.may_write(server, now)
         )
 
+    def _may_outlast_vm(self) -> bool:
+        """Returns whether a planned stop could cut the request off.
+
+        It may take until its deadline. One that has not run is better off at
+        another VM.
+        """
+        exits_at = self._context.exits_at
+        return (
+            exits_at is not None
+            and self.deadline > exits_at
+            and not self.may_have_run
+        )
+
     def _denial(self, now: datetime.timedelta) -> _access.Denial | None:
         """Updates the requirements to the catalogue in force.
 
@@ -326,6 +341,11 @@
         quarantined_for = self._context.quarantined_for(self.request, now)
         if quarantined_for is not None:
             return self._on_quarantined(quarantined_for)
+        if self._may_outlast_vm():
+            # Another VM can accept the request at once.
+            return _messages.Reject(
+                _messages.Reason.STOPPING, self._retry_after(_MIN_RETRY_AFTER)
+            )
         candidates = self._candidates(now)
         if not candidates:
             return self._give_up(self._reason, now)
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -107,6 +107,10 @@
         self.discovery.confirm_after = bounds.drain * _CONFIRM_FRACTION
         self.dispatch.on_bounds(bounds)
 
+    def on_exit_planned(self, exits_at: datetime.timedelta) -> None:
+        """Starts to reject requests that could last longer than this VM."""
+        self.dispatch.exits_at = exits_at
+
     def on_store_era(self, era: int, now: datetime.timedelta) -> bool:
         """Updates the store's era, from an answer or from another VM.
 
--- a/dragonflystack/entryd/_callers_port.py
+++ b/dragonflystack/entryd/_callers_port.py
@@ -18,14 +18,6 @@
 from dragonflystack.entryd import _startup_queue
 from dragonflystack.entryd import _unread_answers
 
-_ACCEPT_ALL_FRACTION = 0.45
-"""Fraction of the grace period of a planned stop during which all requests are
-accepted. The rest lets the last ones finish. The users rely on less than half
-of the grace period."""
-
-_STOPPING_RETRY_AFTER = datetime.timedelta(milliseconds=50)
-"""Short because another VM can accept the request at once."""
-
 _DIGEST_BYTES = 8
 _CALLER_DIGEST_BYTES = 4
 _NO_LENGTH_STATUSES = frozenset((204, 304))
@@ -108,14 +100,10 @@
             request, digest=_digest(scope, request, key, body)
         )
         exchange: entry.Exchange | None = None
-        step: entry.Step = entry.Reject(
-            entry.Reason.STOPPING, _STOPPING_RETRY_AFTER
-        )
-        if not await self._startup_queue.wait_for_sync(
+        step: entry.Step = entry.Drop()
+        if await self._startup_queue.wait_for_sync(
             receive, len(body), request.time_left
         ):
-            step = entry.Drop()
-        elif not self._is_rejected_by_stop(request):
             exchange, step = daemon.vm.open(request, daemon.now(), started_at)
         answer: _answer_reader.Answer | None = None
         if exchange is not None:
@@ -154,25 +142,6 @@
         access = daemon.vm.access(request, daemon.now())
         return None if isinstance(access, entry.Access) else access
 
-    def _is_rejected_by_stop(self, request: entry.Request) -> bool:
-        """Returns whether a planned stop leaves too little time for a request.
-
-        During the first part of the grace period all requests are accepted;
-        after it only those whose deadline is before the VM's exit.
-        """
-        stop_began_at = self._daemon.leaving_since
-        if stop_began_at is None:
-            return False
-        grace = self._daemon.vm.bounds.grace
-        since_stop = self._daemon.now() - stop_began_at
-        if since_stop < grace * _ACCEPT_ALL_FRACTION:
-            return False
-        time_left = request.time_left
-        return (
-            time_left is None
-            or since_stop + time_left > grace - _daemon.EXIT_BEFORE_KILL
-        )
-
     def _log_outcome(
         self,
         request: entry.Request,
--- a/dragonflystack/entryd/_daemon.py
+++ b/dragonflystack/entryd/_daemon.py
@@ -18,7 +18,7 @@
 from dragonflystack.entryd import _events
 from dragonflystack.entryd import _metrics
 
-EXIT_BEFORE_KILL = datetime.timedelta(milliseconds=800)
+_EXIT_BEFORE_KILL = datetime.timedelta(milliseconds=800)
 """Requests must end this long before the end of a planned stop's grace period,
 because a small VM needs as long to end its loops."""
 
@@ -129,6 +129,9 @@
     leaving_since: datetime.timedelta | None = None
     """When a planned stop began; None before it."""
 
+    exits_at: datetime.timedelta | None = None
+    """When a planned stop ends the last requests; None before it."""
+
     in_flight: int = 0
     """The number of callers' requests that are not answered yet."""
 
@@ -157,6 +160,32 @@
     """Set once this VM knows routes and backend servers, or has tried to get
     them from other VMs because the store did not answer."""
 
+    def on_stop(self) -> None:
+        """Starts a planned stop: this VM is leaving."""
+        self.leaving_since = self.now()
+        self.vm.members.phase = entry.Phase.LEAVING
+        self._update_exit()
+
+    def on_bounds(self, bounds: entry.FleetBounds) -> bool:
+        """Applies the operators' bounds; returns whether they changed."""
+        changed = bounds != self.vm.bounds
+        self.vm.on_bounds(bounds)
+        self._update_exit()
+        return changed
+
+    def _update_exit(self) -> None:
+        """Sets the end of a planned stop; a longer grace does not delay it.
+
+        Which grace period the platform uses is unknown if it changes during the
+        stop, so the shortest one counts.
+        """
+        if self.leaving_since is None:
+            return
+        exits_at = self.leaving_since + self.vm.bounds.grace - _EXIT_BEFORE_KILL
+        if self.exits_at is None or exits_at < self.exits_at:
+            self.exits_at = exits_at
+            self.vm.on_exit_planned(exits_at)
+
     def restart_watches(self) -> None:
         """Restarts the watches of the store."""
         self.watch_restart_requested.set()
--- a/dragonflystack/entryd/_run.py
+++ b/dragonflystack/entryd/_run.py
@@ -32,9 +32,9 @@
 _HOUSEKEEPING_EVERY = datetime.timedelta(seconds=1)
 """Interval of the work that can wait: idle connections, lines on regions."""
 
-_CLOSE_BEFORE_KILL = datetime.timedelta(milliseconds=1_600)
-"""The ports close this long before the end of the grace period. By then, the
-directory answers with this VM's address have expired at the callers."""
+_CLOSE_BEFORE_EXIT = datetime.timedelta(milliseconds=800)
+"""The ports close this long before the exit. By then, the directory answers
+with this VM's address have expired at the callers."""
 
 _REPORT_QUARANTINE_EVERY = datetime.timedelta(milliseconds=300)
 _DRAIN_POLL_S = 0.05
@@ -289,8 +289,7 @@
         reason = f"{type(exc).__name__}: {exc}"
         daemon.log_event(_events.Event.SETTINGS_REFUSED, reason=reason)
         return
-    changed = bounds != daemon.vm.bounds
-    daemon.vm.on_bounds(bounds)
+    changed = daemon.on_bounds(bounds)
     daemon.log_event(_events.Event.SETTINGS_RELOADED, changed=changed)
 
 
@@ -304,25 +303,27 @@
     The VM announces that it is leaving, so that it is not named to callers any
     more, serves the requests that still arrive, and then closes its ports.
     """
-    started_at = daemon.now()
-    grace = daemon.vm.bounds.grace
-    daemon.leaving_since = started_at
-    daemon.vm.members.phase = entry.Phase.LEAVING
+    daemon.on_stop()
     daemon.log_event(
         _events.Event.STOPPING,
         in_flight=daemon.in_flight,
-        grace_ms=_event_log.milliseconds(grace),
+        grace_ms=_event_log.milliseconds(daemon.vm.bounds.grace),
     )
     heartbeats.send_all()
-    serve_time = max(datetime.timedelta(), grace - _CLOSE_BEFORE_KILL)
-    await anyio.sleep(serve_time.total_seconds())
+    while _time_to_exit(daemon) > _CLOSE_BEFORE_EXIT:
+        await anyio.sleep(_DRAIN_POLL_S)
     for port in ports:
         port.stop()
-    deadline = started_at + grace - _daemon.EXIT_BEFORE_KILL
     # A caller that reads slowly still gets the end of its answer.
-    while (
-        daemon.in_flight or ports[0].has_connections
-    ) and daemon.now() < deadline:
+    while (daemon.in_flight or ports[0].has_connections) and _time_to_exit(
+        daemon
+    ) > datetime.timedelta():
         await anyio.sleep(_DRAIN_POLL_S)
     for port in ports:
         port.force_exit = True
+
+
+def _time_to_exit(daemon: _daemon.Daemon) -> datetime.timedelta:
+    """Returns the time left of a planned stop, which may become shorter."""
+    assert daemon.exits_at is not None
+    return daemon.exits_at - daemon.now()
--- a/dragonflystack/entryd/tests/test_late_in_grace.py
+++ b/dragonflystack/entryd/tests/test_late_in_grace.py
@@ -1,12 +1,17 @@
 """Requests that arrive late in the grace period of a planned stop."""
 
 import asyncio
+import datetime
+import os
+import signal
 import socket
 
 import anyio
+import httpcore
 import pytest
 
 from dragonflystack import _server
+from dragonflystack import entry
 from dragonflystack import entryd
 from dragonflystack.entryd.tests import daemons
 
@@ -15,6 +20,8 @@
 _SLOW_READ_BYTES = 600
 _SLOW_STEP_S = 0.01
 _SMALL_BUFFER = 2_048
+_MAX_END = datetime.timedelta(milliseconds=800)
+"""The time that a daemon has from its exit to the end of the grace period."""
 
 
 class _LargeAnswers:
@@ -159,3 +166,89 @@
             assert len(body) == _content_length(answer)
 
     daemons.run_scenario(scenario, _LargeAnswers())
+
+
+async def _get_statuses(pool, daemon, spacing_s, number):
+    """Sends requests in turn, each with a distant deadline.
+
+    Returns:
+        The statuses of the answers.
+    """
+    statuses = []
+
+    async def get():
+        answer = await daemons.get(pool, daemon, left_ms=12_000)
+        statuses.append(answer.status)
+
+    async with anyio.create_task_group() as callers:
+        for _ in range(number):
+            callers.start_soon(get)
+            await anyio.sleep(spacing_s)
+    return statuses
+
+
+def test_order_that_takes_until_after_the_exit_is_rejected():
+    """Guards against orders that a stop accepts and cuts off (review/6)."""
+
+    async def scenario(platform, backend):
+        cfg = daemons.settings(grace_s=4.0)
+        async with daemons.serving_daemon(platform, cfg) as (pool, daemon):
+            backend.delay_s = 2.8
+            daemon.stop_requested.set()
+            await daemons.until(lambda: daemon.is_leaving)
+            statuses = await _get_statuses(pool, daemon, 0.3, 4)
+        assert statuses == [503] * 4
+        assert backend.runs == 0
+
+    daemons.run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("grace_s", "signals"),
+    [
+        pytest.param(2.5, (signal.SIGHUP,), id="shorter grace"),
+        pytest.param(20.0, (signal.SIGHUP,), id="longer grace"),
+        pytest.param(4.0, (signal.SIGTERM,), id="a second SIGTERM"),
+    ],
+)
+def test_exit_is_never_later_than_at_the_beginning_of_the_stop(
+    grace_s, signals
+):
+    """Guards against a change during a stop that lets requests be cut off.
+
+    See review/6. What decides about a request is the time of the exit.
+    """
+
+    async def scenario(platform, backend):
+        cfg = daemons.settings(grace_s=4.0)
+        changed = entry.FleetBounds(grace=datetime.timedelta(seconds=grace_s))
+        daemon = entryd.make_daemon(cfg, daemons.DIALECT)
+        apps = entryd.Apps(daemons.empty_app, daemons.empty_app)
+        async with (
+            httpcore.AsyncConnectionPool() as pool,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(
+                entryd.run, daemon, platform, apps, lambda: changed
+            )
+            await daemons.until(lambda: daemon.is_ready)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await daemons.until(lambda: daemon.is_leaving)
+            exits_at = daemon.exits_at
+            for number in signals:
+                os.kill(os.getpid(), number)
+            if grace_s != cfg.bounds.grace.total_seconds():
+                await daemons.until(lambda: daemon.vm.bounds == changed)
+            shortened = max(
+                datetime.timedelta(), cfg.bounds.grace - changed.grace
+            )
+            assert daemon.exits_at == exits_at - shortened
+            backend.delay_s = 0.3
+            left = daemon.exits_at - daemon.now()
+            too_long_ms = 1_000 * left.total_seconds() + 100
+            rejected = await daemons.get(pool, daemon, left_ms=too_long_ms)
+            served = await daemons.get(pool, daemon, left_ms=800)
+        assert (rejected.status, served.status) == (503, 200)
+        assert daemon.now() < exits_at - shortened + _MAX_END
+
+    daemons.run_scenario(scenario)
