--- a/dragonflystack/_asgi.py
+++ b/dragonflystack/_asgi.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import datetime
 from typing import Any
 
 import msgspec
@@ -113,6 +114,16 @@
     )
 
 
+def elapsed(scope: Scope) -> datetime.timedelta:
+    """Returns the time since the first byte of a request was received.
+
+    Includes the time in which earlier requests of its connection were answered,
+    and that in which its body was received. Zero if the server does not tell.
+    """
+    elapsed_s: Callable[[], float] | None = scope.get("elapsed_s")
+    return datetime.timedelta(seconds=0.0 if elapsed_s is None else elapsed_s())
+
+
 def may_close(scope: Scope) -> bool:
     """Returns whether a connection may end after the response to a request.
 
--- a/dragonflystack/_limits.py
+++ b/dragonflystack/_limits.py
@@ -6,7 +6,8 @@
 
 A caller may send further requests before the first is answered. Answers are
 sent in the order of the requests, so a request that is refused while it is
-received gets its answer after those to the requests before it.
+received gets its answer after those to the requests before it. Requests are
+read as they arrive, because their deadlines count from then.
 """
 
 import asyncio
@@ -14,6 +15,7 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
+import itertools
 import json
 
 from uvicorn.protocols.http import flow_control
@@ -29,6 +31,10 @@
 """Maximum bytes of framing and trailers per body byte, in addition to
 `MAX_HEAD_BYTES`; a chunk of one byte has five bytes of framing."""
 
+MAX_UNANSWERED_HEAD_BYTES = 2 * MAX_HEAD_BYTES
+"""Total size of the heads of a connection's unanswered requests, in addition to
+the first, above which no further ones are read."""
+
 MAX_REQUEST_RECEIVE_TIME = datetime.timedelta(seconds=10)
 """Maximum time from the first byte of a request, or from the opening of the
 connection, to the last byte."""
@@ -62,6 +68,11 @@
 )
 
 
+def _header_bytes(header: tuple[bytes, bytes]) -> int:
+    name, value = header
+    return len(name) + len(value)
+
+
 class _StopParsingError(Exception):
     """Ends the parsing of a connection whose last request is refused."""
 
@@ -71,6 +82,7 @@
     """A request whose head is complete and whose response is not."""
 
     cycle: httptools_impl.RequestResponseCycle
+    head_bytes: int
     holding: _body_memory.Holding | None = None
     """Its body, None while it has none."""
 
@@ -203,6 +215,10 @@
         self._paused_receive_time: float | None = None
         """What is left of the timer, in seconds, while reading is paused."""
 
+        self._received_at = self._began_at = self.loop.time()
+        """When the bytes that are parsed now, and the first byte of the latest
+        request, were received."""
+
         super().connection_made(transport)
         self._body_parts = 0
         """The parts of bodies in the bytes that are parsed now."""
@@ -229,6 +245,8 @@
     def data_received(self, data):
         """Parses data as far as the connection's share of time allows."""
         if self._refusal is None:
+            if not self._feed.is_waiting:
+                self._received_at = self.loop.time()
             self._feed.feed(data)
 
     def _parse(self, data: bytes) -> int:
@@ -256,6 +274,7 @@
 
     def on_message_begin(self):
         """Starts the timer for this request."""
+        self._began_at = self._received_at
         self._in_head = True
         self._framing_bytes = 0
         self._body_bytes = 0
@@ -263,15 +282,19 @@
         super().on_message_begin()
 
     def on_headers_complete(self):
-        """Ends the head; keeps the request target as received."""
+        """Ends the head; adds to the scope what uvicorn does not provide."""
+        began_at = self._began_at
         self._in_head = False
         self._head_bytes = 0
         self.scope["raw_target"] = self.url  # type: ignore[typeddict-unknown-key]
         self.scope["may_close"] = self._may_close  # type: ignore[typeddict-unknown-key]
         self.scope["drain"] = self.flow.drain  # type: ignore[typeddict-unknown-key]
         self.scope["abort"] = self.transport.abort  # type: ignore[typeddict-unknown-key]
+        self.scope["elapsed_s"] = lambda: self.loop.time() - began_at  # type: ignore[typeddict-unknown-key]
         super().on_headers_complete()
-        self._pending.append(_Pending(self.cycle))
+        head_bytes = len(self.url) + sum(map(_header_bytes, self.headers))
+        self._pending.append(_Pending(self.cycle, head_bytes))
+        self._resume_reading_ahead()
         if self._last_cycle is not None:
             self._move_shutdown_behind(self.cycle)
 
@@ -329,6 +352,16 @@
             self._pending[0].cycle.transport = last  # type: ignore[assignment]
         return True
 
+    def _resume_reading_ahead(self) -> None:
+        """Reads on while a request waits for the answers to earlier ones.
+
+        uvicorn stops reading then. What it did not read would begin too late,
+        and the end of the connection would not be noticed.
+        """
+        waiting = itertools.islice(self._pending, 1, None)
+        if sum(p.head_bytes for p in waiting) <= MAX_UNANSWERED_HEAD_BYTES:
+            self.flow.resume_reading()
+
     def _move_shutdown_behind(
         self, cycle: httptools_impl.RequestResponseCycle
     ) -> None:
--- a/dragonflystack/daemon/_callers.py
+++ b/dragonflystack/daemon/_callers.py
@@ -209,10 +209,13 @@
     deadline_ms = _read_number(
         scope, _DEADLINE_HEADER, document.fleet.default_deadline_ms
     )
+    time_left = datetime.timedelta(
+        milliseconds=min(deadline_ms, _MAX_DEADLINE_MS)
+    )
     key = _asgi.header(scope, b"idempotency-key")
     return (
         payload,
-        datetime.timedelta(milliseconds=min(deadline_ms, _MAX_DEADLINE_MS)),
+        max(datetime.timedelta(), time_left - _asgi.elapsed(scope)),
         None if key is None else ids.RequestKey(key),
         _read_number(scope, _ATTEMPT_HEADER, 1),
     )
--- a/dragonflystack/entry/tests/test_exchange.py
+++ b/dragonflystack/entry/tests/test_exchange.py
@@ -218,3 +218,27 @@
     last = steps[-1]
     assert isinstance(last, entry.Reject)
     assert last.retry_after <= builders.ms(1200) / 3
+
+
+# Guards against work for a caller whose time was over before the request's turn
+# on its connection came (review/10).
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize(
+    ("left_ms", "timeout_ms"),
+    [
+        pytest.param(1_000, None, id="caller's deadline"),
+        pytest.param(10_000, 1_000, id="route's timeout"),
+    ],
+)
+def test_request_whose_time_is_over_is_rejected(
+    left_ms, timeout_ms, idempotent
+):
+    timeout = None if timeout_ms is None else builders.ms(timeout_ms)
+    route = builders.route(timeout=timeout, idempotent=idempotent)
+    vm = builders.entry_vm(builders.server("s1"), routes=(route,))
+    request = builders.request(time_left=builders.ms(left_ms))
+    exchange, step = vm.open(request, builders.ms(3_000), builders.ms(1_900))
+    assert exchange is not None
+    assert not exchange.sends
+    assert isinstance(step, entry.Reject)
+    assert step.reason is entry.Reason.TOO_LATE
--- a/dragonflystack/entryd/_callers_port.py
+++ b/dragonflystack/entryd/_callers_port.py
@@ -72,7 +72,7 @@
             small.
         """
         daemon = self._daemon
-        started_at = daemon.now()
+        started_at = daemon.now() - _asgi.elapsed(scope)
         catalogue = daemon.vm.catalogue
         limits = entry.CallerLimits() if catalogue is None else catalogue.limits
         request, key = self._parse_request(scope)
@@ -101,8 +101,11 @@
         )
         exchange: entry.Exchange | None = None
         step: entry.Step = entry.Drop()
+        time_left = request.time_left
+        if time_left is not None:
+            time_left -= daemon.now() - started_at
         if await self._startup_queue.wait_for_sync(
-            receive, len(body), request.time_left
+            receive, len(body), time_left
         ):
             exchange, step = daemon.vm.open(request, daemon.now(), started_at)
         answer: _answer_reader.Answer | None = None
