--- a/dragonflystack/entry/_departures.py
+++ b/dragonflystack/entry/_departures.py
@@ -28,7 +28,7 @@
 _MAX_REMOVALS_FOR_NEW_VM = 8
 """Fewer, since these include start times and sequences."""
 
-_MAX_WRITE_DELAY = datetime.timedelta(seconds=10)
+MAX_WRITE_DELAY = datetime.timedelta(seconds=10)
 """A write of an entry whose answer was lost takes effect within this time, also
 after the entry was removed."""
 
@@ -62,10 +62,19 @@
     sequence: int = 0
     """The latest known sequence of the incarnation that was removed."""
 
+    in_outage: bool = False
+    """Whether the entry was missing after an outage of the store, in which it
+    may have lapsed."""
+
     @classmethod
-    def from_entry(cls, entry: _servers.ServerEntry, version: int) -> "Removal":
+    def from_entry(
+        cls,
+        entry: _servers.ServerEntry,
+        version: int,
+        in_outage: bool = False,
+    ) -> "Removal":
         """Returns the removal of an entry at a store version."""
-        return cls(entry.id, version, entry.born, entry.sequence)
+        return cls(entry.id, version, entry.born, entry.sequence, in_outage)
 
     def covers(self, entry: _servers.ServerEntry) -> bool:
         """Returns whether an entry was written before the removal.
@@ -147,11 +156,11 @@
         """
         if for_new_vm:
             recent = [
-                r for at, r in self._removals if now - at <= _MAX_WRITE_DELAY
+                r for at, r in self._removals if now - at <= MAX_WRITE_DELAY
             ]
             return tuple(recent[-_MAX_REMOVALS_FOR_NEW_VM:])
         return tuple(
-            Removal(r.server, r.version)
+            Removal(r.server, r.version, in_outage=r.in_outage)
             for at, r in self._removals
             if now - at <= _ANNOUNCE_FOR
         )
--- a/dragonflystack/entry/_discovery.py
+++ b/dragonflystack/entry/_discovery.py
@@ -20,6 +20,7 @@
 
 from dragonflystack import ids
 from dragonflystack.entry import _departures
+from dragonflystack.entry import _returns
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _store_versions
 
@@ -59,6 +60,12 @@
 
     added: tuple[_servers.Server, ...] = ()
     leaving: tuple[_servers.Server, ...] = ()
+    unconfirmed: tuple[_servers.Server, ...] = ()
+    """Backend servers whose entries came back, which get no requests yet."""
+
+    confirmed: tuple[_servers.Server, ...] = ()
+    """Those that get requests from now on."""
+
     gone: tuple[_servers.Server, ...] = ()
     removed: tuple[ids.BackendServerId, ...] = ()
     """The ids of entries that are now known to be gone, including those that
@@ -72,6 +79,7 @@
         self,
         registry: _servers.ServerRegistry,
         departures: _departures.Departures,
+        returns: _returns.Returns,
         confirm_after: datetime.timedelta,
     ):
         """Initializes the discovery.
@@ -79,11 +87,13 @@
         Args:
             registry: the registry to which listings are applied.
             departures: backend servers that reported that they are leaving.
+            returns: decides about entries that come back.
             confirm_after: how long the removal of many entries at once stays
                 unconfirmed.
         """
         self._registry = registry
         self._departures = departures
+        self._returns = returns
         self.confirm_after = confirm_after
         """Must be less than the users' bound on requests to backend servers
         that left."""
@@ -125,6 +135,7 @@
         self._is_unavailable = False
         self._is_unconfirmed = False
         self._rewrite_grace_until = now + REREGISTRATION_GRACE
+        self._returns.on_store_restored()
         self._grace_until = self._rewrite_grace_until
 
     def on_listing(
@@ -146,9 +157,23 @@
         if from_store:
             self._on_store_answer(now)
         self.read_at = now
+        changes = self._apply_entries(listing.entries, now)
+        lost = self._find_lost(listing)
+        if from_store or now < self._rewrite_grace_until:
+            lost = self._filter_confirmed(listing, lost, now)
+        gone = self._drop(dict.fromkeys(lost, listing.version))
+        for server_id in lost:
+            self._returns.on_removed(server_id, now)
+        return dataclasses.replace(changes, gone=gone, removed=tuple(lost))
+
+    def _apply_entries(
+        self, entries: Iterable[_servers.ServerEntry], now: datetime.timedelta
+    ) -> ServerChanges:
+        """Registers entries, except those written before their removal."""
         added: list[_servers.Server] = []
         leaving: list[_servers.Server] = []
-        for entry in listing.entries:
+        unconfirmed: list[_servers.Server] = []
+        for entry in entries:
             if self._is_outdated(entry):
                 continue
             if self._departures.includes(entry):
@@ -159,13 +184,12 @@
             server, is_new = self._registry.on_entry(entry, now)
             if is_new:
                 added.append(server)
+                removal = self._removals.get(entry.id)
+                if self._returns.on_added(server, removal, now):
+                    unconfirmed.append(server)
             if entry.leaving and not was_leaving:
                 leaving.append(server)
-        lost = self._find_lost(listing)
-        if from_store or now < self._rewrite_grace_until:
-            lost = self._filter_confirmed(listing, lost, now)
-        gone = self._drop(dict.fromkeys(lost, listing.version))
-        return ServerChanges(tuple(added), tuple(leaving), gone, tuple(lost))
+        return ServerChanges(tuple(added), tuple(leaving), tuple(unconfirmed))
 
     def on_removals(
         self,
@@ -181,19 +205,28 @@
         Returns:
             The changes; only of entries that this VM knew.
         """
+        unconfirmed: list[_servers.Server] = []
         if now < self._rewrite_grace_until:
             return ServerChanges()
         gone: dict[ids.BackendServerId, int] = {}
         for removal in removals:
             if _store_versions.era_of(removal.version) < self._era:
                 continue
+            if not removal.in_outage:
+                self._returns.on_removed(removal.server, now)
             server = self._registry.get(removal.server)
             if server is None:
                 self._remember_removal(removal)
             elif removal.covers(server.entry):
                 gone[removal.server] = removal.version
                 self._remember_removal(removal)
-        return ServerChanges(gone=self._drop(gone), removed=tuple(gone))
+            elif self._returns.on_removal_announced(server, removal, now):
+                unconfirmed.append(server)
+        return ServerChanges(
+            unconfirmed=tuple(unconfirmed),
+            gone=self._drop(gone),
+            removed=tuple(gone),
+        )
 
     @property
     def is_store_unavailable(self) -> bool:
--- a/dragonflystack/entry/_servers.py
+++ b/dragonflystack/entry/_servers.py
@@ -77,6 +77,12 @@
     ):
         self.entry = entry
         self.region = region
+        self.first_row_version = entry.row_version
+        """The store's version of the first row that this VM read of it."""
+
+        self.is_confirmed = True
+        """Whether its entry shows that it runs; see `_returns`."""
+
         self.added_at = now
         """When this VM first read an entry of it."""
 
@@ -131,8 +137,8 @@
         self._cached_objects.clear()
 
     def may_serve(self) -> bool:
-        """Returns whether it is registered and not leaving."""
-        return not (self.gone or self.entry.leaving)
+        """Returns whether it is registered, and known to run and stay."""
+        return self.is_confirmed and not (self.gone or self.entry.leaving)
 
     def accepts_requests(self, now: datetime.timedelta) -> bool:
         """Returns whether requests may be written to it now.
--- a/dragonflystack/entry/_settings.py
+++ b/dragonflystack/entry/_settings.py
@@ -36,6 +36,9 @@
     drain: datetime.timedelta = _ms(2_500)
     """How long a leaving backend server still accepts requests."""
 
+    entry_lifetime: datetime.timedelta = _ms(4_500)
+    """The time from a backend server's last write until its entry lapses."""
+
     grace: datetime.timedelta = _ms(6_000)
     """The time from SIGTERM until the process is killed."""
 
--- a/dragonflystack/entry/_vm.py
+++ b/dragonflystack/entry/_vm.py
@@ -1,5 +1,6 @@
 """State and routing decisions of one entry VM, without any I/O."""
 
+import dataclasses
 import datetime
 import random
 
@@ -16,6 +17,7 @@
 from dragonflystack.entry import _messages
 from dragonflystack.entry import _observations
 from dragonflystack.entry import _replication
+from dragonflystack.entry import _returns
 from dragonflystack.entry import _routes
 from dragonflystack.entry import _servers
 from dragonflystack.entry import _settings
@@ -58,8 +60,12 @@
         self.rng = rng
         self.registry = _servers.ServerRegistry(regions, settings)
         departures = _departures.Departures()
+        self.returns = _returns.Returns(self.registry, bounds.entry_lifetime)
         self.discovery = _discovery.Discovery(
-            self.registry, departures, bounds.drain * _CONFIRM_FRACTION
+            self.registry,
+            departures,
+            self.returns,
+            bounds.drain * _CONFIRM_FRACTION,
         )
         self.dispatch = _dispatch.Dispatch(
             members, self.registry, departures, regions, bounds, settings, rng
@@ -105,6 +111,7 @@
             return
         self.bounds = bounds
         self.discovery.confirm_after = bounds.drain * _CONFIRM_FRACTION
+        self.returns.entry_lifetime = bounds.entry_lifetime
         self.dispatch.on_bounds(bounds)
 
     def on_exit_planned(self, exits_at: datetime.timedelta) -> None:
@@ -209,12 +216,13 @@
         """Applies removals that another VM announced, and forwards them."""
         changes = self.discovery.on_removals(removals, now)
         if changes.gone:
-            versions = {removal.server: removal.version for removal in removals}
+            announced = {removal.server: removal for removal in removals}
             for server in changes.gone:
-                version = versions[server.entry.id]
-                self.dispatch.departures.announce_removal(
-                    _departures.Removal.from_entry(server.entry, version), now
+                before = announced[server.entry.id]
+                removal = _departures.Removal.from_entry(
+                    server.entry, before.version, before.in_outage
                 )
+                self.dispatch.departures.announce_removal(removal, now)
             self.dispatch.on_changes(changes, now)
         return changes
 
@@ -223,11 +231,13 @@
         changes: _discovery.ServerChanges,
         version: int,
         now: datetime.timedelta,
+        in_outage: bool = False,
     ) -> None:
         for server in changes.gone:
-            self.dispatch.departures.announce_removal(
-                _departures.Removal.from_entry(server.entry, version), now
+            removal = _departures.Removal.from_entry(
+                server.entry, version, in_outage
             )
+            self.dispatch.departures.announce_removal(removal, now)
 
     def on_tick(self, now: datetime.timedelta) -> _discovery.ServerChanges:
         """Performs the periodic updates of peers, shares and server entries.
@@ -241,9 +251,11 @@
         self.dispatch.on_changes(changes, now)
         if changes.removed:
             latest = self.log.position.servers
-            self._announce_removals(changes, latest, now)
+            self._announce_removals(changes, latest, now, in_outage=True)
             self.log.on_servers(latest + 1, (), changes.removed, whole=False)
-        return changes
+        rows_known_at = now - self.freshness.store_view_age(now)
+        confirmed = self.returns.on_tick(now, rows_known_at)
+        return dataclasses.replace(changes, confirmed=confirmed)
 
     def heartbeat(
         self,
--- a/dragonflystack/entry/tests/test_discovery.py
+++ b/dragonflystack/entry/tests/test_discovery.py
@@ -6,6 +6,7 @@
 from dragonflystack import ids
 from dragonflystack.entry import _departures
 from dragonflystack.entry import _discovery
+from dragonflystack.entry import _returns
 from dragonflystack.entry import _servers
 from dragonflystack.entry.tests import builders
 
@@ -13,7 +14,10 @@
 def _make_discovery(*names):
     registry = _servers.ServerRegistry(builders.REGIONS, entry.ChoiceSettings())
     discovery = _discovery.Discovery(
-        registry, _departures.Departures(), builders.ms(1250)
+        registry,
+        _departures.Departures(),
+        _returns.Returns(registry, builders.ms(4500)),
+        builders.ms(1250),
     )
     entries = tuple(builders.server(name) for name in names)
     discovery.on_listing(entry.Listing(entries, (), True), builders.ms(0))
--- a/dragonflystack/entryd/_apply.py
+++ b/dragonflystack/entryd/_apply.py
@@ -60,7 +60,7 @@
     source: str,
     behind: datetime.timedelta,
 ) -> None:
-    """Logs the backend servers that were added, are leaving or are gone.
+    """Logs what changed among the backend servers.
 
     Args:
         daemon: the state of the process.
@@ -71,6 +71,8 @@
     for event, servers in (
         (_events.Event.SERVER_ADDED, changes.added),
         (_events.Event.SERVER_LEAVING, changes.leaving),
+        (_events.Event.SERVER_UNCONFIRMED, changes.unconfirmed),
+        (_events.Event.SERVER_CONFIRMED, changes.confirmed),
         (_events.Event.SERVER_GONE, changes.gone),
     ):
         for server in servers:
--- a/dragonflystack/entryd/_events.py
+++ b/dragonflystack/entryd/_events.py
@@ -22,6 +22,8 @@
     ENTRY_SKIPPED = "entry-skipped"
     SERVER_ADDED = "server-added"
     SERVER_LEAVING = "server-leaving"
+    SERVER_UNCONFIRMED = "server-unconfirmed"
+    SERVER_CONFIRMED = "server-confirmed"
     SERVER_GONE = "server-gone"
     SERVER_ASKED_WAIT = "server-asked-wait"
     SERVER_LIMITED = "server-limited"
--- a/dragonflystack/entryd/_heartbeats.py
+++ b/dragonflystack/entryd/_heartbeats.py
@@ -105,7 +105,7 @@
             _server_reports.log_leaving(daemon, server, heartbeat.vm)
         behind = daemon.vm.freshness.server_replication_lag(now)
         removed = daemon.vm.on_removals(heartbeat.removals, now)
-        if removed.gone:
+        if removed.gone or removed.unconfirmed:
             _apply.log_server_changes(daemon, removed, heartbeat.vm, behind)
             daemon.heartbeat_requested.set()
         for server in daemon.vm.dispatch.on_limit_reports(
